--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The two commands of the README: "make demo" and "make test".
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := packages tests
+
+.PHONY: test demo check unit format clean
+
+test: check unit
+
+check: $(VENV)/ready
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+
+unit: $(VENV)/ready
+	$(BIN)/nose2
+
+format: $(VENV)/ready
+	$(BIN)/ruff format $(SOURCES)
+
+$(VENV)/ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -0,0 +1,65 @@
+"""Operate sesamepoint: publish configuration, switch presets, look on.
+
+Usage:
+  sesamectl check FILE
+  sesamectl publish FILE --log URL [--based-on VERSION] [--operator NAME]
+  sesamectl preset NAME --deployment NAME --log URL [--based-on VERSION] [--operator NAME]
+  sesamectl show --deployment NAME --log URL [--json]
+  sesamectl --help
+  sesamectl --version
+
+Options:
+  --log URL            The platform's log, as http://IP:PORT.
+  --deployment NAME    The deployment that is meant.
+  --based-on VERSION   The version that the change was made from; by default
+                       the one in force when the command starts.
+  --operator NAME      Who publishes [default: operator].
+  --json               One JSON object instead of text.
+
+Exit status: 0 for success, 1 for a refusal by the system, 2 for bad usage
+or a bad file.
+"""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import version
+from typing import TYPE_CHECKING
+
+from docopt import DocoptExit, docopt
+
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint.settings.load import SettingsError
+from sesamectl.commands import check, publish, show  # noqa: F401
+from sesamectl.commands.base import COMMANDS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit status."""
+    try:
+        arguments = docopt(__doc__, argv, version=version('sesamectl'))
+    except DocoptExit as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    name = next(command for command in COMMANDS if arguments[command])
+    try:
+        sys.stdout.write(f'{COMMANDS.get(name)(arguments)}\n')
+    except SettingsError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    except SesamepointError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_REFUSED
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
+
+__all__ = ('main',)
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of ``sesamectl``, one module each."""
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/commands/publish.py
@@ -0,0 +1,62 @@
+"""``sesamectl publish`` and ``preset``: the two ways to change anything."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint_core.fold.records import Publish, SwitchPreset
+from sesamepoint_core.fold.verdict import Accepted
+from sesamectl.commands.base import COMMANDS, Arguments, with_follower
+from sesamectl.commands.check import load_configuration
+
+if TYPE_CHECKING:
+    from sesamepoint_core.fold.records import Body
+    from sesamepoint.control.follower import Follower
+
+
+class ChangeRefusedError(SesamepointError):
+    """The fold rejected a change."""
+
+
+@COMMANDS.register('publish')
+def publish(arguments: Arguments) -> str:
+    """Put a new configuration in force."""
+    deployment, document = load_configuration(Path(arguments['FILE']))
+
+    def change(based_on: int) -> Publish:  # noqa: WPS430
+        return Publish(based_on, arguments['--operator'], msgspec.Raw(document))
+
+    return _submit(arguments, deployment, change)
+
+
+@COMMANDS.register('preset')
+def preset(arguments: Arguments) -> str:
+    """Put another preset in force."""
+
+    def change(based_on: int) -> SwitchPreset:  # noqa: WPS430
+        return SwitchPreset(based_on, arguments['--operator'], arguments['NAME'])
+
+    return _submit(arguments, arguments['--deployment'], change)
+
+
+def _submit(arguments: Arguments, deployment: str, change: object) -> str:
+    async def submit(follower: Follower) -> str:  # noqa: WPS430
+        given = arguments['--based-on']
+        based_on = follower.state.version if given is None else int(given)
+        body: Body = change(based_on)  # type: ignore[operator]
+        verdict = await follower.submit(body)
+        if isinstance(verdict, Accepted):
+            return f'{deployment}: version {verdict.version} is in force from offset {verdict.offset}'
+        raise ChangeRefusedError(
+            getattr(verdict, 'reason', 'the record was a repeat'),
+            getattr(verdict, 'remedy', 'run "sesamectl show"'),
+        )
+
+    return with_follower(arguments, deployment, submit)
+
+
+__all__ = ('ChangeRefusedError', 'preset', 'publish')
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/__init__.py
@@ -0,0 +1,1 @@
+"""Which work is let in, and how often it may be tried again."""
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/answer/__init__.py
@@ -0,0 +1,1 @@
+"""Answers: numbered chunks and what became of a request."""
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: its model and its checks."""
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/check.py
@@ -0,0 +1,100 @@
+"""Checks of a configuration as a whole."""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import TYPE_CHECKING
+
+import msgspec
+from pydantic import TypeAdapter, ValidationError
+
+from sesamepoint_core.config.model import Configuration, InForce
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint_core.problems import describe
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamepoint_core.fold.state import State
+
+KEPT_PARSED = 8
+PRESETS = ('ordinary', 'peak', 'maintenance')
+_adapter: TypeAdapter[Configuration] = TypeAdapter(Configuration)
+
+
+class NotConfiguredError(SesamepointError):
+    """Nothing was published yet."""
+
+    def __init__(self) -> None:
+        """Tell the operator to publish."""
+        super().__init__('no configuration is in force', 'publish one with "sesamectl publish"')
+
+
+@lru_cache(maxsize=KEPT_PARSED)
+def parse_configuration(document: bytes) -> Configuration:
+    """Return the typed form of a checked configuration."""
+    return _adapter.validate_json(document)
+
+
+def check_configuration(document: bytes) -> tuple[str, ...]:
+    """Return one line for each thing wrong with ``document``."""
+    try:
+        cfg = _adapter.validate_json(document)
+    except ValidationError as exc:
+        return tuple(describe(exc))
+    return tuple(_cross_checks(cfg))
+
+
+def preset_names(document: bytes) -> tuple[str, ...]:
+    """Return the presets that a checked configuration defines."""
+    parsed = msgspec.json.decode(document)
+    return tuple(parsed['presets']) if parsed else ()
+
+
+def in_force(state: State) -> InForce:
+    """Return what governs at ``state``.
+
+    Raises
+    ------
+    NotConfiguredError
+        If no configuration was accepted so far.
+    """
+    if not state.version:
+        raise NotConfiguredError
+    return InForce(state.version, state.preset, parse_configuration(state.configuration))
+
+
+def _cross_checks(cfg: Configuration) -> Iterator[str]:
+    for missing in sorted(set(PRESETS) - set(cfg['presets'])):
+        yield f'presets: {missing!r} is missing; define all of {", ".join(PRESETS)}'
+    yield from _check_runners(cfg)
+    yield from _check_fleets(cfg)
+
+
+def _check_runners(cfg: Configuration) -> Iterator[str]:
+    seen: dict[str, str] = {}
+    for name, runner in cfg['runners'].items():
+        if runner['fleet'] not in cfg['fleets']:
+            known = ', '.join(sorted(cfg['fleets']))
+            yield f'runners.{name}.fleet: no fleet {runner["fleet"]!r}; use one of: {known}'
+        twin = seen.setdefault(runner['agent'], name)
+        if twin != name:
+            yield f'runners.{name}.agent: {runner["agent"]} is also the agent of {twin}; give each runner its own'
+
+
+def _check_fleets(cfg: Configuration) -> Iterator[str]:
+    models: dict[str, str] = {}
+    for name, fleet in cfg['fleets'].items():
+        size = sum(runner['fleet'] == name for runner in cfg['runners'].values())
+        floors = sum(fleet['floors'].values())
+        if floors > size:
+            yield f'fleets.{name}.floors: they add up to {floors}, the fleet has {size}; lower them'
+        for runner in sorted(set(fleet['roles']) - set(cfg['runners'])):
+            yield f'fleets.{name}.roles.{runner}: no such runner; remove it or add the runner'
+        for model in fleet['models']:
+            twin = models.setdefault(model, name)
+            if twin != name:
+                yield f'fleets.{name}.models: {model!r} is also served by {twin}; name it once'
+
+
+__all__ = ('NotConfiguredError', 'check_configuration', 'in_force', 'parse_configuration', 'preset_names')
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement: the deterministic fold over the control log."""
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, over sockets and in memory."""
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/cli.py
@@ -0,0 +1,74 @@
+"""Run one stand-in.
+
+Usage:
+  sesamepoint-standin platform --listen ADDRESS
+  sesamepoint-standin engine --listen ADDRESS [--role ROLE] [--ignores-fencing]
+  sesamepoint-standin plain --listen ADDRESS
+  sesamepoint-standin --help
+
+Options:
+  --listen ADDRESS   IP:PORT to listen on.
+  --role ROLE        Role loaded at first [default: mixed].
+  --ignores-fencing  Take orders under old fencing numbers as well.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import trio
+from docopt import DocoptExit, docopt
+
+from sesamepoint.process.web import serve_web
+from sesamepoint_standins.engine import Engine
+from sesamepoint_standins.log import MemoryInstances, MemoryLog
+from sesamepoint_standins.web import EngineApp, PlainApp, PlatformApp
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+EXIT_USAGE = 2
+
+
+async def serve_platform(address: str) -> None:
+    """Serve the log and the list of instances."""
+    await serve_web(PlatformApp(MemoryLog(), MemoryInstances()), address)
+
+
+async def serve_engine(address: str, engine: Engine) -> None:
+    """Serve one engine."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(engine.run)
+        await serve_web(EngineApp(engine), address)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command line and return the exit status."""
+    try:
+        arguments = docopt(__doc__, argv)
+    except DocoptExit as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    try:
+        _serve(arguments)
+    except KeyboardInterrupt:
+        return 0
+    return 0
+
+
+def _serve(arguments: dict[str, str]) -> None:
+    address = arguments['--listen']
+    if arguments['platform']:
+        trio.run(serve_platform, address)
+    elif arguments['engine']:
+        engine = Engine(arguments['--role'], checks_fencing=not arguments['--ignores-fencing'])
+        trio.run(serve_engine, address, engine)
+    else:
+        trio.run(serve_web, PlainApp(), address)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
+
+__all__ = ('main', 'serve_engine', 'serve_platform')
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
@@ -0,0 +1,259 @@
+"""A stand-in engine: continuous batching in steps, on trio's clock."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+import trio
+
+from sesamepoint.control.signal import Signal
+from sesamepoint.upstream.base import UpstreamLoad
+from sesamepoint_standins import engine_model as model
+
+MAX_STEPS = 16
+SNAPSHOT_S = 0.1
+KEPT_SNAPSHOTS = 64
+
+
+class EngineRequest(NamedTuple):
+    """One completion as the engine gets it."""
+
+    name: str
+    prompt_tokens: int
+    output_tokens: int
+    priority: int
+    prefix: str
+    prefix_tokens: int
+    seed: int
+
+
+class EngineRefusedError(Exception):
+    """An order that the engine does not take."""
+
+
+class _Running:
+    """One request inside the engine."""
+
+    def __init__(self, req: EngineRequest, left: int, out: trio.MemorySendChannel[str]) -> None:
+        self.req = req
+        self.prefill_left = left
+        self.produced = 0
+        self.sent = 0
+        self.out = out
+
+    @property
+    def output_left(self) -> int:
+        """Tokens still to generate."""
+        return self.req.output_tokens - self.produced
+
+    def produce(self, steps: int, flush_tokens: int) -> None:
+        """Generate tokens and send them when enough are there."""
+        self.produced += steps
+        due = self.produced - self.sent
+        if due >= flush_tokens or not self.output_left or not self.sent:
+            self.out.send_nowait(model.answer_text(self.req.seed, self.sent, due))
+            self.sent = self.produced
+
+
+class Engine:
+    """Runs steps: prompt chunks and running answers share each of them.
+
+    Parameters
+    ----------
+    role
+        The role that is loaded at first.
+    checks_fencing
+        Whether an order under an older fencing number is refused.
+    flush_tokens
+        Tokens per piece of an answer's stream.
+    """
+
+    def __init__(self, role: str, *, checks_fencing: bool, flush_tokens: int = 1) -> None:
+        """Start idle."""
+        self.role = role
+        self.fence = -1
+        self.changing = False
+        self.slowdown = 1.0
+        self.orders: list[tuple[str, int]] = []
+        self.cut_off = 0
+        self.runs: dict[str, int] = {}
+        self._checks_fencing = checks_fencing
+        self._flush_tokens = flush_tokens
+        self._waiting: list[_Running] = []
+        self._running: list[_Running] = []
+        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._arrived = Signal()
+        self._reports: deque[tuple[float, UpstreamLoad]] = deque(maxlen=KEPT_SNAPSHOTS)
+        self._change_over = Signal()
+
+    def submit(self, req: EngineRequest) -> trio.MemoryReceiveChannel[str]:
+        """Queue ``req``; its text comes out of the channel.
+
+        The channel closes early, and breaks, when the engine drops it.
+        """
+        sender, receiver = trio.open_memory_channel[str](float('inf'))
+        cached = self._cached_tokens(req)
+        self.runs[req.name] = self.runs.get(req.name, 0) + 1
+        self._waiting.append(_Running(req, max(req.prompt_tokens - cached, 1), sender))
+        self._waiting.sort(key=lambda found: -found.req.priority)
+        self._arrived.set_off()
+        return receiver
+
+    def cancel(self, name: str) -> None:
+        """Drop a request, wherever it is."""
+        for found in self._inside(name):
+            queue = self._waiting if found in self._waiting else self._running
+            queue.remove(found)
+            found.out.close()
+
+    def load(self) -> UpstreamLoad:
+        """Return the report as it was some time ago; role and change are exact."""
+        self._snapshot()
+        horizon = trio.current_time() - model.REPORT_LAG_S
+        old = [load for made_at, load in self._reports if made_at <= horizon]
+        load = old[-1] if old else self._reports[0][1]
+        return load._replace(role=self.role, changing=self.changing)
+
+    def order(self, role: str, fence: int) -> None:
+        """Begin a role change; whatever runs is dropped.
+
+        Raises
+        ------
+        EngineRefusedError
+            If the role is unknown, a change is under way, or the fencing
+            number is older than one seen and this engine checks.
+        """
+        if role not in model.PROFILES:
+            raise EngineRefusedError(f'unknown role {role!r}')
+        if self._checks_fencing and fence < self.fence:
+            raise EngineRefusedError(f'fencing number {fence} is older than {self.fence}')
+        if self.changing:
+            raise EngineRefusedError('a change is under way')
+        self.fence = max(fence, self.fence)
+        self.orders.append((role, fence))
+        self._drop_all()
+        self._cache.clear()
+        self.changing = True
+        self.role = model.HALF_SWITCHED
+        self._target = role
+        self._arrived.set_off()
+
+    def crash(self) -> None:
+        """Drop everything; a change under way stays half done."""
+        self._drop_all()
+        self._cache.clear()
+        self.changing = False
+        self._change_over.set_off()
+
+    async def run(self) -> None:
+        """Run steps until cancelled."""
+        while True:
+            if self.changing:
+                await self._change()
+            elif self._waiting or self._running:
+                await self._step()
+            else:
+                await self._arrived.wait()
+
+    async def _change(self) -> None:
+        if await self._change_over.wait_at_most(model.ROLE_CHANGE_S):
+            return
+        self.role = self._target
+        self.changing = False
+
+    async def _step(self) -> None:
+        profile = model.PROFILES.get(self.role)
+        if profile is None:
+            await self._arrived.wait_at_most(SNAPSHOT_S)
+            return
+        chunk = self._plan_chunk(profile)
+        if chunk:
+            await self._mixed_step(chunk)
+        else:
+            await self._decode_steps()
+        self._snapshot()
+
+    def _plan_chunk(self, profile: model.Profile) -> list[tuple[_Running, int]]:
+        left = profile.chunk_tokens
+        chunk = []
+        for found in self._waiting[: max(profile.max_running - len(self._running), 0)]:
+            part = min(found.prefill_left, left)
+            if part:
+                chunk.append((found, part))
+            left -= part
+        return chunk
+
+    async def _mixed_step(self, chunk: list[tuple[_Running, int]]) -> None:
+        decoding = list(self._running)
+        tokens = sum(part for _, part in chunk)
+        await trio.sleep(model.step_s(tokens, len(decoding)) * self.slowdown)
+        for found, part in chunk:
+            found.prefill_left -= part
+            if not found.prefill_left and found in self._waiting:
+                self._waiting.remove(found)
+                self._running.append(found)
+                self._remember_prefix(found.req)
+                found.produce(1, self._flush_tokens)
+        self._produce(decoding, 1)
+
+    async def _decode_steps(self) -> None:
+        decoding = list(self._running)
+        one_s = model.step_s(0, len(decoding)) * self.slowdown
+        steps = min(MAX_STEPS, min(found.output_left for found in decoding))
+        started = trio.current_time()
+        if await self._arrived.wait_at_most(steps * one_s):
+            whole = int((trio.current_time() - started) / one_s) + 1
+            steps = min(steps, whole)
+            await trio.sleep(max(started + steps * one_s - trio.current_time(), 0))
+        self._produce(decoding, steps)
+
+    def _produce(self, decoding: list[_Running], steps: int) -> None:
+        for found in decoding:
+            if found in self._running:
+                found.produce(steps, self._flush_tokens)
+        done = [ended for ended in self._running if not ended.output_left]
+        for finished in done:
+            self._running.remove(finished)
+            finished.out.close()
+
+    def _cached_tokens(self, req: EngineRequest) -> int:
+        cached = self._cache.get(req.prefix, 0)
+        if cached:
+            self._cache.move_to_end(req.prefix)
+        return min(cached, req.prefix_tokens)
+
+    def _remember_prefix(self, req: EngineRequest) -> None:
+        if req.prefix:
+            self._cache[req.prefix] = req.prefix_tokens
+        while sum(self._cache.values()) > model.PREFIX_CACHE_TOKENS:
+            self._cache.popitem(last=False)
+
+    def _drop_all(self) -> None:
+        self.cut_off += len(self._inside())
+        for dropped in self._inside():
+            dropped.out.close()
+        self._waiting.clear()
+        self._running.clear()
+
+    def _inside(self, name: str = '') -> list[_Running]:
+        inside = [*self._waiting, *self._running]
+        return [found for found in inside if name in {found.req.name, ''}]
+
+    def _snapshot(self) -> None:
+        now = trio.current_time()
+        if self._reports and now - self._reports[-1][0] < SNAPSHOT_S:
+            return
+        running = len(self._running)
+        load = UpstreamLoad(
+            role=self.role,
+            changing=self.changing,
+            waiting_tokens=sum(found.prefill_left for found in self._waiting),
+            running=running,
+            prefill_rate=model.prefill_rate(self.role, running) / self.slowdown,
+            token_s=model.step_s(0, running) * self.slowdown,
+        )
+        self._reports.append((now, load))
+
+
+__all__ = ('Engine', 'EngineRefusedError', 'EngineRequest')
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/memory_engine.py
@@ -0,0 +1,74 @@
+"""The stand-in engine as an upstream, without sockets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.errors import UpstreamError
+from sesamepoint.upstream.base import OrderRefusedError, UnreachableError, UpstreamLoad
+from sesamepoint_standins.engine import Engine, EngineRefusedError, EngineRequest
+from sesamepoint_standins.engine_model import seed_of
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from sesamepoint.link.messages import Job
+
+CALL_S = 0.0005
+
+
+class MemoryEngine:
+    """Adapts an :class:`Engine` to the agent's side of an upstream."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Wrap ``engine``; it is reachable at first."""
+        self.engine = engine
+        self.reachable = True
+
+    async def start(self, attempt: str, job: Job) -> AsyncGenerator[bytes, None]:
+        """Run a completion and yield its text."""
+        await self._enter()
+        req = EngineRequest(
+            attempt,
+            job.prompt_tokens,
+            job.output_tokens,
+            int(job.urgent),
+            job.prefix,
+            job.prefix_tokens,
+            seed_of(job.body),
+        )
+        received = 0
+        with self.engine.submit(req) as pieces:
+            async for piece in pieces:
+                received += piece.count(' ')
+                yield piece.encode()
+        if received < job.output_tokens:
+            raise UpstreamError('the stream ended without its end mark')
+
+    async def cancel(self, attempt: str) -> None:
+        """Stop the completion, if it runs."""
+        await self._enter()
+        self.engine.cancel(attempt)
+
+    async def load(self) -> UpstreamLoad:
+        """Ask for the engine's report."""
+        await self._enter()
+        return self.engine.load()
+
+    async def order(self, role: str, fence: int) -> None:
+        """Tell the engine to take ``role``."""
+        await self._enter()
+        try:
+            self.engine.order(role, fence)
+        except EngineRefusedError as exc:
+            raise OrderRefusedError(str(exc)) from exc
+
+    async def _enter(self) -> None:
+        await trio.sleep(CALL_S)
+        if not self.reachable:
+            raise UnreachableError('down')
+
+
+__all__ = ('MemoryEngine',)
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/web.py
@@ -0,0 +1,184 @@
+"""The stand-ins' HTTP faces, as ASGI applications."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+from urllib.parse import parse_qs
+
+import msgspec
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint.platform.http_log import AppendReply, ReadReply
+from sesamepoint_standins.engine import Engine, EngineRefusedError, EngineRequest
+from sesamepoint_standins.engine_model import seed_of
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sesamepoint_standins.log import MemoryInstances, MemoryLog
+
+    Receive = Callable[[], Awaitable[dict[str, Any]]]
+    Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+STATUS_NOT_FOUND = 404
+MS_PER_S = 1000
+TOKEN_EVENT = b'data: {"choices":[{"index":0,"text":%b}]}\n\n'
+DONE_EVENT = b'data: [DONE]\n\n'
+
+
+class Call(NamedTuple):
+    """One HTTP call to a stand-in."""
+
+    method: str
+    path: str
+    query: dict[str, list[str]]
+    body: bytes
+
+
+class Answer(NamedTuple):
+    """A whole reply."""
+
+    status: int
+    body: bytes
+
+
+class CompletionCall(msgspec.Struct):
+    """The fields of a completion that the engine reads."""
+
+    prompt: str
+    prompt_tokens: int
+    request_id: str
+    max_tokens: int = 256
+    priority: int = 0
+    prefix: str = ''
+    prefix_tokens: int = 0
+
+
+class OrderCall(NamedTuple):
+    """An order to the engine."""
+
+    role: str
+    fence: int
+
+
+async def read_call(scope: dict[str, Any], receive: Receive) -> Call:
+    """Return the call of an ASGI scope."""
+    body = b''
+    more = True
+    while more:
+        message = await receive()
+        body += message.get('body', b'')
+        more = message.get('more_body', False)
+    return Call(scope['method'], scope['path'], parse_qs(scope['query_string'].decode()), body)
+
+
+async def send_answer(send: Send, answer: Answer) -> None:
+    """Send a whole reply."""
+    headers = [(b'content-length', str(len(answer.body)).encode()), (b'content-type', b'application/json')]
+    await send({'type': 'http.response.start', 'status': answer.status, 'headers': headers})
+    await send({'type': 'http.response.body', 'body': answer.body})
+
+
+class PlatformApp:
+    """The log and the list of instances behind one address."""
+
+    def __init__(self, log: MemoryLog, instances: MemoryInstances) -> None:
+        """Serve both."""
+        self._log = log
+        self._instances = instances
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Answer one ASGI scope."""
+        call = await read_call(scope, receive)
+        try:
+            answer = await self._answer(call)
+        except PlatformUnavailableError as exc:
+            answer = Answer(STATUS_UNAVAILABLE, str(exc).encode())
+        await send_answer(send, answer)
+
+    async def _answer(self, call: Call) -> Answer:
+        if call.path == '/instances':
+            return Answer(STATUS_OK, msgspec.json.encode(await self._instances.fetch()))
+        stream = call.path.removeprefix('/streams/')
+        if call.method == 'POST':
+            offset = await self._log.append(stream, call.body)
+            return Answer(STATUS_OK, msgspec.json.encode(AppendReply(offset)))
+        start = int(call.query['from'][0])
+        page = await self._log.read(stream, start, int(call.query['wait_ms'][0]) / MS_PER_S)
+        records = tuple((record.offset, record.payload.decode()) for record in page.records)
+        return Answer(STATUS_OK, msgspec.json.encode(ReadReply(page.earliest, page.end, records)))
+
+
+class EngineApp:
+    """One engine behind one address."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Serve ``engine``."""
+        self._engine = engine
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Answer one ASGI scope."""
+        call = await read_call(scope, receive)
+        if call.path == '/v1/completions':
+            await self._complete(call, send)
+        else:
+            await send_answer(send, self._answer(call))
+
+    def _answer(self, call: Call) -> Answer:
+        if call.path == '/load':
+            return Answer(STATUS_OK, msgspec.json.encode(self._engine.load()._asdict()))
+        if call.path == '/v1/cancel':
+            self._engine.cancel(msgspec.json.decode(call.body)['request_id'])
+            return Answer(STATUS_OK, b'{}')
+        if call.path == '/orders':
+            return self._order(msgspec.convert(msgspec.json.decode(call.body), OrderCall))
+        return Answer(STATUS_NOT_FOUND, b'{}')
+
+    def _order(self, order: OrderCall) -> Answer:
+        try:
+            self._engine.order(order.role, order.fence)
+        except EngineRefusedError as exc:
+            return Answer(STATUS_CONFLICT, str(exc).encode())
+        return Answer(STATUS_OK, b'{}')
+
+    async def _complete(self, call: Call, send: Send) -> None:
+        body = msgspec.json.decode(call.body, type=CompletionCall)
+        req = EngineRequest(
+            body.request_id,
+            body.prompt_tokens,
+            body.max_tokens,
+            body.priority,
+            body.prefix,
+            body.prefix_tokens,
+            seed_of(body.prompt.encode()),
+        )
+        headers = [(b'content-type', b'text/event-stream')]
+        await send({'type': 'http.response.start', 'status': STATUS_OK, 'headers': headers})
+        tokens = 0
+        async for piece in self._engine.submit(req):
+            tokens += piece.count(' ')
+            event = TOKEN_EVENT % msgspec.json.encode(piece)
+            await send({'type': 'http.response.body', 'body': event, 'more_body': True})
+        end = DONE_EVENT if tokens == body.max_tokens else b''
+        await send({'type': 'http.response.body', 'body': end})
+
+
+class PlainApp:
+    """A plain service that echoes, and counts what it ran."""
+
+    def __init__(self) -> None:
+        """Start with nothing run."""
+        self.runs: list[str] = []
+
+    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        """Answer one ASGI scope."""
+        call = await read_call(scope, receive)
+        self.runs.append(f'{call.method} {call.path}')
+        body = {'method': call.method, 'path': call.path, 'bytes': len(call.body)}
+        await send_answer(send, Answer(STATUS_OK, msgspec.json.encode(body)))
+
+
+__all__ = ('EngineApp', 'PlainApp', 'PlatformApp')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the only door to one upstream."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/agent/orders.py
@@ -0,0 +1,129 @@
+"""Carrying out the orders that stand on the control log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError, UpstreamError
+from sesamepoint_core.fold.records import ClaimLease, OrderDone
+from sesamepoint_core.fold.state import NEVER
+from sesamepoint_core.fold.verdict import Accepted
+from sesamepoint import events
+from sesamepoint.upstream.base import OrderRefusedError, UnreachableError
+
+if TYPE_CHECKING:
+    from sesamepoint_core.fold.state import StandingOrder
+    from sesamepoint.agent.agent import Agent
+
+PERMISSION_S = 2.0
+MARGIN_S = 0.5
+CHECK_S = 0.25
+REVIEW_S = 1.0
+REPORT_WAIT_S = 5.0
+
+
+class OrderExecutor:
+    """Claims the runner's slot, then keeps the upstream as ordered.
+
+    Orders come from the fold only: one whose holder or version was no
+    longer current at its own offset never shows up here. One at a time is
+    carried out; what came meanwhile is reduced to the newest.
+    """
+
+    def __init__(self, agent: Agent) -> None:
+        """Act for ``agent``."""
+        self._agent = agent
+        self._follower = agent.follower
+        self._slot = f'slot/{agent.runner}'
+
+    async def execute(self) -> None:
+        """Claim the slot and carry orders out, until cancelled."""
+        await self._follower.recovered.wait()
+        await self._claim()
+        while self._holds_slot():
+            await self._act(self._standing())
+        # A newer agent claimed the slot: this one woke from a pause, or was
+        # replaced. It takes no more work, so entries turn to its successor.
+        events.log_event(events.LEASE_LOST, lease=self._slot)
+        self._agent.leaving = True
+
+    async def _act(self, order: StandingOrder | None) -> None:
+        load = self._agent.load
+        if order is None or load.changing or load.role in {order.role, ''}:
+            if order is not None and load.role == order.role and not order.done:
+                await self._report(order)
+            await self._follower.changed.wait_at_most(REVIEW_S)
+        else:
+            await self._carry_out(order)
+
+    async def _claim(self) -> None:
+        while not self._holds_slot():
+            former = self._follower.state.leases.get(self._slot)
+            last_seen = former.renewed if former else NEVER
+            verdict = await self._follower.submit(ClaimLease(self._slot, self._agent.incarnation, last_seen))
+            if isinstance(verdict, Accepted) and former is not None:
+                # The former agent may act on a read of the log that is up to
+                # PERMISSION_S old; after that it has read of this claim.
+                await trio.sleep(PERMISSION_S + MARGIN_S)
+        events.log_event(events.SLOT_CLAIMED, runner=self._agent.runner)
+
+    def _holds_slot(self) -> bool:
+        lease = self._follower.state.leases.get(self._slot)
+        return lease is not None and lease.holder == self._agent.incarnation
+
+    def _standing(self) -> StandingOrder | None:
+        return self._follower.state.orders.get(self._agent.runner)
+
+    async def _carry_out(self, order: StandingOrder) -> None:
+        if order.done:
+            events.log_event(events.HALF_SWITCHED, runner=self._agent.runner, role=self._agent.load.role)
+        self._agent.held = True
+        try:
+            await self._drain_and_send(order)
+        finally:
+            self._agent.held = False
+
+    async def _drain_and_send(self, order: StandingOrder) -> None:
+        events.log_event(events.ORDER_STARTED, runner=self._agent.runner, offset=order.offset, role=order.role)
+        await self._agent.drained()
+        if not await self._permitted(order):
+            await trio.sleep(CHECK_S)
+            return
+        try:
+            await self._agent.upstream.order(order.role, order.fence)
+        except OrderRefusedError as exc:
+            events.log_event(events.ORDER_REFUSED, runner=self._agent.runner, cause=str(exc))
+            await trio.sleep(REVIEW_S)
+        except (UpstreamError, UnreachableError):
+            await trio.sleep(CHECK_S)
+        await self._settle()
+
+    async def _permitted(self, order: StandingOrder) -> bool:
+        """Read the log to its end, then look whether the order still stands.
+
+        The answer is good for ``PERMISSION_S`` from the start of the read;
+        a slow read is worth nothing, since a successor may be acting.
+        """
+        asked_at = trio.current_time()
+        try:
+            await self._follower.read_to_end()
+        except PlatformUnavailableError:
+            return False
+        fresh = trio.current_time() - asked_at < PERMISSION_S
+        return fresh and self._holds_slot() and self._standing() == order
+
+    async def _settle(self) -> None:
+        while (await self._agent.refresh_load()).changing:
+            await trio.sleep(CHECK_S)
+
+    async def _report(self, order: StandingOrder) -> None:
+        # The runner serves again before this is written: a log that is away
+        # must not keep a runner out of service.
+        with trio.move_on_after(REPORT_WAIT_S):
+            await self._follower.submit(OrderDone(self._agent.runner, order.offset, self._agent.load.role))
+            events.log_event(events.ORDER_DONE, runner=self._agent.runner, offset=order.offset, role=order.role)
+
+
+__all__ = ('OrderExecutor',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/__init__.py
@@ -0,0 +1,1 @@
+"""Following the control log and acting on it."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/follower.py
@@ -0,0 +1,218 @@
+"""Following the control log: the one way to know what is agreed."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.config.check import in_force
+from sesamepoint_core.errors import HistoryLostError, PlatformUnavailableError
+from sesamepoint_core.fold.apply import apply
+from sesamepoint_core.fold.records import encode
+from sesamepoint_core.fold.snapshot import Snapshot, choose, decode_snapshot, encode_snapshot
+from sesamepoint_core.fold.state import State
+from sesamepoint_core.fold.verdict import Rejected
+from sesamepoint import events
+from sesamepoint.control.signal import Signal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+    from random import Random
+
+    from sesamepoint_core.config.model import InForce
+    from sesamepoint_core.fold.records import Body
+    from sesamepoint_core.fold.verdict import Verdict
+    from sesamepoint.platform.messages import LogRecord, LogService
+
+POLL_WAIT_S = 1.0
+RETRY_S = 0.5
+KEPT_RECORDS = 512
+
+
+class Follower:
+    """Folds a deployment's control stream and appends to it.
+
+    Parameters
+    ----------
+    log
+        The platform's log.
+    deployment
+        Whose stream to follow.
+    writer
+        This process's incarnation.
+    rng
+        For the jitter of repeated calls.
+    """
+
+    def __init__(self, log: LogService, deployment: str, writer: str, rng: Random) -> None:
+        """Start with nothing known."""
+        self.state = State.empty()
+        self.writer = writer
+        self.changed = Signal()
+        self.recovered = trio.Event()
+        self.heard_at = float('-inf')
+        self._log = log
+        self._stream = f'control.{deployment}'
+        self._snapshots = f'snapshots.{deployment}'
+        self._rng = rng
+        self._recent: deque[tuple[int, bytes]] = deque(maxlen=KEPT_RECORDS)
+        self._serial = 0
+        self._verdicts: dict[int, Verdict] = {}
+        self._reachable = True
+
+    @property
+    def in_force(self) -> InForce:
+        """What governs, as far as this process knows.
+
+        Raises
+        ------
+        NotConfiguredError
+            If nothing was published.
+        """
+        return in_force(self.state)
+
+    def records_after(self, offset: int) -> tuple[tuple[int, bytes], ...]:
+        """Return the records behind ``offset``, if none of them is gone."""
+        if not self._recent or self._recent[0][0] > offset + 1:
+            return ()
+        return tuple(record for record in self._recent if record[0] > offset)
+
+    def learn(self, records: Iterable[tuple[int, bytes]]) -> None:
+        """Fold records that a peer handed over.
+
+        The records are the log's own, so a peer adds nothing of its own;
+        one that does not follow on directly is left for the log to give.
+        """
+        for offset, payload in records:
+            if offset == self.state.offset + 1:
+                self._fold(offset, payload)
+
+    async def follow(self) -> None:
+        """Recover, then fold what comes, until cancelled."""
+        await self._until_read(self._recover)
+        self.recovered.set()
+        events.log_event(events.STATE_RECOVERED, offset=self.state.offset, version=self.state.version)
+        while True:
+            await self._until_read(self._read_on)
+
+    async def submit(self, body: Body) -> Verdict:
+        """Append ``body`` and return what the fold made of it.
+
+        Waits for as long as the log is away; wrap it in a cancel scope to
+        give up. What was given up may still take effect later.
+        """
+        self._serial += 1
+        serial = self._serial
+        payload = encode(self.writer, serial, body)
+        while serial not in self._verdicts:
+            wait_s = RETRY_S
+            try:
+                await self._log.append(self._stream, payload)
+            except PlatformUnavailableError:
+                # The append may have taken effect and only its reply be
+                # lost. Wait for the fold to show it, then append the same
+                # serial again: if both land, the fold counts one.
+                wait_s = RETRY_S * (1 + self._rng.random())
+            await self._wait_for(serial, wait_s)
+        return self._verdicts.pop(serial)
+
+    async def write_snapshot(self, fence: int) -> None:
+        """Append the fold as it stands to the snapshot stream.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the log is away.
+        """
+        await self._log.append(self._snapshots, encode_snapshot(Snapshot(fence, self.state)))
+
+    async def read_to_end(self) -> None:
+        """Fold up to the end that the log has now.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the log is away.
+        """
+        page = await self._log.read(self._stream, self.state.offset + 1, 0)
+        self._take(page.records)
+        while self.state.offset + 1 < page.end:
+            page = await self._log.read(self._stream, self.state.offset + 1, 0)
+            self._take(page.records)
+
+    async def _wait_for(self, serial: int, wait_s: float) -> None:
+        with trio.move_on_after(wait_s):
+            while serial not in self._verdicts:
+                await self.changed.wait()
+
+    async def _until_read(self, step: object) -> None:
+        try:
+            await step()  # type: ignore[operator]
+        except PlatformUnavailableError as exc:
+            self._note_reachable(reachable=False, cause=str(exc))
+            await trio.sleep(RETRY_S * (1 + self._rng.random()))
+            return
+        self._note_reachable(reachable=True, cause='')
+
+    async def _recover(self) -> None:
+        while True:
+            try:
+                return await self._recover_once()
+            except PlatformUnavailableError as exc:
+                self._note_reachable(reachable=False, cause=str(exc))
+                await trio.sleep(RETRY_S * (1 + self._rng.random()))
+
+    async def _recover_once(self) -> None:
+        page = await self._log.read(self._stream, self.state.offset + 1, 0)
+        if page.earliest > self.state.offset + 1:
+            self.state = await self._newest_snapshot(page.earliest)
+        await self.read_to_end()
+
+    async def _newest_snapshot(self, earliest: int) -> State:
+        page = await self._log.read(self._snapshots, 0, 0)
+        if page.earliest > 0 and not page.records:
+            page = await self._log.read(self._snapshots, page.earliest, 0)
+        chosen = choose(decode_snapshot(record.payload) for record in page.records)
+        if chosen is None or chosen.state.offset + 1 < earliest:
+            # To start from the earliest record kept would be to guess: a
+            # version, a lease or a standing order may have been trimmed.
+            events.log_event(events.HISTORY_LOST, wanted=self.state.offset + 1, earliest=earliest)
+            raise HistoryLostError(self.state.offset + 1, earliest)
+        return chosen.state
+
+    async def _read_on(self) -> None:
+        page = await self._log.read(self._stream, self.state.offset + 1, POLL_WAIT_S)
+        if page.earliest > self.state.offset + 1:
+            await self._recover_once()
+            self.changed.set_off()
+        self._take(page.records)
+
+    def _take(self, records: Sequence[LogRecord]) -> None:
+        self.heard_at = trio.current_time()
+        for record in records:
+            if record.offset == self.state.offset + 1:
+                self._fold(record.offset, record.payload)
+
+    def _fold(self, offset: int, payload: bytes) -> None:
+        before = self.state.version
+        step = apply(self.state, offset, payload)
+        self.state = step.state
+        self._recent.append((offset, payload))
+        if step.record is not None and step.record.writer == self.writer:
+            self._verdicts.setdefault(step.record.serial, step.verdict)
+        if isinstance(step.verdict, Rejected):
+            events.log_event(events.RECORD_REJECTED, offset=offset, code=step.verdict.code, reason=step.verdict.reason)
+        if self.state.version != before:
+            events.log_event(events.VERSION_IN_FORCE, version=self.state.version, offset=offset)
+        self.changed.set_off()
+
+    def _note_reachable(self, *, reachable: bool, cause: str) -> None:
+        if reachable != self._reachable:
+            event = events.LOG_REACHABLE if reachable else events.LOG_UNREACHABLE
+            events.log_event(event, cause=cause)
+        self._reachable = reachable
+
+
+__all__ = ('Follower',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: where callers come in."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/attempt.py
@@ -0,0 +1,127 @@
+"""One attempt at one runner, resumed over as many connections as needed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.answer.assembly import Assembler
+from sesamepoint_core.errors import LinkLostError
+from sesamepoint import events
+from sesamepoint.link.messages import CancelRequest, End, Frame, FrameKind, RunRequest
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from sesamepoint.entry.request import CallerRequest
+    from sesamepoint.entry.view import RunnerView
+
+SILENCE_S = 1.5
+MAX_CONNECTIONS = 4
+RECONNECT_S = 0.1
+CANCEL_WAIT_S = 2.0
+
+
+class AttemptEnd(NamedTuple):
+    """How an attempt ended, as the entry could find out.
+
+    ``released`` counts the chunks that were handed on.
+    """
+
+    end: End
+    code: str
+    released: int
+
+
+class EntryAttempt:
+    """Sends one attempt and listens until it is settled."""
+
+    def __init__(
+        self,
+        name: str,
+        view: RunnerView,
+        req: CallerRequest,
+        emit: Callable[[bytes], Awaitable[None]],
+    ) -> None:
+        """Aim at ``view``; chunks go to ``emit`` in order, once each."""
+        self._name = name
+        self._view = view
+        self._req = req
+        self._emit = emit
+        self._link = view.link
+        self._incarnation = view.report.incarnation if view.report else ''
+        self._assembler = Assembler()
+
+    async def run(self, deadline: float) -> AttemptEnd:
+        """Run to the end, or to ``deadline`` on trio's clock."""
+        self._view.begin(self._name, self._req.job)
+        try:
+            return await self._until(deadline)
+        except trio.Cancelled:
+            with trio.CancelScope(shield=True):
+                await self._give_up(End.cancelled, 'caller_gone')
+            raise
+        finally:
+            self._view.finish(self._name)
+
+    async def _until(self, deadline: float) -> AttemptEnd:
+        with trio.move_on_at(deadline):
+            return await self._listen(deadline)
+        return await self._give_up(End.cancelled, 'deadline_passed')
+
+    async def _listen(self, deadline: float) -> AttemptEnd:
+        for connection in range(MAX_CONNECTIONS):
+            if connection:
+                # The agent still has the attempt: ask it to go on from the
+                # chunk that is missing. That is no second run.
+                events.log_event(events.ATTEMPT_RESUMED, attempt=self._name, from_chunk=self._assembler.released)
+                await trio.sleep(RECONNECT_S * connection)
+            try:
+                return await self._stream(deadline, resume=connection > 0)
+            except LinkLostError:
+                self._link.renew()
+        return await self._give_up(End.unknown, 'runner_lost')
+
+    async def _stream(self, deadline: float, *, resume: bool) -> AttemptEnd:
+        left_s = deadline - trio.current_time()
+        req = RunRequest(self._name, self._incarnation, self._assembler.released, resume, left_s, self._req.job)
+        async with self._link.run(req) as frames:
+            while True:
+                frame = await self._next_frame(frames)
+                if frame.kind is FrameKind.chunk:
+                    await self._release(frame)
+                elif frame.kind is FrameKind.end:
+                    return self._settle(frame)
+
+    async def _next_frame(self, frames: AsyncIterator[Frame]) -> Frame:
+        with trio.move_on_after(SILENCE_S):
+            return await anext(frames)
+        raise LinkLostError(self._view.cfg['agent'], f'silent for {SILENCE_S} s')
+
+    async def _release(self, frame: Frame) -> None:
+        for chunk in self._assembler.push(frame.number, frame.payload):
+            await self._emit(chunk)
+
+    def _settle(self, frame: Frame) -> AttemptEnd:
+        released = self._assembler.released
+        self._assembler.finish(frame.number)
+        if frame.end is End.answered and not self._assembler.complete:
+            raise LinkLostError(self._view.cfg['agent'], f'{released} of {frame.number} chunks came')
+        return AttemptEnd(frame.end, frame.code, released)
+
+    async def _give_up(self, end: End, code: str) -> AttemptEnd:
+        """Stop the attempt; take the agent's word for what it came to."""
+        with trio.move_on_after(CANCEL_WAIT_S):
+            try:
+                reply = await self._link.cancel(CancelRequest(self._name, self._incarnation))
+            except LinkLostError:
+                self._link.renew()
+                return AttemptEnd(End.unknown, code, self._assembler.released)
+            if reply.end is End.not_started:
+                return AttemptEnd(End.not_started, code, self._assembler.released)
+            return AttemptEnd(end, code, self._assembler.released)
+        return AttemptEnd(End.unknown, code, self._assembler.released)
+
+
+__all__ = ('AttemptEnd', 'EntryAttempt')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -0,0 +1,159 @@
+"""Serving one request: choose, attempt, and decide what comes after."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.admit.budget import RetryBudget
+from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Outcome, Unknown
+from sesamepoint_core.route.candidate import Need
+from sesamepoint_core.route.choose import CHOOSERS
+from sesamepoint import events
+from sesamepoint.entry.attempt import EntryAttempt
+from sesamepoint.link.messages import End
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from sesamepoint_core.route.candidate import Choice
+    from sesamepoint.control.follower import Follower
+    from sesamepoint.entry.attempt import AttemptEnd
+    from sesamepoint.entry.fleets import Fleets
+    from sesamepoint.entry.request import CallerRequest
+
+ATTEMPT_BITS = 128
+RETRY_AFTER_S = 1.0
+MIN_RETRY_AFTER_S = 0.1
+DEADLINE_PASSED = 'deadline_passed'
+
+
+class Entry:
+    """Answers callers from the fleets.
+
+    Parameters
+    ----------
+    zone
+        Availability zone it stands in.
+    follower
+        The control log's fold.
+    fleets
+        The runners.
+    rng
+        For sampling.
+    policy
+        Registered name of the routing policy.
+    """
+
+    def __init__(self, zone: str, follower: Follower, fleets: Fleets, rng: Random, policy: str = 'default') -> None:
+        """Start idle."""
+        self.fleets = fleets
+        self.follower = follower
+        self.leaving = False
+        self.in_flight = 0
+        self.idle = trio.Event()
+        self._zone = zone
+        self._rng = rng
+        self._choose = CHOOSERS.get(policy)
+        self._budget = RetryBudget()
+
+    async def serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
+        """Serve ``req``; chunks of the answer go to ``emit``, in order, once.
+
+        Returns
+        -------
+        Outcome
+            What became of it; ``NotRun`` only if no upstream ever saw it.
+        """
+        self.in_flight += 1
+        try:
+            outcome = await self._attempts(req, emit)
+        finally:
+            self.in_flight -= 1
+            if self.leaving and not self.in_flight:
+                self.idle.set()
+        events.log_event(events.REQUEST_ENDED, fleet=req.fleet, outcome=outcome.tag)
+        return outcome
+
+    async def stop(self) -> None:
+        """Take nothing new and wait until all in flight is answered."""
+        self.leaving = True
+        if self.in_flight:
+            await self.idle.wait()
+
+    async def _attempts(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
+        self._budget.earn(self.follower.in_force.preset['retry_share'])
+        deadline = trio.current_time() + req.timeout_s
+        tried: list[str] = []
+        while True:
+            choice = self._pick(req, deadline, tried)
+            if isinstance(choice, NotRun):
+                return choice
+            tried.append(choice.runner)
+            held: list[bytes] = []
+            ended = await self._attempt(choice.runner, req, deadline, emit if req.streamed else _keep_in(held))
+            if not self._may_go_on(req, ended):
+                return await self._conclude(ended, held, emit)
+
+    async def _attempt(
+        self,
+        runner: str,
+        req: CallerRequest,
+        deadline: float,
+        emit: Callable[[bytes], Awaitable[None]],
+    ) -> AttemptEnd:
+        view = self.fleets.views[runner]
+        return await EntryAttempt(self._new_attempt(), view, req, emit).run(deadline)
+
+    def _new_attempt(self) -> str:
+        return f'{self._rng.getrandbits(ATTEMPT_BITS):032x}'
+
+    def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
+        need = Need(req.job.prompt_tokens, req.job.output_tokens, deadline - trio.current_time(), req.job.urgent)
+        candidates = self.fleets.candidates(req.fleet, self._zone, tried)
+        if not candidates:
+            return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
+        choice = self._choose(candidates, need, self._rng)
+        late_s = choice.estimate.finish_s - need.timeout_s
+        if late_s > 0:
+            # Let in, it would be late, and would make others late as well.
+            return NotRun(
+                'deadline_unreachable', 'send it again later, or with more time', max(late_s, MIN_RETRY_AFTER_S)
+            )
+        return choice
+
+    def _may_go_on(self, req: CallerRequest, ended: AttemptEnd) -> bool:
+        if ended.end in {End.answered, End.cancelled} or ended.code == DEADLINE_PASSED:
+            return False
+        if ended.released and req.streamed:
+            return False
+        proven = ended.end is End.not_started
+        return (proven or req.repeatable) and self._budget.spend()
+
+    async def _conclude(
+        self,
+        ended: AttemptEnd,
+        held: list[bytes],
+        emit: Callable[[bytes], Awaitable[None]],
+    ) -> Outcome:
+        if ended.end is End.answered:
+            for chunk in held:
+                await emit(chunk)
+            return Answered(ended.released, late=False)
+        if ended.end is End.not_started:
+            return NotRun(ended.code, 'send it again later', RETRY_AFTER_S)
+        if ended.end is End.unknown:
+            return Unknown(ended.code, 'look whether it took effect before sending it again')
+        return Failed(ended.code, 'send it again, with more time if the deadline passed')
+
+
+def _keep_in(held: list[bytes]) -> Callable[[bytes], Awaitable[None]]:
+    async def keep(chunk: bytes) -> None:  # noqa: WPS430
+        held.append(chunk)
+
+    return keep
+
+
+__all__ = ('Entry',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -0,0 +1,121 @@
+"""The runners of the configuration in force, and links to them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.config.check import NotConfiguredError
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint.entry.view import RunnerView
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from sesamepoint_core.config.model import FleetConfig, RunnerConfig
+    from sesamepoint_core.route.candidate import Candidate
+    from sesamepoint.control.follower import Follower
+    from sesamepoint.link.base import AgentLink
+    from sesamepoint.platform.messages import InstanceList
+
+LIST_INTERVAL_S = 1.0
+
+
+class Fleets:
+    """Views of all runners, kept in step with the configuration."""
+
+    def __init__(
+        self,
+        follower: Follower,
+        instances: InstanceList,
+        connect: Callable[[str], AgentLink],
+        rng: Random,
+    ) -> None:
+        """Start without views."""
+        self.views: dict[str, RunnerView] = {}
+        self._follower = follower
+        self._instances = instances
+        self._connect = connect
+        self._rng = rng
+        self._watches: dict[str, trio.CancelScope] = {}
+
+    def fleet(self, name: str) -> FleetConfig | None:
+        """Return a fleet's configuration, if it has any."""
+        try:
+            cfg = self._follower.in_force.configuration
+        except NotConfiguredError:
+            return None
+        return cfg['fleets'].get(name)
+
+    def fleet_of_model(self, model: str) -> str | None:
+        """Return the fleet that serves ``model``."""
+        try:
+            fleets = self._follower.in_force.configuration['fleets']
+        except NotConfiguredError:
+            return None
+        return next((name for name, fleet in fleets.items() if model in fleet['models']), None)
+
+    def candidates(self, fleet: str, zone: str, without: Sequence[str]) -> list[Candidate]:
+        """Return the runners of ``fleet`` that may take new work."""
+        usable = (view for view in self.views.values() if view.usable and view.cfg['fleet'] == fleet)
+        return [view.candidate(zone) for view in usable if view.name not in without]
+
+    async def keep(self) -> None:
+        """Follow the configuration until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._adapt(nursery)
+                await self._follower.changed.wait()
+
+    async def watch_instances(self) -> None:
+        """Follow the platform's list until cancelled.
+
+        The list lags and may be away; then the last one stands. An agent
+        that leaves says so itself on its next beat, whatever the list says.
+        """
+        while True:
+            try:
+                listed = await self._instances.fetch()
+            except PlatformUnavailableError:
+                listed = None
+            if listed is not None:
+                leaving = {found.address for found in listed if found.leaving}
+                for view in self.views.values():
+                    view.platform_leaving = view.cfg['agent'] in leaving
+            await trio.sleep(LIST_INTERVAL_S)
+
+    def _adapt(self, nursery: trio.Nursery) -> None:
+        try:
+            wanted = self._follower.in_force.configuration['runners']
+        except NotConfiguredError:
+            return
+        for name in sorted(set(self.views) - set(wanted)):
+            self._drop(name)
+        for name, cfg in wanted.items():
+            self._put(name, cfg, nursery)
+
+    def _put(self, name: str, cfg: RunnerConfig, nursery: trio.Nursery) -> None:
+        known = self.views.get(name)
+        if known is not None and known.cfg['agent'] == cfg['agent']:
+            known.cfg = cfg
+            return
+        if known is not None:
+            self._drop(name)
+        view = RunnerView(name, cfg, self._connect(cfg['agent']))
+        self.views[name] = view
+        self._watches[name] = trio.CancelScope()
+        nursery.start_soon(self._watch, view, self._watches[name])
+
+    def _drop(self, name: str) -> None:
+        # Attempts under way hold the view and its link themselves.
+        self.views.pop(name)
+        self._watches.pop(name).cancel()
+
+    async def _watch(self, view: RunnerView, scope: trio.CancelScope) -> None:
+        with scope:
+            await view.watch(self._follower, self._rng)
+
+
+__all__ = ('Fleets',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/parse.py
@@ -0,0 +1,144 @@
+"""Turning a caller's HTTP request into a checked one."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import TYPE_CHECKING, Annotated, NamedTuple
+
+import msgspec
+
+from sesamepoint_core.admit import limits
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint.entry.request import CallerRequest
+from sesamepoint.link.messages import Job
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sesamepoint.entry.fleets import Fleets
+
+MS_PER_S = 1000
+PRIORITIES = {'main': True, 'small': False}  # noqa: WPS407
+REPEATABLE = {'true': True, 'false': False}  # noqa: WPS407
+SERVICES_PATH = '/services/'
+SAFE_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
+
+
+class BadRequestError(SesamepointError):
+    """A request that reaches no upstream."""
+
+    def __init__(self, code: str, found: str, remedy: str) -> None:
+        """Keep the machine-readable code beside the message."""
+        super().__init__(found, remedy)
+        self.code = code
+
+
+class RawRequest(NamedTuple):
+    """A request as HTTP gave it; header names are lower case."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class CompletionBody(msgspec.Struct):
+    """The fields of an OpenAI-style completion request that are read."""
+
+    model: str
+    prompt: str
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=limits.MAX_OUTPUT_TOKENS)] = limits.DEFAULT_OUTPUT_TOKENS
+    stream: bool = False
+
+
+def parse_completion(raw: RawRequest, fleets: Fleets) -> CallerRequest:
+    """Check a completion request.
+
+    Raises
+    ------
+    BadRequestError
+        With a code and the remedy, on the first thing that is wrong.
+    """
+    body = _completion_body(raw.body)
+    fleet = fleets.fleet_of_model(body.model)
+    if fleet is None:
+        raise BadRequestError('unknown_model', f'no fleet serves the model {body.model!r}', 'name a configured model')
+    prompt_tokens = math.ceil(len(body.prompt) / limits.CHARS_PER_TOKEN)
+    if prompt_tokens > limits.MAX_PROMPT_TOKENS:
+        raise BadRequestError(
+            'prompt_too_long',
+            f'the prompt has about {prompt_tokens} tokens',
+            f'send at most {limits.MAX_PROMPT_TOKENS}',
+        )
+    urgent = _choice(raw.headers, 'x-priority', PRIORITIES, default=True)
+    job = Job('engine', raw.method, raw.path, raw.body, prompt_tokens, body.max_tokens, urgent, *_prefix(body.prompt))
+    return _with_headers(raw, fleet, job, streamed=body.stream)
+
+
+def parse_plain(raw: RawRequest, fleets: Fleets) -> CallerRequest:
+    """Check a call to a plain service: ``/services/FLEET/PATH``.
+
+    Raises
+    ------
+    BadRequestError
+        With a code and the remedy, on the first thing that is wrong.
+    """
+    name, slash, path = raw.path.removeprefix(SERVICES_PATH).partition('/')
+    fleet = fleets.fleet(name)
+    if fleet is None or fleet['kind'] != 'plain':
+        raise BadRequestError('unknown_service', f'there is no plain service {name!r}', 'name a configured fleet')
+    urgent = _choice(raw.headers, 'x-priority', PRIORITIES, default=False)
+    job = Job('plain', raw.method, slash + path, raw.body, 0, 0, urgent, '', 0)
+    return _with_headers(raw, name, job, streamed=False)
+
+
+def _completion_body(body: bytes) -> CompletionBody:
+    try:
+        return msgspec.json.decode(body, type=CompletionBody)
+    except msgspec.ValidationError as exc:
+        raise BadRequestError('bad_field', str(exc), 'mend that field') from exc
+    except msgspec.DecodeError as exc:
+        raise BadRequestError('not_json', f'the body is not JSON: {exc}', 'send a JSON object') from exc
+
+
+def _with_headers(raw: RawRequest, fleet: str, job: Job, *, streamed: bool) -> CallerRequest:
+    key = raw.headers.get('idempotency-key', '')
+    if len(key) > limits.MAX_KEY_CHARS:
+        raise BadRequestError('key_too_long', f'the idempotency key has {len(key)} characters', 'use at most 128')
+    safe = job.kind == 'engine' or job.method in SAFE_METHODS
+    repeatable = _choice(raw.headers, 'x-repeatable', REPEATABLE, default=safe)
+    account = raw.headers.get('x-account', 'anonymous')
+    return CallerRequest(fleet, job, _timeout_s(raw.headers), repeatable, key, account, streamed)
+
+
+def _timeout_s(headers: Mapping[str, str]) -> float:
+    text = headers.get('x-timeout-ms')
+    if text is None:
+        return limits.DEFAULT_TIMEOUT_S
+    try:
+        timeout_s = int(text) / MS_PER_S
+    except ValueError as exc:
+        raise BadRequestError('bad_timeout', f'x-timeout-ms is {text!r}', 'send whole milliseconds') from exc
+    if timeout_s <= 0:
+        raise BadRequestError('deadline_past', f'x-timeout-ms is {text}', 'send the time that is left, above 0')
+    return min(timeout_s, limits.MAX_TIMEOUT_S)
+
+
+def _choice(headers: Mapping[str, str], name: str, choices: Mapping[str, bool], *, default: bool) -> bool:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if text not in choices:
+        raise BadRequestError('bad_header', f'{name} is {text!r}', f'send one of: {", ".join(choices)}')
+    return choices[text]
+
+
+def _prefix(prompt: str) -> tuple[str, int]:
+    if len(prompt) < limits.PREFIX_CHARS:
+        return '', 0
+    head = prompt[: limits.PREFIX_CHARS].encode(errors='replace')
+    return hashlib.blake2b(head, digest_size=8).hexdigest(), limits.PREFIX_CHARS // limits.CHARS_PER_TOKEN
+
+
+__all__ = ('SERVICES_PATH', 'BadRequestError', 'RawRequest', 'parse_completion', 'parse_plain')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/render.py
@@ -0,0 +1,96 @@
+"""What callers see: status codes and bodies."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from sesamepoint_core.answer.outcome import Failed, NotRun, Unknown
+
+if TYPE_CHECKING:
+    from sesamepoint.entry.parse import BadRequestError
+
+JSON_TYPE = b'application/json'
+STREAM_TYPE = b'text/event-stream'
+STREAM_END = b'data: [DONE]\n\n'
+STATUS_OK = 200
+STATUS_BAD = 400
+STATUS_NOT_FOUND = 404
+_STATUS = {NotRun.tag: 503, Unknown.tag: 502, Failed.tag: 504}  # noqa: WPS407
+_BAD_STATUS = {'body_too_large': 413, 'unknown_model': 404, 'unknown_service': 404}  # noqa: WPS407
+
+
+class Rendered(NamedTuple):
+    """A whole HTTP reply."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+def render_refusal(outcome: NotRun | Unknown | Failed) -> Rendered:
+    """Return the reply for an outcome without an answer."""
+    headers = [(b'content-type', JSON_TYPE)]
+    if isinstance(outcome, NotRun):
+        headers.append((b'retry-after', str(math.ceil(outcome.retry_after_s)).encode()))
+    return Rendered(_STATUS[outcome.tag], tuple(headers), error_body(outcome))
+
+
+def render_bad(exc: BadRequestError) -> Rendered:
+    """Return the reply for a request that failed its checks."""
+    body = _error('not_run', exc.code, str(exc))
+    return Rendered(_BAD_STATUS.get(exc.code, STATUS_BAD), ((b'content-type', JSON_TYPE),), body)
+
+
+def error_body(outcome: NotRun | Unknown | Failed) -> bytes:
+    """Return the error object that bodies and streams share."""
+    message = f'{outcome.code}; {outcome.remedy}'
+    retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else None
+    return _error(outcome.tag, outcome.code, message, retry_after_s)
+
+
+def whole_completion(model: str, chunks: list[bytes]) -> bytes:
+    """Return the body of a whole completion."""
+    text = b''.join(chunks).decode()
+    return msgspec.json.encode(_completion(model, text, 'stop'))
+
+
+def stream_event(model: str, chunk: bytes) -> bytes:
+    """Return the server-sent event of one chunk."""
+    encoded = msgspec.json.encode(_completion(model, chunk.decode(), None))
+    return b''.join((b'data: ', encoded, b'\n\n'))
+
+
+def stream_error(outcome: NotRun | Unknown | Failed) -> bytes:
+    """Return the event that ends a stream which is not whole."""
+    return b''.join((b'event: error\ndata: ', error_body(outcome), b'\n\n'))
+
+
+def _completion(model: str, text: str, finish: str | None) -> dict[str, object]:
+    choice = {'index': 0, 'text': text, 'finish_reason': finish}
+    return {'object': 'text_completion', 'model': model, 'choices': [choice]}
+
+
+def _error(outcome: str, code: str, message: str, retry_after_s: float | None = None) -> bytes:
+    fields: dict[str, object] = {'outcome': outcome, 'code': code, 'message': message}
+    if retry_after_s is not None:
+        fields['retry_after_s'] = round(retry_after_s, 3)
+    return msgspec.json.encode({'error': fields})
+
+
+__all__ = (
+    'JSON_TYPE',
+    'STATUS_NOT_FOUND',
+    'STATUS_OK',
+    'STREAM_END',
+    'STREAM_TYPE',
+    'Rendered',
+    'error_body',
+    'render_bad',
+    'render_refusal',
+    'stream_error',
+    'stream_event',
+    'whole_completion',
+)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -0,0 +1,129 @@
+"""What an entry knows of one runner: reports, and its own work on top."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.errors import LinkLostError
+from sesamepoint_core.route.candidate import Candidate
+from sesamepoint import events
+from sesamepoint.link.messages import BeatRequest, LoadReport, SyncRequest
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint_core.config.model import RunnerConfig
+    from sesamepoint.control.follower import Follower
+    from sesamepoint.link.base import AgentLink
+    from sesamepoint.link.messages import Job
+
+BEAT_INTERVAL_S = 0.5
+REPORT_LAG_S = 0.5
+STALE_S = 5.0
+LOST_AFTER = 2
+MIN_TOKEN_S = 0.001
+
+
+class OwnWork(NamedTuple):
+    """Work of this entry's that a report may not show yet."""
+
+    sent_at: float
+    prompt_tokens: int
+
+
+class RunnerView:
+    """One runner as this entry sees it."""
+
+    def __init__(self, name: str, cfg: RunnerConfig, link: AgentLink) -> None:
+        """Know nothing but the configuration."""
+        self.name = name
+        self.cfg = cfg
+        self.link = link
+        self.report: LoadReport | None = None
+        self.platform_leaving = False
+        self._reported_at = float('-inf')
+        self._missed = LOST_AFTER
+        self._own: dict[str, OwnWork] = {}
+
+    @property
+    def alive(self) -> bool:
+        """Whether the agent answered lately."""
+        return self._missed < LOST_AFTER
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may go there."""
+        leaving = self.cfg['draining'] or self.platform_leaving
+        return self.alive and not leaving and self.report is not None and self.report.ready
+
+    def begin(self, attempt: str, job: Job) -> None:
+        """Count an attempt that goes there."""
+        self._own[attempt] = OwnWork(trio.current_time(), job.prompt_tokens)
+
+    def finish(self, attempt: str) -> None:
+        """Stop counting an attempt."""
+        self._own.pop(attempt, None)
+
+    def candidate(self, zone: str) -> Candidate:
+        """Return what there is to choose by.
+
+        A report trails reality; what this entry sent since the report was
+        made is not in it and is added.
+        """
+        report = self.report
+        assert report is not None  # noqa: S101
+        horizon = self._reported_at - REPORT_LAG_S
+        unseen = [work for work in self._own.values() if work.sent_at > horizon]
+        return Candidate(
+            self.name,
+            report.role,
+            self.cfg['availability_zone'] == zone,
+            report.waiting_tokens + sum(work.prompt_tokens for work in unseen),
+            report.running + len(unseen),
+            report.prefill_rate,
+            max(report.token_s, MIN_TOKEN_S),
+            0,
+        )
+
+    async def watch(self, follower: Follower, rng: Random) -> None:
+        """Ask for signs of life until cancelled."""
+        while True:
+            await self._beat(follower)
+            await trio.sleep(BEAT_INTERVAL_S * (1 + rng.random() / 2))
+
+    async def _beat(self, follower: Follower) -> None:
+        asked_at = trio.current_time()
+        try:
+            report = await self.link.beat(BeatRequest(follower.state.offset))
+        except LinkLostError as exc:
+            self._miss(str(exc))
+            return
+        if not self.alive:
+            events.log_event(events.RUNNER_BACK, runner=self.name)
+        self._missed = 0
+        self.report = report
+        self._reported_at = asked_at
+        if report.folded > follower.state.offset:
+            await self._catch_up(follower)
+
+    async def _catch_up(self, follower: Follower) -> None:
+        try:
+            reply = await self.link.sync(SyncRequest(follower.state.offset))
+        except LinkLostError as exc:
+            self._miss(str(exc))
+            return
+        follower.learn(reply.records)
+
+    def _miss(self, cause: str) -> None:
+        # Something between the two ends may have lost track of this one
+        # connection while new ones work: only a new one, silent as well,
+        # tells that the runner is lost.
+        self._missed += 1
+        self.link.renew()
+        if self._missed == LOST_AFTER:
+            events.log_event(events.RUNNER_LOST, runner=self.name, cause=cause)
+
+
+__all__ = ('RunnerView',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -0,0 +1,83 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any, NamedTuple
+
+from pythonjsonlogger.json import JsonFormatter
+
+from sesamepoint_core.registry import Registry
+
+_logger = logging.getLogger('sesamepoint')
+
+
+class Event(NamedTuple):
+    """One kind of log line.
+
+    Parameters
+    ----------
+    number
+        Stable for ever; operators search for it.
+    level
+        A level of :mod:`logging`.
+    text
+        The fixed part of the line.
+    """
+
+    number: int
+    level: int
+    text: str
+
+
+EVENTS: Registry[Event] = Registry('event')
+
+
+def _event(number: int, level: int, text: str) -> Event:
+    return EVENTS.register(str(number))(Event(number, level, text))
+
+
+PROCESS_STARTED = _event(1001, logging.INFO, 'process started')
+STOP_REQUESTED = _event(1002, logging.INFO, 'graceful stop requested')
+PROCESS_STOPPED = _event(1003, logging.INFO, 'process stopped')
+PART_RESTARTED = _event(1101, logging.WARNING, 'part failed and is restarted')
+PART_GAVE_UP = _event(1102, logging.ERROR, 'part failed too often')
+STATE_RECOVERED = _event(2001, logging.INFO, 'control state recovered')
+VERSION_IN_FORCE = _event(2002, logging.INFO, 'configuration version in force')
+LOG_UNREACHABLE = _event(2003, logging.WARNING, 'control log not reachable')
+LOG_REACHABLE = _event(2004, logging.INFO, 'control log reachable again')
+RECORD_REJECTED = _event(2005, logging.INFO, 'record rejected')
+HISTORY_LOST = _event(2006, logging.ERROR, 'control log lost records that are needed')
+LEASE_TAKEN = _event(2101, logging.INFO, 'lease taken')
+LEASE_LOST = _event(2102, logging.WARNING, 'lease lost')
+ORDER_GIVEN = _event(2201, logging.INFO, 'order given')
+ORDER_STARTED = _event(2202, logging.INFO, 'order started, draining')
+ORDER_DONE = _event(2203, logging.INFO, 'order done')
+ORDER_REFUSED = _event(2204, logging.WARNING, 'order refused by the upstream')
+HALF_SWITCHED = _event(2205, logging.WARNING, 'upstream found in a state that no order asked for')
+SLOT_CLAIMED = _event(2301, logging.INFO, 'slot claimed')
+RUNNER_LOST = _event(3001, logging.WARNING, 'runner gives no sign of life')
+RUNNER_BACK = _event(3002, logging.INFO, 'runner answers again')
+ATTEMPT_RESUMED = _event(3101, logging.INFO, 'attempt resumed on a new connection')
+REQUEST_ENDED = _event(3102, logging.DEBUG, 'request ended')
+REPORT_WRITTEN = _event(4001, logging.DEBUG, 'service-level summary written')
+
+
+def log_event(event: Event, **fields: Any) -> None:
+    """Write one line for ``event`` with ``fields``."""
+    _logger.log(event.level, event.text, extra={'event': event.number, **fields})
+
+
+def set_up_logs(process: str, level: int = logging.INFO) -> None:
+    """Send log lines as JSON to standard error, each naming ``process``."""
+    handler = logging.StreamHandler(sys.stderr)  # noqa: WPS110
+    handler.setFormatter(
+        JsonFormatter('{asctime}{levelname}{message}', style='{', static_fields={'process': process}),
+    )
+    _logger.handlers = [handler]
+    _logger.setLevel(level)
+    _logger.propagate = False
+
+
+__all__ = ('EVENTS', 'Event', 'log_event', 'set_up_logs')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/link/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/link/base.py
@@ -0,0 +1,58 @@
+"""What an entry can ask of an agent, whatever carries it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+    from contextlib import AbstractAsyncContextManager
+
+    from sesamepoint.link.messages import (
+        BeatRequest,
+        CancelReply,
+        CancelRequest,
+        Frame,
+        LoadReport,
+        RunRequest,
+        SyncReply,
+        SyncRequest,
+    )
+
+
+class AgentHandler(Protocol):
+    """The agent's side of a link."""
+
+    async def run(self, req: RunRequest, send: Callable[[Frame], None]) -> None:
+        """Send the frames of an attempt until its end frame."""
+
+    async def cancel(self, req: CancelRequest) -> CancelReply:
+        """Stop an attempt."""
+
+    async def beat(self, req: BeatRequest) -> LoadReport:
+        """Answer with a sign of life."""
+
+    async def sync(self, req: SyncRequest) -> SyncReply:
+        """Hand out records that the asker lacks."""
+
+
+class AgentLink(Protocol):
+    """The entry's side of a link; every call raises ``LinkLostError``."""
+
+    def run(self, req: RunRequest) -> AbstractAsyncContextManager[AsyncIterator[Frame]]:
+        """Open the stream of an attempt's frames."""
+
+    async def cancel(self, req: CancelRequest) -> CancelReply:
+        """Stop an attempt."""
+
+    async def beat(self, req: BeatRequest) -> LoadReport:
+        """Ask for a sign of life."""
+
+    async def sync(self, req: SyncRequest) -> SyncReply:
+        """Ask for records."""
+
+    def renew(self) -> None:
+        """Give the connection up; the next call opens a new one."""
+
+
+__all__ = ('AgentHandler', 'AgentLink')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's services."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/process/__init__.py
@@ -0,0 +1,1 @@
+"""Putting the parts of a process together."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/process/agent_process.py
@@ -0,0 +1,87 @@
+"""The agent process: its supervisor tree and its graceful stop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from prometheus_client import CollectorRegistry
+
+from sesamepoint import events
+from sesamepoint.agent.agent import Agent
+from sesamepoint.agent.orders import OrderExecutor
+from sesamepoint.link.grpc_server import serve_agent
+from sesamepoint.process.admin import AdminApp
+from sesamepoint.process.parts import Parts
+from sesamepoint.process.web import serve_web
+from sesamepoint.supervisor import Child, Supervisor
+from sesamepoint.upstream.base import UPSTREAM_ADAPTERS
+
+if TYPE_CHECKING:
+    from sesamepoint.settings.model import AgentSettings
+
+NOTICE_S = 1.5
+
+
+class AgentProcess:
+    """Everything that runs in one agent process."""
+
+    def __init__(self, cfg: AgentSettings, parts: Parts, agent: Agent) -> None:
+        """Put the tree together without starting it."""
+        self._cfg = cfg
+        self._parts = parts
+        self._agent = agent
+        self._orders = OrderExecutor(agent)
+        self._admin = AdminApp(CollectorRegistry(), lambda: agent.ready, {'/state': self._state})
+
+    @classmethod
+    def from_config(cls, cfg: AgentSettings) -> AgentProcess:
+        """Build from the agent's settings."""
+        parts = Parts.from_config(cfg)
+        adapter = UPSTREAM_ADAPTERS.get(cfg['upstream']['adapter'])
+        upstream = adapter.from_config(cfg['upstream'])
+        return cls(cfg, parts, Agent(cfg['runner'], parts.incarnation, upstream, parts.follower))
+
+    async def run(self) -> None:
+        """Run the tree until cancelled.
+
+        The address is bound first and outside the tree: while an earlier
+        process of this slot lives, even paused, the bind fails, and two
+        agents cannot order one upstream about.
+        """
+        host, _, port = self._cfg['listen'].rpartition(':')
+        async with trio.open_nursery() as nursery:
+            await nursery.start(serve_agent, self._agent, host, int(port))
+            events.log_event(events.PROCESS_STARTED, incarnation=self._parts.incarnation)
+            await Supervisor('agent').run(self._children())
+
+    async def wind_down(self) -> None:
+        """Take nothing new, let entries notice, finish all that runs."""
+        self._agent.leaving = True
+        await trio.sleep(NOTICE_S)
+        await self._agent.drained()
+
+    def _children(self) -> list[Child]:
+        return [
+            Child('follower', self._parts.follower.follow),
+            Child('attempts', self._agent.serve_attempts),
+            Child('load', self._agent.watch_load),
+            Child('tidy', self._agent.tidy),
+            Child('orders', self._orders.execute),
+            Child('admin', self._serve_admin),
+        ]
+
+    async def _serve_admin(self) -> None:
+        await serve_web(self._admin, self._cfg['metrics'])
+
+    def _state(self) -> object:
+        state = self._parts.follower.state
+        return {
+            'runner': self._agent.runner,
+            'version': state.version,
+            'offset': state.offset,
+            'load': self._agent.load,
+        }
+
+
+__all__ = ('AgentProcess',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -0,0 +1,82 @@
+"""The entry process: its supervisor tree and its graceful stop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+import trio_asyncio
+from prometheus_client import CollectorRegistry
+
+from sesamepoint import events
+from sesamepoint.entry.entry import Entry
+from sesamepoint.entry.fleets import Fleets
+from sesamepoint.entry.http import CallerApp
+from sesamepoint.link.grpc_client import GrpcLink
+from sesamepoint.process.admin import AdminApp
+from sesamepoint.process.parts import Parts
+from sesamepoint.process.web import serve_web
+from sesamepoint.supervisor import Child, Supervisor
+
+if TYPE_CHECKING:
+    from sesamepoint.settings.model import EntrySettings
+
+NOTICE_S = 1.5
+
+
+class EntryProcess:
+    """Everything that runs in one entry process."""
+
+    def __init__(self, cfg: EntrySettings, parts: Parts, entry: Entry) -> None:
+        """Put the tree together without starting it."""
+        self._cfg = cfg
+        self._parts = parts
+        self._entry = entry
+        self._admin = AdminApp(CollectorRegistry(), self._ready, {'/state': self._state})
+
+    @classmethod
+    def from_config(cls, cfg: EntrySettings) -> EntryProcess:
+        """Build from the entry's settings."""
+        parts = Parts.from_config(cfg)
+        fleets = Fleets(parts.follower, parts.instances, GrpcLink, parts.rng)
+        return cls(cfg, parts, Entry(cfg['availability_zone'], parts.follower, fleets, parts.rng))
+
+    async def run(self) -> None:
+        """Run the tree until cancelled."""
+        async with trio_asyncio.open_loop():
+            events.log_event(events.PROCESS_STARTED, incarnation=self._parts.incarnation)
+            await Supervisor('entry').run(self._children())
+
+    async def wind_down(self) -> None:
+        """Turn unready, let the balancer notice, finish all in flight."""
+        self._entry.leaving = True
+        await trio.sleep(NOTICE_S)
+        await self._entry.stop()
+
+    def _children(self) -> list[Child]:
+        return [
+            Child('follower', self._parts.follower.follow),
+            Child('fleets', self._entry.fleets.keep),
+            Child('instances', self._entry.fleets.watch_instances),
+            Child('callers', self._serve_callers),
+            Child('admin', self._serve_admin),
+        ]
+
+    async def _serve_callers(self) -> None:
+        await self._parts.follower.recovered.wait()
+        await serve_web(CallerApp(self._entry), self._cfg['listen'])
+
+    async def _serve_admin(self) -> None:
+        await serve_web(self._admin, self._cfg['metrics'])
+
+    def _ready(self) -> bool:
+        return not self._entry.leaving and self._parts.follower.state.version > 0
+
+    def _state(self) -> object:
+        state = self._parts.follower.state
+        heard_s = trio.current_time() - self._parts.follower.heard_at
+        runners = {name: view.report for name, view in self._entry.fleets.views.items() if view.alive}
+        return {'version': state.version, 'offset': state.offset, 'log_heard_s': heard_s, 'runners': runners}
+
+
+__all__ = ('EntryProcess',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/process/parts.py
@@ -0,0 +1,40 @@
+"""What entry and agent processes have in common."""
+
+from __future__ import annotations
+
+from random import SystemRandom
+from typing import TYPE_CHECKING, NamedTuple
+
+from sesamepoint.control.follower import Follower
+from sesamepoint.incarnation import new_incarnation
+from sesamepoint.platform import http_log  # noqa: F401
+from sesamepoint.platform.messages import LIST_ADAPTERS, LOG_ADAPTERS
+from sesamepoint.upstream import engine, plain  # noqa: F401
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint.platform.messages import InstanceList, LogService
+    from sesamepoint.settings.model import ProcessSettings
+
+
+class Parts(NamedTuple):
+    """The clients and the fold of one process."""
+
+    incarnation: str
+    log: LogService
+    instances: InstanceList
+    follower: Follower
+    rng: Random
+
+    @classmethod
+    def from_config(cls, cfg: ProcessSettings) -> Parts:
+        """Build from a process's settings, under a new incarnation."""
+        rng = SystemRandom()
+        incarnation = new_incarnation(cfg['name'])
+        log = LOG_ADAPTERS.get(cfg['log']['adapter']).from_config(cfg['log'])
+        instances = LIST_ADAPTERS.get(cfg['instances']['adapter']).from_config(cfg['instances'])
+        return cls(incarnation, log, instances, Follower(log, cfg['deployment'], incarnation, rng), rng)
+
+
+__all__ = ('Parts',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/process/web.py
@@ -0,0 +1,45 @@
+"""Serving ASGI applications with hypercorn until cancelled."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+App = Callable[..., Awaitable[None]]
+GRACE_S = 5.0
+SILENT = None
+
+
+class LifespanUnsupportedError(Exception):
+    """How an application tells hypercorn that it takes requests only."""
+
+
+async def serve_web(
+    app: App,
+    address: str,
+    *,
+    task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve ``app`` on ``address`` until cancelled."""
+    cfg = Config()
+    cfg.bind = [address]
+    cfg.graceful_timeout = GRACE_S
+    cfg.errorlog = SILENT
+    cfg.accesslog = SILENT
+    await serve(_requests_only(app), cfg, shutdown_trigger=trio.sleep_forever, task_status=task_status)
+
+
+def _requests_only(app: App) -> App:
+    async def dispatch(scope: dict[str, Any], *channels: Any) -> None:  # noqa: WPS430
+        if scope['type'] != 'http':
+            raise LifespanUnsupportedError
+        await app(scope, *channels[:2])
+
+    return dispatch
+
+
+__all__ = ('serve_web',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one process."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/supervisor.py
@@ -0,0 +1,93 @@
+"""The supervisor tree: which part is restarted, how often, and what then."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint import events
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 5.0
+BACKOFF_FACTOR = 2
+
+
+class Child(NamedTuple):
+    """One part of a process.
+
+    ``start`` runs until cancelled; when it returns, the part is over.
+    """
+
+    name: str
+    start: Callable[[], Awaitable[None]]
+
+
+class Limit(NamedTuple):
+    """How many restarts within how many seconds are put up with."""
+
+    restarts: int = 10
+    window_s: float = 60.0
+
+
+class SupervisorGaveUpError(SesamepointError):
+    """A part kept failing."""
+
+    def __init__(self, part: str) -> None:
+        """Name the part."""
+        super().__init__(f'{part} failed too often', 'the platform restarts the process; read its last events')
+
+
+class Supervisor:
+    """Runs parts side by side and restarts those that fail.
+
+    A part's failure leaves its siblings alone: requests in flight live in
+    tasks of their own and outlast the part that started them.
+    """
+
+    def __init__(self, name: str, limit: Limit | None = None) -> None:
+        """Set the limit that all parts share in kind, not in number."""
+        self._name = name
+        self._limit = limit or Limit()
+
+    async def run(self, children: Sequence[Child]) -> None:
+        """Run ``children`` until all are over or one fails too often.
+
+        Raises
+        ------
+        SupervisorGaveUpError
+            When one part used up its restarts; the siblings are cancelled.
+        """
+        async with trio.open_nursery() as nursery:
+            for child in children:
+                nursery.start_soon(self._keep, child)
+
+    async def _keep(self, child: Child) -> None:
+        failures: deque[float] = deque()
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                return await child.start()
+            except Exception as exc:
+                self._count(child, failures, exc)
+            await trio.sleep(backoff_s)
+            backoff_s = min(backoff_s * BACKOFF_FACTOR, MAX_BACKOFF_S)
+
+    def _count(self, child: Child, failures: deque[float], exc: Exception) -> None:
+        now = trio.current_time()
+        failures.append(now)
+        while failures[0] < now - self._limit.window_s:
+            failures.popleft()
+        part = f'{self._name}.{child.name}'
+        if len(failures) > self._limit.restarts:
+            events.log_event(events.PART_GAVE_UP, part=part, cause=repr(exc))
+            raise SupervisorGaveUpError(part) from exc
+        events.log_event(events.PART_RESTARTED, part=part, cause=repr(exc))
+
+
+__all__ = ('Child', 'Limit', 'Supervisor', 'SupervisorGaveUpError')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the upstreams: model engines and plain services."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/upstream/http.py
@@ -0,0 +1,61 @@
+"""The HTTP connections of the upstream adapters."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import httpcore
+
+from sesamepoint_core.errors import UpstreamError
+from sesamepoint.upstream.base import UnreachableError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MAX_CONNECTIONS = 512
+CONNECT_TIMEOUT_S = 2.0
+STATUS_OK = 200
+_TIMEOUTS = {'timeout': {'connect': CONNECT_TIMEOUT_S, 'pool': CONNECT_TIMEOUT_S}}  # noqa: WPS407
+_HEADERS = ((b'content-type', b'application/json'),)
+_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class UpstreamHttp:
+    """Calls one upstream and sorts failures into sent and not sent."""
+
+    def __init__(self, url: str) -> None:
+        """Aim at ``url``."""
+        self._url = url
+        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+
+    @asynccontextmanager
+    async def stream(self, method: str, path: str, body: bytes) -> AsyncIterator[httpcore.Response]:
+        """Open a reply whose body is read as it comes.
+
+        Raises
+        ------
+        UnreachableError
+            If the connection was never made, so nothing was sent.
+        UpstreamError
+            If it broke after that.
+        """
+        try:
+            async with self._pool.stream(
+                method, f'{self._url}{path}', headers=_HEADERS, content=body, extensions=_TIMEOUTS
+            ) as reply:
+                yield reply
+        except _NOT_SENT as exc:
+            raise UnreachableError(repr(exc)) from exc
+        except _BROKEN as exc:
+            raise UpstreamError(repr(exc)) from exc
+
+    async def call(self, method: str, path: str, body: bytes) -> httpcore.Response:
+        """Return a whole reply; raises as :meth:`stream` does."""
+        async with self.stream(method, path, body) as reply:
+            await reply.aread()
+            return reply
+
+
+__all__ = ('STATUS_OK', 'UpstreamHttp')
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,79 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from sesamepoint_core.fold.apply import Step, apply
+from sesamepoint_core.fold.records import Body, Publish, encode
+from sesamepoint_core.fold.state import State
+
+ZONES = ('hall-thamel', 'hall-patan')
+
+
+def preset(**changes: Any) -> dict[str, Any]:
+    """Return a preset's settings."""
+    base = {
+        'role_change_weight': 20.0,
+        'max_changing': 1,
+        'plan_interval_s': 5.0,
+        'account_rate': 50.0,
+        'retry_share': 0.1,
+        'small_share': 0.4,
+    }
+    return {**base, **changes}
+
+
+def configuration(size: int = 2, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with one fleet of engines."""
+    names = [f'verdict-{number}' for number in range(1, size + 1)]
+    fleet = {'kind': 'engine', 'models': ['verdict'], 'floors': {}, 'roles': {}}
+    base = {
+        'deployment': 'boat-bazaar',
+        'fleets': {'verdict-llm': fleet},
+        'runners': {name: runner(number) for number, name in enumerate(names)},
+        'presets': {'ordinary': preset(), 'peak': preset(small_share=0.2), 'maintenance': preset(max_changing=0)},
+    }
+    return {**base, **changes}
+
+
+def runner(number: int, **changes: Any) -> dict[str, Any]:
+    """Return one runner's configuration."""
+    base = {
+        'fleet': 'verdict-llm',
+        'availability_zone': ZONES[number % len(ZONES)],
+        'agent': f'127.0.0.1:{7100 + number}',
+        'checks_fencing': True,
+        'draining': False,
+    }
+    return {**base, **changes}
+
+
+def publish(based_on: int, operator: str = 'asha', **changes: Any) -> Publish:
+    """Return a change to a good configuration."""
+    return Publish(based_on, operator, msgspec.Raw(msgspec.json.encode(configuration(**changes))))
+
+
+class FoldBuilder:
+    """Folds bodies one after another, each from the writer that is named."""
+
+    def __init__(self) -> None:
+        """Start with an empty log."""
+        self.state = State.empty()
+        self._serials: dict[str, int] = {}
+
+    def add(self, body: Body, writer: str = 'w') -> Step:
+        """Append ``body`` as a new record of ``writer``."""
+        self._serials[writer] = self._serials.get(writer, 0) + 1
+        return self.add_payload(encode(writer, self._serials[writer], body))
+
+    def add_payload(self, payload: bytes) -> Step:
+        """Append bytes as they are."""
+        step = apply(self.state, self.state.offset + 1, payload)
+        self.state = step.state
+        return step
+
+
+__all__ = ('FoldBuilder', 'configuration', 'preset', 'publish', 'runner')
--- /dev/null
+++ b/tests/core/test_apply.py
@@ -0,0 +1,122 @@
+"""The fold's rules."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+import msgspec
+
+from sesamepoint_core.fold.records import ClaimLease, Order, OrderDone, Publish, RenewLease, SwitchPreset, encode
+from sesamepoint_core.fold.verdict import Accepted, Rejected, Repeated
+from tests.builders import FoldBuilder, publish
+
+FLEET = 'verdict-llm'
+
+
+def order(fence: int, version: int, role: str = 'prefill') -> Order:
+    """Return an order to the first runner."""
+    return Order(FLEET, 'verdict-1', role, fence, version, 'test')
+
+
+class ConfigurationTest(TestCase):
+    """Configuration and presets."""
+
+    def test_publish_racing_operators(self) -> None:
+        # Two operators start from version 1. Whoever's record lies first on
+        # the log wins; the other is told who won and what to do, since its
+        # file was made without the winner's change.
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        first = fold.add(publish(1, operator='bikash'), writer='b')
+        second = fold.add(publish(1, operator='chandra'), writer='c')
+        self.assertIsInstance(first.verdict, Accepted)
+        assert isinstance(second.verdict, Rejected)
+        self.assertEqual(second.verdict.code, 'version_conflict')
+        self.assertIn('bikash', second.verdict.reason)
+        self.assertIn('sesamectl show', second.verdict.remedy)
+        self.assertEqual(fold.state.version, 2)
+
+    def test_publish_repeated_append(self) -> None:
+        # The reply to an append is lost and the operator's tool appends the
+        # same record again. Both copies are on the log; the second must not
+        # become one more version.
+        fold = FoldBuilder()
+        payload = encode('tool', 1, publish(0))
+        fold.add_payload(payload)
+        self.assertIsInstance(fold.add_payload(payload).verdict, Repeated)
+        self.assertEqual(fold.state.version, 1)
+
+    def test_publish_invalid_configuration(self) -> None:
+        fold = FoldBuilder()
+        step = fold.add(Publish(0, 'asha', msgspec.Raw(b'{"fleets": 3}')))
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(step.verdict.code, 'invalid')
+        self.assertEqual(fold.state.version, 0)
+
+    def test_switch_unknown_preset(self) -> None:
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        step = fold.add(SwitchPreset(1, 'asha', 'festival'))
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(fold.state.preset, 'ordinary')
+
+    def test_switch_from_current_version(self) -> None:
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        fold.add(SwitchPreset(1, 'asha', 'peak'))
+        self.assertEqual((fold.state.version, fold.state.preset), (2, 'peak'))
+
+    def test_unreadable_record(self) -> None:
+        fold = FoldBuilder()
+        step = fold.add_payload(b'\xff not ours')
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(fold.state.offset, 0)
+
+
+class LeaseTest(TestCase):
+    """Leases and the orders given under them."""
+
+    def test_claim_after_renewal(self) -> None:
+        # A process thinks the holder silent and claims, but a renewal was on
+        # its way and lies before the claim. The claim must be void, or two
+        # holders would both be in the right.
+        fold = FoldBuilder()
+        fold.add(ClaimLease(FLEET, 'a', -1), writer='a')
+        fold.add(RenewLease(FLEET, 0), writer='a')
+        step = fold.add(ClaimLease(FLEET, 'b', 0), writer='b')
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(fold.state.leases[FLEET].holder, 'a')
+
+    def test_order_of_deposed_holder(self) -> None:
+        # A holder is paused, another claims its lease, and the first wakes
+        # up and appends the order it had ready. No engine may ever see it.
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        fold.add(ClaimLease(FLEET, 'a', -1), writer='a')
+        fold.add(ClaimLease(FLEET, 'b', 1), writer='b')
+        step = fold.add(order(fence=1, version=1), writer='a')
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(step.verdict.code, 'fenced')
+        self.assertEqual(fold.state.orders, {})
+
+    def test_order_under_superseded_version(self) -> None:
+        # An order is planned under one preset while an operator switches to
+        # another. It lands after the switch and must have no effect.
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        fold.add(ClaimLease(FLEET, 'a', -1), writer='a')
+        fold.add(SwitchPreset(1, 'asha', 'maintenance'), writer='tool')
+        step = fold.add(order(fence=1, version=1), writer='a')
+        assert isinstance(step.verdict, Rejected)
+        self.assertEqual(step.verdict.code, 'superseded')
+
+    def test_order_done_for_older_order(self) -> None:
+        fold = FoldBuilder()
+        fold.add(publish(0))
+        fold.add(ClaimLease(FLEET, 'a', -1), writer='a')
+        fold.add(order(fence=1, version=1), writer='a')
+        fold.add(order(fence=1, version=1, role='decode'), writer='a')
+        fold.add(OrderDone('verdict-1', 2, 'prefill'), writer='agent')
+        self.assertFalse(fold.state.orders['verdict-1'].done)
+        fold.add(OrderDone('verdict-1', 3, 'decode'), writer='agent')
+        self.assertTrue(fold.state.orders['verdict-1'].done)
