--- a/packages/sesamepoint-core/src/sesamepoint_core/fold/apply.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/apply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -22,7 +23,7 @@
 from sesamepoint_core.fold.verdict import Accepted, Rejected, Repeated, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 KEPT_CHANGES = 32
 KEPT_WRITERS = 4096
@@ -182,13 +183,15 @@
     return Rejected(offset, code, reason, remedy)
 
 
-_RULES: dict[type, Callable[[State, int, Body], Step]] = {  # noqa: WPS407
-    Publish: _publish,  # type: ignore[dict-item]
-    SwitchPreset: _switch,  # type: ignore[dict-item]
-    ClaimLease: _claim,  # type: ignore[dict-item]
-    RenewLease: _renew,  # type: ignore[dict-item]
-    Order: _order,  # type: ignore[dict-item]
-    OrderDone: _order_done,  # type: ignore[dict-item]
-}
+_RULES: Mapping[type, Callable[[State, int, Body], Step]] = MappingProxyType(
+    {
+        Publish: _publish,  # type: ignore[dict-item]
+        SwitchPreset: _switch,  # type: ignore[dict-item]
+        ClaimLease: _claim,  # type: ignore[dict-item]
+        RenewLease: _renew,  # type: ignore[dict-item]
+        Order: _order,  # type: ignore[dict-item]
+        OrderDone: _order_done,  # type: ignore[dict-item]
+    }
+)
 
 __all__ = ('NO_CONFIGURATION', 'Step', 'apply')
--- a/packages/sesamepoint-core/src/sesamepoint_core/fold/records.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import cache
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import msgspec
@@ -91,7 +92,7 @@
 
 Body = Publish | SwitchPreset | ClaimLease | RenewLease | Order | OrderDone
 
-_KIND_OF = {RECORDS.get(kind): kind for kind in RECORDS}
+_KIND_OF = MappingProxyType({RECORDS.get(kind): kind for kind in RECORDS})
 _encoder = msgspec.json.Encoder()
 _envelope = msgspec.json.Decoder(Record)
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/problems.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/problems.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -10,14 +11,16 @@
     from pydantic import ValidationError
     from pydantic_core import ErrorDetails
 
-_REMEDIES = {  # noqa: WPS407
-    'extra_forbidden': 'remove it, or mend its spelling',
-    'unexpected_keyword_argument': 'remove it, or mend its spelling',
-    'missing': 'add it',
-    'missing_argument': 'add it',
-    'literal_error': 'use one of those',
-    'json_invalid': 'mend the JSON',
-}
+_REMEDIES = MappingProxyType(
+    {
+        'extra_forbidden': 'remove it, or mend its spelling',
+        'unexpected_keyword_argument': 'remove it, or mend its spelling',
+        'missing': 'add it',
+        'missing_argument': 'add it',
+        'literal_error': 'use one of those',
+        'json_invalid': 'mend the JSON',
+    }
+)
 
 
 def describe(exc: ValidationError) -> Iterator[str]:
--- a/packages/sesamepoint/src/sesamepoint/entry/http.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -100,7 +101,7 @@
         await _reply(send, render.render_refusal(outcome))
 
 
-_REPLIES = {'stream': _stream, 'whole': _whole, 'plain': _plain}  # noqa: WPS407
+_REPLIES = MappingProxyType({'stream': _stream, 'whole': _whole, 'plain': _plain})
 
 
 def _reply_kind(req: CallerRequest) -> str:
--- a/packages/sesamepoint/src/sesamepoint/entry/parse.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/parse.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
@@ -19,8 +20,8 @@
     from sesamepoint.entry.fleets import Fleets
 
 MS_PER_S = 1000
-PRIORITIES = {'main': True, 'small': False}  # noqa: WPS407
-REPEATABLE = {'true': True, 'false': False}  # noqa: WPS407
+PRIORITIES = MappingProxyType({'main': True, 'small': False})
+REPEATABLE = MappingProxyType({'true': True, 'false': False})
 SERVICES_PATH = '/services/'
 SAFE_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
 
--- a/packages/sesamepoint/src/sesamepoint/entry/render.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/render.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -18,8 +19,8 @@
 STATUS_OK = 200
 STATUS_BAD = 400
 STATUS_NOT_FOUND = 404
-_STATUS = {NotRun.tag: 503, Unknown.tag: 502, Failed.tag: 504}  # noqa: WPS407
-_BAD_STATUS = {'body_too_large': 413, 'unknown_model': 404, 'unknown_service': 404}  # noqa: WPS407
+_STATUS = MappingProxyType({NotRun.tag: 503, Unknown.tag: 502, Failed.tag: 504})
+_BAD_STATUS = MappingProxyType({'body_too_large': 413, 'unknown_model': 404, 'unknown_service': 404})
 
 
 class Rendered(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/upstream/http.py
+++ b/packages/sesamepoint/src/sesamepoint/upstream/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import httpcore
@@ -16,7 +17,7 @@
 MAX_CONNECTIONS = 512
 CONNECT_TIMEOUT_S = 2.0
 STATUS_OK = 200
-_TIMEOUTS = {'timeout': {'connect': CONNECT_TIMEOUT_S, 'pool': CONNECT_TIMEOUT_S}}  # noqa: WPS407
+_TIMEOUTS = MappingProxyType({'timeout': {'connect': CONNECT_TIMEOUT_S, 'pool': CONNECT_TIMEOUT_S}})
 _HEADERS = ((b'content-type', b'application/json'),)
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
