--- a/packages/sesamectl/src/sesamectl/commands/base.py
+++ b/packages/sesamectl/src/sesamectl/commands/base.py
@@ -49,7 +49,8 @@
 
 async def _follow(url: str, deployment: str, use: Callable[[Follower], Awaitable[ResultT]]) -> ResultT:
     log = HttpLog(HttpCaller('log', url))
-    follower = Follower(log, deployment, new_incarnation('sesamectl'), SystemRandom())
+    rng = SystemRandom()
+    follower = Follower(log, deployment, new_incarnation('sesamectl', rng), rng)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.follow)
         with trio.move_on_after(WAIT_S):
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/bed.py
@@ -0,0 +1,192 @@
+"""A whole deployment in one process and in virtual time.
+
+The entries and agents are the real ones; only the links, the log, the list
+and the engines are the small stand-ins of this package.
+"""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import trio
+
+from sesamepoint_core.config.check import parse_configuration
+from sesamepoint_core.fold.records import Publish
+from sesamepoint.agent.agent import Agent
+from sesamepoint.agent.tree import agent_children
+from sesamepoint.control.follower import Follower
+from sesamepoint.entry.entry import Entry
+from sesamepoint.entry.fleets import Fleets
+from sesamepoint.entry.tree import entry_children
+from sesamepoint.incarnation import new_incarnation
+from sesamepoint.supervisor import Supervisor
+from sesamepoint_standins.engine import Engine
+from sesamepoint_standins.gate import Gate, GatedInstances, GatedLog, GatedUpstream
+from sesamepoint_standins.log import MemoryInstances, MemoryLog
+from sesamepoint_standins.memory_engine import MemoryEngine
+from sesamepoint_standins.memory_link import Host, MemoryLink, Wire
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sesamepoint_core.config.model import Configuration, RunnerConfig
+
+SAME_ZONE_S = 0.0002
+OTHER_ZONE_S = 0.0015
+DEFAULT_ROLE = 'mixed'
+FLUSH_TOKENS = 16
+
+
+class BedAgent:
+    """One agent process of the bed."""
+
+    def __init__(self, agent: Agent, gate: Gate) -> None:
+        """Hold it without starting it."""
+        self.agent = agent
+        self.gate = gate
+        self.scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Run its tree until killed."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                await Supervisor('agent').run(agent_children(self.agent))
+
+    async def stop(self) -> None:
+        """Stop it gracefully, as SIGTERM does."""
+        self.agent.leaving = True
+        await self.agent.drained()
+        self.scope.cancel()
+
+
+class BedEntry:
+    """One entry process of the bed."""
+
+    def __init__(self, entry: Entry, gate: Gate) -> None:
+        """Hold it without starting it."""
+        self.entry = entry
+        self.gate = gate
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Run its tree until killed."""
+        with self.scope:
+            await Supervisor('entry').run(entry_children(self.entry))
+
+    async def stop(self) -> None:
+        """Stop it gracefully, as SIGTERM does."""
+        await self.entry.stop()
+        self.scope.cancel()
+
+
+class Bed:
+    """The processes and stand-ins of one deployment."""
+
+    def __init__(self, configuration: Configuration, seed: int, nursery: trio.Nursery) -> None:
+        """Start the stand-ins; processes are started one by one."""
+        self.configuration = configuration
+        self.log = MemoryLog()
+        self.instances = MemoryInstances()
+        self.engines: dict[str, Engine] = {}
+        self.upstreams: dict[str, MemoryEngine] = {}
+        self.agents: dict[str, BedAgent] = {}
+        self.entries: dict[str, BedEntry] = {}
+        self.wires: dict[tuple[str, str], Wire] = {}
+        self._seeds = Random(seed)
+        self._nursery = nursery
+        for name, runner in configuration['runners'].items():
+            self._add_engine(name, runner)
+
+    @classmethod
+    @asynccontextmanager
+    async def open(cls, configuration: dict[str, Any], seed: int = 1, entries: int = 2) -> AsyncIterator[Bed]:
+        """Run a bed with all its agents, some entries and its configuration."""
+        checked = parse_configuration(msgspec.json.encode(configuration))
+        async with trio.open_nursery() as nursery:
+            bed = cls(checked, seed, nursery)
+            for runner in bed.engines:
+                bed.start_agent(runner)
+            for number in range(entries):
+                bed.start_entry(f'entry-{number + 1}')
+            await bed.publish(configuration)
+            yield bed
+            nursery.cancel_scope.cancel()
+
+    def start_agent(self, runner: str) -> BedAgent:
+        """Start a new agent process in a runner's slot."""
+        gate = Gate()
+        follower = self._follower(f'agent-{runner}', gate)
+        upstream = GatedUpstream(self.upstreams[runner], gate)
+        started = BedAgent(Agent(runner, follower.writer, upstream, follower), gate)
+        self.agents[runner] = started
+        self._nursery.start_soon(started.run)
+        return started
+
+    def start_entry(self, name: str) -> BedEntry:
+        """Start a new entry process."""
+        gate = Gate()
+        follower = self._follower(name, gate)
+        zones = sorted({runner['availability_zone'] for runner in self.configuration['runners'].values()})
+        zone = zones[len(self.entries) % len(zones)]
+        rng = Random(self._seeds.random())
+        fleets = Fleets(
+            follower,
+            GatedInstances(self.instances, gate),
+            lambda address: self._connect(name, zone, address, gate),
+            rng,
+        )
+        started = BedEntry(Entry(zone, follower, fleets, rng), gate)
+        self.entries[name] = started
+        self._nursery.start_soon(started.run)
+        return started
+
+    async def publish(self, configuration: dict[str, Any]) -> None:
+        """Publish on top of whatever is in force and wait for the fold."""
+        async with self.operator() as follower:
+            raw = msgspec.Raw(msgspec.json.encode(configuration))
+            await follower.submit(Publish(follower.state.version, 'bed', raw))
+
+    @asynccontextmanager
+    async def operator(self) -> AsyncIterator[Follower]:
+        """Follow the control stream as an operator's tool does."""
+        follower = self._follower('operator', Gate())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.follow)
+            await follower.recovered.wait()
+            yield follower
+            nursery.cancel_scope.cancel()
+
+    def _add_engine(self, name: str, runner: RunnerConfig) -> None:
+        roles = self.configuration['fleets'][runner['fleet']]['roles']
+        role = roles.get(name, DEFAULT_ROLE)
+        engine = Engine(role, checks_fencing=runner['checks_fencing'], flush_tokens=FLUSH_TOKENS)
+        self.engines[name] = engine
+        self.upstreams[name] = MemoryEngine(engine)
+        self._nursery.start_soon(engine.run)
+
+    def _follower(self, name: str, gate: Gate) -> Follower:
+        rng = Random(self._seeds.random())
+        writer = new_incarnation(name, rng)
+        return Follower(GatedLog(self.log, gate), self.configuration['deployment'], writer, rng)
+
+    def _connect(self, entry: str, zone: str, address: str, gate: Gate) -> MemoryLink:
+        runner, cfg = next(
+            (name, found) for name, found in self.configuration['runners'].items() if found['agent'] == address
+        )
+        delay_s = SAME_ZONE_S if cfg['availability_zone'] == zone else OTHER_ZONE_S
+        wire = self.wires.setdefault((entry, runner), Wire(delay_s))
+        return MemoryLink(address, wire, lambda: self._host(runner), gate)
+
+    def _host(self, runner: str) -> Host | None:
+        living = self.agents[runner]
+        if living.nursery is None or living.scope.cancel_called:
+            return None
+        return Host(living.agent, living.gate, living.nursery)
+
+
+__all__ = ('Bed', 'BedAgent', 'BedEntry')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from contextlib import suppress
 from typing import NamedTuple
 
 import trio
@@ -52,7 +53,9 @@
         self.produced += steps
         due = self.produced - self.sent
         if due >= flush_tokens or not self.output_left or not self.sent:
-            self.out.send_nowait(model.answer_text(self.req.seed, self.sent, due))
+            # A client that went away without a cancel goes unnoticed.
+            with suppress(trio.BrokenResourceError):
+                self.out.send_nowait(model.answer_text(self.req.seed, self.sent, due))
             self.sent = self.produced
 
 
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/agent/tree.py
@@ -0,0 +1,25 @@
+"""The supervised parts of an agent, whatever carries its links."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint.agent.orders import OrderExecutor
+from sesamepoint.supervisor import Child
+
+if TYPE_CHECKING:
+    from sesamepoint.agent.agent import Agent
+
+
+def agent_children(agent: Agent) -> list[Child]:
+    """Return the parts that every agent runs."""
+    return [
+        Child('follower', agent.follower.follow),
+        Child('attempts', agent.serve_attempts),
+        Child('load', agent.watch_load),
+        Child('tidy', agent.tidy),
+        Child('orders', OrderExecutor(agent).execute),
+    ]
+
+
+__all__ = ('agent_children',)
--- a/packages/sesamepoint/src/sesamepoint/control/follower.py
+++ b/packages/sesamepoint/src/sesamepoint/control/follower.py
@@ -73,6 +73,11 @@
         """
         return in_force(self.state)
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since the log last answered a read."""
+        return trio.current_time() - self.heard_at
+
     def records_after(self, offset: int) -> tuple[tuple[int, bytes], ...]:
         """Return the records behind ``offset``, if none of them is gone."""
         if not self._recent or self._recent[0][0] > offset + 1:
@@ -93,6 +98,7 @@
         """Recover, then fold what comes, until cancelled."""
         await self._until_read(self._recover)
         self.recovered.set()
+        self.changed.set_off()
         events.log_event(events.STATE_RECOVERED, offset=self.state.offset, version=self.state.version)
         while True:
             await self._until_read(self._read_on)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/keeper.py
@@ -0,0 +1,52 @@
+"""Writing snapshots of the fold, well inside the log's retention."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint.control.lease import LeaseKeeper
+
+if TYPE_CHECKING:
+    from sesamepoint.control.follower import Follower
+
+SNAPSHOT_LEASE = 'system/snapshots'
+SNAPSHOT_S = 300.0
+RECORDS_BETWEEN = 2000
+LOOK_S = 5.0
+
+
+class SnapshotKeeper:
+    """Holds the lease on snapshots and writes them while it does."""
+
+    def __init__(self, follower: Follower) -> None:
+        """Write what ``follower`` folded."""
+        self.lease = LeaseKeeper(SNAPSHOT_LEASE, follower)
+        self._follower = follower
+        self._written_at = float('-inf')
+        self._written_offset = 0
+
+    async def write(self) -> None:
+        """Write a snapshot whenever one is due, until cancelled."""
+        while True:
+            if self.lease.fence is not None and self._due():
+                await self._write(self.lease.fence)
+            await trio.sleep(LOOK_S)
+
+    def _due(self) -> bool:
+        old = trio.current_time() - self._written_at >= SNAPSHOT_S
+        return old or self._follower.state.offset - self._written_offset >= RECORDS_BETWEEN
+
+    async def _write(self, fence: int) -> None:
+        offset = self._follower.state.offset
+        try:
+            await self._follower.write_snapshot(fence)
+        except PlatformUnavailableError:
+            return
+        self._written_at = trio.current_time()
+        self._written_offset = offset
+
+
+__all__ = ('SNAPSHOT_LEASE', 'SnapshotKeeper')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/lease.py
@@ -0,0 +1,103 @@
+"""Taking and keeping a lease through the control log."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.fold.records import ClaimLease, RenewLease
+from sesamepoint_core.fold.state import NEVER
+from sesamepoint import events
+
+if TYPE_CHECKING:
+    from sesamepoint_core.fold.state import Lease
+    from sesamepoint.control.follower import Follower
+
+RENEW_S = 2.0
+SILENT_S = 6.0
+SPREAD_S = 3.0
+HEARD_S = 3.0
+RANKS = 65_536
+
+
+class LeaseKeeper:
+    """Claims a lease that is free or silent, and renews it while it holds.
+
+    The clock only decides when to try; the fold decides who holds. A claim
+    that was overtaken by a renewal is void, so a slow reader that thinks
+    the holder silent does no harm.
+
+    Parameters
+    ----------
+    name
+        The lease: a fleet's name, or one of the system's own.
+    follower
+        The control log's fold; its writer is the holder.
+    """
+
+    def __init__(self, name: str, follower: Follower) -> None:
+        """Hold nothing at first."""
+        self.name = name
+        self._follower = follower
+        self._held = False
+
+    @property
+    def lease(self) -> Lease | None:
+        """The lease as the fold knows it."""
+        return self._follower.state.leases.get(self.name)
+
+    @property
+    def fence(self) -> int | None:
+        """The fencing number, while this process holds the lease."""
+        lease = self.lease
+        if lease is None or lease.holder != self._follower.writer:
+            return None
+        return lease.fence
+
+    async def keep(self) -> None:
+        """Claim and renew until cancelled."""
+        await self._follower.recovered.wait()
+        while True:
+            self._note()
+            if self.fence is None:
+                await self._wait_and_claim()
+            else:
+                await trio.sleep(RENEW_S)
+                await self._renew()
+
+    async def _wait_and_claim(self) -> None:
+        before = self.lease
+        await trio.sleep(self._turn_s())
+        if before is not None:
+            await trio.sleep(SILENT_S)
+        # A holder whose renewals this process could not read is not silent.
+        if self.lease == before and self._follower.silence_s < HEARD_S:
+            last_seen = NEVER if before is None else before.renewed
+            await self._follower.submit(ClaimLease(self.name, self._follower.writer, last_seen))
+
+    async def _renew(self) -> None:
+        fence = self.fence
+        if fence is not None:
+            await self._follower.submit(RenewLease(self.name, fence))
+
+    def _turn_s(self) -> float:
+        """Seconds to let others go first.
+
+        They differ per process and lease: the leases of many fleets spread
+        over the entries, and two claims of one lease seldom meet.
+        """
+        text = f'{self.name} {self._follower.writer}'.encode()
+        rank = int.from_bytes(hashlib.blake2b(text, digest_size=2).digest())
+        return SPREAD_S * rank / RANKS
+
+    def _note(self) -> None:
+        held = self.fence is not None
+        if held != self._held:
+            event = events.LEASE_TAKEN if held else events.LEASE_LOST
+            events.log_event(event, lease=self.name, fence=self.fence)
+        self._held = held
+
+
+__all__ = ('LeaseKeeper',)
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -12,6 +12,7 @@
 from sesamepoint_core.route.choose import CHOOSERS
 from sesamepoint import events
 from sesamepoint.entry.attempt import EntryAttempt
+from sesamepoint.incarnation import new_id
 from sesamepoint.link.messages import End
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
     from sesamepoint.entry.fleets import Fleets
     from sesamepoint.entry.request import CallerRequest
 
-ATTEMPT_BITS = 128
 RETRY_AFTER_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
 DEADLINE_PASSED = 'deadline_passed'
@@ -105,10 +105,7 @@
         emit: Callable[[bytes], Awaitable[None]],
     ) -> AttemptEnd:
         view = self.fleets.views[runner]
-        return await EntryAttempt(self._new_attempt(), view, req, emit).run(deadline)
-
-    def _new_attempt(self) -> str:
-        return f'{self._rng.getrandbits(ATTEMPT_BITS):032x}'
+        return await EntryAttempt(new_id(self._rng), view, req, emit).run(deadline)
 
     def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
         need = Need(req.job.prompt_tokens, req.job.output_tokens, deadline - trio.current_time(), req.job.urgent)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/entry/tree.py
@@ -0,0 +1,26 @@
+"""The supervised parts of an entry, whatever carries its links."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint.control.keeper import SnapshotKeeper
+from sesamepoint.supervisor import Child
+
+if TYPE_CHECKING:
+    from sesamepoint.entry.entry import Entry
+
+
+def entry_children(entry: Entry) -> list[Child]:
+    """Return the parts that every entry runs."""
+    snapshots = SnapshotKeeper(entry.follower)
+    return [
+        Child('follower', entry.follower.follow),
+        Child('fleets', entry.fleets.keep),
+        Child('instances', entry.fleets.watch_instances),
+        Child('snapshot-lease', snapshots.lease.keep),
+        Child('snapshots', snapshots.write),
+    ]
+
+
+__all__ = ('entry_children',)
--- a/packages/sesamepoint/src/sesamepoint/incarnation.py
+++ b/packages/sesamepoint/src/sesamepoint/incarnation.py
@@ -1,15 +1,24 @@
-"""The identity of one start of a process."""
+"""Identities that nothing else has."""
 
 from __future__ import annotations
 
-import uuid
+from typing import TYPE_CHECKING
 
-SUFFIX_CHARS = 12
+if TYPE_CHECKING:
+    from random import Random
 
+ID_BITS = 128
+SUFFIX_BITS = 48
 
-def new_incarnation(name: str) -> str:
+
+def new_id(rng: Random, bits: int = ID_BITS) -> str:
+    """Return a random identity in hexadecimal."""
+    return f'{rng.getrandbits(bits):x}'
+
+
+def new_incarnation(name: str, rng: Random) -> str:
     """Return an identity that no other start of ``name`` has."""
-    return f'{name}-{uuid.uuid4().hex[:SUFFIX_CHARS]}'
+    return f'{name}-{new_id(rng, SUFFIX_BITS)}'
 
 
-__all__ = ('new_incarnation',)
+__all__ = ('new_id', 'new_incarnation')
--- a/packages/sesamepoint/src/sesamepoint/link/base.py
+++ b/packages/sesamepoint/src/sesamepoint/link/base.py
@@ -40,7 +40,7 @@
     """The entry's side of a link; every call raises ``LinkLostError``."""
 
     def run(self, req: RunRequest) -> AbstractAsyncContextManager[AsyncIterator[Frame]]:
-        """Open the stream of an attempt's frames."""
+        """Open the stream of an attempt's frames, without waiting."""
 
     async def cancel(self, req: CancelRequest) -> CancelReply:
         """Stop an attempt."""
--- a/packages/sesamepoint/src/sesamepoint/process/agent_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/agent_process.py
@@ -9,7 +9,7 @@
 
 from sesamepoint import events
 from sesamepoint.agent.agent import Agent
-from sesamepoint.agent.orders import OrderExecutor
+from sesamepoint.agent.tree import agent_children
 from sesamepoint.link.grpc_server import serve_agent
 from sesamepoint.process.admin import AdminApp
 from sesamepoint.process.parts import Parts
@@ -31,7 +31,6 @@
         self._cfg = cfg
         self._parts = parts
         self._agent = agent
-        self._orders = OrderExecutor(agent)
         self._admin = AdminApp(CollectorRegistry(), lambda: agent.ready, {'/state': self._state})
 
     @classmethod
@@ -62,14 +61,7 @@
         await self._agent.drained()
 
     def _children(self) -> list[Child]:
-        return [
-            Child('follower', self._parts.follower.follow),
-            Child('attempts', self._agent.serve_attempts),
-            Child('load', self._agent.watch_load),
-            Child('tidy', self._agent.tidy),
-            Child('orders', self._orders.execute),
-            Child('admin', self._serve_admin),
-        ]
+        return [*agent_children(self._agent), Child('admin', self._serve_admin)]
 
     async def _serve_admin(self) -> None:
         await serve_web(self._admin, self._cfg['metrics'])
--- a/packages/sesamepoint/src/sesamepoint/process/entry_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -12,6 +12,7 @@
 from sesamepoint.entry.entry import Entry
 from sesamepoint.entry.fleets import Fleets
 from sesamepoint.entry.http import CallerApp
+from sesamepoint.entry.tree import entry_children
 from sesamepoint.link.grpc_client import GrpcLink
 from sesamepoint.process.admin import AdminApp
 from sesamepoint.process.parts import Parts
@@ -55,9 +56,7 @@
 
     def _children(self) -> list[Child]:
         return [
-            Child('follower', self._parts.follower.follow),
-            Child('fleets', self._entry.fleets.keep),
-            Child('instances', self._entry.fleets.watch_instances),
+            *entry_children(self._entry),
             Child('callers', self._serve_callers),
             Child('admin', self._serve_admin),
         ]
--- a/packages/sesamepoint/src/sesamepoint/process/parts.py
+++ b/packages/sesamepoint/src/sesamepoint/process/parts.py
@@ -31,7 +31,7 @@
     def from_config(cls, cfg: ProcessSettings) -> Parts:
         """Build from a process's settings, under a new incarnation."""
         rng = SystemRandom()
-        incarnation = new_incarnation(cfg['name'])
+        incarnation = new_incarnation(cfg['name'], rng)
         log = LOG_ADAPTERS.get(cfg['log']['adapter']).from_config(cfg['log'])
         instances = LIST_ADAPTERS.get(cfg['instances']['adapter']).from_config(cfg['instances'])
         return cls(incarnation, log, instances, Follower(log, cfg['deployment'], incarnation, rng), rng)
--- a/packages/sesamepoint/src/sesamepoint/upstream/http.py
+++ b/packages/sesamepoint/src/sesamepoint/upstream/http.py
@@ -44,7 +44,7 @@
         """
         try:
             async with self._pool.stream(
-                method, f'{self._url}{path}', headers=_HEADERS, content=body, extensions=_TIMEOUTS
+                method, f'{self._url}{path}', headers=_HEADERS, content=body, extensions=dict(_TIMEOUTS)
             ) as reply:
                 yield reply
         except _NOT_SENT as exc:
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,114 @@
+"""Running tests in virtual time, and callers that remember what they saw."""
+
+from __future__ import annotations
+
+from functools import wraps
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+import trio
+from trio.testing import MockClock
+
+from sesamepoint.entry.request import CallerRequest
+from sesamepoint.link.messages import Job
+from sesamepoint_standins.engine_model import answer_text, seed_of
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from sesamepoint_core.answer.outcome import Outcome
+    from sesamepoint_standins.bed import Bed
+
+SETTLE_S = 5.0
+
+
+def virtual(test: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
+    """Run an async test method on a clock that jumps over idle time."""
+
+    @wraps(test)
+    def run(case: Any) -> None:
+        trio.run(test, case, clock=MockClock(autojump_threshold=0))
+
+    return run
+
+
+class Seen(NamedTuple):
+    """What a caller saw: the outcome, the text, and the seconds it took."""
+
+    outcome: Outcome
+    text: str
+    took_s: float
+
+
+def request(**changes: Any) -> CallerRequest:
+    """Return a whole completion of 40 tokens on a prompt of 1,200."""
+    job_changes = {name: changes.pop(name) for name in tuple(changes) if name in Job._fields}
+    fields: dict[str, Any] = {
+        'kind': 'engine',
+        'method': 'POST',
+        'path': '/v1/completions',
+        'body': b'{}',
+        'prompt_tokens': 1200,
+        'output_tokens': 40,
+        'urgent': True,
+        'prefix': '',
+        'prefix_tokens': 0,
+    }
+    job = Job(**{**fields, **job_changes})
+    base: dict[str, Any] = {
+        'fleet': 'verdict-llm',
+        'job': job,
+        'timeout_s': 30.0,
+        'repeatable': True,
+        'key': '',
+        'account': 'a1',
+        'streamed': False,
+    }
+    return CallerRequest(**{**base, **changes})
+
+
+def body(number: int) -> bytes:
+    """Return a caller's body that no other number has."""
+    return msgspec.json.encode({'prompt': f'survey {number}'})
+
+
+def expected_text(req: CallerRequest) -> str:
+    """Return the whole answer that a stand-in engine gives."""
+    return answer_text(seed_of(req.job.body), 0, req.job.output_tokens)
+
+
+async def call(bed: Bed, req: CallerRequest, entry: str = 'entry-1') -> Seen:
+    """Send a request and note what comes back."""
+    chunks: list[bytes] = []
+
+    async def emit(chunk: bytes) -> None:
+        chunks.append(chunk)
+
+    started = trio.current_time()
+    outcome = await bed.entries[entry].entry.serve(req, emit)
+    return Seen(outcome, b''.join(chunks).decode(), trio.current_time() - started)
+
+
+class Calls:
+    """Calls that run side by side."""
+
+    def __init__(self, bed: Bed, nursery: trio.Nursery) -> None:
+        """Send to ``bed`` from tasks in ``nursery``."""
+        self.seen: list[tuple[CallerRequest, Seen]] = []
+        self._bed = bed
+        self._nursery = nursery
+
+    def send(self, req: CallerRequest, entry: str = 'entry-1') -> None:
+        """Send a request without waiting for its answer."""
+        self._nursery.start_soon(self._send, req, entry)
+
+    async def _send(self, req: CallerRequest, entry: str) -> None:
+        self.seen.append((req, await call(self._bed, req, entry)))
+
+
+async def settle(seconds: float = SETTLE_S) -> None:
+    """Let the bed run for a while."""
+    await trio.sleep(seconds)
+
+
+__all__ = ('Calls', 'Seen', 'body', 'call', 'expected_text', 'request', 'settle', 'virtual')
