--- a/packages/sesamepoint-core/src/sesamepoint_core/config/check.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/check.py
@@ -8,7 +8,7 @@
 import msgspec
 from pydantic import TypeAdapter, ValidationError
 
-from sesamepoint_core.config.model import Configuration, InForce
+from sesamepoint_core.config.model import Configuration, FleetConfig, InForce
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.problems import describe
 
@@ -85,16 +85,22 @@
 def _check_fleets(cfg: Configuration) -> Iterator[str]:
     models: dict[str, str] = {}
     for name, fleet in cfg['fleets'].items():
-        size = sum(runner['fleet'] == name for runner in cfg['runners'].values())
-        floors = sum(fleet['floors'].values())
-        if floors > size:
-            yield f'fleets.{name}.floors: they add up to {floors}, the fleet has {size}; lower them'
-        for runner in sorted(set(fleet['roles']) - set(cfg['runners'])):
-            yield f'fleets.{name}.roles.{runner}: no such runner; remove it or add the runner'
+        yield from _check_fleet(cfg, name, fleet)
         for model in fleet['models']:
             twin = models.setdefault(model, name)
             if twin != name:
                 yield f'fleets.{name}.models: {model!r} is also served by {twin}; name it once'
 
 
+def _check_fleet(cfg: Configuration, name: str, fleet: FleetConfig) -> Iterator[str]:
+    size = sum(runner['fleet'] == name for runner in cfg['runners'].values())
+    floors = sum(fleet['floors'].values())
+    if floors > size:
+        yield f'fleets.{name}.floors: they add up to {floors}, the fleet has {size}; lower them'
+    if fleet['kind'] == 'engine' and 'engine' not in fleet:
+        yield f'fleets.{name}.engine: it is missing; give the measured figures of the engines'
+    for runner in sorted(set(fleet['roles']) - set(cfg['runners'])):
+        yield f'fleets.{name}.roles.{runner}: no such runner; remove it or add the runner'
+
+
 __all__ = ('NotConfiguredError', 'check_configuration', 'in_force', 'parse_configuration', 'preset_names')
--- a/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
@@ -5,13 +5,14 @@
 from typing import Annotated, Literal, NamedTuple
 
 from pydantic import ConfigDict, Field, with_config
-from typing_extensions import TypedDict
+from typing_extensions import NotRequired, TypedDict
 
 Role = Literal['prefill', 'decode', 'mixed']
 FleetKind = Literal['engine', 'plain']
 
 MAX_CHANGING = 64
 Positive = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(gt=0)]
 NonNegative = Annotated[float, Field(ge=0)]
 Share = Annotated[float, Field(ge=0, le=1)]
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')]
@@ -30,18 +31,44 @@
     draining: bool
 
 
+@with_config(_CLOSED)
+class ProfileConfig(TypedDict):
+    """What a role sets in an engine: prompt tokens a step, answers at once."""
+
+    chunk_tokens: Count
+    max_running: Count
+
+
+@with_config(_CLOSED)
+class EngineConfig(TypedDict):
+    """Measured figures of an engine, which the planner reckons with.
+
+    A step takes ``base_step_s``, plus ``prefill_token_s`` for each prompt
+    token and ``decode_answer_s`` for each answer in it. A role change takes
+    ``role_change_s``. All are in seconds.
+    """
+
+    base_step_s: Positive
+    prefill_token_s: Positive
+    decode_answer_s: Positive
+    role_change_s: Positive
+    profiles: dict[Role, ProfileConfig]
+
+
 @with_config(_CLOSED)
 class FleetConfig(TypedDict):
     """A named set of runners that can stand in for each other.
 
     ``roles`` is what a runner starts as; ``floors`` is how many of a role
-    must stay; ``models`` are the names that callers ask for.
+    must stay; ``models`` are the names that callers ask for; ``engine`` is
+    there for fleets of engines.
     """
 
     kind: FleetKind
     models: list[Name]
     floors: dict[Role, Annotated[int, Field(ge=0)]]
     roles: dict[Name, Role]
+    engine: NotRequired[EngineConfig]
 
 
 @with_config(_CLOSED)
@@ -88,6 +115,7 @@
 __all__ = (
     'Address',
     'Configuration',
+    'EngineConfig',
     'FleetConfig',
     'InForce',
     'Name',
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/plan/__init__.py
@@ -0,0 +1,1 @@
+"""Which runner should take which role."""
--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -9,6 +9,7 @@
 
 from sesamepoint_core.errors import UpstreamError
 from sesamepoint.agent.attempts import Attempt, AttemptTable
+from sesamepoint.agent.offered import OfferedTable
 from sesamepoint.control.signal import Signal
 from sesamepoint.link.messages import (
     BeatRequest,
@@ -61,6 +62,7 @@
         self.held = False
         self.leaving = False
         self.attempts = AttemptTable()
+        self.offered = OfferedTable()
         self.ended = Signal()
         self._accepted = 0
         self._nursery: trio.Nursery | None = None
@@ -97,6 +99,7 @@
     async def beat(self, req: BeatRequest) -> LoadReport:
         """Answer with a sign of life and the load."""
         load = self.load
+        self.offered.hear(req)
         return LoadReport(
             self.runner,
             self.incarnation,
@@ -109,6 +112,7 @@
             load.prefill_rate,
             load.token_s,
             self._accepted,
+            self.offered.total(),
         )
 
     async def sync(self, req: SyncRequest) -> SyncReply:
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/leader.py
@@ -0,0 +1,112 @@
+"""Acting for a fleet while holding its lease: planning and ordering."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.config.check import NotConfiguredError
+from sesamepoint_core.fold.records import Order
+from sesamepoint_core.plan.demand import Offered
+from sesamepoint_core.plan.planner import PLANNERS, FleetView, Plan, RunnerState, role_counts
+from sesamepoint import events
+from sesamepoint.control.decisions import Decision, Decisions
+from sesamepoint.control.lease import LeaseKeeper
+
+if TYPE_CHECKING:
+    from sesamepoint_core.config.model import InForce
+    from sesamepoint.control.follower import Follower
+    from sesamepoint.entry.fleets import Fleets
+    from sesamepoint.entry.view import RunnerView
+
+IDLE_S = 1.0
+ORDER_WAIT_S = 10.0
+WARM_UP_S = 10.0
+
+
+class Leader:
+    """Plans for one fleet and appends its orders to the control log.
+
+    It plans only while its fold says that it holds the lease. Should that
+    be out of date, its order is void at its offset, for everybody.
+    """
+
+    def __init__(self, fleet: str, follower: Follower, fleets: Fleets, decisions: Decisions, policy: str) -> None:
+        """Plan for ``fleet`` by the registered ``policy``."""
+        self.lease = LeaseKeeper(fleet, follower)
+        self._fleet = fleet
+        self._follower = follower
+        self._fleets = fleets
+        self._decisions = decisions
+        self._plan = PLANNERS.get(policy)
+        self._policy = policy
+
+    async def lead(self) -> None:
+        """Plan at the preset's interval while holding, until cancelled."""
+        while True:
+            if self.lease.fence is None:
+                await trio.sleep(IDLE_S)
+            else:
+                await self._lead_on()
+
+    async def _lead_on(self) -> None:
+        """Plan until the lease is lost; wait for reports first."""
+        await trio.sleep(WARM_UP_S)
+        while self.lease.fence is not None:
+            try:
+                now = self._follower.in_force
+            except NotConfiguredError:
+                return
+            await self._plan_once(now, self.lease.fence)
+            await trio.sleep(now.preset['plan_interval_s'])
+
+    async def _plan_once(self, now: InForce, fence: int) -> None:
+        view = self._view(now)
+        if view is None:
+            return
+        plan = self._plan(view)
+        self._decisions.add(self._decision(view, plan, now.version, fence))
+        if plan.chosen is None:
+            return
+        chosen = plan.chosen
+        order = Order(self._fleet, chosen.runner, chosen.role, fence, now.version, plan.reason)
+        events.log_event(events.ORDER_GIVEN, runner=chosen.runner, role=chosen.role, reason=plan.reason)
+        # An order that waits out an outage would act on figures long gone.
+        with trio.move_on_after(ORDER_WAIT_S):
+            await self._follower.submit(order)
+
+    def _view(self, now: InForce) -> FleetView | None:
+        cfg = now.configuration['fleets'].get(self._fleet)
+        if cfg is None or 'engine' not in cfg:
+            return None
+        views = [view for view in self._fleets.views.values() if view.cfg['fleet'] == self._fleet]
+        runners = tuple(self._runner(view) for view in views)
+        reports = [view.report.offered for view in views if view.alive and view.report]
+        # Every agent adds up the entries it hears; one that was cut off from
+        # some of them knows too little, so the largest sum is the truest.
+        offered = max(reports, key=lambda found: found.main_long.requests, default=Offered())
+        return FleetView(cfg, cfg['engine'], now.preset, runners, offered)
+
+    def _runner(self, view: RunnerView) -> RunnerState:
+        order = self._follower.state.orders.get(view.name)
+        standing = view.alive and order is not None and not order.done
+        report = view.report
+        role = report.role if report else ''
+        backlog = view.candidate('').waiting_tokens if report else 0
+        return RunnerState(view.name, role, view.cfg['availability_zone'], view.usable, standing, backlog)
+
+    def _decision(self, view: FleetView, plan: Plan, version: int, fence: int) -> Decision:
+        counts = {f'runners_{role}': float(count) for role, count in role_counts(view).items()}
+        seen = {
+            **counts,
+            'main_short_per_s': view.offered.main_short.requests,
+            'main_long_per_s': view.offered.main_long.requests,
+            'small_long_per_s': view.offered.small_long.requests,
+        }
+        others = tuple((f'{other.runner} to {other.role}', other.score) for other in plan.alternatives)
+        choice = plan.reason if plan.chosen else f'no change: {plan.reason}'
+        return Decision(0, 'role', self._fleet, choice, seen, others, version, fence)
+
+
+__all__ = ('Leader',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/control/leaders.py
@@ -0,0 +1,56 @@
+"""One leader per fleet of engines, as the configuration names them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.config.check import NotConfiguredError
+from sesamepoint.control.leader import Leader
+from sesamepoint.supervisor import Child, Supervisor
+
+if TYPE_CHECKING:
+    from sesamepoint.control.decisions import Decisions
+    from sesamepoint.control.follower import Follower
+    from sesamepoint.entry.fleets import Fleets
+
+
+class Leaders:
+    """Starts a leader for each fleet of engines; leases tell which act."""
+
+    def __init__(self, follower: Follower, fleets: Fleets, decisions: Decisions, policy: str = 'default') -> None:
+        """Lead nothing yet."""
+        self._follower = follower
+        self._fleets = fleets
+        self._decisions = decisions
+        self._policy = policy
+        self._led: dict[str, trio.CancelScope] = {}
+
+    async def keep(self) -> None:
+        """Follow the configuration until cancelled."""
+        self._led.clear()
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._adapt(nursery)
+                await self._follower.changed.wait()
+
+    def _adapt(self, nursery: trio.Nursery) -> None:
+        try:
+            fleets = self._follower.in_force.configuration['fleets']
+        except NotConfiguredError:
+            return
+        wanted = {name for name, fleet in fleets.items() if fleet['kind'] == 'engine'}
+        for gone in set(self._led) - wanted:
+            self._led.pop(gone).cancel()
+        for name in sorted(wanted - set(self._led)):
+            self._led[name] = trio.CancelScope()
+            nursery.start_soon(self._run, name, self._led[name])
+
+    async def _run(self, fleet: str, scope: trio.CancelScope) -> None:
+        leader = Leader(fleet, self._follower, self._fleets, self._decisions, self._policy)
+        with scope:
+            await Supervisor(f'leader.{fleet}').run([Child('lease', leader.lease.keep), Child('plan', leader.lead)])
+
+
+__all__ = ('Leaders',)
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -8,9 +8,11 @@
 
 from sesamepoint_core.admit.budget import RetryBudget
 from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Outcome, Unknown
+from sesamepoint_core.plan.demand import Demand
 from sesamepoint_core.route.candidate import Need
 from sesamepoint_core.route.choose import CHOOSERS
 from sesamepoint import events
+from sesamepoint.control.decisions import Decisions
 from sesamepoint.entry.attempt import EntryAttempt
 from sesamepoint.incarnation import new_id
 from sesamepoint.link.messages import End
@@ -44,13 +46,15 @@
     rng
         For sampling.
     policy
-        Registered name of the routing policy.
+        Registered name of the policy, for routing and planning.
     """
 
     def __init__(self, zone: str, follower: Follower, fleets: Fleets, rng: Random, policy: str = 'default') -> None:
         """Start idle."""
         self.fleets = fleets
         self.follower = follower
+        self.decisions = Decisions()
+        self.policy = policy
         self.leaving = False
         self.in_flight = 0
         self.idle = trio.Event()
@@ -68,6 +72,7 @@
             What became of it; ``NotRun`` only if no upstream ever saw it.
         """
         self.in_flight += 1
+        self._measure(req)
         try:
             outcome = await self._attempts(req, emit)
         finally:
@@ -83,6 +88,10 @@
         if self.in_flight:
             await self.idle.wait()
 
+    def _measure(self, req: CallerRequest) -> None:
+        work = Demand(1, req.job.prompt_tokens, req.job.output_tokens, req.timeout_s)
+        self.fleets.meters[req.fleet].add(trio.current_time(), work, urgent=req.job.urgent)
+
     async def _attempts(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
         self._budget.earn(self.follower.in_force.preset['retry_share'])
         deadline = trio.current_time() + req.timeout_s
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.config.check import NotConfiguredError
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.plan.demand import Meter
 from sesamepoint.entry.view import RunnerView
 
 if TYPE_CHECKING:
@@ -35,6 +37,7 @@
     ) -> None:
         """Start without views."""
         self.views: dict[str, RunnerView] = {}
+        self.meters: defaultdict[str, Meter] = defaultdict(Meter)
         self._follower = follower
         self._instances = instances
         self._connect = connect
@@ -103,7 +106,7 @@
             return
         if known is not None:
             self._drop(name)
-        view = RunnerView(name, cfg, self._connect(cfg['agent']))
+        view = RunnerView(name, cfg, self._connect(cfg['agent']), self.meters[cfg['fleet']])
         self.views[name] = view
         self._watches[name] = trio.CancelScope()
         nursery.start_soon(self._watch, view, self._watches[name])
--- a/packages/sesamepoint/src/sesamepoint/entry/tree.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/tree.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint.control.keeper import SnapshotKeeper
+from sesamepoint.control.leaders import Leaders
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
@@ -14,12 +15,14 @@
 def entry_children(entry: Entry) -> list[Child]:
     """Return the parts that every entry runs."""
     snapshots = SnapshotKeeper(entry.follower)
+    leaders = Leaders(entry.follower, entry.fleets, entry.decisions, entry.policy)
     return [
         Child('follower', entry.follower.follow),
         Child('fleets', entry.fleets.keep),
         Child('instances', entry.fleets.watch_instances),
         Child('snapshot-lease', snapshots.lease.keep),
         Child('snapshots', snapshots.write),
+        Child('leaders', leaders.keep),
     ]
 
 
--- a/packages/sesamepoint/src/sesamepoint/entry/view.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -15,6 +15,7 @@
     from random import Random
 
     from sesamepoint_core.config.model import RunnerConfig
+    from sesamepoint_core.plan.demand import Meter
     from sesamepoint.control.follower import Follower
     from sesamepoint.link.base import AgentLink
     from sesamepoint.link.messages import Job
@@ -36,13 +37,14 @@
 class RunnerView:
     """One runner as this entry sees it."""
 
-    def __init__(self, name: str, cfg: RunnerConfig, link: AgentLink) -> None:
+    def __init__(self, name: str, cfg: RunnerConfig, link: AgentLink, meter: Meter) -> None:
         """Know nothing but the configuration."""
         self.name = name
         self.cfg = cfg
         self.link = link
         self.report: LoadReport | None = None
         self.platform_leaving = False
+        self._meter = meter
         self._reported_at = float('-inf')
         self._missed = LOST_AFTER
         self._own: dict[str, OwnWork] = {}
@@ -96,7 +98,9 @@
     async def _beat(self, follower: Follower) -> None:
         asked_at = trio.current_time()
         try:
-            report = await self.link.beat(BeatRequest(follower.state.offset))
+            report = await self.link.beat(
+                BeatRequest(follower.writer, follower.state.offset, self._meter.read(asked_at))
+            )
         except LinkLostError as exc:
             self._miss(str(exc))
             return
--- a/packages/sesamepoint/src/sesamepoint/link/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/link/messages.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from sesamepoint_core.plan.demand import Offered
+
 
 class Job(NamedTuple):
     """The work of one request, as the agent hands it to its upstream.
@@ -108,9 +110,21 @@
 
 
 class BeatRequest(NamedTuple):
-    """Ask for a sign of life and the load; tell how far the asker folded."""
+    """Ask for a sign of life and the load.
+
+    Parameters
+    ----------
+    entry
+        The incarnation that asks.
+    folded
+        Offset that it folded up to.
+    offered
+        What its callers asked of the agent's fleet, per second.
+    """
 
+    entry: str
     folded: int
+    offered: Offered
 
 
 class LoadReport(NamedTuple):
@@ -137,7 +151,9 @@
     token_s
         Seconds between two tokens of one answer, lately.
     accepted
-        Attempts accepted since the agent started: what the report covers.
+        Attempts accepted since the agent started.
+    offered
+        Sum of what the entries that ask here were asked for.
     """
 
     runner: str
@@ -151,6 +167,7 @@
     prefill_rate: float
     token_s: float
     accepted: int
+    offered: Offered
 
 
 class SyncRequest(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/process/entry_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -33,7 +33,9 @@
         self._cfg = cfg
         self._parts = parts
         self._entry = entry
-        self._admin = AdminApp(CollectorRegistry(), self._ready, {'/state': self._state})
+        self._admin = AdminApp(
+            CollectorRegistry(), self._ready, {'/state': self._state, '/decisions': entry.decisions.newest}
+        )
 
     @classmethod
     def from_config(cls, cfg: EntrySettings) -> EntryProcess:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -29,7 +29,7 @@
 def configuration(size: int = 2, **changes: Any) -> dict[str, Any]:
     """Return a configuration with one fleet of engines."""
     names = [f'verdict-{number}' for number in range(1, size + 1)]
-    fleet = {'kind': 'engine', 'models': ['verdict'], 'floors': {}, 'roles': {}}
+    fleet = {'kind': 'engine', 'models': ['verdict'], 'floors': {}, 'roles': {}, 'engine': engine()}
     base = {
         'deployment': 'boat-bazaar',
         'fleets': {'verdict-llm': fleet},
@@ -39,6 +39,21 @@
     return {**base, **changes}
 
 
+def engine() -> dict[str, Any]:
+    """Return the figures of the stand-in engine."""
+    return {
+        'base_step_s': 0.012,
+        'prefill_token_s': 0.0000625,
+        'decode_answer_s': 0.0003,
+        'role_change_s': 8.0,
+        'profiles': {
+            'prefill': {'chunk_tokens': 4096, 'max_running': 8},
+            'mixed': {'chunk_tokens': 1024, 'max_running': 32},
+            'decode': {'chunk_tokens': 256, 'max_running': 64},
+        },
+    }
+
+
 def runner(number: int, **changes: Any) -> dict[str, Any]:
     """Return one runner's configuration."""
     base = {
@@ -76,4 +91,4 @@
         return step
 
 
-__all__ = ('FoldBuilder', 'configuration', 'preset', 'publish', 'runner')
+__all__ = ('FoldBuilder', 'configuration', 'engine', 'preset', 'publish', 'runner')
--- a/tests/core/test_check.py
+++ b/tests/core/test_check.py
@@ -10,7 +10,7 @@
 
 from sesamepoint_core.config.check import check_configuration
 from sesamectl.commands.check import load_configuration
-from tests.builders import configuration, runner
+from tests.builders import configuration, engine, runner
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 
@@ -43,7 +43,7 @@
         self.assertIn('also the agent of verdict-1', problems(runners=twins)[0])
 
     def test_floors_above_size(self) -> None:
-        fleet = {'kind': 'engine', 'models': [], 'floors': {'prefill': 3}, 'roles': {}}
+        fleet = {'kind': 'engine', 'models': [], 'floors': {'prefill': 3}, 'roles': {}, 'engine': engine()}
         self.assertIn('lower them', problems(fleets={'verdict-llm': fleet})[0])
 
     def test_examples_are_good(self) -> None:
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from functools import wraps
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -20,6 +21,9 @@
     from sesamepoint_standins.bed import Bed
 
 SETTLE_S = 5.0
+_logger = logging.getLogger('sesamepoint')
+_logger.addHandler(logging.NullHandler())
+_logger.propagate = False
 
 
 def virtual(test: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
