Let idempotency keys be claimed on the log, gathered by a home per shard

Ways weighed: a claim per request on the log (3,700 appends/s at the design size, over the limit), a home in memory only (a lost home forgets what ran), claims on the log gathered by homes (chosen: the order of the shard's stream decides, so two homes at once are harmless).

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := packages tests
+# A test whose virtual clock stands still would never end by itself.
+TEST_LIMIT_S := 900
 
 .PHONY: test demo check unit format clean
 
@@ -14,7 +16,7 @@
 	$(BIN)/mypy
 
 unit: $(VENV)/ready
-	$(BIN)/nose2
+	timeout $(TEST_LIMIT_S) $(BIN)/nose2
 
 format: $(VENV)/ready
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/sesamepoint-core/src/sesamepoint_core/plan/planner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/plan/planner.py
@@ -78,7 +78,7 @@
 PLANNERS: Registry[Planner] = Registry('planning policy')
 
 
-@PLANNERS.register('default')
+@PLANNERS.register('worthwhile')
 def worthwhile_change(view: FleetView) -> Plan:
     """Make the change that saves most beyond its price, if any does.
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
@@ -27,7 +27,7 @@
 CHOOSERS: Registry[Chooser] = Registry('routing policy')
 
 
-@CHOOSERS.register('default')
+@CHOOSERS.register('soonest')
 def soonest_of_sample(candidates: Sequence[Candidate], need: Need, rng: Random) -> Choice:
     """Pick the soonest to finish among a few drawn at random.
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/bed.py
@@ -21,6 +21,7 @@
 from sesamepoint.entry.entry import Entry
 from sesamepoint.entry.fleets import Fleets
 from sesamepoint.entry.tree import entry_children
+from sesamepoint.keys.homes import KeyHomes
 from sesamepoint.incarnation import new_incarnation
 from sesamepoint.supervisor import Supervisor
 from sesamepoint_standins.engine import Engine
@@ -122,7 +123,9 @@
         gate = Gate()
         follower = self._follower(f'agent-{runner}', gate)
         upstream = GatedUpstream(self.upstreams[runner], gate)
-        started = BedAgent(Agent(runner, follower.writer, upstream, follower), gate)
+        log = GatedLog(self.log, gate)
+        homes = KeyHomes(log, self.configuration['deployment'], follower.writer, trio.current_time)
+        started = BedAgent(Agent(runner, upstream, follower, homes), gate)
         self.agents[runner] = started
         self._nursery.start_soon(started.run)
         return started
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/memory_link.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/memory_link.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
     from sesamepoint.link.base import AgentHandler
     from sesamepoint.link.messages import (
         BeatRequest,
@@ -90,6 +91,16 @@
         reply: SyncReply = await self._call(lambda host: host.handler.sync(req))
         return reply
 
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Ask for the right to run under an idempotency key."""
+        reply: ClaimReply = await self._call(lambda host: host.handler.claim(req))
+        return reply
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Tell how the run under an idempotency key ended."""
+        reply: SettleReply = await self._call(lambda host: host.handler.settle(req))
+        return reply
+
     @asynccontextmanager
     async def run(self, req: RunRequest) -> AsyncIterator[AsyncIterator[Frame]]:
         """Open the stream of an attempt's frames."""
--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -28,6 +28,8 @@
     from collections.abc import Callable
 
     from sesamepoint.control.follower import Follower
+    from sesamepoint.keys.homes import KeyHomes
+    from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
     from sesamepoint.upstream.base import Upstream
 
 LOAD_INTERVAL_S = 0.25
@@ -44,18 +46,19 @@
     ----------
     runner
         Name of the runner it sits beside.
-    incarnation
-        Identity of this start of the process.
     upstream
         The adapter to the upstream.
     follower
-        The control log's fold.
+        The control log's fold; its writer is the agent's incarnation.
+    homes
+        The idempotency keys that it gathers for.
     """
 
-    def __init__(self, runner: str, incarnation: str, upstream: Upstream, follower: Follower) -> None:
+    def __init__(self, runner: str, upstream: Upstream, follower: Follower, homes: KeyHomes) -> None:
         """Start closed; :meth:`run_parts` opens the door."""
         self.runner = runner
-        self.incarnation = incarnation
+        self.incarnation = follower.writer
+        self.homes = homes
         self.upstream = upstream
         self.follower = follower
         self.load = UNKNOWN_LOAD
@@ -119,6 +122,14 @@
         """Hand out records that the asker lacks."""
         return SyncReply(self.follower.records_after(req.after))
 
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Answer for an idempotency key."""
+        return await self.homes.claim(req)
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Keep the answer for an idempotency key."""
+        return await self.homes.settle(req)
+
     async def serve_attempts(self) -> None:
         """Hold the nursery in which attempts run."""
         async with trio.open_nursery() as nursery:
--- a/packages/sesamepoint/src/sesamepoint/agent/tree.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/tree.py
@@ -16,6 +16,7 @@
     return [
         Child('follower', agent.follower.follow),
         Child('attempts', agent.serve_attempts),
+        Child('keys', agent.homes.run),
         Child('load', agent.watch_load),
         Child('tidy', agent.tidy),
         Child('orders', OrderExecutor(agent).execute),
--- a/packages/sesamepoint/src/sesamepoint/control/leader.py
+++ b/packages/sesamepoint/src/sesamepoint/control/leader.py
@@ -9,7 +9,8 @@
 from sesamepoint_core.config.check import NotConfiguredError
 from sesamepoint_core.fold.records import Order
 from sesamepoint_core.plan.demand import Offered
-from sesamepoint_core.plan.planner import PLANNERS, FleetView, Plan, RunnerState, role_counts
+from sesamepoint_core.plan.planner import FleetView, Plan, RunnerState, role_counts
+from sesamepoint_core.policy import POLICIES
 from sesamepoint import events
 from sesamepoint.control.decisions import Decision, Decisions
 from sesamepoint.control.lease import LeaseKeeper
@@ -39,8 +40,7 @@
         self._follower = follower
         self._fleets = fleets
         self._decisions = decisions
-        self._plan = PLANNERS.get(policy)
-        self._policy = policy
+        self._plan = POLICIES.get(policy).plan
 
     async def lead(self) -> None:
         """Plan at the preset's interval while holding, until cancelled."""
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -9,12 +9,14 @@
 from sesamepoint_core.admit.budget import RetryBudget
 from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Outcome, Unknown
 from sesamepoint_core.plan.demand import Demand
+from sesamepoint_core.policy import POLICIES
 from sesamepoint_core.route.candidate import Need
-from sesamepoint_core.route.choose import CHOOSERS
 from sesamepoint import events
 from sesamepoint.control.decisions import Decisions
 from sesamepoint.entry.attempt import EntryAttempt
+from sesamepoint.entry.keyed import KeyedRequests
 from sesamepoint.incarnation import new_id
+from sesamepoint.keys.asker import KeyAsker
 from sesamepoint.link.messages import End
 
 if TYPE_CHECKING:
@@ -60,7 +62,8 @@
         self.idle = trio.Event()
         self._zone = zone
         self._rng = rng
-        self._choose = CHOOSERS.get(policy)
+        self.keyed = KeyedRequests(KeyAsker(fleets), self._attempts, rng)
+        self._policy = POLICIES.get(policy)
         self._budget = RetryBudget()
 
     async def serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
@@ -74,7 +77,7 @@
         self.in_flight += 1
         self._measure(req)
         try:
-            outcome = await self._attempts(req, emit)
+            outcome = await (self.keyed.serve if req.key else self._attempts)(req, emit)
         finally:
             self.in_flight -= 1
             if self.leaving and not self.in_flight:
@@ -121,9 +124,9 @@
         candidates = self.fleets.candidates(req.fleet, self._zone, tried)
         if not candidates:
             return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
-        choice = self._choose(candidates, need, self._rng)
+        choice = self._policy.choose(candidates, need, self._rng)
         late_s = choice.estimate.finish_s - need.timeout_s
-        if late_s > 0:
+        if late_s > 0 and not self._policy.admits_late:
             # Let in, it would be late, and would make others late as well.
             return NotRun(
                 'deadline_unreachable', 'send it again later, or with more time', max(late_s, MIN_RETRY_AFTER_S)
--- a/packages/sesamepoint/src/sesamepoint/entry/tree.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/tree.py
@@ -18,6 +18,7 @@
     leaders = Leaders(entry.follower, entry.fleets, entry.decisions, entry.policy)
     return [
         Child('follower', entry.follower.follow),
+        Child('keyed', entry.keyed.run),
         Child('fleets', entry.fleets.keep),
         Child('instances', entry.fleets.watch_instances),
         Child('snapshot-lease', snapshots.lease.keep),
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/keys/asker.py
@@ -0,0 +1,108 @@
+"""An entry's side of the keys: claiming, and telling how a run ended."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.errors import LinkLostError
+from sesamepoint_core.keys.fold import Claim
+from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleRequest, Standing
+from sesamepoint.link.messages import End
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sesamepoint.entry.fleets import Fleets
+    from sesamepoint.entry.request import CallerRequest
+    from sesamepoint.entry.view import RunnerView
+
+SHARDS = 8
+CLAIM_WAIT_S = 2.0
+SETTLE_TRIES = 3
+ASK_AGAIN_S = 0.05
+DIGEST_BYTES = 12
+
+
+class KeyAsker:
+    """Finds the home of a key and asks it."""
+
+    def __init__(self, fleets: Fleets) -> None:
+        """Use the agents of ``fleets`` as homes."""
+        self._fleets = fleets
+
+    async def claim(self, claim: Claim, timeout_s: float) -> ClaimReply:
+        """Ask until there is a word, or the time for one is up.
+
+        A key that runs elsewhere is waited for until the deadline. A home
+        that is not to be had, or cannot write, is waited for briefly: the
+        caller learns soon that nothing ran.
+        """
+        deadline = trio.current_time() + timeout_s
+        give_up_at = min(deadline, trio.current_time() + CLAIM_WAIT_S)
+        while True:
+            reply = await self._ask(claim, deadline - trio.current_time())
+            limit = deadline if reply.standing is Standing.running else give_up_at
+            final = reply.standing not in {Standing.running, Standing.unavailable}
+            if final or trio.current_time() >= limit:
+                return reply
+            await trio.sleep(ASK_AGAIN_S)
+
+    async def settle(self, claim: Claim, end: End, code: str, chunks: Sequence[bytes]) -> None:
+        """Tell the home how the run ended; without it the key is `unknown`."""
+        req = SettleRequest(shard_of(claim.key), claim, end, code, tuple(chunks))
+        for _ in range(SETTLE_TRIES):
+            view = self._home(req.shard)
+            if view is None:
+                return
+            try:
+                await view.link.settle(req)
+            except LinkLostError:
+                view.link.renew()
+            else:
+                return
+
+    async def _ask(self, claim: Claim, timeout_s: float) -> ClaimReply:
+        shard = shard_of(claim.key)
+        view = self._home(shard)
+        if view is None:
+            return ClaimReply(Standing.unavailable)
+        try:
+            return await view.link.claim(ClaimRequest(shard, claim, timeout_s))
+        except LinkLostError:
+            view.link.renew()
+            return ClaimReply(Standing.unavailable)
+
+    def _home(self, shard: int) -> RunnerView | None:
+        """Return the agent that gathers for a shard.
+
+        Entries that see different agents alive pick different homes; then
+        answers are kept apart and claims still meet on the log.
+        """
+        alive = [view for view in self._fleets.views.values() if view.alive]
+        return max(alive, key=lambda view: zlib.crc32(f'{shard} {view.name}'.encode()), default=None)
+
+
+def claim_of(req: CallerRequest, owner: str) -> Claim:
+    """Return the claim of a request on its account's key."""
+    key = _digest(req.account.encode(), req.key.encode())
+    return Claim(key, owner, _digest(req.job.method.encode(), req.job.path.encode(), req.job.body))
+
+
+def shard_of(key: str) -> int:
+    """Return the shard that a key belongs to."""
+    return zlib.crc32(key.encode()) % SHARDS
+
+
+def _digest(*parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(len(part).to_bytes(4))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+__all__ = ('SHARDS', 'KeyAsker', 'claim_of', 'shard_of')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/keys/home.py
@@ -0,0 +1,197 @@
+"""The home of a shard of keys: gathers claims into batches on the log."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.keys.fold import KEY_LIFE_S, Batch, Claim, KeyFold, encode_batch
+from sesamepoint.control.signal import Signal
+from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest, Standing
+from sesamepoint.link.messages import End
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint.platform.messages import LogPage, LogService
+
+POLL_WAIT_S = 5.0
+RETRY_S = 0.2
+REPLY_S = 0.8
+MAX_BATCH = 500
+MAX_KEPT_BYTES = 16_777_216
+
+
+class Kept(NamedTuple):
+    """How an owner's run ended, and its answer."""
+
+    owner: str
+    end: End
+    code: str
+    chunks: tuple[bytes, ...]
+
+
+class KeyHome:
+    """One shard: its fold, the claims to be written, the kept answers.
+
+    Being the home is no authority, only a place to gather: whether a claim
+    holds is decided by the order of the shard's stream.
+
+    Parameters
+    ----------
+    log
+        The platform's log.
+    stream
+        The shard's stream.
+    writer
+        This process's incarnation.
+    wall
+        The wall clock, in seconds.
+    """
+
+    def __init__(self, log: LogService, stream: str, writer: str, wall: Callable[[], float]) -> None:
+        """Start knowing nothing."""
+        self._log = log
+        self._stream = stream
+        self._writer = writer
+        self._wall = wall
+        self._fold = KeyFold()
+        self._changed = Signal()
+        self._pending: dict[str, Claim] = {}
+        self._releases: dict[str, tuple[str, str]] = {}
+        self._kept: OrderedDict[str, Kept] = OrderedDict()
+        self._kept_bytes = 0
+        self._running: dict[str, float] = {}
+        self._serial = 0
+        self._whole_at = float('inf')
+        self._first_at: float | None = None
+
+    async def run(self) -> None:
+        """Follow the shard's stream and write what is gathered."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._write)
+
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Answer within ``REPLY_S``; the asker asks again as needed."""
+        with trio.move_on_after(REPLY_S):
+            while self._wall() < self._whole_at:
+                await self._changed.wait()
+            return await self._claim(req)
+        return ClaimReply(Standing.unavailable)
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Take the owner's word on its run."""
+        await trio.lowlevel.checkpoint()
+        claim = req.claim
+        self._running.pop(claim.owner, None)
+        if req.end is End.not_started:
+            self._pending.pop(claim.owner, None)
+            self._releases[claim.owner] = (claim.key, claim.owner)
+        else:
+            self._keep(claim.key, Kept(claim.owner, req.end, req.code, req.chunks))
+        self._changed.set_off()
+        return SettleReply(kept=claim.key in self._kept)
+
+    async def _claim(self, req: ClaimRequest) -> ClaimReply:
+        claim = req.claim
+        while True:
+            held = self._fold.owner(claim.key, self._wall())
+            if held is None:
+                self._gather(claim)
+                await self._changed.wait()
+            elif held.owner == claim.owner:
+                self._running[claim.owner] = trio.current_time() + req.timeout_s
+                return ClaimReply(Standing.granted)
+            else:
+                return await self._of_another(held, claim)
+
+    async def _of_another(self, held: Claim, claim: Claim) -> ClaimReply:
+        if held.digest != claim.digest:
+            return ClaimReply(Standing.reused)
+        give_up_at = trio.current_time() + REPLY_S / 2
+        while self._running.get(held.owner, 0) > trio.current_time():
+            if not await self._changed.wait_at_most(give_up_at - trio.current_time()):
+                return ClaimReply(Standing.running)
+        kept = self._kept.get(claim.key)
+        if kept is not None and kept.owner == held.owner:
+            return ClaimReply(Standing.done, kept.end, kept.code, kept.chunks)
+        return ClaimReply(Standing.unknown)
+
+    def _gather(self, claim: Claim) -> None:
+        # Only the first time: two claims that woke each other with every
+        # look at the fold would keep the process busy for ever.
+        if claim.owner not in self._pending:
+            self._pending[claim.owner] = claim
+            self._changed.set_off()
+
+    def _keep(self, key: str, kept: Kept) -> None:
+        self._kept[key] = kept
+        self._kept_bytes += sum(map(len, kept.chunks))
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            _, oldest = self._kept.popitem(last=False)
+            self._kept_bytes -= sum(map(len, oldest.chunks))
+
+    async def _follow(self) -> None:
+        first = True
+        while True:
+            try:
+                page = await self._log.read(self._stream, self._fold.offset + 1, 0 if first else POLL_WAIT_S)
+            except PlatformUnavailableError:
+                await trio.sleep(RETRY_S)
+                continue
+            self._take(page)
+            if first and self._fold.offset + 1 >= page.end:
+                first = False
+                self._whole_at = self._whole_from(page)
+            self._changed.set_off()
+
+    def _take(self, page: LogPage) -> None:
+        for record in page.records:
+            batch = self._fold.apply(record.offset, record.payload)
+            if self._first_at is None:
+                self._first_at = batch.at
+            for claim in batch.claims:
+                self._pending.pop(claim.owner, None)
+
+    def _whole_from(self, page: LogPage) -> float:
+        """Return from when on no claim can be missing.
+
+        If the stream's beginning was trimmed, a claim that is still alive
+        may be gone with it; granting its key would be a second run.
+        """
+        if page.earliest == 0:
+            return 0
+        first_at = self._wall() if self._first_at is None else self._first_at
+        return first_at + KEY_LIFE_S
+
+    async def _write(self) -> None:
+        while True:
+            if self._pending or self._releases:
+                await self._write_batch()
+            else:
+                await self._changed.wait()
+
+    async def _write_batch(self) -> None:
+        """Write all that gathered while the last append was under way."""
+        claims = tuple(self._pending.values())[:MAX_BATCH]
+        releases = tuple(self._releases.values())[:MAX_BATCH]
+        self._serial += 1
+        batch = Batch(self._writer, self._serial, self._wall(), claims, releases)
+        try:
+            offset = await self._log.append(self._stream, encode_batch(batch))
+        except PlatformUnavailableError:
+            # It may have been written all the same. The fold will show it;
+            # what is still pending after that goes into the next batch.
+            await trio.sleep(RETRY_S)
+            return
+        for _, owner in releases:
+            self._releases.pop(owner)
+        while self._fold.offset < offset:
+            await self._changed.wait()
+
+
+__all__ = ('KeyHome',)
--- a/packages/sesamepoint/src/sesamepoint/link/base.py
+++ b/packages/sesamepoint/src/sesamepoint/link/base.py
@@ -8,6 +8,7 @@
     from collections.abc import AsyncIterator, Callable
     from contextlib import AbstractAsyncContextManager
 
+    from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
     from sesamepoint.link.messages import (
         BeatRequest,
         CancelReply,
@@ -35,6 +36,12 @@
     async def sync(self, req: SyncRequest) -> SyncReply:
         """Hand out records that the asker lacks."""
 
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Answer for an idempotency key."""
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Keep the answer for an idempotency key."""
+
 
 class AgentLink(Protocol):
     """The entry's side of a link; every call raises ``LinkLostError``."""
@@ -51,6 +58,12 @@
     async def sync(self, req: SyncRequest) -> SyncReply:
         """Ask for records."""
 
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Ask for the right to run under an idempotency key."""
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Tell how the run under an idempotency key ended."""
+
     def renew(self) -> None:
         """Give the connection up; the next call opens a new one."""
 
--- a/packages/sesamepoint/src/sesamepoint/link/grpc_client.py
+++ b/packages/sesamepoint/src/sesamepoint/link/grpc_client.py
@@ -12,6 +12,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from sesamepoint_core.errors import LinkLostError
+from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
 from sesamepoint.link.codec import MessagePackCodec
 from sesamepoint.link.grpc_server import SERVICE
 from sesamepoint.link.messages import (
@@ -67,6 +68,14 @@
         """Ask for records."""
         return await self._call('Sync', req, SyncReply)
 
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Ask for the right to run under an idempotency key."""
+        return await self._call('Claim', req, ClaimReply)
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Tell how the run under an idempotency key ended."""
+        return await self._call('Settle', req, SettleReply)
+
     def renew(self) -> None:
         """Give the connection up; the next call opens a new one."""
         if self._channel is not None:
--- a/packages/sesamepoint/src/sesamepoint/link/grpc_server.py
+++ b/packages/sesamepoint/src/sesamepoint/link/grpc_server.py
@@ -11,6 +11,7 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Server
 
+from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
 from sesamepoint.link.codec import MessagePackCodec
 from sesamepoint.link.messages import (
     BeatRequest,
@@ -49,6 +50,8 @@
             f'{SERVICE}Cancel': Handler(_unary(self._handler.cancel), unary, CancelRequest, CancelReply),
             f'{SERVICE}Beat': Handler(_unary(self._handler.beat), unary, BeatRequest, LoadReport),
             f'{SERVICE}Sync': Handler(_unary(self._handler.sync), unary, SyncRequest, SyncReply),
+            f'{SERVICE}Claim': Handler(_unary(self._handler.claim), unary, ClaimRequest, ClaimReply),
+            f'{SERVICE}Settle': Handler(_unary(self._handler.settle), unary, SettleRequest, SettleReply),
         }
 
     async def _run(self, stream: Stream[Any, Any]) -> None:
--- a/packages/sesamepoint/src/sesamepoint/process/agent_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/agent_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -10,6 +11,7 @@
 from sesamepoint import events
 from sesamepoint.agent.agent import Agent
 from sesamepoint.agent.tree import agent_children
+from sesamepoint.keys.homes import KeyHomes
 from sesamepoint.link.grpc_server import serve_agent
 from sesamepoint.process.admin import AdminApp
 from sesamepoint.process.parts import Parts
@@ -39,7 +41,8 @@
         parts = Parts.from_config(cfg)
         adapter = UPSTREAM_ADAPTERS.get(cfg['upstream']['adapter'])
         upstream = adapter.from_config(cfg['upstream'])
-        return cls(cfg, parts, Agent(cfg['runner'], parts.incarnation, upstream, parts.follower))
+        homes = KeyHomes(parts.log, cfg['deployment'], parts.incarnation, time.time)
+        return cls(cfg, parts, Agent(cfg['runner'], upstream, parts.follower, homes))
 
     async def run(self) -> None:
         """Run the tree until cancelled.
--- /dev/null
+++ b/tests/runtime/test_control.py
@@ -0,0 +1,236 @@
+"""Agreement under failure: configuration, leases, orders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_core.answer.outcome import Answered
+from sesamepoint_core.errors import HistoryLostError
+from sesamepoint_core.fold.records import ClaimLease, Order, SwitchPreset
+from sesamepoint_core.fold.snapshot import decode_snapshot
+from sesamepoint_core.fold.verdict import Accepted, Rejected
+from sesamepoint.single_error import single_error
+from sesamepoint_standins.bed import Bed
+from tests.builders import configuration, publish, runner
+from tests.virtual import Calls, body, call, expected_text, request, settle, virtual
+
+if TYPE_CHECKING:
+    from sesamepoint.control.follower import Follower
+
+FLEET = 'verdict-llm'
+LEASE_S = 20.0
+
+
+async def give_order(follower: Follower, name: str, role: str) -> None:
+    """Take the fleet's lease as an operator's stand-in and order a role."""
+    lease = follower.state.leases[FLEET]
+    claim = await follower.submit(ClaimLease(FLEET, follower.writer, lease.renewed))
+    assert isinstance(claim, Accepted)
+    await follower.submit(Order(FLEET, name, role, claim.offset, follower.state.version, 'test'))
+
+
+class OrderTest(TestCase):
+    """Role changes and what they must not do."""
+
+    @virtual
+    async def test_order_during_answers(self) -> None:
+        # A role change is ordered while the engine is in mid-answer. The
+        # engine drops all it runs when it changes, so the agent must let it
+        # finish first: the caller gets its whole answer.
+        async with Bed.open(configuration(size=1)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            async with trio.open_nursery() as nursery:
+                calls = Calls(bed, nursery)
+                req = request(body=body(1), output_tokens=400)
+                calls.send(req)
+                await trio.sleep(1)
+                await give_order(operator, 'verdict-1', 'prefill')
+            self.assertEqual(calls.seen[0][1].text, expected_text(req))
+            await settle(LEASE_S)
+            engine = bed.engines['verdict-1']
+            self.assertEqual((engine.role, engine.cut_off, len(engine.orders)), ('prefill', 0, 1))
+
+    @virtual
+    async def test_order_half_switched(self) -> None:
+        # The engine crashes in the middle of its change and comes back with
+        # neither role. The agent finds out by asking, keeps it out of
+        # service, and has the standing order carried out again.
+        async with Bed.open(configuration(size=2)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            await give_order(operator, 'verdict-1', 'prefill')
+            await trio.sleep(2)
+            bed.engines['verdict-1'].crash()
+            await trio.sleep(0.5)
+            seen = await call(bed, request(body=body(1)))
+            self.assertIsInstance(seen.outcome, Answered)
+            await settle(LEASE_S)
+            self.assertEqual(bed.engines['verdict-1'].role, 'prefill')
+
+    @virtual
+    async def test_order_agent_killed_in_change(self) -> None:
+        # The agent dies between its order and the engine's change. Its
+        # successor asks the engine what it really is and leaves it alone.
+        async with Bed.open(configuration(size=1)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            await give_order(operator, 'verdict-1', 'prefill')
+            await trio.sleep(2)
+            bed.agents['verdict-1'].scope.cancel()
+            bed.start_agent('verdict-1')
+            await settle(LEASE_S)
+            engine = bed.engines['verdict-1']
+            self.assertEqual((engine.role, len(engine.orders)), ('prefill', 1))
+            self.assertTrue(operator.state.orders['verdict-1'].done)
+
+    @virtual
+    async def test_order_of_woken_leader(self) -> None:
+        # The leader is paused, another process takes the lease and orders.
+        # The first wakes up still believing, and appends. Its order is void:
+        # the engine only ever sees the other's.
+        async with Bed.open(configuration(size=1)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            deposed = operator.state.leases[FLEET]
+            await give_order(operator, 'verdict-1', 'prefill')
+            version = operator.state.version
+            verdict = await operator.submit(Order(FLEET, 'verdict-1', 'decode', deposed.fence, version, 'late'))
+            assert isinstance(verdict, Rejected)
+            await settle(LEASE_S)
+            self.assertEqual([role for role, _ in bed.engines['verdict-1'].orders], ['prefill'])
+
+    @virtual
+    async def test_order_paused_agent_replaced(self) -> None:
+        # An agent stops between reading the log and ordering its engine,
+        # which ignores fencing numbers. A successor claims the slot. Woken
+        # up, the old one sees that it lost the slot and takes no more work.
+        lax = {'verdict-1': runner(0, checks_fencing=False)}
+        async with Bed.open(configuration(runners=lax)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            old = bed.agents['verdict-1']
+            old.gate.paused = True
+            bed.start_agent('verdict-1')
+            await settle()
+            await give_order(operator, 'verdict-1', 'prefill')
+            await settle(LEASE_S)
+            old.gate.resume()
+            await settle(LEASE_S)
+            self.assertTrue(old.agent.leaving)
+            self.assertEqual([role for role, _ in bed.engines['verdict-1'].orders], ['prefill'])
+
+
+class ConfigurationTest(TestCase):
+    """Configuration everywhere, for good."""
+
+    @virtual
+    async def test_drain_by_configuration(self) -> None:
+        # A runner is drained by publishing. What it runs is finished, and
+        # a few seconds later no new work goes there.
+        async with Bed.open(configuration()) as bed:
+            await settle()
+            async with trio.open_nursery() as nursery:
+                calls = Calls(bed, nursery)
+                for number in range(8):
+                    calls.send(request(body=body(number), output_tokens=200))
+                await trio.sleep(0.5)
+                drained = {**configuration()['runners'], 'verdict-1': runner(0, draining=True)}
+                await bed.publish(configuration(runners=drained))
+                await trio.sleep(1)
+                before = len(bed.engines['verdict-1'].runs)
+                for number in range(8, 16):
+                    calls.send(request(body=body(number)))
+            self.assertEqual(len(bed.engines['verdict-1'].runs), before)
+            self.assertTrue(all(seen.text == expected_text(req) for req, seen in calls.seen))
+
+    @virtual
+    async def test_publish_reaches_process_cut_off_from_log(self) -> None:
+        # One entry cannot reach the log. It hears of the new version from
+        # the agents, on the signs of life that it asks for anyway.
+        async with Bed.open(configuration()) as bed:
+            await settle()
+            bed.entries['entry-2'].gate.cut_from_log = True
+            await settle()
+            async with bed.operator() as operator:
+                await operator.submit(SwitchPreset(operator.state.version, 'asha', 'peak'))
+            await settle(2)
+            follower = bed.entries['entry-2'].entry.follower
+            self.assertEqual(follower.in_force.preset_name, 'peak')
+
+    @virtual
+    async def test_publish_reply_lost(self) -> None:
+        # The operator's append takes effect and its reply is lost. The tool
+        # reads back, and the change counts once.
+        async with Bed.open(configuration()) as bed, bed.operator() as operator:
+            bed.log.faults.lose_replies = 1
+            verdict = await operator.submit(publish(operator.state.version))
+            self.assertIsInstance(verdict, Accepted)
+            self.assertEqual(operator.state.version, 2)
+
+    @virtual
+    async def test_join_after_trimming(self) -> None:
+        # All records that the newest snapshot covers were trimmed. A process that starts now
+        # takes the snapshot and folds the tail; the version is what it was.
+        async with Bed.open(configuration()) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            page = await bed.log.read('snapshots.boat-bazaar', 0, 0)
+            covered = decode_snapshot(page.records[-1].payload).state.offset
+            bed.log.trim('control.boat-bazaar', covered + 1)
+            bed.start_entry('entry-3')
+            await settle()
+            joined = bed.entries['entry-3'].entry.follower
+            self.assertEqual(joined.state.version, operator.state.version)
+
+    @virtual
+    async def test_join_with_history_lost(self) -> None:
+        # Records were trimmed and no snapshot covers them. A process that
+        # starts now must not guess: it serves nothing and says the remedy.
+        async with Bed.open(configuration(), entries=0) as bed:
+            await settle()
+            bed.log.trim('control.boat-bazaar', 1)
+            with self.assertRaisesRegex(HistoryLostError, 'no snapshot covers it'), single_error():
+                async with bed.operator():
+                    await settle()
+
+    @virtual
+    async def test_serve_through_log_outage(self) -> None:
+        # The log is away for ten minutes. Requests are answered as before,
+        # under the last configuration; afterwards changes work again.
+        async with Bed.open(configuration()) as bed:
+            await settle(LEASE_S)
+            bed.log.faults.away = True
+            for number in range(10):
+                seen = await call(bed, request(body=body(number)))
+                self.assertIsInstance(seen.outcome, Answered)
+                await settle(60)
+            bed.log.faults.away = False
+            await settle()
+            await bed.publish(configuration())
+            await settle(1)
+            follower = bed.entries['entry-1'].entry.follower
+            self.assertEqual(follower.state.version, 2)
+
+
+class StopTest(TestCase):
+    """Planned stops."""
+
+    @virtual
+    async def test_rolling_restart_under_load(self) -> None:
+        # Every agent and entry is stopped gracefully and replaced, one by
+        # one, under load. No caller notices anything.
+        async with Bed.open(configuration(size=3)) as bed:
+            await settle()
+            async with trio.open_nursery() as nursery:
+                calls = Calls(bed, nursery)
+                nursery.start_soon(self._load, calls)
+                for name in tuple(bed.agents):
+                    await bed.agents[name].stop()
+                    bed.start_agent(name)
+                    await settle(3)
+                await bed.entries['entry-2'].stop()
+            self.assertEqual({seen.outcome.tag for _, seen in calls.seen}, {'answered'})
+            self.assertEqual(sum(engine.cut_off for engine in bed.engines.values()), 0)
+
+    async def _load(self, calls: Calls) -> None:
+        for number in range(60):
+            calls.send(request(body=body(number), output_tokens=100, repeatable=False))
+            await trio.sleep(0.25)
