Count a claim as running from the moment it is gathered

Cause: a second asker could see the first one's claim in the fold before the first was granted, and was told 'unknown' while the run was about to start. Before: test_same_key_at_once failed; after: 50 pass.

--- a/packages/sesamepoint/src/sesamepoint/keys/home.py
+++ b/packages/sesamepoint/src/sesamepoint/keys/home.py
@@ -101,10 +101,9 @@
         while True:
             held = self._fold.owner(claim.key, self._wall())
             if held is None:
-                self._gather(claim)
+                self._gather(req)
                 await self._changed.wait()
             elif held.owner == claim.owner:
-                self._running[claim.owner] = trio.current_time() + req.timeout_s
                 return ClaimReply(Standing.granted)
             else:
                 return await self._of_another(held, claim)
@@ -121,11 +120,15 @@
             return ClaimReply(Standing.done, kept.end, kept.code, kept.chunks)
         return ClaimReply(Standing.unknown)
 
-    def _gather(self, claim: Claim) -> None:
+    def _gather(self, req: ClaimRequest) -> None:
         # Only the first time: two claims that woke each other with every
         # look at the fold would keep the process busy for ever.
-        if claim.owner not in self._pending:
-            self._pending[claim.owner] = claim
+        owner = req.claim.owner
+        if owner not in self._pending:
+            self._pending[owner] = req.claim
+            # From here on, not from the grant: the fold may show the claim
+            # to another asker first, who would be told `unknown`.
+            self._running[owner] = trio.current_time() + req.timeout_s
             self._changed.set_off()
 
     def _keep(self, key: str, kept: Kept) -> None:
