Add experiments in virtual time; beat per connection, not per stream

Cause of slow runs, by counting cancel scopes per caller: a beat per stream every 0.5 s and a load poll every 0.25 s made most of the events. Renewing names the connection that broke: without that, streams that broke together would break each other's new connections without end.

--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -5,6 +5,8 @@
   sesamectl publish FILE --log URL [--based-on VERSION] [--operator NAME]
   sesamectl preset NAME --deployment NAME --log URL [--based-on VERSION] [--operator NAME]
   sesamectl show --deployment NAME --log URL [--json]
+  sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
+  sesamectl experiment --list
   sesamectl --help
   sesamectl --version
 
@@ -15,6 +17,11 @@
                        the one in force when the command starts.
   --operator NAME      Who publishes [default: operator].
   --json               One JSON object instead of text.
+  --scenario NAME      A shipped scenario, or a file.
+  --policy NAME        A registered policy [default: default].
+  --compare NAMES      Policies, with commas, on the same arrivals.
+  --seed N             Seed of the arrivals and of all choices [default: 1].
+  --list               List policies and shipped scenarios.
 
 Exit status: 0 for success, 1 for a refusal by the system, 2 for bad usage
 or a bad file.
@@ -30,7 +37,7 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint.settings.load import SettingsError
-from sesamectl.commands import check, publish, show  # noqa: F401
+from sesamectl.commands import check, experiment, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/commands/experiment.py
@@ -0,0 +1,69 @@
+"""``sesamectl experiment``: policies against scenarios, in virtual time."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from sesamepoint_core.config.check import parse_configuration
+from sesamepoint_core.policy import POLICIES
+from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.commands.check import load_configuration
+from sesamectl.experiment.figures import Figures, figures
+from sesamectl.experiment.run import Trial, run_trial
+from sesamectl.experiment.scenario import find_scenario, load_scenario, shipped_scenarios
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamectl.experiment.run import Finished
+
+EXAMPLES = Path(__file__).parents[1] / 'experiment' / 'deployments'
+USERS = ('himal', 'qalin')
+WIDTH = 18
+
+
+@COMMANDS.register('experiment')
+def experiment(arguments: Arguments) -> str:
+    """Run one policy, or several on the same arrivals."""
+    if arguments['--list']:
+        return '\n'.join(_listing())
+    names = (arguments['--compare'] or arguments['--policy']).split(',')
+    trials = {name: _run(arguments, name) for name in names}
+    if arguments['--json']:
+        columns = {name: found[0]._asdict() for name, found in trials.items()}
+        return msgspec.json.encode(columns if arguments['--compare'] else columns[names[0]]).decode()
+    return '\n'.join(_table({name: found[0] for name, found in trials.items()}))
+
+
+def trial_of(deployment: str, scenario: str, policy: str, seed: int) -> Trial:
+    """Return the trial that the command's words mean."""
+    path = EXAMPLES / f'{deployment}.json' if deployment in USERS else Path(deployment)
+    _, document = load_configuration(path)
+    POLICIES.get(policy)
+    loaded = load_scenario(find_scenario(deployment, scenario))
+    return Trial(parse_configuration(document), loaded, policy, seed)
+
+
+def _run(arguments: Arguments, policy: str) -> tuple[Figures, Finished]:
+    trial = trial_of(arguments['--deployment'], arguments['--scenario'], policy, int(arguments['--seed']))
+    finished = run_trial(trial)
+    return figures(trial, finished), finished
+
+
+def _listing() -> Iterator[str]:
+    yield f'policies: {", ".join(POLICIES)}'
+    for user in USERS:
+        yield f'scenarios of {user}: {", ".join(shipped_scenarios(user))}'
+
+
+def _table(columns: dict[str, Figures]) -> Iterator[str]:
+    yield ''.join([f'{"":{WIDTH}}', *(f'{name:>{WIDTH}}' for name in columns)])
+    for field in Figures._fields:
+        cells = (f'{getattr(found, field):>{WIDTH}}' for found in columns.values())
+        yield ''.join([f'{field:{WIDTH}}', *cells])
+
+
+__all__ = ('experiment', 'trial_of')
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the real decisions and runtime over stand-ins, in virtual time."""
--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -12,11 +12,13 @@
 from sesamepoint.agent.offered import OfferedTable
 from sesamepoint.control.signal import Signal
 from sesamepoint.link.messages import (
+    NEVER_ARRIVED,
     BeatRequest,
     CancelReply,
     CancelRequest,
     End,
     Frame,
+    FrameKind,
     LoadReport,
     RunRequest,
     SyncReply,
@@ -32,7 +34,7 @@
     from sesamepoint.keys.messages import ClaimReply, ClaimRequest, SettleReply, SettleRequest
     from sesamepoint.upstream.base import Upstream
 
-LOAD_INTERVAL_S = 0.25
+LOAD_INTERVAL_S = 1.0
 ORPHAN_S = 10.0
 PRUNE_INTERVAL_S = 5.0
 CLEAN_UP_S = 2.0
@@ -82,7 +84,7 @@
         try:
             async with aclosing(attempt.frames(req.from_chunk)) as frames:
                 async for frame in frames:
-                    send(frame)
+                    send(frame._replace(load=self.report()) if frame.kind is FrameKind.end else frame)
         finally:
             attempt.listeners -= 1
             self.ended.set_off()
@@ -101,8 +103,13 @@
 
     async def beat(self, req: BeatRequest) -> LoadReport:
         """Answer with a sign of life and the load."""
-        load = self.load
+        await trio.lowlevel.checkpoint()
         self.offered.hear(req)
+        return self.report()
+
+    def report(self) -> LoadReport:
+        """Return the load as it is known now."""
+        load = self.load
         return LoadReport(
             self.runner,
             self.incarnation,
@@ -197,7 +204,7 @@
         if req.resume:
             # The first message was lost or is still on its way. The attempt
             # now stands here as ended, so the late message cannot start it.
-            return End.not_started, 'never_arrived'
+            return End.not_started, NEVER_ARRIVED
         if not self.ready:
             return End.not_started, 'not_ready'
         return None
--- a/packages/sesamepoint/src/sesamepoint/agent/attempts.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/attempts.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, Iterator
 
-BEAT_S = 0.5
+BEAT_S = 5.0
 GRACE_S = 30.0
 
 
--- a/packages/sesamepoint/src/sesamepoint/control/follower.py
+++ b/packages/sesamepoint/src/sesamepoint/control/follower.py
@@ -26,7 +26,7 @@
     from sesamepoint_core.fold.verdict import Verdict
     from sesamepoint.platform.messages import LogRecord, LogService
 
-POLL_WAIT_S = 1.0
+POLL_WAIT_S = 5.0
 RETRY_S = 0.5
 KEPT_RECORDS = 512
 
--- a/packages/sesamepoint/src/sesamepoint/entry/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/attempt.py
@@ -9,7 +9,7 @@
 from sesamepoint_core.answer.assembly import Assembler
 from sesamepoint_core.errors import LinkLostError
 from sesamepoint import events
-from sesamepoint.link.messages import CancelRequest, End, Frame, FrameKind, RunRequest
+from sesamepoint.link.messages import DEADLINE_PASSED, CancelRequest, End, Frame, FrameKind, RunRequest
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -17,7 +17,7 @@
     from sesamepoint.entry.request import CallerRequest
     from sesamepoint.entry.view import RunnerView
 
-SILENCE_S = 1.5
+SILENCE_S = 12.0
 MAX_CONNECTIONS = 4
 RECONNECT_S = 0.1
 CANCEL_WAIT_S = 2.0
@@ -68,7 +68,7 @@
     async def _until(self, deadline: float) -> AttemptEnd:
         with trio.move_on_at(deadline):
             return await self._listen(deadline)
-        return await self._give_up(End.cancelled, 'deadline_passed')
+        return await self._give_up(End.cancelled, DEADLINE_PASSED)
 
     async def _listen(self, deadline: float) -> AttemptEnd:
         for connection in range(MAX_CONNECTIONS):
@@ -77,10 +77,11 @@
                 # chunk that is missing. That is no second run.
                 events.log_event(events.ATTEMPT_RESUMED, attempt=self._name, from_chunk=self._assembler.released)
                 await trio.sleep(RECONNECT_S * connection)
+            generation = self._link.generation
             try:
                 return await self._stream(deadline, resume=connection > 0)
             except LinkLostError:
-                self._link.renew()
+                self._link.renew(generation)
         return await self._give_up(End.unknown, 'runner_lost')
 
     async def _stream(self, deadline: float, *, resume: bool) -> AttemptEnd:
@@ -104,6 +105,8 @@
             await self._emit(chunk)
 
     def _settle(self, frame: Frame) -> AttemptEnd:
+        if frame.load is not None:
+            self._view.take_report(frame.load, trio.current_time())
         released = self._assembler.released
         self._assembler.finish(frame.number)
         if frame.end is End.answered and not self._assembler.complete:
@@ -112,11 +115,12 @@
 
     async def _give_up(self, end: End, code: str) -> AttemptEnd:
         """Stop the attempt; take the agent's word for what it came to."""
+        generation = self._link.generation
         with trio.move_on_after(CANCEL_WAIT_S):
             try:
                 reply = await self._link.cancel(CancelRequest(self._name, self._incarnation))
             except LinkLostError:
-                self._link.renew()
+                self._link.renew(generation)
                 return AttemptEnd(End.unknown, code, self._assembler.released)
             if reply.end is End.not_started:
                 return AttemptEnd(End.not_started, code, self._assembler.released)
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -17,7 +17,7 @@
 from sesamepoint.entry.keyed import KeyedRequests
 from sesamepoint.incarnation import new_id
 from sesamepoint.keys.asker import KeyAsker
-from sesamepoint.link.messages import End
+from sesamepoint.link.messages import DEADLINE_PASSED, NEVER_ARRIVED, End
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -31,7 +31,6 @@
 
 RETRY_AFTER_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
-DEADLINE_PASSED = 'deadline_passed'
 
 
 class Entry:
@@ -103,11 +102,13 @@
             choice = self._pick(req, deadline, tried)
             if isinstance(choice, NotRun):
                 return choice
-            tried.append(choice.runner)
             held: list[bytes] = []
             ended = await self._attempt(choice.runner, req, deadline, emit if req.streamed else _keep_in(held))
             if not self._may_go_on(req, ended):
                 return await self._conclude(ended, held, emit)
+            # A runner that was asked over a dead connection is none the worse.
+            if ended.code != NEVER_ARRIVED:
+                tried.append(choice.runner)
 
     async def _attempt(
         self,
--- a/packages/sesamepoint/src/sesamepoint/entry/view.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -20,9 +20,8 @@
     from sesamepoint.link.base import AgentLink
     from sesamepoint.link.messages import Job
 
-BEAT_INTERVAL_S = 0.5
-REPORT_LAG_S = 0.5
-STALE_S = 5.0
+BEAT_INTERVAL_S = 1.0
+REPORT_LAG_S = 1.0
 LOST_AFTER = 2
 MIN_TOKEN_S = 0.001
 
@@ -89,6 +88,12 @@
             0,
         )
 
+    def take_report(self, report: LoadReport, asked_at: float) -> None:
+        """Learn a report that was made after ``asked_at``."""
+        self._missed = 0
+        self.report = report
+        self._reported_at = asked_at
+
     async def watch(self, follower: Follower, rng: Random) -> None:
         """Ask for signs of life until cancelled."""
         while True:
@@ -97,35 +102,35 @@
 
     async def _beat(self, follower: Follower) -> None:
         asked_at = trio.current_time()
+        generation = self.link.generation
         try:
             report = await self.link.beat(
                 BeatRequest(follower.writer, follower.state.offset, self._meter.read(asked_at))
             )
         except LinkLostError as exc:
-            self._miss(str(exc))
+            self._miss(generation, str(exc))
             return
         if not self.alive:
             events.log_event(events.RUNNER_BACK, runner=self.name)
-        self._missed = 0
-        self.report = report
-        self._reported_at = asked_at
+        self.take_report(report, asked_at)
         if report.folded > follower.state.offset:
             await self._catch_up(follower)
 
     async def _catch_up(self, follower: Follower) -> None:
+        generation = self.link.generation
         try:
             reply = await self.link.sync(SyncRequest(follower.state.offset))
         except LinkLostError as exc:
-            self._miss(str(exc))
+            self._miss(generation, str(exc))
             return
         follower.learn(reply.records)
 
-    def _miss(self, cause: str) -> None:
+    def _miss(self, generation: int, cause: str) -> None:
         # Something between the two ends may have lost track of this one
         # connection while new ones work: only a new one, silent as well,
         # tells that the runner is lost.
         self._missed += 1
-        self.link.renew()
+        self.link.renew(generation)
         if self._missed == LOST_AFTER:
             events.log_event(events.RUNNER_LOST, runner=self.name, cause=cause)
 
--- a/packages/sesamepoint/src/sesamepoint/keys/asker.py
+++ b/packages/sesamepoint/src/sesamepoint/keys/asker.py
@@ -58,10 +58,11 @@
             view = self._home(req.shard)
             if view is None:
                 return
+            generation = view.link.generation
             try:
                 await view.link.settle(req)
             except LinkLostError:
-                view.link.renew()
+                view.link.renew(generation)
             else:
                 return
 
@@ -70,10 +71,11 @@
         view = self._home(shard)
         if view is None:
             return ClaimReply(Standing.unavailable)
+        generation = view.link.generation
         try:
             return await view.link.claim(ClaimRequest(shard, claim, timeout_s))
         except LinkLostError:
-            view.link.renew()
+            view.link.renew(generation)
             return ClaimReply(Standing.unavailable)
 
     def _home(self, shard: int) -> RunnerView | None:
--- a/packages/sesamepoint/src/sesamepoint/link/base.py
+++ b/packages/sesamepoint/src/sesamepoint/link/base.py
@@ -64,8 +64,17 @@
     async def settle(self, req: SettleRequest) -> SettleReply:
         """Tell how the run under an idempotency key ended."""
 
-    def renew(self) -> None:
-        """Give the connection up; the next call opens a new one."""
+    @property
+    def generation(self) -> int:
+        """Which connection, counted from the first, is in use."""
+
+    def renew(self, generation: int) -> None:
+        """Give a connection up, if it is still the one in use.
+
+        Whatever runs over it breaks; the next call opens a new one. Each of
+        many calls that broke together asks for this; only the first counts,
+        or they would break each other's new connections without end.
+        """
 
 
 __all__ = ('AgentHandler', 'AgentLink')
--- a/packages/sesamepoint/src/sesamepoint/link/grpc_client.py
+++ b/packages/sesamepoint/src/sesamepoint/link/grpc_client.py
@@ -44,6 +44,7 @@
     def __init__(self, address: str) -> None:
         """Aim at ``address``; connect on the first call."""
         self._address = address
+        self.generation = 0
         self._channel: Channel | None = None
 
     @asynccontextmanager
@@ -76,11 +77,12 @@
         """Tell how the run under an idempotency key ended."""
         return await self._call('Settle', req, SettleReply)
 
-    def renew(self) -> None:
-        """Give the connection up; the next call opens a new one."""
-        if self._channel is not None:
+    def renew(self, generation: int) -> None:
+        """Give a connection up, if it is still the one in use."""
+        if generation == self.generation and self._channel is not None:
             self._channel.close()
-        self._channel = None
+            self._channel = None
+            self.generation += 1
 
     def _connection(self) -> Channel:
         if self._channel is None:
--- a/packages/sesamepoint/src/sesamepoint/link/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/link/messages.py
@@ -8,6 +8,10 @@
 from sesamepoint_core.plan.demand import Offered
 
 
+NEVER_ARRIVED = 'never_arrived'
+DEADLINE_PASSED = 'deadline_passed'
+
+
 class Job(NamedTuple):
     """The work of one request, as the agent hands it to its upstream.
 
@@ -83,19 +87,6 @@
     end = 'end'
 
 
-class Frame(NamedTuple):
-    """One message of an answer's stream.
-
-    ``number`` counts chunks from 0; in the end frame it is their total.
-    """
-
-    kind: FrameKind
-    number: int = 0
-    payload: bytes = b''
-    end: End = End.answered
-    code: str = ''
-
-
 class CancelRequest(NamedTuple):
     """Stop an attempt."""
 
@@ -170,6 +161,22 @@
     offered: Offered
 
 
+class Frame(NamedTuple):
+    """One message of an answer's stream.
+
+    ``number`` counts chunks from 0; in the end frame it is their total. An
+    end frame also carries the agent's load, so that busy runners are known
+    without asking.
+    """
+
+    kind: FrameKind
+    number: int = 0
+    payload: bytes = b''
+    end: End = End.answered
+    code: str = ''
+    load: LoadReport | None = None
+
+
 class SyncRequest(NamedTuple):
     """Ask a peer for records after an offset."""
 
@@ -183,6 +190,8 @@
 
 
 __all__ = (
+    'DEADLINE_PASSED',
+    'NEVER_ARRIVED',
     'BeatRequest',
     'CancelReply',
     'CancelRequest',
