Route by the delay to all, wait for slots, and look at all before refusing

Cause: with each runner's own finish time as the score, long prompts went to runners full of running answers (every one of them waits as long as the prompt takes), and long answers to runners full of prompts, since the report gave the step without prompts. Under overload nearly all was let in and late.

--- a/packages/sesamepoint-core/src/sesamepoint_core/policy.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/policy.py
@@ -21,8 +21,9 @@
 
 
 POLICIES: Registry[Policy] = Registry('policy')
-POLICIES.register('default')(Policy(CHOOSERS.get('soonest'), PLANNERS.get('worthwhile')))
-POLICIES.register('fixed')(Policy(CHOOSERS.get('soonest'), PLANNERS.get('never')))
+POLICIES.register('default')(Policy(CHOOSERS.get('least-delay'), PLANNERS.get('worthwhile')))
+POLICIES.register('v1-soonest')(Policy(CHOOSERS.get('soonest'), PLANNERS.get('worthwhile')))
+POLICIES.register('fixed')(Policy(CHOOSERS.get('least-delay'), PLANNERS.get('never')))
 POLICIES.register('random')(Policy(CHOOSERS.get('random'), PLANNERS.get('never'), admits_late=True))
 
 __all__ = ('POLICIES', 'Policy')
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from sesamepoint_core.route.load import UpstreamLoad
 
 
 class Candidate(NamedTuple):
@@ -12,29 +15,17 @@
     ----------
     runner
         Its name.
-    role
-        Role it reported; empty for plain services.
     same_zone
         Whether it stands in the entry's availability zone.
-    waiting_tokens
-        Prompt tokens ahead: reported, plus what the entry sent since.
-    running
-        Answers under way: reported, plus what the entry sent since.
-    prefill_rate
-        Prompt tokens a second, at least one.
-    token_s
-        Seconds between two tokens of one answer.
+    load
+        What it reported, plus what the entry sent since.
     cached_tokens
         Prompt tokens that its prefix cache is thought to hold.
     """
 
     runner: str
-    role: str
     same_zone: bool
-    waiting_tokens: float
-    running: int
-    prefill_rate: float
-    token_s: float
+    load: UpstreamLoad
     cached_tokens: int
 
 
@@ -51,10 +42,14 @@
 
 
 class Estimate(NamedTuple):
-    """Seconds until the first token and until the whole answer."""
+    """What a request would cost at a runner, in seconds.
+
+    ``delay_s`` is what it would add to the answers of others.
+    """
 
     first_token_s: float
     finish_s: float
+    delay_s: float
 
 
 class Choice(NamedTuple):
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
@@ -12,7 +12,7 @@
     from collections.abc import Sequence
     from random import Random
 
-    from sesamepoint_core.route.candidate import Candidate, Need
+    from sesamepoint_core.route.candidate import Candidate, Estimate, Need
 
 SAMPLE = 4
 
@@ -42,6 +42,34 @@
     return Choice(best, estimates[best], others)
 
 
+@CHOOSERS.register('least-delay')
+def least_delay_of_sample(candidates: Sequence[Candidate], need: Need, rng: Random) -> Choice:
+    """Pick the least delay to all: to this answer and to those it joins.
+
+    Drawn at random first, for the reason given above. A long prompt goes
+    where few answers run, and a long answer where few prompts wait, without
+    a rule that names roles. If none of those drawn would be in time, all
+    are looked at before the request is refused.
+    """
+    drawn = rng.sample(candidates, min(SAMPLE, len(candidates)))
+    choice = _least_delay(drawn, need)
+    if choice.estimate.finish_s <= need.timeout_s:
+        return choice
+    return _least_delay(candidates, need)
+
+
+def _least_delay(candidates: Sequence[Candidate], need: Need) -> Choice:
+    estimates = {found.runner: estimate(found, need) for found in candidates}
+    in_time = [runner for runner, guess in estimates.items() if guess.finish_s <= need.timeout_s]
+    best = min(in_time or estimates, key=lambda runner: _cost(estimates[runner]))
+    others = tuple((name, _cost(guess)) for name, guess in estimates.items() if name != best)
+    return Choice(best, estimates[best], others)
+
+
+def _cost(guess: Estimate) -> float:
+    return guess.finish_s + guess.delay_s
+
+
 @CHOOSERS.register('random')
 def any_of_all(candidates: Sequence[Candidate], need: Need, rng: Random) -> Choice:
     """Pick at random: the baseline that knows nothing."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.route.candidate import Candidate, Need
+    from sesamepoint_core.route.load import UpstreamLoad
 
 ZONE_HOP_S = 0.003
 MIN_RATE = 1.0
@@ -15,10 +16,28 @@
 
 def estimate(candidate: Candidate, need: Need) -> Estimate:
     """Return the expected times, in seconds from now."""
-    hop_s = 0 if candidate.same_zone else ZONE_HOP_S
+    load = candidate.load
+    rate = max(load.prefill_rate, MIN_RATE)
     new_tokens = max(need.prompt_tokens - candidate.cached_tokens, 0)
-    first_token_s = hop_s + (candidate.waiting_tokens + new_tokens) / max(candidate.prefill_rate, MIN_RATE)
-    return Estimate(first_token_s, first_token_s + need.output_tokens * candidate.token_s)
+    ahead = load.urgent_tokens if need.urgent else load.waiting_tokens
+    hop_s = 0 if candidate.same_zone else ZONE_HOP_S
+    first_token_s = hop_s + (ahead + new_tokens) / rate + _slot_wait_s(load, need)
+    # Its prompt shares steps with the answers that run there: each of them
+    # waits as long as the prompt takes.
+    delay_s = min(load.running, load.slots) * new_tokens / rate
+    return Estimate(first_token_s, first_token_s + need.output_tokens * load.token_s, delay_s)
+
+
+def _slot_wait_s(load: UpstreamLoad, need: Need) -> float:
+    """Return the wait for a place in the batch, if all are taken.
+
+    The answers ahead are taken to be as long as this one and to be spread
+    evenly over their course.
+    """
+    over = load.running + load.waiting + 1 - load.slots
+    if over <= 0 or not load.slots:
+        return 0
+    return over * need.output_tokens * load.token_s / load.slots
 
 
 __all__ = ('estimate',)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
@@ -15,6 +15,7 @@
 MAX_STEPS = 16
 SNAPSHOT_S = 0.1
 KEPT_SNAPSHOTS = 64
+STEP_MEMORY_S = 4.0
 
 
 class EngineRequest(NamedTuple):
@@ -93,6 +94,7 @@
         self._arrived = Signal()
         self._reports: deque[tuple[float, UpstreamLoad]] = deque(maxlen=KEPT_SNAPSHOTS)
         self._change_over = Signal()
+        self._step_s = model.BASE_STEP_S
 
     def submit(self, req: EngineRequest) -> trio.MemoryReceiveChannel[str]:
         """Queue ``req``; its text comes out of the channel.
@@ -198,7 +200,9 @@
     async def _mixed_step(self, chunk: list[tuple[_Running, int]]) -> None:
         decoding = list(self._running)
         tokens = sum(part for _, part in chunk)
-        await trio.sleep(model.step_s(tokens, len(decoding)) * self.slowdown)
+        one_s = model.step_s(tokens, len(decoding))
+        self._note_step(one_s, 1)
+        await trio.sleep(one_s * self.slowdown)
         for found, part in chunk:
             found.prefill_left -= part
             if not found.prefill_left and found in self._waiting:
@@ -210,6 +214,7 @@
 
     async def _decode_steps(self) -> None:
         decoding = list(self._running)
+        self._note_step(model.step_s(0, len(decoding)), MAX_STEPS)
         one_s = model.step_s(0, len(decoding)) * self.slowdown
         steps = min(MAX_STEPS, min(found.output_left for found in decoding))
         started = trio.current_time()
@@ -219,6 +224,11 @@
             await trio.sleep(max(started + steps * one_s - trio.current_time(), 0))
         self._produce(decoding, steps)
 
+    def _note_step(self, one_s: float, steps: int) -> None:
+        """Average the seconds per step over the last few seconds."""
+        weight = min(steps * one_s / STEP_MEMORY_S, 1)
+        self._step_s += weight * (one_s - self._step_s)
+
     def _produce(self, decoding: list[_Running], steps: int) -> None:
         for found in decoding:
             if found in self._running:
@@ -261,9 +271,12 @@
             role=self.role,
             changing=self.changing,
             waiting_tokens=sum(found.prefill_left for found in self._waiting),
+            urgent_tokens=sum(found.prefill_left for found in self._waiting if found.req.priority),
+            waiting=len(self._waiting),
             running=running,
             prefill_rate=model.prefill_rate(self.role, running) / self.slowdown,
-            token_s=model.step_s(0, running) * self.slowdown,
+            token_s=self._step_s * self.slowdown,
+            slots=model.PROFILES[self.role].max_running if self.role in model.PROFILES else 0,
         )
         self._reports.append((now, load))
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/engine_model.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine_model.py
@@ -63,6 +63,7 @@
 
 
 __all__ = (
+    'BASE_STEP_S',
     'HALF_SWITCHED',
     'PREFIX_CACHE_TOKENS',
     'PROFILES',
--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -24,7 +24,7 @@
     SyncReply,
     SyncRequest,
 )
-from sesamepoint.upstream.base import UnreachableError, UpstreamLoad
+from sesamepoint.upstream.base import NO_LOAD, UnreachableError, UpstreamLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +38,7 @@
 ORPHAN_S = 10.0
 PRUNE_INTERVAL_S = 5.0
 CLEAN_UP_S = 2.0
-UNKNOWN_LOAD = UpstreamLoad('', changing=True, waiting_tokens=0, running=0, prefill_rate=0, token_s=0)
+UNKNOWN_LOAD = NO_LOAD._replace(changing=True)
 
 
 class Agent:
@@ -69,7 +69,6 @@
         self.attempts = AttemptTable()
         self.offered = OfferedTable()
         self.ended = Signal()
-        self._accepted = 0
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -109,20 +108,14 @@
 
     def report(self) -> LoadReport:
         """Return the load as it is known now."""
-        load = self.load
         return LoadReport(
-            self.runner,
-            self.incarnation,
-            load.role,
-            self.ready,
-            self.leaving,
-            self.follower.state.offset,
-            load.waiting_tokens,
-            load.running,
-            load.prefill_rate,
-            load.token_s,
-            self._accepted,
-            self.offered.total(),
+            runner=self.runner,
+            incarnation=self.incarnation,
+            ready=self.ready,
+            leaving=self.leaving,
+            folded=self.follower.state.offset,
+            offered=self.offered.total(),
+            load=self.load,
         )
 
     async def sync(self, req: SyncRequest) -> SyncReply:
@@ -191,7 +184,6 @@
         if refusal is not None:
             attempt.finish(*refusal)
             return attempt
-        self._accepted += 1
         if self._nursery is not None:
             self._nursery.start_soon(self._execute, req, attempt)
         return attempt
--- a/packages/sesamepoint/src/sesamepoint/control/leader.py
+++ b/packages/sesamepoint/src/sesamepoint/control/leader.py
@@ -92,8 +92,8 @@
         order = self._follower.state.orders.get(view.name)
         standing = view.alive and order is not None and not order.done
         report = view.report
-        role = report.role if report else ''
-        backlog = view.candidate('').waiting_tokens if report else 0
+        role = report.load.role if report else ''
+        backlog = view.candidate('').load.waiting_tokens if report else 0
         return RunnerState(view.name, role, view.cfg['availability_zone'], view.usable, standing, backlog)
 
     def _decision(self, view: FleetView, plan: Plan, version: int, fence: int) -> Decision:
--- a/packages/sesamepoint/src/sesamepoint/entry/view.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -23,7 +23,6 @@
 BEAT_INTERVAL_S = 1.0
 REPORT_LAG_S = 1.0
 LOST_AFTER = 2
-MIN_TOKEN_S = 0.001
 
 
 class OwnWork(NamedTuple):
@@ -31,6 +30,7 @@
 
     sent_at: float
     prompt_tokens: int
+    urgent: bool
 
 
 class RunnerView:
@@ -61,7 +61,7 @@
 
     def begin(self, attempt: str, job: Job) -> None:
         """Count an attempt that goes there."""
-        self._own[attempt] = OwnWork(trio.current_time(), job.prompt_tokens)
+        self._own[attempt] = OwnWork(trio.current_time(), job.prompt_tokens, job.urgent)
 
     def finish(self, attempt: str) -> None:
         """Stop counting an attempt."""
@@ -77,16 +77,13 @@
         assert report is not None  # noqa: S101
         horizon = self._reported_at - REPORT_LAG_S
         unseen = [work for work in self._own.values() if work.sent_at > horizon]
-        return Candidate(
-            self.name,
-            report.role,
-            self.cfg['availability_zone'] == zone,
-            report.waiting_tokens + sum(work.prompt_tokens for work in unseen),
-            report.running + len(unseen),
-            report.prefill_rate,
-            max(report.token_s, MIN_TOKEN_S),
-            0,
+        load = report.load
+        load = load._replace(
+            waiting_tokens=load.waiting_tokens + sum(work.prompt_tokens for work in unseen),
+            urgent_tokens=load.urgent_tokens + sum(work.prompt_tokens for work in unseen if work.urgent),
+            waiting=load.waiting + len(unseen),
         )
+        return Candidate(self.name, self.cfg['availability_zone'] == zone, load, 0)
 
     def take_report(self, report: LoadReport, asked_at: float) -> None:
         """Learn a report that was made after ``asked_at``."""
--- a/packages/sesamepoint/src/sesamepoint/link/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/link/messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from sesamepoint_core.plan.demand import Offered
+from sesamepoint_core.route.load import UpstreamLoad
 
 
 NEVER_ARRIVED = 'never_arrived'
@@ -119,46 +120,31 @@
 
 
 class LoadReport(NamedTuple):
-    """An agent's load, as old as its upstream's own report.
+    """An agent's word, with a load as old as its upstream's own report.
 
     Parameters
     ----------
     runner, incarnation
         Who reports.
-    role
-        Role that the upstream says it has.
     ready
         Whether new work is taken.
     leaving
         Whether the agent was told to stop.
     folded
         Offset that the agent folded up to.
-    waiting_tokens
-        Prompt tokens queued at the upstream.
-    running
-        Answers being generated.
-    prefill_rate
-        Prompt tokens a second that the upstream manages in its role.
-    token_s
-        Seconds between two tokens of one answer, lately.
-    accepted
-        Attempts accepted since the agent started.
     offered
         Sum of what the entries that ask here were asked for.
+    load
+        The upstream's report.
     """
 
     runner: str
     incarnation: str
-    role: str
     ready: bool
     leaving: bool
     folded: int
-    waiting_tokens: int
-    running: int
-    prefill_rate: float
-    token_s: float
-    accepted: int
     offered: Offered
+    load: UpstreamLoad
 
 
 class Frame(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/upstream/base.py
+++ b/packages/sesamepoint/src/sesamepoint/upstream/base.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
+from sesamepoint_core.route.load import NO_LOAD, UpstreamLoad
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -13,33 +14,6 @@
     from sesamepoint.link.messages import Job
 
 
-class UpstreamLoad(NamedTuple):
-    """An upstream's own report; it trails reality.
-
-    Parameters
-    ----------
-    role
-        Role that is really loaded; empty for plain services.
-    changing
-        Whether a role change is under way.
-    waiting_tokens
-        Prompt tokens not yet prefilled.
-    running
-        Answers being generated.
-    prefill_rate
-        Prompt tokens a second at the role's chunk size.
-    token_s
-        Seconds between two tokens of an answer, lately.
-    """
-
-    role: str
-    changing: bool
-    waiting_tokens: int
-    running: int
-    prefill_rate: float
-    token_s: float
-
-
 class UnreachableError(SesamepointError):
     """The upstream took no connection: the job never reached it."""
 
@@ -78,4 +52,4 @@
 
 UPSTREAM_ADAPTERS: Registry[Any] = Registry('upstream adapter')
 
-__all__ = ('UPSTREAM_ADAPTERS', 'OrderRefusedError', 'UnreachableError', 'Upstream', 'UpstreamLoad')
+__all__ = ('NO_LOAD', 'UPSTREAM_ADAPTERS', 'OrderRefusedError', 'UnreachableError', 'Upstream', 'UpstreamLoad')
--- a/packages/sesamepoint/src/sesamepoint/upstream/plain.py
+++ b/packages/sesamepoint/src/sesamepoint/upstream/plain.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sesamepoint.upstream.base import UPSTREAM_ADAPTERS, OrderRefusedError, UpstreamLoad
+from sesamepoint.upstream.base import NO_LOAD, UPSTREAM_ADAPTERS, OrderRefusedError, UpstreamLoad
 from sesamepoint.upstream.http import UpstreamHttp
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
 
     async def load(self) -> UpstreamLoad:
         """Tell how many calls are under way; the service has no report."""
-        return UpstreamLoad('', changing=False, waiting_tokens=0, running=self._running, prefill_rate=0, token_s=0)
+        return NO_LOAD._replace(running=self._running)
 
     async def order(self, role: str, fence: int) -> None:
         """Refuse: plain services take no orders."""
