Add the demo, and fuzzing with an oracle and five broken twins

The demo runs both deployments over real sockets in one process. Horizons of the planner are now a preset's setting. The fuzzed programs are written by a rule machine and run whole on virtual time. Each twin (resume starts anew, successor denies, chunks without numbers, keys forgotten, change without drain) is caught.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # A test whose virtual clock stands still would never end by itself.
 TEST_LIMIT_S := 900
 
-.PHONY: test demo check unit format slopes clean
+.PHONY: test demo check unit format slopes fuzz clean
 
 test: check unit
 
@@ -15,6 +15,9 @@
 	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/mypy
 
+demo: $(VENV)/ready
+	$(BIN)/sesamectl demo
+
 unit: $(VENV)/ready
 	timeout $(TEST_LIMIT_S) $(BIN)/nose2
 
@@ -26,6 +29,10 @@
 	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	touch $@
 
+# make fuzz EXAMPLES=2000 SEED=7
+fuzz: $(VENV)/ready
+	$(BIN)/python -m tests.fuzz $(or $(EXAMPLES),200) $(or $(SEED),1)
+
 slopes: $(VENV)/ready
 	$(BIN)/python -m benchmarks.slopes
 
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -7,6 +7,7 @@
   sesamectl show --deployment NAME --log URL [--json]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
+  sesamectl demo
   sesamectl --help
   sesamectl --version
 
@@ -37,7 +38,7 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint.settings.load import SettingsError
-from sesamectl.commands import check, experiment, publish, show  # noqa: F401
+from sesamectl.commands import check, demo, experiment, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: both deployments with stand-ins, over real sockets, in one process."""
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/demo/deployment.py
@@ -0,0 +1,117 @@
+"""One deployment of the demo: stand-ins, agents and entries on loopback."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from sesamepoint.process.agent_process import AgentProcess
+from sesamepoint.process.entry_process import EntryProcess
+from sesamepoint.process.web import serve_web
+from sesamepoint_standins.engine import Engine
+from sesamepoint_standins.web import EngineApp, PlainApp
+
+if TYPE_CHECKING:
+    from sesamepoint_core.config.model import Configuration
+    from sesamepoint_standins.log import MemoryInstances
+
+ROLE_CHANGE_S = 2.0
+UPSTREAM_PORTS = 400
+METRICS_PORTS = 800
+ENTRIES = 2
+ENTRY_PORTS = 60
+PLATFORM = '127.0.0.1:6950'
+
+
+class DemoDeployment:
+    """Everything of one user, started part by part."""
+
+    def __init__(self, cfg: Configuration, entry_port: int, instances: MemoryInstances) -> None:
+        """Prepare the stand-ins."""
+        self.cfg = cfg
+        self.engines: dict[str, Engine] = {}
+        self.entries = [f'127.0.0.1:{entry_port + number}' for number in range(ENTRIES)]
+        self.processes: list[EntryProcess] = []
+        self._instances = instances
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._agents: dict[str, AgentProcess] = {}
+
+    async def run(self) -> None:
+        """Run all parts until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for runner in self.cfg['runners']:
+                await self._start_upstream(runner)
+                self.start_agent(runner)
+            for number, address in enumerate(self.entries):
+                process = EntryProcess.from_config(self._entry_settings(number, address))
+                self.processes.append(process)
+                nursery.start_soon(process.run)
+            await trio.sleep_forever()
+
+    def start_agent(self, runner: str) -> None:
+        """Start an agent in a runner's slot."""
+        self._scopes[runner] = trio.CancelScope()
+        self._agents[runner] = AgentProcess.from_config(self._agent_settings(runner))
+        self._instances.put(self.cfg['runners'][runner]['agent'], leaving=False)
+        self._nursery.start_soon(self._run_agent, runner, self._agents[runner], self._scopes[runner])
+
+    async def replace_agent(self, runner: str) -> None:
+        """Stop an agent gracefully, as the platform does, and start another."""
+        self._instances.put(self.cfg['runners'][runner]['agent'], leaving=True)
+        await self._agents[runner].wind_down()
+        self._scopes[runner].cancel()
+        await trio.sleep(1)
+        self.start_agent(runner)
+
+    async def _run_agent(self, runner: str, process: AgentProcess, scope: trio.CancelScope) -> None:
+        with scope:
+            await process.run()
+
+    async def _start_upstream(self, runner: str) -> None:
+        cfg = self.cfg['runners'][runner]
+        fleet = self.cfg['fleets'][cfg['fleet']]
+        address = _shifted(cfg['agent'], UPSTREAM_PORTS)
+        if fleet['kind'] == 'plain':
+            await self._nursery.start(serve_web, PlainApp(), address)
+            return
+        engine = Engine(fleet['roles'].get(runner, 'mixed'), checks_fencing=cfg['checks_fencing'])
+        engine.role_change_s = ROLE_CHANGE_S
+        self.engines[runner] = engine
+        self._nursery.start_soon(engine.run)
+        await self._nursery.start(serve_web, EngineApp(engine), address)
+
+    def _agent_settings(self, runner: str) -> Any:
+        cfg = self.cfg['runners'][runner]
+        kind = self.cfg['fleets'][cfg['fleet']]['kind']
+        upstream = {'adapter': kind, 'url': f'http://{_shifted(cfg["agent"], UPSTREAM_PORTS)}'}
+        return {
+            **self._settings(f'agent-{runner}', cfg['availability_zone'], cfg['agent']),
+            'runner': runner,
+            'upstream': upstream,
+        }
+
+    def _entry_settings(self, number: int, address: str) -> Any:
+        zones = sorted({runner['availability_zone'] for runner in self.cfg['runners'].values()})
+        return self._settings(f'entry-{number + 1}', zones[number], address)
+
+    def _settings(self, name: str, zone: str, address: str) -> dict[str, Any]:
+        platform = {'adapter': 'http', 'url': f'http://{PLATFORM}'}
+        return {
+            'name': name,
+            'availability_zone': zone,
+            'deployment': self.cfg['deployment'],
+            'listen': address,
+            'metrics': _shifted(address, METRICS_PORTS),
+            'log': platform,
+            'instances': platform,
+        }
+
+
+def _shifted(address: str, ports: int) -> str:
+    host, _, port = address.rpartition(':')
+    return f'{host}:{int(port) + ports}'
+
+
+__all__ = ('PLATFORM', 'DemoDeployment')
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/demo/load.py
@@ -0,0 +1,103 @@
+"""The demo's callers, over HTTP."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpcore
+import msgspec
+import trio
+
+from sesamepoint.link.messages import DEADLINE_PASSED
+from sesamepoint_standins.engine_model import answer_text, seed_of
+
+if TYPE_CHECKING:
+    from sesamectl.demo.deployment import DemoDeployment
+
+STATUS_OK = 200
+LONG_CHARS = 24_000
+SHORT_CHARS = 800
+LONG_TOKENS = 24
+SHORT_TOKENS = 60
+TIMEOUT_MS = 8000
+PAUSE_S = 0.3
+JITTER = (0.5, 1.5)
+MAX_CONNECTIONS = 64
+MS_PER_S = 1000
+
+
+class Call(NamedTuple):
+    """One request of the demo."""
+
+    main: bool
+    prompt: str
+    tokens: int
+    key: str
+
+
+class CallEnd(NamedTuple):
+    """How a call ended: its outcome's tag, and whether the text was right."""
+
+    main: bool
+    tag: str
+    right: bool
+    took_s: float
+
+
+class Load:
+    """Sends a mix that shifts from short prompts to long ones."""
+
+    def __init__(self, deployment: DemoDeployment, model: str, seed: int) -> None:
+        """Send to the entries of ``deployment``."""
+        self.ended: list[CallEnd] = []
+        self._deployment = deployment
+        self._model = model
+        self._rng = Random(seed)
+        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._sent = 0
+
+    async def run(self, seconds: float, long_share: float) -> None:
+        """Send for some seconds; wait for the answers."""
+        stop_at = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < stop_at:
+                nursery.start_soon(self._call, self._next(long_share))
+                await trio.sleep(PAUSE_S * self._rng.uniform(*JITTER))
+
+    def _next(self, long_share: float) -> Call:
+        self._sent += 1
+        main = self._rng.random() < long_share
+        text = f'{self._model} {self._sent} '
+        prompt = text.ljust(LONG_CHARS if main else SHORT_CHARS, '.')
+        key = f'{self._model}-{self._sent}' if main else ''
+        return Call(main, prompt, LONG_TOKENS if main else SHORT_TOKENS, key)
+
+    async def _call(self, call: Call) -> None:
+        started = trio.current_time()
+        entry = self._rng.choice(self._deployment.entries)
+        body = msgspec.json.encode({'model': self._model, 'prompt': call.prompt, 'max_tokens': call.tokens})
+        url = f'http://{entry}/v1/completions'
+        reply = await self._pool.request('POST', url, headers=_headers(call), content=body)
+        self._note(call, reply, trio.current_time() - started)
+
+    def _note(self, call: Call, reply: httpcore.Response, took_s: float) -> None:
+        found: Any = msgspec.json.decode(reply.content)
+        if reply.status != STATUS_OK:
+            error = found['error']
+            tag = 'late' if error['code'] == DEADLINE_PASSED else error['outcome']
+            self.ended.append(CallEnd(call.main, tag, right=True, took_s=took_s))
+            return
+        right = found['choices'][0]['text'] == answer_text(seed_of(call.prompt.encode()), 0, call.tokens)
+        tag = 'answered' if took_s * MS_PER_S <= TIMEOUT_MS else 'late'
+        self.ended.append(CallEnd(call.main, tag, right, took_s))
+
+
+def _headers(call: Call) -> list[tuple[bytes, bytes]]:
+    headers = [(b'x-timeout-ms', b'%d' % TIMEOUT_MS), (b'x-priority', b'main' if call.main else b'small')]
+    if call.key:
+        headers.extend([(b'idempotency-key', call.key.encode()), (b'x-repeatable', b'false')])
+    return headers
+
+
+__all__ = ('CallEnd', 'Load')
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/demo/run.py
@@ -0,0 +1,136 @@
+"""The course of the demo, and its table."""
+
+from __future__ import annotations
+
+from collections import Counter
+from pathlib import Path
+from random import SystemRandom
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+import trio
+
+from sesamepoint_core.config.check import parse_configuration
+from sesamepoint_core.fold.records import Publish, SwitchPreset
+from sesamepoint.control.follower import Follower
+from sesamepoint.incarnation import new_incarnation
+from sesamepoint.process.web import serve_web
+from sesamepoint_standins.log import MemoryInstances, MemoryLog
+from sesamepoint_standins.web import PlatformApp
+from sesamectl.commands.check import load_configuration
+from sesamectl.demo.deployment import PLATFORM, DemoDeployment
+from sesamectl.demo.load import Load
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamepoint_core.config.model import Configuration
+
+EXAMPLES = Path(__file__).parents[1] / 'experiment' / 'deployments'
+STARTED_S = 5.0
+FIRST_S = 4.0
+SECOND_S = 10.0
+FEW_LONG = 0.1
+MOSTLY_LONG = 0.9
+HIMAL_PORT = 6960
+QALIN_PORT = 6970
+SETTLE_S = 2.0
+TAGS = ('answered', 'late', 'not_run', 'unknown', 'failed')
+QUICK = MappingProxyType({'role_change_weight': 0.1, 'plan_interval_s': 1.0, 'horizon_s': 4.0})
+
+
+class User(NamedTuple):
+    """One user of the demo."""
+
+    name: str
+    model: str
+    entry_port: int
+    replaced: str
+
+
+USERS = (User('himal', 'verdict', HIMAL_PORT, 'verdict-3'), User('qalin', 'assist', QALIN_PORT, 'assist-4'))
+
+
+class DemoEnd(NamedTuple):
+    """The table's lines, and whether all promises were kept."""
+
+    lines: tuple[str, ...]
+    kept: bool
+
+
+async def run_demo() -> DemoEnd:
+    """Run both deployments side by side and end."""
+    log = MemoryLog()
+    instances = MemoryInstances()
+    lines: list[str] = []
+    async with trio.open_nursery() as nursery:
+        await nursery.start(serve_web, PlatformApp(log, instances), PLATFORM)
+        ends: list[DemoEnd] = []
+        async with trio.open_nursery() as users:
+            for user in USERS:
+                users.start_soon(_run_user, user, log, instances, ends)
+        nursery.cancel_scope.cancel()
+    for user_end in ends:
+        lines.extend(user_end.lines)
+    return DemoEnd(tuple(lines), all(ended.kept for ended in ends))
+
+
+async def _run_user(user: User, log: MemoryLog, instances: MemoryInstances, ends: list[DemoEnd]) -> None:
+    cfg = _quick(user.name)
+    deployment = DemoDeployment(cfg, user.entry_port, instances)
+    load = Load(deployment, user.model, seed=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(deployment.run)
+        rng = SystemRandom()
+        operator = Follower(log, cfg['deployment'], new_incarnation('operator', rng), rng)
+        nursery.start_soon(operator.follow)
+        await operator.recovered.wait()
+        await operator.submit(Publish(0, 'demo', msgspec.Raw(msgspec.json.encode(cfg))))
+        await trio.sleep(STARTED_S)
+        await _shift(user, deployment, load, operator)
+        ends.append(_end(user, deployment, load))
+        nursery.cancel_scope.cancel()
+
+
+async def _shift(user: User, deployment: DemoDeployment, load: Load, operator: Follower) -> None:
+    """Let the mix shift; switch a preset and replace a runner's agent."""
+    await load.run(FIRST_S, FEW_LONG)
+    await operator.submit(SwitchPreset(operator.state.version, 'demo', 'peak'))
+    async with trio.open_nursery() as shift:
+        shift.start_soon(load.run, SECOND_S, MOSTLY_LONG)
+        await trio.sleep(FIRST_S)
+        shift.start_soon(deployment.replace_agent, user.replaced)
+    await trio.sleep(SETTLE_S)
+
+
+def _quick(name: str) -> Configuration:
+    """Return a user's configuration with horizons that fit into the demo."""
+    _, document = load_configuration(EXAMPLES / f'{name}.json')
+    parsed: dict[str, Any] = msgspec.json.decode(document)
+    for preset in parsed['presets'].values():
+        preset.update(QUICK)
+    return parse_configuration(msgspec.json.encode(parsed))
+
+
+def _end(user: User, deployment: DemoDeployment, load: Load) -> DemoEnd:
+    cut = sum(engine.cut_off_by_order for engine in deployment.engines.values())
+    wrong = sum(not call.right for call in load.ended)
+    doubled = sum(count > 1 for engine in deployment.engines.values() for count in engine.runs.values())
+    return DemoEnd(tuple(_lines(user, deployment, load)), not (cut or wrong or doubled))
+
+
+def _lines(user: User, deployment: DemoDeployment, load: Load) -> Iterator[str]:
+    yield f'{deployment.cfg["deployment"]} ({user.name})'
+    yield ''.join([f'  {"":8}', *(f'{tag:>10}' for tag in TAGS)])
+    for name, main in (('main', True), ('small', False)):
+        tags = Counter(call.tag for call in load.ended if call.main is main)
+        yield ''.join([f'  {name:8}', *(f'{tags[tag]:>10}' for tag in TAGS)])
+    changes = sum(len(engine.orders) for engine in deployment.engines.values())
+    yield f'  role changes {changes}, runner replaced {user.replaced}, preset switched to peak'
+    for process in deployment.processes:
+        for decision in process.decisions():
+            yield f'  {decision.kind} {decision.subject} v{decision.version} fence {decision.fence}: {decision.choice}'
+
+
+__all__ = ('DemoEnd', 'run_demo')
--- a/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
@@ -77,6 +77,8 @@
 
     ``role_change_weight`` is in answers: how many late ones a role change
     may not be worth. ``max_changing`` bounds runners in change per fleet.
+    ``horizon_s`` is how long a shift must last to count; a swing that is
+    shorter is left to routing.
     ``account_rate`` is in requests a second; ``small_share`` is the part
     of the capacity that jobs other than the main one may take.
     """
@@ -84,6 +86,7 @@
     role_change_weight: NonNegative
     max_changing: Annotated[int, Field(ge=0, le=MAX_CHANGING)]
     plan_interval_s: Positive
+    horizon_s: Positive
     account_rate: Positive
     retry_share: Share
     small_share: Share
--- a/packages/sesamepoint-core/src/sesamepoint_core/plan/demand.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/plan/demand.py
@@ -5,8 +5,7 @@
 import math
 from typing import NamedTuple
 
-SHORT_S = 20.0
-LONG_S = 120.0
+SHORT_SHARE = 1 / 6
 
 
 class Demand(NamedTuple):
@@ -54,22 +53,21 @@
 
 
 class Decaying:
-    """A demand that fades with a time constant."""
+    """A demand per second that fades with a time constant."""
 
-    def __init__(self, horizon_s: float) -> None:
+    def __init__(self) -> None:
         """Start at nothing."""
-        self._horizon_s = horizon_s
-        self._sum = Demand()
+        self._rate = Demand()
         self._at: float = 0
 
-    def add(self, now: float, work: Demand) -> None:
+    def add(self, now: float, work: Demand, horizon_s: float) -> None:
         """Count one request's work."""
-        self._sum = self.read(now).plus(work.times(1 / self._horizon_s))
+        self._rate = self.read(now, horizon_s).plus(work.times(1 / horizon_s))
         self._at = now
 
-    def read(self, now: float) -> Demand:
+    def read(self, now: float, horizon_s: float) -> Demand:
         """Return the demand per second as of ``now``."""
-        return self._sum.times(math.exp((self._at - now) / self._horizon_s))
+        return self._rate.times(math.exp((self._at - now) / horizon_s))
 
 
 class Meter:
@@ -77,17 +75,20 @@
 
     def __init__(self) -> None:
         """Start at nothing."""
-        self._main = (Decaying(SHORT_S), Decaying(LONG_S))
-        self._small = (Decaying(SHORT_S), Decaying(LONG_S))
+        self._main = (Decaying(), Decaying())
+        self._small = (Decaying(), Decaying())
 
-    def add(self, now: float, work: Demand, *, urgent: bool) -> None:
+    def add(self, now: float, work: Demand, horizon_s: float, *, urgent: bool) -> None:
         """Count one request's work, refused or not."""
-        for sums in self._main if urgent else self._small:
-            sums.add(now, work)
+        short, long = self._main if urgent else self._small
+        short.add(now, work, horizon_s * SHORT_SHARE)
+        long.add(now, work, horizon_s)
 
-    def read(self, now: float) -> Offered:
+    def read(self, now: float, horizon_s: float) -> Offered:
         """Return the demand per second as of ``now``."""
-        return Offered(*(sums.read(now) for sums in (*self._main, *self._small)))
+        horizons = (horizon_s * SHORT_SHARE, horizon_s)
+        sums = (*zip(self._main, horizons, strict=True), *zip(self._small, horizons, strict=True))
+        return Offered(*(demand.read(now, horizon) for demand, horizon in sums))
 
 
 __all__ = ('Demand', 'Meter', 'Offered')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
@@ -79,6 +79,7 @@
         self.fence = -1
         self.changing = False
         self.slowdown = 1.0
+        self.role_change_s = model.ROLE_CHANGE_S
         self.report_extra_lag_s: float = 0
         self.reports_frozen = False
         self.orders: list[tuple[str, int]] = []
@@ -170,7 +171,7 @@
                 await self._arrived.wait()
 
     async def _change(self) -> None:
-        if await self._change_over.wait_at_most(model.ROLE_CHANGE_S):
+        if await self._change_over.wait_at_most(self.role_change_s):
             return
         self.role = self._target
         self.changing = False
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/web.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/web.py
@@ -57,7 +57,7 @@
     prefix_tokens: int = 0
 
 
-class OrderCall(NamedTuple):
+class OrderCall(msgspec.Struct):
     """An order to the engine."""
 
     role: str
@@ -134,7 +134,7 @@
             self._engine.cancel(msgspec.json.decode(call.body)['request_id'])
             return Answer(STATUS_OK, b'{}')
         if call.path == '/orders':
-            return self._order(msgspec.convert(msgspec.json.decode(call.body), OrderCall))
+            return self._order(msgspec.json.decode(call.body, type=OrderCall))
         return Answer(STATUS_NOT_FOUND, b'{}')
 
     def _order(self, order: OrderCall) -> Answer:
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -92,7 +92,7 @@
 
     def _measure(self, req: CallerRequest) -> None:
         work = Demand(1, req.job.prompt_tokens, req.job.output_tokens, req.timeout_s)
-        self.fleets.meters[req.fleet].add(trio.current_time(), work, urgent=req.job.urgent)
+        self.fleets.measure(req.fleet, work, urgent=req.job.urgent)
 
     async def _attempts(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
         self._budget.earn(self.follower.in_force.preset['retry_share'])
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -9,7 +9,7 @@
 
 from sesamepoint_core.config.check import NotConfiguredError
 from sesamepoint_core.errors import PlatformUnavailableError
-from sesamepoint_core.plan.demand import Meter
+from sesamepoint_core.plan.demand import Demand, Meter, Offered
 from sesamepoint_core.route.subset import subset
 from sesamepoint.entry.view import RunnerView
 
@@ -70,6 +70,15 @@
         usable = (view for view in self.views.values() if view.usable and view.cfg['fleet'] == fleet)
         return [view.candidate(zone) for view in usable if view.name not in without]
 
+    def offered(self, fleet: str) -> Offered:
+        """Return what this entry's callers asked of a fleet, per second."""
+        return self.meters[fleet].read(trio.current_time(), self._follower.in_force.preset['horizon_s'])
+
+    def measure(self, fleet: str, work: Demand, *, urgent: bool) -> None:
+        """Count what a caller asked for."""
+        horizon_s = self._follower.in_force.preset['horizon_s']
+        self.meters[fleet].add(trio.current_time(), work, horizon_s, urgent=urgent)
+
     def lead(self, fleet: str, *, leading: bool) -> None:
         """Know a fleet whole while this process plans for it."""
         (self.led.add if leading else self.led.discard)(fleet)
@@ -144,7 +153,7 @@
         with scope:
             while True:
                 fleet = view.cfg['fleet']
-                offered = self.meters[fleet].read(trio.current_time()).times(self.scales[fleet])
+                offered = self.offered(fleet).times(self.scales[fleet])
                 await view.beat(self._follower, offered)
                 await trio.sleep(self._beat_interval_s() * (1 + self._rng.random() / 2))
 
--- a/packages/sesamepoint/src/sesamepoint/process/entry_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -20,6 +20,7 @@
 from sesamepoint.supervisor import Child, Supervisor
 
 if TYPE_CHECKING:
+    from sesamepoint.control.decisions import Decision
     from sesamepoint.settings.model import EntrySettings
 
 NOTICE_S = 1.5
@@ -33,9 +34,7 @@
         self._cfg = cfg
         self._parts = parts
         self._entry = entry
-        self._admin = AdminApp(
-            CollectorRegistry(), self._ready, {'/state': self._state, '/decisions': entry.decisions.newest}
-        )
+        self._admin = AdminApp(CollectorRegistry(), self._ready, {'/state': self._state, '/decisions': self.decisions})
 
     @classmethod
     def from_config(cls, cfg: EntrySettings) -> EntryProcess:
@@ -50,6 +49,10 @@
             events.log_event(events.PROCESS_STARTED, incarnation=self._parts.incarnation)
             await Supervisor('entry').run(self._children())
 
+    def decisions(self) -> tuple[Decision, ...]:
+        """Return the last decisions, newest last."""
+        return self._entry.decisions.newest()
+
     async def wind_down(self) -> None:
         """Turn unready, let the balancer notice, finish all in flight."""
         self._entry.leaving = True
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -19,6 +19,7 @@
         'role_change_weight': 20.0,
         'max_changing': 1,
         'plan_interval_s': 5.0,
+        'horizon_s': 120.0,
         'account_rate': 50.0,
         'retry_share': 0.1,
         'small_share': 0.4,
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the real runtime over small fakes."""
--- /dev/null
+++ b/tests/fuzz/__main__.py
@@ -0,0 +1,46 @@
+"""Long runs: ``make fuzz EXAMPLES=2000 SEED=7``."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.fuzz.machine import Machine
+
+STEPS = 20
+
+
+class Counted(Machine):
+    """The machine, which counts the steps that it ran."""
+
+    counts: Counter[str] = Counter()
+    programs = 0
+
+    def teardown(self) -> None:
+        """Run the program and count it."""
+        super().teardown()
+        Counted.programs += 1
+        Counted.counts.update(name for name, _ in self.program)
+
+
+def main(examples: int, number: int) -> int:
+    """Run and print what was run; an error shows a broken promise."""
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(seed(number)(Counted), settings=chosen)
+    sys.stdout.write(f'seed {number}: {Counted.programs} programs, {sum(Counted.counts.values())} steps, none broken\n')
+    for name, count in sorted(Counted.counts.items()):
+        sys.stdout.write(f'  {name:14} {count}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- /dev/null
+++ b/tests/fuzz/test_fuzz.py
@@ -0,0 +1,89 @@
+"""Fuzzing within CI's budget, and the broken twins that it must catch."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import TestCase, mock
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from sesamepoint_core.answer.assembly import Assembler
+from sesamepoint_core.keys.fold import KeyFold
+from sesamepoint.agent.agent import Agent
+from sesamepoint.link.messages import End, RunRequest
+from tests.fuzz.machine import Machine, run_program
+
+CI_EXAMPLES = 40
+STEPS = 12
+QUIET = settings(
+    max_examples=CI_EXAMPLES,
+    stateful_step_count=STEPS,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class FuzzTest(TestCase):
+    """All promises, under faults alone and in pairs."""
+
+    def test_promises_under_faults(self) -> None:
+        run_state_machine_as_test(Machine, settings=QUIET)
+
+
+class TwinTest(TestCase):
+    """Each safeguard switched off: the oracle must see what it was for."""
+
+    def test_twin_resume_starts_anew(self) -> None:
+        # The agent dies in mid-answer and its successor takes the resumed
+        # attempt for a new one: a request that may run once runs twice.
+        def refusal(agent: Agent, req: RunRequest) -> None:
+            """Refuse nothing."""
+
+        with mock.patch.object(Agent, '_refusal', refusal):
+            broken = run_program((('send', 4), ('wait', 0), ('kill_agent', 0), ('kill_agent', 1), ('kill_agent', 2)), 1)
+        self.assertIn('at most once: it ran 2 times', broken)
+
+    def test_twin_other_incarnation_denies(self) -> None:
+        # The successor says that an attempt of its predecessor never ran.
+        def refusal(agent: Agent, req: RunRequest) -> tuple[End, str] | None:
+            return None if req.incarnation == agent.incarnation else (End.not_started, 'denied')
+
+        with mock.patch.object(Agent, '_refusal', refusal):
+            broken = run_program((('send', 4), ('wait', 0), ('kill_agent', 0), ('kill_agent', 1), ('kill_agent', 2)), 1)
+        self.assertTrue(broken)
+
+    def test_twin_chunks_without_numbers(self) -> None:
+        # Chunks are handed on as they come: after a resume the caller reads
+        # some of them twice.
+        def push(assembler: Assembler, number: int, payload: bytes) -> list[bytes]:
+            assembler.released += 1
+            return [payload]
+
+        program = (('send', 9), ('send', 9), ('wait', 1), ('mute', 0), ('mute', 1), ('mute', 2))
+        with mock.patch.object(Assembler, 'push', push), mock.patch.object(Assembler, 'complete', new=True):
+            with mock.patch('sesamepoint.entry.attempt.RunRequest', side_effect=_from_the_start):
+                broken = run_program(program, 1)
+        self.assertIn('whole answer: a caller got something else', broken)
+
+    def test_twin_keys_forgotten(self) -> None:
+        # Keys live for a second only: the same key, sent again, runs again.
+        program = (('send_key', 0), ('wait', 4), ('send_key', 0), ('wait', 4))
+        with mock.patch('sesamepoint_core.keys.fold.KEY_LIFE_S', 1):
+            broken = run_program(program, 1)
+        self.assertIn('at most once: it ran 2 times', broken)
+
+    def test_twin_change_without_drain(self) -> None:
+        # The order goes to the engine while answers run there.
+        async def drained(agent: Agent) -> None:
+            """Wait for nothing."""
+
+        with mock.patch.object(Agent, 'drained', drained):
+            broken = run_program((('send', 4), ('send', 4), ('send', 4), ('order', 0), ('order', 1), ('order', 2)), 1)
+        self.assertTrue([line for line in broken if line.startswith('no planned change')])
+
+
+def _from_the_start(*fields: Any) -> RunRequest:
+    return RunRequest(*fields)._replace(from_chunk=0)
--- a/tests/runtime/test_fleets.py
+++ b/tests/runtime/test_fleets.py
@@ -36,6 +36,6 @@
             leader = bed.entries[leaders[0]].entry
             reports = [view.report for view in leader.fleets.views.values() if view.report]
             heard = [report.offered.main_long.requests for report in reports]
-            meters = [started.entry.fleets.meters['verdict-llm'] for started in bed.entries.values()]
-            counted = sum(meter.read(trio.current_time()).main_long.requests for meter in meters)
+            fleets = [started.entry.fleets for started in bed.entries.values()]
+            counted = sum(found.offered('verdict-llm').main_long.requests for found in fleets)
             self.assertAlmostEqual(sum(heard) / len(heard), counted, delta=counted / 4)
