Explain decisions and refusals; bound what a restart reads; pace the claims

sesamectl explain reads an entry's decisions.

A home leaves 50 ms between appends, so that eight shards stay under 160 a second.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -48,6 +48,7 @@
 ENTRIES = (50, 100, 200, 350)
 KEYS = (5_000, 10_000, 20_000, 40_000)
 CANDIDATES = (6, 16, 60, 120)
+FOLLOWERS = (50, 100, 200, 400)
 BEATS = (200, 400, 800, 1600)
 BENCH_PORT = 6890
 RECORDS = 400
@@ -230,6 +231,41 @@
     return len(msgspec.msgpack.encode(req)) + len(msgspec.msgpack.encode(report('verdict-1')))
 
 
+def publish_us(runners: int) -> float:
+    """Processor time of folding one new configuration."""
+    fold = FoldBuilder()
+    fold.add(publish(0, size=runners))
+    payload = encode('operator', 1, publish(1, size=runners))
+    return processor_s(lambda: apply(fold.state, 1, payload)) * MICRO
+
+
+def publish_bytes(runners: int) -> float:
+    """Size of a record with a new configuration."""
+    return len(encode('operator', 1, publish(1, size=runners)))
+
+
+async def _in_force_everywhere(followers: int) -> float:
+    log = MemoryLog()
+    all_of_them = [Follower(log, 'boat-bazaar', f'process-{number}', Random(number)) for number in range(followers)]
+    async with trio.open_nursery() as nursery:
+        for follower in all_of_them:
+            nursery.start_soon(follower.follow)
+        await trio.sleep(10)
+        await all_of_them[0].submit(publish(0))
+        published = trio.current_time()
+        while any(not waiting.state.version for waiting in all_of_them):
+            await trio.sleep(0.01)
+        took_s = trio.current_time() - published
+        nursery.cancel_scope.cancel()
+    return took_s
+
+
+def in_force_s(followers: int) -> float:
+    """Virtual seconds from a publication until the last follower folded it."""
+    took_s: float = trio.run(_in_force_everywhere, followers, clock=MockClock(autojump_threshold=0))
+    return took_s
+
+
 async def _read_over_http(reads: int) -> None:
     log = MemoryLog()
     async with trio.open_nursery() as nursery:
@@ -254,6 +290,9 @@
     ('log reads over HTTP, both ends, by reads', 'us', BEATS, http_read_us),
     ('fold: one renewal, by runners with orders', 'us', RUNNERS, fold_us),
     ('fold: snapshot bytes, by runners', 'B', RUNNERS, snapshot_bytes),
+    ('fold: one new configuration, by runners', 'us', RUNNERS, publish_us),
+    ('fold: record of a configuration, by runners', 'B', RUNNERS, publish_bytes),
+    ('in force everywhere, by followers', 's', FOLLOWERS, in_force_s),
     ('keys: memory per key kept', 'kB', KEYS, key_memory_kb),
     ('keys: folding a stream, by keys', 'us', KEYS, key_fold_us),
     ('beat: request and reply, encoded', 'B', ENTRIES, beat_bytes),
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -5,6 +5,7 @@
   sesamectl publish FILE --log URL [--based-on VERSION] [--operator NAME]
   sesamectl preset NAME --deployment NAME --log URL [--based-on VERSION] [--operator NAME]
   sesamectl show --deployment NAME --log URL [--json]
+  sesamectl explain --entry ADDRESS [--json]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -22,6 +23,7 @@
   --policy NAME        A registered policy [default: default].
   --compare NAMES      Policies, with commas, on the same arrivals.
   --seed N             Seed of the arrivals and of all choices [default: 1].
+  --entry ADDRESS      An entry's metrics address, as IP:PORT.
   --list               List policies and shipped scenarios.
 
 Exit status: 0 for success, 1 for a refusal by the system, 2 for bad usage
@@ -38,7 +40,7 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint.settings.load import SettingsError
-from sesamectl.commands import check, demo, experiment, publish, show  # noqa: F401
+from sesamectl.commands import check, demo, experiment, explain, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -0,0 +1,43 @@
+"""``sesamectl explain``: why the system did what it did, or did not."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from sesamepoint.control.decisions import Decision
+from sesamepoint.platform.http import HttpCaller
+from sesamepoint.single_error import single_error
+from sesamectl.commands.base import COMMANDS, Arguments
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+TIMEOUT_S = 2.0
+SHOWN_ALTERNATIVES = 4
+
+
+@COMMANDS.register('explain')
+def explain(arguments: Arguments) -> str:
+    """Show the decisions that one entry remembers."""
+    caller = HttpCaller('entry', f'http://{arguments["--entry"]}')
+    with single_error():
+        reply = trio.run(caller.call, 'GET', '/decisions', b'', TIMEOUT_S)
+    if arguments['--json']:
+        return reply.decode()
+    decisions = msgspec.json.decode(reply, type=tuple[Decision, ...])
+    return '\n'.join(line for decision in decisions for line in _lines(decision))
+
+
+def _lines(decision: Decision) -> Iterator[str]:
+    under = f'version {decision.version}, fencing number {decision.fence}'
+    yield f'{decision.at:.1f} s {decision.kind} {decision.subject} ({under}): {decision.choice}'
+    if decision.seen:
+        yield '    seen: {0}'.format(', '.join(f'{name} {figure:.3g}' for name, figure in decision.seen.items()))
+    for other, score in decision.alternatives[:SHOWN_ALTERNATIVES]:
+        yield f'    weighed: {other}, score {score:.1f}'
+
+
+__all__ = ('explain',)
--- a/packages/sesamepoint/src/sesamepoint/control/follower.py
+++ b/packages/sesamepoint/src/sesamepoint/control/follower.py
@@ -30,6 +30,8 @@
 RETRY_S = 0.5
 READ_GAP_S = 1.0
 KEPT_RECORDS = 512
+LAST_SNAPSHOTS = 4
+BEYOND_END = 9_007_199_254_740_992
 
 
 class Follower:
@@ -180,22 +182,28 @@
                 await trio.sleep(RETRY_S * (1 + self._rng.random()))
 
     async def _recover_once(self) -> None:
-        page = await self._log.read(self._stream, self.state.offset + 1, 0)
-        if page.earliest > self.state.offset + 1:
-            self.state = await self._newest_snapshot(page.earliest)
+        snapshot = await self._newest_snapshot()
+        if snapshot is not None and snapshot.offset > self.state.offset:
+            self.state = snapshot
+        wanted = self.state.offset + 1
+        page = await self._log.read(self._stream, wanted, 0)
+        if page.earliest > wanted:
+            # To start from the earliest record kept would be to guess: a
+            # version, a lease or a standing order may have been trimmed.
+            events.log_event(events.HISTORY_LOST, wanted=wanted, earliest=page.earliest)
+            raise HistoryLostError(wanted, page.earliest)
         await self.read_to_end()
 
-    async def _newest_snapshot(self, earliest: int) -> State:
-        page = await self._log.read(self._snapshots, 0, 0)
-        if page.earliest > 0 and not page.records:
-            page = await self._log.read(self._snapshots, page.earliest, 0)
+    async def _newest_snapshot(self) -> State | None:
+        """Return the best of the last few snapshots.
+
+        A day of them would be tens of megabytes for each process that
+        restarts; a former holder that woke up adds one or two at most.
+        """
+        end = (await self._log.read(self._snapshots, BEYOND_END, 0)).end
+        page = await self._log.read(self._snapshots, max(end - LAST_SNAPSHOTS, 0), 0)
         chosen = choose(decode_snapshot(record.payload) for record in page.records)
-        if chosen is None or chosen.state.offset + 1 < earliest:
-            # To start from the earliest record kept would be to guess: a
-            # version, a lease or a standing order may have been trimmed.
-            events.log_event(events.HISTORY_LOST, wanted=self.state.offset + 1, earliest=earliest)
-            raise HistoryLostError(self.state.offset + 1, earliest)
-        return chosen.state
+        return None if chosen is None else chosen.state
 
     async def _read_on(self) -> None:
         page = await self._log.read(self._stream, self.state.offset + 1, POLL_WAIT_S)
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -12,7 +12,7 @@
 from sesamepoint_core.policy import POLICIES
 from sesamepoint_core.route.candidate import Need
 from sesamepoint import events
-from sesamepoint.control.decisions import Decisions
+from sesamepoint.control.decisions import Decision, Decisions
 from sesamepoint.entry.attempt import EntryAttempt
 from sesamepoint.entry.keyed import KeyedRequests
 from sesamepoint.incarnation import new_id
@@ -124,16 +124,30 @@
         need = Need(req.job.prompt_tokens, req.job.output_tokens, deadline - trio.current_time(), req.job.urgent)
         candidates = self.fleets.candidates(req.fleet, self._zone, tried)
         if not candidates:
+            self._explain_refusal(req, 'no_runner', 0, ())
             return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
         choice = self._policy.choose(candidates, need, self._rng)
         late_s = choice.estimate.finish_s - need.timeout_s
         if late_s > 0 and not self._policy.admits_late:
             # Let in, it would be late, and would make others late as well.
+            self._explain_refusal(req, 'deadline_unreachable', choice.estimate.finish_s, choice.alternatives)
             return NotRun(
                 'deadline_unreachable', 'send it again later, or with more time', max(late_s, MIN_RETRY_AFTER_S)
             )
         return choice
 
+    def _explain_refusal(
+        self,
+        req: CallerRequest,
+        code: str,
+        finish_s: float,
+        alternatives: tuple[tuple[str, float], ...],
+    ) -> None:
+        seen = {'finish_s': finish_s, 'timeout_s': req.timeout_s, 'prompt_tokens': float(req.job.prompt_tokens)}
+        subject = f'{req.fleet} {"main" if req.job.urgent else "small"}'
+        version = self.follower.state.version
+        self.decisions.add(Decision(0, 'refusal', subject, code, seen, alternatives, version, fence=-1))
+
     def _may_go_on(self, req: CallerRequest, ended: AttemptEnd) -> bool:
         if ended.end in {End.answered, End.cancelled} or ended.code == DEADLINE_PASSED:
             return False
--- a/packages/sesamepoint/src/sesamepoint/keys/home.py
+++ b/packages/sesamepoint/src/sesamepoint/keys/home.py
@@ -22,6 +22,7 @@
 RETRY_S = 0.2
 REPLY_S = 0.8
 MAX_BATCH = 500
+APPEND_GAP_S = 0.05
 MAX_KEPT_BYTES = 16_777_216
 
 
@@ -193,6 +194,9 @@
             return
         for _, owner in releases:
             self._releases.pop(owner)
+        # Under load all shards together must stay within the log's appends;
+        # a lone claim is written at once.
+        await trio.sleep(APPEND_GAP_S)
         while self._fold.offset < offset:
             await self._changed.wait()
 
--- a/packages/sesamepoint/src/sesamepoint/platform/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/messages.py
@@ -36,7 +36,10 @@
         """Append and return the offset. A lost reply may hide a success."""
 
     async def read(self, stream: str, start: int, wait_s: float) -> LogPage:
-        """Return records from ``start`` on, waiting for the first."""
+        """Return records from ``start`` on, waiting for the first.
+
+        A start beyond the end gives no records, only where the end is.
+        """
 
 
 class InstanceList(Protocol):
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -9,7 +9,6 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from sesamepoint_core.answer.assembly import Assembler
-from sesamepoint_core.keys.fold import KeyFold
 from sesamepoint.agent.agent import Agent
 from sesamepoint.link.messages import End, RunRequest
 from tests.fuzz.machine import Machine, run_program
