--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -251,6 +251,9 @@
         for follower in all_of_them:
             nursery.start_soon(follower.follow)
         await trio.sleep(10)
+        # A record just before: all have read it and now gather for a second.
+        await all_of_them[1].submit(ClaimLease('system/snapshots', 'process-1', -1))
+        await trio.sleep(0.1)
         await all_of_them[0].submit(publish(0))
         published = trio.current_time()
         while any(not waiting.state.version for waiting in all_of_them):
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -61,7 +61,6 @@
 RUNNER_BACK = _event(3002, logging.INFO, 'runner answers again')
 ATTEMPT_RESUMED = _event(3101, logging.INFO, 'attempt resumed on a new connection')
 REQUEST_ENDED = _event(3102, logging.DEBUG, 'request ended')
-REPORT_WRITTEN = _event(4001, logging.DEBUG, 'service-level summary written')
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- /dev/null
+++ b/tests/runtime/test_events.py
@@ -0,0 +1,21 @@
+"""The catalogue of events."""
+
+from __future__ import annotations
+
+import logging
+from pathlib import Path
+from unittest import TestCase
+
+from sesamepoint import events
+
+CATALOGUE = Path(__file__).parents[2] / 'docs' / 'EVENTS.md'
+
+
+class CatalogueTest(TestCase):
+    """The page and the code."""
+
+    def test_catalogue_agrees(self) -> None:
+        listed = [line for line in CATALOGUE.read_text(encoding='utf-8').splitlines() if line[2:3].isdigit()]
+        known = [events.EVENTS.get(name) for name in events.EVENTS]
+        rows = [f'| {event.number} | {logging.getLevelName(event.level).lower()} | {event.text} |' for event in known]
+        self.assertEqual(listed, rows)
