--- a/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
@@ -21,12 +21,15 @@
         What it reported, plus what the entry sent since.
     cached_tokens
         Prompt tokens that its prefix cache is thought to hold.
+    pace
+        Observed over expected times, lately, for this class of work.
     """
 
     runner: str
     same_zone: bool
     load: UpstreamLoad
     cached_tokens: int
+    pace: float = 1
 
 
 class Need(NamedTuple):
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
@@ -25,7 +25,8 @@
     # Its prompt shares steps with the answers that run there: each of them
     # waits as long as the prompt takes.
     delay_s = min(load.running, load.slots) * new_tokens / rate
-    return Estimate(first_token_s, first_token_s + need.output_tokens * load.token_s, delay_s)
+    finish_s = first_token_s + need.output_tokens * load.token_s
+    return Estimate(first_token_s * candidate.pace, finish_s * candidate.pace, delay_s)
 
 
 def _slot_wait_s(load: UpstreamLoad, need: Need) -> float:
--- a/packages/sesamepoint/src/sesamepoint/control/leader.py
+++ b/packages/sesamepoint/src/sesamepoint/control/leader.py
@@ -95,7 +95,7 @@
         standing = view.alive and order is not None and not order.done
         report = view.report
         role = report.load.role if report else ''
-        backlog = view.candidate('').load.waiting_tokens if report else 0
+        backlog = view.candidate('', urgent=False).load.waiting_tokens if report else 0
         return RunnerState(view.name, role, view.cfg['availability_zone'], view.usable, standing, backlog)
 
     def _decision(self, view: FleetView, plan: Plan, version: int, fence: int) -> Decision:
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -103,7 +103,7 @@
             if isinstance(choice, NotRun):
                 return choice
             held: list[bytes] = []
-            ended = await self._attempt(choice.runner, req, deadline, emit if req.streamed else _keep_in(held))
+            ended = await self._attempt(choice, req, deadline, emit if req.streamed else _keep_in(held))
             if not self._may_go_on(req, ended):
                 return await self._conclude(ended, held, emit)
             # A runner that was asked over a dead connection is none the worse.
@@ -112,17 +112,22 @@
 
     async def _attempt(
         self,
-        runner: str,
+        choice: Choice,
         req: CallerRequest,
         deadline: float,
         emit: Callable[[bytes], Awaitable[None]],
     ) -> AttemptEnd:
-        view = self.fleets.views[runner]
-        return await EntryAttempt(new_id(self._rng), view, req, emit).run(deadline)
+        view = self.fleets.views[choice.runner]
+        started = trio.current_time()
+        ended = await EntryAttempt(new_id(self._rng), view, req, emit).run(deadline)
+        if ended.end is End.answered or ended.code == DEADLINE_PASSED:
+            took_s = trio.current_time() - started
+            view.observe(choice.estimate.finish_s, took_s, urgent=req.job.urgent)
+        return ended
 
     def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
         need = Need(req.job.prompt_tokens, req.job.output_tokens, deadline - trio.current_time(), req.job.urgent)
-        candidates = self.fleets.candidates(req.fleet, self._zone, tried)
+        candidates = self.fleets.candidates(req.fleet, self._zone, tried, urgent=req.job.urgent)
         if not candidates:
             self._explain_refusal(req, 'no_runner', 0, ())
             return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -65,10 +65,10 @@
             return None
         return next((name for name, fleet in fleets.items() if model in fleet['models']), None)
 
-    def candidates(self, fleet: str, zone: str, without: Sequence[str]) -> list[Candidate]:
+    def candidates(self, fleet: str, zone: str, without: Sequence[str], *, urgent: bool) -> list[Candidate]:
         """Return the runners of ``fleet`` that may take new work."""
         usable = (view for view in self.views.values() if view.usable and view.cfg['fleet'] == fleet)
-        return [view.candidate(zone) for view in usable if view.name not in without]
+        return [view.candidate(zone, urgent=urgent) for view in usable if view.name not in without]
 
     def offered(self, fleet: str) -> Offered:
         """Return what this entry's callers asked of a fleet, per second."""
--- a/packages/sesamepoint/src/sesamepoint/entry/view.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.errors import LinkLostError
 from sesamepoint_core.route.candidate import Candidate
+from sesamepoint_core.route.pace import Pace
 from sesamepoint import events
 from sesamepoint.link.messages import BeatRequest, LoadReport, SyncRequest
 
@@ -43,6 +44,7 @@
         self._reported_at = float('-inf')
         self._missed = LOST_AFTER
         self._own: dict[str, OwnWork] = {}
+        self._paces = {True: Pace(), False: Pace()}
 
     @property
     def alive(self) -> bool:
@@ -63,7 +65,7 @@
         """Stop counting an attempt."""
         self._own.pop(attempt, None)
 
-    def candidate(self, zone: str) -> Candidate:
+    def candidate(self, zone: str, *, urgent: bool) -> Candidate:
         """Return what there is to choose by.
 
         A report trails reality; what this entry sent since the report was
@@ -79,7 +81,12 @@
             urgent_tokens=load.urgent_tokens + sum(work.prompt_tokens for work in unseen if work.urgent),
             waiting=load.waiting + len(unseen),
         )
-        return Candidate(self.name, self.cfg['availability_zone'] == zone, load, 0)
+        pace = self._paces[urgent].factor(trio.current_time())
+        return Candidate(self.name, self.cfg['availability_zone'] == zone, load, 0, pace)
+
+    def observe(self, expected_s: float, took_s: float, *, urgent: bool) -> None:
+        """Learn how long an answer really took here."""
+        self._paces[urgent].observe(trio.current_time(), expected_s, took_s)
 
     def take_report(self, report: LoadReport, asked_at: float) -> None:
         """Learn a report that was made after ``asked_at``."""
