Route to runners that hold a prompt's prefix, weighed against their queue

Cause: the router took every prompt for new work, though two thirds of a booking's prompt is a catalogue that some engine has cached; the same catalogues were worked through on all nine runners.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -136,7 +136,7 @@
 def choose_us(candidates: int) -> float:
     """Processor time of one routing choice."""
     load = report('r').load
-    found = [Candidate(f'r{number}', same_zone=True, load=load, cached_tokens=0) for number in range(candidates)]
+    found = [Candidate(f'r{number}', same_zone=True, load=load) for number in range(candidates)]
     need = Need(8000, 40, 20, urgent=True)
     choose = CHOOSERS.get('least-delay')
     rng = Random(1)
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/candidate.py
@@ -19,8 +19,6 @@
         Whether it stands in the entry's availability zone.
     load
         What it reported, plus what the entry sent since.
-    cached_tokens
-        Prompt tokens that its prefix cache is thought to hold.
     pace
         Observed over expected times, lately, for this class of work.
     """
@@ -28,20 +26,22 @@
     runner: str
     same_zone: bool
     load: UpstreamLoad
-    cached_tokens: int
     pace: float = 1
 
 
 class Need(NamedTuple):
     """What a request asks for.
 
-    ``timeout_s`` is what is left until its deadline.
+    ``timeout_s`` is what is left until its deadline; ``prefix`` names the
+    head of its prompt that others may share.
     """
 
     prompt_tokens: int
     output_tokens: int
     timeout_s: float
     urgent: bool
+    prefix: str = ''
+    prefix_tokens: int = 0
 
 
 class Estimate(NamedTuple):
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
@@ -6,7 +6,7 @@
 
 from sesamepoint_core.registry import Registry
 from sesamepoint_core.route.candidate import Choice
-from sesamepoint_core.route.estimate import estimate
+from sesamepoint_core.route.estimate import cached_tokens, estimate
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -48,11 +48,13 @@
 
     Drawn at random first, for the reason given above. A long prompt goes
     where few answers run, and a long answer where few prompts wait, without
-    a rule that names roles. If none of those drawn would be in time, all
+    a rule that names roles. Some that hold the prompt's prefix are looked at
+    as well; they save its work, unless the queue there costs more. If none of those drawn would be in time, all
     are looked at before the request is refused.
     """
     drawn = rng.sample(candidates, min(SAMPLE, len(candidates)))
-    choice = _least_delay(drawn, need)
+    holders = [found for found in candidates if found not in drawn and cached_tokens(found.load, need)]
+    choice = _least_delay([*drawn, *holders[:SAMPLE]], need)
     if choice.estimate.finish_s <= need.timeout_s:
         return choice
     return _least_delay(candidates, need)
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/estimate.py
@@ -18,7 +18,7 @@
     """Return the expected times, in seconds from now."""
     load = candidate.load
     rate = max(load.prefill_rate, MIN_RATE)
-    new_tokens = max(need.prompt_tokens - candidate.cached_tokens, 0)
+    new_tokens = need.prompt_tokens - cached_tokens(load, need)
     ahead = load.urgent_tokens if need.urgent else load.waiting_tokens
     hop_s = 0 if candidate.same_zone else ZONE_HOP_S
     first_token_s = hop_s + (ahead + new_tokens) / rate + _slot_wait_s(load, need)
@@ -29,6 +29,13 @@
     return Estimate(first_token_s * candidate.pace, finish_s * candidate.pace, delay_s)
 
 
+def cached_tokens(load: UpstreamLoad, need: Need) -> int:
+    """Return the prompt tokens that a runner need not work through."""
+    if need.prefix and need.prefix in load.prefixes:
+        return min(need.prefix_tokens, need.prompt_tokens)
+    return 0
+
+
 def _slot_wait_s(load: UpstreamLoad, need: Need) -> float:
     """Return the wait for a place in the batch, if all are taken.
 
@@ -41,4 +48,4 @@
     return over * need.output_tokens * load.token_s / load.slots
 
 
-__all__ = ('estimate',)
+__all__ = ('cached_tokens', 'estimate')
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/load.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/load.py
@@ -26,6 +26,8 @@
         Seconds between two tokens of an answer, lately.
     slots
         Answers that can be generated at once.
+    prefixes
+        Shared heads of prompts that its cache holds, as far as it told.
     """
 
     role: str
@@ -37,6 +39,7 @@
     prefill_rate: float
     token_s: float
     slots: int
+    prefixes: tuple[str, ...] = ()
 
 
 NO_LOAD = UpstreamLoad(
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/engine.py
@@ -16,6 +16,7 @@
 SNAPSHOT_S = 0.1
 KEPT_SNAPSHOTS = 64
 STEP_MEMORY_S = 4.0
+KEPT_PREFIXES = 16
 
 
 class EngineRequest(NamedTuple):
@@ -277,6 +278,7 @@
             running=running,
             prefill_rate=model.prefill_rate(self.role, running) / self.slowdown,
             token_s=self._step_s * self.slowdown,
+            prefixes=tuple(self._cache)[-KEPT_PREFIXES:],
             slots=model.PROFILES[self.role].max_running if self.role in model.PROFILES else 0,
         )
         self._reports.append((now, load))
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -91,7 +91,10 @@
             await self.idle.wait()
 
     def _measure(self, req: CallerRequest) -> None:
-        work = Demand(1, req.job.prompt_tokens, req.job.output_tokens, req.timeout_s)
+        prompt_tokens = req.job.prompt_tokens
+        if self.fleets.holds(req.fleet, req.job.prefix):
+            prompt_tokens -= req.job.prefix_tokens
+        work = Demand(1, prompt_tokens, req.job.output_tokens, req.timeout_s)
         self.fleets.measure(req.fleet, work, urgent=req.job.urgent)
 
     async def _attempts(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
@@ -126,7 +129,9 @@
         return ended
 
     def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
-        need = Need(req.job.prompt_tokens, req.job.output_tokens, deadline - trio.current_time(), req.job.urgent)
+        job = req.job
+        left_s = deadline - trio.current_time()
+        need = Need(job.prompt_tokens, job.output_tokens, left_s, job.urgent, job.prefix, job.prefix_tokens)
         candidates = self.fleets.candidates(req.fleet, self._zone, tried, urgent=req.job.urgent)
         if not candidates:
             self._explain_refusal(req, 'no_runner', 0, ())
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -70,6 +70,11 @@
         usable = (view for view in self.views.values() if view.usable and view.cfg['fleet'] == fleet)
         return [view.candidate(zone, urgent=urgent) for view in usable if view.name not in without]
 
+    def holds(self, fleet: str, prefix: str) -> bool:
+        """Tell whether some runner of a fleet has a prefix in its cache."""
+        reports = (view.report for view in self.views.values() if view.cfg['fleet'] == fleet)
+        return any(prefix in report.load.prefixes for report in reports if report is not None)
+
     def offered(self, fleet: str) -> Offered:
         """Return what this entry's callers asked of a fleet, per second."""
         return self.meters[fleet].read(trio.current_time(), self._follower.in_force.preset['horizon_s'])
--- a/packages/sesamepoint/src/sesamepoint/entry/view.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/view.py
@@ -29,6 +29,7 @@
     sent_at: float
     prompt_tokens: int
     urgent: bool
+    prefix: str
 
 
 class RunnerView:
@@ -59,7 +60,9 @@
 
     def begin(self, attempt: str, job: Job) -> None:
         """Count an attempt that goes there."""
-        self._own[attempt] = OwnWork(trio.current_time(), job.prompt_tokens, job.urgent)
+        known = self.report is not None and job.prefix in self.report.load.prefixes
+        tokens = job.prompt_tokens - known * job.prefix_tokens
+        self._own[attempt] = OwnWork(trio.current_time(), tokens, job.urgent, job.prefix)
 
     def finish(self, attempt: str) -> None:
         """Stop counting an attempt."""
@@ -80,9 +83,10 @@
             waiting_tokens=load.waiting_tokens + sum(work.prompt_tokens for work in unseen),
             urgent_tokens=load.urgent_tokens + sum(work.prompt_tokens for work in unseen if work.urgent),
             waiting=load.waiting + len(unseen),
+            prefixes=(*load.prefixes, *(work.prefix for work in unseen if work.prefix)),
         )
         pace = self._paces[urgent].factor(trio.current_time())
-        return Candidate(self.name, self.cfg['availability_zone'] == zone, load, 0, pace)
+        return Candidate(self.name, self.cfg['availability_zone'] == zone, load, pace)
 
     def observe(self, expected_s: float, took_s: float, *, urgent: bool) -> None:
         """Learn how long an answer really took here."""
