Never say 'not run' of a request whose earlier attempt may have run

Cause: after an attempt that may have run, a repeatable request is tried again; if no runner was left, or the next one refused, that last 'not run' was the caller's outcome, and freed its idempotency key. Ruled out: tombstones at the agent (the attempt ids in question were never reused). Change: the entry remembers what an attempt that may have run came to, and says that. test_serve_agent_killed_and_no_other failed before, passes after.

--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -101,14 +101,19 @@
         self._budget.earn(self.follower.in_force.preset['retry_share'])
         deadline = trio.current_time() + req.timeout_s
         tried: list[str] = []
+        ran: Outcome | None = None
         while True:
             choice = self._pick(req, deadline, tried)
             if isinstance(choice, NotRun):
-                return choice
+                return ran or choice
             held: list[bytes] = []
             ended = await self._attempt(choice, req, deadline, emit if req.streamed else _keep_in(held))
             if not self._may_go_on(req, ended):
-                return await self._conclude(ended, held, emit)
+                return await self._conclude(ended, held, emit, ran)
+            if ended.end is not End.not_started:
+                # It may have run. That a later attempt did not is no reason
+                # to tell the caller "not run", or to free its key.
+                ran = _outcome(ended)
             # A runner that was asked over a dead connection is none the worse.
             if ended.code != NEVER_ARRIVED:
                 tried.append(choice.runner)
@@ -171,16 +176,23 @@
         ended: AttemptEnd,
         held: list[bytes],
         emit: Callable[[bytes], Awaitable[None]],
+        ran: Outcome | None,
     ) -> Outcome:
-        if ended.end is End.answered:
+        outcome = _outcome(ended)
+        if isinstance(outcome, Answered):
             for chunk in held:
                 await emit(chunk)
-            return Answered(ended.released, late=False)
-        if ended.end is End.not_started:
-            return NotRun(ended.code, 'send it again later', RETRY_AFTER_S)
-        if ended.end is End.unknown:
-            return Unknown(ended.code, 'look whether it took effect before sending it again')
-        return Failed(ended.code, 'send it again, with more time if the deadline passed')
+        return ran if ran is not None and isinstance(outcome, NotRun) else outcome
+
+
+def _outcome(ended: AttemptEnd) -> Outcome:
+    if ended.end is End.answered:
+        return Answered(ended.released, late=False)
+    if ended.end is End.not_started:
+        return NotRun(ended.code, 'send it again later', RETRY_AFTER_S)
+    if ended.end is End.unknown:
+        return Unknown(ended.code, 'look whether it took effect before sending it again')
+    return Failed(ended.code, 'send it again, with more time if the deadline passed')
 
 
 def _keep_in(held: list[bytes]) -> Callable[[bytes], Awaitable[None]]:
--- a/tests/runtime/test_attempt.py
+++ b/tests/runtime/test_attempt.py
@@ -87,6 +87,17 @@
             self.assertIsInstance(calls.seen[0][1].outcome, Unknown)
             self.assertEqual(runs(bed), 1)
 
+    @virtual
+    async def test_serve_agent_killed_and_no_other(self) -> None:
+        # The only agent dies in mid-answer. The request may run again, but
+        # there is nowhere to run it. It did run, so "not run" would be a
+        # lie, though the second look for a runner found none and ran nothing.
+        async with Bed.open(configuration(size=1)) as bed:
+            await settle()
+            seen = await self._killed_in_mid_answer(bed, request(body=body(1), output_tokens=400))
+            self.assertIsInstance(seen.outcome, Unknown)
+            self.assertEqual(runs(bed), 1)
+
     @virtual
     async def test_serve_first_message_lost(self) -> None:
         # The connection is dead before the request is sent over it. The new
