--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -114,9 +114,7 @@
                 # It may have run. That a later attempt did not is no reason
                 # to tell the caller "not run", or to free its key.
                 ran = _outcome(ended)
-            # A runner that was asked over a dead connection is none the worse.
-            if ended.code != NEVER_ARRIVED:
-                tried.append(choice.runner)
+            tried.extend(_spent(choice, ended))
 
     async def _attempt(
         self,
@@ -185,6 +183,14 @@
         return ran if ran is not None and isinstance(outcome, NotRun) else outcome
 
 
+def _spent(choice: Choice, ended: AttemptEnd) -> tuple[str, ...]:
+    """Return the runners not to try again.
+
+    One that was asked over a dead connection is none the worse for it.
+    """
+    return () if ended.code == NEVER_ARRIVED else (choice.runner,)
+
+
 def _outcome(ended: AttemptEnd) -> Outcome:
     if ended.end is End.answered:
         return Answered(ended.released, late=False)
