--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # A test whose virtual clock stands still would never end by itself.
 TEST_LIMIT_S := 900
 
-.PHONY: test demo check unit format slopes fuzz clean
+.PHONY: test demo check unit format slopes policies fuzz clean
 
 test: check unit
 
@@ -33,6 +33,10 @@
 fuzz: $(VENV)/ready
 	$(BIN)/python -m tests.fuzz $(or $(EXAMPLES),200) $(or $(SEED),1)
 
+# make policies FIRST=1 LAST=3
+policies: $(VENV)/ready
+	$(BIN)/python -m benchmarks.policies $(or $(FIRST),1) $(or $(LAST),3)
+
 slopes: $(VENV)/ready
 	$(BIN)/python -m benchmarks.slopes
 
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.admit.budget import RetryBudget
+from sesamepoint_core.admit.margin import Margin
 from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Outcome, Unknown
 from sesamepoint_core.plan.demand import Demand
 from sesamepoint_core.policy import POLICIES
@@ -64,6 +66,7 @@
         self.keyed = KeyedRequests(KeyAsker(fleets), self._attempts, rng)
         self._policy = POLICIES.get(policy)
         self._budget = RetryBudget()
+        self._margins: defaultdict[tuple[str, bool], Margin] = defaultdict(Margin)
 
     async def serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
         """Serve ``req``; chunks of the answer go to ``emit``, in order, once.
@@ -129,6 +132,7 @@
         if ended.end is End.answered or ended.code == DEADLINE_PASSED:
             took_s = trio.current_time() - started
             view.observe(choice.estimate.finish_s, took_s, urgent=req.job.urgent)
+            self._margins[req.fleet, req.job.urgent].observe(late=ended.end is not End.answered)
         return ended
 
     def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
@@ -140,7 +144,8 @@
             self._explain_refusal(req, 'no_runner', 0, ())
             return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
         choice = self._policy.choose(candidates, need, self._rng)
-        late_s = choice.estimate.finish_s - need.timeout_s
+        margin = self._margins[req.fleet, req.job.urgent].share
+        late_s = choice.estimate.finish_s - need.timeout_s * (1 - margin)
         if late_s > 0 and not self._policy.admits_late:
             # Let in, it would be late, and would make others late as well.
             self._explain_refusal(req, 'deadline_unreachable', choice.estimate.finish_s, choice.alternatives)
