--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # A test whose virtual clock stands still would never end by itself.
 TEST_LIMIT_S := 900
 
-.PHONY: test demo check unit format slopes policies fuzz clean
+.PHONY: test demo bench check unit format slopes policies fuzz clean
 
 test: check unit
 
@@ -29,6 +29,10 @@
 	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	touch $@
 
+# Overhead of entry and agent over the engine, as ratios.
+bench: $(VENV)/ready
+	$(BIN)/python -m benchmarks.overhead
+
 # make fuzz EXAMPLES=2000 SEED=7
 fuzz: $(VENV)/ready
 	$(BIN)/python -m tests.fuzz $(or $(EXAMPLES),200) $(or $(SEED),1)
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -33,40 +33,24 @@
 from __future__ import annotations
 
 import sys
-from importlib.metadata import version
 from typing import TYPE_CHECKING
 
-from docopt import DocoptExit, docopt
-
-from sesamepoint_core.errors import SesamepointError
-from sesamepoint.settings.load import SettingsError
+from sesamepoint.command_line import run_command_line
 from sesamectl.commands import check, demo, experiment, explain, publish, show  # noqa: F401
-from sesamectl.commands.base import COMMANDS
+from sesamectl.commands.base import COMMANDS, Arguments
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
-    try:
-        arguments = docopt(__doc__, argv, version=version('sesamectl'))
-    except DocoptExit as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_USAGE
+    return run_command_line(__doc__, 'sesamectl', argv, _run)
+
+
+def _run(arguments: Arguments) -> None:
     name = next(command for command in COMMANDS if arguments[command])
-    try:
-        sys.stdout.write(f'{COMMANDS.get(name)(arguments)}\n')
-    except SettingsError as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_USAGE
-    except SesamepointError as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_REFUSED
-    return 0
+    sys.stdout.write(f'{COMMANDS.get(name)(arguments)}\n')
 
 
 if __name__ == '__main__':
--- a/packages/sesamectl/src/sesamectl/demo/deployment.py
+++ b/packages/sesamectl/src/sesamectl/demo/deployment.py
@@ -94,7 +94,7 @@
 
     def _entry_settings(self, number: int, address: str) -> Any:
         zones = sorted({runner['availability_zone'] for runner in self.cfg['runners'].values()})
-        return self._settings(f'entry-{number + 1}', zones[number], address)
+        return self._settings(f'entry-{number + 1}', zones[number % len(zones)], address)
 
     def _settings(self, name: str, zone: str, address: str) -> dict[str, Any]:
         platform = {'adapter': 'http', 'url': f'http://{PLATFORM}'}
--- a/packages/sesamectl/src/sesamectl/experiment/scenario.py
+++ b/packages/sesamectl/src/sesamectl/experiment/scenario.py
@@ -5,12 +5,11 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal, NamedTuple
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from pydantic import ConfigDict, Field, with_config
 from typing_extensions import NotRequired, TypedDict
 
 from sesamepoint_core.config.model import Name, NonNegative, Positive, Share
-from sesamepoint_core.problems import describe
-from sesamepoint.settings.load import SettingsError, read_document
+from sesamepoint.settings.load import checked, read_document
 
 SHIPPED = Path(__file__).parent / 'scenarios'
 _CLOSED = ConfigDict(extra='forbid')
@@ -100,12 +99,7 @@
     SettingsError
         On the first thing that is wrong, with its path in the document.
     """
-    document = _merged(source)
-    try:
-        return TypeAdapter(Scenario).validate_python(document)
-    except ValidationError as exc:
-        found, _, remedy = next(describe(exc)).rpartition('; ')
-        raise SettingsError(f'{source.path}: {found}', remedy) from exc
+    return checked(source.path, _merged(source), Scenario)
 
 
 def _merged(source: Source) -> Any:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/cli.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/cli.py
@@ -18,8 +18,8 @@
 from typing import TYPE_CHECKING
 
 import trio
-from docopt import DocoptExit, docopt
 
+from sesamepoint.command_line import run_command_line
 from sesamepoint.process.web import serve_web
 from sesamepoint_standins.engine import Engine
 from sesamepoint_standins.log import MemoryInstances, MemoryLog
@@ -28,8 +28,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-EXIT_USAGE = 2
-
 
 async def serve_platform(address: str) -> None:
     """Serve the log and the list of instances."""
@@ -45,16 +43,7 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
-    try:
-        arguments = docopt(__doc__, argv)
-    except DocoptExit as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_USAGE
-    try:
-        _serve(arguments)
-    except KeyboardInterrupt:
-        return 0
-    return 0
+    return run_command_line(__doc__, 'sesamepoint-standins', argv, _serve)
 
 
 def _serve(arguments: dict[str, str]) -> None:
--- a/packages/sesamepoint/src/sesamepoint/cli.py
+++ b/packages/sesamepoint/src/sesamepoint/cli.py
@@ -16,28 +16,23 @@
 from __future__ import annotations
 
 import sys
-from importlib.metadata import version
 from pathlib import Path
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
-from docopt import DocoptExit, docopt
 
-from sesamepoint_core.errors import SesamepointError
 from sesamepoint import events
+from sesamepoint.command_line import run_command_line
 from sesamepoint.process.agent_process import AgentProcess
 from sesamepoint.process.entry_process import EntryProcess
 from sesamepoint.process.stop import run_until_stopped
-from sesamepoint.settings.load import SettingsError, load_settings
+from sesamepoint.settings.load import load_settings
 from sesamepoint.settings.model import AgentSettings, EntrySettings
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-EXIT_REFUSED = 1
-EXIT_USAGE = 2
-
 
 class Process(Protocol):
     """What the two kinds of process share."""
@@ -51,21 +46,17 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
-    try:
-        arguments = docopt(__doc__, argv, version=version('sesamepoint'))
-    except DocoptExit as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_USAGE
-    try:
-        process = _build(arguments)
-    except SettingsError as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_USAGE
-    return _run(process)
-
-
-def _build(arguments: dict[str, object]) -> Process:
-    path = Path(str(arguments['--settings']))
+    return run_command_line(__doc__, 'sesamepoint', argv, _run)
+
+
+def _run(arguments: dict[str, Any]) -> None:
+    process = _build(arguments)
+    with single_error():
+        trio.run(run_until_stopped, process.run, process.wind_down)
+
+
+def _build(arguments: dict[str, Any]) -> Process:
+    path = Path(arguments['--settings'])
     if arguments['entry']:
         entry_cfg = load_settings(path, EntrySettings)
         events.set_up_logs(entry_cfg['name'])
@@ -75,16 +66,6 @@
     return AgentProcess.from_config(agent_cfg)
 
 
-def _run(process: Process) -> int:
-    try:
-        with single_error():
-            trio.run(run_until_stopped, process.run, process.wind_down)
-    except (SesamepointError, OSError) as exc:
-        sys.stderr.write(f'{exc}\n')
-        return EXIT_REFUSED
-    return 0
-
-
 if __name__ == '__main__':
     sys.exit(main())
 
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/command_line.py
@@ -0,0 +1,51 @@
+"""What the command lines of the binaries share: usage and exit status."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import version
+from typing import TYPE_CHECKING, Any
+
+from docopt import DocoptExit, docopt
+
+from sesamepoint_core.errors import SesamepointError
+from sesamepoint.settings.load import SettingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+
+def run_command_line(
+    usage: str,
+    program: str,
+    argv: Sequence[str] | None,
+    act: Callable[[dict[str, Any]], None],
+) -> int:
+    """Parse arguments by ``usage``, act on them, and return the exit status.
+
+    Returns
+    -------
+    int
+        0 for success, 1 for a refusal by the system, 2 for bad usage, bad
+        settings, or a bad file.
+    """
+    try:
+        arguments = docopt(usage, argv, version=version(program))
+    except DocoptExit as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    try:
+        act(arguments)
+    except SettingsError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    except (SesamepointError, OSError) as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_REFUSED
+    return 0
+
+
+__all__ = ('run_command_line',)
--- a/packages/sesamepoint/src/sesamepoint/settings/load.py
+++ b/packages/sesamepoint/src/sesamepoint/settings/load.py
@@ -43,7 +43,17 @@
     SettingsError
         On the first thing that is wrong, with its path in the document.
     """
-    document = read_document(path)
+    return checked(path, read_document(path), kind)
+
+
+def checked(path: Path, document: Any, kind: type[SettingsT]) -> SettingsT:
+    """Return ``document`` as a ``kind``; ``path`` tells where it came from.
+
+    Raises
+    ------
+    SettingsError
+        On the first thing that is wrong, with its path in the document.
+    """
     try:
         return TypeAdapter(kind).validate_python(document, strict=True)
     except ValidationError as exc:
@@ -51,4 +61,4 @@
         raise SettingsError(f'{path}: {found}', remedy) from exc
 
 
-__all__ = ('SettingsError', 'load_settings', 'read_document')
+__all__ = ('SettingsError', 'checked', 'load_settings', 'read_document')
--- a/tests/runtime/test_attempt.py
+++ b/tests/runtime/test_attempt.py
@@ -10,7 +10,7 @@
 from sesamepoint.entry.request import CallerRequest
 from sesamepoint_standins.bed import Bed
 from tests.builders import configuration
-from tests.virtual import Calls, Seen, body, call, expected_text, request, settle, virtual
+from tests.virtual import Calls, Seen, body, call, expected_text, replace_all_agents, request, settle, virtual
 
 
 def runs(bed: Bed) -> int:
@@ -81,9 +81,7 @@
                 calls = Calls(bed, nursery)
                 calls.send(req)
                 await trio.sleep(1)
-                for runner in tuple(bed.agents):
-                    bed.agents[runner].scope.cancel()
-                    bed.start_agent(runner)
+                replace_all_agents(bed)
             self.assertIsInstance(calls.seen[0][1].outcome, Unknown)
             self.assertEqual(runs(bed), 1)
 
--- a/tests/runtime/test_keys.py
+++ b/tests/runtime/test_keys.py
@@ -10,7 +10,7 @@
 from sesamepoint_standins.bed import Bed
 from tests.builders import configuration
 from tests.runtime.test_attempt import runs
-from tests.virtual import Calls, body, call, expected_text, request, settle, virtual
+from tests.virtual import Calls, body, call, expected_text, replace_all_agents, request, settle, virtual
 
 BOOKING = request(body=body(7), key='fitting-7', repeatable=False)
 
@@ -63,9 +63,7 @@
         async with Bed.open(configuration()) as bed:
             await settle()
             await call(bed, BOOKING)
-            for runner in tuple(bed.agents):
-                bed.agents[runner].scope.cancel()
-                bed.start_agent(runner)
+            replace_all_agents(bed)
             await settle()
             seen = await call(bed, BOOKING, 'entry-2')
             self.assertIsInstance(seen.outcome, Unknown)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -110,9 +110,16 @@
         self.seen.append((req, await call(self._bed, req, entry)))
 
 
+def replace_all_agents(bed: Bed) -> None:
+    """Kill every agent and start its successor at once."""
+    for runner in tuple(bed.agents):
+        bed.agents[runner].scope.cancel()
+        bed.start_agent(runner)
+
+
 async def settle(seconds: float = SETTLE_S) -> None:
     """Let the bed run for a while."""
     await trio.sleep(seconds)
 
 
-__all__ = ('Calls', 'Seen', 'body', 'call', 'expected_text', 'request', 'settle', 'virtual')
+__all__ = ('Calls', 'Seen', 'body', 'call', 'expected_text', 'replace_all_agents', 'request', 'settle', 'virtual')
