Let a successor's order wait for what its upstream still runs; stay ready while asking for the load

Cause: an agent was killed, its run went on at the engine, and the successor drained only the runs that it knew. Cause: while an agent asked its upstream for the load, once a second, it called itself not ready. Ruled out: missed beats under load. Now the last report stands until the answer is there.

--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from typing import TYPE_CHECKING
 
 import trio
@@ -146,14 +146,16 @@
             await trio.sleep(LOAD_INTERVAL_S)
 
     async def refresh_load(self) -> UpstreamLoad:
-        """Ask the upstream now; a silent one counts as not ready."""
-        self.load = UNKNOWN_LOAD._replace(role=self.load.role)
-        with trio.move_on_after(CLEAN_UP_S):
-            try:
-                self.load = await self.upstream.load()
-            except (UpstreamError, UnreachableError):
-                return self.load
-        return self.load
+        """Ask the upstream now; a silent one counts as not ready.
+
+        Until it answers the last report stands: an agent that called itself
+        not ready while it asked would turn work away each time.
+        """
+        load = UNKNOWN_LOAD._replace(role=self.load.role)
+        with trio.move_on_after(CLEAN_UP_S), suppress(UpstreamError, UnreachableError):
+            load = await self.upstream.load()
+        self.load = load
+        return load
 
     async def tidy(self) -> None:
         """Stop attempts that nobody listens to and forget old ones."""
--- a/packages/sesamepoint/src/sesamepoint/agent/orders.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/orders.py
@@ -21,6 +21,7 @@
 MARGIN_S = 0.5
 CHECK_S = 0.25
 REVIEW_S = 1.0
+REPORT_AGE_S = 1.0
 REPORT_WAIT_S = 5.0
 
 
@@ -37,6 +38,7 @@
         self._agent = agent
         self._follower = agent.follower
         self._slot = f'slot/{agent.runner}'
+        self._succeeds = False
 
     async def execute(self) -> None:
         """Claim the slot and carry orders out, until cancelled."""
@@ -62,6 +64,7 @@
         while not self._holds_slot():
             former = self._follower.state.leases.get(self._slot)
             last_seen = former.renewed if former else NEVER
+            self._succeeds = former is not None
             verdict = await self._follower.submit(ClaimLease(self._slot, self._agent.incarnation, last_seen))
             if isinstance(verdict, Accepted) and former is not None:
                 # The former agent may act on a read of the log that is up to
@@ -88,6 +91,7 @@
     async def _drain_and_send(self, order: StandingOrder) -> None:
         events.log_event(events.ORDER_STARTED, runner=self._agent.runner, offset=order.offset, role=order.role)
         await self._agent.drained()
+        await self._idle()
         if not await self._permitted(order):
             await trio.sleep(CHECK_S)
             return
@@ -100,6 +104,21 @@
             await trio.sleep(CHECK_S)
         await self._settle()
 
+    async def _idle(self) -> None:
+        """Wait until the upstream itself runs nothing.
+
+        A former agent that was killed left its runs at the upstream, and
+        this one does not know them. An order would drop them, though they
+        may be bookings that take effect.
+        """
+        if not self._succeeds:
+            return
+        await trio.sleep(REPORT_AGE_S)
+        load = await self._agent.refresh_load()
+        while load.running or load.waiting:
+            await trio.sleep(CHECK_S)
+            load = await self._agent.refresh_load()
+
     async def _permitted(self, order: StandingOrder) -> bool:
         """Read the log to its end, then look whether the order still stands.
 
--- a/tests/runtime/test_control.py
+++ b/tests/runtime/test_control.py
@@ -85,6 +85,25 @@
             self.assertEqual((engine.role, len(engine.orders)), ('prefill', 1))
             self.assertTrue(operator.state.orders['verdict-1'].done)
 
+    @virtual
+    async def test_order_with_runs_of_killed_agent(self) -> None:
+        # An agent is killed in mid-answer and the engine runs on. Its
+        # successor, which knows nothing of the run, gets an order. What the
+        # engine runs must end first: it may be a booking that takes effect.
+        async with Bed.open(configuration(size=1)) as bed, bed.operator() as operator:
+            await settle(LEASE_S)
+            async with trio.open_nursery() as nursery:
+                calls = Calls(bed, nursery)
+                calls.send(request(body=body(1), output_tokens=1000, timeout_s=60.0, repeatable=False))
+                await trio.sleep(1)
+                bed.agents['verdict-1'].scope.cancel()
+                bed.start_agent('verdict-1')
+                await settle(1)
+                await give_order(operator, 'verdict-1', 'prefill')
+                await settle(2 * LEASE_S)
+            engine = bed.engines['verdict-1']
+            self.assertEqual((engine.role, engine.cut_off_by_order), ('prefill', 0))
+
     @virtual
     async def test_order_of_woken_leader(self) -> None:
         # The leader is paused, another process takes the lease and orders.
