Enforce account limits across entries, and shed small jobs by preset

account_rate and small_share were read and checked but had no effect. Each entry now grants an account the rate over the number of entries, which it learns from the sums that agents hand out; 'over' is not_run with a time to come back (429). small_share, which named a share of capacity that nothing measured, becomes small_deadline_share: a small job must be expected to end within it. Measured: four entries asked 20 times a second for an account of 4/s grant together at most 4/s plus the burst (tests/core/test_accounts.py).

--- a/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/model.py
@@ -79,8 +79,9 @@
     may not be worth. ``max_changing`` bounds runners in change per fleet.
     ``horizon_s`` is how long a shift must last to count; a swing that is
     shorter is left to routing.
-    ``account_rate`` is in requests a second; ``small_share`` is the part
-    of the capacity that jobs other than the main one may take.
+    ``account_rate`` is in requests a second over all entries. A small job is
+    let in only if it should end within ``small_deadline_share`` of its time,
+    so that small jobs are shed before the main one.
     """
 
     role_change_weight: NonNegative
@@ -89,7 +90,7 @@
     horizon_s: Positive
     account_rate: Positive
     retry_share: Share
-    small_share: Share
+    small_deadline_share: Share
 
 
 @with_config(_CLOSED)
--- a/packages/sesamepoint-core/src/sesamepoint_core/plan/demand.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/plan/demand.py
@@ -36,20 +36,36 @@
 
 
 class Offered(NamedTuple):
-    """The demand on one fleet: main and small jobs, short and long horizon."""
+    """The demand on one fleet: main and small jobs, short and long horizon.
+
+    ``entries`` is how many entries the figures are of.
+    """
 
     main_short: Demand = Demand()
     main_long: Demand = Demand()
     small_short: Demand = Demand()
     small_long: Demand = Demand()
+    entries: float = 0
 
     def plus(self, other: Offered) -> Offered:
         """Return the sum."""
-        return Offered(*(mine.plus(theirs) for mine, theirs in zip(self, other, strict=True)))
+        return Offered(
+            self.main_short.plus(other.main_short),
+            self.main_long.plus(other.main_long),
+            self.small_short.plus(other.small_short),
+            self.small_long.plus(other.small_long),
+            self.entries + other.entries,
+        )
 
     def times(self, factor: float) -> Offered:
         """Return a multiple."""
-        return Offered(*(demand.times(factor) for demand in self))
+        return Offered(
+            self.main_short.times(factor),
+            self.main_long.times(factor),
+            self.small_short.times(factor),
+            self.small_long.times(factor),
+            self.entries * factor,
+        )
 
 
 class Decaying:
@@ -86,9 +102,14 @@
 
     def read(self, now: float, horizon_s: float) -> Offered:
         """Return the demand per second as of ``now``."""
-        horizons = (horizon_s * SHORT_SHARE, horizon_s)
-        sums = (*zip(self._main, horizons, strict=True), *zip(self._small, horizons, strict=True))
-        return Offered(*(demand.read(now, horizon) for demand, horizon in sums))
+        short_s = horizon_s * SHORT_SHARE
+        return Offered(
+            self._main[0].read(now, short_s),
+            self._main[1].read(now, horizon_s),
+            self._small[0].read(now, short_s),
+            self._small[1].read(now, horizon_s),
+            entries=1,
+        )
 
 
 __all__ = ('Demand', 'Meter', 'Offered')
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.admit.budget import RetryBudget
-from sesamepoint_core.admit.margin import Margin
 from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Outcome, Unknown
 from sesamepoint_core.plan.demand import Demand
 from sesamepoint_core.policy import POLICIES
 from sesamepoint_core.route.candidate import Need
 from sesamepoint import events
 from sesamepoint.control.decisions import Decision, Decisions
+from sesamepoint.entry.admission import Admission
 from sesamepoint.entry.attempt import EntryAttempt
 from sesamepoint.entry.keyed import KeyedRequests
 from sesamepoint.incarnation import new_id
@@ -66,7 +65,7 @@
         self.keyed = KeyedRequests(KeyAsker(fleets), self._attempts, rng)
         self._policy = POLICIES.get(policy)
         self._budget = RetryBudget()
-        self._margins: defaultdict[tuple[str, bool], Margin] = defaultdict(Margin)
+        self._admission = Admission(follower, fleets)
 
     async def serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
         """Serve ``req``; chunks of the answer go to ``emit``, in order, once.
@@ -79,7 +78,7 @@
         self.in_flight += 1
         self._measure(req)
         try:
-            outcome = await (self.keyed.serve if req.key else self._attempts)(req, emit)
+            outcome = await self._serve(req, emit)
         finally:
             self.in_flight -= 1
             if self.leaving and not self.in_flight:
@@ -93,6 +92,15 @@
         if self.in_flight:
             await self.idle.wait()
 
+    async def _serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
+        refusal = self._admission.over_limit(req)
+        if refusal is not None:
+            self._explain_refusal(req, refusal.code, 0, ())
+            return refusal
+        if req.key:
+            return await self.keyed.serve(req, emit)
+        return await self._attempts(req, emit)
+
     def _measure(self, req: CallerRequest) -> None:
         prompt_tokens = req.job.prompt_tokens
         if self.fleets.holds(req.fleet, req.job.prefix):
@@ -132,7 +140,7 @@
         if ended.end is End.answered or ended.code == DEADLINE_PASSED:
             took_s = trio.current_time() - started
             view.observe(choice.estimate.finish_s, took_s, urgent=req.job.urgent)
-            self._margins[req.fleet, req.job.urgent].observe(late=ended.end is not End.answered)
+            self._admission.observe(req, late=ended.end is not End.answered)
         return ended
 
     def _pick(self, req: CallerRequest, deadline: float, tried: list[str]) -> Choice | NotRun:
@@ -144,8 +152,7 @@
             self._explain_refusal(req, 'no_runner', 0, ())
             return NotRun('no_runner', 'send it again later', RETRY_AFTER_S)
         choice = self._policy.choose(candidates, need, self._rng)
-        margin = self._margins[req.fleet, req.job.urgent].share
-        late_s = choice.estimate.finish_s - need.timeout_s * (1 - margin)
+        late_s = choice.estimate.finish_s - need.timeout_s * self._admission.deadline_share(req)
         if late_s > 0 and not self._policy.admits_late:
             # Let in, it would be late, and would make others late as well.
             self._explain_refusal(req, 'deadline_unreachable', choice.estimate.finish_s, choice.alternatives)
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -75,6 +75,13 @@
         reports = (view.report for view in self.views.values() if view.cfg['fleet'] == fleet)
         return any(prefix in report.load.prefixes for report in reports if report is not None)
 
+    def entries(self, fleet: str) -> float:
+        """Return how many entries there are, by what agents hear."""
+        heard = [
+            view.report.offered.entries for view in self.views.values() if view.report and view.cfg['fleet'] == fleet
+        ]
+        return sum(heard) / len(heard) if heard else 1
+
     def offered(self, fleet: str) -> Offered:
         """Return what this entry's callers asked of a fleet, per second."""
         return self.meters[fleet].read(trio.current_time(), self._follower.in_force.preset['horizon_s'])
--- a/packages/sesamepoint/src/sesamepoint/entry/render.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/render.py
@@ -20,6 +20,7 @@
 STATUS_BAD = 400
 STATUS_NOT_FOUND = 404
 _STATUS = MappingProxyType({NotRun.tag: 503, Unknown.tag: 502, Failed.tag: 504})
+_CODE_STATUS = MappingProxyType({'account_limit': 429})
 _BAD_STATUS = MappingProxyType({'body_too_large': 413, 'unknown_model': 404, 'unknown_service': 404})
 
 
@@ -36,7 +37,8 @@
     headers = [(b'content-type', JSON_TYPE)]
     if isinstance(outcome, NotRun):
         headers.append((b'retry-after', str(math.ceil(outcome.retry_after_s)).encode()))
-    return Rendered(_STATUS[outcome.tag], tuple(headers), error_body(outcome))
+    status = _CODE_STATUS.get(outcome.code, _STATUS[outcome.tag])
+    return Rendered(status, tuple(headers), error_body(outcome))
 
 
 def render_bad(exc: BadRequestError) -> Rendered:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -22,7 +22,7 @@
         'horizon_s': 120.0,
         'account_rate': 50.0,
         'retry_share': 0.1,
-        'small_share': 0.4,
+        'small_deadline_share': 1.0,
     }
     return {**base, **changes}
 
@@ -35,7 +35,11 @@
         'deployment': 'boat-bazaar',
         'fleets': {'verdict-llm': fleet},
         'runners': {name: runner(number) for number, name in enumerate(names)},
-        'presets': {'ordinary': preset(), 'peak': preset(small_share=0.2), 'maintenance': preset(max_changing=0)},
+        'presets': {
+            'ordinary': preset(),
+            'peak': preset(small_deadline_share=0.5),
+            'maintenance': preset(max_changing=0),
+        },
     }
     return {**base, **changes}
 
--- /dev/null
+++ b/tests/core/test_accounts.py
@@ -0,0 +1,40 @@
+"""Limits per account."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sesamepoint_core.admit.accounts import BURST_S, AccountLimits
+
+RATE = 4.0
+
+
+def granted(limits: AccountLimits, entries: float, seconds: int) -> int:
+    """Ask twenty times a second and count what is granted."""
+    times = [number / 20 for number in range(seconds * 20)]
+    return sum(not limits.wait_s(now, 'a1', RATE, entries) for now in times)
+
+
+class AccountLimitsTest(TestCase):
+    """The rate over all entries."""
+
+    def test_limit_of_one_entry(self) -> None:
+        self.assertLessEqual(granted(AccountLimits(), 1, 60), RATE * (60 + BURST_S) + 1)
+
+    def test_limit_across_entries(self) -> None:
+        # An account asks at four entries at once, far above its rate. None
+        # of them knows what the others granted; together they keep to it.
+        total = sum(granted(AccountLimits(), 4, 60) for _ in range(4))
+        self.assertLessEqual(total, RATE * (60 + BURST_S) + 4)
+        self.assertGreater(total, RATE * 55)
+
+    def test_time_to_come_back(self) -> None:
+        limits = AccountLimits()
+        waits = [limits.wait_s(0, 'a1', RATE, 1) for _ in range(100)]
+        self.assertEqual(limits.wait_s(waits[-1], 'a1', RATE, 1), 0)
+
+    def test_other_account(self) -> None:
+        limits = AccountLimits()
+        waits = [limits.wait_s(0, 'a1', RATE, 1) for _ in range(100)]
+        self.assertGreater(waits[-1], 0)
+        self.assertEqual(limits.wait_s(0, 'a2', RATE, 1), 0)
