Contain an unreadable answer; let a planned stop wait for runs under a key

An unexpected error while one answer was read ended the nursery of all runs at that agent. It now ends its own attempt (event 3103). 2. A run under a key outlives its caller, but a stopping entry waited for callers only and cut it off. It now waits for such runs too; and it refuses new work ('leaving') once others had time to notice, or it might never end.

--- a/packages/sesamepoint/src/sesamepoint/agent/agent.py
+++ b/packages/sesamepoint/src/sesamepoint/agent/agent.py
@@ -8,6 +8,7 @@
 import trio
 
 from sesamepoint_core.errors import UpstreamError
+from sesamepoint import events
 from sesamepoint.agent.attempts import Attempt, AttemptTable
 from sesamepoint.agent.offered import OfferedTable
 from sesamepoint.control.signal import Signal
@@ -222,6 +223,11 @@
             attempt.finish(End.not_started, 'upstream_unreachable')
         except UpstreamError:
             attempt.finish(End.failed if attempt.chunks else End.unknown, 'upstream_broke_off')
+        except Exception as exc:
+            # An answer that the adapter cannot read must end its own attempt
+            # only; let through, it would end every other run beside it.
+            events.log_event(events.ATTEMPT_BROKE, attempt=req.attempt, cause=repr(exc))
+            attempt.finish(End.failed if attempt.chunks else End.unknown, 'upstream_unreadable')
         else:
             attempt.finish(End.answered)
 
--- a/packages/sesamepoint/src/sesamepoint/entry/entry.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/entry.py
@@ -13,6 +13,7 @@
 from sesamepoint_core.route.candidate import Need
 from sesamepoint import events
 from sesamepoint.control.decisions import Decision, Decisions
+from sesamepoint.control.signal import Signal
 from sesamepoint.entry.admission import Admission
 from sesamepoint.entry.attempt import EntryAttempt
 from sesamepoint.entry.keyed import KeyedRequests
@@ -59,10 +60,10 @@
         self.policy = policy
         self.leaving = False
         self.in_flight = 0
-        self.idle = trio.Event()
+        self._ended = Signal()
         self._zone = zone
         self._rng = rng
-        self.keyed = KeyedRequests(KeyAsker(fleets), self._attempts, rng)
+        self.keyed = KeyedRequests(KeyAsker(fleets), self._attempts, rng, self._ended)
         self._policy = POLICIES.get(policy)
         self._budget = RetryBudget()
         self._admission = Admission(follower, fleets)
@@ -81,18 +82,23 @@
             outcome = await self._serve(req, emit)
         finally:
             self.in_flight -= 1
-            if self.leaving and not self.in_flight:
-                self.idle.set()
+            self._ended.set_off()
         events.log_event(events.REQUEST_ENDED, fleet=req.fleet, outcome=outcome.tag)
         return outcome
 
     async def stop(self) -> None:
-        """Take nothing new and wait until all in flight is answered."""
+        """Take nothing new and wait until all in flight is answered.
+
+        That includes runs under a key whose callers have gone: they may come
+        back for the answer.
+        """
         self.leaving = True
-        if self.in_flight:
-            await self.idle.wait()
+        while self.in_flight or self.keyed.running:
+            await self._ended.wait()
 
     async def _serve(self, req: CallerRequest, emit: Callable[[bytes], Awaitable[None]]) -> Outcome:
+        if self.leaving:
+            return NotRun('leaving', 'send it again, to another entry', MIN_RETRY_AFTER_S)
         refusal = self._admission.over_limit(req)
         if refusal is not None:
             self._explain_refusal(req, refusal.code, 0, ())
--- a/packages/sesamepoint/src/sesamepoint/entry/keyed.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/keyed.py
@@ -18,6 +18,7 @@
     from random import Random
 
     from sesamepoint_core.keys.fold import Claim
+    from sesamepoint.control.signal import Signal
     from sesamepoint.entry.request import CallerRequest
 
     Emit = Callable[[bytes], Awaitable[None]]
@@ -67,13 +68,17 @@
         Serves a request without regard to its key.
     rng
         For the identities of owners.
+    ended
+        Set off when a run ends.
     """
 
-    def __init__(self, asker: KeyAsker, serve: Serve, rng: Random) -> None:
+    def __init__(self, asker: KeyAsker, serve: Serve, rng: Random, ended: Signal) -> None:
         """Start without runs."""
         self._asker = asker
         self._serve = serve
+        self.running = 0
         self._rng = rng
+        self._ended = ended
         self._nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
@@ -92,9 +97,17 @@
         if self._nursery is None:
             return NotRun('starting', 'send it again with the same key', RETRY_AFTER_S)
         run = _Run()
-        self._nursery.start_soon(self._claim_and_run, run, req)
+        self._nursery.start_soon(self._count_run, run, req)
         return await _pass_on(run, emit)
 
+    async def _count_run(self, run: _Run, req: CallerRequest) -> None:
+        self.running += 1
+        try:
+            await self._claim_and_run(run, req)
+        finally:
+            self.running -= 1
+            self._ended.set_off()
+
     async def _claim_and_run(self, run: _Run, req: CallerRequest) -> None:
         started = trio.current_time()
         claim = claim_of(req, new_id(self._rng))
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -60,6 +60,7 @@
 RUNNER_LOST = _event(3001, logging.WARNING, 'runner gives no sign of life')
 RUNNER_BACK = _event(3002, logging.INFO, 'runner answers again')
 ATTEMPT_RESUMED = _event(3101, logging.INFO, 'attempt resumed on a new connection')
+ATTEMPT_BROKE = _event(3103, logging.ERROR, 'attempt broke on an unexpected error')
 REQUEST_ENDED = _event(3102, logging.DEBUG, 'request ended')
 
 
--- a/packages/sesamepoint/src/sesamepoint/process/entry_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -34,6 +34,7 @@
         self._cfg = cfg
         self._parts = parts
         self._entry = entry
+        self._stopping = False
         self._admin = AdminApp(CollectorRegistry(), self._ready, {'/state': self._state, '/decisions': self.decisions})
 
     @classmethod
@@ -55,7 +56,7 @@
 
     async def wind_down(self) -> None:
         """Turn unready, let the balancer notice, finish all in flight."""
-        self._entry.leaving = True
+        self._stopping = True
         await trio.sleep(NOTICE_S)
         await self._entry.stop()
 
@@ -74,7 +75,7 @@
         await serve_web(self._admin, self._cfg['metrics'])
 
     def _ready(self) -> bool:
-        return not self._entry.leaving and self._parts.follower.state.version > 0
+        return not self._stopping and self._parts.follower.state.version > 0
 
     def _state(self) -> object:
         state = self._parts.follower.state
--- a/tests/runtime/test_attempt.py
+++ b/tests/runtime/test_attempt.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from unittest import TestCase
+from unittest import TestCase, mock
 
 import trio
 
 from sesamepoint_core.answer.outcome import Answered, Failed, NotRun, Unknown
 from sesamepoint.entry.request import CallerRequest
 from sesamepoint_standins.bed import Bed
+from sesamepoint_standins.memory_engine import MemoryEngine
 from tests.builders import configuration
 from tests.virtual import Calls, Seen, body, call, expected_text, replace_all_agents, request, settle, virtual
 
@@ -137,6 +138,25 @@
             await settle(1)
             self.assertEqual(bed.engines['verdict-1'].load().running, 0)
 
+    @virtual
+    async def test_serve_beside_unreadable_answer(self) -> None:
+        # The engine's answer to one request cannot be read, which nobody
+        # expected. It must end that attempt only: the answer that runs
+        # beside it belongs to another caller, who sees nothing of it.
+        async with Bed.open(configuration(size=1)) as bed:
+            await settle()
+            async with trio.open_nursery() as nursery:
+                calls = Calls(bed, nursery)
+                good = request(body=body(1), output_tokens=400)
+                calls.send(good)
+                await trio.sleep(1)
+                with mock.patch.object(MemoryEngine, 'start', side_effect=ValueError('not a chunk')):
+                    calls.send(request(body=body(2), repeatable=False))
+                    await trio.sleep(1)
+            seen = {req.job.body: found for req, found in calls.seen}
+            self.assertIsInstance(seen[body(2)].outcome, Unknown)
+            self.assertEqual(seen[body(1)].text, expected_text(good))
+
     @virtual
     async def test_serve_caller_gone(self) -> None:
         # The caller hangs up. What nobody waits for must not take the
--- a/tests/runtime/test_keys.py
+++ b/tests/runtime/test_keys.py
@@ -55,6 +55,20 @@
             self.assertEqual((await call(bed, req, 'entry-2')).text, expected_text(req))
             self.assertEqual(runs(bed), 1)
 
+    @virtual
+    async def test_entry_stopped_after_caller_left(self) -> None:
+        # The caller hangs up and its entry is stopped as planned, with the
+        # run still under way. The stop waits for it, and the key, sent to
+        # another entry, brings the whole answer.
+        async with Bed.open(configuration()) as bed:
+            await settle()
+            req = BOOKING._replace(job=BOOKING.job._replace(output_tokens=400))
+            with trio.move_on_after(1):
+                await call(bed, req, 'entry-1')
+            await bed.entries['entry-1'].stop()
+            self.assertEqual((await call(bed, req, 'entry-2')).text, expected_text(req))
+            self.assertEqual(runs(bed), 1)
+
     @virtual
     async def test_homes_lost(self) -> None:
         # Every agent is replaced, and with them the kept answers. The claim
