Make runs on virtual time repeat themselves

Cause: trio shuffles tasks that are ready together from a source seeded per process, so a program that fuzzing found could pass when run again, and two runs of one experiment differed.

--- a/packages/sesamectl/src/sesamectl/experiment/run.py
+++ b/packages/sesamectl/src/sesamectl/experiment/run.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
-from trio.testing import MockClock
 
 from sesamepoint_core.answer.outcome import Answered, NotRun
 from sesamepoint_core.fold.records import SwitchPreset
 from sesamepoint_standins.bed import Bed
 from sesamepoint_standins.engine_model import answer_text, seed_of
+from sesamepoint_standins.virtual_time import run_virtual
 from sesamectl.experiment.arrivals import Arrival, arrivals
 from sesamectl.experiment.faults import FAULTS
 
@@ -63,7 +63,7 @@
 
 def run_trial(trial: Trial) -> Finished:
     """Run a trial to its end, in virtual time."""
-    return trio.run(_Runner(trial).run, clock=MockClock(autojump_threshold=0))
+    return run_virtual(_Runner(trial).run, seed=trial.seed)
 
 
 class _Runner:
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -5,9 +5,9 @@
 import trio
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
-from trio.testing import MockClock
 
 from sesamepoint_standins.bed import Bed
+from sesamepoint_standins.virtual_time import run_virtual
 from tests.builders import configuration
 from tests.fuzz.oracle import broken_promises
 from tests.fuzz.world import SIZE, STEPS, World, heal
@@ -68,7 +68,7 @@
 
 def run_program(program: tuple[tuple[str, int], ...], seed: int) -> list[str]:
     """Run a program and return what it broke."""
-    return trio.run(_run, program, seed, clock=MockClock(autojump_threshold=0))
+    return run_virtual(_run, program, seed, seed=seed)
 
 
 async def _run(program: tuple[tuple[str, int], ...], seed: int) -> list[str]:
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -8,11 +8,11 @@
 
 import msgspec
 import trio
-from trio.testing import MockClock
 
 from sesamepoint.entry.request import CallerRequest
 from sesamepoint.link.messages import Job
 from sesamepoint_standins.engine_model import answer_text, seed_of
+from sesamepoint_standins.virtual_time import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -31,7 +31,7 @@
 
     @wraps(test)
     def run(case: Any) -> None:
-        trio.run(test, case, clock=MockClock(autojump_threshold=0))
+        run_virtual(test, case)
 
     return run
 
