Append one record at a time per process

Found by reading. Cause: the fold drops a serial that comes after a later one. If two tasks of a process append at once and the log refuses the first, its second try looked like a repeat and was lost. Submissions now take turns. test_submit_two_with_the_first_refused: second verdict Repeated before, Accepted after. Also: the follower's two retry loops are one.

--- a/packages/sesamepoint/src/sesamepoint/control/follower.py
+++ b/packages/sesamepoint/src/sesamepoint/control/follower.py
@@ -18,7 +18,7 @@
 from sesamepoint.control.signal import Signal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
     from random import Random
 
     from sesamepoint_core.config.model import InForce
@@ -61,6 +61,7 @@
         self._snapshots = f'snapshots.{deployment}'
         self._rng = rng
         self._recent: deque[tuple[int, bytes]] = deque(maxlen=KEPT_RECORDS)
+        self._appending = trio.Lock()
         self._serial = 0
         self._verdicts: dict[int, Verdict] = {}
         self._reachable = True
@@ -99,12 +100,13 @@
 
     async def follow(self) -> None:
         """Recover, then fold what comes, until cancelled."""
-        await self._until_read(self._recover)
+        while not await self._try(self._recover):
+            await trio.lowlevel.checkpoint()
         self.recovered.set()
         self.changed.set_off()
         events.log_event(events.STATE_RECOVERED, offset=self.state.offset, version=self.state.version)
         while True:
-            await self._until_read(self._read_on)
+            await self._try(self._read_on)
             # Leases are renewed several times a second somewhere. Read one by
             # one, their records would cost every process, and the log, a
             # call each; gathered for a second they cost one.
@@ -116,20 +118,11 @@
         Waits for as long as the log is away; wrap it in a cancel scope to
         give up. What was given up may still take effect later.
         """
-        self._serial += 1
-        serial = self._serial
-        payload = encode(self.writer, serial, body)
-        while serial not in self._verdicts:
-            wait_s = RETRY_S
-            try:
-                await self._append(payload)
-            except PlatformUnavailableError:
-                # The append may have taken effect and only its reply be
-                # lost. Wait for the fold to show it, then append the same
-                # serial again: if both land, the fold counts one.
-                wait_s = RETRY_S * (1 + self._rng.random())
-            await self._wait_for(serial, wait_s)
-        return self._verdicts.pop(serial)
+        # One at a time: the fold drops a serial that comes after a later one,
+        # so two at once could lose the one that has to be appended again.
+        async with self._appending:
+            self._serial += 1
+            return await self._settle(self._serial, encode(self.writer, self._serial, body))
 
     async def write_snapshot(self, fence: int) -> None:
         """Append the fold as it stands to the snapshot stream.
@@ -155,6 +148,19 @@
             page = await self._log.read(self._stream, self.state.offset + 1, 0)
             self._take(page.records)
 
+    async def _settle(self, serial: int, payload: bytes) -> Verdict:
+        while serial not in self._verdicts:
+            wait_s = RETRY_S
+            try:
+                await self._append(payload)
+            except PlatformUnavailableError:
+                # The append may have taken effect and only its reply be
+                # lost. Wait for the fold to show it, then append the same
+                # serial again: if both land, the fold counts one.
+                wait_s = RETRY_S * (1 + self._rng.random())
+            await self._wait_for(serial, wait_s)
+        return self._verdicts.pop(serial)
+
     async def _append(self, payload: bytes) -> None:
         await self._log.append(self._stream, payload)
         await self.read_to_end()
@@ -164,24 +170,18 @@
             while serial not in self._verdicts:
                 await self.changed.wait()
 
-    async def _until_read(self, step: object) -> None:
+    async def _try(self, step: Callable[[], Awaitable[None]]) -> bool:
+        """Take a step that reads the log; tell whether the log answered."""
         try:
-            await step()  # type: ignore[operator]
+            await step()
         except PlatformUnavailableError as exc:
             self._note_reachable(reachable=False, cause=str(exc))
             await trio.sleep(RETRY_S * (1 + self._rng.random()))
-            return
+            return False
         self._note_reachable(reachable=True, cause='')
+        return True
 
     async def _recover(self) -> None:
-        while True:
-            try:
-                return await self._recover_once()
-            except PlatformUnavailableError as exc:
-                self._note_reachable(reachable=False, cause=str(exc))
-                await trio.sleep(RETRY_S * (1 + self._rng.random()))
-
-    async def _recover_once(self) -> None:
         snapshot = await self._newest_snapshot()
         if snapshot is not None and snapshot.offset > self.state.offset:
             self.state = snapshot
@@ -208,7 +208,7 @@
     async def _read_on(self) -> None:
         page = await self._log.read(self._stream, self.state.offset + 1, POLL_WAIT_S)
         if page.earliest > self.state.offset + 1:
-            await self._recover_once()
+            await self._recover()
             self.changed.set_off()
         self._take(page.records)
 
--- a/tests/runtime/test_control.py
+++ b/tests/runtime/test_control.py
@@ -18,6 +18,7 @@
 from tests.virtual import Calls, body, call, expected_text, request, settle, virtual
 
 if TYPE_CHECKING:
+    from sesamepoint_core.fold.verdict import Verdict
     from sesamepoint.control.follower import Follower
 
 FLEET = 'verdict-llm'
@@ -186,6 +187,26 @@
             self.assertIsInstance(verdict, Accepted)
             self.assertEqual(operator.state.version, 2)
 
+    @virtual
+    async def test_submit_two_with_the_first_refused(self) -> None:
+        # One process appends two records at once, and the log refuses the
+        # first. Appended again behind the second, it would look like a
+        # repeat and be dropped: a report of an order done, say, for ever.
+        async with Bed.open(configuration()) as bed, bed.operator() as operator:
+            await settle()
+            verdicts: list[Verdict] = []
+
+            async def claim(name: str) -> None:
+                verdicts.append(await operator.submit(ClaimLease(name, operator.writer, -1)))
+
+            bed.log.faults.away = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(claim, 'first')
+                await trio.sleep(0.01)
+                bed.log.faults.away = False
+                nursery.start_soon(claim, 'second')
+            self.assertEqual([type(verdict) for verdict in verdicts], [Accepted, Accepted])
+
     @virtual
     async def test_join_after_trimming(self) -> None:
         # All records that the newest snapshot covers were trimmed. A process that starts now
