Rank runners only when the version or the led fleets change; drop dead code

Every record, most of them renewals, made each entry rank all runners anew. Reports of a fleet were listed in two places. One fault mended on the way: a settlement that was sent twice counted its bytes twice, so that kept answers were pushed out early.

--- a/benchmarks/fit.py
+++ b/benchmarks/fit.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import resource
 import time
 from statistics import correlation, linear_regression, median
 from typing import TYPE_CHECKING, NamedTuple
@@ -60,9 +59,4 @@
     return time.process_time() - started
 
 
-def peak_mb() -> float:
-    """Return this process's peak memory in MB."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
-
-
-__all__ = ('Line', 'Point', 'fit_line', 'peak_mb', 'processor_s')
+__all__ = ('Line', 'Point', 'fit_line', 'processor_s')
--- a/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/choose.py
@@ -49,8 +49,9 @@
     Drawn at random first, for the reason given above. A long prompt goes
     where few answers run, and a long answer where few prompts wait, without
     a rule that names roles. Some that hold the prompt's prefix are looked at
-    as well; they save its work, unless the queue there costs more. If none of those drawn would be in time, all
-    are looked at before the request is refused.
+    as well; they save its work, unless the queue there costs more. If none
+    of those would be in time, all are looked at before the request is
+    refused.
     """
     drawn = rng.sample(candidates, min(SAMPLE, len(candidates)))
     holders = [found for found in candidates if found not in drawn and cached_tokens(found.load, need)]
--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -21,6 +21,7 @@
     from sesamepoint_core.route.candidate import Candidate
     from sesamepoint.control.follower import Follower
     from sesamepoint.link.base import AgentLink
+    from sesamepoint.link.messages import LoadReport
     from sesamepoint.platform.messages import InstanceList
 
 LIST_INTERVAL_S = 1.0
@@ -43,6 +44,7 @@
         self.meters: defaultdict[str, Meter] = defaultdict(Meter)
         self.led: set[str] = set()
         self.scales: dict[str, float] = {}
+        self._known_for: tuple[int, frozenset[str]] | None = None
         self._follower = follower
         self._instances = instances
         self._connect = connect
@@ -72,14 +74,11 @@
 
     def holds(self, fleet: str, prefix: str) -> bool:
         """Tell whether some runner of a fleet has a prefix in its cache."""
-        reports = (view.report for view in self.views.values() if view.cfg['fleet'] == fleet)
-        return any(prefix in report.load.prefixes for report in reports if report is not None)
+        return any(prefix in report.load.prefixes for report in self._reports(fleet))
 
     def entries(self, fleet: str) -> float:
         """Return how many entries there are, by what agents hear."""
-        heard = [
-            view.report.offered.entries for view in self.views.values() if view.report and view.cfg['fleet'] == fleet
-        ]
+        heard = [report.offered.entries for report in self._reports(fleet)]
         return sum(heard) / len(heard) if heard else 1
 
     def offered(self, fleet: str) -> Offered:
@@ -98,6 +97,7 @@
 
     async def keep(self) -> None:
         """Follow the configuration until cancelled."""
+        self._known_for = None
         async with trio.open_nursery() as nursery:
             while True:
                 self._adapt(nursery)
@@ -120,7 +120,17 @@
                     view.platform_leaving = view.cfg['agent'] in leaving
             await trio.sleep(LIST_INTERVAL_S)
 
+    def _reports(self, fleet: str) -> list[LoadReport]:
+        views = (view for view in self.views.values() if view.cfg['fleet'] == fleet)
+        return [view.report for view in views if view.report is not None]
+
     def _adapt(self, nursery: trio.Nursery) -> None:
+        # Most records are renewals. To rank all runners anew for each would
+        # cost more than to fold it.
+        known_for = (self._follower.state.version, frozenset(self.led))
+        if known_for == self._known_for:
+            return
+        self._known_for = known_for
         try:
             wanted = self._follower.in_force.configuration['runners']
         except NotConfiguredError:
--- a/packages/sesamepoint/src/sesamepoint/keys/home.py
+++ b/packages/sesamepoint/src/sesamepoint/keys/home.py
@@ -133,6 +133,11 @@
             self._changed.set_off()
 
     def _keep(self, key: str, kept: Kept) -> None:
+        # A settlement whose receipt was lost comes again; counted twice, its
+        # bytes would push other answers out.
+        former = self._kept.pop(key, None)
+        if former is not None:
+            self._kept_bytes -= sum(map(len, former.chunks))
         self._kept[key] = kept
         self._kept_bytes += sum(map(len, kept.chunks))
         while self._kept_bytes > MAX_KEPT_BYTES:
