Watch runners again after the part that follows the configuration restarts

Cause: the tasks that beat live in that part's nursery and ended with it, while their views stayed and looked alive for ever. The part now starts without views. test_runners_watched_after_a_restart failed before.

--- a/packages/sesamepoint/src/sesamepoint/entry/fleets.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/fleets.py
@@ -97,6 +97,9 @@
 
     async def keep(self) -> None:
         """Follow the configuration until cancelled."""
+        # After a restart the tasks that beat are gone with the former nursery.
+        for name in tuple(self.views):
+            self._drop(name)
         self._known_for = None
         async with trio.open_nursery() as nursery:
             while True:
--- a/tests/runtime/test_fleets.py
+++ b/tests/runtime/test_fleets.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from unittest import TestCase
+from unittest import TestCase, mock
 
 import trio
 
 from sesamepoint_core.route.subset import SUBSET
+from sesamepoint.entry.fleets import Fleets
 from sesamepoint_standins.bed import Bed
 from tests.builders import configuration
 from tests.virtual import Calls, body, request, settle, virtual
@@ -18,6 +19,22 @@
 class SubsetTest(TestCase):
     """No entry but the leader knows a large fleet whole."""
 
+    @virtual
+    async def test_runners_watched_after_a_restart(self) -> None:
+        # The part that follows the configuration fails and is restarted. The
+        # tasks that beat ended with it; left as they were, the views would
+        # look alive for ever, and a lost runner would go on getting work.
+        async with Bed.open(configuration(size=2), entries=1) as bed:
+            await settle()
+            fleets = bed.entries['entry-1'].entry.fleets
+            with mock.patch.object(Fleets, '_adapt', side_effect=ValueError('broken')):
+                fleets.lead('verdict-llm', leading=False)
+                await trio.sleep(0.05)
+            await settle()
+            bed.agents['verdict-1'].scope.cancel()
+            await settle()
+            self.assertFalse(fleets.views['verdict-1'].alive)
+
     @virtual
     async def test_leader_knows_all_the_work(self) -> None:
         # Each entry beats with a few agents only, so no agent hears all of
