--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on a request for an upstream: route, path, retries, deadlines."""
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -0,0 +1,77 @@
+"""Finding runners that fail or hang, from what their answers show."""
+
+from __future__ import annotations
+
+# Failures in a row after which a runner is left out. One may be chance: even
+# sound runners lose an answer now and then.
+FAILURES_TO_EJECT = 3
+# The share of recent failures from which on a runner is left out although
+# some answers are good. Sound runners of today's deployments fail up to 15%.
+FAILING_SHARE = 0.4
+# Weight of the newest answer in that share: about the last ten count.
+LEARNING = 0.15
+# How long a runner is left out the first time, and at the most, in seconds.
+FIRST_OUT_S = 1.0
+MAX_OUT_S = 4.0
+BACKOFF = 2.0
+# A request without a sign of an answer for this long makes its runner
+# suspect: no other request goes there until it answers.
+SILENT_S = 1.0
+
+
+class Health:
+    """Beliefs about one runner's soundness.
+
+    A runner that is left out is tried again by real requests afterwards; if
+    the first of those fails too, it is out for twice as long.
+    """
+
+    def __init__(self) -> None:
+        """Take the runner for sound."""
+        self._in_a_row = 0
+        self._failing: float = 0
+        self._out_until: float = 0
+        self._out_s = FIRST_OUT_S
+        self._waiting: dict[int, float] = {}
+        self._serial = 0
+
+    def usable(self, now: float) -> bool:
+        """Tell whether requests may go there."""
+        return now >= self._out_until and not self.silent(now)
+
+    def silent(self, now: float) -> bool:
+        """Tell whether a request has waited there for too long."""
+        oldest = next(iter(self._waiting.values()), now)
+        return now - oldest > SILENT_S
+
+    def sent(self, now: float) -> int:
+        """Note that a request waits for a first sign; returns its ticket."""
+        self._serial += 1
+        self._waiting[self._serial] = now
+        return self._serial
+
+    def settled(self, ticket: int) -> None:
+        """Note that the request with ``ticket`` no longer waits."""
+        self._waiting.pop(ticket, None)
+
+    def good(self) -> None:
+        """Count a sound answer."""
+        self._in_a_row = 0
+        self._out_s = FIRST_OUT_S
+        self._failing *= 1 - LEARNING
+
+    def bad(self, now: float) -> bool:
+        """Count a failure; True if the runner is left out from now on."""
+        self._in_a_row += 1
+        self._failing += LEARNING * (1 - self._failing)
+        if self._in_a_row < FAILURES_TO_EJECT and self._failing < FAILING_SHARE:
+            return False
+        self._out_until = now + self._out_s
+        self._out_s = min(self._out_s * BACKOFF, MAX_OUT_S)
+        # One more failure after the return is enough to leave it out again.
+        self._in_a_row = FAILURES_TO_EJECT - 1
+        self._failing = min(self._failing, FAILING_SHARE - LEARNING)
+        return True
+
+
+__all__ = ('Health',)
--- a/packages/sesamepoint/src/sesamepoint/cli.py
+++ b/packages/sesamepoint/src/sesamepoint/cli.py
@@ -3,11 +3,14 @@
 Usage:
   sesamepoint entry --settings FILE
   sesamepoint agent --settings FILE
+  sesamepoint front [--settings FILE]
   sesamepoint --help
   sesamepoint --version
 
 Options:
-  --settings FILE  JSON with comments; see docs/SETTINGS.md.
+  --settings FILE  JSON with comments; see docs/SETTINGS.md. For front: the
+                   platform's file, by default the one that the variable
+                   SESAMEPOINT_CONFIG names.
 
 Exit status: 0 after a graceful stop, 1 when a part failed for good,
 2 for bad usage or bad settings.
@@ -15,6 +18,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
@@ -23,11 +27,7 @@
 
 from sesamepoint import events
 from sesamepoint.command_line import run_command_line
-from sesamepoint.process.agent_process import AgentProcess
-from sesamepoint.process.entry_process import EntryProcess
 from sesamepoint.process.stop import run_until_stopped
-from sesamepoint.settings.load import load_settings
-from sesamepoint.settings.model import AgentSettings, EntrySettings
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
@@ -56,14 +56,27 @@
 
 
 def _build(arguments: dict[str, Any]) -> Process:
+    """Build the process; its modules are imported when it is known which.
+
+    A front process has no use for gRPC and for the checks of our own
+    settings, which take 35 MB of memory.
+    """
+    if arguments['front']:
+        return _build_front(arguments['--settings'])
+    from sesamepoint.process import own_settings  # noqa: PLC0415
+
     path = Path(arguments['--settings'])
-    if arguments['entry']:
-        entry_cfg = load_settings(path, EntrySettings)
-        events.set_up_logs(entry_cfg['name'])
-        return EntryProcess.from_config(entry_cfg)
-    agent_cfg = load_settings(path, AgentSettings)
-    events.set_up_logs(agent_cfg['name'])
-    return AgentProcess.from_config(agent_cfg)
+    return own_settings.build_entry(path) if arguments['entry'] else own_settings.build_agent(path)
+
+
+def _build_front(path: str | None) -> Process:
+    from sesamepoint.platform.names import SETTINGS_VARIABLE  # noqa: PLC0415
+    from sesamepoint.platform.settings import read_settings  # noqa: PLC0415
+    from sesamepoint.process.front_process import FrontProcess  # noqa: PLC0415
+
+    cfg = read_settings(Path(path or os.environ[SETTINGS_VARIABLE]))
+    events.set_up_logs(cfg.name)
+    return FrontProcess.from_config(cfg)
 
 
 if __name__ == '__main__':
--- a/packages/sesamepoint/src/sesamepoint/command_line.py
+++ b/packages/sesamepoint/src/sesamepoint/command_line.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import sys
-from importlib.metadata import version
+from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING, Any
 
 from docopt import DocoptExit, docopt
 
 from sesamepoint_core.errors import SesamepointError
-from sesamepoint.settings.load import SettingsError
+from sesamepoint.settings_error import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -33,7 +33,7 @@
         settings, or a bad file.
     """
     try:
-        arguments = docopt(usage, argv, version=version(program))
+        arguments = docopt(usage, argv, version=_version(program))
     except DocoptExit as exc:
         sys.stderr.write(f'{exc}\n')
         return EXIT_USAGE
@@ -48,4 +48,12 @@
     return 0
 
 
+def _version(program: str) -> str:
+    """Return the installed version, or a word where nothing is installed."""
+    try:
+        return version(program)
+    except PackageNotFoundError:
+        return 'from a source tree'
+
+
 __all__ = ('run_command_line',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -0,0 +1,158 @@
+"""One attempt to have a request served by one runner."""
+
+from __future__ import annotations
+
+import math
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Unsent
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
+from sesamepoint.platform.headers import answers, encode_request, returned, says_not_run, signed
+from sesamepoint.single_error import single_error
+
+if TYPE_CHECKING:
+    from sesamepoint.front.member import Member
+    from sesamepoint.front.reply import Reply
+    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.http1.client import ClientConn
+    from sesamepoint.http1.messages import ResponseHead
+    from sesamepoint.platform.headers import Sending
+
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+# A larger body of an answer that comes whole is passed on in parts.
+BUFFERED_BYTES = 262144
+
+
+class Target(NamedTuple):
+    """Where an attempt goes, and how long it may stay without a sign."""
+
+    member: Member
+    sending: Sending
+    patience_s: float = math.inf
+
+
+class Attempt:
+    """Sends the request, and passes the answer on if it is a good one."""
+
+    def __init__(self, req: FrontRequest, target: Target, reply: Reply, *, streamed: bool) -> None:
+        """Prepare; nothing is sent before :meth:`run`."""
+        self.first_s: float | None = None
+        self._req = req
+        self._target = target
+        self._reply = reply
+        self._streamed = streamed
+        self._patience = trio.CancelScope()
+        self._ticket = 0
+        self._started: float = 0
+
+    async def run(self) -> AttemptResult:
+        """Run to the end; a connection that ends the wait is closed.
+
+        Closing makes the runner drop the work, so that nothing runs for
+        callers that have gone and no second run overlaps with the first.
+        """
+        member = self._target.member
+        self._started = trio.current_time()
+        self._ticket = member.health.sent(self._started)
+        self._patience.deadline = self._started + self._target.patience_s
+        member.in_flight += 1
+        try:
+            with self._patience:
+                return await self._exchange(member)
+        finally:
+            member.in_flight -= 1
+            member.health.settled(self._ticket)
+        return Broken('no sign of an answer in time')
+
+    async def _exchange(self, member: Member) -> AttemptResult:
+        try:
+            conn = await member.pool.take()
+        except ConnectFailedError as exc:
+            return Unsent(str(exc))
+        try:
+            with single_error():
+                return await self._converse(conn)
+        except ConnBrokenError as exc:
+            return Broken(str(exc))
+        finally:
+            member.pool.give_back(conn)
+
+    async def _converse(self, conn: ClientConn) -> AttemptResult:
+        wire = conn.begin(encode_request(self._req, self._target.sending), self._req.body)
+        async with trio.open_nursery() as nursery:
+            # A runner may answer before it has read a long body.
+            nursery.start_soon(conn.send_quietly, wire)
+            became = await self._read(conn)
+            nursery.cancel_scope.cancel()
+        return became
+
+    async def _read(self, conn: ClientConn) -> AttemptResult:
+        head = await conn.head(partial(answers, self._req))
+        if says_not_run(head):
+            await read_body(conn)
+            return Rejected(head.status)
+        if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
+            return RunFailed(head, await read_body(conn))
+        if not signed(head):
+            return Broken('an answer that no runner signed')
+        if self._streamed:
+            return await self._relay_events(conn, head)
+        self._note_sign()
+        return await self._relay_whole(conn, head)
+
+    async def _relay_whole(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
+        held = b''
+        while chunk := await conn.chunk():
+            held += chunk
+            if len(held) > BUFFERED_BYTES:
+                await self._begin(head)
+                await self._reply.part(held)
+                held = b''
+        if self._reply.begun:
+            await self._finish(held)
+        else:
+            await self._reply.whole(head.status, returned(head), held)
+        return Relayed(head.status)
+
+    async def _relay_events(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
+        splitter = self._reply.events
+        splitter.restart()
+        while chunk := await conn.chunk():
+            whole = splitter.feed(chunk)
+            if whole:
+                self._note_sign()
+                await self._begin(head)
+                await self._reply.part(whole)
+        await self._begin(head)
+        await self._finish(splitter.rest)
+        return Relayed(head.status)
+
+    async def _begin(self, head: ResponseHead) -> None:
+        if not self._reply.begun:
+            await self._reply.begin(head.status, returned(head))
+
+    async def _finish(self, rest: bytes) -> None:
+        if rest:
+            await self._reply.part(rest)
+        await self._reply.end()
+
+    def _note_sign(self) -> None:
+        if self.first_s is None:
+            self.first_s = trio.current_time() - self._started
+            self._patience.deadline = math.inf
+            self._target.member.health.settled(self._ticket)
+
+
+async def read_body(conn: ClientConn) -> bytes:
+    """Read a body to its end."""
+    parts = []
+    while chunk := await conn.chunk():
+        parts.append(chunk)
+    return b''.join(parts)
+
+
+__all__ = ('Attempt', 'Target', 'read_body')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/door.py
@@ -0,0 +1,105 @@
+"""Callers' connections: one task each, requests one after the other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint import events
+from sesamepoint.front.reply import Reply
+from sesamepoint.http1.messages import RejectedMessageError
+from sesamepoint.http1.server import CallerGoneError, ServerConn, ServerLimits
+from sesamepoint.http1.sockets import tune
+from sesamepoint.platform.headers import decode_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint.front.dispatch import Dispatcher
+    from sesamepoint.front.request import FrontRequest
+
+INTERNAL_ERROR = 500
+
+
+class Door:
+    """Serves callers' connections and knows how to stop gracefully."""
+
+    def __init__(self, dispatcher: Dispatcher, limits: Callable[[], ServerLimits]) -> None:
+        """Pass requests to ``dispatcher``; ``limits`` are asked a connection."""
+        self.stopping = False
+        self.active = 0
+        self._dispatcher = dispatcher
+        self._limits = limits
+        self._idle: set[trio.CancelScope] = set()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection to its end; never raises."""
+        tune(stream.socket)
+        conn = ServerConn(stream, self._limits())
+        try:
+            await self._converse(conn)
+        except CallerGoneError:
+            return
+        except Exception as exc:
+            # One connection's failure must not end the others.
+            events.log_event(events.CONNECTION_BROKE, cause=repr(exc))
+        finally:
+            await _close(stream)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for scope in tuple(self._idle):
+            scope.cancel()
+
+    async def _converse(self, conn: ServerConn) -> None:
+        while await self._next_request(conn):
+            if not await self._take_request(conn):
+                return
+            conn.next_cycle()
+
+    async def _next_request(self, conn: ServerConn) -> bool:
+        with trio.CancelScope() as scope:
+            self._idle.add(scope)
+            try:
+                return await conn.first_byte()
+            finally:
+                self._idle.discard(scope)
+        return False
+
+    async def _take_request(self, conn: ServerConn) -> bool:
+        self.active += 1
+        try:
+            await self._answer(conn, decode_request(await conn.request()))
+        except RejectedMessageError as exc:
+            conn.closing = True
+            events.log_event(events.REQUEST_REJECTED, status=exc.status, cause=str(exc))
+            await Reply(conn).refuse(exc.status, str(exc))
+        finally:
+            self.active -= 1
+        return conn.reusable
+
+    async def _answer(self, conn: ServerConn, req: FrontRequest) -> None:
+        reply = Reply(conn)
+        conn.closing = self.stopping
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_gone, conn, req, nursery.cancel_scope)
+            try:
+                await self._dispatcher.serve(req, reply)
+            except CallerGoneError:
+                events.log_event(events.CALLER_LEFT, request=req.request_id)
+            nursery.cancel_scope.cancel()
+
+    async def _cancel_when_gone(self, conn: ServerConn, req: FrontRequest, scope: trio.CancelScope) -> None:
+        """End the work for a caller that has gone, so that no runner works in vain."""
+        await conn.watch()
+        events.log_event(events.CALLER_LEFT, request=req.request_id)
+        scope.cancel()
+
+
+async def _close(stream: trio.SocketStream) -> None:
+    with trio.CancelScope(shield=True):
+        await trio.aclose_forcefully(stream)
+
+
+__all__ = ('Door',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -0,0 +1,89 @@
+"""The runners that this process may send requests to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint import events
+from sesamepoint.front.member import UNKNOWN_KV_TOKENS, Member
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from sesamepoint_core.serving.routes import Configuration
+    from sesamepoint_core.serving.runner import Runner
+
+# Share of the time that a vanished runner may still be used in. Registrations
+# also lapse while the store is away, though their runners live; without a
+# while of grace a store that comes back would empty every fleet for seconds.
+GRACE_SHARE = 0.5
+
+
+class Fleet:
+    """Members by key, kept in step with their registrations."""
+
+    def __init__(self, drain_s: float, now: Callable[[], float]) -> None:
+        """Allow a vanished runner a part of ``drain_s``."""
+        self.listed = False
+        self.members: dict[str, Member] = {}
+        self._grace_s = drain_s * GRACE_SHARE
+        self._now = now
+        self._kv_tokens: dict[str, int] = {}
+
+    def configure(self, cfg: Configuration) -> None:
+        """Learn the memory sizes of engines."""
+        for service in cfg.services.values():
+            if service.engine:
+                self._kv_tokens[service.name] = service.engine.kv_tokens
+
+    def replace_all(self, runners: Iterable[Runner]) -> None:
+        """Take a whole list; what is not on it has gone."""
+        found = {runner.key: runner for runner in runners}
+        for key in tuple(self.members):
+            if key not in found:
+                self.remove(key)
+        for runner in found.values():
+            self.update(runner)
+        self.listed = True
+
+    def update(self, runner: Runner) -> None:
+        """Take a new or renewed registration."""
+        member = self.members.get(runner.key)
+        if member is None:
+            kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
+            self.members[runner.key] = Member(runner, kv_tokens)
+            events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
+            return
+        if runner.leaving and not member.runner.leaving:
+            events.log_event(events.RUNNER_LEAVING, runner=runner.key, fleet=runner.service)
+        member.runner = runner
+        member.gone_at = None
+
+    def remove(self, key: str) -> None:
+        """Note that a registration has vanished."""
+        member = self.members.get(key)
+        if member is None or member.gone_at is not None:
+            return
+        member.gone_at = self._now()
+        events.log_event(events.RUNNER_GONE, runner=key, fleet=member.runner.service)
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return the members of ``service`` that may get new requests.
+
+        Those whose registration has vanished are there only if no other is.
+        """
+        self._forget()
+        found = [member for member in self.members.values() if member.runner.service == service]
+        staying = [member for member in found if not member.runner.leaving]
+        present = [member for member in staying if member.gone_at is None]
+        return present or staying
+
+    def _forget(self) -> None:
+        now = self._now()
+        for key, member in tuple(self.members.items()):
+            if member.gone_at is not None and now - member.gone_at > self._grace_s:
+                member.close()
+                self.members.pop(key)
+
+
+__all__ = ('Fleet',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -0,0 +1,39 @@
+"""What this process knows of one runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint_core.route.pace import Pace
+from sesamepoint_core.serving.health import Health
+from sesamepoint_core.serving.kv_cache import CacheModel
+from sesamepoint_core.serving.queue_model import QueueModel
+from sesamepoint.front.pool import Pool
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.runner import Runner
+
+# Until the operator has published the memory of an engine.
+UNKNOWN_KV_TOKENS = 200_000
+
+
+class Member:
+    """One runner: its registration, its connections, and beliefs about it."""
+
+    def __init__(self, runner: Runner, kv_tokens: int = UNKNOWN_KV_TOKENS) -> None:
+        """Know nothing but the registration."""
+        self.runner = runner
+        self.gone_at: float | None = None
+        self.pool = Pool(runner.address)
+        self.health = Health()
+        self.queue = QueueModel()
+        self.cache = CacheModel(kv_tokens)
+        self.pace = Pace()
+        self.in_flight = 0
+
+    def close(self) -> None:
+        """Close idle connections; what is under way goes on."""
+        self.pool.close()
+
+
+__all__ = ('Member',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/pages.py
@@ -0,0 +1,65 @@
+"""The pages for the platform and for operators: readiness and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint import events
+from sesamepoint.http1.messages import RejectedMessageError
+from sesamepoint.http1.server import CallerGoneError, ServerConn, ServerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    import trio
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+TEXT = ((b'content-type', b'text/plain; charset=utf-8'),)
+
+
+class Page:
+    """A status and a text for each request of one path."""
+
+    def __init__(self, text: Callable[[], bytes], good: Callable[[], bool]) -> None:
+        """Show ``text``, with 200 while ``good``."""
+        self._text = text
+        self._good = good
+
+    def show(self) -> tuple[int, bytes]:
+        """Return the status and the text of now."""
+        return (STATUS_OK if self._good() else STATUS_UNAVAILABLE), self._text()
+
+
+class Pages:
+    """Serves pages by their path on connections of their own."""
+
+    def __init__(self, pages: Mapping[str, Page]) -> None:
+        """Serve ``pages``."""
+        self._pages = pages
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection to its end; never raises."""
+        conn = ServerConn(stream, ServerLimits())
+        try:
+            async with stream:
+                await self._converse(conn)
+        except (CallerGoneError, RejectedMessageError):
+            return
+        except Exception as exc:
+            events.log_event(events.CONNECTION_BROKE, cause=repr(exc))
+
+    async def _converse(self, conn: ServerConn) -> None:
+        while await conn.first_byte():
+            message = await conn.request()
+            path = message.head.target.decode('latin-1').partition('?')[0]
+            page = self._pages.get(path)
+            status, text = page.show() if page else (STATUS_NOT_FOUND, b'no such page')
+            await conn.whole(status, TEXT, text)
+            if not conn.reusable:
+                return
+            conn.next_cycle()
+
+
+__all__ = ('Page', 'Pages')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -0,0 +1,115 @@
+"""Entries telling each other what they send to runners."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.serving.address import Address
+from sesamepoint import events
+from sesamepoint.front.sends import Send
+from sesamepoint.platform.names import ENTRY_TOPIC
+
+if TYPE_CHECKING:
+    from sesamepoint.front.sends import SendNotes
+    from sesamepoint.front.settings import FrontSettings
+    from sesamepoint.platform.store import KeyedRecord, StoreClient
+
+# Sends are gathered for this long, in seconds, before peers are told: short
+# against the work they stand for (tens of ms), long against a datagram.
+GATHER_S = 0.02
+# More sends than this go into a second datagram, to stay below 1,400 bytes.
+SENDS_A_DATAGRAM = 10
+DATAGRAM_BYTES = 65536
+REGISTER_AGAIN_S = 1.0
+
+
+class Word(NamedTuple):
+    """One datagram."""
+
+    entry: str
+    sends: list[Send]
+
+
+class Peers:
+    """The other entries, and the exchange with them."""
+
+    def __init__(self, cfg: FrontSettings, sends: SendNotes) -> None:
+        """Know nobody yet."""
+        self._cfg = cfg
+        self._sends = sends
+        self._addresses: dict[str, Address] = {}
+        self._sock: trio.socket.SocketType | None = None
+
+    def count(self) -> int:
+        """Return how many entries are registered, this one included."""
+        return len(self._addresses.keys() | {self._cfg.name})
+
+    def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take the whole list of entries."""
+        self._addresses.clear()
+        for record in records:
+            self.update(record)
+
+    def update(self, record: KeyedRecord) -> None:
+        """Take the newest word on one entry."""
+        if record.text:
+            self._addresses[record.key] = Address.parse(record.text.decode())
+        else:
+            self._addresses.pop(record.key, None)
+
+    async def register(self, store: StoreClient) -> None:
+        """Tell the other entries, by the store, where this one listens."""
+        own = str(Address(self._cfg.host, self._cfg.peer_port)).encode()
+        while True:
+            try:
+                return await store.put(ENTRY_TOPIC, self._cfg.name, own)
+            except PlatformUnavailableError as exc:
+                events.log_event(events.REGISTER_FAILED, cause=str(exc))
+            await trio.sleep(REGISTER_AGAIN_S)
+
+    async def listen(self) -> None:
+        """Take in peers' words until cancelled."""
+        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
+            await sock.bind((self._cfg.host, self._cfg.peer_port))
+            self._sock = sock
+            await self._take_in(sock)
+
+    async def tell(self) -> None:
+        """Tell peers of this entry's sends until cancelled."""
+        while True:
+            await self._sends.fresh.wait()
+            await trio.sleep(GATHER_S)
+            unsent = self._sends.drain()
+            for start in range(0, len(unsent), SENDS_A_DATAGRAM):
+                await self._tell_all(unsent[start : start + SENDS_A_DATAGRAM])
+
+    async def _take_in(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            datagram, _ = await sock.recvfrom(DATAGRAM_BYTES)
+            try:
+                word = msgspec.msgpack.decode(datagram, type=Word)
+            except msgspec.DecodeError as exc:
+                events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
+                continue
+            self._sends.heard(word.sends)
+
+    async def _tell_all(self, sends: list[Send]) -> None:
+        datagram = msgspec.msgpack.encode(Word(self._cfg.name, sends))
+        for name, address in tuple(self._addresses.items()):
+            if name != self._cfg.name:
+                await self._tell(datagram, address)
+
+    async def _tell(self, datagram: bytes, address: Address) -> None:
+        if self._sock is None:
+            return
+        try:
+            await self._sock.sendto(datagram, address)
+        except OSError as exc:
+            events.log_event(events.PEER_UNREACHABLE, peer=str(address), cause=repr(exc))
+
+
+__all__ = ('Peers', 'Word')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -0,0 +1,67 @@
+"""Kept connections to one runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint.http1.client import ClientConn
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+
+# A runner closes idle connections after a time that it may not tell. What
+# has been idle for longer than this is not used again, since a request that
+# crosses the close may or may not have run.
+MAX_IDLE_S = 4.0
+# Share of a told idle time that is used, for the same reason.
+IDLE_SHARE = 0.6
+# In one zone a connection takes under a millisecond, between zones three; a
+# lost packet is sent again after 0.2 s.
+CONNECT_S = 0.45
+
+
+class Pool:
+    """Connections to one runner that are not in use."""
+
+    def __init__(self, address: Address) -> None:
+        """Aim at ``address``; opens nothing yet."""
+        self._address = address
+        self._idle: list[ClientConn] = []
+
+    async def take(self) -> ClientConn:
+        """Return a connection, kept or new.
+
+        Raises
+        ------
+        ConnectFailedError
+            If a new one was needed and did not come about.
+        """
+        now = trio.current_time()
+        while self._idle:
+            conn = self._idle.pop()
+            if _fresh(conn, now) and conn.quiet():
+                return conn
+            conn.close()
+        return await ClientConn.open(self._address, CONNECT_S)
+
+    def give_back(self, conn: ClientConn) -> None:
+        """Keep ``conn`` if it can carry another request, else close it."""
+        if conn.recycle():
+            self._idle.append(conn)
+        else:
+            conn.close()
+
+    def close(self) -> None:
+        """Close what is idle."""
+        while self._idle:
+            self._idle.pop().close()
+
+
+def _fresh(conn: ClientConn, now: float) -> bool:
+    allowed_s = MAX_IDLE_S if conn.keep_s is None else min(MAX_IDLE_S, conn.keep_s * IDLE_SHARE)
+    return now - conn.idle_since < allowed_s
+
+
+__all__ = ('Pool',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -0,0 +1,141 @@
+"""Having a prompt read at one runner, for another to go on from."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import trio
+
+from sesamepoint import events
+from sesamepoint.front.attempt import read_body
+from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
+from sesamepoint.platform.headers import answers, encode_request
+from sesamepoint.platform.names import KV_HANDLE_PATH
+from sesamepoint.single_error import single_error
+
+if TYPE_CHECKING:
+    from sesamepoint.front.attempt import Target
+    from sesamepoint.front.member import Member
+    from sesamepoint.front.request import FrontRequest
+
+STATUS_OK = 200
+# Giving memory back is worth little; a runner that does not answer keeps it
+# until the handle lapses.
+FREE_S = 1.0
+# Handles that wait to be freed; more only pile up while a runner hangs.
+MAX_WAITING = 256
+
+
+class Prefilled(NamedTuple):
+    """Where the memory of a read prompt lies."""
+
+    member: Member
+    kv_handle: str
+
+    @property
+    def source(self) -> str:
+        """Return the address and handle as the next runner wants them."""
+        return f'{self.member.runner.address}/{self.kv_handle}'
+
+
+class _HandleReply(msgspec.Struct):
+    kv_handle: str
+
+
+async def prefill(req: FrontRequest, target: Target) -> Prefilled | str:
+    """Have the prompt of ``req`` read; returns the cause if it failed."""
+    member = target.member
+    ticket = member.health.sent(trio.current_time())
+    member.in_flight += 1
+    try:
+        with trio.move_on_after(target.patience_s):
+            return await _exchange(req, target)
+    finally:
+        member.in_flight -= 1
+        member.health.settled(ticket)
+    return 'no answer in time'
+
+
+async def _exchange(req: FrontRequest, target: Target) -> Prefilled | str:
+    member = target.member
+    try:
+        conn = await member.pool.take()
+    except ConnectFailedError as exc:
+        return str(exc)
+    try:
+        with single_error():
+            status, body = await _converse(req, target, conn)
+    except ConnBrokenError as exc:
+        return str(exc)
+    finally:
+        member.pool.give_back(conn)
+    if status != STATUS_OK:
+        return f'status {status}'
+    try:
+        return Prefilled(member, msgspec.json.decode(body, type=_HandleReply).kv_handle)
+    except msgspec.DecodeError as exc:
+        return str(exc)
+
+
+async def _converse(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[int, bytes]:
+    wire = conn.begin(encode_request(req, target.sending), req.body)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(conn.send_quietly, wire)
+        head = await conn.head(partial(answers, req))
+        body = await read_body(conn)
+        nursery.cancel_scope.cancel()
+    return head.status, body
+
+
+class HandleReclaimer:
+    """Gives back memory that no runner will take over."""
+
+    def __init__(self) -> None:
+        """Start with nothing to free."""
+        channel = trio.open_memory_channel[Prefilled](MAX_WAITING)
+        self._send = channel[0]
+        self._receive = channel[1]
+
+    def drop(self, prefilled: Prefilled) -> None:
+        """Have ``prefilled`` freed soon."""
+        try:
+            self._send.send_nowait(prefilled)
+        except trio.WouldBlock:
+            events.log_event(events.HANDLE_LEFT, runner=prefilled.member.runner.key, cause='too many wait')
+
+    async def run(self) -> None:
+        """Free handles until cancelled."""
+        async for prefilled in self._receive:
+            with trio.move_on_after(FREE_S):
+                await self._free(prefilled)
+
+    async def _free(self, prefilled: Prefilled) -> None:
+        runner = prefilled.member.runner
+        target = f'{KV_HANDLE_PATH}{prefilled.kv_handle}'.encode()
+        headers = ((b'host', str(runner.address).encode()), (b'content-length', b'0'))
+        try:
+            conn = await prefilled.member.pool.take()
+        except ConnectFailedError as exc:
+            return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
+        try:
+            await _ask_whole(conn, RequestHead(b'DELETE', target, headers))
+        except ConnBrokenError as exc:
+            events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
+        finally:
+            prefilled.member.pool.give_back(conn)
+
+
+async def _ask_whole(conn: ClientConn, head: RequestHead) -> None:
+    await conn.send(conn.begin(head, b''))
+    await conn.head(_any_answer)
+    await read_body(conn)
+
+
+def _any_answer(_: object) -> bool:
+    return True
+
+
+__all__ = ('HandleReclaimer', 'Prefilled', 'prefill')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/results.py
@@ -0,0 +1,55 @@
+"""What became of one attempt at one runner: tagged outcomes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, ClassVar
+
+if TYPE_CHECKING:
+    from sesamepoint.http1.messages import ResponseHead
+
+
+@dataclass(frozen=True)
+class Relayed:
+    """The runner's whole answer went to the caller."""
+
+    tag: ClassVar[str] = 'relayed'
+    status: int
+
+
+@dataclass(frozen=True)
+class Unsent:
+    """The runner never got the request."""
+
+    tag: ClassVar[str] = 'unsent'
+    cause: str
+
+
+@dataclass(frozen=True)
+class Rejected:
+    """The runner stated that it did not run the request."""
+
+    tag: ClassVar[str] = 'rejected'
+    status: int
+
+
+@dataclass(frozen=True)
+class RunFailed:
+    """The runner ran the request and answered with a failure of its own."""
+
+    tag: ClassVar[str] = 'run_failed'
+    head: ResponseHead
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Broken:
+    """No whole answer came; the request may have run."""
+
+    tag: ClassVar[str] = 'broken'
+    cause: str
+
+
+AttemptResult = Relayed | Unsent | Rejected | RunFailed | Broken
+
+__all__ = ('AttemptResult', 'Broken', 'Rejected', 'Relayed', 'RunFailed', 'Unsent')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -0,0 +1,58 @@
+"""The settings of a front process, whatever file they came from."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+
+
+class StoreSettings(NamedTuple):
+    """Where the platform's store is."""
+
+    address: Address
+
+
+class FrontSettings(NamedTuple):
+    """What one front process needs to know.
+
+    Parameters
+    ----------
+    host
+        The address of this instance, for its peers.
+    peer_port
+        Peers exchange datagrams on this port; the same on all instances.
+    last_port
+        The end of the ports that are free for use; metrics are served there.
+    drain_s
+        How long a runner that leaves may still get requests.
+    stop_s
+        Time between the signal to stop and the end by force.
+    config_s
+        Within this a new configuration must be in force.
+    heartbeat_s
+        How often runners renew their registration.
+    retry_ratio, retry_reserve, retry_window_s
+        In a window, all entries together may send again ``retry_ratio`` of
+        the requests, and ``retry_reserve`` more.
+    """
+
+    name: str
+    host: str
+    availability_zone: str
+    listen: Address
+    ready_listen: Address
+    peer_port: int
+    last_port: int
+    drain_s: float
+    stop_s: float
+    config_s: float
+    heartbeat_s: float
+    retry_ratio: float
+    retry_reserve: float
+    retry_window_s: float
+    store: StoreSettings
+
+
+__all__ = ('FrontSettings', 'StoreSettings')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -0,0 +1,216 @@
+"""The server's side of one HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+import trio
+
+from sesamepoint.http1.messages import RejectedMessageError, RequestHead
+
+if TYPE_CHECKING:
+    from sesamepoint.http1.messages import Headers
+
+RECEIVE_BYTES = 65536
+# Bytes of a next request that are kept while an answer is under way; beyond
+# them a caller that does not wait is no longer read.
+MAX_HELD_BYTES = 65536
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+BODY_TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
+DEFAULT_HEAD_BYTES = 16384
+DEFAULT_BODY_BYTES = 4194304
+DEFAULT_HEAD_S = 3.0
+DEFAULT_IDLE_S = 15.0
+
+
+class ServerLimits(NamedTuple):
+    """How much a caller may send, and how long it may take."""
+
+    head_bytes: int = DEFAULT_HEAD_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    head_s: float = DEFAULT_HEAD_S
+    idle_s: float = DEFAULT_IDLE_S
+
+
+class Message(NamedTuple):
+    """A whole request; ``arrived`` is on trio's clock."""
+
+    head: RequestHead
+    body: bytes
+    arrived: float
+
+
+class CallerGoneError(Exception):
+    """The far end closed the connection."""
+
+
+class ServerConn:
+    """Reads requests and writes answers, one after the other."""
+
+    def __init__(self, stream: trio.abc.Stream, limits: ServerLimits) -> None:
+        """Use ``stream``, which the caller of this closes."""
+        self.closing = False
+        self._stream = stream
+        self._limits = limits
+        self._state = h11.Connection(h11.SERVER, limits.head_bytes)
+        self._held = b''
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether another request can follow."""
+        state = self._state
+        return not self.closing and state.our_state is h11.DONE and state.their_state is h11.DONE
+
+    def next_cycle(self) -> None:
+        """Get ready for the next request."""
+        self._state.start_next_cycle()
+
+    async def first_byte(self) -> bool:
+        """Wait for a request to begin; False if none comes."""
+        if self._held:
+            self._feed(self._held)
+            self._held = b''
+            return True
+        if self._state.trailing_data[0]:
+            return True
+        with trio.move_on_after(self._limits.idle_s):
+            received = await self._receive()
+            self._feed(received)
+            return bool(received)
+        return False
+
+    async def request(self) -> Message:
+        """Read a whole request.
+
+        Raises
+        ------
+        RejectedMessageError
+            With the status to answer, if it cannot be taken.
+        CallerGoneError
+            If the far end left before the request was whole.
+        """
+        arrived = trio.current_time()
+        with trio.move_on_after(self._limits.head_s):
+            head = await self._head()
+            return Message(head, await self._body(), arrived)
+        raise RejectedMessageError(REQUEST_TIMEOUT, 'the request took too long to arrive')
+
+    async def watch(self) -> None:
+        """Return once the far end has closed; holds what else it sends."""
+        while True:
+            received = await self._receive()
+            if not received:
+                return
+            self._held += received
+            if len(self._held) > MAX_HELD_BYTES:
+                await trio.sleep_forever()
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer; :meth:`part` and :meth:`end` follow."""
+        await self._send(self._head_bytes(status, headers))
+
+    async def part(self, body: bytes) -> None:
+        """Send some of an answer's body."""
+        await self._send(self._state.send(h11.Data(data=body)) or b'')
+
+    async def end(self) -> None:
+        """End an answer that :meth:`begin` began."""
+        await self._send(self._state.send(h11.EndOfMessage()) or b'')
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer at once."""
+        framed = (*headers, (b'content-length', str(len(body)).encode()))
+        wire = self._head_bytes(status, framed)
+        if body:
+            wire += self._state.send(h11.Data(data=body)) or b''
+        wire += self._state.send(h11.EndOfMessage()) or b''
+        await self._send(wire)
+
+    @property
+    def answering(self) -> bool:
+        """Tell whether an answer has begun and not ended."""
+        return self._state.our_state is h11.SEND_BODY
+
+    @property
+    def untouched(self) -> bool:
+        """Tell whether no byte of an answer was sent yet."""
+        return self._state.our_state in {h11.IDLE, h11.SEND_RESPONSE}
+
+    def _head_bytes(self, status: int, headers: Headers) -> bytes:
+        sent = list(headers)
+        if self.closing:
+            sent.append((b'connection', b'close'))
+        return self._state.send(h11.Response(status_code=status, headers=sent)) or b''
+
+    async def _head(self) -> RequestHead:
+        event = await self._event()
+        if not isinstance(event, h11.Request):
+            raise CallerGoneError
+        head = RequestHead(bytes(event.method), bytes(event.target), tuple(event.headers))
+        _check_framing(head)
+        if self._state.they_are_waiting_for_100_continue:
+            await self._send(self._state.send(h11.InformationalResponse(status_code=100, headers=[])) or b'')
+        return head
+
+    async def _body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise CallerGoneError
+            size += len(event.data)
+            if size > self._limits.body_bytes:
+                raise RejectedMessageError(BODY_TOO_LARGE, f'the body is over {self._limits.body_bytes} bytes')
+            parts.append(bytes(event.data))
+
+    async def _event(self) -> object:
+        while True:
+            event = self._next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            received = await self._receive()
+            if not received:
+                raise CallerGoneError
+            self._feed(received)
+
+    def _next_event(self) -> object:
+        try:
+            return self._state.next_event()
+        except h11.RemoteProtocolError as exc:
+            status = HEAD_TOO_LARGE if exc.error_status_hint == HEAD_TOO_LARGE else BAD_REQUEST
+            raise RejectedMessageError(status, str(exc)) from exc
+
+    def _feed(self, received: bytes) -> None:
+        self._state.receive_data(received)
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return b''
+
+    async def _send(self, wire: bytes) -> None:
+        try:
+            await self._stream.send_all(wire)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError from exc
+
+
+def _check_framing(head: RequestHead) -> None:
+    """Refuse a request whose end could be read in two ways.
+
+    With two framings, a runner behind might take part of the body for a
+    request of its own: a smuggled request that no caller sent.
+    """
+    names = [name for name, _ in head.headers if name in {b'content-length', b'transfer-encoding'}]
+    if len(names) > 1:
+        raise RejectedMessageError(BAD_REQUEST, 'more than one length')
+
+
+__all__ = ('CallerGoneError', 'Message', 'ServerConn', 'ServerLimits')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/http1/sockets.py
@@ -0,0 +1,60 @@
+"""Socket options that make a silent peer noticeable."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint.http1.messages import ConnectFailedError
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+
+# Data that a peer has not acknowledged for this long breaks the connection.
+# Longer than two retransmissions (0.2 s and 0.4 s), far below any deadline.
+UNACKED_MS = 1500
+# An idle connection is probed after 1 s, each second, and given up after 3.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+
+def tune(sock: trio.socket.SocketType) -> None:
+    """Break connections whose far end has gone without a reset.
+
+    A cut or powered-off peer sends nothing; without these a request on such
+    a connection would hang until its deadline.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+
+
+async def connect(address: Address, timeout_s: float) -> trio.SocketStream:
+    """Open a tuned connection.
+
+    Raises
+    ------
+    ConnectFailedError
+        If none came about within ``timeout_s``.
+    """
+    sock = trio.socket.socket()
+    try:
+        with trio.fail_after(timeout_s):
+            await sock.connect(address)
+    except (OSError, trio.TooSlowError) as exc:
+        sock.close()
+        raise ConnectFailedError(str(address), repr(exc)) from exc
+    except BaseException:
+        sock.close()
+        raise
+    stream = trio.SocketStream(sock)
+    tune(sock)
+    return stream
+
+
+__all__ = ('connect', 'tune')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -0,0 +1,151 @@
+"""Decoding of callers' headers, encoding of those that runners get."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from sesamepoint_core.serving.prompt import Part, Prompt
+from sesamepoint.front.request import FrontRequest
+from sesamepoint.http1.messages import RejectedMessageError, RequestHead, header
+from sesamepoint.platform import names
+
+if TYPE_CHECKING:
+    from sesamepoint.http1.messages import Headers, ResponseHead
+    from sesamepoint.http1.server import Message
+
+BAD_REQUEST = 400
+MISDIRECTED = 421
+MS_PER_S = 1000
+
+
+class Sending(NamedTuple):
+    """What one attempt adds to a request's own headers.
+
+    Parameters
+    ----------
+    incarnation
+        The only runner that may take it.
+    left_s
+        Time left for the runner.
+    prefill_only
+        Whether the runner only reads the prompt.
+    kv_source
+        Where the prompt's memory lies, as address and handle.
+    resume_after
+        Event after which a stream goes on.
+    """
+
+    incarnation: str
+    left_s: float
+    priority: int
+    prefill_only: bool = False
+    kv_source: str = ''
+    resume_after: str = ''
+
+
+def decode_request(message: Message) -> FrontRequest:
+    """Return a caller's request.
+
+    Raises
+    ------
+    RejectedMessageError
+        If it lacks what routing needs.
+    """
+    headers = message.head.headers
+    host = header(headers, b'host')
+    request_id = header(headers, names.REQUEST_ID)
+    if not host or not request_id:
+        raise RejectedMessageError(BAD_REQUEST, 'a host and a request id are needed')
+    return FrontRequest(
+        request_id=request_id.decode('latin-1'),
+        host=host.decode('latin-1').partition(':')[0],
+        path=message.head.target.decode('latin-1').partition('?')[0],
+        head=message.head._replace(headers=_forwarded(headers)),
+        body=message.body,
+        arrived=message.arrived,
+        deadline_s=_deadline_s(headers),
+        prompt=_prompt(headers),
+    )
+
+
+def encode_request(req: FrontRequest, sending: Sending) -> RequestHead:
+    """Return the head that a runner gets."""
+    added = [
+        (names.EXPECT_INCARNATION, sending.incarnation.encode()),
+        (names.DEADLINE_MS, str(max(int(sending.left_s * MS_PER_S), 1)).encode()),
+        (b'content-length', str(len(req.body)).encode()),
+    ]
+    if req.prompt:
+        added.append((names.PRIORITY, str(sending.priority).encode()))
+    if sending.prefill_only:
+        added.append((names.STAGE, b'prefill'))
+    if sending.kv_source:
+        added.append((names.KV_SOURCE, sending.kv_source.encode()))
+    own = req.head.headers
+    if sending.resume_after:
+        own = tuple(pair for pair in own if pair[0] != names.LAST_EVENT)
+        added.append((names.LAST_EVENT, sending.resume_after.encode()))
+    return req.head._replace(headers=(*own, *added))
+
+
+def answers(req: FrontRequest, found: ResponseHead) -> bool:
+    """Tell whether a runner's response belongs to ``req``.
+
+    Refusals of the connection itself may come without an id.
+    """
+    echoed = header(found.headers, names.REQUEST_ID)
+    return echoed is None or echoed.decode('latin-1') == req.request_id
+
+
+def signed(found: ResponseHead) -> bool:
+    """Tell whether a runner vouches for a response's body as sent."""
+    if header(found.headers, names.CONTENT_ENCODING) is not None:
+        return False
+    return header(found.headers, names.SIGNATURE) is not None
+
+
+def says_not_run(found: ResponseHead) -> bool:
+    """Tell whether a runner states that it did not run the request."""
+    return found.status == MISDIRECTED or header(found.headers, names.NOT_RUN) is not None
+
+
+def returned(found: ResponseHead) -> Headers:
+    """Return a runner's headers as the caller gets them."""
+    return tuple(pair for pair in found.headers if pair[0] not in names.ONE_HOP)
+
+
+def _forwarded(headers: Headers) -> Headers:
+    listed = {token.strip().lower() for name, text in headers if name == b'connection' for token in text.split(b',')}
+    dropped = (listed - names.ALWAYS_FORWARDED) | names.ONE_HOP | names.SYSTEM_ONLY
+    return tuple(pair for pair in headers if pair[0] not in dropped)
+
+
+def _deadline_s(headers: Headers) -> float | None:
+    text = header(headers, names.DEADLINE_MS)
+    if text is None:
+        return None
+    try:
+        return max(float(text) / MS_PER_S, 0)
+    except ValueError as exc:
+        raise RejectedMessageError(BAD_REQUEST, 'the deadline is no number') from exc
+
+
+def _prompt(headers: Headers) -> Prompt | None:
+    counts = header(headers, names.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    model = (header(headers, names.MODEL) or b'').decode('latin-1')
+    try:
+        return _decode_prompt(model, counts, header(headers, names.PROMPT_PARTS) or b'')
+    except ValueError as exc:
+        raise RejectedMessageError(BAD_REQUEST, 'the token counts or prompt parts are malformed') from exc
+
+
+def _decode_prompt(model: str, counts: bytes, listed: bytes) -> Prompt:
+    tokens, max_output = (int(count) for count in counts.split(b','))
+    entries = [entry.strip().partition(b':') for entry in listed.split(b',') if entry.strip()]
+    parts = tuple(Part(key.decode('latin-1'), int(size)) for key, _, size in entries)
+    return Prompt(model, parts, tokens, max_output)
+
+
+__all__ = ('Sending', 'answers', 'decode_request', 'encode_request', 'returned', 'says_not_run', 'signed')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -0,0 +1,63 @@
+"""Names on the platform's wire, each said here once."""
+
+from __future__ import annotations
+
+from typing import Final
+
+REQUEST_ID: Final = b'sesamepoint-request-id'
+DEADLINE_MS: Final = b'sesamepoint-deadline-ms'
+PROMPT_PARTS: Final = b'sesamepoint-prompt-prefix'
+TOKEN_COUNTS: Final = b'sesamepoint-token-count'
+MODEL: Final = b'sesamepoint-model'
+EXPECT_INCARNATION: Final = b'sesamepoint-expect-instance'
+# The runner's signature of an answer; an answer without it is not a runner's.
+SIGNATURE: Final = b'sesamepoint-server-stamp'
+NOT_RUN: Final = b'sesamepoint-not-executed'
+PRIORITY: Final = b'sesamepoint-request-priority'
+STAGE: Final = b'sesamepoint-serving-stage'
+KV_SOURCE: Final = b'sesamepoint-kv-source'
+LAST_EVENT: Final = b'last-event-id'
+RETRY_AFTER: Final = b'retry-after'
+CONTENT_ENCODING: Final = b'content-encoding'
+
+# Headers that only the system may set towards a runner. A caller that set
+# them could take over another's memory or hold a runner's slots.
+SYSTEM_ONLY: Final = frozenset(
+    (
+        DEADLINE_MS,
+        EXPECT_INCARNATION,
+        PRIORITY,
+        STAGE,
+        KV_SOURCE,
+        b'sesamepoint-kv-hold',
+        b'sesamepoint-pin-ms',
+        b'sesamepoint-kv-backup',
+        b'kv-fetch',
+    )
+)
+# Headers that concern one connection only, or that are set anew per hop.
+ONE_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+        b'content-length',
+    )
+)
+# Never dropped, even if a caller's Connection header lists them: a runner
+# must see the request as its caller sent it.
+ALWAYS_FORWARDED: Final = frozenset((b'host', REQUEST_ID, MODEL, TOKEN_COUNTS, PROMPT_PARTS, LAST_EVENT))
+
+READY_PATH: Final = '/v1/readyz'
+KV_HANDLE_PATH: Final = '/v1/kv-handle/'
+OPERATOR_TOPIC: Final = 'keyed.op'
+OPERATOR_KEY: Final = 'config'
+RUNNER_TOPIC: Final = 'keyed.servers'
+# A topic of our own: one record an entry, under its name.
+ENTRY_TOPIC: Final = 'keyed.entries'
+SETTINGS_VARIABLE: Final = 'SESAMEPOINT_CONFIG'
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -0,0 +1,75 @@
+"""The settings file that the platform lays out for a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint.front.settings import FrontSettings, StoreSettings
+from sesamepoint.settings_error import SettingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from pathlib import Path
+
+MS_PER_S = 1000
+
+
+def read_settings(path: Path) -> FrontSettings:
+    """Return the settings in ``path``: lines of ``name=value``.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, or a value is missing or malformed.
+    """
+    try:
+        return decode_settings(path.read_text(encoding='utf-8'))
+    except OSError as exc:
+        raise SettingsError(f'{path}: {exc.strerror}', 'name a file that can be read') from exc
+
+
+def decode_settings(text: str) -> FrontSettings:
+    """Return the settings that ``text`` holds.
+
+    Raises
+    ------
+    SettingsError
+        If a value is missing or malformed.
+    """
+    pairs = dict(line.split('=', 1) for line in text.splitlines() if '=' in line)
+    try:
+        return _decode(pairs)
+    except KeyError as exc:
+        raise SettingsError(f'settings: {exc} is missing', 'add it') from exc
+    except ValueError as exc:
+        raise SettingsError(f'settings: {exc}', 'correct the value') from exc
+
+
+def _decode(pairs: Mapping[str, str]) -> FrontSettings:
+    first_port, last_port = (int(port) for port in pairs['port_range'].split(','))
+    return FrontSettings(
+        name=pairs['node'],
+        host=pairs['ip'],
+        availability_zone=pairs['zone'],
+        listen=Address.parse(pairs['listen.front']),
+        ready_listen=Address.parse(pairs['listen.ready']),
+        peer_port=first_port,
+        last_port=last_port,
+        drain_s=_seconds(pairs, 'bounds.drain_ms'),
+        stop_s=float(pairs['bounds.grace_s']),
+        config_s=_seconds(pairs, 'bounds.config_apply_ms'),
+        heartbeat_s=_seconds(pairs, 'heartbeat_ms'),
+        retry_ratio=float(pairs['bounds.retry_ratio']),
+        # Named like a pause; it is a number of requests.
+        retry_reserve=float(pairs['bounds.budget_slack']),
+        retry_window_s=float(pairs['bounds.budget_window_s']),
+        store=StoreSettings(Address.parse(pairs['platform.address'])),
+    )
+
+
+def _seconds(pairs: Mapping[str, str], name: str) -> float:
+    return float(pairs[name]) / MS_PER_S
+
+
+__all__ = ('decode_settings', 'read_settings')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -0,0 +1,202 @@
+"""Client of the platform's store: the newest of each key, a log to follow."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sesamepoint_core.serving.address import Address
+
+STATUS_OK = 200
+STATUS_GONE = 410
+CONNECT_S = 0.5
+# The store answers in milliseconds; when slow, in a quarter of a second.
+CALL_S = 1.0
+MS_PER_S = 1000
+_TWO_OFFSETS = struct.Struct('>QQ')
+_LENGTH = struct.Struct('>I')
+
+
+class KeyedRecord(NamedTuple):
+    """A record of a keyed topic; without text the key was dropped."""
+
+    key: str
+    text: bytes
+
+
+class Newest(NamedTuple):
+    """The newest record of each key, and the offset to follow from."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class HistoryGoneError(Exception):
+    """The records asked for were deleted; read the newest of each key."""
+
+
+class _Entry(msgspec.Struct, rename={'encoded': 'value'}):
+    key: str
+    # Without the key that stands before it on the log.
+    encoded: str
+
+
+class _NewestReply(msgspec.Struct, rename={'entries': 'items'}):
+    entries: list[_Entry]
+    has_more: bool
+    end: int
+
+
+class StoreClient:
+    """Keeps one connection; calls of one client run one at a time."""
+
+    def __init__(self, address: Address) -> None:
+        """Aim at ``address``; connects with the first call."""
+        self._address = address
+        self._conn: ClientConn | None = None
+        self._lock = trio.Lock()
+
+    async def newest(self, topic: str) -> Newest:
+        """Return the newest record of each key of ``topic``.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the store did not answer.
+        """
+        records: list[KeyedRecord] = []
+        query = {'topic': topic, 'part': '0'}
+        end: int | None = None
+        while True:
+            page = msgspec.json.decode(await self._call('GET', '/v1/log-newest', query), type=_NewestReply)
+            records.extend(_keyed(found) for found in page.entries)
+            # Pages are read one after the other: what changes meanwhile is
+            # on the log after the end that the first page tells.
+            end = page.end if end is None else end
+            if not page.has_more or not records:
+                return Newest(tuple(records), end)
+            query['after'] = records[-1].key
+
+    async def follow(self, topic: str, start: int, wait_s: float) -> Newest:
+        """Return the records from ``start`` on, waiting for the first.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the records at ``start`` were deleted.
+        PlatformUnavailableError
+            If the store did not answer.
+        """
+        query = {'topic': topic, 'part': '0', 'source': str(start), 'wait_ms': str(int(wait_s * MS_PER_S))}
+        text = await self._call('GET', '/v1/log-read', query, wait_s)
+        records = _split(text[_TWO_OFFSETS.size :])
+        return Newest(tuple(_keyed_record(found) for found in records), start + len(records))
+
+    async def put(self, topic: str, key: str, text: bytes) -> None:
+        """Append the newest record of ``key``; empty text drops the key.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the store did not answer; the record may be there all the same.
+        """
+        raw_key = key.encode()
+        record = bytes((len(raw_key),)) + raw_key + text
+        query = {'topic': topic, 'part': '0'}
+        await self._call('POST', '/v1/log-append', query, body=_LENGTH.pack(len(record)) + record)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._conn:
+            self._conn.close()
+        self._conn = None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str],
+        wait_s: float = 0,
+        body: bytes = b'',
+    ) -> bytes:
+        async with self._lock:
+            try:
+                with trio.fail_after(wait_s + CALL_S):
+                    status, text = await self._exchange(method, f'{path}?{urlencode(query)}', body)
+            except (ConnBrokenError, ConnectFailedError, trio.TooSlowError) as exc:
+                raise PlatformUnavailableError('store', repr(exc)) from exc
+        if status == STATUS_GONE:
+            raise HistoryGoneError
+        if status != STATUS_OK:
+            raise PlatformUnavailableError('store', f'status {status}')
+        return text
+
+    async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+        conn = self._conn if self._conn and self._conn.quiet() else None
+        if conn is None:
+            self.close()
+            conn = await ClientConn.open(self._address, CONNECT_S)
+        # Until the answer is whole the connection is not kept: one on which
+        # an answer got lost brings nothing more.
+        self._conn = None
+        try:
+            status, text = await _ask(conn, RequestHead(method.encode(), target.encode(), self._headers(body)), body)
+        except BaseException:
+            conn.close()
+            raise
+        if conn.recycle():
+            self._conn = conn
+        else:
+            conn.close()
+        return status, text
+
+    def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
+
+
+async def _ask(conn: ClientConn, head: RequestHead, body: bytes) -> tuple[int, bytes]:
+    await conn.send(conn.begin(head, body))
+    reply = await conn.head(_any_answer)
+    parts = []
+    while chunk := await conn.chunk():
+        parts.append(chunk)
+    return reply.status, b''.join(parts)
+
+
+def _any_answer(_: object) -> bool:
+    return True
+
+
+def _keyed(entry: _Entry) -> KeyedRecord:
+    return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
+
+
+def _split(text: bytes) -> list[bytes]:
+    records = []
+    at = 0
+    while at < len(text):
+        size = _LENGTH.unpack_from(text, at)[0]
+        at += _LENGTH.size
+        records.append(text[at : at + size])
+        at += size
+    return records
+
+
+def _keyed_record(record: bytes) -> KeyedRecord:
+    end = 1 + record[0]
+    return KeyedRecord(record[1:end].decode(), record[end:])
+
+
+__all__ = ('HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreClient')
--- a/packages/sesamepoint/src/sesamepoint/settings/load.py
+++ b/packages/sesamepoint/src/sesamepoint/settings/load.py
@@ -8,16 +8,12 @@
 import json5
 from pydantic import TypeAdapter, ValidationError
 
-from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.problems import describe
+from sesamepoint.settings_error import SettingsError
 
 SettingsT = TypeVar('SettingsT')
 
 
-class SettingsError(SesamepointError):
-    """A settings file that nothing may start from."""
-
-
 def read_document(path: Path) -> Any:
     """Return the document in a file of JSON with comments.
 
