--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -14,9 +14,10 @@
 FIRST_OUT_S = 1.0
 MAX_OUT_S = 4.0
 BACKOFF = 2.0
-# A request without a sign of an answer for this long makes its runner
-# suspect: no other request goes there until it answers.
-SILENT_S = 1.0
+# A runner that owes an answer and has given no sign at all for this long, in
+# seconds, gets no other requests until it does. Under load sound engines give
+# some sign every few tens of milliseconds.
+SILENT_S = 0.7
 
 
 class Health:
@@ -33,6 +34,7 @@
         self._out_until: float = 0
         self._out_s = FIRST_OUT_S
         self._waiting: dict[int, float] = {}
+        self._heard_at: float = 0
         self._serial = 0
 
     def usable(self, now: float) -> bool:
@@ -42,7 +44,15 @@
     def silent(self, now: float) -> bool:
         """Tell whether a request has waited there for too long."""
         oldest = next(iter(self._waiting.values()), now)
-        return now - oldest > SILENT_S
+        return now - max(oldest, self._heard_at) > SILENT_S
+
+    def heard(self, now: float) -> None:
+        """Note a sign of life: a part of any answer."""
+        self._heard_at = now
+
+    def heard_since(self, moment: float) -> bool:
+        """Tell whether there was a sign of life after ``moment``."""
+        return self._heard_at > moment
 
     def sent(self, now: float) -> int:
         """Note that a request waits for a first sign; returns its ticket."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
@@ -5,18 +5,17 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Container, Sequence
 
     from sesamepoint_core.serving.prompt import Part
 
-# Running requests share the memory with cached parts. With the figures of
-# today's deployments they take under a tenth of it; a fifth is left free so
-# that the model forgets a part rather sooner than the runner does.
-SHARE_FOR_PARTS = 0.8
+# Running requests share the memory with cached parts, and the order of use
+# is known only nearly. The model forgets a part rather sooner than its runner.
+SHARE_FOR_PARTS = 0.9
 
 
 class CacheModel:
-    """Shared prompt parts in one runner's memory, least recently used first.
+    """Prompt parts in one runner's memory, least recently used first.
 
     A part counts only if all parts before it are held too: an engine can
     skip a head of the prompt, not its middle.
@@ -26,34 +25,52 @@
         """Size the model by the memory of the runner, in tokens."""
         self._room = int(kv_tokens * SHARE_FOR_PARTS)
         self._held: dict[str, int] = {}
+        self._reading: dict[str, str] = {}
         self._used = 0
 
-    def __contains__(self, key: str) -> bool:
-        """Tell whether the part named ``key`` is held."""
-        return key in self._held
-
     def cached(self, parts: Sequence[Part]) -> int:
-        """Return the tokens at the head of ``parts`` that are held."""
-        total = 0
-        for part in parts:
-            if part.key not in self._held:
-                break
-            total += part.tokens
-        return total
+        """Return the tokens at the head of ``parts`` that need no reading here.
+
+        What is still being read counts: whoever comes after it here finds it.
+        """
+        return _head_tokens(parts, self._held)
+
+    def readable(self, parts: Sequence[Part]) -> int:
+        """Return the tokens at the head of ``parts`` that others could fetch."""
+        return _head_tokens(parts, self._held.keys() - self._reading.keys())
 
-    def touch(self, parts: Sequence[Part]) -> None:
-        """Note that the runner has just read or used ``parts``."""
+    def touch(self, parts: Sequence[Part], reader: str = '') -> None:
+        """Note that the runner uses ``parts``; ``reader`` is still at it."""
         for part in parts:
+            if reader and part.key not in self._held:
+                self._reading[part.key] = reader
             self._used += part.tokens - self._held.pop(part.key, 0)
             self._held[part.key] = part.tokens
         while self._used > self._room and self._held:
-            oldest = next(iter(self._held))
-            self._used -= self._held.pop(oldest)
+            self._evict(next(iter(self._held)))
+
+    def read(self, reader: str) -> None:
+        """Note that ``reader`` has read its parts."""
+        self._reading = {key: by for key, by in self._reading.items() if by != reader}
 
     def clear(self) -> None:
         """Forget all: the runner has restarted or lost its memory."""
         self._held.clear()
+        self._reading.clear()
         self._used = 0
 
+    def _evict(self, key: str) -> None:
+        self._used -= self._held.pop(key)
+        self._reading.pop(key, None)
+
+
+def _head_tokens(parts: Sequence[Part], held: Container[str]) -> int:
+    total = 0
+    for part in parts:
+        if part.key not in held:
+            break
+        total += part.tokens
+    return total
+
 
 __all__ = ('CacheModel',)
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -12,18 +12,31 @@
 # An engine that decodes reads prompts at half the rate of one that only
 # prefills (published by the engines' operator).
 DECODE_SLOWDOWN = 2.0
-# One exchange with a runner besides its work, in seconds: the round trip
-# between availability zones and the set-up of a run, measured at idle engines.
-EXCHANGE_S = 0.012
+# Seconds from sending a prompt's memory to an idle engine to its first token;
+# measured at 25 ms on engines of today.
+SECOND_STEP_S = 0.025
+# Seconds that taking parts of a prompt over from another engine adds besides
+# the transfer; measured at 25 ms on engines of today.
+FETCH_S = 0.025
+# Runs whose prompts were read elsewhere bring memory that pushes shared parts
+# out of their decode runner. Each step in the order of decode runners costs
+# this many seconds, so that such runs gather at the first ones, and the
+# others keep what they have read.
+ORDER_S = 0.01
 # What a second of an engine's time costs the requests that will queue behind
 # it, in seconds of waiting.
 OTHERS_WEIGHT = 1.0
-# Work at a decode runner delays the prompts that wait there; a run whose
-# prompt was read elsewhere only waits for the step under way.
-STEP_SHARE = 0.1
 # Reading a shared part away from its home costs the next request for it the
 # same work again, half of the time.
 AWAY_WEIGHT = 0.5
+# An engine's memory that running requests may take. Beyond it engines put
+# requests back and read their prompts again, which costs more than waiting.
+MEMORY_SHARE = 0.8
+# Share of the free time of a pause that reading may fill without harm; the
+# rest allows for estimates that are off.
+HARMLESS_SHARE = 0.6
+# The cost of a place that is not free, in seconds: used only if all are so.
+CROWDED_S = 2.0
 
 
 class EngineView(NamedTuple):
@@ -33,20 +46,35 @@
     ----------
     wait_s
         Until work that comes now would begin.
+    backlog_s
+        All prompt work that the engine has, of whatever rank.
     fresh_tokens
         Prompt tokens that it would have to read.
+    fetch_tokens
+        Prompt tokens that it would take over from another engine.
+    streams
+        Answers that it generates.
+    crowded
+        Whether it lacks memory or places for one more.
     pace
         Observed over expected times, lately.
     away_tokens
         Shared tokens it would read though they belong elsewhere.
+    order
+        Its place among decode runners in taking prompts read elsewhere.
     """
 
     runner: str
     stage: Stage
     wait_s: float
     fresh_tokens: int
+    backlog_s: float = 0
+    fetch_tokens: int = 0
+    streams: int = 0
+    crowded: bool = False
     pace: float = 1.0
     away_tokens: int = 0
+    order: int = 0
 
 
 class Path(NamedTuple):
@@ -71,61 +99,101 @@
     cost: float
 
 
-class Rates(NamedTuple):
-    """Speeds of the engines of one service.
+class Speeds(NamedTuple):
+    """Speeds of the engines of one service, as measured or published.
 
-    ``prefill_tokens_s`` is measured; ``transfer_tokens_s`` is published.
+    Parameters
+    ----------
+    overhead_s
+        From sending a prompt to an idle engine to its first word, without
+        the reading.
+    pause_s
+        How long a stream may pause.
+    plain_pause_s
+        How long it pauses at an engine that reads nothing.
+    late_cost_s
+        What a late answer costs, in seconds of waiting.
     """
 
     prefill_tokens_s: float
     transfer_tokens_s: float
+    overhead_s: float
+    pause_s: float = 0
+    plain_pause_s: float = 0
+    late_cost_s: float = 0
 
 
-def best_path(views: Sequence[EngineView], rates: Rates, prompt_tokens: int) -> Path | None:
+def best_path(views: Sequence[EngineView], speeds: Speeds, prompt_tokens: int) -> Path | None:
     """Return the path of least cost, or None if no engine can decode."""
-    return min(all_paths(views, rates, prompt_tokens), key=_cost, default=None)
+    return min(all_paths(views, speeds, prompt_tokens), key=_cost, default=None)
 
 
-def all_paths(views: Sequence[EngineView], rates: Rates, prompt_tokens: int) -> Iterator[Path]:
+def all_paths(views: Sequence[EngineView], speeds: Speeds, prompt_tokens: int) -> Iterator[Path]:
     """Yield whole paths, and for each prefill runner its best second step.
 
     The second step of a path depends on the first only by the transfer, so
     one decode runner is the best for all prefill runners.
     """
     decoders = [view for view in views if view.stage is Stage.decode]
-    for view in decoders:
-        yield _whole(view, rates)
-    second = min(decoders, key=_second_step_s, default=None)
-    if second is None:
+    if not decoders:
         return
+    second = min((_second_step_cost(view, speeds), view.runner) for view in decoders)
     for view in views:
         if view.stage is Stage.prefill:
-            yield _two_step(view, second, rates, prompt_tokens)
+            yield _two_step(view, second, speeds, prompt_tokens)
+        else:
+            yield _whole(view, speeds)
 
 
-def _whole(view: EngineView, rates: Rates) -> Path:
-    token_s = DECODE_SLOWDOWN * view.pace / rates.prefill_tokens_s
+def _whole(view: EngineView, speeds: Speeds) -> Path:
+    token_s = DECODE_SLOWDOWN * view.pace / speeds.prefill_tokens_s
     work_s = view.fresh_tokens * token_s
-    first_s = EXCHANGE_S + view.wait_s + work_s
+    first_s = speeds.overhead_s + view.wait_s + work_s + _fetch_s(view, speeds)
+    # Reading here stretches the pauses of all streams that run here, and what
+    # was to be read before stretches those of this one.
+    disturbed = view.streams * _late_pause_cost_s(work_s + view.backlog_s, speeds)
+    own_pause = _late_pause_cost_s(view.backlog_s, speeds)
     cost = first_s + OTHERS_WEIGHT * work_s + AWAY_WEIGHT * view.away_tokens * token_s
-    return Path('', view.runner, first_s, work_s, cost)
+    return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause + _crowding_s(view))
 
 
-def _two_step(view: EngineView, second: EngineView, rates: Rates, prompt_tokens: int) -> Path:
-    token_s = view.pace / rates.prefill_tokens_s
+def _two_step(view: EngineView, second: tuple[float, str], speeds: Speeds, prompt_tokens: int) -> Path:
+    token_s = view.pace / speeds.prefill_tokens_s
     work_s = view.fresh_tokens * token_s
-    transfer_s = prompt_tokens / rates.transfer_tokens_s
-    first_s = EXCHANGE_S + view.wait_s + work_s + transfer_s + _second_step_s(second)
-    cost = first_s + OTHERS_WEIGHT * (work_s + transfer_s) + AWAY_WEIGHT * view.away_tokens * token_s
-    return Path(view.runner, second.runner, first_s, work_s, cost)
+    transfer_s = prompt_tokens / speeds.transfer_tokens_s + _fetch_s(view, speeds)
+    first_s = speeds.overhead_s + view.wait_s + work_s + transfer_s + SECOND_STEP_S
+    cost = first_s + second[0] + OTHERS_WEIGHT * (work_s + transfer_s) + AWAY_WEIGHT * view.away_tokens * token_s
+    return Path(view.runner, second[1], first_s, work_s, cost)
+
+
+def _fetch_s(view: EngineView, speeds: Speeds) -> float:
+    return FETCH_S + view.fetch_tokens / speeds.transfer_tokens_s if view.fetch_tokens else 0
+
+
+def _second_step_cost(view: EngineView, speeds: Speeds) -> float:
+    """Return what a run whose prompt was read elsewhere suffers here."""
+    return _late_pause_cost_s(view.backlog_s, speeds) + _crowding_s(view) + ORDER_S * view.order
+
+
+def _late_pause_cost_s(read_s: float, speeds: Speeds) -> float:
+    """Return what ``read_s`` of reading costs a stream at the same engine.
+
+    Between two tokens an engine reads a piece of a prompt. A read that fills
+    the time which a pause may take beyond its plain length makes it late.
+    """
+    free_s = speeds.pause_s - speeds.plain_pause_s
+    if free_s <= 0:
+        return 0
+    sure = (read_s / free_s - HARMLESS_SHARE) / (1 - HARMLESS_SHARE)
+    return speeds.late_cost_s * min(max(sure, 0), 1)
 
 
-def _second_step_s(view: EngineView) -> float:
-    return (EXCHANGE_S + STEP_SHARE * view.wait_s) * view.pace
+def _crowding_s(view: EngineView) -> float:
+    return CROWDED_S if view.crowded else 0
 
 
 def _cost(path: Path) -> float:
     return path.cost
 
 
-__all__ = ('EngineView', 'Path', 'Rates', 'all_paths', 'best_path')
+__all__ = ('MEMORY_SHARE', 'EngineView', 'Path', 'Speeds', 'all_paths', 'best_path')
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
@@ -37,6 +37,8 @@
         How long a caller is kept waiting at the most.
     target_s
         Within this an answer is on time; for a stream, its first event.
+    pause_s
+        The longest pause between two events of a stream that is on time.
     max_attempts
         Runners that one request may be sent to.
     priority
@@ -50,6 +52,7 @@
     streamed: bool
     timeout_s: float
     target_s: float
+    pause_s: float
     max_attempts: int
     priority: int
     shares: tuple[Share, ...]
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -8,12 +8,14 @@
 
 import trio
 
-from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Unsent
+from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.headers import answers, encode_request, returned, says_not_run, signed
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint.front.member import Member
     from sesamepoint.front.reply import Reply
     from sesamepoint.front.request import FrontRequest
@@ -28,11 +30,17 @@
 
 
 class Target(NamedTuple):
-    """Where an attempt goes, and how long it may stay without a sign."""
+    """Where an attempt goes, and how long it may stay without a sign.
+
+    ``on_sign`` is called at the first sign of an answer, ``on_pause`` with
+    the seconds between two events.
+    """
 
     member: Member
     sending: Sending
     patience_s: float = math.inf
+    on_sign: Callable[[], None] | None = None
+    on_pause: Callable[[float], None] | None = None
 
 
 class Attempt:
@@ -40,7 +48,7 @@
 
     def __init__(self, req: FrontRequest, target: Target, reply: Reply, *, streamed: bool) -> None:
         """Prepare; nothing is sent before :meth:`run`."""
-        self.first_s: float | None = None
+        self.first_at: float | None = None
         self._req = req
         self._target = target
         self._reply = reply
@@ -48,6 +56,7 @@
         self._patience = trio.CancelScope()
         self._ticket = 0
         self._started: float = 0
+        self._last_event_at: float | None = None
 
     async def run(self) -> AttemptResult:
         """Run to the end; a connection that ends the wait is closed.
@@ -66,7 +75,7 @@
         finally:
             member.in_flight -= 1
             member.health.settled(self._ticket)
-        return Broken('no sign of an answer in time')
+        return Silent()
 
     async def _exchange(self, member: Member) -> AttemptResult:
         try:
@@ -101,7 +110,7 @@
             return Broken('an answer that no runner signed')
         if self._streamed:
             return await self._relay_events(conn, head)
-        self._note_sign()
+        await self._note_sign()
         return await self._relay_whole(conn, head)
 
     async def _relay_whole(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
@@ -124,7 +133,8 @@
         while chunk := await conn.chunk():
             whole = splitter.feed(chunk)
             if whole:
-                self._note_sign()
+                await self._note_sign()
+                self._note_pause()
                 await self._begin(head)
                 await self._reply.part(whole)
         await self._begin(head)
@@ -140,11 +150,28 @@
             await self._reply.part(rest)
         await self._reply.end()
 
-    def _note_sign(self) -> None:
-        if self.first_s is None:
-            self.first_s = trio.current_time() - self._started
+    def _note_pause(self) -> None:
+        now = trio.current_time()
+        self._target.member.health.heard(now)
+        if self._last_event_at is not None and self._target.on_pause:
+            self._target.on_pause(now - self._last_event_at)
+        self._last_event_at = now
+
+    async def _note_sign(self) -> None:
+        """End the wait for a sign, unless it has already run out.
+
+        If the sign and the end of patience fall together, the cancellation
+        would strike in the middle of writing to the caller, and the next
+        attempt's answer would begin where half a head was meant to be.
+        """
+        if self.first_at is None:
+            await trio.lowlevel.checkpoint_if_cancelled()
+            self.first_at = trio.current_time()
+            self._target.member.health.heard(self.first_at)
             self._patience.deadline = math.inf
             self._target.member.health.settled(self._ticket)
+            if self._target.on_sign:
+                self._target.on_sign()
 
 
 async def read_body(conn: ClientConn) -> bytes:
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from sesamepoint_core.serving.paths import EngineView, Path, Rates, best_path
-from sesamepoint_core.serving.rate import RateMeter
+from sesamepoint_core.serving.paths import MEMORY_SHARE, EngineView, Path, Speeds, best_path
+from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
 from sesamepoint_core.serving.rendezvous import home_of
 from sesamepoint_core.serving.runner import Stage
 
@@ -28,16 +28,35 @@
 ZONE_PENALTY = 0.5
 # Prefill runners read twice as fast, so they are home to twice the parts.
 HOME_WEIGHTS = MappingProxyType({Stage.prefill: 2.0, Stage.decode: 1.0, Stage.plain: 0})
+# Ranks of requests that can be on time, and of those that can't any more. The
+# late ones wait behind all others, so that they make no others late.
+MAX_RANK = 4
+LATE_RANK = 8
+LEAST_URGENT = 9
+# Fewer tokens than this are read sooner than fetched: a fetch takes 25 ms, in
+# which engines of today read 900 tokens and more.
+MIN_FETCH_TOKENS = 1000
 
 
 class EnginePlan(NamedTuple):
-    """A path with the members on it; ``prefill`` is None for a whole run."""
+    """A path with the members on it; ``prefill`` is None for a whole run.
+
+    ``holder`` has parts of the prompt that its reader lacks.
+    """
 
     path: Path
     prefill: Member | None
     decode: Member
-    fresh_tokens: int
-    wait_s: float
+    holder: Member | None
+    view: EngineView
+    rank: int
+    crowded: bool
+    speeds: Speeds
+
+    @property
+    def fetch_from(self) -> str:
+        """Return where the reader takes parts over from, if anywhere."""
+        return str(self.holder.runner.address) if self.holder and self.view.fetch_tokens else ''
 
 
 class Chooser:
@@ -47,30 +66,39 @@
         """Choose among ``fleet`` from ``availability_zone``."""
         self._fleet = fleet
         self._zone = availability_zone
-        self._rates: dict[str, RateMeter] = {}
+        self._speeds: dict[str, SpeedMeter] = {}
+        self._pauses: dict[str, PauseMeter] = {}
+
+    def speed(self, service: str) -> SpeedMeter:
+        """Return the measured speed of a service's engines."""
+        return self._speeds.setdefault(service, SpeedMeter())
 
-    def meter(self, service: str) -> RateMeter:
-        """Return the measured rate of a service's engines."""
-        return self._rates.setdefault(service, RateMeter())
+    def pauses(self, service: str) -> PauseMeter:
+        """Return what is known of pauses at a service's engines."""
+        return self._pauses.setdefault(service, PauseMeter())
+
+    def engines(self, job: Job) -> int:
+        """Return how many engines could serve ``job``."""
+        return len(self._usable(job))
 
     def plain(self, job: Job) -> Member | None:
         """Return the runner with the fewest requests, near ones first."""
         found = self._usable(job)
         return min(found, key=self._crowding, default=None)
 
-    def engine(self, job: Job, cfg: Configuration, *, whole: bool = False) -> EnginePlan | None:
-        """Return the path of least cost; only whole runs if ``whole``."""
-        prompt = job.req.prompt
-        usable = {member.runner.key: member for member in self._usable(job)}
-        if prompt is None or not usable:
-            return None
-        views = self._views(prompt, usable, whole=whole)
-        path = best_path(views, self._rates_of(job.service, cfg), prompt.tokens)
-        if path is None:
-            return None
-        reader = path.prefill or path.decode
-        view = next(found for found in views if found.runner == reader)
-        return EnginePlan(path, usable.get(path.prefill), usable[path.decode], view.fresh_tokens, view.wait_s)
+    def engine(self, job: Job, prompt: Prompt, cfg: Configuration, *, whole: bool = False) -> EnginePlan | None:
+        """Return the path of least cost; only whole runs if ``whole``.
+
+        What would be late on it goes behind all that would not.
+        """
+        members = self._usable(job)
+        if whole:
+            members = [member for member in members if member.runner.stage is Stage.decode]
+        speeds = self._speeds_of(job, cfg)
+        plan = _plan(prompt, members, speeds, min(job.route.priority, MAX_RANK))
+        if plan is None or plan.path.first_s <= job.on_time_s or not job.stands_back:
+            return plan
+        return _plan(prompt, members, speeds, LATE_RANK)
 
     def _usable(self, job: Job) -> list[Member]:
         now = trio.current_time()
@@ -82,43 +110,99 @@
         away = 0 if member.runner.zone == self._zone else ZONE_PENALTY
         return member.in_flight + away
 
-    def _views(self, prompt: Prompt, usable: dict[str, Member], *, whole: bool) -> list[EngineView]:
-        now = trio.current_time()
-        shared = prompt.parts[:-1]
-        members = [member for member in usable.values() if not whole or member.runner.stage is Stage.decode]
-        home = _home(shared, members)
-        return [_view(member, prompt, home, now) for member in members]
-
-    def _rates_of(self, service: str, cfg: Configuration) -> Rates:
-        found = cfg.services.get(service)
+    def _speeds_of(self, job: Job, cfg: Configuration) -> Speeds:
+        found = cfg.services.get(job.service)
         engine = found.engine if found else None
-        transfer = engine.link_bytes_s / engine.kv_token_bytes if engine else UNKNOWN_TRANSFER
-        return Rates(self.meter(service).tokens_s, transfer)
-
-
-def _view(member: Member, prompt: Prompt, home: str, now: float) -> EngineView:
-    shared = prompt.parts[:-1]
-    cached = member.cache.cached(shared)
-    runner = member.runner
-    return EngineView(
-        runner=runner.key,
-        stage=runner.stage,
-        wait_s=member.queue.wait_s(now),
-        fresh_tokens=max(prompt.tokens - cached, 1),
-        pace=member.pace.factor(now),
-        away_tokens=0 if runner.key == home else _total(shared) - cached,
+        measured = self.speed(job.service)
+        return Speeds(
+            prefill_tokens_s=measured.tokens_s,
+            transfer_tokens_s=engine.link_bytes_s / engine.kv_token_bytes if engine else UNKNOWN_TRANSFER,
+            overhead_s=measured.overhead_s,
+            pause_s=job.route.pause_s,
+            plain_pause_s=self.pauses(job.service).plain_s,
+            late_cost_s=job.route.target_s,
+        )
+
+
+def _plan(prompt: Prompt, members: Sequence[Member], speeds: Speeds, rank: int) -> EnginePlan | None:
+    holder = _best_holder(prompt, members)
+    views = _Views(prompt, members, holder, rank).all()
+    path = best_path(tuple(views.values()), speeds, prompt.tokens)
+    if path is None:
+        return None
+    by_key = {member.runner.key: member for member in members}
+    return EnginePlan(
+        path=path,
+        prefill=by_key.get(path.prefill),
+        decode=by_key[path.decode],
+        holder=holder,
+        view=views[path.prefill or path.decode],
+        rank=rank,
+        crowded=views[path.decode].crowded,
+        speeds=speeds,
     )
 
 
-def _home(shared: Sequence[Part], members: Sequence[Member]) -> str:
+class _Views:
+    """The views on all engines for one prompt."""
+
+    def __init__(self, prompt: Prompt, members: Sequence[Member], holder: Member | None, rank: int) -> None:
+        self._prompt = prompt
+        self._members = members
+        self._rank = rank
+        self._now = trio.current_time()
+        self._held = holder.cache.readable(prompt.parts) if holder else 0
+        self._shared = sum(part.tokens for part in prompt.parts[:-1])
+        self._order = _order(members)
+        self._home = _home(prompt.parts[:-1], members, self._order)
+
+    def all(self) -> dict[str, EngineView]:
+        """Return the views by runner."""
+        return {member.runner.key: self._view(member) for member in self._members}
+
+    def _view(self, member: Member) -> EngineView:
+        cached = member.cache.cached(self._prompt.parts)
+        known = max(cached, self._held)
+        if known - cached < MIN_FETCH_TOKENS:
+            known = cached
+        runner = member.runner
+        return EngineView(
+            runner=runner.key,
+            stage=runner.stage,
+            wait_s=member.load.wait_s(self._rank, self._now),
+            backlog_s=member.load.wait_s(LEAST_URGENT, self._now),
+            streams=member.load.streams(self._now),
+            crowded=self._crowded(member),
+            fresh_tokens=max(self._prompt.tokens - known, 1),
+            fetch_tokens=known - cached,
+            pace=member.pace.factor(self._now),
+            order=self._order.get(runner.key, 0),
+            away_tokens=0 if runner.key == self._home else max(self._shared - known, 0),
+        )
+
+    def _crowded(self, member: Member) -> bool:
+        load = member.load
+        if load.streams(self._now) >= member.runner.slots:
+            return True
+        return load.stream_tokens(self._now) + self._prompt.tokens > MEMORY_SHARE * member.kv_tokens
+
+
+def _best_holder(prompt: Prompt, members: Sequence[Member]) -> Member | None:
+    return max(members, key=lambda member: member.cache.readable(prompt.parts), default=None)
+
+
+def _order(members: Sequence[Member]) -> dict[str, int]:
+    """Return the order in which all entries fill decode runners."""
+    keys = (member.runner.key for member in members if member.runner.stage is Stage.decode)
+    return {key: place for place, key in enumerate(sorted(keys))}
+
+
+def _home(shared: Sequence[Part], members: Sequence[Member], order: dict[str, int]) -> str:
+    """Return where a shared part belongs: nowhere that is filled first."""
     if not shared:
         return ''
-    weights = ((member.runner.key, HOME_WEIGHTS[member.runner.stage]) for member in members)
-    return home_of(shared[-1].key, weights)
-
-
-def _total(parts: Sequence[Part]) -> int:
-    return sum(part.tokens for part in parts)
+    homes = [member.runner for member in members if order.get(member.runner.key) != 0]
+    return home_of(shared[-1].key, ((runner.key, HOME_WEIGHTS[runner.stage]) for runner in homes))
 
 
 __all__ = ('Chooser', 'EnginePlan')
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -2,54 +2,35 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.admit.budget import RetryBudget
 from sesamepoint_core.serving.routes import Repeat
 from sesamepoint import events
-from sesamepoint.front.attempt import Attempt, Target
-from sesamepoint.front.job import Job
-from sesamepoint.front.prefill import Prefilled, prefill
-from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Unsent
-from sesamepoint.platform.headers import Sending, returned, signed
+from sesamepoint.front.job import SOON_S, Job
+from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
+from sesamepoint.front.tries import PATIENCE_FACTOR, attempt, repeatable, target_for
+from sesamepoint.platform.headers import returned, signed
 
 if TYPE_CHECKING:
     from random import Random
 
     from sesamepoint_core.serving.routes import Configuration, Route
-    from sesamepoint.front.choice import Chooser, EnginePlan
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.member import Member
-    from sesamepoint.front.prefill import HandleReclaimer
+    from sesamepoint.front.choice import Chooser
+    from sesamepoint.front.engine_runs import EngineRuns
     from sesamepoint.front.reply import Reply
     from sesamepoint.front.request import FrontRequest
     from sesamepoint.front.results import AttemptResult
-    from sesamepoint.front.sends import SendNotes
 
 NOT_FOUND = 404
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
-# When callers may come back, in seconds: after a moment of bad luck, and
-# when nothing is known yet.
-SOON_S = 0.1
+# When callers may come back while nothing is known yet, in seconds.
 STARTING_S = 0.5
-# How long a runner may stay silent before work that may be repeated goes
-# elsewhere: this many times what was expected, and at least this long.
-PATIENCE_FACTOR = 3.0
-MIN_PATIENCE_S = 0.4
-
-
-class Tools(NamedTuple):
-    """What the dispatcher works with."""
-
-    fleet: Fleet
-    chooser: Chooser
-    sends: SendNotes
-    reclaimer: HandleReclaimer
-    rng: Random
+MS_PER_S = 1000
 
 
 class Budgets:
@@ -80,11 +61,13 @@
 class Dispatcher:
     """Serves requests by the configuration in force."""
 
-    def __init__(self, tools: Tools, budgets: Budgets) -> None:
+    def __init__(self, chooser: Chooser, engine_runs: EngineRuns, budgets: Budgets, rng: Random) -> None:
         """Start without a configuration."""
         self.configuration: Configuration | None = None
-        self._tools = tools
+        self._chooser = chooser
+        self._engine_runs = engine_runs
         self._budgets = budgets
+        self._rng = rng
 
     async def serve(self, req: FrontRequest, reply: Reply) -> None:
         """Answer ``req``; an answer that stays unfinished must be cut off."""
@@ -97,7 +80,7 @@
         job = Job(req, route, self._pick_service(route), reply)
         if not await self._serve_in_time(job, cfg):
             await self._time_out(job)
-        return _log_end(job)
+        return _log_end(job, cfg)
 
     async def _serve_in_time(self, job: Job, cfg: Configuration) -> bool:
         with trio.move_on_at(job.deadline):
@@ -127,118 +110,18 @@
         return newest
 
     async def _try(self, job: Job, cfg: Configuration, budget: RetryBudget) -> AttemptResult | None:
-        if job.req.prompt is None:
-            member = self._tools.chooser.plain(job)
-            if member is None:
-                return None
-            return await self._attempt(job, member, expected_s=job.route.target_s / PATIENCE_FACTOR)
-        plan = self._tools.chooser.engine(job, cfg)
-        if plan is None:
+        if job.req.prompt is not None:
+            return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
+        member = self._chooser.plain(job)
+        if member is None:
             return None
-        return await self._try_engine(job, cfg, plan, budget)
-
-    async def _try_engine(
-        self,
-        job: Job,
-        cfg: Configuration,
-        plan: EnginePlan,
-        budget: RetryBudget,
-    ) -> AttemptResult | None:
-        if plan.prefill is None:
-            return await self._run_whole(job, plan)
-        prefilled = await self._prefill(job, plan, plan.prefill)
-        if prefilled is None:
-            budget.charge()
-            plan_whole = self._tools.chooser.engine(job, cfg, whole=True)
-            return await self._run_whole(job, plan_whole) if plan_whole else None
-        return await self._decode(job, plan, prefilled)
-
-    async def _run_whole(self, job: Job, plan: EnginePlan) -> AttemptResult:
-        job.path = 'whole'
-        self._note(job, plan, plan.decode)
-        return await self._attempt(job, plan.decode, expected_s=plan.path.first_s)
-
-    async def _prefill(self, job: Job, plan: EnginePlan, member: Member) -> Prefilled | None:
-        job.path = 'two-step'
-        self._note(job, plan, member)
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_FACTOR * plan.path.first_s)
-        sending = Sending(member.runner.key, job.left_s, job.route.priority, prefill_only=True)
-        started = trio.current_time()
-        found = await prefill(job.req, Target(member, sending, patience_s))
-        took_s = trio.current_time() - started
-        if isinstance(found, Prefilled):
-            member.health.good()
-            self._learn(job, plan, member, took_s)
-            return found
-        self._note_bad(member, found)
-        return None
-
-    async def _decode(self, job: Job, plan: EnginePlan, prefilled: Prefilled) -> AttemptResult:
-        prompt = job.req.prompt
-        if prompt:
-            self._tools.sends.read(plan.decode, prompt.parts, 0)
-        became: AttemptResult | None = None
-        try:
-            became = await self._attempt(job, plan.decode, expected_s=plan.path.first_s, source=prefilled.source)
-        finally:
-            if not isinstance(became, Relayed):
-                self._tools.reclaimer.drop(prefilled)
-        return became
-
-    async def _attempt(
-        self,
-        job: Job,
-        member: Member,
-        *,
-        expected_s: float,
-        source: str = '',
-    ) -> AttemptResult:
-        job.tried.add(member.runner.key)
-        patience_s = max(MIN_PATIENCE_S, PATIENCE_FACTOR * expected_s)
-        if not _repeatable(job) or job.sends + 1 >= job.route.max_attempts:
-            patience_s = job.left_s
-        sending = Sending(
-            member.runner.key,
-            job.left_s,
-            job.route.priority,
-            kv_source=source,
-            resume_after=job.reply.events.last_id if job.reply.begun else '',
-        )
-        attempt = Attempt(job.req, Target(member, sending, patience_s), job.reply, streamed=job.route.streamed)
-        job.sends += 1
-        job.maybe_run = True
-        became = await attempt.run()
-        self._judge(job, member, became)
-        return became
-
-    def _judge(self, job: Job, member: Member, became: AttemptResult) -> None:
-        """Draw conclusions on the runner, and on whether the request ran."""
-        if isinstance(became, Relayed):
-            return member.health.good()
-        if isinstance(became, Unsent):
-            job.sends -= 1
-        if isinstance(became, Unsent | Rejected):
-            job.maybe_run = False
-        return self._note_bad(member, str(became))
-
-    def _note_bad(self, member: Member, cause: str) -> None:
-        if member.health.bad(trio.current_time()):
-            events.log_event(events.RUNNER_EJECTED, runner=member.runner.key, cause=cause)
-
-    def _note(self, job: Job, plan: EnginePlan, member: Member) -> None:
-        prompt = job.req.prompt
-        if prompt:
-            self._tools.sends.read(member, prompt.parts, plan.path.work_s)
-
-    def _learn(self, job: Job, plan: EnginePlan, member: Member, took_s: float) -> None:
-        if plan.wait_s == 0:
-            self._tools.chooser.meter(job.service).observe(plan.fresh_tokens, took_s)
+        return await attempt(job, target_for(job, member, job.route.target_s / PATIENCE_FACTOR))
 
     def _pick_service(self, route: Route) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
         weights = [share.weight for share in route.shares]
-        return self._tools.rng.choices(route.shares, weights)[0].service
+        return self._rng.choices(route.shares, weights)[0].service
 
     async def _conclude(self, job: Job, found: AttemptResult | None) -> None:
         if job.reply.begun:
@@ -248,11 +131,7 @@
         elif job.maybe_run:
             await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
         else:
-            await job.reply.refuse(UNAVAILABLE, 'no runner took it; it has not run', SOON_S)
-
-
-def _repeatable(job: Job) -> bool:
-    return job.route.repeat is not Repeat.never
+            await job.reply.refuse(UNAVAILABLE, 'no runner can take it now; it has not run', job.retry_after_s)
 
 
 def _may_go_on(job: Job, found: AttemptResult) -> bool:
@@ -261,22 +140,30 @@
     if isinstance(found, Unsent | Rejected):
         return True
     if job.reply.begun:
-        return job.route.repeat is Repeat.resume and isinstance(found, Broken)
-    return _repeatable(job)
+        return job.route.repeat is Repeat.resume and isinstance(found, Broken | Silent)
+    return repeatable(job)
 
 
-def _log_end(job: Job) -> None:
+def _log_end(job: Job, cfg: Configuration) -> None:
+    """Write the one line that tells what became of a request, and why."""
     events.log_event(
         events.ANSWER_ENDED,
         request=job.req.request_id,
         route=job.route.name,
+        config_version=cfg.version,
         status=job.reply.status,
         unfinished=job.reply.unfinished,
         sends=job.sends,
-        path=job.path,
         runners=sorted(job.tried),
-        took_ms=int((trio.current_time() - job.req.arrived) * 1000),
+        took_ms=_ms(trio.current_time() - job.req.arrived),
+        first_total_ms=None if job.first_at is None else _ms(job.first_at - job.req.arrived),
+        pause_ms=_ms(job.longest_pause_s),
+        **job.decision,
     )
 
 
-__all__ = ('Budgets', 'Dispatcher', 'Tools')
+def _ms(seconds: float) -> int:
+    return round(seconds * MS_PER_S)
+
+
+__all__ = ('Budgets', 'Dispatcher')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -0,0 +1,212 @@
+"""Carrying out a path through the engines: whole, or in two steps."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint import events
+from sesamepoint.front.attempt import Target
+from sesamepoint.front.prefill import Prefilled, prefill
+from sesamepoint.front.results import Relayed
+from sesamepoint.front.sends import NewLoad
+from sesamepoint.front.tries import attempt, note_failure, patience_s, target_for
+from sesamepoint.front.waiting import WaitingRoom, come_back_s, hopeless
+from sesamepoint.platform.headers import Sending
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint_core.admit.budget import RetryBudget
+    from sesamepoint_core.serving.prompt import Prompt
+    from sesamepoint_core.serving.routes import Configuration
+    from sesamepoint.front.choice import Chooser, EnginePlan
+    from sesamepoint.front.job import Job
+    from sesamepoint.front.member import Member
+    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.prefill import HandleReclaimer
+    from sesamepoint.front.results import AttemptResult
+    from sesamepoint.front.sends import End, SendNotes
+
+# Work that an engine may have before more is held back here: enough to keep
+# it busy over the 30 ms that a word to the other entries takes.
+HOLD_ABOVE_S = 0.1
+# Bounds on the pause before held work is looked at again.
+MIN_HOLD_S = 0.005
+MAX_HOLD_S = 0.05
+HOLD_JITTER = (0.7, 1.3)
+
+
+class EngineTools(NamedTuple):
+    """What the paths need besides the job."""
+
+    chooser: Chooser
+    sends: SendNotes
+    reclaimer: HandleReclaimer
+    rng: Random
+    peers: Peers
+
+
+class EngineRuns:
+    """Runs jobs with prompts at engines."""
+
+    def __init__(self, tools: EngineTools) -> None:
+        """Work with ``tools``."""
+        self._chooser = tools.chooser
+        self._sends = tools.sends
+        self._reclaimer = tools.reclaimer
+        self._rng = tools.rng
+        self._peers = tools.peers
+        self._waiting = WaitingRoom()
+
+    async def attempt(
+        self,
+        job: Job,
+        prompt: Prompt,
+        cfg: Configuration,
+        budget: RetryBudget,
+    ) -> AttemptResult | None:
+        """Have ``job`` served on the best path; None if there is none."""
+        plan = await self._wait_for_plan(job, prompt, cfg)
+        if plan is None or plan.prefill is None:
+            return await self._whole(job, prompt, plan)
+        prefilled = await self._prefill(job, prompt, plan, plan.prefill)
+        if prefilled is None:
+            # Unlike the first call to read a prompt, a failed one counts as
+            # an extra arrival.
+            budget.charge()
+            return await self._whole(job, prompt, self._chooser.engine(job, prompt, cfg, whole=True))
+        return await self._decode(job, prompt, plan, prefilled)
+
+    async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
+        """Hold the request here until its best engine has nearly got to it.
+
+        An engine sets memory aside for all prompts that wait there, at the
+        cost of the shared parts that it keeps. What waits here takes none,
+        and goes to whichever engine is free first.
+        """
+        plan = self._chooser.engine(job, prompt, cfg)
+        if plan is None or not _must_wait(plan) or self._refuse(job, plan):
+            return None if job.refused else plan
+        with self._waiting.hold(plan.path.work_s):
+            while plan is not None and _must_wait(plan):
+                over_s = plan.view.wait_s - HOLD_ABOVE_S
+                await trio.sleep(min(max(over_s, MIN_HOLD_S), MAX_HOLD_S) * self._rng.uniform(*HOLD_JITTER))
+                plan = self._chooser.engine(job, prompt, cfg)
+        return plan
+
+    def _refuse(self, job: Job, plan: EnginePlan) -> bool:
+        """Turn away what would wait too long to be served, with a time to come back."""
+        wait_s = plan.view.wait_s + self._waiting.expected_s(self._peers.count(), self._chooser.engines(job))
+        if not hopeless(wait_s, job.left_s):
+            return False
+        job.retry_after_s = come_back_s(wait_s, job.left_s)
+        job.refused = True
+        events.log_event(
+            events.REQUEST_REFUSED,
+            request=job.req.request_id,
+            wait_ms=round(wait_s * 1000),
+            left_ms=round(job.left_s * 1000),
+            retry_after_s=job.retry_after_s,
+        )
+        return True
+
+    async def _whole(self, job: Job, prompt: Prompt, plan: EnginePlan | None) -> AttemptResult | None:
+        if plan is None:
+            return None
+        job.decision.update(_decision(plan, prompt, 'whole'))
+        end = self._begin(plan, prompt, plan.decode, plan.path.work_s)
+        target = self._target(job, plan)
+        target = target._replace(
+            sending=target.sending._replace(fetch_from=plan.fetch_from),
+            on_sign=partial(self._sends.end, end),
+        )
+        try:
+            return await attempt(job, target)
+        finally:
+            self._sends.end(end._replace(finished=True))
+
+    async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | None:
+        job.decision.update(_decision(plan, prompt, 'two-step'))
+        end = self._begin(plan, prompt, member, plan.path.work_s)
+        sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
+        started = trio.current_time()
+        try:
+            found = await prefill(job.req, Target(member, sending, patience_s(plan.path.first_s, engine=True)))
+        finally:
+            self._sends.end(end._replace(finished=True))
+        if isinstance(found, Prefilled):
+            self._learn(job, plan, member, trio.current_time() - started)
+            return found
+        events.log_event(
+            events.PREFILL_FAILED,
+            request=job.req.request_id,
+            runner=member.runner.key,
+            cause=found,
+        )
+        if not member.health.heard_since(started):
+            note_failure(member, found)
+        return None
+
+    async def _decode(self, job: Job, prompt: Prompt, plan: EnginePlan, prefilled: Prefilled) -> AttemptResult:
+        end = self._begin(plan, prompt, plan.decode, 0)
+        target = self._target(job, plan)
+        target = target._replace(sending=target.sending._replace(kv_source=prefilled.source))
+        became: AttemptResult | None = None
+        try:
+            became = await attempt(job, target)
+        finally:
+            self._sends.end(end._replace(finished=True))
+            if not isinstance(became, Relayed):
+                self._reclaimer.drop(prefilled)
+        return became
+
+    def _begin(self, plan: EnginePlan, prompt: Prompt, member: Member, work_s: float) -> End:
+        tokens = prompt.tokens if member is plan.decode else 0
+        return self._sends.begin(NewLoad(member, work_s, plan.rank, tokens), prompt.parts)
+
+    def _target(self, job: Job, plan: EnginePlan) -> Target:
+        target = target_for(job, plan.decode, plan.path.first_s)
+        return target._replace(
+            sending=target.sending._replace(priority=plan.rank),
+            on_pause=partial(self._note_pause, job),
+        )
+
+    def _note_pause(self, job: Job, pause_s: float) -> None:
+        job.longest_pause_s = max(job.longest_pause_s, pause_s)
+        self._chooser.pauses(job.service).observe(pause_s)
+
+    def _learn(self, job: Job, plan: EnginePlan, member: Member, took_s: float) -> None:
+        member.health.good()
+        job.decision['prefill_ms'] = round(took_s * 1000)
+        if plan.view.backlog_s == 0 and plan.view.fetch_tokens == 0:
+            self._chooser.speed(job.service).observe(plan.view.fresh_tokens, took_s)
+
+
+def _must_wait(plan: EnginePlan) -> bool:
+    return plan.view.wait_s > HOLD_ABOVE_S or plan.crowded
+
+
+def _decision(plan: EnginePlan, prompt: Prompt, path: str) -> dict[str, object]:
+    return {
+        'path': path,
+        'reader': plan.view.runner,
+        'shared': prompt.parts[-2].key if len(prompt.parts) > 1 else '',
+        'tokens': prompt.tokens,
+        'expected_ms': round(plan.path.first_s * 1000),
+        'wait_ms': round(plan.view.wait_s * 1000),
+        'fresh_tokens': plan.view.fresh_tokens,
+        'fetch_from': plan.fetch_from,
+        'fetch_tokens': plan.view.fetch_tokens,
+        'rank': plan.rank,
+        'backlog_ms': round(plan.view.backlog_s * 1000),
+        'streams': plan.view.streams,
+        'rate': round(plan.speeds.prefill_tokens_s),
+        'overhead_ms': round(plan.speeds.overhead_s * 1000),
+        'plain_pause_ms': round(plan.speeds.plain_pause_s * 1000),
+    }
+
+
+__all__ = ('EngineRuns', 'EngineTools')
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -14,6 +14,10 @@
 # Taken off the time that a runner gets, so that its last word still reaches
 # the caller.
 RETURN_S = 0.01
+# When a caller may come back after a moment of bad luck, in seconds.
+SOON_S = 0.1
+# After this share of its time a late request no longer stands back.
+STAND_BACK_SHARE = 0.5
 
 
 class Job:
@@ -29,7 +33,30 @@
         self.sends = 0
         self.maybe_run = False
         self.tried: set[str] = set()
-        self.path = ''
+        self.first_at: float | None = None
+        self.refused = False
+        self.retry_after_s = SOON_S
+        self.longest_pause_s: float = 0
+        self.decision: dict[str, object] = {}
+
+    def note_first(self, at: float) -> None:
+        """Note when the caller got the first of its answer."""
+        if self.first_at is None:
+            self.first_at = at
+
+    @property
+    def on_time_s(self) -> float:
+        """Return the seconds from now within which an answer is on time."""
+        return self.req.arrived + self.route.target_s - trio.current_time()
+
+    @property
+    def stands_back(self) -> bool:
+        """Tell whether it lets others pass once it can't be on time.
+
+        Only for a part of its time: what was let in shall be served.
+        """
+        span_s = self.deadline - self.req.arrived
+        return trio.current_time() - self.req.arrived < STAND_BACK_SHARE * span_s
 
     @property
     def left_s(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint_core.route.pace import Pace
+from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.health import Health
 from sesamepoint_core.serving.kv_cache import CacheModel
-from sesamepoint_core.serving.queue_model import QueueModel
 from sesamepoint.front.pool import Pool
 
 if TYPE_CHECKING:
@@ -26,8 +26,9 @@
         self.gone_at: float | None = None
         self.pool = Pool(runner.address)
         self.health = Health()
-        self.queue = QueueModel()
+        self.load = EngineLoad()
         self.cache = CacheModel(kv_tokens)
+        self.kv_tokens = kv_tokens
         self.pace = Pace()
         self.in_flight = 0
 
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -10,7 +10,7 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
-from sesamepoint.front.sends import Send
+from sesamepoint.front.sends import Word
 from sesamepoint.platform.names import ENTRY_TOPIC
 
 if TYPE_CHECKING:
@@ -20,20 +20,11 @@
 
 # Sends are gathered for this long, in seconds, before peers are told: short
 # against the work they stand for (tens of ms), long against a datagram.
-GATHER_S = 0.02
-# More sends than this go into a second datagram, to stay below 1,400 bytes.
-SENDS_A_DATAGRAM = 10
+GATHER_S = 0.005
 DATAGRAM_BYTES = 65536
 REGISTER_AGAIN_S = 1.0
 
 
-class Word(NamedTuple):
-    """One datagram."""
-
-    entry: str
-    sends: list[Send]
-
-
 class Peers:
     """The other entries, and the exchange with them."""
 
@@ -83,9 +74,7 @@
         while True:
             await self._sends.fresh.wait()
             await trio.sleep(GATHER_S)
-            unsent = self._sends.drain()
-            for start in range(0, len(unsent), SENDS_A_DATAGRAM):
-                await self._tell_all(unsent[start : start + SENDS_A_DATAGRAM])
+            await self._tell_all(self._sends.drain())
 
     async def _take_in(self, sock: trio.socket.SocketType) -> None:
         while True:
@@ -95,10 +84,10 @@
             except msgspec.DecodeError as exc:
                 events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
                 continue
-            self._sends.heard(word.sends)
+            self._sends.heard(word)
 
-    async def _tell_all(self, sends: list[Send]) -> None:
-        datagram = msgspec.msgpack.encode(Word(self._cfg.name, sends))
+    async def _tell_all(self, word: Word) -> None:
+        datagram = msgspec.msgpack.encode(word)
         for name, address in tuple(self._addresses.items()):
             if name != self._cfg.name:
                 await self._tell(datagram, address)
@@ -112,4 +101,4 @@
             events.log_event(events.PEER_UNREACHABLE, peer=str(address), cause=repr(exc))
 
 
-__all__ = ('Peers', 'Word')
+__all__ = ('Peers',)
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -72,6 +72,7 @@
         return str(exc)
     finally:
         member.pool.give_back(conn)
+    member.health.heard(trio.current_time())
     if status != STATUS_OK:
         return f'status {status}'
     try:
--- a/packages/sesamepoint/src/sesamepoint/front/results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/results.py
@@ -50,6 +50,13 @@
     cause: str
 
 
-AttemptResult = Relayed | Unsent | Rejected | RunFailed | Broken
+@dataclass(frozen=True)
+class Silent:
+    """No sign of an answer came in the time that was allowed."""
+
+    tag: ClassVar[str] = 'silent'
+
+
+AttemptResult = Relayed | Unsent | Rejected | RunFailed | Broken | Silent
 
-__all__ = ('AttemptResult', 'Broken', 'Rejected', 'Relayed', 'RunFailed', 'Unsent')
+__all__ = ('AttemptResult', 'Broken', 'Rejected', 'Relayed', 'RunFailed', 'Silent', 'Unsent')
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -6,58 +6,134 @@
 
 import trio
 
+from sesamepoint_core.serving.engine_load import Stream, Work
 from sesamepoint_core.serving.prompt import Part
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from random import Random
 
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.member import Member
 
+SERIAL_BITS = 30
 
-class Send(NamedTuple):
-    """Prompt work that one entry gave to one runner.
 
-    ``parts`` are the shared parts that the runner holds from now on.
+class Send(NamedTuple):
+    """A prompt, or the memory of one, that an entry sent to a runner.
+
+    Parameters
+    ----------
+    work_s
+        Seconds of reading; 0 if the prompt was read elsewhere.
+    tokens
+        Memory that the answer takes up; 0 if only the prompt is read.
+    parts
+        What the runner holds from then on.
     """
 
+    serial: int
     runner: str
     work_s: float
+    rank: int
+    tokens: int
     parts: tuple[Part, ...]
 
 
+class End(NamedTuple):
+    """The end of a send: its prompt is read, or all is ``finished``."""
+
+    serial: int
+    runner: str
+    finished: bool
+
+
+class NewLoad(NamedTuple):
+    """What a send puts on a member; the fields are those of :class:`Send`."""
+
+    member: Member
+    work_s: float
+    rank: int
+    tokens: int
+
+
+class Word(NamedTuple):
+    """What one entry tells the others at a time."""
+
+    entry: str
+    sends: tuple[Send, ...]
+    ends: tuple[End, ...]
+
+
 class SendNotes:
     """Keeps the models of runners in step with all entries' sends."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        """Update the members of ``fleet``."""
+    def __init__(self, entry: str, fleet: Fleet, rng: Random) -> None:
+        """Update the members of ``fleet``; ``entry`` is this one's name."""
         self.fresh = trio.Event()
+        self._entry = entry
         self._fleet = fleet
-        self._unsent: list[Send] = []
-
-    def read(self, member: Member, parts: Sequence[Part], work_s: float) -> None:
-        """Note that this entry has ``member`` read a prompt."""
-        shared = parts[:-1]
-        member.queue.add(trio.current_time(), work_s)
-        member.cache.touch(shared)
-        self._unsent.append(Send(member.runner.key, work_s, tuple(shared)))
+        self._sends: list[Send] = []
+        self._ends: list[End] = []
+        # A restarted entry must not end the work of the one before it.
+        self._serial = rng.getrandbits(SERIAL_BITS)
+
+    def begin(self, load: NewLoad, parts: Sequence[Part]) -> End:
+        """Note a send to an engine; pass what this returns to :meth:`end`."""
+        self._serial += 1
+        runner = load.member.runner.key
+        send = Send(self._serial, runner, load.work_s, load.rank, load.tokens, tuple(parts))
+        self._apply(self._entry, send)
+        self._sends.append(send)
         self.fresh.set()
+        return End(send.serial, runner, finished=False)
 
-    def heard(self, sends: Sequence[Send]) -> None:
+    def end(self, end: End) -> None:
+        """Note that the prompt is read, or that all is finished."""
+        self._finish(self._entry, end)
+        self._ends.append(end)
+        self.fresh.set()
+
+    def heard(self, word: Word) -> None:
         """Take in what a peer told."""
-        now = trio.current_time()
-        for send in sends:
-            member = self._fleet.members.get(send.runner)
-            if member is not None:
-                member.queue.add(now, send.work_s)
-                member.cache.touch(send.parts)
+        for send in word.sends:
+            self._apply(word.entry, send)
+        for end in word.ends:
+            self._finish(word.entry, end)
 
-    def drain(self) -> list[Send]:
+    def drain(self) -> Word:
         """Return what peers have not been told yet."""
-        found = self._unsent
-        self._unsent = []
+        word = Word(self._entry, tuple(self._sends), tuple(self._ends))
+        self._sends = []
+        self._ends = []
         self.fresh = trio.Event()
-        return found
+        return word
+
+    def _apply(self, entry: str, send: Send) -> None:
+        member = self._fleet.members.get(send.runner)
+        if member is None:
+            return
+        now = trio.current_time()
+        name = _name(entry, send.serial)
+        member.cache.touch(send.parts, name if send.work_s else '')
+        if send.work_s:
+            member.load.add_work(name, Work(send.work_s, send.rank, now))
+        if send.tokens:
+            member.load.add_stream(name, Stream(send.tokens, now))
+
+    def _finish(self, entry: str, end: End) -> None:
+        member = self._fleet.members.get(end.runner)
+        if member is None:
+            return
+        name = _name(entry, end.serial)
+        member.load.read(name, trio.current_time())
+        member.cache.read(name)
+        if end.finished:
+            member.load.finished(name)
+
+
+def _name(entry: str, serial: int) -> str:
+    return f'{entry} {serial}'
 
 
-__all__ = ('Send', 'SendNotes')
+__all__ = ('End', 'NewLoad', 'Send', 'SendNotes', 'Word')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -0,0 +1,103 @@
+"""One attempt for a job, and what it teaches about the runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.serving.routes import Repeat
+from sesamepoint import events
+from sesamepoint.front.attempt import Attempt, Target
+from sesamepoint.front.results import Rejected, Relayed, Silent, Unsent
+from sesamepoint.platform.headers import Sending
+
+if TYPE_CHECKING:
+    from sesamepoint.front.job import Job
+    from sesamepoint.front.member import Member
+    from sesamepoint.front.results import AttemptResult
+
+# How long a runner may stay silent before work that may be repeated goes
+# elsewhere: this many times what was expected, and at least this long. Plain
+# services answer in tens of milliseconds. Engines under load are slower than
+# any estimate, and what is taken from them has to be read again elsewhere.
+PATIENCE_FACTOR = 3.0
+MIN_PATIENCE_S = 0.4
+ENGINE_PATIENCE_FACTOR = 4.0
+MIN_ENGINE_PATIENCE_S = 1.2
+
+
+def patience_s(expected_s: float, *, engine: bool) -> float:
+    """Return how long to wait for a sign that was expected in ``expected_s``."""
+    if engine:
+        return max(MIN_ENGINE_PATIENCE_S, ENGINE_PATIENCE_FACTOR * expected_s)
+    return max(MIN_PATIENCE_S, PATIENCE_FACTOR * expected_s)
+
+
+def target_for(job: Job, member: Member, expected_s: float) -> Target:
+    """Return ``member`` as the target of the job's next attempt.
+
+    What can't go elsewhere stays to the end: a silent runner may be at work.
+    """
+    last = job.sends + 1 >= job.route.max_attempts
+    sending = Sending(
+        member.runner.key,
+        job.left_s,
+        job.route.priority,
+        resume_after=job.reply.events.last_id if job.reply.begun else '',
+    )
+    return Target(
+        member,
+        sending,
+        job.left_s if last or not repeatable(job) else patience_s(expected_s, engine=job.req.prompt is not None),
+    )
+
+
+async def attempt(job: Job, target: Target) -> AttemptResult:
+    """Send ``job`` to ``target`` and note what came of it."""
+    member = target.member
+    job.tried.add(member.runner.key)
+    job.sends += 1
+    job.maybe_run = True
+    under_way = Attempt(job.req, target, job.reply, streamed=job.route.streamed)
+    started = trio.current_time()
+    became = await under_way.run()
+    if under_way.first_at is not None:
+        job.note_first(under_way.first_at)
+    _judge(job, member, became, started)
+    return became
+
+
+def note_failure(member: Member, cause: str) -> None:
+    """Count a failure of ``member``, which may leave it out for a while."""
+    if member.health.bad(trio.current_time()):
+        events.log_event(events.RUNNER_EJECTED, runner=member.runner.key, cause=cause)
+
+
+def repeatable(job: Job) -> bool:
+    """Tell whether the job may run more than once."""
+    return job.route.repeat is not Repeat.never
+
+
+def _judge(job: Job, member: Member, became: AttemptResult, started: float) -> None:
+    if isinstance(became, Relayed):
+        member.health.good()
+        return
+    if isinstance(became, Unsent):
+        job.sends -= 1
+    if isinstance(became, Unsent | Rejected):
+        job.maybe_run = False
+    events.log_event(
+        events.ATTEMPT_ENDED,
+        request=job.req.request_id,
+        runner=member.runner.key,
+        outcome=became.tag,
+        cause=str(became),
+    )
+    if isinstance(became, Silent) and member.health.heard_since(started):
+        # It is busy, not dead: it has answered others meanwhile.
+        return
+    note_failure(member, became.tag)
+
+
+__all__ = ('attempt', 'note_failure', 'patience_s', 'repeatable', 'target_for')
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -85,6 +85,7 @@
         streamed=streamed,
         timeout_s=timeout_s,
         target_s=document.get('target_latency_ms', document['timeout_ms']) / MS_PER_S,
+        pause_s=document.get('gap_aim_ms', 0) / MS_PER_S,
         max_attempts=document.get('max_attempts', 1),
         priority=document.get('priority', 0),
         shares=tuple(Share(found['service'], found['weight']) for found in shares),
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -31,6 +31,8 @@
         Whether the runner only reads the prompt.
     kv_source
         Where the prompt's memory lies, as address and handle.
+    fetch_from
+        Address of a runner that holds parts of the prompt.
     resume_after
         Event after which a stream goes on.
     """
@@ -40,6 +42,7 @@
     priority: int
     prefill_only: bool = False
     kv_source: str = ''
+    fetch_from: str = ''
     resume_after: str = ''
 
 
@@ -81,6 +84,8 @@
         added.append((names.STAGE, b'prefill'))
     if sending.kv_source:
         added.append((names.KV_SOURCE, sending.kv_source.encode()))
+    if sending.fetch_from:
+        added.append((names.KV_FETCH, sending.fetch_from.encode()))
     own = req.head.headers
     if sending.resume_after:
         own = tuple(pair for pair in own if pair[0] != names.LAST_EVENT)
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -16,6 +16,7 @@
 PRIORITY: Final = b'sesamepoint-request-priority'
 STAGE: Final = b'sesamepoint-serving-stage'
 KV_SOURCE: Final = b'sesamepoint-kv-source'
+KV_FETCH: Final = b'kv-fetch'
 LAST_EVENT: Final = b'last-event-id'
 RETRY_AFTER: Final = b'retry-after'
 CONTENT_ENCODING: Final = b'content-encoding'
@@ -32,7 +33,7 @@
         b'sesamepoint-kv-hold',
         b'sesamepoint-pin-ms',
         b'sesamepoint-kv-backup',
-        b'kv-fetch',
+        KV_FETCH,
     )
 )
 # Headers that concern one connection only, or that are set anew per hop.
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -11,8 +11,9 @@
 
 from sesamepoint import events
 from sesamepoint.front.choice import Chooser
-from sesamepoint.front.dispatch import Budgets, Dispatcher, Tools
+from sesamepoint.front.dispatch import Budgets, Dispatcher
 from sesamepoint.front.door import Door
+from sesamepoint.front.engine_runs import EngineRuns, EngineTools
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.intake import Beliefs, Intake
 from sesamepoint.front.pages import Page, Pages
@@ -48,12 +49,13 @@
         self._stopping = False
         rng = SystemRandom()
         self._fleet = Fleet(cfg.drain_s, trio.current_time)
-        sends = SendNotes(self._fleet)
+        sends = SendNotes(cfg.name, self._fleet, rng)
         self._peers = Peers(cfg, sends)
         self._reclaimer = HandleReclaimer()
         budgets = Budgets(cfg.retry_ratio, cfg.retry_reserve)
         chooser = Chooser(self._fleet, cfg.availability_zone)
-        self._dispatcher = Dispatcher(Tools(self._fleet, chooser, sends, self._reclaimer, rng), budgets)
+        engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, rng, self._peers))
+        self._dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
         self._intake = Intake(cfg, Beliefs(self._dispatcher, self._fleet, self._peers, budgets), rng)
         self._door = Door(self._dispatcher, self._limits)
         self._registry = CollectorRegistry()
--- a/packages/sesamepoint/src/sesamepoint/process/stop.py
+++ b/packages/sesamepoint/src/sesamepoint/process/stop.py
@@ -10,24 +10,42 @@
 from sesamepoint import events
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
+
+
+def _nothing() -> None:
+    """Reload nothing."""
 
 
 async def run_until_stopped(
     main: Callable[[], Awaitable[None]],
     wind_down: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] = _nothing,
 ) -> None:
-    """Run ``main``; on a signal run ``wind_down``, then cancel ``main``."""
+    """Run ``main``; on a signal run ``wind_down``, then cancel ``main``.
+
+    The signal to reload runs ``reload``, also while winding down: left to
+    its default it would end the process at once, with all its requests.
+    """
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(main)
-        with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            await anext(signals)
+        with trio.open_signal_receiver(*STOP_SIGNALS, RELOAD_SIGNAL) as signals:
+            nursery.start_soon(main)
+            await _until_stop(signals, reload)
             events.log_event(events.STOP_REQUESTED)
+            nursery.start_soon(_until_stop, signals, reload)
             await wind_down()
         nursery.cancel_scope.cancel()
     events.log_event(events.PROCESS_STOPPED)
 
 
+async def _until_stop(signals: AsyncIterator[int], reload: Callable[[], None]) -> None:
+    async for number in signals:
+        if number != RELOAD_SIGNAL:
+            return
+        reload()
+
+
 __all__ = ('run_until_stopped',)
