--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -35,6 +35,10 @@
 # Share of the free time of a pause that reading may fill without harm; the
 # rest allows for estimates that are off.
 HARMLESS_SHARE = 0.6
+MIN_FREE_SHARE = 0.2
+# Reading at a decode runner slows each answer there by the same time; what
+# that costs the others, as a share of it for each answer.
+SLOWING_SHARE = 0.05
 # The cost of a place that is not free, in seconds: used only if all are so.
 CROWDED_S = 2.0
 
@@ -152,6 +156,7 @@
     # Reading here stretches the pauses of all streams that run here, and what
     # was to be read before stretches those of this one.
     disturbed = view.streams * _late_pause_cost_s(work_s + view.backlog_s, speeds)
+    disturbed += SLOWING_SHARE * view.streams * work_s
     own_pause = _late_pause_cost_s(view.backlog_s, speeds)
     cost = first_s + OTHERS_WEIGHT * work_s + AWAY_WEIGHT * view.away_tokens * token_s
     return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause + _crowding_s(view))
@@ -181,7 +186,7 @@
     Between two tokens an engine reads a piece of a prompt. A read that fills
     the time which a pause may take beyond its plain length makes it late.
     """
-    free_s = speeds.pause_s - speeds.plain_pause_s
+    free_s = max(speeds.pause_s - speeds.plain_pause_s, MIN_FREE_SHARE * speeds.pause_s)
     if free_s <= 0:
         return 0
     sure = (read_s / free_s - HARMLESS_SHARE) / (1 - HARMLESS_SHARE)
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/rate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/rate.py
@@ -19,9 +19,9 @@
 MIN_WORK_S = 0.001
 # Seconds between two events of several tokens, until some were seen.
 FIRST_PAUSE_S = 0.04
-# Weight of pauses longer than the plain one: with it, some one in ten pauses
-# of a busy engine lies below the estimate.
-GAIN_LONG_PAUSE = 0.01
+# Weight of pauses longer than the plain one. Small, for in a burst nearly all
+# are disturbed, some hundred a second.
+GAIN_LONG_PAUSE = 0.0005
 
 
 class SpeedMeter:
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -78,9 +78,12 @@
         if route is None:
             return await reply.refuse(NOT_FOUND, 'no such route')
         job = Job(req, route, self._pick_service(route), reply)
-        if not await self._serve_in_time(job, cfg):
-            await self._time_out(job)
-        return _log_end(job, cfg)
+        try:
+            if not await self._serve_in_time(job, cfg):
+                await self._time_out(job)
+        finally:
+            # Also if the caller has left and this task is cancelled.
+            _log_end(job, cfg)
 
     async def _serve_in_time(self, job: Job, cfg: Configuration) -> bool:
         with trio.move_on_at(job.deadline):
@@ -152,7 +155,7 @@
         route=job.route.name,
         config_version=cfg.version,
         status=job.reply.status,
-        unfinished=job.reply.unfinished,
+        unfinished=job.reply.unfinished or not job.reply.begun,
         sends=job.sends,
         runners=sorted(job.tried),
         took_ms=_ms(trio.current_time() - job.req.arrived),
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -87,7 +87,7 @@
     def _refuse(self, job: Job, plan: EnginePlan) -> bool:
         """Turn away what would wait too long to be served, with a time to come back."""
         wait_s = plan.view.wait_s + self._waiting.expected_s(self._peers.count(), self._chooser.engines(job))
-        if not hopeless(wait_s, job.left_s):
+        if not hopeless(wait_s + plan.path.first_s, job.first_left_s):
             return False
         job.retry_after_s = come_back_s(wait_s, job.left_s)
         job.refused = True
@@ -108,7 +108,7 @@
         target = self._target(job, plan)
         target = target._replace(
             sending=target.sending._replace(fetch_from=plan.fetch_from),
-            on_sign=partial(self._sends.end, end),
+            on_sign=partial(self._note_sign, job, end),
         )
         try:
             return await attempt(job, target)
@@ -161,6 +161,10 @@
             on_pause=partial(self._note_pause, job),
         )
 
+    def _note_sign(self, job: Job, end: End) -> None:
+        self._sends.end(end)
+        job.note_first()
+
     def _note_pause(self, job: Job, pause_s: float) -> None:
         job.longest_pause_s = max(job.longest_pause_s, pause_s)
         self._chooser.pauses(job.service).observe(pause_s)
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -16,6 +16,12 @@
 RETURN_S = 0.01
 # When a caller may come back after a moment of bad luck, in seconds.
 SOON_S = 0.1
+# Callers wait for a stream's first event for the longest of these: seconds,
+# multiples of the time in which it is on time, multiples of a pause (published
+# by the callers' operator).
+MIN_STREAM_PATIENCE_S = 2.0
+TARGETS_WAITED = 4.0
+PAUSES_WAITED = 8.0
 # After this share of its time a late request no longer stands back.
 STAND_BACK_SHARE = 0.5
 
@@ -30,6 +36,9 @@
         self.service = service
         self.reply = reply
         self.deadline = req.arrived + min(req.deadline_s or route.timeout_s, route.timeout_s)
+        # Callers leave a stream that shows nothing for so long.
+        patience_s = max(MIN_STREAM_PATIENCE_S, TARGETS_WAITED * route.target_s, PAUSES_WAITED * route.pause_s)
+        self.first_deadline = min(self.deadline, req.arrived + patience_s) if route.streamed else self.deadline
         self.sends = 0
         self.maybe_run = False
         self.tried: set[str] = set()
@@ -39,10 +48,10 @@
         self.longest_pause_s: float = 0
         self.decision: dict[str, object] = {}
 
-    def note_first(self, at: float) -> None:
-        """Note when the caller got the first of its answer."""
+    def note_first(self) -> None:
+        """Note that the caller gets the first of its answer."""
         if self.first_at is None:
-            self.first_at = at
+            self.first_at = trio.current_time()
 
     @property
     def on_time_s(self) -> float:
@@ -55,9 +64,14 @@
 
         Only for a part of its time: what was let in shall be served.
         """
-        span_s = self.deadline - self.req.arrived
+        span_s = self.first_deadline - self.req.arrived
         return trio.current_time() - self.req.arrived < STAND_BACK_SHARE * span_s
 
+    @property
+    def first_left_s(self) -> float:
+        """Return the seconds that are left for a first sign of an answer."""
+        return self.first_deadline - trio.current_time()
+
     @property
     def left_s(self) -> float:
         """Return the seconds that a runner may take from now on."""
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -39,18 +39,15 @@
 
     What can't go elsewhere stays to the end: a silent runner may be at work.
     """
-    last = job.sends + 1 >= job.route.max_attempts
+    movable = repeatable(job) and job.sends + 1 < job.route.max_attempts
+    allowed_s = patience_s(expected_s, engine=job.req.prompt is not None) if movable else job.left_s
     sending = Sending(
         member.runner.key,
         job.left_s,
         job.route.priority,
         resume_after=job.reply.events.last_id if job.reply.begun else '',
     )
-    return Target(
-        member,
-        sending,
-        job.left_s if last or not repeatable(job) else patience_s(expected_s, engine=job.req.prompt is not None),
-    )
+    return Target(member, sending, allowed_s, job.note_first)
 
 
 async def attempt(job: Job, target: Target) -> AttemptResult:
@@ -62,8 +59,6 @@
     under_way = Attempt(job.req, target, job.reply, streamed=job.route.streamed)
     started = trio.current_time()
     became = await under_way.run()
-    if under_way.first_at is not None:
-        job.note_first(under_way.first_at)
     _judge(job, member, became, started)
     return became
 
