--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -0,0 +1,135 @@
+"""A deployment on the platform: store, runners and fronts in one process."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from random import Random
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint.front.front import Front
+from sesamepoint.front.settings import FrontSettings, StoreSettings
+from sesamepoint.platform.names import OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.supervisor import Supervisor
+from sesamepoint_standins.platform.caller import Caller
+from sesamepoint_standins.platform.network import MemoryNetwork
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+
+STORE = Address('10.9.0.1', 8100)
+FRONT_PORT = 8000
+READY_S = 5.0
+HEARTBEAT_S = 1.2
+
+
+def front_settings(number: int) -> FrontSettings:
+    """Return the settings of the front called ``number``."""
+    host = f'10.1.0.{number}'
+    return FrontSettings(
+        name=f'front-{number}',
+        host=host,
+        availability_zone='z1',
+        listen=Address(host, FRONT_PORT),
+        ready_listen=Address(host, FRONT_PORT + 1),
+        peer_port=FRONT_PORT + 2,
+        last_port=FRONT_PORT + 3,
+        drain_s=2.0,
+        stop_s=8.0,
+        config_s=2.0,
+        heartbeat_s=HEARTBEAT_S,
+        retry_ratio=0.2,
+        retry_reserve=50.0,
+        retry_window_s=10.0,
+        store=StoreSettings(STORE),
+    )
+
+
+class PlatformBed:
+    """Everything of one deployment, and hands on its faults."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
+        """Run all parts in ``nursery``."""
+        self.network = MemoryNetwork(nursery)
+        self.store = PlatformStore()
+        self.runners: dict[str, RunnerStandIn] = {}
+        self.fronts: dict[str, Front] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self._nursery = nursery
+        self._rng = Random(seed)
+        self.network.listen(STORE, self.store.serve)
+
+    def publish(self, document: object) -> None:
+        """Write a configuration as the operator does."""
+        self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, document)
+
+    def add_runner(self, runner: RunnerStandIn) -> None:
+        """Start a runner and register it."""
+        self.runners[runner.key] = runner
+        self.network.listen(runner.address, runner.serve)
+        self.store.put(RUNNER_TOPIC, runner.key, runner.record)
+
+    def drain_runner(self, key: str) -> None:
+        """Have a runner report that it leaves; it goes on serving."""
+        self.runners[key].leaving = True
+        self.store.put(RUNNER_TOPIC, key, self.runners[key].record)
+
+    def drop_registration(self, key: str) -> None:
+        """Remove a runner's registration; it goes on serving."""
+        self.store.put(RUNNER_TOPIC, key, None)
+
+    def add_front(self, number: int) -> Front:
+        """Start a front."""
+        cfg = front_settings(number)
+        network = self.network.seen_from(cfg.host)
+        front = Front(cfg, network, network, Random(self._rng.random()))
+        self.fronts[cfg.name] = front
+        self.network.listen(cfg.listen, front.door.serve)
+        self._nursery.start_soon(self._run_front, front)
+        return front
+
+    def kill_front(self, name: str) -> None:
+        """End a front at once; its connections break."""
+        self._scopes[name].cancel()
+        self.network.close(self.fronts[name].cfg.listen)
+
+    def caller(self, front: str, host: str = '10.2.0.1') -> Caller:
+        """Return a caller of the front called ``front``."""
+        return Caller(self.network.seen_from(host), self.fronts[front].cfg.listen)
+
+    async def until_ready(self) -> None:
+        """Wait until all fronts are ready."""
+        with trio.fail_after(READY_S):
+            while not all(front.ready() for front in self.fronts.values()):
+                await trio.sleep(0.01)
+
+    async def _run_front(self, front: Front) -> None:
+        with trio.CancelScope() as scope:
+            self._scopes[front.cfg.name] = scope
+            await Supervisor('front').run(front.children())
+
+
+@asynccontextmanager
+async def running_bed(
+    configuration: object,
+    runners: Sequence[RunnerStandIn],
+    fronts: int = 1,
+) -> AsyncIterator[PlatformBed]:
+    """Start a deployment and wait until it is ready."""
+    async with trio.open_nursery() as nursery:
+        bed = PlatformBed(nursery)
+        bed.publish(configuration)
+        for runner in runners:
+            bed.add_runner(runner)
+        for number in range(1, fronts + 1):
+            bed.add_front(number)
+        await bed.until_ready()
+        yield bed
+        nursery.cancel_scope.cancel()
+
+
+__all__ = ('PlatformBed', 'front_settings', 'running_bed')
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -0,0 +1,227 @@
+"""Runners of the platform: plain services, and engines with two stages."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+import trio
+
+from sesamepoint_core.serving.kv_cache import CacheModel
+from sesamepoint_core.serving.prompt import Part
+from sesamepoint.http1.messages import RejectedMessageError, header
+from sesamepoint.http1.server import CallerGoneError, Message, ServerConn, ServerLimits
+from sesamepoint.platform import names
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+    from sesamepoint_standins.platform.network import MemoryTransport
+
+STATUS_OK = 200
+STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+EXTRA_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nsesamepoint-request-id: %b\r\nsesamepoint-server-stamp: x\r\ncontent-length: 2\r\n\r\nno'
+)
+
+
+class EngineSpeed(NamedTuple):
+    """How fast an engine is; the figures of the smaller deployment's sheet."""
+
+    tokens_s: float = 112_000.0
+    overhead_s: float = 0.031
+    step_s: float = 0.0034
+    step_slot_s: float = 0.0001
+    stride: int = 10
+    kv_tokens: int = 548_319
+    slots: int = 24
+
+
+@dataclass
+class Run:
+    """What a runner saw of one request."""
+
+    request_id: str
+    message: Message
+    started: float
+    ended: float | None = None
+    whole: bool = False
+    prefill: bool = False
+
+
+@dataclass
+class Faults:
+    """What a runner does wrong while these are set."""
+
+    rejects: bool = False
+    fails: bool = False
+    hangs: bool = False
+    breaks_at_event: int | None = None
+    breaks_before_answer: bool = False
+    answers_twice: bool = False
+    unsigned: bool = False
+
+
+@dataclass
+class RunnerStandIn:
+    """One runner; ``stage`` is None for a plain service."""
+
+    key: str
+    service: str
+    address: Address
+    zone: str
+    stage: str | None = None
+    speed: EngineSpeed = field(default_factory=EngineSpeed)
+    work_s: float = 0.03
+    faults: Faults = field(default_factory=Faults)
+    leaving: bool = False
+    runs: list[Run] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Start idle."""
+        self.cache = CacheModel(self.speed.kv_tokens)
+        self.running = 0
+        self._reading = trio.Lock()
+        self._handles: dict[str, str] = {}
+
+    @property
+    def record(self) -> dict[str, object]:
+        """Return its registration as the platform's store has it."""
+        found: dict[str, object] = {
+            'service': self.service,
+            'address': str(self.address),
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.speed.slots,
+            'state': 'draining' if self.leaving else 'ready',
+            'cold_remaining_ms': 0,
+            'sequence': 0,
+        }
+        return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
+
+    async def serve(self, transport: MemoryTransport) -> None:
+        """Serve one connection."""
+        conn = ServerConn(transport, ServerLimits())
+        try:
+            while await conn.first_byte():
+                await self._serve_request(conn, await conn.request(), transport)
+                if not conn.reusable:
+                    return
+                conn.next_cycle()
+        except (CallerGoneError, RejectedMessageError):
+            return
+        finally:
+            transport.close()
+
+    async def _serve_request(self, conn: ServerConn, message: Message, transport: MemoryTransport) -> None:
+        if message.head.method == b'DELETE':
+            self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
+            await conn.whole(STATUS_OK, (), b'')
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_gone, conn, nursery.cancel_scope)
+            await self._run(conn, message, transport)
+            nursery.cancel_scope.cancel()
+
+    async def _run(self, conn: ServerConn, message: Message, transport: MemoryTransport) -> None:
+        headers = message.head.headers
+        expected = header(headers, names.EXPECT_INCARNATION)
+        if expected is not None and expected.decode() != self.key:
+            return await conn.whole(STATUS_MISDIRECTED, self._echo(message), b'')
+        if self.faults.rejects:
+            return await conn.whole(STATUS_UNAVAILABLE, (*self._echo(message), (names.NOT_RUN, b'1')), b'')
+        run = Run((header(headers, names.REQUEST_ID) or b'').decode(), message, trio.current_time())
+        self.runs.append(run)
+        self.running += 1
+        try:
+            return await self._work(conn, run, transport)
+        finally:
+            self.running -= 1
+            run.ended = trio.current_time()
+
+    async def _work(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+        if self.faults.hangs:
+            await trio.sleep_forever()
+        if self.faults.breaks_before_answer:
+            return transport.reset()
+        if header(run.message.head.headers, names.TOKEN_COUNTS) is None:
+            return await self._answer_plain(conn, run, transport)
+        return await self._answer_prompt(conn, run, transport)
+
+    async def _answer_plain(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+        await trio.sleep(self.work_s)
+        status = 500 if self.faults.fails else STATUS_OK
+        await conn.whole(status, self._signed(run.message), body_of(run.request_id))
+        run.whole = True
+        if self.faults.answers_twice:
+            await transport.send_all(EXTRA_ANSWER % run.request_id.encode())
+
+    async def _answer_prompt(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+        headers = run.message.head.headers
+        source = (header(headers, names.KV_SOURCE) or b'').decode()
+        parts, output = _prompt(run.message)
+        if not source:
+            await self._read(parts)
+        self.cache.touch(parts)
+        if header(headers, names.STAGE) == b'prefill':
+            run.prefill = True
+            kv_handle = f'h{len(self.runs)}'
+            self._handles[kv_handle] = run.request_id
+            body = msgspec.json.encode({'kv_handle': kv_handle, 'tokens': 1, 'version': 1})
+            return await conn.whole(STATUS_OK, self._echo(run.message), body)
+        return await self._stream(conn, run, output, transport)
+
+    async def _read(self, parts: list[Part]) -> None:
+        slowdown = 2 if self.stage == 'decode' else 1
+        async with self._reading:
+            fresh = sum(part.tokens for part in parts) - self.cache.cached(parts)
+            await trio.sleep(slowdown * fresh / self.speed.tokens_s)
+        await trio.sleep(self.speed.overhead_s)
+
+    async def _stream(self, conn: ServerConn, run: Run, output: int, transport: MemoryTransport) -> None:
+        after = int(header(run.message.head.headers, names.LAST_EVENT) or 0)
+        event_type = (b'content-type', b'text/event-stream')
+        await conn.begin(STATUS_OK, (*self._signed(run.message), event_type))
+        for number in range(after + 1, output + 1):
+            if after == 0 and number == self.faults.breaks_at_event:
+                await conn.part(b'id: 99\nda')
+                return transport.reset()
+            await trio.sleep(self.speed.stride * (self.speed.step_s + self.speed.step_slot_s * self.running))
+            await conn.part(event_of(run.request_id, number))
+        await conn.end()
+        run.whole = True
+        return None
+
+    def _echo(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
+        return ((names.REQUEST_ID, header(message.head.headers, names.REQUEST_ID) or b''),)
+
+    def _signed(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
+        if self.faults.unsigned:
+            return self._echo(message)
+        return (*self._echo(message), (names.SIGNATURE, self.key.encode()))
+
+
+def body_of(request_id: str) -> bytes:
+    """Return the body that any runner of a plain service answers."""
+    return f'answer to {request_id}'.encode()
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+
+
+def _prompt(message: Message) -> tuple[list[Part], int]:
+    counts = header(message.head.headers, names.TOKEN_COUNTS) or b'0,0'
+    listed = (header(message.head.headers, names.PROMPT_PARTS) or b'').decode()
+    entries = [entry.partition(':') for entry in listed.split(',') if entry]
+    return [Part(key, int(tokens)) for key, _, tokens in entries], int(counts.split(b',')[1])
+
+
+async def _cancel_when_gone(conn: ServerConn, scope: trio.CancelScope) -> None:
+    await conn.watch()
+    scope.cancel()
+
+
+__all__ = ('EngineSpeed', 'Faults', 'Run', 'RunnerStandIn', 'body_of', 'event_of')
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -0,0 +1,139 @@
+"""The platform's store: logs, and the newest record of each key."""
+
+from __future__ import annotations
+
+import base64
+import struct
+from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import parse_qsl
+
+import msgspec
+import trio
+
+from sesamepoint.http1.messages import RejectedMessageError
+from sesamepoint.http1.server import CallerGoneError, Message, ServerConn, ServerLimits
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.network import MemoryTransport
+
+ANSWER_S = 0.004
+MS_PER_S = 1000
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_UNAVAILABLE = 503
+_LENGTH = struct.Struct('>I')
+_OFFSETS = struct.Struct('>QQ')
+
+
+class _Record(NamedTuple):
+    key: str
+    text: bytes
+
+
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+
+
+class _Topic:
+    def __init__(self) -> None:
+        self.records: list[_Record] = []
+        self.first = 0
+        self.news = trio.Event()
+
+    def append(self, record: _Record) -> int:
+        self.records.append(record)
+        self.news.set()
+        self.news = trio.Event()
+        return len(self.records) - 1
+
+    def newest(self) -> dict[str, tuple[int, _Record]]:
+        found: dict[str, tuple[int, _Record]] = {}
+        for offset, record in enumerate(self.records):
+            found[record.key] = (offset, record)
+        return {key: pair for key, pair in found.items() if pair[1].text}
+
+
+class PlatformStore:
+    """Serves the calls that the system makes; ``down`` answers none well."""
+
+    def __init__(self) -> None:
+        """Start empty and up."""
+        self.down = False
+        self.slow_s: float = 0
+        self.calls = 0
+        self._topics: dict[str, _Topic] = {}
+
+    def put(self, topic: str, key: str, document: object) -> None:
+        """Write as an operator or a runner does; None drops the key."""
+        text = b'' if document is None else msgspec.json.encode(document)
+        self._topic(topic).append(_Record(key, text))
+
+    def compact(self, topic: str) -> None:
+        """Forget the records of ``topic`` but the newest of each key."""
+        found = self._topic(topic)
+        found.first = len(found.records)
+
+    async def serve(self, transport: MemoryTransport) -> None:
+        """Serve one connection."""
+        conn = ServerConn(transport, ServerLimits())
+        try:
+            while await conn.first_byte():
+                answer = await self._answer(await conn.request())
+                await conn.whole(answer.status, (), answer.body)
+                conn.next_cycle()
+        except (CallerGoneError, RejectedMessageError):
+            return
+        finally:
+            transport.close()
+
+    async def _answer(self, message: Message) -> _Answer:
+        self.calls += 1
+        await trio.sleep(ANSWER_S + self.slow_s)
+        if self.down:
+            return _Answer(STATUS_UNAVAILABLE, b'')
+        path, _, query = message.head.target.decode().partition('?')
+        fields = dict(parse_qsl(query))
+        topic = self._topic(fields['topic'])
+        if path == '/v1/log-newest':
+            return _newest(topic)
+        if path == '/v1/log-read':
+            return await _read(topic, int(fields['source']), int(fields.get('wait_ms', '0')) / MS_PER_S)
+        return _append(topic, message.body)
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+
+def _newest(topic: _Topic) -> _Answer:
+    rows = [
+        {'key': key, 'value': base64.b64encode(record.text).decode(), 'offset': offset}
+        for key, (offset, record) in topic.newest().items()
+    ]
+    return _Answer(STATUS_OK, msgspec.json.encode({'items': rows, 'has_more': False, 'end': len(topic.records)}))
+
+
+async def _read(topic: _Topic, start: int, wait_s: float) -> _Answer:
+    if start < topic.first:
+        return _Answer(STATUS_GONE, msgspec.json.encode({'first': topic.first}))
+    if start >= len(topic.records):
+        with trio.move_on_after(wait_s):
+            await topic.news.wait()
+    raw = b''.join(_encode(record) for record in topic.records[start:])
+    return _Answer(STATUS_OK, _OFFSETS.pack(len(topic.records), topic.first) + raw)
+
+
+def _append(topic: _Topic, body: bytes) -> _Answer:
+    record = body[_LENGTH.size :]
+    size = record[0]
+    offset = topic.append(_Record(record[1 : 1 + size].decode(), record[1 + size :]))
+    return _Answer(STATUS_OK, msgspec.json.encode({'offset': offset, 'end': offset + 1}))
+
+
+def _encode(record: _Record) -> bytes:
+    key = record.key.encode()
+    raw = bytes((len(key),)) + key + record.text
+    return _LENGTH.pack(len(raw)) + raw
+
+
+__all__ = ('PlatformStore',)
--- a/packages/sesamepoint/src/sesamepoint/cli.py
+++ b/packages/sesamepoint/src/sesamepoint/cli.py
@@ -43,6 +43,9 @@
     async def wind_down(self) -> None:
         """Finish what is under way."""
 
+    def reload(self) -> None:
+        """Take changed settings."""
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the command line and return the exit status."""
@@ -52,7 +55,7 @@
 def _run(arguments: dict[str, Any]) -> None:
     process = _build(arguments)
     with single_error():
-        trio.run(run_until_stopped, process.run, process.wind_down)
+        trio.run(run_until_stopped, process.run, process.wind_down, process.reload)
 
 
 def _build(arguments: dict[str, Any]) -> Process:
@@ -71,12 +74,11 @@
 
 def _build_front(path: str | None) -> Process:
     from sesamepoint.platform.names import SETTINGS_VARIABLE  # noqa: PLC0415
-    from sesamepoint.platform.settings import read_settings  # noqa: PLC0415
     from sesamepoint.process.front_process import FrontProcess  # noqa: PLC0415
 
-    cfg = read_settings(Path(path or os.environ[SETTINGS_VARIABLE]))
-    events.set_up_logs(cfg.name)
-    return FrontProcess.from_config(cfg)
+    process = FrontProcess.from_config(Path(path or os.environ[SETTINGS_VARIABLE]))
+    events.set_up_logs(process.name)
+    return process
 
 
 if __name__ == '__main__':
--- a/packages/sesamepoint/src/sesamepoint/front/door.py
+++ b/packages/sesamepoint/src/sesamepoint/front/door.py
@@ -10,7 +10,6 @@
 from sesamepoint.front.reply import Reply
 from sesamepoint.http1.messages import RejectedMessageError
 from sesamepoint.http1.server import CallerGoneError, ServerConn, ServerLimits
-from sesamepoint.http1.sockets import tune
 from sesamepoint.platform.headers import decode_request
 
 if TYPE_CHECKING:
@@ -18,6 +17,7 @@
 
     from sesamepoint.front.dispatch import Dispatcher
     from sesamepoint.front.request import FrontRequest
+    from sesamepoint.http1.transport import Transport
 
 INTERNAL_ERROR = 500
 
@@ -33,10 +33,9 @@
         self._limits = limits
         self._idle: set[trio.CancelScope] = set()
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
-        tune(stream.socket)
-        conn = ServerConn(stream, self._limits())
+        conn = ServerConn(transport, self._limits())
         try:
             await self._converse(conn)
         except CallerGoneError:
@@ -45,7 +44,7 @@
             # One connection's failure must not end the others.
             events.log_event(events.CONNECTION_BROKE, cause=repr(exc))
         finally:
-            await _close(stream)
+            transport.close()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
@@ -97,9 +96,4 @@
         scope.cancel()
 
 
-async def _close(stream: trio.SocketStream) -> None:
-    with trio.CancelScope(shield=True):
-        await trio.aclose_forcefully(stream)
-
-
 __all__ = ('Door',)
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -12,6 +12,7 @@
 
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
+    from sesamepoint.http1.transport import Network
 
 # Share of the time that a vanished runner may still be used in. Registrations
 # also lapse while the store is away, though their runners live; without a
@@ -22,14 +23,19 @@
 class Fleet:
     """Members by key, kept in step with their registrations."""
 
-    def __init__(self, drain_s: float, now: Callable[[], float]) -> None:
+    def __init__(self, drain_s: float, network: Network, now: Callable[[], float]) -> None:
         """Allow a vanished runner a part of ``drain_s``."""
+        self._network = network
         self.listed = False
         self.members: dict[str, Member] = {}
         self._grace_s = drain_s * GRACE_SHARE
         self._now = now
         self._kv_tokens: dict[str, int] = {}
 
+    def allow(self, drain_s: float) -> None:
+        """Allow a vanished runner a part of ``drain_s`` from now on."""
+        self._grace_s = drain_s * GRACE_SHARE
+
     def configure(self, cfg: Configuration) -> None:
         """Learn the memory sizes of engines."""
         for service in cfg.services.values():
@@ -51,7 +57,7 @@
         member = self.members.get(runner.key)
         if member is None:
             kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
-            self.members[runner.key] = Member(runner, kv_tokens)
+            self.members[runner.key] = Member(runner, self._network, kv_tokens)
             events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
             return
         if runner.leaving and not member.runner.leaving:
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -0,0 +1,95 @@
+"""All of a front process but its listeners."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint.front.choice import Chooser
+from sesamepoint.front.dispatch import Budgets, Dispatcher
+from sesamepoint.front.door import Door
+from sesamepoint.front.engine_runs import EngineRuns, EngineTools
+from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.intake import Beliefs, Intake
+from sesamepoint.front.peers import Peers
+from sesamepoint.front.prefill import HandleReclaimer
+from sesamepoint.front.sends import SendNotes
+from sesamepoint.front.waiting import WaitingRoom
+from sesamepoint.http1.server import ServerLimits
+from sesamepoint.supervisor import Child
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint.front.peer_network import PeerNetwork
+    from sesamepoint.front.settings import FrontSettings
+    from sesamepoint.http1.transport import Network
+
+# After a signal to stop, callers still come for as long as the platform
+# takes to notice: two checks of readiness a second apart, and one to spare.
+# Then idle connections are closed.
+NOTICE_S = 3.2
+# Kept free at the end of the time to stop.
+LAST_S = 0.3
+POLL_S = 0.05
+
+
+class Front:
+    """Takes callers' connections and serves their requests."""
+
+    def __init__(self, cfg: FrontSettings, network: Network, peer_network: PeerNetwork, rng: Random) -> None:
+        """Put the parts together without starting them."""
+        self.cfg = cfg
+        self.fleet = Fleet(cfg.drain_s, network, trio.current_time)
+        sends = SendNotes(cfg.name, self.fleet, rng)
+        self._peers = Peers(cfg, sends, peer_network)
+        self._reclaimer = HandleReclaimer()
+        budgets = Budgets(cfg.retry_ratio, cfg.retry_reserve)
+        chooser = Chooser(self.fleet, cfg.availability_zone)
+        self._waiting = WaitingRoom(chooser)
+        engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting, self._peers))
+        self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
+        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self._peers, budgets), network, rng)
+        self.door = Door(self.dispatcher, self._limits)
+
+    def children(self) -> list[Child]:
+        """Return the parts that run beside the listeners."""
+        return [
+            Child('configuration', self.intake.follow_configuration),
+            Child('runners', self.intake.follow_runners),
+            Child('entries', self.intake.follow_entries),
+            Child('peer-listen', self._peers.listen),
+            Child('peer-tell', self._peers.tell),
+            Child('handles', self._reclaimer.run),
+            Child('waiting', self._waiting.run),
+        ]
+
+    def reconfigure(self, cfg: FrontSettings) -> None:
+        """Work by ``cfg`` from now on; addresses stay as they are."""
+        self.cfg = cfg
+        self.fleet.allow(cfg.drain_s)
+        self.intake.reconfigure(cfg)
+
+    def ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return not self.door.stopping and self.fleet.listed and self.dispatcher.configuration is not None
+
+    async def wind_down(self) -> None:
+        """Turn unready, let the platform notice, finish what is under way."""
+        self.door.stopping = True
+        with trio.move_on_after(self.cfg.stop_s - LAST_S):
+            await trio.sleep(NOTICE_S)
+            self.door.close_idle()
+            while self.door.active:
+                await trio.sleep(POLL_S)
+
+    def _limits(self) -> ServerLimits:
+        cfg = self.dispatcher.configuration
+        if cfg is None:
+            return ServerLimits()
+        limits = cfg.limits
+        return ServerLimits(limits.head_bytes, limits.body_bytes, limits.head_s, limits.idle_s)
+
+
+__all__ = ('Front',)
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -18,6 +18,7 @@
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.peers import Peers
     from sesamepoint.front.settings import FrontSettings
+    from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import KeyedRecord
 
 # A new configuration is waited for at all times; the wait bounds how long a
@@ -45,12 +46,18 @@
 class Intake:
     """Follows the operator's, the runners' and the entries' records."""
 
-    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, rng: Random) -> None:
+    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network, rng: Random) -> None:
         """Keep ``beliefs`` in step with the store that ``cfg`` names."""
         self._cfg = cfg
         self._beliefs = beliefs
+        self._network = network
         self._rng = rng
 
+    def reconfigure(self, cfg: FrontSettings) -> None:
+        """Share the retry budget as ``cfg`` says from now on."""
+        self._cfg = cfg
+        self._share_budget()
+
     async def follow_configuration(self) -> None:
         """Put each newer configuration in force, until cancelled."""
         pacing = Pacing(CONFIGURATION_WAIT_S, CONFIGURATION_REST_S)
@@ -70,7 +77,7 @@
         await watch.run(self._take_entries, self._take_entry)
 
     def _client(self) -> StoreClient:
-        return StoreClient(self._cfg.store.address)
+        return StoreClient(self._cfg.store.address, self._network)
 
     def _take_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
+    from sesamepoint.http1.transport import Network
 
 # Until the operator has published the memory of an engine.
 UNKNOWN_KV_TOKENS = 200_000
@@ -20,11 +21,11 @@
 class Member:
     """One runner: its registration, its connections, and beliefs about it."""
 
-    def __init__(self, runner: Runner, kv_tokens: int = UNKNOWN_KV_TOKENS) -> None:
+    def __init__(self, runner: Runner, network: Network, kv_tokens: int = UNKNOWN_KV_TOKENS) -> None:
         """Know nothing but the registration."""
         self.runner = runner
         self.gone_at: float | None = None
-        self.pool = Pool(runner.address)
+        self.pool = Pool(runner.address, network)
         self.health = Health()
         self.load = EngineLoad()
         self.cache = CacheModel(kv_tokens)
--- a/packages/sesamepoint/src/sesamepoint/front/pages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pages.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    import trio
+    from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
@@ -39,16 +39,17 @@
         """Serve ``pages``."""
         self._pages = pages
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
-        conn = ServerConn(stream, ServerLimits())
+        conn = ServerConn(transport, ServerLimits())
         try:
-            async with stream:
-                await self._converse(conn)
+            await self._converse(conn)
         except (CallerGoneError, RejectedMessageError):
             return
         except Exception as exc:
             events.log_event(events.CONNECTION_BROKE, cause=repr(exc))
+        finally:
+            transport.close()
 
     async def _converse(self, conn: ServerConn) -> None:
         while await conn.first_byte():
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -14,6 +14,7 @@
 from sesamepoint.platform.names import ENTRY_TOPIC
 
 if TYPE_CHECKING:
+    from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.sends import SendNotes
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.platform.store import KeyedRecord, StoreClient
@@ -21,19 +22,18 @@
 # Sends are gathered for this long, in seconds, before peers are told: short
 # against the work they stand for (tens of ms), long against a datagram.
 GATHER_S = 0.005
-DATAGRAM_BYTES = 65536
 REGISTER_AGAIN_S = 1.0
 
 
 class Peers:
     """The other entries, and the exchange with them."""
 
-    def __init__(self, cfg: FrontSettings, sends: SendNotes) -> None:
+    def __init__(self, cfg: FrontSettings, sends: SendNotes, network: PeerNetwork) -> None:
         """Know nobody yet."""
+        self._network = network
         self._cfg = cfg
         self._sends = sends
         self._addresses: dict[str, Address] = {}
-        self._sock: trio.socket.SocketType | None = None
 
     def count(self) -> int:
         """Return how many entries are registered, this one included."""
@@ -64,10 +64,7 @@
 
     async def listen(self) -> None:
         """Take in peers' words until cancelled."""
-        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as sock:
-            await sock.bind((self._cfg.host, self._cfg.peer_port))
-            self._sock = sock
-            await self._take_in(sock)
+        await self._network.receive(Address(self._cfg.host, self._cfg.peer_port), self._take)
 
     async def tell(self) -> None:
         """Tell peers of this entry's sends until cancelled."""
@@ -76,15 +73,13 @@
             await trio.sleep(GATHER_S)
             await self._tell_all(self._sends.drain())
 
-    async def _take_in(self, sock: trio.socket.SocketType) -> None:
-        while True:
-            datagram, _ = await sock.recvfrom(DATAGRAM_BYTES)
-            try:
-                word = msgspec.msgpack.decode(datagram, type=Word)
-            except msgspec.DecodeError as exc:
-                events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
-                continue
-            self._sends.heard(word)
+    def _take(self, datagram: bytes) -> None:
+        try:
+            word = msgspec.msgpack.decode(datagram, type=Word)
+        except msgspec.DecodeError as exc:
+            events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
+            return
+        self._sends.heard(word)
 
     async def _tell_all(self, word: Word) -> None:
         datagram = msgspec.msgpack.encode(word)
@@ -93,10 +88,8 @@
                 await self._tell(datagram, address)
 
     async def _tell(self, datagram: bytes, address: Address) -> None:
-        if self._sock is None:
-            return
         try:
-            await self._sock.sendto(datagram, address)
+            await self._network.send(datagram, address)
         except OSError as exc:
             events.log_event(events.PEER_UNREACHABLE, peer=str(address), cause=repr(exc))
 
--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.transport import Network
 
 # A runner closes idle connections after a time that it may not tell. What
 # has been idle for longer than this is not used again, since a request that
@@ -25,9 +26,10 @@
 class Pool:
     """Connections to one runner that are not in use."""
 
-    def __init__(self, address: Address) -> None:
-        """Aim at ``address``; opens nothing yet."""
+    def __init__(self, address: Address, network: Network) -> None:
+        """Aim at ``address`` over ``network``; opens nothing yet."""
         self._address = address
+        self._network = network
         self._idle: list[ClientConn] = []
 
     async def take(self) -> ClientConn:
@@ -44,7 +46,7 @@
             if _fresh(conn, now) and conn.quiet():
                 return conn
             conn.close()
-        return await ClientConn.open(self._address, CONNECT_S)
+        return ClientConn(await self._network.connect(self._address, CONNECT_S))
 
     def give_back(self, conn: ClientConn) -> None:
         """Keep ``conn`` if it can carry another request, else close it."""
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -40,7 +41,7 @@
     What can't go elsewhere stays to the end: a silent runner may be at work.
     """
     movable = repeatable(job) and job.sends + 1 < job.route.max_attempts
-    allowed_s = patience_s(expected_s, engine=job.req.prompt is not None) if movable else job.left_s
+    allowed_s = patience_s(expected_s, engine=job.req.prompt is not None) if movable else math.inf
     sending = Sending(
         member.runner.key,
         job.left_s,
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead, ResponseHead, header
-from sesamepoint.http1.sockets import connect
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.transport import Transport
 
 RECEIVE_BYTES = 65536
 # Runners' heads are a few hundred bytes; a longer one is no sane answer.
@@ -24,23 +22,18 @@
 class ClientConn:
     """Carries one request at a time; never shared between requests."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        """Use ``stream``, which this object then owns."""
+    def __init__(self, transport: Transport) -> None:
+        """Use ``transport``, which this object then owns."""
         self.used = 0
         self._skipped = 0
         self.idle_since: float = 0
         self.keep_s: float | None = None
-        self._stream = stream
+        self._transport = transport
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._sent_whole = True
         self._framed = True
 
-    @classmethod
-    async def open(cls, address: Address, timeout_s: float) -> ClientConn:
-        """Connect, or raise a ``ConnectFailedError``."""
-        return cls(await connect(address, timeout_s))
-
     def begin(self, head: RequestHead, body: bytes) -> bytes:
         """Take up a request; returns the bytes for :meth:`send`.
 
@@ -62,7 +55,7 @@
             If the connection broke on the way.
         """
         try:
-            await self._stream.send_all(wire)
+            await self._transport.send_all(wire)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise ConnBrokenError(repr(exc)) from exc
         self._sent_whole = True
@@ -131,17 +124,11 @@
         Bytes that nobody asked for belong to no request: such a connection
         must not be used again.
         """
-        try:
-            _peek(self._stream)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self._transport.quiet()
 
     def close(self) -> None:
         """Close at once; the far end sees it and stops its work."""
-        self._stream.socket.close()
+        self._transport.close()
 
     def _note_keep_alive(self, found: ResponseHead) -> None:
         text = header(found.headers, b'keep-alive')
@@ -192,17 +179,9 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            return await self._transport.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise ConnBrokenError(repr(exc)) from exc
 
 
-def _peek(stream: trio.SocketStream) -> None:
-    raw = socket.socket(fileno=stream.socket.fileno())
-    try:
-        raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    finally:
-        raw.detach()
-
-
 __all__ = ('ClientConn',)
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint.http1.messages import Headers
+    from sesamepoint.http1.transport import Transport
 
 RECEIVE_BYTES = 65536
 # Bytes of a next request that are kept while an answer is under way; beyond
@@ -20,6 +21,8 @@
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
+# Colon, space and line end of a header field.
+FIELD_EXTRA_BYTES = 4
 DEFAULT_HEAD_BYTES = 16384
 DEFAULT_BODY_BYTES = 4194304
 DEFAULT_HEAD_S = 3.0
@@ -50,10 +53,10 @@
 class ServerConn:
     """Reads requests and writes answers, one after the other."""
 
-    def __init__(self, stream: trio.abc.Stream, limits: ServerLimits) -> None:
-        """Use ``stream``, which the caller of this closes."""
+    def __init__(self, transport: Transport, limits: ServerLimits) -> None:
+        """Use ``transport``, which the caller of this closes."""
         self.closing = False
-        self._stream = stream
+        self._transport = transport
         self._limits = limits
         self._state = h11.Connection(h11.SERVER, limits.head_bytes)
         self._held = b''
@@ -151,6 +154,7 @@
             raise CallerGoneError
         head = RequestHead(bytes(event.method), bytes(event.target), tuple(event.headers))
         _check_framing(head)
+        _check_size(head, self._limits.head_bytes)
         if self._state.they_are_waiting_for_100_continue:
             await self._send(self._state.send(h11.InformationalResponse(status_code=100, headers=[])) or b'')
         return head
@@ -191,13 +195,13 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            return await self._transport.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b''
 
     async def _send(self, wire: bytes) -> None:
         try:
-            await self._stream.send_all(wire)
+            await self._transport.send_all(wire)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise CallerGoneError from exc
 
@@ -213,4 +217,14 @@
         raise RejectedMessageError(BAD_REQUEST, 'more than one length')
 
 
+def _check_size(head: RequestHead, limit: int) -> None:
+    """Hold a head that came in one piece to the limit, too.
+
+    The parser looks at the size only while a head is incomplete.
+    """
+    fields = sum(len(name) + len(text) + FIELD_EXTRA_BYTES for name, text in head.headers)
+    if len(head.method) + len(head.target) + fields > limit:
+        raise RejectedMessageError(HEAD_TOO_LARGE, f'the head is over {limit} bytes')
+
+
 __all__ = ('CallerGoneError', 'Message', 'ServerConn', 'ServerLimits')
--- a/packages/sesamepoint/src/sesamepoint/http1/sockets.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/sockets.py
@@ -5,12 +5,8 @@
 import socket
 from typing import TYPE_CHECKING
 
-import trio
-
-from sesamepoint.http1.messages import ConnectFailedError
-
 if TYPE_CHECKING:
-    from sesamepoint_core.serving.address import Address
+    import trio
 
 # Data that a peer has not acknowledged for this long breaks the connection.
 # Longer than two retransmissions (0.2 s and 0.4 s), far below any deadline.
@@ -34,27 +30,4 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
 
 
-async def connect(address: Address, timeout_s: float) -> trio.SocketStream:
-    """Open a tuned connection.
-
-    Raises
-    ------
-    ConnectFailedError
-        If none came about within ``timeout_s``.
-    """
-    sock = trio.socket.socket()
-    try:
-        with trio.fail_after(timeout_s):
-            await sock.connect(address)
-    except (OSError, trio.TooSlowError) as exc:
-        sock.close()
-        raise ConnectFailedError(str(address), repr(exc)) from exc
-    except BaseException:
-        sock.close()
-        raise
-    stream = trio.SocketStream(sock)
-    tune(sock)
-    return stream
-
-
-__all__ = ('connect', 'tune')
+__all__ = ('tune',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/http1/transport.py
@@ -0,0 +1,97 @@
+"""Connections as the HTTP code sees them, over sockets or stand-ins."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Protocol
+
+import trio
+
+from sesamepoint.http1.messages import ConnectFailedError
+from sesamepoint.http1.sockets import tune
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+
+
+class Transport(Protocol):
+    """One connection; errors are those of trio's streams."""
+
+    async def send_all(self, sent: bytes) -> None:
+        """Send all bytes."""
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return some bytes; empty at the end."""
+
+    def close(self) -> None:
+        """Close at once."""
+
+    def quiet(self) -> bool:
+        """Tell whether the connection is open and has no bytes waiting."""
+
+
+class Network(Protocol):
+    """A way to open connections."""
+
+    async def connect(self, address: Address, timeout_s: float) -> Transport:
+        """Connect, or raise a ``ConnectFailedError``."""
+
+
+class SocketTransport:
+    """A connection over a socket."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        """Use ``stream``, which this object then owns."""
+        self._stream = stream
+
+    async def send_all(self, sent: bytes) -> None:
+        """Send all bytes."""
+        await self._stream.send_all(sent)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return some bytes; empty at the end."""
+        return bytes(await self._stream.receive_some(max_bytes))
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stream.socket.close()
+
+    def quiet(self) -> bool:
+        """Tell whether the connection is open and has no bytes waiting."""
+        try:
+            _peek(self._stream)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class SocketNetwork:
+    """Opens connections over sockets."""
+
+    async def connect(self, address: Address, timeout_s: float) -> Transport:
+        """Connect, or raise a ``ConnectFailedError``."""
+        sock = trio.socket.socket()
+        try:
+            with trio.fail_after(timeout_s):
+                await sock.connect(address)
+        except (OSError, trio.TooSlowError) as exc:
+            sock.close()
+            raise ConnectFailedError(str(address), repr(exc)) from exc
+        except BaseException:
+            sock.close()
+            raise
+        tune(sock)
+        return SocketTransport(trio.SocketStream(sock))
+
+
+def _peek(stream: trio.SocketStream) -> None:
+    raw = socket.socket(fileno=stream.socket.fileno())
+    try:
+        raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    finally:
+        raw.detach()
+
+
+__all__ = ('Network', 'SocketNetwork', 'SocketTransport', 'Transport')
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -18,6 +18,7 @@
     from collections.abc import Mapping
 
     from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.transport import Network
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -62,9 +63,10 @@
 class StoreClient:
     """Keeps one connection; calls of one client run one at a time."""
 
-    def __init__(self, address: Address) -> None:
-        """Aim at ``address``; connects with the first call."""
+    def __init__(self, address: Address, network: Network) -> None:
+        """Aim at ``address`` over ``network``; connects with the first call."""
         self._address = address
+        self._network = network
         self._conn: ClientConn | None = None
         self._lock = trio.Lock()
 
@@ -147,7 +149,7 @@
         conn = self._conn if self._conn and self._conn.quiet() else None
         if conn is None:
             self.close()
-            conn = await ClientConn.open(self._address, CONNECT_S)
+            conn = ClientConn(await self._network.connect(self._address, CONNECT_S))
         # Until the answer is whole the connection is not kept: one on which
         # an answer got lost brings nothing more.
         self._conn = None
--- a/packages/sesamepoint/src/sesamepoint/process/agent_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/agent_process.py
@@ -63,6 +63,10 @@
         await trio.sleep(NOTICE_S)
         await self._agent.drained()
 
+    def reload(self) -> None:
+        """Say that these settings are read once."""
+        events.log_event(events.SETTINGS_REFUSED, cause='restart the process to change its settings')
+
     def _children(self) -> list[Child]:
         return [*agent_children(self._agent), Child('admin', self._serve_admin)]
 
--- a/packages/sesamepoint/src/sesamepoint/process/entry_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/entry_process.py
@@ -60,6 +60,10 @@
         await trio.sleep(NOTICE_S)
         await self._entry.stop()
 
+    def reload(self) -> None:
+        """Say that these settings are read once."""
+        events.log_event(events.SETTINGS_REFUSED, cause='restart the process to change its settings')
+
     def _children(self) -> list[Child]:
         return [
             *entry_children(self._entry),
--- /dev/null
+++ b/tests/core/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on a request."""
--- /dev/null
+++ b/tests/core/serving/builders.py
@@ -0,0 +1,39 @@
+"""Builders of views on engines and of prompt parts."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sesamepoint_core.serving.paths import EngineView, Speeds
+from sesamepoint_core.serving.prompt import Part
+from sesamepoint_core.serving.runner import Stage
+
+# The engines of the smaller of today's deployments, as measured there.
+FAST = Speeds(
+    prefill_tokens_s=112_000,
+    transfer_tokens_s=2_500_000,
+    overhead_s=0.036,
+    pause_s=0.15,
+    plain_pause_s=0.04,
+    late_cost_s=0.4,
+)
+# Those of the larger one: slower at reading, and streams may pause for longer.
+SLOW = FAST._replace(prefill_tokens_s=36_700, pause_s=0.25, late_cost_s=0.8)
+
+
+def prefill(runner: str, fresh_tokens: int, **changes: Any) -> EngineView:
+    """Return the view on an engine that only reads prompts."""
+    return EngineView(runner, Stage.prefill, changes.pop('wait_s', 0), fresh_tokens, **changes)
+
+
+def decode(runner: str, fresh_tokens: int, **changes: Any) -> EngineView:
+    """Return the view on an engine that generates answers."""
+    return EngineView(runner, Stage.decode, changes.pop('wait_s', 0), fresh_tokens, **changes)
+
+
+def parts(*sizes: tuple[str, int]) -> tuple[Part, ...]:
+    """Return prompt parts."""
+    return tuple(Part(key, tokens) for key, tokens in sizes)
+
+
+__all__ = ('FAST', 'SLOW', 'decode', 'parts', 'prefill')
--- /dev/null
+++ b/tests/core/serving/test_models.py
@@ -0,0 +1,164 @@
+"""What is believed of an engine: its load, its memory, its speed, its health."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sesamepoint_core.serving.engine_load import EngineLoad, Stream, Work
+from sesamepoint_core.serving.health import FAILURES_TO_EJECT, FIRST_OUT_S, SILENT_S, Health
+from sesamepoint_core.serving.kv_cache import SHARE_FOR_PARTS, CacheModel
+from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
+from sesamepoint_core.serving.rendezvous import home_of
+from tests.core.serving.builders import parts
+
+
+class EngineLoadTest(TestCase):
+    """Prompts and answers under way."""
+
+    def test_wait_drains_with_time(self) -> None:
+        load = EngineLoad()
+        load.add_work('a', Work(0.2, 1, 10))
+        self.assertAlmostEqual(load.wait_s(1, 10), 0.2)
+        self.assertAlmostEqual(load.wait_s(1, 10.15), 0.05)
+        load.read('a', 10.2)
+        self.assertEqual(load.wait_s(1, 10.2), 0)
+
+    def test_wait_urgent_passes_waiting(self) -> None:
+        """Urgent work waits for what is begun, not for what waits behind it."""
+        load = EngineLoad()
+        load.add_work('begun', Work(0.2, 1, 10))
+        load.add_work('waits', Work(0.5, 1, 10))
+        self.assertAlmostEqual(load.wait_s(0, 10), 0.2)
+        self.assertAlmostEqual(load.wait_s(1, 10), 0.7)
+
+    def test_wait_word_of_end_lost(self) -> None:
+        """The entry that sent the work has died; it must not count for ever."""
+        load = EngineLoad()
+        load.add_work('a', Work(0.1, 1, 10))
+        self.assertEqual(load.wait_s(1, 12), 0)
+
+    def test_streams_counted_until_finished(self) -> None:
+        load = EngineLoad()
+        load.add_stream('a', Stream(1000, 10))
+        load.add_stream('b', Stream(500, 10))
+        load.finished('a')
+        self.assertEqual((load.streams(11), load.stream_tokens(11)), (1, 500))
+        self.assertEqual(load.streams(30), 0)
+
+
+class CacheModelTest(TestCase):
+    """Parts of prompts in an engine's memory."""
+
+    def test_head_only(self) -> None:
+        """An engine can skip the head of a prompt, not its middle."""
+        cache = CacheModel(10_000)
+        cache.touch(parts(('b', 100)))
+        self.assertEqual(cache.cached(parts(('a', 100), ('b', 100))), 0)
+        cache.touch(parts(('a', 100)))
+        self.assertEqual(cache.cached(parts(('a', 100), ('b', 100), ('c', 1))), 200)
+
+    def test_least_recently_used_yields(self) -> None:
+        room = int(1000 / SHARE_FOR_PARTS)
+        cache = CacheModel(room)
+        cache.touch(parts(('a', 500)))
+        cache.touch(parts(('b', 500)))
+        cache.touch(parts(('a', 500)))
+        cache.touch(parts(('c', 300)))
+        self.assertEqual(cache.cached(parts(('a', 500))), 500)
+        self.assertEqual(cache.cached(parts(('b', 500))), 0)
+
+    def test_fetch_only_what_is_read(self) -> None:
+        """Two prompts with one part come at once; the second can't fetch what the first still reads."""
+        cache = CacheModel(10_000)
+        cache.touch(parts(('a', 500)), 'reader')
+        self.assertEqual((cache.cached(parts(('a', 500))), cache.readable(parts(('a', 500)))), (500, 0))
+        cache.read('reader')
+        self.assertEqual(cache.readable(parts(('a', 500))), 500)
+
+
+class MeterTest(TestCase):
+    """Speeds from single reads."""
+
+    def test_rate_and_overhead_apart(self) -> None:
+        """Short reads take 36 ms whatever their length; that says nothing of the rate."""
+        meter = SpeedMeter()
+        for _ in range(30):
+            meter.observe(200, 0.036 + 200 / 112_000)
+            meter.observe(12_000, 0.036 + 12_000 / 112_000)
+        self.assertAlmostEqual(meter.overhead_s, 0.036, delta=0.004)
+        self.assertAlmostEqual(meter.tokens_s, 112_000, delta=8_000)
+
+    def test_rate_delayed_samples(self) -> None:
+        """Half of the reads waited behind others unseen; the rate stays near the true one."""
+        meter = SpeedMeter()
+        for delay_s in (0, 0.1) * 30:
+            meter.observe(12_000, 0.036 + 12_000 / 112_000 + delay_s)
+        self.assertGreater(meter.tokens_s, 80_000)
+
+    def test_plain_pause_in_burst(self) -> None:
+        """Five hundred disturbed pauses in a row must not pass for undisturbed ones."""
+        meter = PauseMeter()
+        for _ in range(500):
+            meter.observe(0.28)
+        self.assertLess(meter.plain_s, 0.1)
+
+
+class HealthTest(TestCase):
+    """Runners that fail, hang, and come back."""
+
+    def test_eject_and_return(self) -> None:
+        health = Health()
+        ejected = [health.bad(10) for _ in range(FAILURES_TO_EJECT)]
+        self.assertEqual(ejected, [False, False, True])
+        self.assertFalse(health.usable(10 + FIRST_OUT_S / 2))
+        self.assertTrue(health.usable(10 + FIRST_OUT_S))
+
+    def test_eject_again_at_once(self) -> None:
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT):
+            health.bad(10)
+        self.assertTrue(health.bad(12))
+        self.assertFalse(health.usable(12 + FIRST_OUT_S))
+
+    def test_eject_grey(self) -> None:
+        """Every other answer fails, never three in a row."""
+        health = Health()
+        ejected = False
+        for _ in range(20):
+            health.good()
+            ejected = health.bad(10) or ejected
+        self.assertTrue(ejected)
+
+    def test_sound_runner_stays(self) -> None:
+        """One answer in seven fails, as at sound services of today."""
+        health = Health()
+        for _ in range(30):
+            self.assertFalse(health.bad(10))
+            for _ in range(6):
+                health.good()
+
+    def test_silent(self) -> None:
+        """A runner owes an answer and shows nothing; one that answers others is only busy."""
+        health = Health()
+        ticket = health.sent(10)
+        self.assertFalse(health.silent(10 + SILENT_S / 2))
+        self.assertTrue(health.silent(10.1 + SILENT_S))
+        health.heard(10.1 + SILENT_S)
+        self.assertFalse(health.silent(10.2 + SILENT_S))
+        health.settled(ticket)
+        self.assertFalse(health.silent(99))
+
+
+class RendezvousTest(TestCase):
+    """Homes of things."""
+
+    def test_one_that_leaves_moves_its_own_only(self) -> None:
+        members = [('a', 2.0), ('b', 1.0), ('c', 1.0)]
+        before = {thing: home_of(thing, members) for thing in map(str, range(400))}
+        after = {thing: home_of(thing, members[:2]) for thing in before}
+        moved = {thing for thing in before if before[thing] != after[thing]}
+        self.assertEqual({before[thing] for thing in moved}, {'c'})
+
+    def test_shares_follow_weights(self) -> None:
+        homes = [home_of(str(number), [('a', 2.0), ('b', 1.0), ('c', 1.0)]) for number in range(2000)]
+        self.assertAlmostEqual(homes.count('a') / 2000, 0.5, delta=0.05)
--- /dev/null
+++ b/tests/core/serving/test_paths.py
@@ -0,0 +1,66 @@
+"""Which way a prompt takes through the engines."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sesamepoint_core.serving.paths import Path, best_path
+from tests.core.serving.builders import FAST, SLOW, decode, prefill
+
+
+def best(*views: object, speeds: object = FAST, tokens: int = 17_000) -> Path:
+    """Return the best path; there must be one."""
+    path = best_path(views, speeds, tokens)  # type: ignore[arg-type]
+    assert path is not None
+    return path
+
+
+class BestPathTest(TestCase):
+    """The least cost over all paths."""
+
+    def test_no_engine_decodes(self) -> None:
+        self.assertIsNone(best_path([prefill('p', 100)], FAST, 100))
+
+    def test_long_prompt_unknown(self) -> None:
+        """Nobody holds any part: it is read where that takes half the time."""
+        path = best(prefill('p', 17_000), decode('d', 17_000))
+        self.assertEqual((path.prefill, path.decode), ('p', 'd'))
+
+    def test_long_prompt_held(self) -> None:
+        """A decode engine holds the shared part: 500 tokens there beat 17,000 elsewhere."""
+        path = best(prefill('p', 17_000), decode('d1', 17_000), decode('d2', 500))
+        self.assertEqual((path.prefill, path.decode), ('', 'd2'))
+
+    def test_short_prompt(self) -> None:
+        """A second step takes longer than reading 300 tokens at half the rate."""
+        path = best(prefill('p', 300), decode('d', 300), tokens=300)
+        self.assertEqual((path.prefill, path.decode), ('', 'd'))
+
+    def test_prefill_engine_busy(self) -> None:
+        path = best(prefill('p', 3_000, wait_s=0.5), decode('d', 3_000))
+        self.assertEqual(path.prefill, '')
+
+    def test_streams_disturbed(self) -> None:
+        """A read of half a second would make a dozen streams late; a wait is cheaper."""
+        busy = prefill('p', 9_000, wait_s=0.7)
+        self.assertEqual(best(busy, decode('d', 9_000, streams=12), speeds=SLOW).prefill, 'p')
+        self.assertEqual(best(busy, decode('d', 9_000, streams=0), speeds=SLOW).prefill, '')
+
+    def test_second_step_avoids_reading(self) -> None:
+        """An answer whose prompt was read elsewhere goes where nothing is read now."""
+        path = best(prefill('p', 17_000), decode('d1', 17_000, backlog_s=0.3), decode('d2', 17_000, order=1))
+        self.assertEqual(path.decode, 'd2')
+
+    def test_second_steps_gather(self) -> None:
+        """Among idle engines the first in order takes them; the others keep their parts."""
+        path = best(prefill('p', 17_000), decode('d1', 17_000, order=1), decode('d2', 17_000, order=0))
+        self.assertEqual(path.decode, 'd2')
+
+    def test_memory_full(self) -> None:
+        path = best(decode('d1', 300, crowded=True), decode('d2', 9_000), tokens=9_000)
+        self.assertEqual(path.decode, 'd2')
+
+    def test_fetch_beats_reading(self) -> None:
+        """Taking 13,000 tokens over is quicker than reading them again."""
+        path = best(prefill('p1', 17_000), prefill('p2', 4_000, fetch_tokens=13_000), decode('d', 17_000))
+        self.assertEqual(path.prefill, 'p2')
--- /dev/null
+++ b/tests/front/builders.py
@@ -0,0 +1,113 @@
+"""Builders of configurations, runners and requests for tests of the front."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import Any
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint_standins.platform.caller import Asked
+from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+
+HOST = 'boats.example'
+_ids = count(1)
+
+
+def route(name: str, prefix: str, service: str, kind: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the operator's configuration."""
+    base = {
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeout_ms': 3000,
+        'target_latency_ms': 250,
+        'priority': 0,
+        'max_attempts': 2,
+    }
+    return {**base, **changes}
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a route of each kind."""
+    engine = {'slots': 24, 'kv_tokens': 548319, 'kv_bytes': 18432, 'link_mbps': 370000.0, 'stride': 10}
+    base = {
+        'version': version,
+        'routes': [
+            route(
+                'verdict',
+                '/verdict/',
+                'llm',
+                'streaming',
+                max_attempts=1,
+                priority=1,
+                gap_aim_ms=150,
+                target_latency_ms=400,
+                timeout_ms=5000,
+            ),
+            route('tag', '/tag/', 'llm', 'streaming', resumable=True, gap_aim_ms=150),
+            route('card', '/card/', 'web', 'non_idempotent', max_attempts=1, timeout_ms=1000),
+            route('thumb', '/thumb/', 'web', 'idempotent', timeout_ms=1000),
+        ],
+        'services': [
+            {'name': 'llm', 'health_path': '/healthz', 'max_conns': 210, 'engine': engine},
+            {'name': 'web', 'health_path': '/healthz', 'max_conns': 110},
+        ],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 100000,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+    }
+    return {**base, **changes}
+
+
+def plain_runner(number: int, service: str = 'web', **changes: Any) -> RunnerStandIn:
+    """Return a runner of a plain service."""
+    return RunnerStandIn(f'i-{service}{number}', service, Address(f'10.3.0.{number}', 80), 'z1', **changes)
+
+
+def engine(number: int, stage: str, **changes: Any) -> RunnerStandIn:
+    """Return an engine of the service ``llm``."""
+    return RunnerStandIn(f'i-llm{number}', 'llm', Address(f'10.4.0.{number}', 80), 'z1', stage=stage, **changes)
+
+
+def fleet() -> list[RunnerStandIn]:
+    """Return two plain runners, one prefill engine and two decode engines."""
+    return [
+        plain_runner(1),
+        plain_runner(2),
+        engine(1, 'prefill'),
+        engine(2, 'decode'),
+        engine(3, 'decode'),
+    ]
+
+
+def asked(path: str, **changes: Any) -> Asked:
+    """Return a request with an id of its own."""
+    base: dict[str, Any] = {'request_id': f'r{next(_ids)}', 'host': HOST, 'path': path, 'deadline_s': 3.0}
+    return Asked(**{**base, **changes})
+
+
+def asked_prompt(path: str, tokens: int = 300, shared: tuple[str, int] = ('s1', 90), **changes: Any) -> Asked:
+    """Return a request with a shared part and ``tokens`` of its own."""
+    number = next(_ids)
+    parts = (shared, (f'own{number}', tokens))
+    return asked(path, request_id=f'p{number}', parts=parts, output=changes.pop('output', 5), **changes)
+
+
+SLOW_ENGINE = EngineSpeed(tokens_s=36_700.0, step_s=0.0043, stride=8, kv_tokens=402_357, slots=48)
+
+__all__ = (
+    'HOST',
+    'SLOW_ENGINE',
+    'asked',
+    'asked_prompt',
+    'configuration',
+    'engine',
+    'fleet',
+    'plain_runner',
+    'route',
+)
--- /dev/null
+++ b/tests/front/test_attempt.py
@@ -0,0 +1,117 @@
+"""One attempt at one runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.attempt import Attempt, Target
+from sesamepoint.front.member import Member
+from sesamepoint.front.reply import Reply
+from sesamepoint.front.request import FrontRequest
+from sesamepoint.http1.messages import RequestHead
+from sesamepoint.platform.headers import Sending
+from tests.virtual import virtual
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from sesamepoint.http1.messages import Headers
+
+PATIENCE_S = 1.0
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nsesamepoint-request-id: r1\r\nsesamepoint-server-stamp: s\r\n'
+    b'transfer-encoding: chunked\r\n\r\n9\r\nid: 1\n\n\n\n\r\n'
+)
+
+
+class LateTransport:
+    """Has an answer that comes while the process is held up."""
+
+    def __init__(self) -> None:
+        self._came = trio.Event()
+        self._bytes = [ANSWER]
+
+    async def answer(self, clock: MockClock) -> None:
+        """Let the answer arrive, and the process stand still until patience has ended."""
+        await trio.sleep(PATIENCE_S / 2)
+        self._came.set()
+        clock.jump(PATIENCE_S)
+
+    async def send_all(self, sent: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        await self._came.wait()
+        if self._bytes:
+            return self._bytes.pop()
+        return await trio.sleep_forever()
+
+    def close(self) -> None:
+        """Close nothing."""
+
+    def quiet(self) -> bool:
+        return False
+
+
+class LateNetwork:
+    """Connects to one such transport."""
+
+    def __init__(self, transport: LateTransport) -> None:
+        self._transport = transport
+
+    async def connect(self, address: Address, timeout_s: float) -> LateTransport:
+        await trio.lowlevel.checkpoint()
+        return self._transport
+
+
+class RecordingConn:
+    """Takes what goes to the caller, with a checkpoint before as a socket has."""
+
+    def __init__(self) -> None:
+        self.heads = 0
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        await trio.lowlevel.checkpoint()
+        self.heads += 1
+
+    async def part(self, body: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+
+
+class AttemptTest(TestCase):
+    """The moments at which an attempt may end."""
+
+    @virtual
+    async def test_first_event_at_end_of_patience(self) -> None:
+        """The first event and the end of patience come together.
+
+        The process was held up; it wakes with both. The attempt was cancelled
+        while its first bytes went out, and the next one wrote into an answer
+        whose head had never been sent. Either nothing is begun, or the head
+        is out.
+        """
+        clock: MockClock = trio.lowlevel.current_clock()  # type: ignore[assignment]
+        transport = LateTransport()
+        member = Member(_runner(), LateNetwork(transport))
+        conn = RecordingConn()
+        reply = Reply(conn)  # type: ignore[arg-type]
+        target = Target(member, Sending('i-1', 5, 0), PATIENCE_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(transport.answer, clock)
+            with trio.move_on_after(PATIENCE_S * 3):
+                await Attempt(_request(), target, reply, streamed=True).run()
+        self.assertEqual(reply.begun, conn.heads == 1)
+
+
+def _runner() -> Runner:
+    return Runner('i-1', 'llm', Address('10.0.0.1', 80), 'z1', 24, leaving=False, stage=Stage.decode)
+
+
+def _request() -> FrontRequest:
+    head = RequestHead(b'POST', b'/tag/a', ((b'host', b'x'), (b'sesamepoint-request-id', b'r1')))
+    return FrontRequest('r1', 'x', '/tag/a', head, b'', 0, None, None)
--- /dev/null
+++ b/tests/front/test_membership.py
@@ -0,0 +1,181 @@
+"""Runners, configurations and fronts that come and go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint.platform.names import OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint_standins.platform.bed import PlatformBed, running_bed
+from tests.front.builders import asked, asked_prompt, configuration, fleet, plain_runner, route
+from tests.virtual import virtual
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.caller import Seen
+
+APPLY_S = 2.0
+DRAIN_S = 2.0
+
+
+def with_route(version: int) -> dict[str, object]:
+    """Return a configuration with one more route."""
+    base = configuration(version)
+    return {**base, 'routes': [*base['routes'], route('new', '/new/', 'web', 'idempotent')]}
+
+
+async def statuses(bed: PlatformBed, path: str, seconds: float) -> list[tuple[float, int]]:
+    """Ask all fronts again and again; returns times and statuses."""
+    found = []
+    started = trio.current_time()
+    while trio.current_time() - started < seconds:
+        for front in tuple(bed.fronts):
+            seen = await bed.caller(front).ask(asked(path))
+            found.append((trio.current_time() - started, seen.status))
+        await trio.sleep(0.1)
+    return found
+
+
+class ConfigurationTest(TestCase):
+    """Versions come into force everywhere, in time, for good."""
+
+    @virtual
+    async def test_version_in_force(self) -> None:
+        async with running_bed(configuration(1), fleet(), fronts=3) as bed:
+            bed.publish(with_route(2))
+            found = await statuses(bed, '/new/a', 4)
+            self.assertEqual({status for at, status in found if at > APPLY_S}, {200})
+
+    @virtual
+    async def test_version_slow_store(self) -> None:
+        """The store takes a quarter of a second for each answer."""
+        async with running_bed(configuration(1), fleet()) as bed:
+            bed.store.slow_s = 0.25
+            await trio.sleep(1)
+            bed.publish(with_route(2))
+            found = await statuses(bed, '/new/a', 4)
+            self.assertEqual({status for at, status in found if at > APPLY_S}, {200})
+
+    @virtual
+    async def test_version_history_gone(self) -> None:
+        """The store forgets its history while a version comes; the newest is read anew."""
+        async with running_bed(configuration(1), fleet()) as bed:
+            bed.store.down = True
+            await trio.sleep(3)
+            bed.publish(with_route(2))
+            bed.store.compact(OPERATOR_TOPIC)
+            bed.store.compact(RUNNER_TOPIC)
+            bed.store.down = False
+            found = await statuses(bed, '/new/a', 4)
+            self.assertEqual({status for at, status in found if at > APPLY_S}, {200})
+
+    @virtual
+    async def test_version_never_back(self) -> None:
+        """An older version that arrives late does not undo a newer one."""
+        async with running_bed(configuration(1), fleet()) as bed:
+            bed.publish(with_route(5))
+            await trio.sleep(APPLY_S)
+            bed.publish(configuration(3))
+            found = await statuses(bed, '/new/a', 3)
+            self.assertEqual({status for _, status in found}, {200})
+
+    @virtual
+    async def test_version_unreadable(self) -> None:
+        """A version that does not decode leaves the one before in force."""
+        async with running_bed(configuration(1), fleet()) as bed:
+            bed.publish({'version': 2, 'routes': 'none'})
+            await trio.sleep(APPLY_S)
+            self.assertEqual((await bed.caller('front-1').ask(asked('/thumb/a'))).status, 200)
+
+    @virtual
+    async def test_store_down(self) -> None:
+        """Serving goes on by what was known while the store is away."""
+        async with running_bed(configuration(1), fleet()) as bed:
+            bed.store.down = True
+            found = await statuses(bed, '/thumb/a', 8)
+            self.assertEqual({status for _, status in found}, {200})
+
+
+class RunnerTest(TestCase):
+    """Runners that leave get nothing new after a while."""
+
+    @virtual
+    async def test_drain(self) -> None:
+        async with running_bed(configuration(), [plain_runner(1), plain_runner(2)]) as bed:
+            left_at = trio.current_time()
+            bed.drain_runner('i-web1')
+            found = await statuses(bed, '/card/a', 4)
+            self.assertEqual({status for _, status in found}, {200})
+            last = max((run.started for run in bed.runners['i-web1'].runs), default=left_at)
+            self.assertLess(last - left_at, DRAIN_S)
+
+    @virtual
+    async def test_registration_gone(self) -> None:
+        """A runner's entry vanishes without a word; it gets nothing after two seconds."""
+        async with running_bed(configuration(), [plain_runner(1)]) as bed:
+            left_at = trio.current_time()
+            bed.drop_registration('i-web1')
+            await statuses(bed, '/card/a', 4)
+            last = max(run.started for run in bed.runners['i-web1'].runs)
+            self.assertLess(last - left_at, DRAIN_S)
+
+    @virtual
+    async def test_registrations_lapse_for_a_moment(self) -> None:
+        """All entries lapse with the store and are back a second later; no caller notices."""
+        async with running_bed(configuration(), [plain_runner(1), plain_runner(2)]) as bed:
+            for key in tuple(bed.runners):
+                bed.drop_registration(key)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_register_again, bed, 0.8)
+                found = await statuses(bed, '/card/a', 4)
+            self.assertEqual({status for _, status in found}, {200})
+
+
+class StopTest(TestCase):
+    """A planned stop cuts off no request."""
+
+    @virtual
+    async def test_stop_under_load(self) -> None:
+        """A front is told to stop while streams run and callers keep connections.
+
+        It finishes what is under way, answers what still comes with the word
+        that it closes, and is done before the platform would end it by force.
+        """
+        async with running_bed(configuration(), fleet()) as bed:
+            front = bed.fronts['front-1']
+            found: list[Seen] = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_ask_for, bed, 3.0, found)
+                await trio.sleep(0.5)
+                stopped_at = trio.current_time()
+                await front.wind_down()
+                self.assertLess(trio.current_time() - stopped_at, front.cfg.stop_s)
+                self.assertFalse(front.ready())
+            self.assertEqual({(seen.status, seen.whole) for seen in found}, {(200, True)})
+
+    @virtual
+    async def test_not_ready_before_configuration(self) -> None:
+        """A front that knows no configuration tells callers to come back."""
+        async with trio.open_nursery() as nursery:
+            bed = PlatformBed(nursery)
+            front = bed.add_front(1)
+            await trio.sleep(1)
+            self.assertFalse(front.ready())
+            seen = await bed.caller('front-1').ask(asked('/thumb/a'))
+            self.assertEqual((seen.status, seen.retry_after_s), (503, 0.5))
+            nursery.cancel_scope.cancel()
+
+
+async def _register_again(bed: PlatformBed, after_s: float) -> None:
+    await trio.sleep(after_s)
+    for runner in tuple(bed.runners.values()):
+        bed.add_runner(runner)
+
+
+async def _ask_for(bed: PlatformBed, seconds: float, found: list[Seen]) -> None:
+    with trio.move_on_after(seconds):
+        while True:
+            with trio.CancelScope(shield=True):
+                found.append(await bed.caller('front-1').ask(asked_prompt('/tag/a', output=20)))
+            await trio.sleep(0.05)
