--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
@@ -33,11 +33,11 @@
 
         What is still being read counts: whoever comes after it here finds it.
         """
-        return _head_tokens(parts, self._held)
+        return self._head_tokens(parts, ())
 
     def readable(self, parts: Sequence[Part]) -> int:
         """Return the tokens at the head of ``parts`` that others could fetch."""
-        return _head_tokens(parts, self._held.keys() - self._reading.keys())
+        return self._head_tokens(parts, self._reading)
 
     def touch(self, parts: Sequence[Part], reader: str = '') -> None:
         """Note that the runner uses ``parts``; ``reader`` is still at it."""
@@ -63,14 +63,13 @@
         self._used -= self._held.pop(key)
         self._reading.pop(key, None)
 
-
-def _head_tokens(parts: Sequence[Part], held: Container[str]) -> int:
-    total = 0
-    for part in parts:
-        if part.key not in held:
-            break
-        total += part.tokens
-    return total
+    def _head_tokens(self, parts: Sequence[Part], unread: Container[str]) -> int:
+        total = 0
+        for part in parts:
+            if part.key not in self._held or part.key in unread:
+                break
+            total += part.tokens
+        return total
 
 
 __all__ = ('CacheModel',)
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -22,6 +22,9 @@
 # Sends are gathered for this long, in seconds, before peers are told: short
 # against the work they stand for (tens of ms), long against a datagram.
 GATHER_S = 0.005
+# Short work is told within this time, with whatever else there is by then.
+# Told at once, it took ten datagrams a request and half of the processor.
+LAZY_S = 0.05
 REGISTER_AGAIN_S = 1.0
 
 
@@ -70,6 +73,8 @@
         """Tell peers of this entry's sends until cancelled."""
         while True:
             await self._sends.fresh.wait()
+            with trio.move_on_after(LAZY_S):
+                await self._sends.urgent.wait()
             await trio.sleep(GATHER_S)
             await self._tell_all(self._sends.drain())
 
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -17,6 +17,9 @@
     from sesamepoint.front.member import Member
 
 SERIAL_BITS = 30
+# Reads of this many seconds are worth a datagram of their own: others that
+# chose the same engine in ignorance would wait for all of it.
+LONG_WORK_S = 0.02
 
 
 class Send(NamedTuple):
@@ -71,7 +74,9 @@
     def __init__(self, entry: str, fleet: Fleet, rng: Random) -> None:
         """Update the members of ``fleet``; ``entry`` is this one's name."""
         self.fresh = trio.Event()
+        self.urgent = trio.Event()
         self._entry = entry
+        self._long: set[int] = set()
         self._fleet = fleet
         self._sends: list[Send] = []
         self._ends: list[End] = []
@@ -86,6 +91,9 @@
         self._apply(self._entry, send)
         self._sends.append(send)
         self.fresh.set()
+        if send.work_s >= LONG_WORK_S:
+            self._long.add(send.serial)
+            self.urgent.set()
         return End(send.serial, runner, finished=False)
 
     def end(self, end: End) -> None:
@@ -93,6 +101,9 @@
         self._finish(self._entry, end)
         self._ends.append(end)
         self.fresh.set()
+        if end.serial in self._long:
+            self._long.discard(end.serial)
+            self.urgent.set()
 
     def heard(self, word: Word) -> None:
         """Take in what a peer told."""
@@ -107,6 +118,7 @@
         self._sends = []
         self._ends = []
         self.fresh = trio.Event()
+        self.urgent = trio.Event()
         return word
 
     def _apply(self, entry: str, send: Send) -> None:
