--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -151,7 +151,7 @@
     decoders = [view for view in views if view.stage is Stage.decode]
     if not decoders:
         return
-    second = min((_second_step_cost(view, speeds), view.runner) for view in decoders)
+    second = best_second_step(decoders, speeds)
     for view in views:
         if view.stage is Stage.prefill:
             yield _two_step(view, second, speeds, prompt_tokens)
@@ -159,6 +159,11 @@
             yield _whole(view, speeds)
 
 
+def best_second_step(decoders: Sequence[EngineView], speeds: Speeds) -> tuple[float, str]:
+    """Return the cost and the runner of the best place for a prompt read elsewhere."""
+    return min((_second_step_cost(view, speeds), view.runner) for view in decoders)
+
+
 def _whole(view: EngineView, speeds: Speeds) -> Path:
     token_s = DECODE_SLOWDOWN * view.pace / speeds.prefill_tokens_s
     work_s = view.fresh_tokens * token_s
@@ -188,7 +193,8 @@
 
 def _second_step_cost(view: EngineView, speeds: Speeds) -> float:
     """Return what a run whose prompt was read elsewhere suffers here."""
-    return _late_pause_cost_s(max(view.wait_s, view.read_lately_s), speeds) + _crowding_s(view) + ORDER_S * view.order
+    late_s = _late_pause_cost_s(max(view.wait_s, view.read_lately_s), speeds)
+    return view.wait_s + late_s + _crowding_s(view) + ORDER_S * view.order
 
 
 def _late_cost_s(first_s: float, speeds: Speeds) -> float:
@@ -220,4 +226,13 @@
     return path.cost
 
 
-__all__ = ('MEMORY_SHARE', 'EngineView', 'Path', 'Speeds', 'all_paths', 'best_path')
+__all__ = (
+    'MEMORY_SHARE',
+    'SECOND_STEP_S',
+    'EngineView',
+    'Path',
+    'Speeds',
+    'all_paths',
+    'best_path',
+    'best_second_step',
+)
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sesamepoint_core.serving.paths import MEMORY_SHARE, EngineView, Path, Speeds, best_path
+from sesamepoint_core.serving.paths import MEMORY_SHARE, EngineView, Path, Speeds, best_path, best_second_step
 from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
 from sesamepoint_core.serving.rendezvous import home_of
 from sesamepoint_core.serving.runner import Stage
@@ -99,6 +99,16 @@
             return plan
         return plan._replace(rank=LATE_RANK)
 
+    def second_step(self, job: Job, prompt: Prompt, cfg: Configuration) -> Member | None:
+        """Return where a prompt that was read elsewhere runs best by now."""
+        members = [member for member in self._usable(job) if member.runner.stage is Stage.decode]
+        if not members:
+            return None
+        speeds = self._speeds_of(job, cfg)
+        views = _Views(prompt, members, None, speeds.pause_s).all()
+        runner = best_second_step(tuple(views.values()), speeds)[1]
+        return next(member for member in members if member.runner.key == runner)
+
     def _usable(self, job: Job) -> list[Member]:
         now = trio.current_time()
         found = [member for member in self._fleet.of_service(job.service) if member.runner.key not in job.tried]
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sesamepoint_core.serving.paths import SECOND_STEP_S
 from sesamepoint import events
 from sesamepoint.front.attempt import Target
 from sesamepoint.front.prefill import Prefilled, prefill
@@ -68,7 +69,9 @@
             # an extra arrival.
             budget.charge()
             return await self._whole(job, prompt, self._chooser.engine(job, prompt, cfg, whole=True))
-        return await self._decode(job, prompt, plan, prefilled)
+        # Reading took a while; the engine that was idle then may be busy now.
+        decode = self._chooser.second_step(job, prompt, cfg)
+        return await self._decode(job, prompt, plan._replace(decode=decode or plan.decode), prefilled)
 
     async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Hold the request here until its best engine has nearly got to it.
@@ -108,7 +111,7 @@
         target = self._target(job, plan)
         target = target._replace(
             sending=target.sending._replace(fetch_from=plan.fetch_from),
-            on_sign=partial(self._note_sign, job, end),
+            on_sign=partial(self._note_sign, job, plan, end, trio.current_time()),
         )
         try:
             return await attempt(job, target)
@@ -161,9 +164,11 @@
             on_pause=partial(self._note_pause, job),
         )
 
-    def _note_sign(self, job: Job, end: End) -> None:
+    def _note_sign(self, job: Job, plan: EnginePlan, end: End, started: float) -> None:
+        now = trio.current_time()
         self._sends.end(end)
         job.note_first()
+        plan.decode.pace.observe(now, plan.path.first_s, now - started)
 
     def _note_pause(self, job: Job, pause_s: float) -> None:
         job.longest_pause_s = max(job.longest_pause_s, pause_s)
@@ -171,6 +176,7 @@
 
     def _learn(self, job: Job, plan: EnginePlan, member: Member, took_s: float) -> None:
         member.health.good()
+        member.pace.observe(trio.current_time(), plan.path.first_s - SECOND_STEP_S, took_s)
         job.decision['prefill_ms'] = round(took_s * 1000)
         if plan.view.wait_s == 0 and plan.view.fetch_tokens == 0:
             self._chooser.speed(job.service).observe(plan.view.fresh_tokens, took_s)
