--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -9,6 +9,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from sesamepoint_core.registry import Registry
+from sesamepoint.log_output import NonBlockingOutput, RateLimit
 
 _logger = logging.getLogger('sesamepoint')
 
@@ -84,16 +85,26 @@
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
 
 
+class _LineFormatter(JsonFormatter):
+    """One line a record, its end included, so that each is one write."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        line = super().format(record)
+        return f'{line}\n'
+
+
 def log_event(event: Event, **fields: Any) -> None:
     """Write one line for ``event`` with ``fields``."""
     _logger.log(event.level, event.text, extra={'event': event.number, **fields})
 
 
 def set_up_logs(process: str, level: int = logging.INFO) -> None:
-    """Send log lines as JSON to standard error, each naming ``process``."""
-    handler = logging.StreamHandler(sys.stderr)  # noqa: WPS110
+    """Send log lines as JSON to standard output, each naming ``process``."""
+    handler = logging.StreamHandler(NonBlockingOutput(sys.stdout.fileno()))  # noqa: WPS110
+    handler.terminator = ''
+    handler.addFilter(RateLimit())
     handler.setFormatter(
-        JsonFormatter('{asctime}{levelname}{message}', style='{', static_fields={'process': process}),
+        _LineFormatter('{asctime}{levelname}{message}', style='{', static_fields={'process': process}),
     )
     _logger.handlers = [handler]
     _logger.setLevel(level)
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.serving.routes import Repeat
 from sesamepoint import events
 from sesamepoint.front.job import SOON_S, Job
+from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.front.tries import PATIENCE_FACTOR, attempt, repeatable, target_for
 from sesamepoint.platform.headers import returned, signed
@@ -63,6 +64,7 @@
 
     def __init__(self, chooser: Chooser, engine_runs: EngineRuns, budgets: Budgets, rng: Random) -> None:
         """Start without a configuration."""
+        self.metrics = FrontMetrics()
         self.configuration: Configuration | None = None
         self._chooser = chooser
         self._engine_runs = engine_runs
@@ -83,7 +85,12 @@
                 await self._time_out(job)
         finally:
             # Also if the caller has left and this task is cancelled.
-            _log_end(job, cfg)
+            self._note_end(job, cfg)
+
+    def _note_end(self, job: Job, cfg: Configuration) -> None:
+        took_s = trio.current_time() - job.req.arrived
+        self.metrics.observe(job, took_s)
+        _log_end(job, cfg, took_s)
 
     async def _serve_in_time(self, job: Job, cfg: Configuration) -> bool:
         with trio.move_on_at(job.deadline):
@@ -147,7 +154,7 @@
     return repeatable(job)
 
 
-def _log_end(job: Job, cfg: Configuration) -> None:
+def _log_end(job: Job, cfg: Configuration, took_s: float) -> None:
     """Write the one line that tells what became of a request, and why."""
     events.log_event(
         events.ANSWER_ENDED,
@@ -158,7 +165,7 @@
         unfinished=job.reply.unfinished or not job.reply.begun,
         sends=job.sends,
         runners=sorted(job.tried),
-        took_ms=_ms(trio.current_time() - job.req.arrived),
+        took_ms=_ms(took_s),
         first_total_ms=None if job.first_at is None else _ms(job.first_at - job.req.arrived),
         pause_ms=_ms(job.longest_pause_s),
         **job.decision,
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -52,6 +52,7 @@
         self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
         self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self._peers, budgets), network, rng)
         self.door = Door(self.dispatcher, self._limits)
+        self._watch()
 
     def children(self) -> list[Child]:
         """Return the parts that run beside the listeners."""
@@ -84,6 +85,18 @@
             while self.door.active:
                 await trio.sleep(POLL_S)
 
+    def _watch(self) -> None:
+        watch = self.dispatcher.metrics.watch
+        watch('sesamepoint_waiting_requests', 'Requests that wait here for an engine.', self._waiting.count)
+        watch('sesamepoint_active_requests', 'Requests under way.', lambda: self.door.active)
+        watch('sesamepoint_entries', 'Entries that are registered.', self._peers.count)
+        watch('sesamepoint_runners', 'Runners that are known.', lambda: len(self.fleet.members))
+        watch('sesamepoint_configuration_version', 'Version in force; 0 before the first.', self._version)
+
+    def _version(self) -> float:
+        cfg = self.dispatcher.configuration
+        return cfg.version if cfg else 0
+
     def _limits(self) -> ServerLimits:
         cfg = self.dispatcher.configuration
         if cfg is None:
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -0,0 +1,77 @@
+"""Counters and latencies of the front; docs/OPERATIONS.md says what they mean."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint.front.job import Job
+
+# Seconds; the bounds lie around today's targets of 0.2 to 0.8 s.
+BUCKETS = (0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
+
+
+class FrontMetrics:
+    """What one process counts, in a registry of its own."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            'sesamepoint_requests',
+            'Requests that found a route, by what became of them.',
+            ('service', 'path', 'outcome'),
+            registry=self.registry,
+        )
+        self._first = Histogram(
+            'sesamepoint_first_event_seconds',
+            'From arrival to the first event of a stream.',
+            ('service',),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self._whole = Histogram(
+            'sesamepoint_request_seconds',
+            'From arrival to the end of the answer.',
+            ('service',),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self._sends = Counter(
+            'sesamepoint_extra_sends',
+            'Sends of a request beyond its first.',
+            ('service',),
+            registry=self.registry,
+        )
+
+    def watch(self, name: str, text: str, value_of: Callable[[], float]) -> None:
+        """Show a gauge that is asked for when the page is read."""
+        Gauge(name, text, registry=self.registry).set_function(value_of)
+
+    def observe(self, job: Job, took_s: float) -> None:
+        """Count one request that has ended."""
+        path = str(job.decision.get('path', 'plain'))
+        self._requests.labels(job.service, path, _outcome(job)).inc()
+        if job.sends > 1:
+            self._sends.labels(job.service).inc(job.sends - 1)
+        if job.first_at is not None:
+            self._first.labels(job.service).observe(job.first_at - job.req.arrived)
+        if job.reply.begun and not job.reply.unfinished:
+            self._whole.labels(job.service).observe(took_s)
+
+
+def _outcome(job: Job) -> str:
+    if job.reply.unfinished:
+        return 'broken_off'
+    if not job.reply.begun:
+        return 'caller_left'
+    if job.refused:
+        return 'refused'
+    return f'status_{job.reply.status}'
+
+
+__all__ = ('FrontMetrics',)
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -75,6 +75,14 @@
     return job.route.repeat is not Repeat.never
 
 
+def _cause(became: AttemptResult) -> str:
+    if isinstance(became, RunFailed):
+        return f'status {became.head.status}'
+    if isinstance(became, Rejected):
+        return f'rejected with status {became.status}'
+    return getattr(became, 'cause', became.tag)
+
+
 def _judge(job: Job, member: Member, became: AttemptResult, started: float) -> None:
     if isinstance(became, Relayed):
         member.health.good()
@@ -88,7 +96,7 @@
         request=job.req.request_id,
         runner=member.runner.key,
         outcome=became.tag,
-        cause=str(became),
+        cause=_cause(became),
     )
     if isinstance(became, Silent) and member.health.heard_since(started):
         # It is busy, not dead: it has answered others meanwhile.
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -90,6 +90,10 @@
                 self._somebody = trio.Event()
             await trio.sleep(LOOK_S)
 
+    def count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiters)
+
     def expected_s(self, entries: int, engines: int) -> float:
         """Return the wait for one that comes now, if all entries are alike."""
         work_s = sum(waiter.work_s for waiter in self._waiters)
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 import trio
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import generate_latest
 
+from sesamepoint_core.serving.address import Address
 from sesamepoint import events
 from sesamepoint.front.front import Front
 from sesamepoint.front.pages import Page, Pages
@@ -30,6 +31,9 @@
     Serve = Callable[[Transport], Awaitable[None]]
 
 METRICS_PATH = '/metrics'
+# Metrics are served here besides the address for readiness, which differs
+# from day to day. The deploy file names this port.
+METRICS_PORT = 9464
 # How often the settings file is looked at, in seconds: it may change without
 # a signal, and nothing in it is urgent.
 LOOK_S = 1.0
@@ -42,7 +46,6 @@
         """Put the tree together without starting it."""
         self._path = path
         self._front = Front(cfg, SocketNetwork(), SocketPeerNetwork(), SystemRandom())
-        self._registry = CollectorRegistry()
 
     @classmethod
     def from_config(cls, path: Path) -> FrontProcess:
@@ -81,6 +84,7 @@
         return [
             Child('callers', partial(_listen, self._front.door.serve, cfg.listen)),
             Child('readiness', partial(_listen, self._pages().serve, cfg.ready_listen)),
+            Child('metrics', partial(_listen, self._pages().serve, Address(cfg.host, METRICS_PORT))),
             Child('settings', self._watch_settings),
             *self._front.children(),
         ]
@@ -98,7 +102,7 @@
         return Pages(
             {
                 READY_PATH: Page(_no_text, self._front.ready),
-                METRICS_PATH: Page(partial(generate_latest, self._registry), _always),
+                METRICS_PATH: Page(partial(generate_latest, self._front.dispatcher.metrics.registry), _always),
             }
         )
 
--- /dev/null
+++ b/tests/runtime/test_log_output.py
@@ -0,0 +1,64 @@
+"""Log lines that must never hold the process up."""
+
+from __future__ import annotations
+
+import logging
+import os
+from unittest import TestCase
+
+from sesamepoint.log_output import BURST_LINES, NonBlockingOutput, RateLimit
+
+LINE = f'{"x" * 1000}\n'
+
+
+class NonBlockingOutputTest(TestCase):
+    """A pipe whose reader hangs."""
+
+    def test_full_pipe(self) -> None:
+        """Whoever reads the logs hangs, and the pipe fills up.
+
+        A blocking write would stop every request of the process. Lines are
+        dropped and counted, and written again once there is room.
+        """
+        reading, writing = os.pipe()
+        output = NonBlockingOutput(writing)
+        for _ in range(200):
+            output.write(LINE)
+        self.assertGreater(output.dropped, 100)
+        before = output.dropped
+        os.read(reading, 65536)
+        output.write(LINE)
+        self.assertEqual(output.dropped, before)
+        os.close(reading)
+        os.close(writing)
+
+    def test_reader_gone(self) -> None:
+        reading, writing = os.pipe()
+        output = NonBlockingOutput(writing)
+        os.close(reading)
+        output.write(LINE)
+        self.assertEqual(output.dropped, 1)
+        os.close(writing)
+
+
+class RateLimitTest(TestCase):
+    """More decisions than lines."""
+
+    def test_burst_bounded(self) -> None:
+        limit = RateLimit()
+        passed = sum(limit.filter(_record(logging.INFO)) for _ in range(5 * int(BURST_LINES)))
+        self.assertLess(passed, 2 * BURST_LINES)
+        self.assertGreater(limit.suppressed, 0)
+
+    def test_warnings_pass(self) -> None:
+        """A warning passes in any burst, and tells how many lines were left out."""
+        limit = RateLimit()
+        for _ in range(5 * int(BURST_LINES)):
+            limit.filter(_record(logging.INFO))
+        warning = _record(logging.WARNING)
+        self.assertTrue(limit.filter(warning))
+        self.assertGreater(getattr(warning, 'suppressed', 0), 0)
+
+
+def _record(level: int) -> logging.LogRecord:
+    return logging.LogRecord('sesamepoint', level, '', 0, 'text', None, None)
