--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         """Take the runner for sound."""
         self._in_a_row = 0
+        self._unreached = 0
         self._failing: float = 0
         self._out_until: float = 0
         self._out_s = FIRST_OUT_S
@@ -41,6 +42,19 @@
         """Tell whether requests may go there."""
         return now >= self._out_until and not self.silent(now)
 
+    @property
+    def failing(self) -> float:
+        """Return the share of recent requests that failed, newest most."""
+        return self._failing
+
+    def works_at_times(self, now: float) -> bool:
+        """Tell whether it answers some requests, though it may be left out."""
+        return not self.silent(now) and self._unreached == 0
+
+    def unreached(self) -> None:
+        """Note that no connection to it came about."""
+        self._unreached += 1
+
     def silent(self, now: float) -> bool:
         """Tell whether a request has waited there for too long."""
         oldest = next(iter(self._waiting.values()), now)
@@ -67,6 +81,7 @@
     def good(self) -> None:
         """Count a sound answer."""
         self._in_a_row = 0
+        self._unreached = 0
         self._out_s = FIRST_OUT_S
         self._failing *= 1 - LEARNING
 
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -28,6 +29,9 @@
 ZONE_PENALTY = 0.5
 # Prefill runners read twice as fast, so they are home to twice the parts.
 HOME_WEIGHTS = MappingProxyType({Stage.prefill: 2.0, Stage.decode: 1.0, Stage.plain: 0})
+# Share of a service's runners that stays in use, whatever fails, as long as
+# they answer some requests: the rest would not bear the load of more.
+KEPT_SHARE = 0.7
 # Ranks of requests that can be on time, and of those that can't any more. The
 # late ones wait behind all others, so that they make no others late.
 MAX_RANK = 4
@@ -113,7 +117,13 @@
         now = trio.current_time()
         found = [member for member in self._fleet.of_service(job.service) if member.runner.key not in job.tried]
         sound = [member for member in found if member.health.usable(now)]
-        return sound or found
+        missing = math.ceil(KEPT_SHARE * len(found)) - len(sound)
+        if missing <= 0:
+            return sound
+        # If many fail now and then, all that is left out is load on the rest.
+        shaky = [member for member in found if member not in sound and member.health.works_at_times(now)]
+        shaky.sort(key=_failing)
+        return sound + shaky[:missing] or found
 
     def _crowding(self, member: Member) -> float:
         away = 0 if member.runner.zone == self._zone else ZONE_PENALTY
@@ -197,6 +207,10 @@
         return load.stream_tokens(self._now) + self._prompt.tokens > MEMORY_SHARE * member.kv_tokens
 
 
+def _failing(member: Member) -> float:
+    return member.health.failing
+
+
 def _best_holder(prompt: Prompt, members: Sequence[Member]) -> Member | None:
     return max(members, key=lambda member: member.cache.readable(prompt.parts), default=None)
 
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -89,6 +89,7 @@
         return
     if isinstance(became, Unsent):
         job.sends -= 1
+        member.health.unreached()
     if isinstance(became, Unsent | Rejected):
         job.maybe_run = False
     events.log_event(
