--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.messages import Headers
-    from sesamepoint_standins.platform.network import HostNetwork
+    from sesamepoint.http1.transport import Network
 
 MS_PER_S = 1000
 CONNECT_S = 1.0
@@ -78,7 +78,7 @@
 class Caller:
     """One caller with a kept connection."""
 
-    def __init__(self, network: HostNetwork, front: Address) -> None:
+    def __init__(self, network: Network, front: Address) -> None:
         """Call the front at ``front``."""
         self._network = network
         self._front = front
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -0,0 +1,182 @@
+"""Real front processes over stand-ins on loopback addresses."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from contextlib import asynccontextmanager
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
+from sesamepoint.http1.transport import SocketNetwork, SocketTransport
+from sesamepoint.platform.names import OPERATOR_KEY, OPERATOR_TOPIC, READY_PATH, RUNNER_TOPIC
+from sesamepoint_standins.platform.caller import Caller
+from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+from sesamepoint_standins.platform.store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+    from pathlib import Path
+
+    from sesamepoint.http1.transport import Transport
+
+    Serve = Callable[[Transport], Awaitable[None]]
+
+START_S = 30.0
+POLL_S = 0.05
+CONNECT_S = 1.0
+# Faster than any real engine: the processes are on trial here, not the waits.
+QUICK = EngineSpeed(tokens_s=2_000_000, overhead_s=0.002, step_s=0.0002, step_slot_s=0)
+SETTINGS = """node={name}
+ip={host}
+zone=z1
+listen.front={listen}
+listen.ready={ready}
+port_range={first_port},{last_port}
+heartbeat_ms=1200
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.config_apply_ms=2000
+bounds.retry_ratio=0.2
+bounds.budget_slack=50
+bounds.budget_window_s=10
+platform.address={store}
+"""
+
+
+class FrontStub(NamedTuple):
+    """One front process and where it listens."""
+
+    process: trio.Process
+    listen: Address
+    ready: Address
+    settings: Path
+
+
+class ProcessBed:
+    """A store and runners in this process, fronts in processes of their own."""
+
+    def __init__(self, nursery: trio.Nursery, folder: Path) -> None:
+        """Write settings to ``folder``."""
+        self.store = PlatformStore()
+        self.runners: list[RunnerStandIn] = []
+        self.fronts: list[FrontStub] = []
+        self._nursery = nursery
+        self._folder = folder
+        self._store_address: Address | None = None
+
+    async def start(self, configuration: object) -> None:
+        """Start the store with a configuration and one runner of each kind."""
+        self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, configuration)
+        self._store_address = await self._serve(self.store.serve)
+        for service, stage in (('web', None), ('web', None), ('llm', 'prefill'), ('llm', 'decode')):
+            await self._add_runner(service, stage)
+
+    async def add_front(self) -> FrontStub:
+        """Start a front process and wait until it is ready."""
+        name = f'front-{len(self.fronts) + 1}'
+        listen, ready_listen, settings = await self._settings(name, f'127.0.0.{len(self.fronts) + 2}')
+        path = self._folder / f'{name}.conf'
+        path.write_text(settings, encoding='utf-8')
+        command = [sys.executable, '-m', 'sesamepoint.cli', 'front', '--settings', str(path)]
+        process = await trio.lowlevel.open_process(command, stdout=path.with_suffix('.log').open('wb'))
+        front = FrontStub(process, listen, ready_listen, path)
+        self.fronts.append(front)
+        await self.until_ready(front)
+        return front
+
+    async def until_ready(self, front: FrontStub) -> None:
+        """Wait until ``front`` says that it is ready."""
+        with trio.fail_after(START_S):
+            while not await ready(front):
+                await trio.sleep(POLL_S)
+
+    def end(self) -> None:
+        """End the processes that were started here and still run."""
+        for front in self.fronts:
+            if front.process.poll() is None:
+                front.process.send_signal(signal.SIGKILL)
+
+    async def _settings(self, name: str, host: str) -> tuple[Address, Address, str]:
+        listen = Address(host, await _free_port(host))
+        ready_listen = Address(host, await _free_port(host))
+        settings = SETTINGS.format(
+            name=name,
+            host=host,
+            listen=listen,
+            ready=ready_listen,
+            first_port=await _free_port(host),
+            last_port=await _free_port(host),
+            store=self._store_address,
+        )
+        return listen, ready_listen, settings
+
+    async def _add_runner(self, service: str, stage: str | None) -> None:
+        key = f'i-{len(self.runners)}'
+        # Where it listens is known only after it does.
+        runner = RunnerStandIn(key, service, Address('', 0), 'z1', stage=stage, speed=QUICK, work_s=0.005)
+        runner.address = await self._serve(runner.serve)
+        self.runners.append(runner)
+        self.store.put(RUNNER_TOPIC, key, runner.record)
+
+    async def _serve(self, serve: Serve) -> Address:
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self._nursery.start_soon(trio.serve_listeners, partial(_serve_stream, serve), listeners)
+        return Address(*listeners[0].socket.getsockname()[:2])
+
+
+async def ready(front: FrontStub) -> bool:
+    """Ask a front whether it is ready, as the platform does."""
+    try:
+        conn = ClientConn(await SocketNetwork().connect(front.ready, CONNECT_S))
+    except ConnectFailedError:
+        return False
+    try:
+        await conn.send(conn.begin(RequestHead(b'GET', READY_PATH.encode(), ((b'host', b'x'),)), b''))
+        return (await conn.head(_any_answer)).status == 200
+    except ConnBrokenError:
+        return False
+    finally:
+        conn.close()
+
+
+def caller_of(front: FrontStub) -> Caller:
+    """Return a caller over real sockets."""
+    return Caller(SocketNetwork(), front.listen)
+
+
+@asynccontextmanager
+async def running_processes(configuration: object, folder: Path, fronts: int) -> AsyncIterator[ProcessBed]:
+    """Start a deployment of real front processes; all are ended at the end."""
+    async with trio.open_nursery() as nursery:
+        bed = ProcessBed(nursery, folder)
+        try:
+            await bed.start(configuration)
+            for _ in range(fronts):
+                await bed.add_front()
+            yield bed
+        finally:
+            bed.end()
+            nursery.cancel_scope.cancel()
+
+
+async def _free_port(host: str) -> int:
+    with trio.socket.socket() as sock:
+        await sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+async def _serve_stream(serve: Serve, stream: trio.SocketStream) -> None:
+    await serve(SocketTransport(stream))
+
+
+def _any_answer(_: object) -> bool:
+    return True
+
+
+__all__ = ('FrontStub', 'ProcessBed', 'caller_of', 'ready', 'running_processes')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -13,10 +13,12 @@
 from sesamepoint.http1.messages import RejectedMessageError, header
 from sesamepoint.http1.server import CallerGoneError, Message, ServerConn, ServerLimits
 from sesamepoint.platform import names
+from sesamepoint.single_error import single_error
+from sesamepoint_standins.platform.network import MemoryTransport
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
-    from sesamepoint_standins.platform.network import MemoryTransport
+    from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
@@ -100,7 +102,7 @@
         }
         return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
 
-    async def serve(self, transport: MemoryTransport) -> None:
+    async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
         conn = ServerConn(transport, ServerLimits())
         try:
@@ -114,17 +116,18 @@
         finally:
             transport.close()
 
-    async def _serve_request(self, conn: ServerConn, message: Message, transport: MemoryTransport) -> None:
+    async def _serve_request(self, conn: ServerConn, message: Message, transport: Transport) -> None:
         if message.head.method == b'DELETE':
             self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
             await conn.whole(STATUS_OK, (), b'')
             return
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_when_gone, conn, nursery.cancel_scope)
-            await self._run(conn, message, transport)
-            nursery.cancel_scope.cancel()
+        with single_error():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when_gone, conn, nursery.cancel_scope)
+                await self._run(conn, message, transport)
+                nursery.cancel_scope.cancel()
 
-    async def _run(self, conn: ServerConn, message: Message, transport: MemoryTransport) -> None:
+    async def _run(self, conn: ServerConn, message: Message, transport: Transport) -> None:
         headers = message.head.headers
         expected = header(headers, names.EXPECT_INCARNATION)
         if expected is not None and expected.decode() != self.key:
@@ -140,16 +143,16 @@
             self.running -= 1
             run.ended = trio.current_time()
 
-    async def _work(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+    async def _work(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         if self.faults.hangs:
             await trio.sleep_forever()
         if self.faults.breaks_before_answer:
-            return transport.reset()
+            return _reset(transport)
         if header(run.message.head.headers, names.TOKEN_COUNTS) is None:
             return await self._answer_plain(conn, run, transport)
         return await self._answer_prompt(conn, run, transport)
 
-    async def _answer_plain(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+    async def _answer_plain(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         await trio.sleep(self.work_s)
         status = 500 if self.faults.fails else STATUS_OK
         await conn.whole(status, self._signed(run.message), body_of(run.request_id))
@@ -157,7 +160,7 @@
         if self.faults.answers_twice:
             await transport.send_all(EXTRA_ANSWER % run.request_id.encode())
 
-    async def _answer_prompt(self, conn: ServerConn, run: Run, transport: MemoryTransport) -> None:
+    async def _answer_prompt(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         headers = run.message.head.headers
         source = (header(headers, names.KV_SOURCE) or b'').decode()
         parts, output = _prompt(run.message)
@@ -179,14 +182,14 @@
             await trio.sleep(slowdown * fresh / self.speed.tokens_s)
         await trio.sleep(self.speed.overhead_s)
 
-    async def _stream(self, conn: ServerConn, run: Run, output: int, transport: MemoryTransport) -> None:
+    async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
         after = int(header(run.message.head.headers, names.LAST_EVENT) or 0)
         event_type = (b'content-type', b'text/event-stream')
         await conn.begin(STATUS_OK, (*self._signed(run.message), event_type))
         for number in range(after + 1, output + 1):
             if after == 0 and number == self.faults.breaks_at_event:
                 await conn.part(b'id: 99\nda')
-                return transport.reset()
+                return _reset(transport)
             await trio.sleep(self.speed.stride * (self.speed.step_s + self.speed.step_slot_s * self.running))
             await conn.part(event_of(run.request_id, number))
         await conn.end()
@@ -219,6 +222,12 @@
     return [Part(key, int(tokens)) for key, _, tokens in entries], int(counts.split(b',')[1])
 
 
+def _reset(transport: Transport) -> None:
+    """Break the connection where it can be broken."""
+    if isinstance(transport, MemoryTransport):
+        transport.reset()
+
+
 async def _cancel_when_gone(conn: ServerConn, scope: trio.CancelScope) -> None:
     await conn.watch()
     scope.cancel()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -14,7 +14,7 @@
 from sesamepoint.http1.server import CallerGoneError, Message, ServerConn, ServerLimits
 
 if TYPE_CHECKING:
-    from sesamepoint_standins.platform.network import MemoryTransport
+    from sesamepoint.http1.transport import Transport
 
 ANSWER_S = 0.004
 MS_PER_S = 1000
@@ -74,7 +74,7 @@
         found = self._topic(topic)
         found.first = len(found.records)
 
-    async def serve(self, transport: MemoryTransport) -> None:
+    async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
         conn = ServerConn(transport, ServerLimits())
         try:
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -52,6 +52,7 @@
         self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
         self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self._peers, budgets), network, rng)
         self.door = Door(self.dispatcher, self._limits)
+        self.listening = trio.CancelScope()
         self._watch()
 
     def children(self) -> list[Child]:
@@ -81,6 +82,9 @@
         self.door.stopping = True
         with trio.move_on_after(self.cfg.stop_s - LAST_S):
             await trio.sleep(NOTICE_S)
+            # From here on callers are refused a connection, which tells them
+            # that nothing ran; one more that is let in could be cut off.
+            self.listening.cancel()
             self.door.close_idle()
             while self.door.active:
                 await trio.sleep(POLL_S)
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -61,7 +61,8 @@
         """Run the tree until cancelled."""
         cfg = self._front.cfg
         events.log_event(events.PROCESS_STARTED, node=cfg.name, address=str(cfg.listen))
-        await Supervisor('front').run(self._children())
+        async with trio.open_nursery() as connections:
+            await Supervisor('front').run(self._children(connections))
 
     async def wind_down(self) -> None:
         """Turn unready, let the platform notice, finish what is under way."""
@@ -79,16 +80,29 @@
         self._front.reconfigure(cfg)
         events.log_event(events.SETTINGS_RELOADED, changed=changed)
 
-    def _children(self) -> list[Child]:
+    def _children(self, connections: trio.Nursery) -> list[Child]:
         cfg = self._front.cfg
         return [
-            Child('callers', partial(_listen, self._front.door.serve, cfg.listen)),
+            Child('callers', partial(self._serve_callers, connections)),
             Child('readiness', partial(_listen, self._pages().serve, cfg.ready_listen)),
-            Child('metrics', partial(_listen, self._pages().serve, Address(cfg.host, METRICS_PORT))),
+            Child('metrics', self._serve_metrics),
             Child('settings', self._watch_settings),
             *self._front.children(),
         ]
 
+    async def _serve_callers(self, connections: trio.Nursery) -> None:
+        """Take connections until the stop; they outlast the listener."""
+        with self._front.listening:
+            await _listen(self._front.door.serve, self._front.cfg.listen, connections)
+
+    async def _serve_metrics(self) -> None:
+        """Serve metrics; requests go on without if the port is taken."""
+        address = Address(self._front.cfg.host, METRICS_PORT)
+        try:
+            await _listen(self._pages().serve, address)
+        except OSError as exc:
+            events.log_event(events.METRICS_UNSERVED, address=str(address), cause=repr(exc))
+
     async def _watch_settings(self) -> None:
         seen = self._path.stat().st_mtime_ns
         while True:
@@ -107,10 +121,10 @@
         )
 
 
-async def _listen(serve: Serve, address: tuple[str, int]) -> None:
+async def _listen(serve: Serve, address: tuple[str, int], connections: trio.Nursery | None = None) -> None:
     host, port = address
     listeners = await trio.open_tcp_listeners(port, host=host)
-    await trio.serve_listeners(partial(_serve_stream, serve), listeners)
+    await trio.serve_listeners(partial(_serve_stream, serve), listeners, handler_nursery=connections)
 
 
 async def _serve_stream(serve: Serve, stream: trio.SocketStream) -> None:
--- a/tests/front/test_choice.py
+++ b/tests/front/test_choice.py
@@ -18,7 +18,7 @@
 
 def build(runners: int) -> tuple[Fleet, Chooser, Job]:
     """Return a fleet of one service, its chooser, and a job for it."""
-    fleet = Fleet(2.0, SocketNetwork(), lambda: 0)
+    fleet = Fleet(2.0, SocketNetwork(), int)
     for number in range(runners):
         address = Address('10.0.0.1', number)
         fleet.update(Runner(f'i-{number}', 'web', address, 'z1', 6, leaving=False, stage=Stage.plain))
--- /dev/null
+++ b/tests/front/test_processes.py
@@ -0,0 +1,75 @@
+"""The whole path as separate processes, over sockets."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_standins.platform.processes import ProcessBed, caller_of, ready, running_processes
+from tests.front.builders import asked, asked_prompt, configuration
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.caller import Asked, Seen
+
+STOP_LIMIT_S = 30.0
+
+
+class ProcessTest(TestCase):
+    """Two front processes, a store and four runners."""
+
+    def test_whole_path(self) -> None:
+        """Requests of each kind at each front, a reload, a stop under load, a kill and a restart."""
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(self._play, Path(folder))
+
+    async def _play(self, folder: Path) -> None:
+        async with running_processes(configuration(), folder, fronts=2) as bed:
+            await self._serve_each_kind(bed)
+            bed.fronts[0].process.send_signal(signal.SIGHUP)
+            await self._serve_each_kind(bed)
+            await self._stop_under_load(bed)
+            await bed.add_front()
+            bed.fronts[1].process.send_signal(signal.SIGKILL)
+            await self._check(bed, 2, asked('/card/a'))
+        log = (folder / 'front-1.log').read_text(encoding='utf-8')
+        for text in ('process started', 'settings read again', 'graceful stop requested', 'process stopped'):
+            self.assertIn(text, log)
+
+    async def _serve_each_kind(self, bed: ProcessBed) -> None:
+        for number in range(2):
+            for req in (asked('/card/a'), asked('/thumb/a'), asked_prompt('/tag/a'), asked_prompt('/verdict/a', 9000)):
+                await self._check(bed, number, req)
+
+    async def _check(self, bed: ProcessBed, number: int, req: Asked) -> None:
+        seen = await caller_of(bed.fronts[number]).ask(req)
+        self.assertEqual((seen.status, seen.body, seen.whole), (200, req.expected, True))
+
+    async def _stop_under_load(self, bed: ProcessBed) -> None:
+        front = bed.fronts[0]
+        found: list[Seen] = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(_ask_until_stopped, bed, found)
+            await trio.sleep(0.2)
+            front.process.send_signal(signal.SIGTERM)
+            await trio.sleep(0.2)
+            self.assertFalse(await ready(front))
+            with trio.fail_after(STOP_LIMIT_S):
+                await front.process.wait()
+        self.assertEqual(front.process.returncode, 0)
+        # A connection that was closed with nothing of its request read brings no answer at all.
+        self.assertEqual({(seen.status, seen.whole) for seen in found if seen.status}, {(200, True)})
+
+
+async def _ask_until_stopped(bed: ProcessBed, found: list[Seen]) -> None:
+    caller = caller_of(bed.fronts[0])
+    while bed.fronts[0].process.poll() is None:
+        seen = await caller.ask(asked_prompt('/tag/a', output=20))
+        found.append(seen)
+        if not seen.status:
+            await trio.sleep(0.1)
