--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -6,6 +6,7 @@
   sesamectl preset NAME --deployment NAME --log URL [--based-on VERSION] [--operator NAME]
   sesamectl show --deployment NAME --log URL [--json]
   sesamectl explain --entry ADDRESS [--json]
+  sesamectl explain REQUEST-ID [--logs FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -24,6 +25,7 @@
   --compare NAMES      Policies, with commas, on the same arrivals.
   --seed N             Seed of the arrivals and of all choices [default: 1].
   --entry ADDRESS      An entry's metrics address, as IP:PORT.
+  --logs FILE          Logs of all front processes; by default standard input.
   --list               List policies and shipped scenarios.
 
 Exit status: 0 for success, 1 for a refusal by the system, 2 for bad usage
--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,6 +13,7 @@
 from sesamepoint.platform.http import HttpCaller
 from sesamepoint.single_error import single_error
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.request_walk import explain_request
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,7 +24,9 @@
 
 @COMMANDS.register('explain')
 def explain(arguments: Arguments) -> str:
-    """Show the decisions that one entry remembers."""
+    """Show the decisions that one entry remembers, or one request's way."""
+    if arguments['REQUEST-ID']:
+        return _walk(arguments)
     caller = HttpCaller('entry', f'http://{arguments["--entry"]}')
     with single_error():
         reply = trio.run(caller.call, 'GET', '/decisions', b'', TIMEOUT_S)
@@ -31,6 +36,14 @@
     return '\n'.join(line for decision in decisions for line in _lines(decision))
 
 
+def _walk(arguments: Arguments) -> str:
+    name = arguments['--logs']
+    if name is None:
+        return explain_request(arguments['REQUEST-ID'], sys.stdin)
+    with Path(name).open(encoding='utf-8', errors='replace') as logs:
+        return explain_request(arguments['REQUEST-ID'], logs)
+
+
 def _lines(decision: Decision) -> Iterator[str]:
     under = f'version {decision.version}, fencing number {decision.fence}'
     yield f'{decision.at:.1f} s {decision.kind} {decision.subject} ({under}): {decision.choice}'
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -26,9 +26,6 @@
 # What a second of an engine's time costs the requests that will queue behind
 # it, in seconds of waiting.
 OTHERS_WEIGHT = 1.0
-# Reading a shared part away from its home costs the next request for it the
-# same work again, half of the time.
-AWAY_WEIGHT = 0.5
 # An engine's memory that running requests may take. Beyond it engines put
 # requests back and read their prompts again, which costs more than waiting.
 MEMORY_SHARE = 0.8
@@ -69,8 +66,6 @@
         Whether it lacks memory or places for one more.
     pace
         Observed over expected times, lately.
-    away_tokens
-        Shared tokens it would read though they belong elsewhere.
     order
         Its place among decode runners in taking prompts read elsewhere.
     """
@@ -84,7 +79,6 @@
     read_lately_s: float = 0
     crowded: bool = False
     pace: float = 1.0
-    away_tokens: int = 0
     order: int = 0
 
 
@@ -174,7 +168,7 @@
     disturbed = view.streams * _late_pause_cost_s(work_s + reading_s, speeds)
     disturbed += SLOWING_SHARE * view.streams * work_s
     own_pause = _late_pause_cost_s(reading_s, speeds)
-    cost = first_s + OTHERS_WEIGHT * work_s + AWAY_WEIGHT * view.away_tokens * token_s + _late_cost_s(first_s, speeds)
+    cost = first_s + OTHERS_WEIGHT * work_s + _late_cost_s(first_s, speeds)
     return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause + _crowding_s(view))
 
 
@@ -183,7 +177,7 @@
     work_s = view.fresh_tokens * token_s
     transfer_s = prompt_tokens / speeds.transfer_tokens_s + _fetch_s(view, speeds)
     first_s = speeds.overhead_s + view.wait_s + work_s + transfer_s + SECOND_STEP_S
-    cost = first_s + second[0] + OTHERS_WEIGHT * (work_s + transfer_s) + AWAY_WEIGHT * view.away_tokens * token_s
+    cost = first_s + second[0] + OTHERS_WEIGHT * (work_s + transfer_s)
     return Path(view.runner, second[1], first_s, work_s, cost + _late_cost_s(first_s, speeds))
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import math
-from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_core.serving.paths import MEMORY_SHARE, EngineView, Path, Speeds, best_path, best_second_step
 from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
-from sesamepoint_core.serving.rendezvous import home_of
 from sesamepoint_core.serving.runner import Stage
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from sesamepoint_core.serving.prompt import Part, Prompt
+    from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.job import Job
@@ -27,8 +25,6 @@
 # A runner of another zone is as good as one of this zone with this many
 # requests more: a millisecond and a half each way against tens of them.
 ZONE_PENALTY = 0.5
-# Prefill runners read twice as fast, so they are home to twice the parts.
-HOME_WEIGHTS = MappingProxyType({Stage.prefill: 2.0, Stage.decode: 1.0, Stage.plain: 0})
 # Share of a service's runners that stays in use, whatever fails, as long as
 # they answer some requests: the rest would not bear the load of more.
 KEPT_SHARE = 0.7
@@ -172,9 +168,7 @@
         self._pause_s = pause_s
         self._now = trio.current_time()
         self._held = holder.cache.readable(prompt.parts) if holder else 0
-        self._shared = sum(part.tokens for part in prompt.parts[:-1])
         self._order = _order(members)
-        self._home = _home(prompt.parts[:-1], members, self._order)
 
     def all(self) -> dict[str, EngineView]:
         """Return the views by runner."""
@@ -197,7 +191,6 @@
             fetch_tokens=known - cached,
             pace=member.pace.factor(self._now),
             order=self._order.get(runner.key, 0),
-            away_tokens=0 if runner.key == self._home else max(self._shared - known, 0),
         )
 
     def _crowded(self, member: Member) -> bool:
@@ -221,12 +214,4 @@
     return {key: place for place, key in enumerate(sorted(keys))}
 
 
-def _home(shared: Sequence[Part], members: Sequence[Member], order: dict[str, int]) -> str:
-    """Return where a shared part belongs: nowhere that is filled first."""
-    if not shared:
-        return ''
-    homes = [member.runner for member in members if order.get(member.runner.key) != 0]
-    return home_of(shared[-1].key, ((runner.key, HOME_WEIGHTS[runner.stage]) for runner in homes))
-
-
 __all__ = ('Chooser', 'EnginePlan')
