Send nothing more to a runner that has been replaced

A runner that answers was not taken for failing, so nothing left it out, and each refusal counted as an extra arrival. Ruled out: retries of answers (two in that window). Change: a 421 that names another incarnation ends the use of the old one; other failures of reading apart count against the runner; a prompt is read apart at most once a request; Job's notes for logs apart from its state.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -84,6 +84,7 @@
         """Start idle."""
         self.cache = CacheModel(self.speed.kv_tokens)
         self.running = 0
+        self.misdirected = 0
         self._reading = trio.Lock()
         self._handles: dict[str, str] = {}
 
@@ -131,7 +132,9 @@
         headers = message.head.headers
         expected = header(headers, names.EXPECT_INCARNATION)
         if expected is not None and expected.decode() != self.key:
-            return await conn.whole(STATUS_MISDIRECTED, self._echo(message), b'')
+            self.misdirected += 1
+            own = (names.INCARNATION, self.key.encode())
+            return await conn.whole(STATUS_MISDIRECTED, (*self._echo(message), own), b'')
         if self.faults.rejects:
             return await conn.whole(STATUS_UNAVAILABLE, (*self._echo(message), (names.NOT_RUN, b'1')), b'')
         run = Run((header(headers, names.REQUEST_ID) or b'').decode(), message, trio.current_time())
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -10,7 +10,7 @@
 
 from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
-from sesamepoint.platform.headers import answers, encode_request, returned, says_not_run, signed
+from sesamepoint.platform.headers import answers, encode_request, replaced, returned, says_not_run, signed
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
@@ -103,7 +103,7 @@
         head = await conn.head(partial(answers, self._req))
         if says_not_run(head):
             await read_body(conn)
-            return Rejected(head.status)
+            return Rejected(head.status, replaced(head, self._target.member.runner.key))
         if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
             return RunFailed(head, await read_body(conn))
         if not signed(head):
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -85,13 +85,15 @@
         found = self._usable(job)
         return min(found, key=self._crowding, default=None)
 
-    def engine(self, job: Job, prompt: Prompt, cfg: Configuration, *, whole: bool = False) -> EnginePlan | None:
-        """Return the path of least cost; only whole runs if ``whole``.
+    def engine(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
+        """Return the path of least cost.
 
-        What would be late on it goes behind all that would not.
+        What would be late on it goes behind all that would not. A prompt that
+        was sent before runs whole: only the first call to read it apart is
+        free, a second one is an arrival that the retry budget has no room for.
         """
         members = self._usable(job)
-        if whole:
+        if job.prompt_sent:
             members = [member for member in members if member.runner.stage is Stage.decode]
         speeds = self._speeds_of(job, cfg)
         plan = _plan(prompt, members, speeds, min(job.route.priority, MAX_RANK))
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -34,6 +34,11 @@
 MS_PER_S = 1000
 
 
+# Share of the retry budget that is used: arrivals are counted elsewhere, over
+# windows that begin and end at any moment.
+BUDGET_SHARE = 0.8
+
+
 class Budgets:
     """One retry budget a service, a share of what all entries may spend."""
 
@@ -49,12 +54,12 @@
         if budget is None:
             budget = RetryBudget(self._reserve)
             self._of_service[service] = budget
-        budget.earn(self._ratio)
+        budget.earn(BUDGET_SHARE * self._ratio)
         return budget
 
     def share(self, entries: int, reserve: float) -> None:
         """Split ``reserve`` between ``entries``."""
-        self._reserve = reserve / max(entries, 1)
+        self._reserve = BUDGET_SHARE * reserve / max(entries, 1)
         for budget in self._of_service.values():
             budget.resize(self._reserve)
 
@@ -166,9 +171,9 @@
         sends=job.sends,
         runners=sorted(job.tried),
         took_ms=_ms(took_s),
-        first_total_ms=None if job.first_at is None else _ms(job.first_at - job.req.arrived),
-        pause_ms=_ms(job.longest_pause_s),
-        **job.decision,
+        first_total_ms=None if job.notes.first_at is None else _ms(job.notes.first_at - job.req.arrived),
+        pause_ms=_ms(job.notes.longest_pause_s),
+        **job.notes.decision,
     )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.prefill import Prefilled, prefill
 from sesamepoint.front.results import Relayed
 from sesamepoint.front.sends import NewLoad
-from sesamepoint.front.tries import attempt, note_failure, patience_s, target_for
+from sesamepoint.front.tries import attempt, note_failure, note_replaced, patience_s, target_for
 from sesamepoint.front.waiting import come_back_s, hopeless, must_wait
 from sesamepoint.platform.headers import Sending
 
@@ -68,7 +68,7 @@
             # Unlike the first call to read a prompt, a failed one counts as
             # an extra arrival.
             budget.charge()
-            return await self._whole(job, prompt, self._chooser.engine(job, prompt, cfg, whole=True))
+            return await self._whole(job, prompt, self._chooser.engine(job, prompt, cfg))
         # Reading took a while; the engine that was idle then may be busy now.
         decode = self._chooser.second_step(job, prompt, cfg)
         return await self._decode(job, prompt, plan._replace(decode=decode or plan.decode), prefilled)
@@ -106,7 +106,8 @@
     async def _whole(self, job: Job, prompt: Prompt, plan: EnginePlan | None) -> AttemptResult | None:
         if plan is None:
             return None
-        job.decision.update(_decision(plan, prompt, 'whole'))
+        job.notes.decision.update(_decision(plan, prompt, 'whole'))
+        job.prompt_sent = True
         end = self._begin(plan, prompt, plan.decode, plan.path.work_s)
         target = self._target(job, plan)
         target = target._replace(
@@ -119,7 +120,8 @@
             self._sends.end(end._replace(finished=True))
 
     async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | None:
-        job.decision.update(_decision(plan, prompt, 'two-step'))
+        job.notes.decision.update(_decision(plan, prompt, 'two-step'))
+        job.prompt_sent = True
         end = self._begin(plan, prompt, member, plan.path.work_s)
         sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
         started = trio.current_time()
@@ -134,10 +136,12 @@
             events.PREFILL_FAILED,
             request=job.req.request_id,
             runner=member.runner.key,
-            cause=found,
+            cause=found.cause,
         )
-        if not member.health.heard_since(started):
-            note_failure(member, found)
+        if found.replaced:
+            note_replaced(member)
+        elif not found.silent or not member.health.heard_since(started):
+            note_failure(member, found.cause)
         return None
 
     async def _decode(self, job: Job, prompt: Prompt, plan: EnginePlan, prefilled: Prefilled) -> AttemptResult:
@@ -171,13 +175,13 @@
         plan.decode.pace.observe(now, plan.path.first_s, now - started)
 
     def _note_pause(self, job: Job, pause_s: float) -> None:
-        job.longest_pause_s = max(job.longest_pause_s, pause_s)
+        job.notes.longest_pause_s = max(job.notes.longest_pause_s, pause_s)
         self._chooser.pauses(job.service).observe(pause_s)
 
     def _learn(self, job: Job, plan: EnginePlan, member: Member, took_s: float) -> None:
         member.health.good()
         member.pace.observe(trio.current_time(), plan.path.first_s - SECOND_STEP_S, took_s)
-        job.decision['prefill_ms'] = round(took_s * 1000)
+        job.notes.decision['prefill_ms'] = round(took_s * 1000)
         if plan.view.wait_s == 0 and plan.view.fetch_tokens == 0:
             self._chooser.speed(job.service).observe(plan.view.fresh_tokens, took_s)
 
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -80,7 +80,7 @@
         """
         self._forget()
         found = [member for member in self.members.values() if member.runner.service == service]
-        staying = [member for member in found if not member.runner.leaving]
+        staying = [member for member in found if not member.runner.leaving and not member.replaced]
         present = [member for member in staying if member.gone_at is None]
         return present or staying
 
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import trio
@@ -26,6 +27,23 @@
 STAND_BACK_SHARE = 0.5
 
 
+@dataclass
+class Notes:
+    """What the log line and the metrics tell of a request.
+
+    Parameters
+    ----------
+    first_at
+        When the caller got the first of its answer, on trio's clock.
+    decision
+        The newest choice of a path, with the figures that decided it.
+    """
+
+    first_at: float | None = None
+    longest_pause_s: float = 0
+    decision: dict[str, object] = field(default_factory=dict)
+
+
 class Job:
     """One request with its route, its deadline and its history."""
 
@@ -42,16 +60,15 @@
         self.sends = 0
         self.maybe_run = False
         self.tried: set[str] = set()
-        self.first_at: float | None = None
+        self.notes = Notes()
         self.refused = False
+        self.prompt_sent = False
         self.retry_after_s = SOON_S
-        self.longest_pause_s: float = 0
-        self.decision: dict[str, object] = {}
 
     def note_first(self) -> None:
         """Note that the caller gets the first of its answer."""
-        if self.first_at is None:
-            self.first_at = trio.current_time()
+        if self.notes.first_at is None:
+            self.notes.first_at = trio.current_time()
 
     @property
     def on_time_s(self) -> float:
@@ -78,4 +95,4 @@
         return self.deadline - trio.current_time() - RETURN_S
 
 
-__all__ = ('Job',)
+__all__ = ('SOON_S', 'Job', 'Notes')
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -25,6 +25,7 @@
         """Know nothing but the registration."""
         self.runner = runner
         self.gone_at: float | None = None
+        self.replaced = False
         self.pool = Pool(runner.address, network)
         self.health = Health()
         self.load = EngineLoad()
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -54,12 +54,12 @@
 
     def observe(self, job: Job, took_s: float) -> None:
         """Count one request that has ended."""
-        path = str(job.decision.get('path', 'plain'))
+        path = str(job.notes.decision.get('path', 'plain'))
         self._requests.labels(job.service, path, _outcome(job)).inc()
         if job.sends > 1:
             self._sends.labels(job.service).inc(job.sends - 1)
-        if job.first_at is not None:
-            self._first.labels(job.service).observe(job.first_at - job.req.arrived)
+        if job.notes.first_at is not None:
+            self._first.labels(job.service).observe(job.notes.first_at - job.req.arrived)
         if job.reply.begun and not job.reply.unfinished:
             self._whole.labels(job.service).observe(took_s)
 
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -12,7 +12,7 @@
 from sesamepoint.front.attempt import read_body
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
-from sesamepoint.platform.headers import answers, encode_request
+from sesamepoint.platform.headers import answers, encode_request, replaced
 from sesamepoint.platform.names import KV_HANDLE_PATH
 from sesamepoint.single_error import single_error
 
@@ -20,6 +20,7 @@
     from sesamepoint.front.attempt import Target
     from sesamepoint.front.member import Member
     from sesamepoint.front.request import FrontRequest
+    from sesamepoint.http1.messages import ResponseHead
 
 STATUS_OK = 200
 # Giving memory back is worth little; a runner that does not answer keeps it
@@ -41,12 +42,24 @@
         return f'{self.member.runner.address}/{self.kv_handle}'
 
 
+class PrefillFailed(NamedTuple):
+    """Why a prompt was not read apart.
+
+    ``silent`` if no answer came in the time allowed, ``replaced`` if another
+    incarnation has the runner's address by now.
+    """
+
+    cause: str
+    silent: bool = False
+    replaced: bool = False
+
+
 class _HandleReply(msgspec.Struct):
     kv_handle: str
 
 
-async def prefill(req: FrontRequest, target: Target) -> Prefilled | str:
-    """Have the prompt of ``req`` read; returns the cause if it failed."""
+async def prefill(req: FrontRequest, target: Target) -> Prefilled | PrefillFailed:
+    """Have the prompt of ``req`` read."""
     member = target.member
     ticket = member.health.sent(trio.current_time())
     member.in_flight += 1
@@ -56,39 +69,39 @@
     finally:
         member.in_flight -= 1
         member.health.settled(ticket)
-    return 'no answer in time'
+    return PrefillFailed('no answer in time', silent=True)
 
 
-async def _exchange(req: FrontRequest, target: Target) -> Prefilled | str:
+async def _exchange(req: FrontRequest, target: Target) -> Prefilled | PrefillFailed:
     member = target.member
     try:
         conn = await member.pool.take()
     except ConnectFailedError as exc:
-        return str(exc)
+        return PrefillFailed(str(exc))
     try:
         with single_error():
-            status, body = await _converse(req, target, conn)
+            head, body = await _converse(req, target, conn)
     except ConnBrokenError as exc:
-        return str(exc)
+        return PrefillFailed(str(exc))
     finally:
         member.pool.give_back(conn)
     member.health.heard(trio.current_time())
-    if status != STATUS_OK:
-        return f'status {status}'
+    if head.status != STATUS_OK:
+        return PrefillFailed(f'status {head.status}', replaced=replaced(head, member.runner.key))
     try:
         return Prefilled(member, msgspec.json.decode(body, type=_HandleReply).kv_handle)
     except msgspec.DecodeError as exc:
-        return str(exc)
+        return PrefillFailed(str(exc))
 
 
-async def _converse(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[int, bytes]:
+async def _converse(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[ResponseHead, bytes]:
     wire = conn.begin(encode_request(req, target.sending), req.body)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_quietly, wire)
         head = await conn.head(partial(answers, req))
         body = await read_body(conn)
         nursery.cancel_scope.cancel()
-    return head.status, body
+    return head, body
 
 
 class HandleReclaimer:
@@ -139,4 +152,4 @@
     return True
 
 
-__all__ = ('HandleReclaimer', 'Prefilled', 'prefill')
+__all__ = ('HandleReclaimer', 'PrefillFailed', 'Prefilled', 'prefill')
--- a/packages/sesamepoint/src/sesamepoint/front/results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/results.py
@@ -27,10 +27,14 @@
 
 @dataclass(frozen=True)
 class Rejected:
-    """The runner stated that it did not run the request."""
+    """The runner stated that it did not run the request.
+
+    ``replaced`` if another incarnation has its address by now.
+    """
 
     tag: ClassVar[str] = 'rejected'
     status: int
+    replaced: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -70,6 +70,17 @@
         events.log_event(events.RUNNER_EJECTED, runner=member.runner.key, cause=cause)
 
 
+def note_replaced(member: Member) -> None:
+    """Note that another incarnation has the address of ``member``.
+
+    Its registration may stay for seconds. Each request sent there until then
+    would be turned away, and count as an arrival all the same.
+    """
+    if not member.replaced:
+        events.log_event(events.RUNNER_REPLACED, runner=member.runner.key, address=str(member.runner.address))
+    member.replaced = True
+
+
 def repeatable(job: Job) -> bool:
     """Tell whether the job may run more than once."""
     return job.route.repeat is not Repeat.never
@@ -99,10 +110,13 @@
         outcome=became.tag,
         cause=_cause(became),
     )
+    if isinstance(became, Rejected) and became.replaced:
+        note_replaced(member)
+        return
     if isinstance(became, Silent) and member.health.heard_since(started):
         # It is busy, not dead: it has answered others meanwhile.
         return
     note_failure(member, became.tag, answered=isinstance(became, RunFailed))
 
 
-__all__ = ('attempt', 'note_failure', 'patience_s', 'repeatable', 'target_for')
+__all__ = ('attempt', 'note_failure', 'note_replaced', 'patience_s', 'repeatable', 'target_for')
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import trio
@@ -21,9 +22,11 @@
 # it busy over the 30 ms that a word to the other entries takes.
 HOLD_ABOVE_S = 0.1
 # Pause between two looks at the waiting requests, in seconds: short against
-# the work of one prompt, and long enough that looking costs few percent of a
-# core.
+# the work of one prompt. After a look in vain the next one may come later:
+# with hundreds of requests waiting, looking took all of the processor, and
+# the leaving of callers was noticed half a second late.
 LOOK_S = 0.005
+VAIN_LOOK_S = 0.015
 # When an engine becomes free, entries wait for a moment drawn from this span
 # before one sends: without it, all that hold requests sent one each in the
 # 7 ms that their words to each other take, and an engine that was to have
@@ -31,7 +34,7 @@
 BACK_OFF_S = 0.04
 # Requests of one route that are looked at in vain before the rest of the
 # route waits for the next look; they would mostly find the same.
-VAIN_LOOKS = 2
+VAIN_LOOKS = 1
 # A request that would have to wait for more than this share of its time is
 # refused at once: what is let in should be served in any case, and a guess
 # of a wait is off by half and more.
@@ -85,10 +88,10 @@
         """Look after waiting requests until cancelled."""
         while True:
             await self._somebody.wait()
-            self._look()
+            let_go = self._look()
             if not self._waiters:
                 self._somebody = trio.Event()
-            await trio.sleep(LOOK_S)
+            await trio.sleep(LOOK_S if let_go else VAIN_LOOK_S)
 
     def count(self) -> int:
         """Return how many requests wait."""
@@ -99,19 +102,19 @@
         work_s = sum(waiter.work_s for waiter in self._waiters)
         return work_s * entries / max(engines, 1)
 
-    def _look(self) -> None:
+    def _look(self) -> bool:
+        """Look at those that can be on time, then at the rest; tell if one went."""
         readers: set[str] = set()
         self._look_at([waiter for waiter in self._waiters if not waiter.late], readers)
         self._look_at([waiter for waiter in self._waiters if waiter.late], readers)
+        return bool(readers)
 
     def _look_at(self, waiters: Iterable[Waiter], readers: set[str]) -> None:
-        vain: dict[str, int] = {}
+        vain: Counter[str] = Counter()
         for waiter in waiters:
             route = waiter.job.route.name
-            if vain.get(route, 0) >= VAIN_LOOKS:
-                continue
-            if not self._try(waiter, readers):
-                vain[route] = vain.get(route, 0) + 1
+            if vain[route] < VAIN_LOOKS and not self._try(waiter, readers):
+                vain[route] += 1
 
     def _try(self, waiter: Waiter, readers: set[str]) -> bool:
         """Let ``waiter`` go if it may; one a look to each engine.
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -114,6 +114,14 @@
     return found.status == MISDIRECTED or header(found.headers, names.NOT_RUN) is not None
 
 
+def replaced(found: ResponseHead, incarnation: str) -> bool:
+    """Tell whether another incarnation than the one expected has answered."""
+    if found.status != MISDIRECTED:
+        return False
+    named = header(found.headers, names.INCARNATION)
+    return named is not None and named.decode('latin-1') != incarnation
+
+
 def returned(found: ResponseHead) -> Headers:
     """Return a runner's headers as the caller gets them."""
     return tuple(pair for pair in found.headers if pair[0] not in names.ONE_HOP)
@@ -153,4 +161,4 @@
     return Prompt(model, parts, tokens, max_output)
 
 
-__all__ = ('Sending', 'answers', 'decode_request', 'encode_request', 'returned', 'says_not_run', 'signed')
+__all__ = ('Sending', 'answers', 'decode_request', 'encode_request', 'replaced', 'returned', 'says_not_run', 'signed')
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -12,6 +12,8 @@
 EXPECT_INCARNATION: Final = b'sesamepoint-expect-instance'
 # The runner's signature of an answer; an answer without it is not a runner's.
 SIGNATURE: Final = b'sesamepoint-server-stamp'
+# On a refusal: the incarnation that has the address now.
+INCARNATION: Final = b'sesamepoint-instance-id'
 NOT_RUN: Final = b'sesamepoint-not-executed'
 PRIORITY: Final = b'sesamepoint-request-priority'
 STAGE: Final = b'sesamepoint-serving-stage'
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -9,7 +9,7 @@
 
 from sesamepoint.platform.names import OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
-from tests.front.builders import asked, asked_prompt, configuration, fleet, plain_runner, route
+from tests.front.builders import asked, asked_prompt, configuration, engine, fleet, plain_runner, route
 from tests.virtual import virtual
 
 if TYPE_CHECKING:
@@ -110,6 +110,24 @@
             last = max((run.started for run in bed.runners['i-web1'].runs), default=left_at)
             self.assertLess(last - left_at, DRAIN_S)
 
+    @virtual
+    async def test_restarted_before_its_entry_lapses(self) -> None:
+        """An engine restarts; its old entry stays in the store for seconds.
+
+        Every prompt sent to the old incarnation was turned away, 350 in ten
+        seconds, and each counted as an arrival beyond the first. One such
+        answer is enough.
+        """
+        async with running_bed(configuration(), fleet()) as bed:
+            old = bed.runners['i-llm1']
+            new = engine(1, 'prefill')
+            new.key = 'i-new'
+            bed.network.listen(old.address, new.serve)
+            for _ in range(10):
+                req = asked_prompt('/verdict/a', tokens=9000)
+                self.assertEqual((await bed.caller('front-1').ask(req)).body, req.expected)
+            self.assertEqual(new.misdirected, 1)
+
     @virtual
     async def test_registration_gone(self) -> None:
         """A runner's entry vanishes without a word; it gets nothing after two seconds."""
