--- /dev/null
+++ b/benchmarks/front_slopes.py
@@ -0,0 +1,123 @@
+"""Slopes of the front's own work: choices, words of peers, registrations, routes.
+
+Run: python -m benchmarks.front_slopes
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.paths import EngineView, Speeds, best_path
+from sesamepoint_core.serving.prompt import Part
+from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.sends import End, Send, SendNotes, Word
+from sesamepoint.http1.transport import SocketNetwork
+from sesamepoint.platform.configuration import decode_configuration, decode_runner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SPEEDS = Speeds(112_000, 2_500_000, 0.036, 0.15, 0.04, 0.4, 0.4)
+ROUNDS = 200
+MICRO = 1e6
+
+
+def main() -> None:
+    """Print each slope as cost over size."""
+    for count in (10, 60, 600):
+        views = tuple(EngineView(f'i{number}', _stage(number), 0.01 * number, 3000 + number) for number in range(count))
+        _say(f'choice among {count} engines: {_cost(partial(best_path, views, SPEEDS, 17_000)):.0f} us')
+    for count in (16, 400, 3100):
+        text = _configuration(count)
+        _say(f'configuration of {count} routes: {len(text)} bytes, {_cost(partial(decode_configuration, text)):.0f} us')
+    record = msgspec.json.encode(_registration())
+    _say(f'registration: {len(record)} bytes, {_cost(partial(decode_runner, "i", record)):.1f} us')
+    trio.run(_words)
+
+
+async def _words() -> None:
+    fleet = Fleet(2.0, SocketNetwork(), trio.current_time)
+    fleet.update(_runner())
+    notes = SendNotes('front-1', fleet, _NoRandom())  # type: ignore[arg-type]
+    parts = (Part('8f3e21ab', 55), Part('17aa90cc', 13_300), Part('c0ffee12', 3720))
+    for count in (1, 10):
+        sends = tuple(Send(number, 'i-0', 0.03, 17_000, parts) for number in range(count))
+        ends = tuple(End(number, 'i-0', finished=True) for number in range(count))
+        datagram = msgspec.msgpack.encode(Word('front-2', sends, ends))
+        taken = _cost(partial(_take_in, notes, datagram))
+        _say(f'word with {count} sends and ends: {len(datagram)} bytes, {taken:.0f} us to take in')
+
+
+def _take_in(notes: SendNotes, datagram: bytes) -> None:
+    notes.heard(msgspec.msgpack.decode(datagram, type=Word))
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+
+
+def _cost(act: Callable[[], object]) -> float:
+    best = float('inf')
+    for _ in range(5):
+        started = time.perf_counter()
+        for _ in range(ROUNDS):
+            act()
+        best = min(best, (time.perf_counter() - started) / ROUNDS)
+    return best * MICRO
+
+
+def _stage(number: int) -> Stage:
+    return Stage.prefill if number % 3 == 0 else Stage.decode
+
+
+def _runner() -> Runner:
+    return Runner('i-0', 'llm', Address('10.0.0.1', 80), 'z1', 24, leaving=False, stage=Stage.decode)
+
+
+def _registration() -> dict[str, object]:
+    return {
+        'service': 'huvo11a',
+        'address': '10.128.0.9:8080',
+        'zone': 'hall-thamel',
+        'version': 'v1',
+        'slots': 24,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'stage': 'decode',
+        'sequence': 4,
+        'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    }
+
+
+def _configuration(count: int) -> bytes:
+    route = {
+        'name': 'r-3d3zji9',
+        'host': 'ficu95.example',
+        'path_prefix': '/lohu930/',
+        'kind': 'streaming',
+        'timeout_ms': 5000,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': 'huvo11a',
+        'max_attempts': 1,
+    }
+    limits = {'max_header_bytes': 1, 'max_body_bytes': 1, 'header_timeout_ms': 1, 'idle_timeout_ms': 1}
+    document = {'version': 1, 'routes': [route for _ in range(count)], 'services': [], 'limits': limits}
+    return msgspec.json.encode(document)
+
+
+class _NoRandom:
+    def getrandbits(self, bits: int) -> int:
+        return 0
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/sesamectl/src/sesamectl/commands/demo.py
+++ b/packages/sesamectl/src/sesamectl/commands/demo.py
@@ -7,6 +7,7 @@
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint.single_error import single_error
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.demo.platform import run_platform_demo
 from sesamectl.demo.run import run_demo
 
 
@@ -18,9 +19,10 @@
 def demo(arguments: Arguments) -> str:
     """Run the demo; it ends by itself."""
     with single_error():
+        platform_end = trio.run(run_platform_demo)
         end = trio.run(run_demo)
-    text = '\n'.join(end.lines)
-    if not end.kept:
+    text = '\n'.join(('on the platform:', *platform_end.lines, 'entries and agents:', *end.lines))
+    if not end.kept or not platform_end.kept:
         raise PromiseBrokenError(text, 'a promise was broken: please report this table')
     return f'{text}\nall promises kept'
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -21,7 +22,7 @@
 
 
 class Asked(NamedTuple):
-    """One request of a caller."""
+    """One request of a caller, who leaves after ``first_limit_s`` without an answer."""
 
     request_id: str
     host: str
@@ -32,6 +33,7 @@
     output: int = 0
     body: bytes = b'{}'
     extra: Headers = ()
+    first_limit_s: float = math.inf
 
     @property
     def head(self) -> RequestHead:
@@ -88,7 +90,8 @@
         """Send a request, wait for its whole answer, leave at its deadline."""
         started = trio.current_time()
         answer = _Answer(started)
-        with trio.move_on_after(asked.deadline_s):
+        with trio.move_on_after(asked.deadline_s), answer.patience:
+            answer.patience.deadline = started + asked.first_limit_s
             await self._ask(asked, answer)
         if not answer.whole:
             self.leave()
@@ -123,6 +126,7 @@
 class _Answer:
     def __init__(self, started: float) -> None:
         self.whole = False
+        self.patience = trio.CancelScope()
         self._started = started
         self._status = 0
         self._headers: Headers = ()
@@ -136,6 +140,7 @@
     def add(self, chunk: bytes) -> None:
         self._body += chunk
         self._times.append(trio.current_time())
+        self.patience.deadline = math.inf
 
     def seen(self) -> Seen:
         pauses = [after - before for before, after in zip(self._times, self._times[1:], strict=False)]
--- /dev/null
+++ b/tests/ctl/test_request_walk.py
@@ -0,0 +1,62 @@
+"""From the id of a failed request to its cause."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+import msgspec
+
+from sesamepoint import events
+from sesamectl.request_walk import UnknownRequestError, explain_request
+
+RUNNER = 'i-7'
+
+
+def line(event: events.Event, **fields: object) -> str:
+    """Return one log line of a front process."""
+    head = {'asctime': 'now', 'message': event.text, 'process': 'front-1', 'event': event.number}
+    return msgspec.json.encode({**head, **fields}).decode()
+
+
+def ended(request: str, **changes: object) -> str:
+    """Return the last line of a request."""
+    base = {'status': 200, 'unfinished': False, 'runners': [RUNNER], 'took_ms': 120, 'first_total_ms': 60}
+    return line(events.ANSWER_ENDED, request=request, **{**base, **changes})
+
+
+class ExplainRequestTest(TestCase):
+    """Three kinds of failed request, and one that is not there."""
+
+    def test_refused(self) -> None:
+        logs = [
+            line(events.REQUEST_REFUSED, request='r1', wait_ms=900, left_ms=1800, retry_after_s=0.6),
+            ended('r1', status=503, runners=[]),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('wait_ms 900', found)
+        self.assertIn('verdict: refused at once', found)
+
+    def test_late(self) -> None:
+        found = explain_request('r1', ['no log line', ended('r1', expected_ms=80, first_total_ms=900)])
+        self.assertIn('expected_ms 80', found)
+        self.assertIn('verdict: served in 120 ms', found)
+
+    def test_broken_off(self) -> None:
+        """The lines of other requests on the same runner tell that it was no lone case."""
+        broken = {'runner': RUNNER, 'outcome': 'broken', 'cause': 'reset'}
+        logs = [
+            *(line(events.ATTEMPT_ENDED, request=f'other{number}', **broken) for number in range(3)),
+            line(events.ATTEMPT_ENDED, request='r1', **broken),
+            ended('r1', unfinished=True),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('before, i-7: attempt ended without a whole answer (reset), 3 times', found)
+        self.assertIn('verdict: broken off: its runner broke off', found)
+
+    def test_caller_left(self) -> None:
+        logs = [line(events.CALLER_LEFT, request='r1'), ended('r1', unfinished=True, first_total_ms=None)]
+        self.assertIn('verdict: the caller left before the first', explain_request('r1', logs))
+
+    def test_unknown(self) -> None:
+        with self.assertRaises(UnknownRequestError):
+            explain_request('r9', [ended('r1')])
