--- a/packages/sesamectl/src/sesamectl/demo/platform.py
+++ b/packages/sesamectl/src/sesamectl/demo/platform.py
@@ -50,10 +50,15 @@
     with tempfile.TemporaryDirectory() as folder:
         async with running_processes(_configuration(), Path(folder), fronts=2) as bed:
             await _play(bed, found, wrong)
+    return PlatformEnd((*_table(found), *wrong), not wrong)
+
+
+def _table(found: dict[str, list[Seen]]) -> list[str]:
     rows = [f'{kind:10} asked {len(seen):4}  p50 {_middle_ms(seen):4.0f} ms' for kind, seen in sorted(found.items())]
-    cut = f'{len(wrong)} answers were cut off or wrong' if wrong else 'nothing was cut off'
-    stop = f'one of two front processes was stopped in the middle; {cut}'
-    return PlatformEnd((*rows, stop, *wrong), not wrong)
+    return [
+        *rows,
+        'one of two front processes was stopped in the middle; what was cut off or wrong follows, if anything',
+    ]
 
 
 async def _play(bed: ProcessBed, found: defaultdict[str, list[Seen]], wrong: list[str]) -> None:
