--- a/packages/sesamectl/src/sesamectl/demo/load.py
+++ b/packages/sesamectl/src/sesamectl/demo/load.py
@@ -10,6 +10,7 @@
 import trio
 
 from sesamepoint.link.messages import DEADLINE_PASSED
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint_standins.engine_model import answer_text, seed_of
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
 PAUSE_S = 0.3
 JITTER = (0.5, 1.5)
 MAX_CONNECTIONS = 64
-MS_PER_S = 1000
 
 
 class Call(NamedTuple):
--- a/packages/sesamectl/src/sesamectl/demo/platform.py
+++ b/packages/sesamectl/src/sesamectl/demo/platform.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint_standins.platform.caller import Asked
 from sesamepoint_standins.platform.processes import ProcessBed, caller_of, running_processes
 
@@ -27,7 +28,6 @@
 LONG_TOKENS = 3700
 SHORT_TOKENS = 290
 DEADLINE_S = 5.0
-MS_PER_S = 1000
 LIMITS = {  # noqa: WPS407
     'max_header_bytes': 16384,
     'max_body_bytes': 100000,
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/units.py
@@ -0,0 +1,18 @@
+"""Conversions between the units that are used inside and those on wires and in logs."""
+
+from __future__ import annotations
+
+MS_PER_S = 1000
+
+
+def whole_ms(seconds: float) -> int:
+    """Return ``seconds`` as whole milliseconds."""
+    return round(seconds * MS_PER_S)
+
+
+def from_ms(milliseconds: float) -> float:
+    """Return ``milliseconds`` in seconds."""
+    return milliseconds / MS_PER_S
+
+
+__all__ = ('MS_PER_S', 'from_ms', 'whole_ms')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -10,14 +10,14 @@
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead, header
 from sesamepoint.platform import names
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint_standins.platform.runner import body_of, event_of
 
 if TYPE_CHECKING:
-    from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.transport import Network
+    from sesamepoint_core.serving.address import Address
 
-MS_PER_S = 1000
 CONNECT_S = 1.0
 
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -12,12 +12,12 @@
 
 from sesamepoint.http1.messages import RejectedMessageError
 from sesamepoint.http1.server import CallerGoneError, Message, ServerConn, ServerLimits
+from sesamepoint_core.units import MS_PER_S
 
 if TYPE_CHECKING:
     from sesamepoint.http1.transport import Transport
 
 ANSWER_S = 0.004
-MS_PER_S = 1000
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/web.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/web.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint.platform.http_log import AppendReply, ReadReply
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint_standins.engine import Engine, EngineRefusedError, EngineRequest
 from sesamepoint_standins.engine_model import seed_of
 
@@ -24,7 +25,6 @@
 STATUS_CONFLICT = 409
 STATUS_UNAVAILABLE = 503
 STATUS_NOT_FOUND = 404
-MS_PER_S = 1000
 TOKEN_EVENT = b'data: {"choices":[{"index":0,"text":%b}]}\n\n'
 DONE_EVENT = b'data: [DONE]\n\n'
 
--- a/packages/sesamepoint/src/sesamepoint/entry/parse.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/parse.py
@@ -11,6 +11,7 @@
 
 from sesamepoint_core.admit import limits
 from sesamepoint_core.errors import SesamepointError
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint.entry.request import CallerRequest
 from sesamepoint.link.messages import Job
 
@@ -19,7 +20,6 @@
 
     from sesamepoint.entry.fleets import Fleets
 
-MS_PER_S = 1000
 PRIORITIES = MappingProxyType({'main': True, 'small': False})
 REPEATABLE = MappingProxyType({'true': True, 'false': False})
 SERVICES_PATH = '/services/'
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/decision_fields.py
@@ -0,0 +1,34 @@
+"""The fields of a log line that tell why a path was chosen."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint_core.units import whole_ms
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.prompt import Prompt
+    from sesamepoint.front.choice import EnginePlan
+
+
+def decision_fields(plan: EnginePlan, prompt: Prompt, path: str) -> dict[str, object]:
+    """Return what decided on a path, for the line that ends the request."""
+    return {
+        'path': path,
+        'reader': plan.view.runner,
+        'shared': prompt.parts[-2].key if len(prompt.parts) > 1 else '',
+        'tokens': prompt.tokens,
+        'expected_ms': whole_ms(plan.path.first_s),
+        'wait_ms': whole_ms(plan.view.wait_s),
+        'fresh_tokens': plan.view.fresh_tokens,
+        'fetch_from': plan.fetch_from,
+        'fetch_tokens': plan.view.fetch_tokens,
+        'rank': plan.rank,
+        'streams': plan.view.streams,
+        'rate': round(plan.speeds.prefill_tokens_s),
+        'overhead_ms': whole_ms(plan.speeds.overhead_s),
+        'plain_pause_ms': whole_ms(plan.speeds.plain_pause_s),
+    }
+
+
+__all__ = ('decision_fields',)
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.admit.budget import RetryBudget
 from sesamepoint_core.serving.routes import Repeat
+from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.job import SOON_S, Job
 from sesamepoint.front.metrics import FrontMetrics
@@ -19,6 +20,7 @@
     from random import Random
 
     from sesamepoint_core.serving.routes import Configuration, Route
+
     from sesamepoint.front.choice import Chooser
     from sesamepoint.front.engine_runs import EngineRuns
     from sesamepoint.front.reply import Reply
@@ -31,7 +33,6 @@
 GATEWAY_TIMEOUT = 504
 # When callers may come back while nothing is known yet, in seconds.
 STARTING_S = 0.5
-MS_PER_S = 1000
 
 
 # Share of the retry budget that is used: arrivals are counted elsewhere, over
@@ -161,6 +162,7 @@
 
 def _log_end(job: Job, cfg: Configuration, took_s: float) -> None:
     """Write the one line that tells what became of a request, and why."""
+    notes = job.notes
     events.log_event(
         events.ANSWER_ENDED,
         request=job.req.request_id,
@@ -170,15 +172,12 @@
         unfinished=job.reply.unfinished or not job.reply.begun,
         sends=job.sends,
         runners=sorted(job.tried),
-        took_ms=_ms(took_s),
-        first_total_ms=None if job.notes.first_at is None else _ms(job.notes.first_at - job.req.arrived),
-        pause_ms=_ms(job.notes.longest_pause_s),
-        **job.notes.decision,
+        took_ms=whole_ms(took_s),
+        first_total_ms=None if notes.first_at is None else whole_ms(notes.first_at - job.req.arrived),
+        prefill_ms=None if notes.prefill_s is None else whole_ms(notes.prefill_s),
+        pause_ms=whole_ms(notes.longest_pause_s),
+        **notes.decision,
     )
 
 
-def _ms(seconds: float) -> int:
-    return round(seconds * MS_PER_S)
-
-
 __all__ = ('Budgets', 'Dispatcher')
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -10,21 +10,22 @@
 from sesamepoint_core.serving.paths import SECOND_STEP_S
 from sesamepoint import events
 from sesamepoint.front.attempt import Target
+from sesamepoint.front.decision_fields import decision_fields
 from sesamepoint.front.prefill import Prefilled, prefill
 from sesamepoint.front.results import Relayed
 from sesamepoint.front.sends import NewLoad
 from sesamepoint.front.tries import attempt, note_failure, note_replaced, patience_s, target_for
-from sesamepoint.front.waiting import come_back_s, hopeless, must_wait
+from sesamepoint.front.waiting import must_wait
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
     from sesamepoint_core.admit.budget import RetryBudget
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
+
     from sesamepoint.front.choice import Chooser, EnginePlan
     from sesamepoint.front.job import Job
     from sesamepoint.front.member import Member
-    from sesamepoint.front.peers import Peers
     from sesamepoint.front.prefill import HandleReclaimer
     from sesamepoint.front.results import AttemptResult
     from sesamepoint.front.sends import End, SendNotes
@@ -38,7 +39,6 @@
     sends: SendNotes
     reclaimer: HandleReclaimer
     waiting: WaitingRoom
-    peers: Peers
 
 
 class EngineRuns:
@@ -49,7 +49,6 @@
         self._chooser = tools.chooser
         self._sends = tools.sends
         self._reclaimer = tools.reclaimer
-        self._peers = tools.peers
         self._waiting = tools.waiting
 
     async def attempt(
@@ -83,30 +82,14 @@
         plan = self._chooser.engine(job, prompt, cfg)
         if plan is None or not must_wait(plan):
             return plan
-        if self._refuse(job, plan):
+        if self._waiting.refuses(job, plan):
             return None
         return await self._waiting.plan(job, prompt, cfg, plan)
 
-    def _refuse(self, job: Job, plan: EnginePlan) -> bool:
-        """Turn away what would wait too long to be served, with a time to come back."""
-        wait_s = plan.view.wait_s + self._waiting.expected_s(self._peers.count(), self._chooser.engines(job))
-        if not hopeless(wait_s + plan.path.first_s, job.first_left_s):
-            return False
-        job.retry_after_s = come_back_s(wait_s, job.left_s)
-        job.refused = True
-        events.log_event(
-            events.REQUEST_REFUSED,
-            request=job.req.request_id,
-            wait_ms=round(wait_s * 1000),
-            left_ms=round(job.left_s * 1000),
-            retry_after_s=job.retry_after_s,
-        )
-        return True
-
     async def _whole(self, job: Job, prompt: Prompt, plan: EnginePlan | None) -> AttemptResult | None:
         if plan is None:
             return None
-        job.notes.decision.update(_decision(plan, prompt, 'whole'))
+        job.notes.decision.update(decision_fields(plan, prompt, 'whole'))
         job.prompt_sent = True
         end = self._begin(plan, prompt, plan.decode, plan.path.work_s)
         target = self._target(job, plan)
@@ -120,7 +103,7 @@
             self._sends.end(end._replace(finished=True))
 
     async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | None:
-        job.notes.decision.update(_decision(plan, prompt, 'two-step'))
+        job.notes.decision.update(decision_fields(plan, prompt, 'two-step'))
         job.prompt_sent = True
         end = self._begin(plan, prompt, member, plan.path.work_s)
         sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
@@ -181,28 +164,9 @@
     def _learn(self, job: Job, plan: EnginePlan, member: Member, took_s: float) -> None:
         member.health.good()
         member.pace.observe(trio.current_time(), plan.path.first_s - SECOND_STEP_S, took_s)
-        job.notes.decision['prefill_ms'] = round(took_s * 1000)
+        job.notes.prefill_s = took_s
         if plan.view.wait_s == 0 and plan.view.fetch_tokens == 0:
             self._chooser.speed(job.service).observe(plan.view.fresh_tokens, took_s)
 
 
-def _decision(plan: EnginePlan, prompt: Prompt, path: str) -> dict[str, object]:
-    return {
-        'path': path,
-        'reader': plan.view.runner,
-        'shared': prompt.parts[-2].key if len(prompt.parts) > 1 else '',
-        'tokens': prompt.tokens,
-        'expected_ms': round(plan.path.first_s * 1000),
-        'wait_ms': round(plan.view.wait_s * 1000),
-        'fresh_tokens': plan.view.fresh_tokens,
-        'fetch_from': plan.fetch_from,
-        'fetch_tokens': plan.view.fetch_tokens,
-        'rank': plan.rank,
-        'streams': plan.view.streams,
-        'rate': round(plan.speeds.prefill_tokens_s),
-        'overhead_ms': round(plan.speeds.overhead_s * 1000),
-        'plain_pause_ms': round(plan.speeds.plain_pause_s * 1000),
-    }
-
-
 __all__ = ('EngineRuns', 'EngineTools')
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -35,12 +35,15 @@
     ----------
     first_at
         When the caller got the first of its answer, on trio's clock.
+    prefill_s
+        How long reading the prompt apart took.
     decision
         The newest choice of a path, with the figures that decided it.
     """
 
     first_at: float | None = None
     longest_pause_s: float = 0
+    prefill_s: float | None = None
     decision: dict[str, object] = field(default_factory=dict)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -7,10 +7,12 @@
 
 import trio
 
+from sesamepoint_core.units import whole_ms
+from sesamepoint import events
 from sesamepoint.front.choice import LATE_RANK
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
     from random import Random
 
     from sesamepoint_core.serving.prompt import Prompt
@@ -65,9 +67,10 @@
     hundred would take the whole processor and starve what is under way.
     """
 
-    def __init__(self, chooser: Chooser, rng: Random) -> None:
-        """Ask ``chooser`` for the ways."""
+    def __init__(self, chooser: Chooser, entries: Callable[[], int], rng: Random) -> None:
+        """Ask ``chooser`` for the ways, and ``entries`` how many entries there are."""
         self._chooser = chooser
+        self._entries = entries
         self._rng = rng
         self._send_at: dict[str, float] = {}
         self._waiters: dict[Waiter, None] = {}
@@ -97,10 +100,29 @@
         """Return how many requests wait."""
         return len(self._waiters)
 
-    def expected_s(self, entries: int, engines: int) -> float:
-        """Return the wait for one that comes now, if all entries are alike."""
+    def refuses(self, job: Job, plan: EnginePlan) -> bool:
+        """Turn away what would wait too long, with a time to come back."""
+        if job.sends:
+            # Part of an answer may have gone out; what is left has to follow.
+            return False
+        wait_s = plan.view.wait_s + self._expected_s(job)
+        if wait_s + plan.path.first_s <= MAX_WAIT_SHARE * job.first_left_s:
+            return False
+        job.retry_after_s = min(wait_s, MAX_RETRY_SHARE * job.left_s)
+        job.refused = True
+        events.log_event(
+            events.REQUEST_REFUSED,
+            request=job.req.request_id,
+            wait_ms=whole_ms(wait_s),
+            left_ms=whole_ms(job.first_left_s),
+            retry_after_s=job.retry_after_s,
+        )
+        return True
+
+    def _expected_s(self, job: Job) -> float:
+        """Return the wait behind those that wait here, if all entries are alike."""
         work_s = sum(waiter.work_s for waiter in self._waiters)
-        return work_s * entries / max(engines, 1)
+        return work_s * self._entries() / max(self._chooser.engines(job), 1)
 
     def _look(self) -> bool:
         """Look at those that can be on time, then at the rest; tell if one went."""
@@ -152,14 +174,4 @@
     return plan.view.wait_s > HOLD_ABOVE_S or plan.crowded
 
 
-def hopeless(wait_s: float, left_s: float) -> bool:
-    """Tell whether a request with ``left_s`` should not begin to wait."""
-    return wait_s > MAX_WAIT_SHARE * left_s
-
-
-def come_back_s(wait_s: float, left_s: float) -> float:
-    """Return when a refused caller should come back."""
-    return min(wait_s, MAX_RETRY_SHARE * left_s)
-
-
-__all__ = ('WaitingRoom', 'come_back_s', 'hopeless', 'must_wait')
+__all__ = ('WaitingRoom', 'must_wait')
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -18,8 +18,8 @@
     Share,
 )
 from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint_core.units import MS_PER_S
 
-MS_PER_S = 1000
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 _MALFORMED = (msgspec.DecodeError, KeyError, TypeError, ValueError)
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.serving.prompt import Part, Prompt
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint.front.request import FrontRequest
 from sesamepoint.http1.messages import RejectedMessageError, RequestHead, header
 from sesamepoint.platform import names
@@ -15,7 +16,6 @@
 
 BAD_REQUEST = 400
 MISDIRECTED = 421
-MS_PER_S = 1000
 
 
 class Sending(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/platform/http_log.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/http_log.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint.platform.http import HttpCaller
 from sesamepoint.platform.messages import LIST_ADAPTERS, LOG_ADAPTERS, Instance, LogPage, LogRecord
 
@@ -13,7 +14,6 @@
     from sesamepoint.settings.model import ServiceSettings
 
 CALL_TIMEOUT_S = 2.0
-MS_PER_S = 1000
 
 
 class AppendReply(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint_core.serving.address import Address
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint.front.settings import FrontSettings, StoreSettings
 from sesamepoint.settings_error import SettingsError
 
@@ -12,8 +13,6 @@
     from collections.abc import Mapping
     from pathlib import Path
 
-MS_PER_S = 1000
-
 
 def read_settings(path: Path) -> FrontSettings:
     """Return the settings in ``path``: lines of ``name=value``.
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -11,6 +11,7 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.units import MS_PER_S
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
@@ -18,6 +19,7 @@
     from collections.abc import Mapping
 
     from sesamepoint_core.serving.address import Address
+
     from sesamepoint.http1.transport import Network
 
 STATUS_OK = 200
@@ -25,7 +27,6 @@
 CONNECT_S = 0.5
 # The store answers in milliseconds; when slow, in a quarter of a second.
 CALL_S = 1.0
-MS_PER_S = 1000
 _TWO_OFFSETS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
 
