Random faults against the front, with an oracle and four broken twins

Runners fail in eight ways, drain, crash and are replaced; the store goes, slows and forgets; fronts are cut from runners; words get lost; versions come. Checked from both ends: whole own answers, once, 'not run' true, nothing for callers that have gone, nothing after a runner left, nothing unasked. Each twin without its safeguard is found: second sends, refusals, leaving runners, leaving callers.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # A test whose virtual clock stands still would never end by itself.
 TEST_LIMIT_S := 900
 
-.PHONY: test demo bench check unit format slopes policies fuzz clean
+.PHONY: test demo bench check unit format slopes policies fuzz faults clean
 
 test: check unit
 
@@ -37,6 +37,10 @@
 fuzz: $(VENV)/ready
 	$(BIN)/python -m tests.fuzz $(or $(EXAMPLES),200) $(or $(SEED),1)
 
+# Random faults against the front, by seed: make faults FIRST=1 LAST=60
+faults: $(VENV)/ready
+	$(BIN)/python -m tests.front.random_faults $(or $(FIRST),1) $(or $(LAST),20)
+
 # make policies FIRST=1 LAST=3
 policies: $(VENV)/ready
 	$(BIN)/python -m benchmarks.policies $(or $(FIRST),1) $(or $(LAST),3)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -138,6 +138,7 @@
         if self.faults.rejects:
             return await conn.whole(STATUS_UNAVAILABLE, (*self._echo(message), (names.NOT_RUN, b'1')), b'')
         run = Run((header(headers, names.REQUEST_ID) or b'').decode(), message, trio.current_time())
+        run.prefill = header(headers, names.STAGE) == b'prefill'
         self.runs.append(run)
         self.running += 1
         try:
@@ -170,8 +171,7 @@
         if not source:
             await self._read(parts)
         self.cache.touch(parts)
-        if header(headers, names.STAGE) == b'prefill':
-            run.prefill = True
+        if run.prefill:
             kv_handle = f'h{len(self.runs)}'
             self._handles[kv_handle] = run.request_id
             body = msgspec.json.encode({'kv_handle': kv_handle, 'tokens': 1, 'version': 1})
--- /dev/null
+++ b/tests/front/test_random_faults.py
@@ -0,0 +1,72 @@
+"""Random faults by fixed seeds, and twins without one safeguard each."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import TestCase
+from unittest.mock import patch
+
+import trio
+
+from sesamepoint.front import attempt, dispatch, door, fleet
+from sesamepoint.front.results import Rejected, Relayed
+from sesamepoint_standins.virtual_time import run_virtual
+from tests.front.random_faults import play
+
+KEPT_SEEDS = (1, 2, 3)
+TWIN_SEEDS = (1, 2, 3, 4, 5, 6)
+
+
+def _go_on_once(job: Any, found: Any) -> bool:
+    return not isinstance(found, Relayed) and not job.reply.begun and len(job.tried) < 2
+
+
+async def _never_notice(*_: Any) -> None:
+    await trio.sleep_forever()
+
+
+def _took_for_rejected(*_: Any) -> Rejected:
+    return Rejected(503)
+
+
+def _all_of_service(self: fleet.Fleet, service: str) -> list[Any]:
+    return [member for member in self.members.values() if member.runner.service == service]
+
+
+class RandomFaultsTest(TestCase):
+    """The promises hold under faults that nobody chose."""
+
+    def test_promises_kept(self) -> None:
+        for seed in KEPT_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_virtual(play, seed, seed=seed), [])
+
+
+class TwinTest(TestCase):
+    """The oracle finds what each safeguard prevents."""
+
+    def test_twin_all_repeatable(self) -> None:
+        """What may run once is sent again after its runner broke off."""
+        with patch.object(dispatch, '_may_go_on', _go_on_once):
+            self._finds('twice')
+
+    def test_twin_broken_taken_for_rejected(self) -> None:
+        """A connection that broke is taken for a refusal, and the caller is told that nothing ran."""
+        with patch.object(attempt, 'Broken', _took_for_rejected):
+            self._finds('refused')
+
+    def test_twin_leaving_ignored(self) -> None:
+        """Runners that leave get requests as before."""
+        with patch.object(fleet.Fleet, 'of_service', _all_of_service):
+            self._finds('drain')
+
+    def test_twin_leaving_of_callers_unnoticed(self) -> None:
+        """Work goes on for callers that have gone."""
+        with patch.object(door.Door, '_cancel_when_gone', _never_notice):
+            self._finds('gone')
+
+    def _finds(self, kind: str) -> None:
+        for seed in TWIN_SEEDS:
+            if any(line.startswith(kind) for line in run_virtual(play, seed, seed=seed)):
+                return
+        self.fail(f'no seed showed {kind}')
