One method for a whole exchange of the HTTP client; drop what nothing reads

The loop over a body stood three times (attempts, the store, giving back memory), the predicate that takes any answer four times; both are the client's now. Gone: counters of the client, the time a topic was last reached, a cache method and a second name of a header that nothing used.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/kv_cache.py
@@ -53,12 +53,6 @@
         """Note that ``reader`` has read its parts."""
         self._reading = {key: by for key, by in self._reading.items() if by != reader}
 
-    def clear(self) -> None:
-        """Forget all: the runner has restarted or lost its memory."""
-        self._held.clear()
-        self._reading.clear()
-        self._used = 0
-
     def _evict(self, key: str) -> None:
         self._used -= self._held.pop(key)
         self._reading.pop(key, None)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.client import ClientConn, any_answer
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead, header
 from sesamepoint.platform import names
 from sesamepoint_core.units import MS_PER_S
@@ -107,7 +107,7 @@
         try:
             conn = await self._connected()
             await conn.send(conn.begin(asked.head, asked.body))
-            reply = await conn.head(_any_answer)
+            reply = await conn.head(any_answer)
             answer.begin(reply.status, reply.headers)
             while chunk := await conn.chunk():
                 answer.add(chunk)
@@ -157,8 +157,4 @@
         )
 
 
-def _any_answer(_: object) -> bool:
-    return True
-
-
 __all__ = ('Asked', 'Caller', 'Seen')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -137,8 +137,8 @@
     except ConnectFailedError:
         return False
     try:
-        await conn.send(conn.begin(RequestHead(b'GET', READY_PATH.encode(), ((b'host', b'x'),)), b''))
-        return (await conn.head(_any_answer)).status == 200
+        reply, _ = await conn.ask(RequestHead(b'GET', READY_PATH.encode(), ((b'host', b'x'),)))
+        return reply.status == 200
     except ConnBrokenError:
         return False
     finally:
@@ -175,8 +175,4 @@
     await serve(SocketTransport(stream))
 
 
-def _any_answer(_: object) -> bool:
-    return True
-
-
 __all__ = ('FrontStub', 'ProcessBed', 'caller_of', 'ready', 'running_processes')
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -55,7 +55,6 @@
         self._streamed = streamed
         self._patience = trio.CancelScope()
         self._ticket = 0
-        self._started: float = 0
         self._last_event_at: float | None = None
 
     async def run(self) -> AttemptResult:
@@ -65,9 +64,9 @@
         callers that have gone and no second run overlaps with the first.
         """
         member = self._target.member
-        self._started = trio.current_time()
-        self._ticket = member.health.sent(self._started)
-        self._patience.deadline = self._started + self._target.patience_s
+        started = trio.current_time()
+        self._ticket = member.health.sent(started)
+        self._patience.deadline = started + self._target.patience_s
         member.in_flight += 1
         try:
             with self._patience:
@@ -104,10 +103,10 @@
     async def _read(self, conn: ClientConn) -> AttemptResult:
         head = await conn.head(partial(answers, self._req))
         if says_not_run(head):
-            await read_body(conn)
+            await conn.rest()
             return Rejected(head.status, replaced(head, self._target.member.runner.key))
         if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
-            return RunFailed(head, await read_body(conn))
+            return RunFailed(head, await conn.rest())
         if not signed(head):
             return Broken('an answer that no runner signed')
         if self._streamed:
@@ -176,12 +175,4 @@
                 self._target.on_sign()
 
 
-async def read_body(conn: ClientConn) -> bytes:
-    """Read a body to its end."""
-    parts = []
-    while chunk := await conn.chunk():
-        parts.append(chunk)
-    return b''.join(parts)
-
-
-__all__ = ('Attempt', 'Target', 'read_body')
+__all__ = ('Attempt', 'Target')
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -9,8 +9,6 @@
 import trio
 
 from sesamepoint import events
-from sesamepoint.front.attempt import read_body
-from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 from sesamepoint.platform.headers import answers, encode_request, replaced
 from sesamepoint.platform.names import KV_HANDLE_PATH
@@ -21,6 +19,7 @@
     from sesamepoint.front.member import Member
     from sesamepoint.front.reply import Reply
     from sesamepoint.front.request import FrontRequest
+    from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
 
 STATUS_OK = 200
@@ -101,7 +100,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_quietly, wire)
         head = await conn.head(partial(answers, req))
-        body = await read_body(conn)
+        body = await conn.rest()
         nursery.cancel_scope.cancel()
     return head, body
 
@@ -137,21 +136,11 @@
         except ConnectFailedError as exc:
             return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
         try:
-            await _ask_whole(conn, RequestHead(b'DELETE', target, headers))
+            await conn.ask(RequestHead(b'DELETE', target, headers))
         except ConnBrokenError as exc:
             events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
         finally:
             prefilled.member.pool.give_back(conn)
 
 
-async def _ask_whole(conn: ClientConn, head: RequestHead) -> None:
-    await conn.send(conn.begin(head, b''))
-    await conn.head(_any_answer)
-    await read_body(conn)
-
-
-def _any_answer(_: object) -> bool:
-    return True
-
-
 __all__ = ('HandleReclaimer', 'PrefillFailed', 'Prefilled', 'prefill')
--- a/packages/sesamepoint/src/sesamepoint/front/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/reply.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from sesamepoint.front.events_split import EventSplitter
+from sesamepoint.platform.names import RETRY_AFTER
 
 if TYPE_CHECKING:
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.server import ServerConn
 
-RETRY_AFTER = b'retry-after'
 JSON_TYPE = (b'content-type', b'application/json')
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/watch.py
@@ -42,7 +42,6 @@
 
     def __init__(self, store: StoreClient, topic: str, pacing: Pacing, rng: Random) -> None:
         """Follow ``topic`` at the rate of ``pacing``."""
-        self.reached_at: float | None = None
         self._store = store
         self._topic = topic
         self._pacing = pacing
@@ -84,7 +83,6 @@
         return found.end
 
     def _note_reached(self, found: Newest) -> None:
-        self.reached_at = trio.current_time()
         if not self._reachable:
             events.log_event(events.STORE_REACHABLE, topic=self._topic, end=found.end)
         self._reachable = True
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -24,8 +24,6 @@
 
     def __init__(self, transport: Transport) -> None:
         """Use ``transport``, which this object then owns."""
-        self.used = 0
-        self._skipped = 0
         self.idle_since: float = 0
         self.keep_s: float | None = None
         self._transport = transport
@@ -39,7 +37,6 @@
 
         ``head`` must carry the length of ``body``.
         """
-        self.used += 1
         self._sent_whole = False
         self._request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
         wire = self._state.send(self._request) or b''
@@ -109,6 +106,30 @@
             if isinstance(event, h11.EndOfMessage):
                 return b''
 
+    async def rest(self) -> bytes:
+        """Return the body from here to its end.
+
+        Raises
+        ------
+        ConnBrokenError
+            If the connection ended before the body did.
+        """
+        parts = []
+        while chunk := await self.chunk():
+            parts.append(chunk)
+        return b''.join(parts)
+
+    async def ask(self, head: RequestHead, body: bytes = b'') -> tuple[ResponseHead, bytes]:
+        """Send a request that any answer may answer, and return the whole answer.
+
+        Raises
+        ------
+        ConnBrokenError
+            If the connection ended first.
+        """
+        await self.send(self.begin(head, body))
+        return await self.head(any_answer), await self.rest()
+
     def recycle(self) -> bool:
         """Get ready for the next request; False if that cannot be."""
         clean = self._sent_whole and self._framed and not self._state.trailing_data[0]
@@ -136,8 +157,7 @@
             self.keep_s = float(text[len(b'timeout=') :])
 
     async def _skip_answer(self) -> None:
-        while await self.chunk():
-            self._skipped += 1
+        await self.rest()
         rest, _ = self._state.trailing_data
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         if self._request is not None:
@@ -184,4 +204,9 @@
             raise ConnBrokenError(repr(exc)) from exc
 
 
-__all__ = ('ClientConn',)
+def any_answer(_: ResponseHead) -> bool:
+    """Accept whatever comes, where only one request is ever under way."""
+    return True
+
+
+__all__ = ('ClientConn', 'any_answer')
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -154,8 +154,9 @@
         # Until the answer is whole the connection is not kept: one on which
         # an answer got lost brings nothing more.
         self._conn = None
+        head = RequestHead(method.encode(), target.encode(), self._headers(body))
         try:
-            status, text = await _ask(conn, RequestHead(method.encode(), target.encode(), self._headers(body)), body)
+            reply, text = await conn.ask(head, body)
         except BaseException:
             conn.close()
             raise
@@ -163,25 +164,12 @@
             self._conn = conn
         else:
             conn.close()
-        return status, text
+        return reply.status, text
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
 
 
-async def _ask(conn: ClientConn, head: RequestHead, body: bytes) -> tuple[int, bytes]:
-    await conn.send(conn.begin(head, body))
-    reply = await conn.head(_any_answer)
-    parts = []
-    while chunk := await conn.chunk():
-        parts.append(chunk)
-    return reply.status, b''.join(parts)
-
-
-def _any_answer(_: object) -> bool:
-    return True
-
-
 def _keyed(entry: _Entry) -> KeyedRecord:
     return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
 
