Put newcomers behind what is due before them only; read the store by the settings' bounds

Change: entries tell what they hold by target; the reads rest for a quarter of drain_ms and wait for three quarters of config_apply_ms. Settings that nothing read are gone.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -24,7 +24,6 @@
 STORE = Address('10.9.0.1', 8100)
 FRONT_PORT = 8000
 READY_S = 5.0
-HEARTBEAT_S = 1.2
 
 
 def front_settings(number: int) -> FrontSettings:
@@ -37,14 +36,11 @@
         listen=Address(host, FRONT_PORT),
         ready_listen=Address(host, FRONT_PORT + 1),
         peer_port=FRONT_PORT + 2,
-        last_port=FRONT_PORT + 3,
         drain_s=2.0,
         stop_s=8.0,
         config_s=2.0,
-        heartbeat_s=HEARTBEAT_S,
         retry_ratio=0.2,
         retry_reserve=50.0,
-        retry_window_s=10.0,
         store=StoreSettings(STORE),
     )
 
--- a/packages/sesamepoint/src/sesamepoint/front/backlog.py
+++ b/packages/sesamepoint/src/sesamepoint/front/backlog.py
@@ -28,10 +28,12 @@
 
 
 class Held(NamedTuple):
-    """What one entry holds in one line.
+    """What one entry holds in one line, of routes with one target.
 
     Parameters
     ----------
+    target_s
+        Seconds after which an answer is late.
     requests
         How many can still be on time.
     work_s
@@ -41,6 +43,7 @@
     """
 
     line: Line
+    target_s: float
     requests: int
     work_s: float
     late_s: float = 0
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -21,14 +21,16 @@
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import KeyedRecord
 
-# A new configuration is waited for at all times; the wait bounds how long a
-# connection that died in silence goes unnoticed.
-CONFIGURATION_WAIT_S = 1.0
+# A new configuration is waited for at all times, for this share of the time in
+# which it must be in force a call: the wait bounds how long a connection that
+# died in silence goes unnoticed, and each call to the store has its price.
+CONFIGURATION_WAIT_SHARE = 0.75
 CONFIGURATION_REST_S = 0.02
-# Runners renew their entries many times a second in sum; one call in this
-# time brings them all. A leaving runner is noticed well inside two seconds.
+# Runners renew their entries many times a second in sum. One call in this
+# share of the time in which a leaving runner must be noticed brings them all;
+# a slow store takes a quarter of a second more, a lost call one second.
 RUNNER_WAIT_S = 1.0
-RUNNER_REST_S = 0.4
+RUNNER_REST_SHARE = 0.25
 # Entries come and go rarely, and nothing breaks while one is unknown.
 ENTRY_WAIT_S = 10.0
 ENTRY_REST_S = 0.5
@@ -60,13 +62,15 @@
 
     async def follow_configuration(self) -> None:
         """Put each newer configuration in force, until cancelled."""
-        pacing = Pacing(CONFIGURATION_WAIT_S, CONFIGURATION_REST_S)
+        pacing = Pacing(CONFIGURATION_WAIT_SHARE * self._cfg.config_s, CONFIGURATION_REST_S)
         watch = Watch(self._client(), OPERATOR_TOPIC, pacing, self._rng)
         await watch.run(self._take_operator_records, self._take_operator_record)
 
     async def follow_runners(self) -> None:
         """Keep the fleet in step, until cancelled."""
-        watch = Watch(self._client(), RUNNER_TOPIC, Pacing(RUNNER_WAIT_S, RUNNER_REST_S), self._rng)
+        watch = Watch(
+            self._client(), RUNNER_TOPIC, Pacing(RUNNER_WAIT_S, RUNNER_REST_SHARE * self._cfg.drain_s), self._rng
+        )
         await watch.run(self._take_runners, self._take_runner)
 
     async def follow_entries(self) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -103,13 +103,19 @@
             lines.setdefault(waiter.line, []).append(waiter)
         for line in lines.values():
             self._triage(line)
-        self._backlog.own = tuple(map(_held, lines.values()))
+        self._backlog.own = tuple(map(_held, _by_target(lines.values())))
 
     def receive(self, newcomer: Waiter, line: Sequence[Waiter]) -> None:
-        """Find out whether ``newcomer`` is late behind all in ``line`` that are not, here and elsewhere."""
+        """Find out whether ``newcomer`` is late behind those that are due before it, here and elsewhere.
+
+        Of the others' only the routes' targets are known: what has a longer
+        one comes after it. (Counted before it, long prompts that returned
+        after an outage had short ones refused that take 4 ms.)
+        """
         newcomer.update_turn(self._chooser.slot_s(newcomer.job.route.name))
-        ahead_s = _work_s(one for one in line if not one.late)
-        ahead_s += sum(held.work_s for held in self._backlog.at_peers(newcomer.line))
+        target_s = newcomer.job.route.target_s
+        ahead_s = _work_s(one for one in line if not one.late and one.turn.due_s <= newcomer.turn.due_s)
+        ahead_s += sum(held.work_s for held in self._backlog.at_peers(newcomer.line) if held.target_s <= target_s)
         begin_s = _start_s(newcomer.line) + ahead_s / self._engines(newcomer)
         newcomer.late = begin_s + newcomer.turn.work_s > newcomer.turn.due_s
 
@@ -168,7 +174,16 @@
 
 def _held(line: Sequence[Waiter]) -> Held:
     timely = [waiter for waiter in line if not waiter.late]
-    return Held(line[0].line, len(timely), _work_s(timely), _work_s(line) - _work_s(timely))
+    late_s = _work_s(line) - _work_s(timely)
+    return Held(line[0].line, line[0].job.route.target_s, len(timely), _work_s(timely), late_s)
+
+
+def _by_target(lines: Iterable[Sequence[Waiter]]) -> list[list[Waiter]]:
+    found: dict[tuple[Line, float], list[Waiter]] = {}
+    for line in lines:
+        for waiter in line:
+            found.setdefault((waiter.line, waiter.job.route.target_s), []).append(waiter)
+    return list(found.values())
 
 
 __all__ = ('Lines', 'Waiter', 'line_of', 'must_wait')
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -23,19 +23,15 @@
         The address of this instance, for its peers.
     peer_port
         Peers exchange datagrams on this port; the same on all instances.
-    last_port
-        The end of the ports that are free for use; metrics are served there.
     drain_s
         How long a runner that leaves may still get requests.
     stop_s
         Time between the signal to stop and the end by force.
     config_s
         Within this a new configuration must be in force.
-    heartbeat_s
-        How often runners renew their registration.
-    retry_ratio, retry_reserve, retry_window_s
-        In a window, all entries together may send again ``retry_ratio`` of
-        the requests, and ``retry_reserve`` more.
+    retry_ratio, retry_reserve
+        In a window that the platform sets, all entries together may send
+        again ``retry_ratio`` of the requests, and ``retry_reserve`` more.
     """
 
     name: str
@@ -44,14 +40,11 @@
     listen: Address
     ready_listen: Address
     peer_port: int
-    last_port: int
     drain_s: float
     stop_s: float
     config_s: float
-    heartbeat_s: float
     retry_ratio: float
     retry_reserve: float
-    retry_window_s: float
     store: StoreSettings
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -46,7 +46,7 @@
 
 
 def _decode(pairs: Mapping[str, str]) -> FrontSettings:
-    first_port, last_port = (int(port) for port in pairs['port_range'].split(','))
+    first_port = int(pairs['port_range'].partition(',')[0])
     return FrontSettings(
         name=pairs['node'],
         host=pairs['ip'],
@@ -54,15 +54,12 @@
         listen=Address.parse(pairs['listen.front']),
         ready_listen=Address.parse(pairs['listen.ready']),
         peer_port=first_port,
-        last_port=last_port,
         drain_s=_seconds(pairs, 'bounds.drain_ms'),
         stop_s=float(pairs['bounds.grace_s']),
         config_s=_seconds(pairs, 'bounds.config_apply_ms'),
-        heartbeat_s=_seconds(pairs, 'heartbeat_ms'),
         retry_ratio=float(pairs['bounds.retry_ratio']),
         # Named like a pause; it is a number of requests.
         retry_reserve=float(pairs['bounds.budget_slack']),
-        retry_window_s=float(pairs['bounds.budget_window_s']),
         store=StoreSettings(Address.parse(pairs['platform.address'])),
     )
 
