Report on service-level burn: sesamectl burn, as text and as a page

Which routes miss their objective, in which windows, and how fast, from the logs that are there anyway; the line that ends a request now tells whether it was on time, its target, and whether it was refused.

--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/burn_page.py
@@ -0,0 +1,99 @@
+"""The report on service-level burn, as text and as one HTML page."""
+
+from __future__ import annotations
+
+from html import escape
+from types import MappingProxyType
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sesamectl.burn import RouteBurn, Window
+
+COLOURS = MappingProxyType(
+    {'on_time': '#4c9f70', 'late': '#e3b23c', 'refused': '#5b7fb5', 'failed': '#c0504d', 'left': '#9a9a9a'}
+)
+OUTCOMES = tuple(COLOURS)
+WIDTH = 900
+HEIGHT = 120
+# Above the bars, for the figures on them; and the share of a window's place
+# that its bar takes.
+MARGIN = 16
+BAR_SHARE = 0.9
+PAGE = """<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title><style>
+body {{ font: 15px/1.4 sans-serif; margin: 2em; max-width: 60em; color: #222 }}
+td, th {{ padding: 0.15em 0.9em; text-align: right }} td:first-child, th:first-child {{ text-align: left }}
+h2 {{ font-size: 1em; margin: 1.4em 0 0.2em }} svg {{ background: #f4f4f4 }}
+</style></head><body><h1>Service-level burn</h1>
+<p>Objective: {objective:.1%} of the requests on time. A burn of 1 just meets it. Bars: requests by outcome in
+windows of {window_s:g} s; the number above a bar is its burn where that is over 1.</p>
+<table><tr><th>route</th>{heads}<th>burn</th><th>worst window</th></tr>{rows}</table>
+{charts}</body></html>
+"""
+
+
+class _Shape(NamedTuple):
+    left: float
+    width: float
+    scale: float
+
+
+def burn_text(burns: Sequence[RouteBurn], objective: float) -> str:
+    """Return a table with a line a route."""
+    heads = ''.join(f'{outcome:>9}' for outcome in OUTCOMES)
+    lines = [f'{"route":24}{heads}{"burn":>8}   worst window']
+    for burn in burns:
+        counts = ''.join(f'{burn.whole.counts[outcome]:9}' for outcome in OUTCOMES)
+        worst = burn.worst(objective)
+        worst_text = f'{worst.burn(objective):.1f} from second {worst.start_s:g} ({worst.total} requests)'
+        lines.append(f'{burn.route:24}{counts}{burn.whole.burn(objective):8.1f}   {worst_text}')
+    return '\n'.join(lines)
+
+
+def burn_html(burns: Sequence[RouteBurn], objective: float, window_s: float) -> str:
+    """Return one page with the table and a chart a route."""
+    return PAGE.format(
+        objective=objective,
+        window_s=window_s,
+        heads=''.join(f'<th style="color:{COLOURS[outcome]}">{outcome}</th>' for outcome in OUTCOMES),
+        rows=''.join(_row(burn, objective) for burn in burns),
+        charts=''.join(_chart(burn, objective) for burn in burns),
+    )
+
+
+def _row(burn: RouteBurn, objective: float) -> str:
+    counts = ''.join(f'<td>{burn.whole.counts[outcome]}</td>' for outcome in OUTCOMES)
+    worst = burn.worst(objective)
+    figures = f'<td>{burn.whole.burn(objective):.1f}</td><td>{worst.burn(objective):.1f} from {worst.start_s:g} s</td>'
+    return f'<tr><td>{escape(burn.route)}</td>{counts}{figures}</tr>'
+
+
+def _chart(burn: RouteBurn, objective: float) -> str:
+    tallest = max(window.total for window in burn.windows)
+    step = WIDTH / len(burn.windows)
+    bars = ''.join(
+        _window_bar(window, objective, _Shape(place * step, step * BAR_SHARE, HEIGHT / tallest))
+        for place, window in enumerate(burn.windows)
+    )
+    height = HEIGHT + MARGIN
+    size = f'width="{WIDTH}" height="{height}" viewBox="0 -{MARGIN} {WIDTH} {height}"'
+    return f'<h2>{escape(burn.route)}</h2><svg {size}>{bars}</svg>'
+
+
+def _window_bar(window: Window, objective: float, shape: _Shape) -> str:
+    top = float(HEIGHT)
+    parts = []
+    for outcome in OUTCOMES:
+        height = window.counts[outcome] * shape.scale
+        top -= height
+        place = f'x="{shape.left:.1f}" y="{top:.1f}" width="{shape.width:.1f}" height="{height:.1f}"'
+        parts.append(f'<rect {place} fill="{COLOURS[outcome]}"/>')
+    if window.burn(objective) > 1:
+        place = f'x="{shape.left:.1f}" y="{top - 3:.1f}" font-size="10"'
+        parts.append(f'<text {place}>{window.burn(objective):.0f}</text>')
+    return ''.join(parts)
+
+
+__all__ = ('burn_html', 'burn_text')
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -7,6 +7,7 @@
   sesamectl show --deployment NAME --log URL [--json]
   sesamectl explain --entry ADDRESS [--json]
   sesamectl explain REQUEST-ID [--logs FILE]
+  sesamectl burn [--logs FILE] [--objective PERCENT] [--window SECONDS] [--html FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -26,6 +27,9 @@
   --seed N             Seed of the arrivals and of all choices [default: 1].
   --entry ADDRESS      An entry's metrics address, as IP:PORT.
   --logs FILE          Logs of all front processes; by default standard input.
+  --objective PERCENT  Share of requests that has to be on time [default: 95].
+  --window SECONDS     Length of the windows that are looked at [default: 10].
+  --html FILE          Write a page with charts there too.
   --list               List policies and shipped scenarios.
 
 Exit status: 0 for success, 1 for a refusal by the system, 2 for bad usage
@@ -38,7 +42,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint.command_line import run_command_line
-from sesamectl.commands import check, demo, experiment, explain, publish, show  # noqa: F401
+from sesamectl.commands import burn, check, demo, experiment, explain, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS, Arguments
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/commands/burn.py
@@ -0,0 +1,44 @@
+"""``sesamectl burn``: which routes miss their objective, when, and how fast."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from sesamepoint.settings_error import SettingsError
+from sesamectl.burn import read_burn
+from sesamectl.burn_page import burn_html, burn_text
+from sesamectl.commands.base import COMMANDS, Arguments
+
+PERCENT = 100
+
+
+@COMMANDS.register('burn')
+def burn(arguments: Arguments) -> str:
+    """Read the logs of all front processes; print a table or write a page."""
+    objective = _figure(arguments, '--objective', PERCENT) / PERCENT
+    window_s = _figure(arguments, '--window', float('inf'))
+    name = arguments['--logs']
+    if name is None:
+        burns = read_burn(sys.stdin, window_s)
+    else:
+        with Path(name).open(encoding='utf-8', errors='replace') as logs:
+            burns = read_burn(logs, window_s)
+    if not burns:
+        return 'no line of the logs tells the end of a request'
+    if arguments['--html']:
+        Path(arguments['--html']).write_text(burn_html(burns, objective, window_s), encoding='utf-8')
+    return burn_text(burns, objective)
+
+
+def _figure(arguments: Arguments, name: str, below: float) -> float:
+    try:
+        found = float(arguments[name])
+    except ValueError as exc:
+        raise SettingsError(f'{name}: {exc}', 'give a number') from exc
+    if not 0 < found < below:
+        raise SettingsError(f'{name} is {found:g}', f'give a number above 0 and below {below:g}')
+    return found
+
+
+__all__ = ('burn',)
--- a/packages/sesamectl/src/sesamectl/request_walk.py
+++ b/packages/sesamectl/src/sesamectl/request_walk.py
@@ -5,10 +5,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import msgspec
-
 from sesamepoint import events
 from sesamepoint_core.errors import SesamepointError
+from sesamectl.log_lines import decode_line
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -49,7 +48,7 @@
     UnknownRequestError
         If no line names it.
     """
-    lines = [_Line(place, fields) for place, text in enumerate(logs) if (fields := _decode(text))]
+    lines = [_Line(place, fields) for place, text in enumerate(logs) if (fields := decode_line(text))]
     own = [line for line in lines if line.fields.get('request') == request_id]
     if not own:
         raise UnknownRequestError(request_id)
@@ -59,17 +58,6 @@
     return '\n'.join([f'request {request_id}', *shown, *around, f'verdict: {_verdict(end.fields, own)}'])
 
 
-def _decode(text: str) -> dict[str, Any] | None:
-    start = text.find('{')
-    if start < 0:
-        return None
-    try:
-        fields = msgspec.json.decode(text[start:])
-    except msgspec.DecodeError:
-        return None
-    return fields if isinstance(fields, dict) and 'event' in fields else None
-
-
 def _show(fields: dict[str, Any]) -> str:
     known = [(name, text) for name, text in fields.items() if name not in HEADINGS and text not in (None, '')]
     rest = ', '.join(f'{name} {text}' for name, text in known)
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sesamepoint.front.job import successful
 from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.headers import answers, encode_request, replaced, returned, says_not_run, signed
@@ -23,8 +24,6 @@
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.platform.headers import Sending
 
-FIRST_SUCCESS = 200
-FIRST_REDIRECT = 300
 # A larger body of an answer that comes whole is passed on in parts.
 BUFFERED_BYTES = 262144
 
@@ -105,7 +104,7 @@
         if says_not_run(head):
             await conn.rest()
             return Rejected(head.status, replaced(head, self._target.member.runner.key))
-        if not FIRST_SUCCESS <= head.status < FIRST_REDIRECT:
+        if not successful(head.status):
             return RunFailed(head, await conn.rest())
         if not signed(head):
             return Broken('an answer that no runner signed')
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -15,6 +15,8 @@
 # Taken off the time that a runner gets, so that its last word still reaches
 # the caller.
 RETURN_S = 0.01
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
 # When a caller may come back after a moment of bad luck, in seconds.
 SOON_S = 0.1
 # Callers wait for a stream's first event for the longest of these: seconds,
@@ -79,6 +81,20 @@
         """Return the seconds from now within which an answer is on time."""
         return self.req.arrived + self.route.target_s - trio.current_time()
 
+    def was_on_time(self, took_s: float) -> bool:
+        """Tell whether a request that took ``took_s`` was answered in time.
+
+        Of streams that holds for the first event and for each pause.
+        """
+        if self.reply.unfinished or not successful(self.reply.status):
+            return False
+        if not self.route.streamed:
+            return took_s <= self.route.target_s
+        first_at = self.notes.first_at or trio.current_time()
+        if first_at - self.req.arrived > self.route.target_s:
+            return False
+        return not self.route.pause_s or self.notes.longest_pause_s <= self.route.pause_s
+
     @property
     def first_left_s(self) -> float:
         """Return the seconds that are left for a first sign of an answer."""
@@ -90,4 +106,9 @@
         return self.deadline - trio.current_time() - RETURN_S
 
 
-__all__ = ('SOON_S', 'Job', 'Notes')
+def successful(status: int) -> bool:
+    """Tell whether an answer with ``status`` is a success."""
+    return FIRST_SUCCESS <= status < FIRST_REDIRECT
+
+
+__all__ = ('SOON_S', 'Job', 'Notes', 'successful')
--- /dev/null
+++ b/tests/ctl/builders.py
@@ -0,0 +1,36 @@
+"""Builders of log lines of front processes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from sesamepoint import events
+
+RUNNER = 'i-7'
+
+
+def line(event: events.Event, second: int = 0, **fields: Any) -> str:
+    """Return one log line of a front process."""
+    written = f'2026-05-01 08:00:{second:02},000'
+    head = {'asctime': written, 'message': event.text, 'process': 'front-1', 'event': event.number}
+    return msgspec.json.encode({**head, **fields}).decode()
+
+
+def ended(request: str, second: int = 0, **changes: Any) -> str:
+    """Return the last line of a request."""
+    base = {
+        'route': 'verdicts',
+        'status': 200,
+        'unfinished': False,
+        'refused': False,
+        'on_time': True,
+        'runners': [RUNNER],
+        'took_ms': 120,
+        'first_total_ms': 60,
+    }
+    return line(events.ANSWER_ENDED, second, request=request, **{**base, **changes})
+
+
+__all__ = ('RUNNER', 'ended', 'line')
--- a/tests/ctl/test_request_walk.py
+++ b/tests/ctl/test_request_walk.py
@@ -2,26 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Any
 from unittest import TestCase
 
-import msgspec
-
 from sesamepoint import events
 from sesamectl.request_walk import UnknownRequestError, explain_request
-
-RUNNER = 'i-7'
-
-
-def line(event: events.Event, **fields: object) -> str:
-    """Return one log line of a front process."""
-    head = {'asctime': 'now', 'message': event.text, 'process': 'front-1', 'event': event.number}
-    return msgspec.json.encode({**head, **fields}).decode()
-
-
-def ended(request: str, **changes: object) -> str:
-    """Return the last line of a request."""
-    base = {'status': 200, 'unfinished': False, 'runners': [RUNNER], 'took_ms': 120, 'first_total_ms': 60}
-    return line(events.ANSWER_ENDED, request=request, **{**base, **changes})
+from tests.ctl.builders import RUNNER, ended, line
 
 
 class ExplainRequestTest(TestCase):
@@ -43,7 +29,7 @@
 
     def test_broken_off(self) -> None:
         """The lines of other requests on the same runner tell that it was no lone case."""
-        broken = {'runner': RUNNER, 'outcome': 'broken', 'cause': 'reset'}
+        broken: dict[str, Any] = {'runner': RUNNER, 'outcome': 'broken', 'cause': 'reset'}
         logs = [
             *(line(events.ATTEMPT_ENDED, request=f'other{number}', **broken) for number in range(3)),
             line(events.ATTEMPT_ENDED, request='r1', **broken),
