--- a/packages/sesamectl/src/sesamectl/burn_page.py
+++ b/packages/sesamectl/src/sesamectl/burn_page.py
@@ -28,16 +28,20 @@
 h2 {{ font-size: 1em; margin: 1.4em 0 0.2em }} svg {{ background: #f4f4f4 }}
 </style></head><body><h1>Service-level burn</h1>
 <p>Objective: {objective:.1%} of the requests on time. A burn of 1 just meets it. Bars: requests by outcome in
-windows of {window_s:g} s; the number above a bar is its burn where that is over 1.</p>
+windows of {window_s:g} s; the number above a window is its burn where that is over 1.</p>
 <table><tr><th>route</th>{heads}<th>burn</th><th>worst window</th></tr>{rows}</table>
 {charts}</body></html>
 """
 
 
-class _Shape(NamedTuple):
-    left: float
+class _Places(NamedTuple):
+    """Where the bars of windows go: a window's seconds, and its width."""
+
+    window_s: float
     width: float
-    scale: float
+
+    def left(self, window: Window) -> float:
+        return window.start_s / self.window_s * self.width
 
 
 def burn_text(burns: Sequence[RouteBurn], objective: float) -> str:
@@ -53,16 +57,23 @@
 
 
 def burn_html(burns: Sequence[RouteBurn], objective: float, window_s: float) -> str:
-    """Return one page with the table and a chart a route."""
+    """Return one page with the table and a chart a route, all over the same time."""
+    last_s = max(burn.windows[-1].start_s for burn in burns)
+    places = _Places(window_s, WIDTH / (last_s / window_s + 1))
     return PAGE.format(
         objective=objective,
         window_s=window_s,
-        heads=''.join(f'<th style="color:{COLOURS[outcome]}">{outcome}</th>' for outcome in OUTCOMES),
+        heads=''.join(map(_head, OUTCOMES)),
         rows=''.join(_row(burn, objective) for burn in burns),
-        charts=''.join(_chart(burn, objective) for burn in burns),
+        charts=''.join(_chart(burn, objective, places) for burn in burns),
     )
 
 
+def _head(outcome: str) -> str:
+    name = outcome.replace('_', ' ')
+    return f'<th style="color:{COLOURS[outcome]}">{name}</th>'
+
+
 def _row(burn: RouteBurn, objective: float) -> str:
     counts = ''.join(f'<td>{burn.whole.counts[outcome]}</td>' for outcome in OUTCOMES)
     worst = burn.worst(objective)
@@ -70,30 +81,31 @@
     return f'<tr><td>{escape(burn.route)}</td>{counts}{figures}</tr>'
 
 
-def _chart(burn: RouteBurn, objective: float) -> str:
+def _chart(burn: RouteBurn, objective: float, places: _Places) -> str:
     tallest = max(window.total for window in burn.windows)
-    step = WIDTH / len(burn.windows)
     bars = ''.join(
-        _window_bar(window, objective, _Shape(place * step, step * BAR_SHARE, HEIGHT / tallest))
-        for place, window in enumerate(burn.windows)
+        _bars(window, places, HEIGHT / tallest) + _figure(window, objective, places.left(window))
+        for window in burn.windows
     )
     height = HEIGHT + MARGIN
     size = f'width="{WIDTH}" height="{height}" viewBox="0 -{MARGIN} {WIDTH} {height}"'
     return f'<h2>{escape(burn.route)}</h2><svg {size}>{bars}</svg>'
 
 
-def _window_bar(window: Window, objective: float, shape: _Shape) -> str:
+def _bars(window: Window, places: _Places, scale: float) -> str:
     top = float(HEIGHT)
     parts = []
     for outcome in OUTCOMES:
-        height = window.counts[outcome] * shape.scale
+        height = window.counts[outcome] * scale
         top -= height
-        place = f'x="{shape.left:.1f}" y="{top:.1f}" width="{shape.width:.1f}" height="{height:.1f}"'
-        parts.append(f'<rect {place} fill="{COLOURS[outcome]}"/>')
-    if window.burn(objective) > 1:
-        place = f'x="{shape.left:.1f}" y="{top - 3:.1f}" font-size="10"'
-        parts.append(f'<text {place}>{window.burn(objective):.0f}</text>')
+        across = f'x="{places.left(window):.1f}" width="{places.width * BAR_SHARE:.1f}"'
+        parts.append(f'<rect {across} y="{top:.1f}" height="{height:.1f}" fill="{COLOURS[outcome]}"/>')
     return ''.join(parts)
 
 
+def _figure(window: Window, objective: float, left: float) -> str:
+    burn = window.burn(objective)
+    return f'<text x="{left:.1f}" y="-3" font-size="10">{burn:.0f}</text>' if burn > 1 else ''
+
+
 __all__ = ('burn_html', 'burn_text')
