--- /dev/null
+++ b/tests/front/test_lines.py
@@ -0,0 +1,88 @@
+"""Lines of waiting requests: who is late behind whom."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+import trio
+
+from sesamepoint.front.backlog import BELIEVED_S, Held, Line, Need
+from sesamepoint.front.lines import Waiter
+from tests.front.waiters import LONG, SHORT, LinesBed
+from tests.virtual import virtual
+
+PREFILL = Line('llm', Need.prefill)
+
+
+class ReceiveTest(TestCase):
+    """A newcomer behind those that wait."""
+
+    @virtual
+    async def test_short_before_long(self) -> None:
+        """All callers come back after an outage; three long prompts wait, 0.9 s of reading.
+
+        A short one that takes 4 ms and is due in 0.34 s is served before
+        them. Counted behind them it was refused, though engines had time.
+        """
+        bed = LinesBed()
+        waiting = [bed.waiter(LONG, work_s=0.3) for _ in range(3)]
+        newcomer = bed.waiter(SHORT, work_s=0.004)
+        bed.lines.receive(newcomer, waiting)
+        self.assertFalse(newcomer.late)
+
+    @virtual
+    async def test_long_behind_long(self) -> None:
+        """Two engines, 1.2 s of reading ahead, due in 0.6 s: late, whoever is asked."""
+        bed = LinesBed()
+        waiting = [bed.waiter(LONG, work_s=0.3) for _ in range(4)]
+        newcomer = bed.waiter(LONG, work_s=0.1)
+        bed.lines.receive(newcomer, waiting)
+        self.assertTrue(newcomer.late)
+
+    @virtual
+    async def test_late_ones_not_ahead(self) -> None:
+        bed = LinesBed()
+        waiting = [bed.waiter(LONG, work_s=0.3) for _ in range(4)]
+        for waiter in waiting:
+            waiter.late = True
+        newcomer = bed.waiter(LONG, work_s=0.1)
+        bed.lines.receive(newcomer, waiting)
+        self.assertFalse(newcomer.late)
+
+    @virtual
+    async def test_rivals_at_other_entries(self) -> None:
+        """What others hold counts if it is due as soon, and for as long as their word is fresh."""
+        bed = LinesBed()
+        for target_s, late in ((SHORT.target_s, True), (LONG.target_s, True), (LONG.target_s + 1, False)):
+            bed.backlog.heard('front-2', (Held(PREFILL, target_s, 8, 1.4),))
+            self.assertEqual(self._late(bed), late)
+        bed.backlog.heard('front-2', (Held(PREFILL, LONG.target_s, 8, 1.4),))
+        await trio.sleep(BELIEVED_S + 0.01)
+        self.assertFalse(self._late(bed))
+
+    def _late(self, bed: LinesBed) -> bool:
+        newcomer = bed.waiter(LONG, work_s=0.1)
+        bed.lines.receive(newcomer, [])
+        return newcomer.late
+
+
+class SortTest(TestCase):
+    """What is told to the other entries."""
+
+    @virtual
+    async def test_told_by_target(self) -> None:
+        bed = LinesBed()
+        waiting = [bed.waiter(LONG, work_s=0.2), bed.waiter(SHORT, work_s=0.01), bed.waiter(LONG, work_s=2.0)]
+        bed.lines.sort(waiting)
+        self.assertEqual([waiter.late for waiter in waiting], [False, False, True])
+        told = {held.target_s: (held.requests, held.work_s, held.late_s) for held in bed.backlog.own}
+        self.assertEqual(told, {LONG.target_s: (1, 0.2, 2.0), SHORT.target_s: (1, 0.01, 0)})
+
+    @virtual
+    async def test_wait_counts_all(self) -> None:
+        """Late ones here and at others take their time too: 2 s of work for two engines."""
+        bed = LinesBed()
+        bed.backlog.heard('front-2', (Held(PREFILL, LONG.target_s, 1, 0.5, 0.5),))
+        waiting: list[Waiter] = [bed.waiter(LONG, work_s=1.0)]
+        bed.lines.sort(waiting)
+        self.assertAlmostEqual(bed.lines.wait_s(waiting), 1.1)
--- /dev/null
+++ b/tests/front/waiters.py
@@ -0,0 +1,70 @@
+"""Builders of waiting requests, before two prefill engines and one that decodes."""
+
+from __future__ import annotations
+
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.paths import EngineView, Path, Speeds
+from sesamepoint_core.serving.prompt import Prompt
+from sesamepoint_core.serving.rate import ReadSpeed
+from sesamepoint_core.serving.routes import CallerLimits, Configuration, Repeat, Route, Share
+from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.backlog import Backlog
+from sesamepoint.front.choice import Chooser, EnginePlan
+from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.job import Job
+from sesamepoint.front.lines import Lines, Waiter
+from sesamepoint.front.member import Member
+from sesamepoint.front.request import FrontRequest
+from sesamepoint.http1.messages import RequestHead
+from sesamepoint.http1.transport import SocketNetwork
+
+# Seconds that an answer takes besides its reading.
+REST_S = 0.06
+
+
+def _route(name: str, target_s: float) -> Route:
+    return Route(name, 'x', '/', Repeat.never, True, 5.0, target_s, 0.25, 1, 0, (Share('llm', 1),))
+
+
+LONG = _route('long', 0.8)
+SHORT = _route('short', 0.4)
+
+
+class LinesBed:
+    """Lines before a fleet of engines, and a backlog to tell words of peers to."""
+
+    def __init__(self) -> None:
+        """Start with nobody waiting."""
+        self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time)
+        for number, stage in enumerate((Stage.prefill, Stage.prefill, Stage.decode)):
+            address = Address('10.0.0.1', number)
+            self.fleet.update(Runner(f'i-{number}', 'llm', address, 'z1', 24, leaving=False, stage=stage))
+        self.backlog = Backlog()
+        self.lines = Lines(Chooser(self.fleet, 'z1', self.backlog), self.backlog)
+
+    def waiter(self, route: Route, work_s: float) -> Waiter:
+        """Return a request that waits for a prefill engine to read it for ``work_s``."""
+        now = trio.current_time()
+        prompt = Prompt('m', (), 1000, 10)
+        req = FrontRequest('q', 'x', '/', RequestHead(b'POST', b'/', ()), b'', now, 5.0, prompt)
+        job = Job(req, route, 'llm', None)  # type: ignore[arg-type]
+        cfg = Configuration.from_parts(1, [], [], CallerLimits(1, 1, 1, 1))
+        waiter = Waiter(job, prompt, cfg, self._plan(work_s))
+        waiter.update_turn(0)
+        return waiter
+
+    def _plan(self, work_s: float) -> EnginePlan:
+        members = list(self.fleet.members.values())
+        view = EngineView('i-0', Stage.prefill, 0.1, 1000)
+        path = Path('i-0', 'i-2', 0.1 + work_s + REST_S, work_s, 1.0)
+        return _two_step(members[0], members[2], view, path)
+
+
+def _two_step(prefill: Member, decode: Member, view: EngineView, path: Path) -> EnginePlan:
+    speeds = Speeds(ReadSpeed(), 2_500_000)
+    return EnginePlan(path, prefill, decode, None, view, 0, crowded=False, speeds=speeds)
+
+
+__all__ = ('LONG', 'SHORT', 'LinesBed')
