Soak real front processes: faults by a loopback proxy and by signals, in series and overlapping

Three processes before a store and four runners, each behind a proxy that delays, falls silent, loses answers or resets; processes are frozen, killed, stopped, reloaded and restarted; callers are checked for whole answers of their own, for true refusals and for what may run once.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # A test whose virtual clock stands still would never end by itself.
 TEST_LIMIT_S := 900
 
-.PHONY: test demo bench check unit format slopes policies fuzz faults clean
+.PHONY: test demo bench check unit format slopes policies fuzz faults soak clean
 
 test: check unit
 
@@ -41,6 +41,10 @@
 faults: $(VENV)/ready
 	$(BIN)/python -m tests.front.random_faults $(or $(FIRST),1) $(or $(LAST),20)
 
+# Real processes, faults from outside, by seed: make soak FIRST=1 LAST=50
+soak: $(VENV)/ready
+	$(BIN)/python -m tests.front.soak $(or $(FIRST),1) $(or $(LAST),5)
+
 # make policies FIRST=1 LAST=3
 policies: $(VENV)/ready
 	$(BIN)/python -m benchmarks.policies $(or $(FIRST),1) $(or $(LAST),3)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -62,18 +62,18 @@
     """A store and runners in this process, fronts in processes of their own."""
 
     def __init__(self, nursery: trio.Nursery, folder: Path) -> None:
-        """Write settings to ``folder``."""
+        """Write settings to ``folder``; listeners run in ``nursery``."""
         self.store = PlatformStore()
         self.runners: list[RunnerStandIn] = []
         self.fronts: list[FrontStub] = []
-        self._nursery = nursery
+        self.nursery = nursery
         self._folder = folder
         self._store_address: Address | None = None
 
     async def start(self, configuration: object) -> None:
         """Start the store with a configuration and one runner of each kind."""
         self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, configuration)
-        self._store_address = await self._serve(self.store.serve)
+        self._store_address = await self.serve(self.store.serve)
         for service, stage in (('web', None), ('web', None), ('llm', 'prefill'), ('llm', 'decode')):
             await self._add_runner(service, stage)
 
@@ -83,19 +83,29 @@
         listen, ready_listen, settings = await self._settings(name, f'127.0.0.{len(self.fronts) + 2}')
         path = self._folder / f'{name}.conf'
         path.write_text(settings, encoding='utf-8')
-        command = [sys.executable, '-m', 'sesamepoint.cli', 'front', '--settings', str(path)]
-        process = await trio.lowlevel.open_process(command, stdout=path.with_suffix('.log').open('wb'))
-        front = FrontStub(process, listen, ready_listen, path)
+        front = FrontStub(await _start(path), listen, ready_listen, path)
         self.fronts.append(front)
         await self.until_ready(front)
         return front
 
+    async def restart_front(self, number: int) -> FrontStub:
+        """Start the front at place ``number`` again, with the settings that it had."""
+        front = self.fronts[number]._replace(process=await _start(self.fronts[number].settings))
+        self.fronts[number] = front
+        return front
+
     async def until_ready(self, front: FrontStub) -> None:
         """Wait until ``front`` says that it is ready."""
         with trio.fail_after(START_S):
             while not await ready(front):
                 await trio.sleep(POLL_S)
 
+    async def serve(self, serve: Serve) -> Address:
+        """Serve connections on a free port of loopback; returns where fronts reach it."""
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        self.nursery.start_soon(trio.serve_listeners, partial(_serve_stream, serve), listeners)
+        return Address(*listeners[0].socket.getsockname()[:2])
+
     def end(self) -> None:
         """End the processes that were started here and still run."""
         for front in self.fronts:
@@ -120,15 +130,10 @@
         key = f'i-{len(self.runners)}'
         # Where it listens is known only after it does.
         runner = RunnerStandIn(key, service, Address('', 0), 'z1', stage=stage, speed=QUICK, work_s=0.005)
-        runner.address = await self._serve(runner.serve)
+        runner.address = await self.serve(runner.serve)
         self.runners.append(runner)
         self.store.put(RUNNER_TOPIC, key, runner.record)
 
-    async def _serve(self, serve: Serve) -> Address:
-        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        self._nursery.start_soon(trio.serve_listeners, partial(_serve_stream, serve), listeners)
-        return Address(*listeners[0].socket.getsockname()[:2])
-
 
 async def ready(front: FrontStub) -> bool:
     """Ask a front whether it is ready, as the platform does."""
@@ -165,6 +170,11 @@
             nursery.cancel_scope.cancel()
 
 
+async def _start(settings: Path) -> trio.Process:
+    command = [sys.executable, '-m', 'sesamepoint.cli', 'front', '--settings', str(settings)]
+    return await trio.lowlevel.open_process(command, stdout=settings.with_suffix('.log').open('ab'))
+
+
 async def _free_port(host: str) -> int:
     with trio.socket.socket() as sock:
         await sock.bind((host, 0))
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -185,7 +185,7 @@
     runs = Counter(run.request_id for runner in world.runners() for run in runner.runs if not run.prefill)
     found: list[str] = []
     for outcome in world.outcomes:
-        found.extend(_of_request(outcome, runs[outcome.asked.request_id]))
+        found.extend(broken_of_request(outcome, runs[outcome.asked.request_id]))
     for runner in world.runners():
         found.extend(_of_runner(runner, left_at, world.left_at.get(runner.key, math.inf)))
     return found
@@ -204,7 +204,8 @@
     return found
 
 
-def _of_request(one: Outcome, runs: int) -> list[str]:
+def broken_of_request(one: Outcome, runs: int) -> list[str]:
+    """Return what the caller of one request saw that must not be, and it ran ``runs`` times."""
     found = []
     req, seen = one.asked, one.seen
     if seen.status == SUCCESS and seen.whole and seen.body != req.expected:
