--- a/packages/sesamepoint/src/sesamepoint/front/known_engines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/known_engines.py
@@ -13,9 +13,9 @@
     from sesamepoint.front.member import Member
 
 # Engines of one service and stage that an entry knows. The fleets of today
-# are smaller and known whole. At the design size, 350 entries before 600
-# engines, each engine is known to 15 entries: those alone have to be told
-# of a send to it, and a choice among 24 is about as good as among 600.
+# are smaller and known whole. Of 600 engines before 350 entries each is known
+# to 14 entries, and those alone have to be told of a send to it. More choice
+# means more to be told; docs/CAPACITY.md has both for the design size.
 KNOWN = 24
 
 
