--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -88,6 +88,8 @@
         self.misdirected = 0
         self.listings = 0
         self._reading = trio.Lock()
+        self._places = trio.Semaphore(self.speed.slots)
+        self._read_s: float = 0
         self._handles: dict[str, str] = {}
 
     @property
@@ -176,21 +178,29 @@
         headers = run.message.head.headers
         source = (header(headers, names.KV_SOURCE) or b'').decode()
         parts, output = _prompt(run.message)
-        if not source:
-            await self._read(parts)
-        self.cache.touch(parts)
         if run.prefill:
-            kv_handle = f'h{len(self.runs)}'
-            self._handles[kv_handle] = run.request_id
-            body = msgspec.json.encode({'kv_handle': kv_handle, 'tokens': 1, 'version': 1})
-            return await conn.whole(STATUS_OK, self._echo(run.message), body)
-        return await self._stream(conn, run, output, transport)
+            return await self._answer_prefill(conn, run, parts)
+        async with self._places:
+            if not source:
+                await self._read(parts)
+            self.cache.touch(parts)
+            await self._stream(conn, run, output, transport)
+
+    async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part]) -> None:
+        await self._read(parts)
+        self.cache.touch(parts)
+        kv_handle = f'h{len(self.runs)}'
+        self._handles[kv_handle] = run.request_id
+        body = msgspec.json.encode({'kv_handle': kv_handle, 'tokens': 1, 'version': 1})
+        await conn.whole(STATUS_OK, self._echo(run.message), body)
 
     async def _read(self, parts: list[Part]) -> None:
         slowdown = 2 if self.stage == 'decode' else 1
         async with self._reading:
             fresh = sum(part.tokens for part in parts) - self.cache.cached(parts)
-            await trio.sleep(slowdown * fresh / self.speed.tokens_s)
+            read_s = slowdown * fresh / self.speed.tokens_s
+            await trio.sleep(read_s)
+            self._read_s += read_s
         await trio.sleep(self.speed.overhead_s)
 
     async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
@@ -201,12 +211,18 @@
             if after == 0 and number == self.faults.breaks_at_event:
                 await conn.part(b'id: 99\nda')
                 return _reset(transport)
-            await trio.sleep(self.speed.stride * (self.speed.step_s + self.speed.step_slot_s * self.running))
+            await self._steps()
             await conn.part(event_of(run.request_id, number))
         await conn.end()
         run.whole = True
         return None
 
+    async def _steps(self) -> None:
+        """Generate the tokens of one event; what is read meanwhile comes between them."""
+        read_before_s = self._read_s
+        await trio.sleep(self.speed.stride * (self.speed.step_s + self.speed.step_slot_s * self.running))
+        await trio.sleep(self._read_s - read_before_s)
+
     def _echo(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
         return ((names.REQUEST_ID, header(message.head.headers, names.REQUEST_ID) or b''),)
 
