Count what waits no more as gone

Cause (found in reading): what an entry holds was counted at the start of a look, before that look let the last one go; until the next request had to wait, it told its peers of work that was not there. Late prompts were refused for it in calm times, and engine time was priced too high. Tests: test_nobody_waits_any_more, test_burst_leaves_nothing_behind (fails without the change).

--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -154,9 +154,9 @@
     def _price(self, job: Job, members: Sequence[Member], stage: Stage) -> float:
         """Return what a second of an engine costs those that wait for one.
 
-        All that wait for it wait a second longer. With a fixed price, late
-        prompts took two thirds of the prefill engines' time in bursts, while
-        decode engines with late answers only could have read them.
+        All that wait for it wait a second longer. With a fixed price, decode
+        engines full of answers read short prompts, at half the speed, while
+        prefill engines were idle for half of the time.
         """
         engines = sum(member.runner.stage is stage for member in members)
         needs = (Need.prefill,) if stage is Stage.prefill else (Need.decode, Need.slot)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -45,6 +45,7 @@
         self.cfg = cfg
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time)
         sends = SendNotes(cfg.name, self.fleet, rng)
+        self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
         self._peers = Peers(cfg, sends, known, peer_network)
         self._reclaimer = HandleReclaimer()
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -97,13 +97,24 @@
         self._backlog = backlog
 
     def sort(self, waiters: Iterable[Waiter]) -> None:
-        """Find out which of the waiting requests are late; have the other entries told."""
+        """Find out which of the waiting requests are late."""
         lines: dict[Line, list[Waiter]] = {}
         for waiter in waiters:
             lines.setdefault(waiter.line, []).append(waiter)
         for line in lines.values():
             self._triage(line)
-        self._backlog.own = tuple(map(_held, _by_target(lines.values())))
+        self.note(waiters)
+
+    def note(self, waiters: Iterable[Waiter]) -> None:
+        """Have the other entries told what waits here now.
+
+        Also when nothing does any more: what had gone would go on to raise
+        the price of engines, and late requests would be refused for it.
+        """
+        by_target: dict[tuple[Line, float], list[Waiter]] = {}
+        for waiter in waiters:
+            by_target.setdefault((waiter.line, waiter.job.route.target_s), []).append(waiter)
+        self._backlog.own = tuple(map(_held, by_target.values()))
 
     def receive(self, newcomer: Waiter, line: Sequence[Waiter]) -> None:
         """Find out whether ``newcomer`` is late behind those that are due before it, here and elsewhere.
@@ -178,12 +189,4 @@
     return Held(line[0].line, line[0].job.route.target_s, len(timely), _work_s(timely), late_s)
 
 
-def _by_target(lines: Iterable[Sequence[Waiter]]) -> list[list[Waiter]]:
-    found: dict[tuple[Line, float], list[Waiter]] = {}
-    for line in lines:
-        for waiter in line:
-            found.setdefault((waiter.line, waiter.job.route.target_s), []).append(waiter)
-    return list(found.values())
-
-
 __all__ = ('Lines', 'Waiter', 'line_of', 'must_wait')
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -124,6 +124,7 @@
             self._release(waiter)
         timely = await self._look_at([one for one in self._waiters if not one.late])
         late = await self._look_at([one for one in self._waiters if one.late])
+        self._lines.note(self._waiters)
         return timely or late
 
     def _hopeless(self, waiter: Waiter) -> bool:
--- a/tests/front/test_lines.py
+++ b/tests/front/test_lines.py
@@ -78,6 +78,15 @@
         told = {held.target_s: (held.requests, held.work_s, held.late_s) for held in bed.backlog.own}
         self.assertEqual(told, {LONG.target_s: (1, 0.2, 2.0), SHORT.target_s: (1, 0.01, 0)})
 
+    @virtual
+    async def test_nobody_waits_any_more(self) -> None:
+        """The last request has gone to an engine: nobody may be refused for it, here or elsewhere."""
+        bed = LinesBed()
+        bed.lines.sort([bed.waiter(LONG, work_s=0.2)])
+        self.assertEqual(bed.lines.rivals(PREFILL), 1)
+        bed.lines.note([])
+        self.assertEqual(bed.lines.rivals(PREFILL), 0)
+
     @virtual
     async def test_wait_counts_all(self) -> None:
         """Late ones here and at others take their time too: 2 s of work for two engines."""
--- a/tests/front/test_load.py
+++ b/tests/front/test_load.py
@@ -36,6 +36,7 @@
 FRONTS = 5
 REFUSED = 503
 AT_ONCE_S = 0.05
+AFTER_S = 0.5
 SEEDS = (1, 2, 3)
 
 
@@ -148,6 +149,19 @@
             short_shares.append(served(short_at_once, SHORT_TARGET_S))
         self.assertLess(sum(short_shares) / len(short_shares), 0.8)
 
+    @virtual
+    async def test_burst_leaves_nothing_behind(self) -> None:
+        """After the last held request has gone, no entry counts it as waiting.
+
+        What was counted for ever had late prompts refused in calm times.
+        """
+        runners = [engine(number, 'prefill' if number < 3 else 'decode') for number in range(1, 7)]
+        async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+            await play(bed, Random(1))
+            await trio.sleep(AFTER_S)
+            held = [line for front in bed.fronts.values() for line in front.backlog.own]
+        self.assertEqual(held, [])
+
     async def _play(self, seed: int) -> tuple[list[Answered], list[Answered]]:
         runners = [engine(number, 'prefill' if number < 3 else 'decode') for number in range(1, 7)]
         async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
