Open logs in one place for explain and burn; name the operator's record in the soak as the rest does

The two commands opened their logs by the same five lines, and the soak spelled the platform's topic and key again.

--- a/packages/sesamectl/src/sesamectl/commands/burn.py
+++ b/packages/sesamectl/src/sesamectl/commands/burn.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import sys
 from pathlib import Path
 
 from sesamepoint.settings_error import SettingsError
 from sesamectl.burn import read_burn
 from sesamectl.burn_page import burn_html, burn_text
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.log_lines import opened_logs
 
 PERCENT = 100
 
@@ -18,12 +18,8 @@
     """Read the logs of all front processes; print a table or write a page."""
     objective = _figure(arguments, '--objective', PERCENT) / PERCENT
     window_s = _figure(arguments, '--window', float('inf'))
-    name = arguments['--logs']
-    if name is None:
-        burns = read_burn(sys.stdin, window_s)
-    else:
-        with Path(name).open(encoding='utf-8', errors='replace') as logs:
-            burns = read_burn(logs, window_s)
+    with opened_logs(arguments['--logs']) as logs:
+        burns = read_burn(logs, window_s)
     if not burns:
         return 'no line of the logs tells the end of a request'
     if arguments['--html']:
--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +11,7 @@
 from sesamepoint.platform.http import HttpCaller
 from sesamepoint.single_error import single_error
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.log_lines import opened_logs
 from sesamectl.request_walk import explain_request
 
 if TYPE_CHECKING:
@@ -37,10 +36,7 @@
 
 
 def _walk(arguments: Arguments) -> str:
-    name = arguments['--logs']
-    if name is None:
-        return explain_request(arguments['REQUEST-ID'], sys.stdin)
-    with Path(name).open(encoding='utf-8', errors='replace') as logs:
+    with opened_logs(arguments['--logs']) as logs:
         return explain_request(arguments['REQUEST-ID'], logs)
 
 
--- a/packages/sesamectl/src/sesamectl/log_lines.py
+++ b/packages/sesamectl/src/sesamectl/log_lines.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
+import sys
+from contextlib import contextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
 
 def decode_line(text: str) -> dict[str, Any] | None:
     """Return the fields of a log line, or None if ``text`` is none."""
@@ -19,4 +25,14 @@
     return fields if isinstance(fields, dict) and 'event' in fields else None
 
 
-__all__ = ('decode_line',)
+@contextmanager
+def opened_logs(name: str | None) -> Iterator[Iterable[str]]:
+    """Give the lines of the file called ``name``, or of standard input without one."""
+    if name is None:
+        yield sys.stdin
+        return
+    with Path(name).open(encoding='utf-8', errors='replace') as logs:
+        yield logs
+
+
+__all__ = ('decode_line', 'opened_logs')
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -19,6 +19,7 @@
 import trio
 
 from sesamepoint_core.serving.address import Address
+from sesamepoint.platform.names import OPERATOR_KEY, OPERATOR_TOPIC
 from sesamepoint_standins.platform.faulty_proxy import Fault, FaultyProxy, listen
 from sesamepoint_standins.platform.processes import ProcessBed, caller_of
 from sesamepoint_standins.platform.runner import Faults
@@ -164,7 +165,7 @@
         self._version += 1
         base = configuration(self._version)
         added = route(f'x{self._version}', '/x/', 'web', 'idempotent')
-        self._bed.store.put('keyed.op', 'config', {**base, 'routes': [*base['routes'], added]})
+        self._bed.store.put(OPERATOR_TOPIC, OPERATOR_KEY, {**base, 'routes': [*base['routes'], added]})
 
     def _heal(self) -> None:
         for proxy in self._bed.proxies:
