--- a/benchmarks/front_slopes.py
+++ b/benchmarks/front_slopes.py
@@ -21,7 +21,8 @@
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.sends import End, Send, SendNotes, Word
 from sesamepoint.http1.transport import SocketNetwork
-from sesamepoint.platform.configuration import decode_configuration, decode_runner
+from sesamepoint.platform.configuration import decode_configuration
+from sesamepoint.platform.registration import decode_runner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/address.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/address.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import NamedTuple
 
+MAX_PORT = 65535
+
 
 class Address(NamedTuple):
     """An IPv4 address and a port; fits where the socket module wants one."""
@@ -18,10 +21,12 @@
         Raises
         ------
         ValueError
-            If the port is missing or no number.
+            If the host is no IPv4 address, or the port none from 1 to 65535.
         """
         host, _, port = text.rpartition(':')
-        return cls(host, int(port))
+        if not (port.isascii() and port.isdecimal() and 1 <= int(port) <= MAX_PORT):
+            raise ValueError(f'{text!r} has no port from 1 to {MAX_PORT}')
+        return cls(str(IPv4Address(host)), int(port))
 
     def __str__(self) -> str:
         """Return ``HOST:PORT``."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -159,7 +159,7 @@
     for view in views:
         if view.stage is Stage.prefill:
             yield _two_step(view, second, speeds, prompt_tokens)
-        else:
+        elif view.stage is Stage.decode:
             yield _whole(view, speeds, prompt_tokens)
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 
 class Part(NamedTuple):
     """A run of prompt tokens; the same key means the same tokens."""
 
     key: str
-    tokens: int
+    # Checked where parts come from other processes.
+    tokens: Annotated[int, msgspec.Meta(ge=0)]
 
 
 class Prompt(NamedTuple):
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
@@ -17,14 +17,18 @@
 
 
 class Runner(NamedTuple):
-    """One registered incarnation of a runner.
+    """One registered start of a runner.
 
     Parameters
     ----------
     key
-        Names this incarnation; a restart has another.
+        Names the runner; it may start again under the same key.
     leaving
         Whether it has said that it will stop.
+    born_ms
+        When this start began, in milliseconds since 1970 by the runner's
+        clock; only compared with other starts of the same runner. 0 if it
+        doesn't tell.
     """
 
     key: str
@@ -34,6 +38,7 @@
     slots: int
     leaving: bool
     stage: Stage
+    born_ms: int = 0
 
 
 __all__ = ('Runner', 'Stage')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -79,6 +79,7 @@
     faults: Faults = field(default_factory=Faults)
     leaving: bool = False
     tells_kept: bool = True
+    born_ms: int = 0
     runs: list[Run] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -105,8 +106,16 @@
             'cold_remaining_ms': 0,
             'sequence': 0,
         }
+        if self.born_ms:
+            found['born'] = self.born_ms
         return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
 
+    def start_again(self, born_ms: int) -> None:
+        """Begin anew under the same key: nothing kept, nothing known."""
+        self.born_ms = born_ms
+        self.cache = CacheModel(self.speed.kv_tokens)
+        self._handles = {}
+
     async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
         conn = ServerConn(transport, ServerLimits())
@@ -129,7 +138,8 @@
         if message.head.target == names.KV_LIST_PATH.encode():
             self.listings += 1
             kept = [['', part.key, part.tokens, 'm'] for part in self.cache.kept]
-            body = msgspec.json.encode({'epoch': 1, 'next_token': 0, 'held': kept})
+            told = {'epoch': 1, 'next_token': 0, 'held': kept}
+            body = msgspec.json.encode({**told, 'born': self.born_ms} if self.born_ms else told)
             await conn.whole(STATUS_OK if self.tells_kept else STATUS_UNAVAILABLE, (), body)
             return
         with single_error():
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -66,7 +66,10 @@
 
     def put(self, topic: str, key: str, document: object) -> None:
         """Write as an operator or a runner does; None drops the key."""
-        text = b'' if document is None else msgspec.json.encode(document)
+        self.put_raw(topic, key, b'' if document is None else msgspec.json.encode(document))
+
+    def put_raw(self, topic: str, key: str, text: bytes) -> None:
+        """Write bytes under ``key`` as a foreign writer does."""
         self._topic(topic).append(_Record(key, text))
 
     def compact(self, topic: str) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -18,6 +18,9 @@
     from sesamepoint_core.serving.runner import Runner, Stage
     from sesamepoint.http1.transport import Network
 
+# Runners whose newest start is remembered after they have gone, so that late
+# word about an earlier one does not bring it back. A day has some hundred.
+REMEMBERED_STARTS = 4096
 # Share of the time that a vanished runner may still be used in. Registrations
 # also lapse while the store is away, though their runners live; without a
 # while of grace a store that comes back would empty every fleet for seconds.
@@ -35,6 +38,7 @@
         self._grace_s = drain_s * GRACE_SHARE
         self._now = now
         self._kv_tokens: dict[str, int] = {}
+        self._starts: dict[str, int] = {}
         self.changes = 0
         self._sizes: Counter[tuple[str, Stage]] = Counter()
         self._sizes_at = -1
@@ -64,22 +68,46 @@
         self.listed = True
 
     def update(self, runner: Runner) -> None:
-        """Take a new or renewed registration."""
+        """Take a new or renewed registration.
+
+        One of an earlier start than is known may come from a store that is
+        behind, or have been overtaken by a peer's word: it is ignored.
+        """
+        known_ms = self._starts.get(runner.key, 0)
+        if runner.born_ms < known_ms:
+            events.log_event(events.EARLIER_START, runner=runner.key, born_ms=runner.born_ms, known_ms=known_ms)
+            if not runner.born_ms:
+                # A runner that tells its start always does: this is the
+                # record of another writer, and it names no runner.
+                self.remove(runner.key)
+            return
         member = self.members.get(runner.key)
         if member is None or member.runner != runner:
             self.changes += 1
-        if member is None:
-            kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
-            member = Member(runner, self._network, kv_tokens)
-            self.members[runner.key] = member
-            self._joined[0].send_nowait(member)
-            events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
+        if member is None or not member.same_start(runner):
+            self._join(runner)
             return
         if runner.leaving and not member.runner.leaving:
             events.log_event(events.RUNNER_LEAVING, runner=runner.key, fleet=runner.service)
         member.runner = runner
         member.gone_at = None
 
+    def at_start(self, key: str, born_ms: int) -> Member | None:
+        """Return the runner called ``key`` if the start of ``born_ms`` is its newest.
+
+        Whoever tells of a start that isn't known here knows more than this
+        entry: from then on nothing counts that was believed of the one before.
+        """
+        member = self.members.get(key)
+        if member is None or born_ms == member.runner.born_ms:
+            return member
+        if born_ms < member.runner.born_ms:
+            return None
+        self.changes += 1
+        # Whether the new start leaves too is for its registration to say.
+        self._join(member.runner._replace(born_ms=born_ms))
+        return self.members[key]
+
     def remove(self, key: str) -> None:
         """Note that a registration has vanished."""
         member = self.members.get(key)
@@ -110,6 +138,24 @@
         present = [member for member in staying if member.gone_at is None]
         return present or staying
 
+    def _join(self, runner: Runner) -> None:
+        """Begin with a runner, or with a new start of one, of which nothing is believed."""
+        before = self.members.get(runner.key)
+        if before is not None:
+            before.close()
+            events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
+        self._remember_start(runner)
+        member = Member(runner, self._network, self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS))
+        self.members[runner.key] = member
+        self._joined[0].send_nowait(member)
+        events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
+
+    def _remember_start(self, runner: Runner) -> None:
+        self._starts.pop(runner.key, None)
+        self._starts[runner.key] = runner.born_ms
+        if len(self._starts) > REMEMBERED_STARTS:
+            self._starts.pop(next(iter(self._starts)))
+
     def _forget(self) -> None:
         now = self._now()
         for key, member in tuple(self.members.items()):
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -47,7 +47,7 @@
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
-        self._peers = Peers(cfg, sends, known, peer_network)
+        self.peers = Peers(cfg, sends, known, peer_network)
         self._reclaimer = HandleReclaimer()
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_reserve)
@@ -55,7 +55,7 @@
         self._waiting = WaitingRoom(chooser, sends, rng)
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
         self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
-        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self._peers, budgets), network, rng)
+        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets), network, rng)
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
         self._watch()
@@ -66,8 +66,8 @@
             Child('configuration', self.intake.follow_configuration),
             Child('runners', self.intake.follow_runners),
             Child('entries', self.intake.follow_entries),
-            Child('peer-listen', self._peers.listen),
-            Child('peer-tell', self._peers.tell),
+            Child('peer-listen', self.peers.listen),
+            Child('peer-tell', self.peers.tell),
             Child('handles', self._reclaimer.run),
             Child('waiting', self._waiting.run),
             Child('inventory', self._inventory.run),
@@ -99,7 +99,7 @@
         watch = self.dispatcher.metrics.watch
         watch('sesamepoint_waiting_requests', 'Requests that wait here for an engine.', self._waiting.count)
         watch('sesamepoint_active_requests', 'Requests under way.', lambda: self.door.active)
-        watch('sesamepoint_entries', 'Entries that are registered.', self._peers.count)
+        watch('sesamepoint_entries', 'Entries that are registered.', self.peers.count)
         watch('sesamepoint_runners', 'Runners that are known.', lambda: len(self.fleet.members))
         watch('sesamepoint_configuration_version', 'Version in force; 0 before the first.', self._version)
 
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -6,9 +6,11 @@
 
 from sesamepoint import events
 from sesamepoint.front.watch import Pacing, Watch
-from sesamepoint.platform.configuration import UnreadableRecordError, decode_configuration, decode_runner
+from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.platform.registration import decode_runner
 from sesamepoint.platform.store import StoreClient
+from sesamepoint.platform.unreadable import UnreadableRecordError
 
 if TYPE_CHECKING:
     from random import Random
@@ -108,12 +110,13 @@
         self._beliefs.fleet.replace_all([runner for runner in decoded if runner is not None])
 
     def _take_runner(self, record: KeyedRecord) -> None:
-        if not record.text:
+        runner = _decode_runner(record) if record.text else None
+        if runner is None:
+            # Also if another writer has put something else there: until the
+            # runner renews its registration, nothing vouches for it.
             self._beliefs.fleet.remove(record.key)
             return
-        runner = _decode_runner(record)
-        if runner is not None:
-            self._beliefs.fleet.update(runner)
+        self._beliefs.fleet.update(runner)
 
     def _take_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._beliefs.peers.replace_all(records)
--- a/packages/sesamepoint/src/sesamepoint/front/inventory.py
+++ b/packages/sesamepoint/src/sesamepoint/front/inventory.py
@@ -67,12 +67,18 @@
     async def _take(self, member: Member) -> None:
         conn = await member.pool.take()
         try:
-            parts = await list_kept(conn, member.runner.address)
+            kept = await list_kept(conn, member.runner.address)
         finally:
             member.pool.give_back(conn)
-        member.cache.recall(parts)
-        tokens = sum(part.tokens for part in parts)
-        events.log_event(events.INVENTORY_TAKEN, runner=member.runner.key, parts=len(parts), tokens=tokens)
+        runner = member.runner
+        # An engine may have started again while it was asked, or since it
+        # registered; its new start is asked anew, as one that has just joined.
+        if self._fleet.at_start(runner.key, kept.born_ms or runner.born_ms) is not member:
+            events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause='it has started again')
+            return
+        member.cache.recall(kept.parts)
+        tokens = sum(part.tokens for part in kept.parts)
+        events.log_event(events.INVENTORY_TAKEN, runner=runner.key, parts=len(kept.parts), tokens=tokens)
 
 
 __all__ = ('Inventory',)
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -34,6 +34,13 @@
         self.pace = Pace()
         self.in_flight = 0
 
+    def same_start(self, runner: Runner) -> bool:
+        """Tell whether a registration is of the start that this is about.
+
+        A new address is one too: connections to the old one lead elsewhere.
+        """
+        return (runner.born_ms, runner.address) == (self.runner.born_ms, self.runner.address)
+
     def resize(self, kv_tokens: int) -> None:
         """Take the size of its memory, in tokens, as the operator publishes it."""
         if kv_tokens != self.kv_tokens:
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -52,10 +52,13 @@
 
     def update(self, record: KeyedRecord) -> None:
         """Take the newest word on one entry."""
-        if record.text:
+        self._addresses.pop(record.key, None)
+        if not record.text:
+            return
+        try:
             self._addresses[record.key] = Address.parse(record.text.decode())
-        else:
-            self._addresses.pop(record.key, None)
+        except ValueError as exc:
+            events.log_event(events.RECORD_UNREADABLE, cause=f'entry {record.key}: {exc}')
 
     async def register(self, store: StoreClient) -> None:
         """Tell the other entries, by the store, where this one listens."""
@@ -69,7 +72,7 @@
 
     async def listen(self) -> None:
         """Take in peers' words until cancelled."""
-        await self._network.receive(Address(self._cfg.host, self._cfg.peer_port), self._take)
+        await self._network.receive(Address(self._cfg.host, self._cfg.peer_port), self.take)
 
     async def tell(self) -> None:
         """Tell peers of this entry's sends until cancelled."""
@@ -80,7 +83,8 @@
             await trio.sleep(GATHER_S)
             await self._tell_all(self._sends.drain())
 
-    def _take(self, datagram: bytes) -> None:
+    def take(self, datagram: bytes) -> None:
+        """Take in one datagram; one that no entry of ours sends is logged and dropped."""
         try:
             word = msgspec.msgpack.decode(datagram, type=Word)
         except msgspec.DecodeError as exc:
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Annotated, NamedTuple
 
+import msgspec
 import trio
 
 from sesamepoint_core.serving.engine_load import Stream, Work
@@ -23,6 +24,17 @@
 LONG_WORK_S = 0.02
 
 
+# Peers are other processes: what they tell is bounded before it is believed.
+# An hour of work, and as many tokens as no engine's memory holds, would keep
+# an engine out of use; so would a start later than any (the year 2286).
+MAX_TOLD_S = 3600
+MAX_TOLD_TOKENS = 1_000_000_000
+MAX_TOLD_START_MS = 10_000_000_000_000
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TOLD_S)]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOLD_TOKENS)]
+StartMs = Annotated[int, msgspec.Meta(ge=0, lt=MAX_TOLD_START_MS)]
+
+
 class Send(NamedTuple):
     """A prompt, or the memory of one, that an entry sent to a runner.
 
@@ -36,14 +48,17 @@
         What the runner holds from then on.
     late
         Whether the answer can't be on time any more.
+    born_ms
+        The start of the runner that got it; what an earlier one had is gone.
     """
 
     serial: int
     runner: str
-    work_s: float
-    tokens: int
+    work_s: Seconds
+    tokens: Tokens
     parts: tuple[Part, ...]
     late: bool = False
+    born_ms: StartMs = 0
 
 
 class End(NamedTuple):
@@ -52,6 +67,7 @@
     serial: int
     runner: str
     finished: bool
+    born_ms: StartMs = 0
 
 
 class NewLoad(NamedTuple):
@@ -91,15 +107,23 @@
     def begin(self, load: NewLoad, parts: Sequence[Part]) -> End:
         """Note a send to an engine; pass what this returns to :meth:`end`."""
         self._serial += 1
-        runner = load.member.runner.key
-        send = Send(self._serial, runner, load.work_s, load.tokens, tuple(parts), load.late)
+        runner = load.member.runner
+        send = Send(
+            serial=self._serial,
+            runner=runner.key,
+            work_s=load.work_s,
+            tokens=load.tokens,
+            parts=tuple(parts),
+            late=load.late,
+            born_ms=runner.born_ms,
+        )
         self._apply(self._entry, send)
         self._sends.append(send)
         self.fresh.set()
         if send.work_s >= LONG_WORK_S:
             self._long.add(send.serial)
             self.urgent.set()
-        return End(send.serial, runner, finished=False)
+        return End(send.serial, runner.key, finished=False, born_ms=runner.born_ms)
 
     def end(self, end: End) -> None:
         """Note that the prompt is read, or that all is finished."""
@@ -128,7 +152,7 @@
         return word
 
     def _apply(self, entry: str, send: Send) -> None:
-        member = self._fleet.members.get(send.runner)
+        member = self._fleet.at_start(send.runner, send.born_ms)
         if member is None:
             return
         now = trio.current_time()
@@ -140,7 +164,7 @@
             member.load.add_stream(name, Stream(send.tokens, now, send.late))
 
     def _finish(self, entry: str, end: End) -> None:
-        member = self._fleet.members.get(end.runner)
+        member = self._fleet.at_start(end.runner, end.born_ms)
         if member is None:
             return
         name = _name(entry, end.serial)
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -1,13 +1,11 @@
-"""Decoding of the operator's configuration and of runners' registrations."""
+"""Decoding of the operator's configuration."""
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated
 
 import msgspec
 
-from sesamepoint_core.errors import SesamepointError
-from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.routes import (
     CallerLimits,
     Configuration,
@@ -17,114 +15,143 @@
     Service,
     Share,
 )
-from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint_core.units import MS_PER_S
+from sesamepoint.platform.unreadable import UnreadableRecordError
 
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
-_MALFORMED = (msgspec.DecodeError, KeyError, TypeError, ValueError)
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_Measure = Annotated[float, msgspec.Meta(ge=0)]
+_Time = Annotated[float, msgspec.Meta(gt=0)]
 
-class UnreadableRecordError(SesamepointError):
-    """A record in the platform's store that does not decode."""
 
+class _Share(msgspec.Struct):
+    service: _Text
+    weight: _Measure
 
-def decode_configuration(text: bytes) -> Configuration:
-    """Return the operator's configuration.
 
-    Raises
-    ------
-    UnreadableRecordError
-        If ``text`` is no such document.
-    """
-    try:
-        return _configuration(msgspec.json.decode(text))
-    except _MALFORMED as exc:
-        raise UnreadableRecordError(f'configuration: {exc!r}', 'the version before stays in force') from exc
+class _Route(msgspec.Struct):
+    name: _Text
+    host: _Text
+    path_prefix: _Text
+    kind: _Text
+    timeout_ms: _Time
+    # A route names either one service or shares of several.
+    service: str = ''
+    backends: list[_Share] = msgspec.field(default_factory=list)
+    target_latency_ms: _Time | None = None
+    gap_aim_ms: _Measure = 0
+    max_attempts: _Positive = 1
+    priority: _Count = 0
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: _Positive
+    kv_tokens: _Positive
+    # Bytes of one token, not of the whole memory.
+    kv_bytes: _Time
+    link_mbps: _Time
+
+
+class _Service(msgspec.Struct):
+    name: _Text
+    max_conns: _Count
+    engine: _Engine | None = None
+
 
+class _Limits(msgspec.Struct):
+    max_header_bytes: _Positive
+    max_body_bytes: _Count
+    header_timeout_ms: _Time
+    idle_timeout_ms: _Time
 
-def decode_runner(key: str, text: bytes) -> Runner:
-    """Return a runner's registration under ``key``.
+
+class _Document(msgspec.Struct):
+    version: _Count
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+def decode_configuration(text: bytes) -> Configuration:
+    """Return the operator's configuration.
 
     Raises
     ------
     UnreadableRecordError
-        If ``text`` is no such document.
+        If ``text`` is no such document, or a field is missing, of another
+        type or out of its range.
     """
     try:
-        return _runner(key, msgspec.json.decode(text))
-    except _MALFORMED as exc:
-        raise UnreadableRecordError(f'runner {key}: {exc!r}', 'what it registered before is kept') from exc
+        return _configuration(msgspec.json.decode(text, type=_Document))
+    except ValueError as exc:
+        # Errors of msgspec are among these.
+        raise UnreadableRecordError(f'configuration: {exc}', 'the version before stays in force') from exc
 
 
-def _configuration(document: dict[str, Any]) -> Configuration:
-    limits = document['limits']
+def _configuration(found: _Document) -> Configuration:
+    limits = found.limits
     return Configuration.from_parts(
-        document['version'],
-        [_route(found) for found in document['routes']],
-        [_service(found) for found in document['services']],
+        found.version,
+        [_route(one) for one in found.routes],
+        [Service(one.name, one.max_conns, _engine(one.engine)) for one in found.services],
         CallerLimits(
-            head_bytes=limits['max_header_bytes'],
-            body_bytes=limits['max_body_bytes'],
-            head_s=limits['header_timeout_ms'] / MS_PER_S,
-            idle_s=limits['idle_timeout_ms'] / MS_PER_S,
+            head_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            head_s=limits.header_timeout_ms / MS_PER_S,
+            idle_s=limits.idle_timeout_ms / MS_PER_S,
         ),
     )
 
 
-def _route(document: dict[str, Any]) -> Route:
-    streamed = document['kind'] == 'streaming'
-    timeout_s = document['timeout_ms'] / MS_PER_S
-    # A route names either one service or shares of several.
-    shares = document.get('backends') or [{'service': document['service'], 'weight': 1}]
+def _route(found: _Route) -> Route:
+    target_ms = found.timeout_ms if found.target_latency_ms is None else found.target_latency_ms
     return Route(
-        name=document['name'],
-        host=document['host'].lower(),
-        prefix=document['path_prefix'],
-        repeat=_repeat(document),
-        streamed=streamed,
-        timeout_s=timeout_s,
-        target_s=document.get('target_latency_ms', document['timeout_ms']) / MS_PER_S,
-        pause_s=document.get('gap_aim_ms', 0) / MS_PER_S,
-        max_attempts=document.get('max_attempts', 1),
-        priority=document.get('priority', 0),
-        shares=tuple(Share(found['service'], found['weight']) for found in shares),
+        name=found.name,
+        host=found.host.lower(),
+        prefix=found.path_prefix,
+        repeat=_repeat(found),
+        streamed=found.kind == 'streaming',
+        timeout_s=found.timeout_ms / MS_PER_S,
+        target_s=target_ms / MS_PER_S,
+        pause_s=found.gap_aim_ms / MS_PER_S,
+        max_attempts=found.max_attempts,
+        priority=found.priority,
+        shares=_shares(found),
     )
 
 
-def _repeat(document: dict[str, Any]) -> Repeat:
-    if document['kind'] == 'idempotent':
+def _shares(found: _Route) -> tuple[Share, ...]:
+    if found.backends:
+        return tuple(Share(one.service, one.weight) for one in found.backends)
+    if not found.service:
+        raise ValueError(f'route {found.name} names no service')
+    return (Share(found.service, 1),)
+
+
+def _repeat(found: _Route) -> Repeat:
+    if found.kind == 'idempotent':
         return Repeat.freely
-    if document['kind'] == 'streaming' and document.get('resumable'):
+    if found.kind == 'streaming' and found.resumable:
         return Repeat.resume
+    # Also of kinds that this version does not know: running twice is worse
+    # than not trying again.
     return Repeat.never
 
 
-def _service(document: dict[str, Any]) -> Service:
-    engine = document.get('engine')
-    return Service(document['name'], document['max_conns'], _engine(engine) if engine else None)
-
-
-def _engine(document: dict[str, Any]) -> EngineFigures:
+def _engine(found: _Engine | None) -> EngineFigures | None:
+    if found is None:
+        return None
     return EngineFigures(
-        slots=document['slots'],
-        kv_tokens=document['kv_tokens'],
-        kv_token_bytes=document['kv_bytes'],
-        link_bytes_s=document['link_mbps'] * BITS_PER_MEGABIT / BITS_PER_BYTE,
-    )
-
-
-def _runner(key: str, document: dict[str, Any]) -> Runner:
-    return Runner(
-        key=key,
-        service=document['service'],
-        address=Address.parse(document['address']),
-        zone=document['zone'],
-        slots=document['slots'],
-        leaving=document['state'] != 'ready',
-        # Only engines have a stage.
-        stage=Stage(document['stage']) if document.get('stage') else Stage.plain,
+        slots=found.slots,
+        kv_tokens=found.kv_tokens,
+        kv_token_bytes=found.kv_bytes,
+        link_bytes_s=found.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE,
     )
 
 
-__all__ = ('UnreadableRecordError', 'decode_configuration', 'decode_runner')
+__all__ = ('decode_configuration',)
--- a/packages/sesamepoint/src/sesamepoint/platform/engine_calls.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/engine_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -28,9 +28,21 @@
 class _KeptReply(msgspec.Struct):
     # Not what is held for a caller: each prompt part in the cache.
     held: list[_Kept]
+    # When this start of the engine began; not all deployments tell it.
+    born: int = 0
 
 
-async def list_kept(conn: ClientConn, address: Address) -> tuple[Part, ...]:
+class Kept(NamedTuple):
+    """The prompt parts that an engine keeps, and the start that keeps them.
+
+    ``born_ms`` is as in :class:`~sesamepoint_core.serving.runner.Runner`.
+    """
+
+    parts: tuple[Part, ...]
+    born_ms: int
+
+
+async def list_kept(conn: ClientConn, address: Address) -> Kept:
     """Return the prompt parts that the engine at ``address`` keeps.
 
     Raises
@@ -45,7 +57,7 @@
         found = msgspec.json.decode(body, type=_KeptReply)
     except msgspec.DecodeError as exc:
         raise ConnBrokenError(str(exc)) from exc
-    return tuple(Part(kept.key, kept.tokens) for kept in found.held)
+    return Kept(tuple(Part(kept.key, kept.tokens) for kept in found.held), found.born)
 
 
 async def free_handle(conn: ClientConn, address: Address, kv_handle: str) -> None:
@@ -64,4 +76,4 @@
     return ((b'host', str(address).encode()),)
 
 
-__all__ = ('free_handle', 'list_kept')
+__all__ = ('Kept', 'free_handle', 'list_kept')
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -156,8 +156,12 @@
 
 def _decode_prompt(model: str, counts: bytes, listed: bytes) -> Prompt:
     tokens, max_output = (int(count) for count in counts.split(b','))
+    if tokens < 0 or max_output < 0:
+        raise ValueError('negative token counts')
     entries = [entry.strip().partition(b':') for entry in listed.split(b',') if entry.strip()]
     parts = tuple(Part(key.decode('latin-1'), int(size)) for key, _, size in entries)
+    if any(part.tokens < 0 for part in parts):
+        raise ValueError('a part of negative size')
     return Prompt(model, parts, tokens, max_output)
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -12,6 +12,7 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.units import MS_PER_S
+from sesamepoint import events
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
@@ -83,7 +84,7 @@
         query = {'topic': topic, 'part': '0'}
         end: int | None = None
         while True:
-            page = msgspec.json.decode(await self._call('GET', '/v1/log-newest', query), type=_NewestReply)
+            page = _page(await self._call('GET', '/v1/log-newest', query))
             records.extend(_keyed(found) for found in page.entries)
             # Pages are read one after the other: what changes meanwhile is
             # on the log after the end that the first page tells.
@@ -105,7 +106,8 @@
         query = {'topic': topic, 'part': '0', 'source': str(start), 'wait_ms': str(int(wait_s * MS_PER_S))}
         text = await self._call('GET', '/v1/log-read', query, wait_s)
         records = _split(text[_TWO_OFFSETS.size :])
-        return Newest(tuple(_keyed_record(found) for found in records), start + len(records))
+        readable = (_keyed_record(topic, found) for found in records)
+        return Newest(tuple(found for found in readable if found), start + len(records))
 
     async def put(self, topic: str, key: str, text: bytes) -> None:
         """Append the newest record of ``key``; empty text drops the key.
@@ -170,24 +172,43 @@
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
 
 
+def _page(text: bytes) -> _NewestReply:
+    try:
+        return msgspec.json.decode(text, type=_NewestReply)
+    except msgspec.DecodeError as exc:
+        raise PlatformUnavailableError('store', f'unreadable reply: {exc}') from exc
+
+
 def _keyed(entry: _Entry) -> KeyedRecord:
-    return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
+    try:
+        return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
+    except ValueError as exc:
+        raise PlatformUnavailableError('store', f'unreadable reply: {exc}') from exc
 
 
 def _split(text: bytes) -> list[bytes]:
     records = []
     at = 0
     while at < len(text):
+        if at + _LENGTH.size > len(text):
+            raise PlatformUnavailableError('store', 'a reply that ends within a record')
         size = _LENGTH.unpack_from(text, at)[0]
         at += _LENGTH.size
         records.append(text[at : at + size])
         at += size
+    if at > len(text):
+        raise PlatformUnavailableError('store', 'a reply that ends within a record')
     return records
 
 
-def _keyed_record(record: bytes) -> KeyedRecord:
-    end = 1 + record[0]
-    return KeyedRecord(record[1:end].decode(), record[end:])
+def _keyed_record(topic: str, record: bytes) -> KeyedRecord | None:
+    """Return the record, or None if another writer has put other bytes there."""
+    end = 1 + record[0] if record else 1
+    if end > len(record):
+        events.log_event(events.RECORD_UNREADABLE, topic=topic, cause='it ends within its key')
+        return None
+    # No runner has a key that isn't text; a made-up name harms nothing.
+    return KeyedRecord(record[1:end].decode(errors='replace'), record[end:])
 
 
 __all__ = ('HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreClient')
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint_standins.platform.caller import Asked
 from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
 
@@ -81,6 +82,18 @@
     return RunnerStandIn(f'i-llm{number}', 'llm', Address(f'10.4.0.{number}', 80), 'z1', stage=stage, **changes)
 
 
+def registered_engine(number: int = 1, *, born_ms: int = 0, leaving: bool = False) -> Runner:
+    """Return an engine's registration, as decoded."""
+    address = Address(f'10.4.0.{number}', 80)
+    return Runner(f'i-{number}', 'llm', address, 'z1', 24, leaving=leaving, stage=Stage.decode, born_ms=born_ms)
+
+
+def registration(**changes: Any) -> dict[str, Any]:
+    """Return an engine's registration as the platform's store has it."""
+    base = {**engine(1, 'decode').record, 'born': 1_700_000_000_000}
+    return {**base, **changes}
+
+
 def fleet() -> list[RunnerStandIn]:
     """Return two plain runners, one prefill engine and two decode engines."""
     return [
@@ -117,5 +130,7 @@
     'engine',
     'fleet',
     'plain_runner',
+    'registered_engine',
+    'registration',
     'route',
 )
--- /dev/null
+++ b/tests/front/test_foreign_records.py
@@ -0,0 +1,203 @@
+"""Records and datagrams that no runner, operator or entry of ours wrote."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import TestCase
+
+import msgspec
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesamepoint_core.serving.prompt import Part
+from sesamepoint.front.sends import Send, Word
+from sesamepoint.platform.configuration import decode_configuration
+from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.platform.registration import decode_runner
+from sesamepoint.platform.unreadable import UnreadableRecordError
+from sesamepoint_standins.platform.bed import PlatformBed, running_bed
+from tests.front.builders import asked, configuration, encoded_configuration, fleet, registration
+from tests.virtual import virtual
+
+# Without one of these nobody could say what a registration names.
+REQUIRED = ('service', 'address', 'zone', 'version', 'slots', 'state', 'cold_remaining_ms', 'sequence')
+FOREIGN = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+    st.just('ready '),
+    st.just('64'),
+    st.floats(max_value=-0.5, allow_nan=False, allow_infinity=False),
+)
+WRONG: tuple[dict[str, Any], ...] = (
+    {'service': []},
+    {'service': ''},
+    {'address': '10.4.0.1'},
+    {'address': '10.4.0.1:0'},
+    {'address': '10.4.0.1:65536'},
+    {'address': 'engine.example:80'},
+    {'zone': 7},
+    {'slots': '64'},
+    {'slots': 0},
+    {'slots': 64.5},
+    {'slots': True},
+    {'state': 7},
+    {'state': 'gone'},
+    {'stage': 'both'},
+    {'stage': None},
+    {'sequence': '4'},
+    {'cold_remaining_ms': -1},
+    {'version': 1},
+    {'born': '1700000000000'},
+    {'born': 1.5},
+    {'born': 0},
+    {'born': 10**14},
+)
+
+
+def unreadable(text: bytes) -> bool:
+    """Tell whether a registration is refused as unreadable."""
+    try:
+        decode_runner('i-1', text)
+    except UnreadableRecordError:
+        return True
+    return False
+
+
+class RegistrationTest(TestCase):
+    """Each field is checked; whatever fails names no runner."""
+
+    def test_registration_read(self) -> None:
+        runner = decode_runner('i-1', msgspec.json.encode(registration()))
+        self.assertEqual((runner.slots, runner.born_ms), (24, 1_700_000_000_000))
+
+    def test_field_missing(self) -> None:
+        for name in REQUIRED:
+            rest = {key: found for key, found in registration().items() if key != name}
+            self.assertTrue(unreadable(msgspec.json.encode(rest)), name)
+
+    def test_field_wrong(self) -> None:
+        for changes in WRONG:
+            self.assertTrue(unreadable(msgspec.json.encode(registration(**changes))), changes)
+
+    @given(st.sampled_from(REQUIRED), FOREIGN)
+    @settings(derandomize=True, max_examples=300)
+    def test_field_of_any_type(self, name: str, found: Any) -> None:
+        """A value that no runner writes there; a text where a text is due may name another service or zone."""
+        changed = msgspec.json.encode(registration(**{name: found}))
+        if name in {'service', 'zone', 'version'} and isinstance(found, str):
+            return
+        self.assertTrue(unreadable(changed))
+
+    @given(st.data())
+    @settings(derandomize=True, max_examples=300)
+    def test_record_cut(self, draws: st.DataObject) -> None:
+        text = msgspec.json.encode(registration())
+        end = draws.draw(st.integers(0, len(text) - 1))
+        self.assertTrue(unreadable(text[:end]))
+
+    @given(st.binary(max_size=200))
+    @settings(derandomize=True, max_examples=300)
+    def test_record_binary(self, text: bytes) -> None:
+        self.assertTrue(unreadable(text))
+
+
+class ConfigurationTest(TestCase):
+    """A configuration that does not decode is refused whole, never half taken."""
+
+    @given(st.data())
+    @settings(derandomize=True, max_examples=200)
+    def test_configuration_changed(self, draws: st.DataObject) -> None:
+        document = configuration()
+        row = draws.draw(st.sampled_from([document, document['limits'], *document['routes'], *document['services']]))
+        row[draws.draw(st.sampled_from(sorted(row)))] = draws.draw(FOREIGN)
+        try:
+            decode_configuration(msgspec.json.encode(document))
+        except UnreadableRecordError:
+            return
+        # What was changed may be absent or any text; all else is checked.
+        self.assertTrue(any(found is None or isinstance(found, str | bool) for found in _written(document)))
+
+    @given(st.binary(max_size=200))
+    @settings(derandomize=True, max_examples=200)
+    def test_configuration_binary(self, text: bytes) -> None:
+        with self.assertRaises(UnreadableRecordError):
+            decode_configuration(text)
+
+    def test_route_names_no_service(self) -> None:
+        document = configuration()
+        document['routes'][0].pop('service')
+        with self.assertRaises(UnreadableRecordError):
+            decode_configuration(msgspec.json.encode(document))
+
+
+class RunningTest(TestCase):
+    """Nothing stops or restarts, and the sound records hold."""
+
+    @virtual
+    async def test_foreign_registrations(self) -> None:
+        """Another writer fills the list of runners, under keys of its own and over that of a runner.
+
+        Callers are served by the others; nothing is sent to what it names.
+        """
+        async with running_bed(configuration(), fleet()) as bed:
+            for number, changes in enumerate(WRONG):
+                bed.store.put(RUNNER_TOPIC, f'i-foreign{number}', registration(**{'service': 'web', **changes}))
+            bed.store.put_raw(RUNNER_TOPIC, 'i-web1', b'\xff\x00{')
+            await trio.sleep(2)
+            members = bed.fronts['front-1'].fleet.members
+            self.assertEqual([key for key in members if 'foreign' in key], [])
+            await self._served(bed)
+            self.assertEqual(bed.runners['i-web1'].runs, [])
+
+    @virtual
+    async def test_foreign_entries_and_configuration(self) -> None:
+        """Bytes under an entry's name and under the operator's key: logged, passed over."""
+        async with running_bed(configuration(), fleet()) as bed:
+            front = bed.fronts['front-1']
+            entries = [b'\xff', b'no address', b'10.1.0.9:x', b'[]']
+            for number, text in enumerate(entries):
+                bed.store.put_raw(ENTRY_TOPIC, f'entry-{number}', text)
+            bed.store.put_raw(OPERATOR_TOPIC, OPERATOR_KEY, encoded_configuration()[:-9])
+            await trio.sleep(2)
+            self.assertEqual(front.peers.count(), 1)
+            await self._served(bed)
+
+    async def _served(self, bed: PlatformBed) -> None:
+        for _ in range(20):
+            seen = await bed.caller('front-1').ask(asked('/thumb/a'))
+            self.assertEqual(seen.status, 200)
+
+
+class DatagramTest(TestCase):
+    """What comes to the port for peers."""
+
+    @virtual
+    async def test_foreign_datagrams(self) -> None:
+        """Cut words, other bytes, and words whose figures no peer of ours would tell.
+
+        Believed, an hour of work or a start in the far future would keep an
+        engine out of use for as long.
+        """
+        good = Word('front-2', (Send(1, 'i-llm2', 0.5, 9000, (Part('a', 9000),)),), ())
+        sends = [good.sends[0]._replace(work_s=found) for found in (-1.0, 1e9, float('nan'))]
+        sends += [good.sends[0]._replace(tokens=-5), good.sends[0]._replace(born_ms=10**15)]
+        sends += [good.sends[0]._replace(parts=(Part('a', -9000),))]
+        words = [msgspec.msgpack.encode(good._replace(sends=(send,))) for send in sends]
+        raw = msgspec.msgpack.encode(good)
+        async with running_bed(configuration(), fleet()) as bed:
+            front = bed.fronts['front-1']
+            for datagram in (*words, *(raw[:end] for end in range(len(raw))), b'GET / HTTP/1.1\r\n\r\n'):
+                front.peers.take(datagram)
+            member = front.fleet.members['i-llm2']
+            self.assertEqual(member.load.streams(trio.current_time()), 0)
+            self.assertEqual(member.cache.kept, ())
+            front.peers.take(raw)
+            self.assertEqual(member.load.streams(trio.current_time()), 1)
+
+
+def _written(document: dict[str, Any]) -> list[Any]:
+    rows = [document, document['limits'], *document['routes'], *document['services']]
+    return [found for row in rows if isinstance(row, dict) for found in row.values()]
