--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -66,6 +66,7 @@
 REQUEST_ENDED = _event(3102, logging.DEBUG, 'request ended')
 ANSWER_ENDED = _event(3201, logging.INFO, 'request served')
 REQUEST_REFUSED = _event(3208, logging.INFO, 'request refused, engines are too busy')
+REQUEST_TURNED_AWAY = _event(3209, logging.INFO, 'request turned away, this instance is stopping')
 REQUEST_REJECTED = _event(3202, logging.INFO, 'malformed request rejected')
 CALLER_LEFT = _event(3203, logging.INFO, 'caller left before its answer was whole')
 CONNECTION_BROKE = _event(3204, logging.ERROR, 'connection ended by an unexpected error')
--- a/packages/sesamepoint/src/sesamepoint/front/door.py
+++ b/packages/sesamepoint/src/sesamepoint/front/door.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -19,7 +20,9 @@
     from sesamepoint.front.request import FrontRequest
     from sesamepoint.http1.transport import Transport
 
-INTERNAL_ERROR = 500
+UNAVAILABLE = 503
+# Other instances serve whoever comes back to them, in seconds.
+AT_ONCE_S = 0.02
 
 
 class Door:
@@ -29,13 +32,16 @@
         """Pass requests to ``dispatcher``; ``limits`` are asked a connection."""
         self.stopping = False
         self.active = 0
+        # From the moment this is set, on trio's clock, requests are taken
+        # only if they are sure to have ended by then.
+        self.end_by = math.inf
         self._dispatcher = dispatcher
         self._limits = limits
         self._idle: set[trio.CancelScope] = set()
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
-        conn = ServerConn(transport, self._limits())
+        conn = ServerConn(transport, self._limits(), lambda: self.stopping)
         try:
             await self._converse(conn)
         except CallerGoneError:
@@ -80,7 +86,9 @@
 
     async def _answer(self, conn: ServerConn, req: FrontRequest) -> None:
         reply = Reply(conn)
-        conn.closing = self.stopping
+        if self._outlasts(req):
+            events.log_event(events.REQUEST_TURNED_AWAY, request=req.request_id)
+            return await reply.refuse(UNAVAILABLE, 'this instance is stopping; it has not run', AT_ONCE_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_when_gone, conn, req, nursery.cancel_scope)
             try:
@@ -89,6 +97,17 @@
                 events.log_event(events.CALLER_LEFT, request=req.request_id)
             nursery.cancel_scope.cancel()
 
+    def _outlasts(self, req: FrontRequest) -> bool:
+        """Tell whether ``req`` might be cut off by the end of this process.
+
+        Callers that kept their connection while an answer ran send the next
+        request on it, 5 s after the signal to stop and later. Taken, its
+        answer was cut off when the platform ended the process by force.
+        """
+        if self.end_by == math.inf:
+            return False
+        return req.deadline_s is None or req.arrived + req.deadline_s > self.end_by
+
     async def _cancel_when_gone(self, conn: ServerConn, req: FrontRequest, scope: trio.CancelScope) -> None:
         """End the work for a caller that has gone, so that no runner works in vain."""
         await conn.watch()
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -32,6 +32,10 @@
 # takes to notice: two checks of readiness a second apart, and one to spare.
 # Then idle connections are closed.
 NOTICE_S = 3.2
+# Until then requests are taken whatever time they may need: the platform has
+# other instances to send callers to only once it has noticed, and allows for
+# requests that were sent within three seconds of the signal.
+TAKING_S = 2.8
 # Kept free at the end of the time to stop.
 LAST_S = 0.3
 POLL_S = 0.05
@@ -86,8 +90,11 @@
     async def wind_down(self) -> None:
         """Turn unready, let the platform notice, finish what is under way."""
         self.door.stopping = True
-        with trio.move_on_after(self.cfg.stop_s - LAST_S):
-            await trio.sleep(NOTICE_S)
+        end_at = trio.current_time() + self.cfg.stop_s - LAST_S
+        with trio.move_on_at(end_at):
+            await trio.sleep(TAKING_S)
+            self.door.end_by = end_at
+            await trio.sleep(NOTICE_S - TAKING_S)
             # From here on callers are refused a connection, which tells them
             # that nothing ran; one more that is let in could be cut off.
             self.listening.cancel()
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -10,6 +10,8 @@
 from sesamepoint.http1.messages import RejectedMessageError, RequestHead
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.transport import Transport
 
@@ -50,12 +52,21 @@
     """The far end closed the connection."""
 
 
+def _never() -> bool:
+    return False
+
+
 class ServerConn:
     """Reads requests and writes answers, one after the other."""
 
-    def __init__(self, transport: Transport, limits: ServerLimits) -> None:
-        """Use ``transport``, which the caller of this closes."""
+    def __init__(self, transport: Transport, limits: ServerLimits, ending: Callable[[], bool] = _never) -> None:
+        """Use ``transport``, which the caller of this closes.
+
+        ``ending`` is asked at each answer whether the far end is to be told
+        that the connection ends with it.
+        """
         self.closing = False
+        self._ending = ending
         self._transport = transport
         self._limits = limits
         self._state = h11.Connection(h11.SERVER, limits.head_bytes)
@@ -147,6 +158,7 @@
 
     def _head_bytes(self, status: int, headers: Headers) -> bytes:
         sent = list(headers)
+        self.closing = self.closing or self._ending()
         if self.closing:
             sent.append((b'connection', b'close'))
         return self._state.send(h11.Response(status_code=status, headers=sent)) or b''
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -9,6 +9,7 @@
 
 from sesamepoint.platform.names import OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
+from sesamepoint_standins.platform.runner import EngineSpeed
 from tests.front.builders import asked, asked_prompt, configuration, engine, fleet, plain_runner, route
 from tests.virtual import virtual
 
@@ -16,6 +17,8 @@
     from sesamepoint_standins.platform.caller import Seen
 
 APPLY_S = 2.0
+# Eighty tokens take some 4 s.
+SLOW_STREAM = EngineSpeed(step_s=0.05, stride=1)
 DRAIN_S = 2.0
 
 
