--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -15,9 +15,10 @@
 # A runner closes idle connections after a time that it may not tell. What
 # has been idle for longer than this is not used again, since a request that
 # crosses the close may or may not have run.
-MAX_IDLE_S = 4.0
-# Share of a told idle time that is used, for the same reason.
-IDLE_SHARE = 0.6
+UNTOLD_IDLE_S = 4.0
+# Share of a told idle time that is used, for the same reason: of 10 s it
+# leaves two for a runner or an entry that is slow to notice the end.
+IDLE_SHARE = 0.8
 # In one zone a connection takes under a millisecond, between zones three; a
 # lost packet is sent again after 0.2 s.
 CONNECT_S = 0.45
@@ -62,7 +63,7 @@
 
 
 def _fresh(conn: ClientConn, now: float) -> bool:
-    allowed_s = MAX_IDLE_S if conn.keep_s is None else min(MAX_IDLE_S, conn.keep_s * IDLE_SHARE)
+    allowed_s = UNTOLD_IDLE_S if conn.keep_s is None else conn.keep_s * IDLE_SHARE
     return now - conn.idle_since < allowed_s
 
 
