--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
 
 from sesamepoint_core.serving.address import Address
 
+# No start of a runner lies later (the year 2286), in milliseconds since 1970.
+# A foreign word of a larger one would make every word of the real runner look
+# older than it, for ever.
+MAX_START_MS = 10_000_000_000_000
+# A start as other processes tell it; 0 if they don't.
+StartMs = Annotated[int, msgspec.Meta(ge=0, lt=MAX_START_MS)]
+
 
 class Stage(Enum):
     """What an engine does: read prompts, or generate answers too."""
@@ -41,4 +50,4 @@
     born_ms: int = 0
 
 
-__all__ = ('Runner', 'Stage')
+__all__ = ('MAX_START_MS', 'Runner', 'Stage', 'StartMs')
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -91,8 +91,8 @@
             await self._configured.wait()
         cfg = self.configuration
         if cfg is None:
-            left_s = None if req.deadline_s is None else req.arrived + req.deadline_s - trio.current_time()
-            return await reply.refuse(UNAVAILABLE, 'no configuration yet', when_unknown_s(left_s))
+            wait_s = when_unknown_s(req.left_s(trio.current_time()))
+            return await reply.refuse(UNAVAILABLE, 'no configuration yet', wait_s)
         route = cfg.find(req.host, req.path)
         if route is None:
             return await reply.refuse(NOT_FOUND, 'no such route')
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -112,9 +112,8 @@
     @property
     def caller_left_s(self) -> float:
         """Return the seconds that the caller has, also to come back in; a route may allow one try less."""
-        if self.req.deadline_s is None:
-            return self.left_s
-        return self.req.arrived + self.req.deadline_s - trio.current_time()
+        left_s = self.req.left_s(trio.current_time())
+        return self.left_s if left_s is None else left_s
 
     @property
     def first_left_s(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/request.py
+++ b/packages/sesamepoint/src/sesamepoint/front/request.py
@@ -31,5 +31,9 @@
     deadline_s: float | None
     prompt: Prompt | None
 
+    def left_s(self, now: float) -> float | None:
+        """Return the seconds that the caller has from ``now`` on; None if unknown."""
+        return None if self.deadline_s is None else self.arrived + self.deadline_s - now
+
 
 __all__ = ('FrontRequest',)
--- a/packages/sesamepoint/src/sesamepoint/front/return_time.py
+++ b/packages/sesamepoint/src/sesamepoint/front/return_time.py
@@ -34,7 +34,7 @@
 
 def heeded_s(wait_s: float, left_s: float) -> float:
     """Return when to come back after ``wait_s``, as far as callers heed it."""
-    return min(wait_s, MAX_SHARE * max(left_s, 0))
+    return min(wait_s, when_unknown_s(left_s))
 
 
 __all__ = ('heeded_s', 'hold_s', 'when_unknown_s')
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -9,6 +9,7 @@
 
 from sesamepoint_core.serving.engine_load import Stream, Work
 from sesamepoint_core.serving.prompt import Part
+from sesamepoint_core.serving.runner import StartMs
 from sesamepoint.front.backlog import Backlog, Held
 
 if TYPE_CHECKING:
@@ -26,13 +27,11 @@
 
 # Peers are other processes: what they tell is bounded before it is believed.
 # An hour of work, and as many tokens as no engine's memory holds, would keep
-# an engine out of use; so would a start later than any (the year 2286).
+# an engine out of use.
 MAX_TOLD_S = 3600
 MAX_TOLD_TOKENS = 1_000_000_000
-MAX_TOLD_START_MS = 10_000_000_000_000
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TOLD_S)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOLD_TOKENS)]
-StartMs = Annotated[int, msgspec.Meta(ge=0, lt=MAX_TOLD_START_MS)]
 
 
 class Send(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -107,12 +107,12 @@
         self._lines.receive(waiter, line)
         if not waiter.late or not waiter.refusable:
             return False
+        if self._lines.rivals(waiter.line) and not waiter.small and not waiter.job.returned:
+            waiter.refuse(waiter.job.caller_left_s)
+            return True
         wait_s = self._lines.wait_s([*line, waiter])
         if waiter.job.returned:
             return self._refuses_returned(waiter, wait_s)
-        if self._lines.rivals(waiter.line) and not waiter.small:
-            waiter.refuse(waiter.job.caller_left_s)
-            return True
         if wait_s <= MAX_WAIT_SHARE * waiter.job.first_left_s:
             return False
         waiter.refuse(wait_s)
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -16,62 +16,59 @@
     Share,
 )
 from sesamepoint_core.units import MS_PER_S
+from sesamepoint.platform.fields import Count, Measure, Positive, Text
 from sesamepoint.platform.unreadable import UnreadableRecordError
 
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
 
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_Positive = Annotated[int, msgspec.Meta(ge=1)]
-_Measure = Annotated[float, msgspec.Meta(ge=0)]
 _Time = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class _Share(msgspec.Struct):
-    service: _Text
-    weight: _Measure
+    service: Text
+    weight: Measure
 
 
 class _Route(msgspec.Struct):
-    name: _Text
-    host: _Text
-    path_prefix: _Text
-    kind: _Text
+    name: Text
+    host: Text
+    path_prefix: Text
+    kind: Text
     timeout_ms: _Time
     # A route names either one service or shares of several.
     service: str = ''
     backends: list[_Share] = msgspec.field(default_factory=list)
     target_latency_ms: _Time | None = None
-    gap_aim_ms: _Measure = 0
-    max_attempts: _Positive = 1
-    priority: _Count = 0
+    gap_aim_ms: Measure = 0
+    max_attempts: Positive = 1
+    priority: Count = 0
     resumable: bool = False
 
 
 class _Engine(msgspec.Struct):
-    slots: _Positive
-    kv_tokens: _Positive
+    slots: Positive
+    kv_tokens: Positive
     # Bytes of one token, not of the whole memory.
     kv_bytes: _Time
     link_mbps: _Time
 
 
 class _Service(msgspec.Struct):
-    name: _Text
-    max_conns: _Count
+    name: Text
+    max_conns: Count
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: _Positive
-    max_body_bytes: _Count
+    max_header_bytes: Positive
+    max_body_bytes: Count
     header_timeout_ms: _Time
     idle_timeout_ms: _Time
 
 
 class _Document(msgspec.Struct):
-    version: _Count
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
--- a/packages/sesamepoint/src/sesamepoint/platform/engine_calls.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/engine_calls.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sesamepoint_core.serving.prompt import Part
+from sesamepoint_core.serving.runner import StartMs
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead
 from sesamepoint.platform.names import KV_HANDLE_PATH, KV_LIST_PATH
 
@@ -29,7 +30,7 @@
     # Not what is held for a caller: each prompt part in the cache.
     held: list[_Kept]
     # When this start of the engine began; not all deployments tell it.
-    born: int = 0
+    born: StartMs = 0
 
 
 class Kept(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/platform/registration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/registration.py
@@ -7,30 +7,24 @@
 import msgspec
 
 from sesamepoint_core.serving.address import Address
-from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint_core.serving.runner import MAX_START_MS, Runner, Stage
+from sesamepoint.platform.fields import Count, Measure, Positive, Text
 from sesamepoint.platform.unreadable import UnreadableRecordError
 
-# No start of a runner lies later (the year 2286), in milliseconds since 1970.
-# A foreign record with a larger one would make every word of the real runner
-# look older than it, for ever.
-MAX_START_MS = 10_000_000_000_000
-
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
 _Start = Annotated[int, msgspec.Meta(gt=0, lt=MAX_START_MS)]
 
 
 class _Registration(msgspec.Struct):
-    service: _Text
-    address: _Text
-    zone: _Text
+    service: Text
+    address: Text
+    zone: Text
     # Of the runner's software; nothing here depends on it.
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Positive
     state: Literal['ready', 'draining']
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    cold_remaining_ms: Measure
     # Not a version of the record: how many orders the runner has accepted.
-    sequence: _Count
+    sequence: Count
     # Only engines have one.
     stage: Literal['prefill', 'decode'] | msgspec.UnsetType = msgspec.UNSET
     # When this start of the runner began. Not all deployments tell it.
--- a/tests/front/test_restarted_runners.py
+++ b/tests/front/test_restarted_runners.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint_core.serving.prompt import Part
-from sesamepoint_core.serving.runner import Runner
+from sesamepoint_core.serving.runner import MAX_START_MS, Runner
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.sends import NewLoad, Send, SendNotes, Word
 from sesamepoint.http1.transport import SocketNetwork
@@ -151,3 +151,18 @@
             await trio.sleep(1)
             members = bed.fronts['front-1'].fleet.members
             self.assertEqual({member.runner.born_ms for member in members.values()}, {LATER})
+
+    @virtual
+    async def test_answer_tells_no_start(self) -> None:
+        """An engine's answer names a start that no runner can have: what it says it keeps is not taken.
+
+        Believed, each later word of the engine would look older, for ever.
+        """
+        runners = [engine(1, 'prefill', born_ms=EARLIER), engine(2, 'decode', born_ms=EARLIER)]
+        async with running_bed(configuration(), []) as bed:
+            for runner in runners:
+                bed.add_runner(runner)
+                runner.start_again(MAX_START_MS)
+            await trio.sleep(1)
+            members = bed.fronts['front-1'].fleet.members
+            self.assertEqual({member.runner.born_ms for member in members.values()}, {EARLIER})
