Tell from the logs where callers' time and worth went

The last line of a request now has its cause, the wait expected on arrival and its sizes; sesamectl loss sums up, as text and as a page, and says what it left out. Lines of other versions give no figure.

Tests: tests/ctl/test_loss.py. No change of behaviour for callers.

--- a/packages/sesamectl/src/sesamectl/burn.py
+++ b/packages/sesamectl/src/sesamectl/burn.py
@@ -3,18 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from datetime import datetime
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from sesamepoint import events
+from sesamectl.ended import outcome_of, time_s
 from sesamectl.log_lines import decode_line
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-FIRST_REDIRECT = 300
-# As the log output writes times.
-TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
 ALL_ROUTES = 'all routes'
 _ByPlace = dict[int, Counter[str]]
 
@@ -75,35 +72,19 @@
     ends = [fields for text in logs if (fields := decode_line(text)) and _tells_end(fields)]
     if not ends:
         return []
-    first = min(_time_s(fields) for fields in ends)
+    first = min(time_s(fields['asctime']) for fields in ends)
     counts: dict[str, _ByPlace] = defaultdict(lambda: defaultdict(Counter))
     for fields in ends:
-        place = int((_time_s(fields) - first) // window_s)
+        place = int((time_s(fields['asctime']) - first) // window_s)
         for route in (ALL_ROUTES, fields['route']):
             counts[route][place][outcome_of(fields)] += 1
     return [_route_burn(name, counts[name], window_s) for name in sorted(counts, key=_all_first)]
 
 
-def outcome_of(fields: dict[str, Any]) -> str:
-    """Return what became of a request, by the line of its end."""
-    if fields.get('on_time'):
-        return 'on_time'
-    if fields.get('refused'):
-        return 'refused'
-    status = fields.get('status') or 0
-    if not status:
-        return 'left'
-    return 'failed' if fields.get('unfinished') or status >= FIRST_REDIRECT else 'late'
-
-
 def _tells_end(fields: dict[str, Any]) -> bool:
     return fields['event'] == events.ANSWER_ENDED.number and 'on_time' in fields
 
 
-def _time_s(fields: dict[str, Any]) -> float:
-    return datetime.strptime(fields['asctime'], TIME_FORMAT).timestamp()
-
-
 def _all_first(route: str) -> tuple[bool, str]:
     return route != ALL_ROUTES, route
 
@@ -114,4 +95,4 @@
     return RouteBurn(route, whole, windows)
 
 
-__all__ = ('ALL_ROUTES', 'RouteBurn', 'Window', 'outcome_of', 'read_burn')
+__all__ = ('ALL_ROUTES', 'RouteBurn', 'Window', 'read_burn')
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -8,6 +8,7 @@
   sesamectl explain --entry ADDRESS [--json]
   sesamectl explain REQUEST-ID [--logs FILE]
   sesamectl burn [--logs FILE] [--objective PERCENT] [--window SECONDS] [--html FILE]
+  sesamectl loss [--logs FILE] [--late-share SHARE] [--window SECONDS] [--html FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -29,6 +30,7 @@
   --logs FILE          Logs of all front processes; by default standard input.
   --objective PERCENT  Share of requests that has to be on time [default: 95].
   --window SECONDS     Length of the windows that are looked at [default: 10].
+  --late-share SHARE   What a late answer keeps of its worth [default: 0.3].
   --html FILE          Write a page with charts there too.
   --list               List policies and shipped scenarios.
 
@@ -42,7 +44,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint.command_line import run_command_line
-from sesamectl.commands import burn, check, demo, experiment, explain, publish, show  # noqa: F401
+from sesamectl.commands import burn, check, demo, experiment, explain, loss, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS, Arguments
 
 if TYPE_CHECKING:
--- a/packages/sesamectl/src/sesamectl/commands/burn.py
+++ b/packages/sesamectl/src/sesamectl/commands/burn.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 
-from sesamepoint.settings_error import SettingsError
 from sesamectl.burn import read_burn
 from sesamectl.burn_page import burn_html, burn_text
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.commands.figures import figure
 from sesamectl.log_lines import opened_logs
 
 PERCENT = 100
@@ -16,8 +17,8 @@
 @COMMANDS.register('burn')
 def burn(arguments: Arguments) -> str:
     """Read the logs of all front processes; print a table or write a page."""
-    objective = _figure(arguments, '--objective', PERCENT) / PERCENT
-    window_s = _figure(arguments, '--window', float('inf'))
+    objective = figure(arguments, '--objective', PERCENT) / PERCENT
+    window_s = figure(arguments, '--window', math.inf)
     with opened_logs(arguments['--logs']) as logs:
         burns = read_burn(logs, window_s)
     if not burns:
@@ -27,14 +28,4 @@
     return burn_text(burns, objective)
 
 
-def _figure(arguments: Arguments, name: str, below: float) -> float:
-    try:
-        found = float(arguments[name])
-    except ValueError as exc:
-        raise SettingsError(f'{name}: {exc}', 'give a number') from exc
-    if not 0 < found < below:
-        raise SettingsError(f'{name} is {found:g}', f'give a number above 0 and below {below:g}')
-    return found
-
-
 __all__ = ('burn',)
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/loss.py
@@ -0,0 +1,169 @@
+"""Where callers' time and the worth of their requests went, by the logs."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, NamedTuple
+
+from sesamectl.ended import FIRST_REDIRECT, Ended
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+# A request counts by its size against the mean of its route, as the callers'
+# operators weigh them: so much in any case, the rest by size, up to a bound.
+FIXED_WORTH = 0.3
+MAX_WORTH = 4.0
+# A token of the answer takes an engine about as long as so many of the prompt.
+ANSWER_TOKEN_WEIGHT = 10
+# Upper ends of the bands of prompt sizes, in tokens.
+SIZE_BANDS = ((1_000, 'under 1k'), (5_000, '1k to 5k'), (20_000, '5k to 20k'))
+LARGEST_BAND = '20k and more'
+PLAIN_BAND = 'no prompt'
+LEFT = 'left by its caller'
+MS = 1000
+
+
+class Lost(NamedTuple):
+    """One request that was not answered on time.
+
+    Parameters
+    ----------
+    cause
+        What it was lost by.
+    worth
+        What that cost; an on-time answer of mean size is worth 1.
+    time_s
+        What its caller waited beyond the time to be on time, or in vain.
+    """
+
+    ended: Ended
+    cause: str
+    worth: float
+    time_s: float
+
+
+class Sum(NamedTuple):
+    """Requests that have something in common.
+
+    Parameters
+    ----------
+    requests, worth, time_s
+        What was lost: see :class:`Lost`.
+    """
+
+    name: tuple[str, ...]
+    requests: int
+    worth: float
+    time_s: float
+
+
+class Loss(NamedTuple):
+    """All requests of some logs, and those of them that lost something.
+
+    Parameters
+    ----------
+    worths
+        What all requests could be worth, by route.
+    start_s
+        When the first of them ended.
+    """
+
+    ended: tuple[Ended, ...]
+    lost: tuple[Lost, ...]
+    worths: dict[str, float]
+    start_s: float
+
+    def by(self, name_of: Callable[[Lost], tuple[str, ...]]) -> list[Sum]:
+        """Return sums over what ``name_of`` names alike, the dearest first."""
+        groups: dict[tuple[str, ...], list[Lost]] = defaultdict(list)
+        for lost in self.lost:
+            groups[name_of(lost)].append(lost)
+        sums = [_sum(name, group) for name, group in groups.items()]
+        return sorted(sums, key=_by_worth, reverse=True)
+
+
+def find_loss(ended: Sequence[Ended], late_share: float) -> Loss:
+    """Return what was lost; a late answer keeps ``late_share`` of its worth."""
+    means = _mean_sizes(ended)
+    worths: dict[str, float] = defaultdict(float)
+    lost = []
+    for one in ended:
+        worth = _worth(one, means[one.route])
+        worths[one.route] += worth
+        if not one.on_time:
+            lost.append(_lost(one, worth, late_share))
+    start_s = min((end.ended_s for end in ended), default=0)
+    return Loss(tuple(ended), tuple(lost), dict(worths), start_s)
+
+
+def size_band(ended: Ended) -> str:
+    """Return the band of a request's prompt size."""
+    if not ended.tokens:
+        return PLAIN_BAND
+    return next((name for below, name in SIZE_BANDS if ended.tokens < below), LARGEST_BAND)
+
+
+def late_by(ended: Ended) -> str:
+    """Return what took most of the time of an answer that came late."""
+    if ended.returned:
+        return 'late: its caller had to come back'
+    if ended.first_total_ms is None:
+        return 'late: slow answer'
+    if ended.first_total_ms <= ended.target_ms:
+        return 'late: a pause in the answer'
+    if ended.sends > 1:
+        return 'late: sent more than once'
+    at_engine_ms = ended.first_total_ms - ended.held_ms
+    second_step_ms = 0 if ended.prefill_ms is None else at_engine_ms - ended.prefill_ms
+    queue_ms = at_engine_ms - second_step_ms - ended.work_ms
+    spans = {
+        'late: waiting at the entry': ended.held_ms,
+        'late: reading': ended.work_ms,
+        'late: waiting at the engine': queue_ms,
+        'late: memory moved, second engine': second_step_ms,
+    }
+    return max(spans, key=lambda name: spans[name])
+
+
+def _lost(ended: Ended, worth: float, late_share: float) -> Lost:
+    whole = ended.status and ended.status < FIRST_REDIRECT and not ended.unfinished
+    took_s = ended.took_ms / MS
+    if whole:
+        over_s = max(took_s - ended.target_ms / MS, 0)
+        return Lost(ended, late_by(ended), worth * (1 - late_share), over_s)
+    cause = ended.cause.replace('_', ' ') or LEFT
+    if ended.need and ended.refused:
+        cause = f'{cause}, short of {ended.need}'
+    if ended.returned:
+        cause = f'{cause}, second time'
+    return Lost(ended, cause, worth, took_s)
+
+
+def _worth(ended: Ended, mean_size: float) -> float:
+    if not mean_size:
+        return 1
+    return min(FIXED_WORTH + (1 - FIXED_WORTH) * _size(ended) / mean_size, MAX_WORTH)
+
+
+def _size(ended: Ended) -> float:
+    return ended.tokens + ANSWER_TOKEN_WEIGHT * ended.answer_tokens
+
+
+def _mean_sizes(ended: Iterable[Ended]) -> dict[str, float]:
+    sizes: dict[str, list[float]] = defaultdict(list)
+    for one in ended:
+        # A request that never found an engine does not tell its size.
+        sizes[one.route].extend([_size(one)] if one.tokens else [])
+    return {route: sum(found) / len(found) if found else 0 for route, found in sizes.items()}
+
+
+def _sum(name: tuple[str, ...], group: Sequence[Lost]) -> Sum:
+    return Sum(name, len(group), sum(one.worth for one in group), sum(one.time_s for one in group))
+
+
+def _by_worth(found: Sum) -> tuple[float, tuple[str, ...]]:
+    return found.worth, found.name
+
+
+__all__ = ('Loss', 'Lost', 'Sum', 'find_loss', 'late_by', 'size_band')
--- /dev/null
+++ b/packages/sesamectl/src/sesamectl/waits.py
@@ -0,0 +1,82 @@
+"""How right the estimates of waits at the entries were, by the logs."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from statistics import median
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from sesamectl.ended import Ended
+
+# An estimate is right if the wait lies within this share of it, or within
+# the time between two looks at what waits (milliseconds).
+RIGHT_SHARE = 1 / 3
+RIGHT_MS = 15
+# Upper ends of the bands of load, as the wait that was expected, in ms.
+LOAD_BANDS = ((150, 'under 0.15 s'), (500, '0.15 to 0.5 s'), (1500, '0.5 to 1.5 s'))
+HIGHEST_BAND = 'over 1.5 s'
+
+
+class WaitError(NamedTuple):
+    """Requests of one route that were told about the same wait.
+
+    Parameters
+    ----------
+    load
+        The band of the wait that was expected.
+    expected_ms, seen_ms
+        Medians.
+    right, shorter, longer
+        Requests whose wait was right to a third, shorter or longer.
+    """
+
+    route: str
+    load: str
+    requests: int
+    expected_ms: float
+    seen_ms: float
+    right: int
+    shorter: int
+    longer: int
+
+
+def wait_errors(ended: Iterable[Ended]) -> list[WaitError]:
+    """Return the errors by route and load, of all that waited and were let go."""
+    groups: dict[tuple[str, str], list[Ended]] = defaultdict(list)
+    for one in ended:
+        if one.wait_expected_ms is not None and one.sends:
+            groups[one.route, _band(one.wait_expected_ms)].append(one)
+    return [_error(*name, groups[name]) for name in sorted(groups)]
+
+
+def _band(expected_ms: int) -> str:
+    return next((name for below, name in LOAD_BANDS if expected_ms < below), HIGHEST_BAND)
+
+
+def _error(route: str, load: str, group: Sequence[Ended]) -> WaitError:
+    expected = [one.wait_expected_ms or 0 for one in group]
+    seen = [one.held_ms for one in group]
+    signs = [_sign(was, expected_ms) for was, expected_ms in zip(seen, expected, strict=True)]
+    return WaitError(
+        route,
+        load,
+        len(group),
+        median(expected),
+        median(seen),
+        right=signs.count(0),
+        shorter=signs.count(-1),
+        longer=signs.count(1),
+    )
+
+
+def _sign(seen_ms: float, expected_ms: float) -> int:
+    """Return whether a wait was shorter (-1), right (0) or longer (1) than expected."""
+    if abs(seen_ms - expected_ms) <= max(RIGHT_SHARE * expected_ms, RIGHT_MS):
+        return 0
+    return 1 if seen_ms > expected_ms else -1
+
+
+__all__ = ('WaitError', 'wait_errors')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/cause.py
@@ -0,0 +1,25 @@
+"""Why a request ended without a whole answer, as its last log line tells it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Cause(StrEnum):
+    """One word a cause; ``sesamectl loss`` groups by them."""
+
+    none = ''
+    refused = 'refused'
+    no_runner = 'no_runner'
+    turned_away = 'turned_away_by_runners'
+    not_run_in_time = 'not_run_in_time'
+    no_answer_in_time = 'no_answer_in_time'
+    answer_too_long = 'answer_not_whole_in_time'
+    broken = 'runner_broke_off'
+    silent = 'runner_silent'
+    runner_failed = 'runner_failed'
+    cut_in_answer = 'cut_in_answer'
+    caller_left = 'caller_left'
+
+
+__all__ = ('Cause',)
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import trio
@@ -10,6 +11,7 @@
 from sesamepoint_core.serving.routes import Repeat
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
+from sesamepoint.front.cause import Cause
 from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.return_time import hold_s, when_unknown_s
@@ -19,6 +21,7 @@
 from sesamepoint.platform.headers import returned, signed
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from random import Random
 
     from sesamepoint_core.serving.routes import Configuration, Route
@@ -35,6 +38,8 @@
 GATEWAY_TIMEOUT = 504
 
 
+_CAUSE_OF_RUN: Mapping[type, Cause] = MappingProxyType({RunFailed: Cause.runner_failed, Silent: Cause.silent})
+
 # Share of the retry budget that is used: arrivals are counted elsewhere, over
 # windows that begin and end at any moment.
 BUDGET_SHARE = 0.8
@@ -107,6 +112,8 @@
 
     def _note_end(self, job: Job, cfg: Configuration) -> None:
         took_s = trio.current_time() - job.req.arrived
+        if not job.notes.cause and (job.reply.unfinished or not job.reply.begun):
+            job.notes.cause = Cause.caller_left
         self.metrics.observe(job, took_s)
         _log_end(job, cfg, took_s)
 
@@ -118,10 +125,13 @@
 
     async def _time_out(self, job: Job) -> None:
         if job.reply.begun:
+            job.notes.cause = Cause.answer_too_long
             return
         if job.maybe_run:
+            job.notes.cause = Cause.no_answer_in_time
             await job.reply.refuse(GATEWAY_TIMEOUT, 'no answer in time; it may have run')
         else:
+            job.notes.cause = Cause.not_run_in_time
             await job.reply.refuse(UNAVAILABLE, 'no runner took it in time; it has not run', SOON_S)
 
     async def _serve(self, job: Job, cfg: Configuration) -> AttemptResult | None:
@@ -155,6 +165,7 @@
         return self._rng.choices(route.shares, weights)[0].service
 
     async def _conclude(self, job: Job, found: AttemptResult | None) -> None:
+        job.notes.cause = _cause(job, found)
         if job.reply.begun:
             return
         if isinstance(found, RunFailed) and signed(found.head):
@@ -165,6 +176,19 @@
             await job.reply.refuse(UNAVAILABLE, 'no runner can take it now; it has not run', job.retry_after_s)
 
 
+def _cause(job: Job, found: AttemptResult | None) -> Cause:
+    """Return why ``job`` ends without a whole answer, if it does."""
+    if isinstance(found, Relayed):
+        return Cause.none
+    if job.reply.begun:
+        return Cause.cut_in_answer
+    if job.maybe_run:
+        return _CAUSE_OF_RUN.get(type(found), Cause.broken)
+    if job.refused:
+        return Cause.refused
+    return Cause.turned_away if job.sends else Cause.no_runner
+
+
 def _may_go_on(job: Job, found: AttemptResult) -> bool:
     if isinstance(found, Relayed) or job.sends >= job.route.max_attempts:
         return False
@@ -196,7 +220,11 @@
         first_total_ms=None if notes.first_at is None else whole_ms(notes.first_at - job.req.arrived),
         held_ms=whole_ms(notes.held_s),
         prefill_ms=None if notes.prefill_s is None else whole_ms(notes.prefill_s),
+        wait_expected_ms=None if notes.wait_expected_s is None else whole_ms(notes.wait_expected_s),
+        need=notes.need,
         pause_ms=whole_ms(notes.longest_pause_s),
+        pause_limit_ms=whole_ms(job.route.pause_s),
+        cause=notes.cause,
         **notes.decision,
     )
 
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sesamepoint.front.cause import Cause
 from sesamepoint.front.return_time import when_unknown_s
 
 if TYPE_CHECKING:
@@ -41,6 +42,10 @@
         How long reading the prompt apart took.
     held_s
         How long it waited here for an engine.
+    wait_expected_s
+        How long it was to wait, as estimated when it came.
+    cause
+        Why its answer is no whole one.
     decision
         The newest choice of a path, with the figures that decided it.
     """
@@ -49,6 +54,9 @@
     longest_pause_s: float = 0
     prefill_s: float | None = None
     held_s: float = 0
+    wait_expected_s: float | None = None
+    need: str = ''
+    cause: Cause = Cause.none
     decision: dict[str, object] = field(default_factory=dict)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -58,6 +58,13 @@
         self.line = line_of(self.job, plan)
         self._newest = plan
 
+    def note_wait(self, wait_s: float) -> None:
+        """Note how long it is to wait, for the line that tells its end; the first time counts."""
+        notes = self.job.notes
+        if notes.wait_expected_s is None:
+            notes.wait_expected_s = wait_s
+            notes.need = self.line.need.value
+
     @property
     def refusable(self) -> bool:
         """Tell whether it may be refused: not if part of an answer may have gone out."""
@@ -160,6 +167,7 @@
         ahead_s += sum(held.work_s for held in self._backlog.at_peers(newcomer.line) if held.target_s <= target_s)
         begin_s = _start_s(newcomer.line) + ahead_s / self._engines(newcomer)
         newcomer.late = begin_s + newcomer.turn.work_s > newcomer.turn.due_s
+        newcomer.note_wait(self.wait_s([*line, newcomer]) if newcomer.late else begin_s)
 
     def wait_s(self, line: Sequence[Waiter]) -> float:
         """Return the seconds until all of ``line`` are through, late ones too."""
--- a/tests/ctl/builders.py
+++ b/tests/ctl/builders.py
@@ -29,6 +29,18 @@
         'runners': [RUNNER],
         'took_ms': 120,
         'first_total_ms': 60,
+        'returned': False,
+        'cause': '',
+        'target_ms': 300,
+        'held_ms': 0,
+        'wait_expected_ms': None,
+        'need': '',
+        'pause_ms': 20,
+        'pause_limit_ms': 150,
+        'sends': 1,
+        'tokens': 2000,
+        'answer_tokens': 10,
+        'work_ms': 20,
     }
     return line(events.ANSWER_ENDED, second, request=request, **{**base, **changes})
 
--- /dev/null
+++ b/tests/ctl/test_loss.py
@@ -0,0 +1,189 @@
+"""The report on what was lost, and on waits."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+from unittest import TestCase
+
+from sesamepoint import events
+from sesamectl.cli import main
+from sesamectl.ended import Ended, EndedRead, read_ended
+from sesamectl.loss import find_loss, late_by, size_band
+from sesamectl.loss_page import loss_html
+from sesamectl.loss_text import by_cause, by_route, loss_text, notes
+from sesamectl.waits import wait_errors
+from tests.ctl.builders import ended, line
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LATE_SHARE = 0.3
+REFUSED: Mapping[str, Any] = MappingProxyType(
+    {'on_time': False, 'status': 503, 'refused': True, 'cause': 'refused', 'sends': 0}
+)
+LATE: Mapping[str, Any] = MappingProxyType({'on_time': False, 'first_total_ms': 900})
+
+
+def logs() -> list[str]:
+    """Return eight requests on time, one late, one refused, one left, and a broken one."""
+    found = [ended(f'r{number}', second=number) for number in range(8)]
+    found.append(ended('late', second=11, held_ms=700, **LATE))
+    found.append(ended('refused', second=12, need='prefill', **REFUSED))
+    found.append(ended('left', second=13, on_time=False, status=0, cause='caller_left', took_ms=2000))
+    found.append(ended('cut', second=14, on_time=False, unfinished=True, cause='cut_in_answer'))
+    return found
+
+
+def one(**changes: Any) -> Ended:
+    """Return the only end that a line with ``changes`` tells."""
+    return read_ended([ended('r', **changes)]).ended[0]
+
+
+def whole_text(read: EndedRead) -> str:
+    """Return the whole report on ``read``, in windows of 10 s."""
+    return loss_text(find_loss(read.ended, LATE_SHARE), wait_errors(read.ended), read, 10)
+
+
+class LossTest(TestCase):
+    """What was lost, by what, and what it was worth."""
+
+    def test_causes(self) -> None:
+        """A late answer keeps a share of its worth, all else loses the whole of it."""
+        sums = {found.name[0]: found for found in find_loss(read_ended(logs()).ended, LATE_SHARE).by(by_cause)}
+        self.assertAlmostEqual(sums['late: waiting at the entry'].worth, 0.7)
+        self.assertAlmostEqual(sums['refused, short of prefill'].worth, 1)
+        self.assertAlmostEqual(sums['caller left'].worth, 1)
+        self.assertAlmostEqual(sums['caller left'].time_s, 2)
+        self.assertAlmostEqual(sums['cut in answer'].worth, 1)
+        self.assertEqual(len(sums), 4)
+
+    def test_worth_by_size(self) -> None:
+        """A prompt three times the mean counts for more, one that told no size for the mean."""
+        read = read_ended(
+            [
+                ended('small', tokens=900, answer_tokens=10),
+                ended('large', tokens=2900, answer_tokens=10, **LATE),
+                ended('unknown', tokens=0, answer_tokens=0, **REFUSED),
+            ],
+        )
+        found = find_loss(read.ended, 0)
+        worth = {lost.ended.request: lost.worth for lost in found.lost}
+        self.assertAlmostEqual(worth['large'], 0.3 + 0.7 * 3000 / 2000)
+        self.assertAlmostEqual(worth['unknown'], 0.3)
+
+    def test_late_by(self) -> None:
+        """What took most of the time until the first event is what it is late by."""
+        self.assertEqual(late_by(one(first_total_ms=900, held_ms=600, work_ms=200)), 'late: waiting at the entry')
+        self.assertEqual(late_by(one(first_total_ms=900, held_ms=100, work_ms=700)), 'late: reading')
+        self.assertEqual(late_by(one(first_total_ms=900, held_ms=100, work_ms=100)), 'late: waiting at the engine')
+        moved = one(first_total_ms=900, held_ms=50, work_ms=200, prefill_ms=250)
+        self.assertEqual(late_by(moved), 'late: memory moved, second engine')
+        self.assertEqual(late_by(one(first_total_ms=100, pause_ms=400)), 'late: a pause in the answer')
+        self.assertEqual(late_by(one(first_total_ms=900, sends=2)), 'late: sent more than once')
+        self.assertEqual(late_by(one(first_total_ms=100, returned=True)), 'late: its caller had to come back')
+        self.assertEqual(late_by(one(first_total_ms=None, took_ms=900)), 'late: slow answer')
+
+    def test_second_refusal(self) -> None:
+        """Whoever is refused again won't come back: it stands apart."""
+        found = find_loss([one(returned=True, need='slot', **REFUSED)], LATE_SHARE)
+        self.assertEqual(found.lost[0].cause, 'refused, short of slot, second time')
+
+    def test_sizes(self) -> None:
+        bands = [size_band(one(tokens=tokens)) for tokens in (0, 999, 4_000, 19_999, 20_000)]
+        self.assertEqual(bands, ['no prompt', 'under 1k', '1k to 5k', '5k to 20k', '20k and more'])
+
+    def test_routes_apart(self) -> None:
+        read = read_ended([*logs(), ended('tag', route='tags', **REFUSED)])
+        names = [found.name for found in find_loss(read.ended, LATE_SHARE).by(by_route)]
+        self.assertIn(('tags', 'refused'), names)
+
+
+class WaitsTest(TestCase):
+    """Estimates of waits against what they were."""
+
+    def test_errors_by_route_and_load(self) -> None:
+        read = read_ended(
+            [
+                ended('right', wait_expected_ms=300, held_ms=390),
+                ended('longer', wait_expected_ms=300, held_ms=900),
+                ended('shorter', wait_expected_ms=300, held_ms=100),
+                ended('soon', wait_expected_ms=100, held_ms=110),
+                ended('refused', wait_expected_ms=5000, **REFUSED),
+                ended('at once'),
+            ],
+        )
+        errors = wait_errors(read.ended)
+        self.assertEqual(
+            [(found.load, found.requests) for found in errors], [('0.15 to 0.5 s', 3), ('under 0.15 s', 1)]
+        )
+        self.assertEqual((errors[0].right, errors[0].shorter, errors[0].longer), (1, 1, 1))
+        self.assertEqual((errors[0].expected_ms, errors[0].seen_ms), (300, 390))
+
+
+class BadLogsTest(TestCase):
+    """Logs that are cut off, mixed up, of other versions, or empty."""
+
+    def test_order_does_not_matter(self) -> None:
+        """Lines of several processes come in any order; the figures are the same."""
+        self.assertEqual(whole_text(read_ended(logs())), whole_text(read_ended(reversed(logs()))))
+
+    def test_cut_off_line_noted(self) -> None:
+        """A log whose last line was cut off counts without it, and says so."""
+        read = read_ended([*logs(), ended('r99').rpartition(',')[0]])
+        self.assertEqual(len(read.ended), len(logs()))
+        self.assertIn('note: 1 left out: no log line, or one that was cut off', notes(read))
+
+    def test_other_version_noted(self) -> None:
+        """A line without a field, or with another type, gives no figure."""
+        read = read_ended(
+            [*logs(), ended('a', cause='a new cause'), ended('b', held_ms='long'), ended('c', asctime='now')]
+        )
+        self.assertEqual(len(read.ended), len(logs()))
+        self.assertEqual(read.left_out['ends of requests as another version writes them'], 3)
+
+    def test_told_twice_noted(self) -> None:
+        """A log that was joined twice does not count twice."""
+        read = read_ended(logs() * 2)
+        self.assertEqual(len(read.ended), len(logs()))
+        self.assertEqual(read.left_out['ends of requests that were told twice'], len(logs()))
+
+    def test_no_end_noted(self) -> None:
+        """A process that was killed leaves requests without an end; bounded output leaves lines out."""
+        read = read_ended([*logs(), line(events.REQUEST_REFUSED, request='killed', suppressed=7)])
+        self.assertEqual(read.unended, 1)
+        self.assertIn('note: 7 left out: lines that their process left out (bounded output)', notes(read))
+
+    def test_no_requests(self) -> None:
+        with TemporaryDirectory() as folder:
+            source = Path(folder, 'front.log')
+            source.write_text('nothing\n', encoding='utf-8')
+            self.assertEqual(main(['loss', '--logs', str(source)]), 0)
+
+
+class LossReportTest(TestCase):
+    """The text and the page."""
+
+    def test_text(self) -> None:
+        text = whole_text(read_ended(logs()))
+        self.assertIn('12 requests of 1 routes, 4 not on time', text)
+        self.assertIn('from second 10: 4 requests', text)
+
+    def test_page(self) -> None:
+        """One chart over all routes, one a route; nothing of a log is taken for markup."""
+        read = read_ended([*logs(), ended('x', route='<b>', second=21, **REFUSED)])
+        page = loss_html(find_loss(read.ended, LATE_SHARE), 'a table', 10)
+        self.assertEqual(page.count('<svg'), 3)
+        self.assertNotIn('<b>', page)
+        self.assertIn('a table', page)
+
+    def test_command(self) -> None:
+        with TemporaryDirectory() as folder:
+            source = Path(folder, 'front.log')
+            source.write_text('\n'.join(logs()), encoding='utf-8')
+            page = Path(folder, 'loss.html')
+            self.assertEqual(main(['loss', '--logs', str(source), '--html', str(page)]), 0)
+            self.assertIn('refused, short of prefill', page.read_text(encoding='utf-8'))
+            self.assertEqual(main(['loss', '--logs', str(source), '--late-share', '2']), 2)
