One entry reads the store for all, by turns

Change: whoever has heard nothing of a topic for a while reads it and tells the others what changed, from which offset to which. No election; word that does not follow is not taken; each looks for itself once a minute, and when what changed does not fit a datagram. Ruled out: a lease on reading (a dead holder is missed for its length), heartbeats through the store (as many calls again).

Tests: test_shared_reading (calls flat from 5 to 68 entries, readers that die, entries that hear nothing, a store that refuses one, loss, delay, reordering and duplicates by seed, a broken twin).

--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -59,7 +59,8 @@
         self._waiting = WaitingRoom(chooser, sends, rng)
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
         self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
-        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets), network, rng)
+        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets), network)
+        self.peers.hear_news = self.intake.hear
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
         self._watch()
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint import events
-from sesamepoint.front.watch import Pacing, Watch
+from sesamepoint.front.reading_turns import Pacing
+from sesamepoint.front.watch import Others, Taker, Watch
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint.platform.registration import decode_runner
@@ -13,29 +15,33 @@
 from sesamepoint.platform.unreadable import UnreadableRecordError
 
 if TYPE_CHECKING:
-    from random import Random
-
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.dispatch import Budgets, Dispatcher
     from sesamepoint.front.fleet import Fleet
+    from sesamepoint.front.news import News
     from sesamepoint.front.peers import Peers
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import KeyedRecord
 
-# A new configuration is waited for at all times, for this share of the time in
-# which it must be in force a call: the wait bounds how long a connection that
-# died in silence goes unnoticed, and each call to the store has its price.
-CONFIGURATION_WAIT_SHARE = 0.75
+# One entry waits for a new configuration at all times, for this share of the
+# time in which it must be in force a call. Without word of that, the others
+# wait for the same and up to the next share more: half of the time is left
+# for a call to a store that is slow, or lost its answer.
+CONFIGURATION_WAIT_SHARE = 0.25
 CONFIGURATION_REST_S = 0.02
+CONFIGURATION_SPREAD_SHARE = 0.15
 # Runners renew their entries many times a second in sum. One call in this
-# share of the time in which a leaving runner must be noticed brings them all;
-# a slow store takes a quarter of a second more, a lost call one second.
-RUNNER_WAIT_S = 1.0
-RUNNER_REST_SHARE = 0.25
-# Entries come and go rarely, and nothing breaks while one is unknown.
-ENTRY_WAIT_S = 10.0
-ENTRY_REST_S = 0.5
+# share of the time in which a leaving runner must be noticed brings them all.
+# Where nobody tells, an entry reads after half of that time at the latest.
+RUNNER_WAIT_SHARE = 0.1
+RUNNER_REST_SHARE = 0.2
+RUNNER_SPREAD_SHARE = 0.15
+# Entries come and go rarely. But while they start together, each takes itself
+# for one of few and spends more than its share of the retry budget.
+ENTRY_WAIT_S = 1.0
+ENTRY_REST_S = 0.2
+ENTRY_SPREAD_S = 0.5
 
 
 class Beliefs(NamedTuple):
@@ -50,12 +56,19 @@
 class Intake:
     """Follows the operator's, the runners' and the entries' records."""
 
-    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network, rng: Random) -> None:
+    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network) -> None:
         """Keep ``beliefs`` in step with the store that ``cfg`` names."""
         self._cfg = cfg
         self._beliefs = beliefs
         self._network = network
-        self._rng = rng
+        self._watches: dict[str, Watch] = {}
+        self._registered: dict[str, Runner] = {}
+
+    def hear(self, news: News) -> None:
+        """Take what another entry has read; of a topic that is not followed yet, nothing."""
+        watch = self._watches.get(news.topic)
+        if watch is not None:
+            watch.hear(news)
 
     def reconfigure(self, cfg: FrontSettings) -> None:
         """Share the retry budget as ``cfg`` says from now on."""
@@ -64,23 +77,29 @@
 
     async def follow_configuration(self) -> None:
         """Put each newer configuration in force, until cancelled."""
-        pacing = Pacing(CONFIGURATION_WAIT_SHARE * self._cfg.config_s, CONFIGURATION_REST_S)
-        watch = Watch(self._client(), OPERATOR_TOPIC, pacing, self._rng)
-        await watch.run(self._take_operator_records, self._take_operator_record)
+        span_s = self._cfg.config_s
+        pacing = Pacing(CONFIGURATION_WAIT_SHARE * span_s, CONFIGURATION_REST_S, CONFIGURATION_SPREAD_SHARE * span_s)
+        await self._follow(OPERATOR_TOPIC, pacing, Taker(self._take_operator_records, self._take_operator_record))
 
     async def follow_runners(self) -> None:
         """Keep the fleet in step, until cancelled."""
-        watch = Watch(
-            self._client(), RUNNER_TOPIC, Pacing(RUNNER_WAIT_S, RUNNER_REST_SHARE * self._cfg.drain_s), self._rng
-        )
-        await watch.run(self._take_runners, self._take_runner)
+        span_s = self._cfg.drain_s
+        pacing = Pacing(RUNNER_WAIT_SHARE * span_s, RUNNER_REST_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s)
+        await self._follow(RUNNER_TOPIC, pacing, Taker(self._take_runners, self._take_runner))
 
     async def follow_entries(self) -> None:
         """Register this entry and learn of the others, until cancelled."""
-        client = self._client()
-        await self._beliefs.peers.register(client)
-        watch = Watch(client, ENTRY_TOPIC, Pacing(ENTRY_WAIT_S, ENTRY_REST_S), self._rng)
-        await watch.run(self._take_entries, self._take_entry)
+        await self._beliefs.peers.register(self._client())
+        pacing = Pacing(ENTRY_WAIT_S, ENTRY_REST_S, ENTRY_SPREAD_S)
+        await self._follow(ENTRY_TOPIC, pacing, Taker(self._take_entries, self._take_entry))
+
+    async def _follow(self, topic: str, pacing: Pacing, taker: Taker) -> None:
+        peers = self._beliefs.peers
+        others = Others(self._cfg.name, peers.count, peers.tell_news)
+        # Drawn apart by name, so that no two entries keep the same step.
+        watch = Watch(self._client(), topic, pacing, taker, others, Random(self._cfg.name))
+        self._watches[topic] = watch
+        await watch.run()
 
     def _client(self) -> StoreClient:
         return StoreClient(self._cfg.store.address, self._network)
@@ -89,42 +108,48 @@
         for record in records:
             self._take_operator_record(record)
 
-    def _take_operator_record(self, record: KeyedRecord) -> None:
+    def _take_operator_record(self, record: KeyedRecord) -> bool:
         if record.key != OPERATOR_KEY or not record.text:
-            return
+            return False
         try:
             cfg = decode_configuration(record.text)
         except UnreadableRecordError as exc:
             events.log_event(events.RECORD_UNREADABLE, cause=str(exc))
-            return
+            return False
         before = self._beliefs.dispatcher.configuration
         # What a slow or repeated read brings late must not undo a newer one.
         if before is not None and cfg.version <= before.version:
-            return
+            return False
         self._beliefs.fleet.configure(cfg)
         self._beliefs.dispatcher.configure(cfg)
         events.log_event(events.VERSION_IN_FORCE, version=cfg.version, routes=sum(map(len, cfg.routes.values())))
+        return True
 
     def _take_runners(self, records: tuple[KeyedRecord, ...]) -> None:
         decoded = (_decode_runner(record) for record in records if record.text)
-        self._beliefs.fleet.replace_all([runner for runner in decoded if runner is not None])
+        self._registered = {runner.key: runner for runner in decoded if runner is not None}
+        self._beliefs.fleet.replace_all(self._registered.values())
 
-    def _take_runner(self, record: KeyedRecord) -> None:
+    def _take_runner(self, record: KeyedRecord) -> bool:
         runner = _decode_runner(record) if record.text else None
+        before = self._registered.pop(record.key, None)
         if runner is None:
             # Also if another writer has put something else there: until the
             # runner renews its registration, nothing vouches for it.
             self._beliefs.fleet.remove(record.key)
-            return
+            return before is not None
+        self._registered[record.key] = runner
         self._beliefs.fleet.update(runner)
+        return runner != before
 
     def _take_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._beliefs.peers.replace_all(records)
         self._share_budget()
 
-    def _take_entry(self, record: KeyedRecord) -> None:
-        self._beliefs.peers.update(record)
+    def _take_entry(self, record: KeyedRecord) -> bool:
+        changed = self._beliefs.peers.update(record)
         self._share_budget()
+        return changed
 
     def _share_budget(self) -> None:
         self._beliefs.budgets.share(self._beliefs.peers.count(), self._cfg.retry_reserve)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/news.py
@@ -0,0 +1,43 @@
+"""What a reader of the store tells the other entries."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from sesamepoint.platform.store import KeyedRecord
+
+# One datagram in one packet: entries' links carry 5 Mbit a second and more,
+# and a reader tells all others at once.
+MAX_CHANGED_BYTES = 1200
+# No log has more records than this; at a thousand a second it takes 30 years.
+MAX_OFFSET = 1_000_000_000_000
+Offset = Annotated[int, msgspec.Meta(ge=0, lt=MAX_OFFSET)]
+
+
+class News(msgspec.Struct, frozen=True, array_like=True, tag='news'):
+    """One reading of a topic, from the offset ``start`` up to ``end``.
+
+    Parameters
+    ----------
+    changed
+        The newest record of each key that changed in between; None if they
+        are too many for a datagram, and have to be read.
+    """
+
+    entry: str
+    topic: str
+    start: Offset
+    end: Offset
+    changed: tuple[KeyedRecord, ...] | None
+
+
+def news_of(entry: str, topic: str, start: int, end: int, changed: dict[str, KeyedRecord]) -> News:
+    """Return what to tell of a reading; records that would not fit are left out."""
+    records = tuple(changed.values())
+    size = sum(len(record.key) + len(record.text) for record in records)
+    return News(entry, topic, start, end, records if size <= MAX_CHANGED_BYTES else None)
+
+
+__all__ = ('News', 'news_of')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -10,10 +10,13 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
+from sesamepoint.front.news import News
 from sesamepoint.front.sends import Word
 from sesamepoint.platform.names import ENTRY_TOPIC
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint.front.known_engines import KnownEngines
     from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.sends import SendNotes
@@ -39,6 +42,8 @@
         self._cfg = cfg
         self._sends = sends
         self._addresses: dict[str, Address] = {}
+        # Called with what other entries have read in the store.
+        self.hear_news: Callable[[News], None] = _pass_over
 
     def count(self) -> int:
         """Return how many entries are registered, this one included."""
@@ -50,15 +55,16 @@
         for record in records:
             self.update(record)
 
-    def update(self, record: KeyedRecord) -> None:
-        """Take the newest word on one entry."""
-        self._addresses.pop(record.key, None)
+    def update(self, record: KeyedRecord) -> bool:
+        """Take the newest word on one entry; returns whether it is another one."""
+        before = self._addresses.pop(record.key, None)
         if not record.text:
-            return
+            return before is not None
         try:
             self._addresses[record.key] = Address.parse(record.text.decode())
         except ValueError as exc:
             events.log_event(events.RECORD_UNREADABLE, cause=f'entry {record.key}: {exc}')
+        return self._addresses.get(record.key) != before
 
     async def register(self, store: StoreClient) -> None:
         """Tell the other entries, by the store, where this one listens."""
@@ -86,11 +92,23 @@
     def take(self, datagram: bytes) -> None:
         """Take in one datagram; one that no entry of ours sends is logged and dropped."""
         try:
-            word = msgspec.msgpack.decode(datagram, type=Word)
+            word = msgspec.msgpack.decode(datagram, type=Word | News)
         except msgspec.DecodeError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
-        self._sends.heard(word)
+        if isinstance(word, Word):
+            self._sends.heard(word)
+        elif word.entry in self._addresses:
+            self.hear_news(word)
+
+    async def tell_news(self, news: News) -> None:
+        """Tell all other entries what this one has read in the store."""
+        datagram = msgspec.msgpack.encode(news)
+        for address in self._others():
+            await self._tell(datagram, address)
+
+    def _others(self) -> list[Address]:
+        return [address for name, address in self._addresses.items() if name != self._cfg.name]
 
     async def _tell_all(self, word: Word) -> None:
         everything = msgspec.msgpack.encode(word)
@@ -110,7 +128,7 @@
         """
         sends = tuple(send for send in word.sends if self._known.at(peer, send.runner))
         ends = tuple(end for end in word.ends if self._known.at(peer, end.runner))
-        return msgspec.msgpack.encode(word._replace(sends=sends, ends=ends)) if sends or ends else b''
+        return msgspec.msgpack.encode(msgspec.structs.replace(word, sends=sends, ends=ends)) if sends or ends else b''
 
     async def _tell(self, datagram: bytes, address: Address) -> None:
         try:
@@ -119,4 +137,8 @@
             events.log_event(events.PEER_UNREACHABLE, peer=str(address), cause=repr(exc))
 
 
+def _pass_over(_: News) -> None:
+    """Do nothing: topics are not followed yet."""
+
+
 __all__ = ('Peers',)
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -78,7 +78,7 @@
     late: bool = False
 
 
-class Word(NamedTuple):
+class Word(msgspec.Struct, frozen=True, array_like=True, tag='sends'):
     """What one entry tells the others at a time."""
 
     entry: str
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -105,6 +105,13 @@
         """
         query = {'topic': topic, 'part': '0', 'source': str(start), 'wait_ms': str(int(wait_s * MS_PER_S))}
         text = await self._call('GET', '/v1/log-read', query, wait_s)
+        if len(text) < _TWO_OFFSETS.size:
+            raise PlatformUnavailableError('store', 'a reply without offsets')
+        if _TWO_OFFSETS.unpack_from(text)[0] < start:
+            # The log ends before what was read of it: this is another history,
+            # or somebody told of an offset that there never was. To wait for
+            # it would be to hear nothing any more.
+            raise HistoryGoneError
         records = _split(text[_TWO_OFFSETS.size :])
         readable = (_keyed_record(topic, found) for found in records)
         return Newest(tuple(found for found in readable if found), start + len(records))
