Forget entries that are gone; count others' work by the share that meets ours

Cause: an entry's record was written once and never withdrawn: whoever was replaced or lost kept a share of the retry budget for ever, and words went to its address. Now a stop withdraws it; entries say every 3 s that they live, and whoever reads the list drops the record of one not heard for 20 s, if it hears half of the others itself, and has for as long. Found by the test: an entry that heard the others again one by one dropped those it had not heard yet.

In fleets known by shares the lines of all entries were added up as if they waited for the same engines: of 96 engines known by 24 the wait came out four times as long. Others' work now counts by the share known.

Tests: test_entries, SharesTest in test_lines. Failing first: both.

--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -89,6 +89,8 @@
 SETTINGS_RELOADED = _event(1004, logging.INFO, 'settings read again')
 SETTINGS_REFUSED = _event(1005, logging.ERROR, 'changed settings refused, the old ones stay')
 PEER_UNREACHABLE = _event(3401, logging.INFO, 'peer not reached')
+ENTRY_LOST = _event(3403, logging.WARNING, 'entry not heard for long, its record is dropped')
+ENTRY_DROPPED = _event(3404, logging.WARNING, 'record of this entry was dropped, it registers again')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/backlog.py
+++ b/packages/sesamepoint/src/sesamepoint/front/backlog.py
@@ -66,10 +66,14 @@
         """Take what ``entry`` holds, in place of what it told before."""
         self._peers[entry] = _Told(trio.current_time(), held)
 
-    def requests(self, line: Line) -> int:
-        """Return how many requests wait in ``line`` at all entries."""
+    def forget(self, entry: str) -> None:
+        """Drop what ``entry`` told: it has left."""
+        self._peers.pop(entry, None)
+
+    def requests(self, line: Line, share: float = 1) -> float:
+        """Return how many requests wait in ``line``: of the other entries' ones, ``share``."""
         own = sum(held.requests for held in self.own if held.line == line)
-        return own + sum(held.requests for held in self.at_peers(line))
+        return own + share * sum(held.requests for held in self.at_peers(line))
 
     def at_peers(self, line: Line) -> list[Held]:
         """Return what the other entries hold in ``line``."""
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -96,6 +96,10 @@
         """Return how many engines, of ``stage`` if one is given, could serve ``job``."""
         return sum(stage is None or member.runner.stage is stage for member in self._usable(job))
 
+    def share_of(self, service: str, stage: Stage) -> float:
+        """Return the share of the other entries' work that comes to engines known here."""
+        return self._known.share_of(service, stage)
+
     async def until_any(self, service: str) -> None:
         """Wait until some runner of ``service`` is known."""
         await self._known.until_any(service)
@@ -164,7 +168,8 @@
         """
         engines = sum(member.runner.stage is stage for member in members)
         needs = (Need.prefill,) if stage is Stage.prefill else (Need.decode, Need.slot)
-        waiting = sum(self._backlog.requests(Line(job.service, need)) for need in needs)
+        share = self.share_of(job.service, stage)
+        waiting = sum(self._backlog.requests(Line(job.service, need), share) for need in needs)
         return OTHERS_WEIGHT + waiting / max(engines, 1)
 
     def _crowding(self, member: Member) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -71,6 +71,9 @@
             Child('configuration', self.intake.follow_configuration),
             Child('runners', self.intake.follow_runners),
             Child('entries', self.intake.follow_entries),
+            Child('registration', self.intake.stay_registered),
+            Child('lost-entries', self.intake.drop_lost),
+            Child('keep-alive', self.peers.keep_alive),
             Child('peer-listen', self.peers.listen),
             Child('peer-tell', self.peers.tell),
             Child('handles', self._reclaimer.run),
@@ -100,6 +103,7 @@
             # that nothing ran; one more that is let in could be cut off.
             self.listening.cancel()
             self.door.close_idle()
+            await self.intake.withdraw()
             while self.door.active:
                 await trio.sleep(POLL_S)
 
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
+import trio
+
 from sesamepoint import events
 from sesamepoint.front.reading_turns import Pacing
 from sesamepoint.front.watch import Others, Taker, Watch
@@ -42,6 +44,8 @@
 ENTRY_WAIT_S = 1.0
 ENTRY_REST_S = 0.2
 ENTRY_SPREAD_S = 0.5
+# How often lost entries are looked for, in seconds.
+LOOK_S = 1.0
 
 
 class Beliefs(NamedTuple):
@@ -63,6 +67,7 @@
         self._network = network
         self._watches: dict[str, Watch] = {}
         self._registered: dict[str, Runner] = {}
+        self._dropped = trio.Event()
 
     def hear(self, news: News) -> None:
         """Take what another entry has read; of a topic that is not followed yet, nothing."""
@@ -87,9 +92,32 @@
         pacing = Pacing(RUNNER_WAIT_SHARE * span_s, RUNNER_REST_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s)
         await self._follow(RUNNER_TOPIC, pacing, Taker(self._take_runners, self._take_runner))
 
+    async def stay_registered(self) -> None:
+        """Register this entry, and again if its record is dropped, until cancelled.
+
+        The others drop the record of one that they do not hear for long.
+        """
+        client = self._client()
+        while True:
+            self._dropped = trio.Event()
+            await self._beliefs.peers.register(client)
+            await self._dropped.wait()
+
+    async def withdraw(self) -> None:
+        """Take the record of this entry back: it is about to stop."""
+        await self._beliefs.peers.withdraw(self._client())
+
+    async def drop_lost(self) -> None:
+        """Have the records of lost entries dropped, while it is this one's turn to read, until cancelled."""
+        client = self._client()
+        while True:
+            await trio.sleep(LOOK_S)
+            watch = self._watches.get(ENTRY_TOPIC)
+            if watch is not None and watch.turns.reads_for_all:
+                await self._beliefs.peers.drop_lost(client)
+
     async def follow_entries(self) -> None:
-        """Register this entry and learn of the others, until cancelled."""
-        await self._beliefs.peers.register(self._client())
+        """Learn of the other entries, until cancelled."""
         pacing = Pacing(ENTRY_WAIT_S, ENTRY_REST_S, ENTRY_SPREAD_S)
         await self._follow(ENTRY_TOPIC, pacing, Taker(self._take_entries, self._take_entry))
 
@@ -145,12 +173,23 @@
     def _take_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._beliefs.peers.replace_all(records)
         self._share_budget()
+        if all(record.key != self._cfg.name for record in records):
+            self._note_dropped()
 
     def _take_entry(self, record: KeyedRecord) -> bool:
         changed = self._beliefs.peers.update(record)
         self._share_budget()
+        if record.key == self._cfg.name and not record.text:
+            self._note_dropped()
         return changed
 
+    def _note_dropped(self) -> None:
+        """Register again, unless this entry has not yet or no more."""
+        if self._beliefs.peers.registered:
+            self._beliefs.peers.registered = False
+            events.log_event(events.ENTRY_DROPPED)
+            self._dropped.set()
+
     def _share_budget(self) -> None:
         self._beliefs.budgets.share(self._beliefs.peers.count(), self._cfg.retry_reserve)
 
--- a/packages/sesamepoint/src/sesamepoint/front/known_engines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/known_engines.py
@@ -58,6 +58,15 @@
         member = self._fleet.members.get(key)
         return member is not None and self._knows(entry, member.runner)
 
+    def share_of(self, service: str, stage: Stage) -> float:
+        """Return the share of the engines of a stage that one entry knows.
+
+        It is also the share of another entry's work that will come to the
+        engines known here: each knows others.
+        """
+        size = self._fleet.size_of(service, stage)
+        return min(KNOWN / size, 1) if size else 1
+
     def _knows(self, entry: str, runner: Runner) -> bool:
         return is_known(entry, runner.key, self._size(runner), KNOWN)
 
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -164,7 +164,8 @@
         newcomer.update_turn(self._chooser.slot_s(newcomer.job.route.name))
         target_s = newcomer.job.route.target_s
         ahead_s = _work_s(one for one in line if not one.late and one.turn.due_s <= newcomer.turn.due_s)
-        ahead_s += sum(held.work_s for held in self._backlog.at_peers(newcomer.line) if held.target_s <= target_s)
+        at_peers = (held.work_s for held in self._backlog.at_peers(newcomer.line) if held.target_s <= target_s)
+        ahead_s += self._share(newcomer.line) * sum(at_peers)
         begin_s = _start_s(newcomer.line) + ahead_s / self._engines(newcomer)
         newcomer.late = begin_s + newcomer.turn.work_s > newcomer.turn.due_s
         newcomer.note_wait(self.wait_s([*line, newcomer]) if newcomer.late else begin_s)
@@ -172,9 +173,10 @@
     def wait_s(self, line: Sequence[Waiter]) -> float:
         """Return the seconds until all of ``line`` are through, late ones too."""
         at_peers_s = sum(held.work_s + held.late_s for held in self._backlog.at_peers(line[0].line))
-        return _start_s(line[0].line) + (_work_s(line) + at_peers_s) / self._engines(line[0])
+        work_s = _work_s(line) + self._share(line[0].line) * at_peers_s
+        return _start_s(line[0].line) + work_s / self._engines(line[0])
 
-    def rivals(self, line: Line) -> int:
+    def rivals(self, line: Line) -> float:
         """Return how many requests in ``line`` at all entries can be on time."""
         return self._backlog.requests(line)
 
@@ -193,12 +195,15 @@
         """
         held = self._backlog.at_peers(line[0].line)
         own_s = _work_s(line)
+        share = self._share(line[0].line)
         rivals = min(len(held), sum(one.work_s for one in held) / own_s) if own_s else 0
-        return (1 + rivals) / self._engines(line[0])
+        return (1 + share * rivals) / self._engines(line[0])
 
     def _engines(self, waiter: Waiter) -> int:
-        stage = Stage.prefill if waiter.line.need is Need.prefill else Stage.decode
-        return max(self._chooser.engines(waiter.job, stage), 1)
+        return max(self._chooser.engines(waiter.job, _stage_of(waiter.line)), 1)
+
+    def _share(self, line: Line) -> float:
+        return self._chooser.share_of(line.service, _stage_of(line))
 
 
 def must_wait(plan: EnginePlan) -> bool:
@@ -213,6 +218,10 @@
     return Line(job.service, Need.decode if plan.prefill is None else Need.prefill)
 
 
+def _stage_of(line: Line) -> Stage:
+    return Stage.prefill if line.need is Need.prefill else Stage.decode
+
+
 def _start_s(line: Line) -> float:
     """Return the seconds until an engine is free, while others wait for it."""
     return 0 if line.need is Need.slot else HOLD_ABOVE_S
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -10,9 +10,11 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
+from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
 from sesamepoint.front.sends import Word
 from sesamepoint.platform.names import ENTRY_TOPIC
+from sesamepoint.platform.store import KeyedRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +23,7 @@
     from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.sends import SendNotes
     from sesamepoint.front.settings import FrontSettings
-    from sesamepoint.platform.store import KeyedRecord, StoreClient
+    from sesamepoint.platform.store import StoreClient
 
 # Sends are gathered for this long, in seconds, before peers are told: short
 # against the work they stand for (tens of ms), long against a datagram.
@@ -30,6 +32,11 @@
 # Told at once, it took ten datagrams a request and half of the processor.
 LAZY_S = 0.05
 REGISTER_AGAIN_S = 1.0
+# A stop waits for the store no longer than this, in seconds; when it answers,
+# it does so in milliseconds.
+WITHDRAW_S = 0.3
+# How often the entries are looked through for those that hear nothing, in seconds.
+LOOK_S = 1.0
 
 
 class Peers:
@@ -41,6 +48,8 @@
         self._network = network
         self._cfg = cfg
         self._sends = sends
+        self.members = Membership(cfg.name)
+        self.registered = False
         self._addresses: dict[str, Address] = {}
         # Called with what other entries have read in the store.
         self.hear_news: Callable[[News], None] = _pass_over
@@ -51,30 +60,55 @@
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take the whole list of entries."""
-        self._addresses.clear()
+        for name in self._addresses.keys() - {record.key for record in records}:
+            self.update(KeyedRecord(name, b''))
         for record in records:
             self.update(record)
 
     def update(self, record: KeyedRecord) -> bool:
         """Take the newest word on one entry; returns whether it is another one."""
         before = self._addresses.pop(record.key, None)
-        if not record.text:
+        address = _address(record)
+        if address is None:
+            self.members.leave(record.key)
+            self._sends.backlog.forget(record.key)
             return before is not None
-        try:
-            self._addresses[record.key] = Address.parse(record.text.decode())
-        except ValueError as exc:
-            events.log_event(events.RECORD_UNREADABLE, cause=f'entry {record.key}: {exc}')
-        return self._addresses.get(record.key) != before
+        self._addresses[record.key] = address
+        self.members.join(record.key, trio.current_time())
+        return address != before
 
     async def register(self, store: StoreClient) -> None:
         """Tell the other entries, by the store, where this one listens."""
         own = str(Address(self._cfg.host, self._cfg.peer_port)).encode()
-        while True:
-            try:
-                return await store.put(ENTRY_TOPIC, self._cfg.name, own)
-            except PlatformUnavailableError as exc:
-                events.log_event(events.REGISTER_FAILED, cause=str(exc))
+        while not await self._put(store, self._cfg.name, own):
             await trio.sleep(REGISTER_AGAIN_S)
+        self.registered = True
+
+    async def withdraw(self, store: StoreClient) -> None:
+        """Take the record of this entry back, as far as the store answers soon.
+
+        Without that the others share the retry budget with it, and send it
+        words, until they miss it.
+        """
+        self.registered = False
+        with trio.move_on_after(WITHDRAW_S):
+            await self._put(store, self._cfg.name, b'')
+
+    async def drop_lost(self, store: StoreClient) -> None:
+        """Drop the records of entries that nothing is heard of any more."""
+        for lost in self.members.lost(trio.current_time()):
+            events.log_event(events.ENTRY_LOST, entry=lost.name, silent_s=round(lost.silent_s, 1))
+            if not await self._put(store, lost.name, b''):
+                return
+
+    async def keep_alive(self) -> None:
+        """Let those hear of this entry whom nothing else was told, until cancelled."""
+        nothing = msgspec.msgpack.encode(Word(self._cfg.name, (), ()))
+        while True:
+            await trio.sleep(LOOK_S)
+            self.members.listen(trio.current_time())
+            for name in self.members.untold(trio.current_time()):
+                await self._tell(nothing, name)
 
     async def listen(self) -> None:
         """Take in peers' words until cancelled."""
@@ -96,29 +130,28 @@
         except msgspec.DecodeError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
+        self.members.heard(word.entry, trio.current_time())
         if isinstance(word, Word):
             self._sends.heard(word)
-        elif word.entry in self._addresses:
+        elif word.entry in self.members:
             self.hear_news(word)
 
     async def tell_news(self, news: News) -> None:
         """Tell all other entries what this one has read in the store."""
         datagram = msgspec.msgpack.encode(news)
-        for address in self._others():
-            await self._tell(datagram, address)
+        for name in self._others():
+            await self._tell(datagram, name)
 
-    def _others(self) -> list[Address]:
-        return [address for name, address in self._addresses.items() if name != self._cfg.name]
+    def _others(self) -> list[str]:
+        return [name for name in self._addresses if name != self._cfg.name]
 
     async def _tell_all(self, word: Word) -> None:
         everything = msgspec.msgpack.encode(word)
         whole = self._known.whole
-        for name, address in tuple(self._addresses.items()):
-            if name == self._cfg.name:
-                continue
+        for name in self._others():
             datagram = everything if whole else self._concerning(name, word)
             if datagram:
-                await self._tell(datagram, address)
+                await self._tell(datagram, name)
 
     def _concerning(self, peer: str, word: Word) -> bytes:
         """Return the part of ``word`` that concerns ``peer``, if any.
@@ -130,13 +163,36 @@
         ends = tuple(end for end in word.ends if self._known.at(peer, end.runner))
         return msgspec.msgpack.encode(msgspec.structs.replace(word, sends=sends, ends=ends)) if sends or ends else b''
 
-    async def _tell(self, datagram: bytes, address: Address) -> None:
+    async def _put(self, store: StoreClient, name: str, text: bytes) -> bool:
+        try:
+            await store.put(ENTRY_TOPIC, name, text)
+        except PlatformUnavailableError as exc:
+            events.log_event(events.REGISTER_FAILED, entry=name, cause=str(exc))
+            return False
+        return True
+
+    async def _tell(self, datagram: bytes, name: str) -> None:
+        address = self._addresses.get(name)
+        if address is None:
+            # It has left while others were told.
+            return
+        self.members.told(name, trio.current_time())
         try:
             await self._network.send(datagram, address)
         except OSError as exc:
             events.log_event(events.PEER_UNREACHABLE, peer=str(address), cause=repr(exc))
 
 
+def _address(record: KeyedRecord) -> Address | None:
+    if not record.text:
+        return None
+    try:
+        return Address.parse(record.text.decode())
+    except ValueError as exc:
+        events.log_event(events.RECORD_UNREADABLE, cause=f'entry {record.key}: {exc}')
+    return None
+
+
 def _pass_over(_: News) -> None:
     """Do nothing: topics are not followed yet."""
 
--- a/tests/front/test_lines.py
+++ b/tests/front/test_lines.py
@@ -6,8 +6,10 @@
 
 import trio
 
+from sesamepoint_core.serving.runner import Stage
 from sesamepoint.front.backlog import BELIEVED_S, Held, Line, Need
-from sesamepoint.front.lines import Waiter
+from sesamepoint.front.known_engines import KNOWN
+from sesamepoint.front.lines import HOLD_ABOVE_S, Waiter
 from tests.front.waiters import LONG, SHORT, LinesBed
 from tests.virtual import virtual
 
@@ -66,6 +68,26 @@
         return newcomer.late
 
 
+class SharesTest(TestCase):
+    """Entries of a large fleet, each of which knows a share of it."""
+
+    @virtual
+    async def test_work_of_others_by_share(self) -> None:
+        """Of 96 engines each entry knows some 24, and others hold 9.6 s of work.
+
+        A quarter of it will come to the engines known here. Counted whole, as
+        if all entries knew the same engines, the wait came out four times as
+        long, and callers were refused that could have been served.
+        """
+        bed = LinesBed(readers=4 * KNOWN)
+        engines = sum(member.runner.stage is Stage.prefill for member in bed.known.of_service('llm'))
+        bed.backlog.heard('front-2', (Held(PREFILL, LONG.target_s, 32, 9.6),))
+        waiter = bed.waiter(LONG, work_s=0.3)
+        self.assertAlmostEqual(bed.lines.wait_s([waiter]), HOLD_ABOVE_S + (9.6 / 4 + 0.3) / engines)
+        bed.lines.receive(waiter, [])
+        self.assertFalse(waiter.late)
+
+
 class ReturnedTest(TestCase):
     """Callers that come back: late at once, and before all others when it is now or never."""
 
--- a/tests/front/waiters.py
+++ b/tests/front/waiters.py
@@ -1,4 +1,4 @@
-"""Builders of waiting requests, before two prefill engines and one that decodes."""
+"""Builders of waiting requests, before prefill engines and one that decodes."""
 
 from __future__ import annotations
 
@@ -36,14 +36,15 @@
 class LinesBed:
     """Lines before a fleet of engines, and a backlog to tell words of peers to."""
 
-    def __init__(self) -> None:
-        """Start with nobody waiting."""
+    def __init__(self, readers: int = 2) -> None:
+        """Start with nobody waiting, before ``readers`` engines that only prefill."""
         self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time)
-        for number, stage in enumerate((Stage.prefill, Stage.prefill, Stage.decode)):
+        for number, stage in enumerate((*(Stage.prefill for _ in range(readers)), Stage.decode)):
             address = Address('10.0.0.1', number)
             self.fleet.update(Runner(f'i-{number}', 'llm', address, 'z1', 24, leaving=False, stage=stage))
         self.backlog = Backlog()
-        self.lines = Lines(Chooser(KnownEngines('front-1', self.fleet), 'z1', self.backlog), self.backlog)
+        self.known = KnownEngines('front-1', self.fleet)
+        self.lines = Lines(Chooser(self.known, 'z1', self.backlog), self.backlog)
 
     def waiter(self, route: Route, work_s: float, *, returned: bool = False) -> Waiter:
         """Return a request that waits for a prefill engine to read it for ``work_s``."""
@@ -60,7 +61,7 @@
         members = list(self.fleet.members.values())
         view = EngineView('i-0', Stage.prefill, 0.1, 1000)
         path = Path('i-0', 'i-2', 0.1 + work_s + REST_S, work_s, 1.0)
-        return _two_step(members[0], members[2], view, path)
+        return _two_step(members[0], members[-1], view, path)
 
 
 def _two_step(prefill: Member, decode: Member, view: EngineView, path: Path) -> EnginePlan:
