Bound retries over a window; avoid engines that lose answers; read again apart

(2) Each entry sends one request every 2 s to each engine, so it learns which ones lose answers when that is over. (3) Prompts whose reading failed all ran whole at engines that decode, at half the speed, not held: waits of 2 to 4 s there.

Change: what requests of the window earned stays good for the window, and the reserve is there once; entries tell each other lost answers, and a path costs what a lost answer costs, by the share lost lately; a failed read is done again by another reader if the budget has room.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -47,6 +47,9 @@
 # for its place. Between, as this power of the share of places taken.
 SLOWING_SHARE = 0.05
 SLOWING_POWER = 4.0
+# What it costs that reading a prompt apart fails, as a share of the cost of a
+# lost answer: it is read again, somewhat later.
+REREAD_SHARE = 0.3
 # The cost of a place that is not free, in seconds: used only if all are so.
 CROWDED_S = 2.0
 
@@ -74,6 +77,8 @@
         Observed over expected times, lately.
     order
         Its place among decode runners in taking prompts read elsewhere.
+    lost_share
+        Share of its answers that is lost, as all entries see it lately.
     """
 
     runner: str
@@ -87,6 +92,7 @@
     crowded: bool = False
     pace: float = 1.0
     order: int = 0
+    lost_share: float = 0
 
 
 class Path(NamedTuple):
@@ -126,6 +132,8 @@
         What a late answer costs, in seconds of waiting.
     on_time_s
         Within this the first token must come; 0 if it is too late for that.
+    lost_cost_s
+        What a lost answer costs, in seconds of waiting.
     prefill_price, decode_price
         What a second of an engine of that stage costs those that wait for
         one, in seconds of waiting.
@@ -136,6 +144,7 @@
     pause_s: float = 0
     plain_pause_s: float = 0
     late_cost_s: float = 0
+    lost_cost_s: float = 0
     on_time_s: float = 0
     prefill_price: float = OTHERS_WEIGHT
     decode_price: float = OTHERS_WEIGHT
@@ -178,7 +187,8 @@
     disturbed += (SLOWING_SHARE + view.fill**SLOWING_POWER) * view.streams * work_s
     own_pause = _own_pause_cost_s(reading_s, first_s, speeds)
     cost = first_s + speeds.decode_price * work_s + _late_cost_s(first_s, speeds)
-    return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause + _crowding_s(view))
+    cost += _crowding_s(view) + view.lost_share * speeds.lost_cost_s
+    return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause)
 
 
 def _two_step(view: EngineView, second: tuple[float, str], speeds: Speeds, prompt_tokens: int) -> Path:
@@ -186,6 +196,8 @@
     transfer_s = prompt_tokens / speeds.transfer_tokens_s + _fetch_s(view, speeds)
     first_s = speeds.reading.overhead_s + view.wait_s + work_s + transfer_s + SECOND_STEP_S
     cost = first_s + second[0] + speeds.prefill_price * (work_s + transfer_s)
+    # A prompt that was not read can be read elsewhere.
+    cost += REREAD_SHARE * view.lost_share * speeds.lost_cost_s
     return Path(view.runner, second[1], first_s, work_s, cost + _late_cost_s(first_s, speeds))
 
 
@@ -196,7 +208,8 @@
 def _second_step_cost(view: EngineView, speeds: Speeds) -> float:
     """Return what a run whose prompt was read elsewhere suffers here."""
     late_s = _late_pause_cost_s(max(view.wait_s, view.read_lately_s), speeds)
-    return view.wait_s + late_s + _crowding_s(view) + ORDER_S * view.order
+    risk_s = view.lost_share * speeds.lost_cost_s
+    return view.wait_s + late_s + risk_s + _crowding_s(view) + ORDER_S * view.order
 
 
 def _late_cost_s(first_s: float, speeds: Speeds) -> float:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -41,6 +41,7 @@
         config_s=2.0,
         retry_ratio=0.2,
         retry_reserve=50.0,
+        retry_window_s=10.0,
         store=StoreSettings(STORE),
     )
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from itertools import accumulate
+from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
@@ -65,6 +66,8 @@
     hangs: bool = False
     breaks_at_event: int | None = None
     breaks_before_answer: bool = False
+    # Share of the requests that run and whose answers are lost, as a reset.
+    loses: float = 0
     answers_twice: bool = False
     unsigned: bool = False
 
@@ -98,6 +101,7 @@
         self._places = trio.Semaphore(self.speed.slots)
         self._read_s: float = 0
         self._handles: dict[str, str] = {}
+        self._rng = Random(self.key)
 
     @property
     def record(self) -> dict[str, object]:
@@ -178,6 +182,9 @@
             await trio.sleep_forever()
         if self.faults.breaks_before_answer:
             return _reset(transport)
+        if self.faults.loses > self._rng.random():
+            await trio.sleep(self.work_s)
+            return _reset(transport)
         if header(run.message.head.headers, names.TOKEN_COUNTS) is None:
             return await self._answer_plain(conn, run, transport)
         return await self._answer_prompt(conn, run, transport)
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -17,6 +17,7 @@
     best_second_step,
 )
 from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
+from sesamepoint_core.serving.routes import Repeat
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint.front.backlog import Line, Need
 
@@ -42,6 +43,11 @@
 # late ones wait behind all others, so that they make no others late.
 MAX_RANK = 4
 LATE_RANK = 8
+# What a lost answer costs against the time in which one is on time; to be late
+# costs twice that time, and keeps a third of the worth.
+LOST_WEIGHT = 4.0
+# The same, as a share of that, for what may go on elsewhere.
+REPEATED_SHARE = 0.3
 # Fewer tokens than this are read sooner than fetched: a fetch takes 25 ms, in
 # which engines of today read 900 tokens and more.
 MIN_FETCH_TOKENS = 1000
@@ -122,11 +128,11 @@
         """Return the path of least cost.
 
         What would be late on it goes behind all that would not. A prompt that
-        was sent before runs whole: only the first call to read it apart is
-        free, a second one is an arrival that the retry budget has no room for.
+        was sent before runs whole, unless the retry budget had room to read it
+        apart once more: only the first call to do so is free.
         """
         members = self._usable(job)
-        if job.prompt_sent:
+        if not job.may_read_apart:
             members = [member for member in members if member.runner.stage is Stage.decode]
         speeds = self._speeds_of(job, cfg)._replace(
             prefill_price=self._price(job, members, Stage.prefill),
@@ -185,10 +191,18 @@
             pause_s=job.route.pause_s,
             plain_pause_s=self.pauses(job.service).plain_s,
             late_cost_s=job.route.target_s,
+            lost_cost_s=_lost_cost_s(job),
             on_time_s=job.on_time_s,
         )
 
 
+def _lost_cost_s(job: Job) -> float:
+    cost_s = LOST_WEIGHT * job.route.target_s
+    if job.route.repeat is not Repeat.never and job.sends + 1 < job.route.max_attempts:
+        cost_s *= REPEATED_SHARE
+    return cost_s
+
+
 def urgency(job: Job) -> int:
     """Return the rank at an engine of a request that its route gives it."""
     return min(job.route.priority, MAX_RANK)
@@ -246,6 +260,7 @@
             fetch_tokens=known - cached,
             pace=member.pace.factor(self._now),
             order=self._order.get(runner.key, 0),
+            lost_share=member.losses.share(self._now),
         )
 
     def _crowded(self, member: Member) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/decision_fields.py
+++ b/packages/sesamepoint/src/sesamepoint/front/decision_fields.py
@@ -17,8 +17,6 @@
         'path': path,
         'reader': plan.view.runner,
         'shared': prompt.parts[-2].key if len(prompt.parts) > 1 else '',
-        'tokens': prompt.tokens,
-        'answer_tokens': prompt.max_output,
         'work_ms': whole_ms(plan.path.work_s),
         'expected_ms': whole_ms(plan.path.first_s),
         'wait_ms': whole_ms(plan.view.wait_s),
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sesamepoint_core.admit.budget import RetryBudget
+from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.serving.routes import Repeat
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
@@ -48,19 +48,20 @@
 class Budgets:
     """One retry budget a service, a share of what all entries may spend."""
 
-    def __init__(self, ratio: float, reserve: float) -> None:
-        """Allow ``ratio`` of requests, and ``reserve`` at once."""
-        self._ratio = ratio
-        self._reserve = reserve
-        self._of_service: dict[str, RetryBudget] = {}
+    def __init__(self, ratio: float, window_s: float) -> None:
+        """Allow ``ratio`` of the requests of each window; nothing more before it is known what there is to share."""
+        self._ratio = BUDGET_SHARE * ratio
+        self._reserve: float = 0
+        self._window_s = window_s
+        self._of_service: dict[str, WindowBudget] = {}
 
-    def earn(self, service: str) -> RetryBudget:
+    def earn(self, service: str) -> WindowBudget:
         """Count a request and return the budget of its service."""
         budget = self._of_service.get(service)
         if budget is None:
-            budget = RetryBudget(self._reserve)
+            budget = WindowBudget(self._ratio, self._reserve, self._window_s, trio.current_time)
             self._of_service[service] = budget
-        budget.earn(BUDGET_SHARE * self._ratio)
+        budget.earn()
         return budget
 
     def share(self, entries: int, reserve: float) -> None:
@@ -149,7 +150,7 @@
             newest = following
         return newest
 
-    async def _try(self, job: Job, cfg: Configuration, budget: RetryBudget) -> AttemptResult | None:
+    async def _try(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
         if job.req.prompt is not None:
             return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
         member = self._chooser.plain(job)
@@ -225,6 +226,8 @@
         pause_ms=whole_ms(notes.longest_pause_s),
         pause_limit_ms=whole_ms(job.route.pause_s),
         cause=notes.cause,
+        tokens=job.req.prompt.tokens if job.req.prompt else 0,
+        answer_tokens=job.req.prompt.max_output if job.req.prompt else 0,
         **notes.decision,
     )
 
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -12,14 +12,14 @@
 from sesamepoint.front.attempt import Target
 from sesamepoint.front.choice import LATE_RANK
 from sesamepoint.front.decision_fields import decision_fields
-from sesamepoint.front.prefill import Prefilled, prefill
-from sesamepoint.front.results import Relayed
+from sesamepoint.front.prefill import Prefilled, PrefillFailed, prefill
+from sesamepoint.front.results import Rejected, Relayed, Unsent
 from sesamepoint.front.sends import NewLoad
 from sesamepoint.front.tries import attempt, note_failure, note_replaced, patience_s, target_for
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
-    from sesamepoint_core.admit.budget import RetryBudget
+    from sesamepoint_core.admit.window_budget import WindowBudget
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
 
@@ -32,6 +32,12 @@
     from sesamepoint.front.waiting import WaitingRoom
 
 
+# Share of the time until its caller leaves for which a prompt may be read
+# apart. Reading may be done again: an engine that never answered kept callers of
+# long prompts until they left, since four times the expected time was longer.
+READ_SHARE = 0.5
+
+
 class EngineTools(NamedTuple):
     """What the paths need besides the job."""
 
@@ -56,7 +62,7 @@
         job: Job,
         prompt: Prompt,
         cfg: Configuration,
-        budget: RetryBudget,
+        budget: WindowBudget,
     ) -> AttemptResult | None:
         """Have ``job`` served on the best path; None if there is none."""
         plan = await self._wait_for_plan(job, prompt, cfg)
@@ -64,14 +70,31 @@
             return await self._whole(job, prompt, plan)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
         if prefilled is None:
-            # Unlike the first call to read a prompt, a failed one counts as
-            # an extra arrival.
-            budget.charge()
-            return await self._whole(job, prompt, self._chooser.engine(job, prompt, cfg))
+            return await self._after_failed_read(job, prompt, cfg, budget)
         # Reading took a while; the engine that was idle then may be busy now.
         decode = self._chooser.second_step(job, prompt, cfg)
         return await self._decode(job, prompt, plan._replace(decode=decode or plan.decode), prefilled)
 
+    async def _after_failed_read(
+        self,
+        job: Job,
+        prompt: Prompt,
+        cfg: Configuration,
+        budget: WindowBudget,
+    ) -> AttemptResult | None:
+        """Have the prompt read apart at another engine, or run whole.
+
+        Engines that decode read at half the speed, between the answers of
+        others. While engines that read lost four answers in ten, all of them
+        ran whole at once: long prompts waited 2 to 4 s there, until their
+        callers left.
+        """
+        # Unlike the first call to read a prompt, a failed one counts as an
+        # extra arrival.
+        budget.charge()
+        job.may_read_apart = budget.spend()
+        return await self.attempt(job, prompt, cfg, budget)
+
     async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Hold the request here until its best engine has nearly got to it.
 
@@ -90,7 +113,7 @@
                 job.note_no_runner()
             return None
         job.notes.decision.update(decision_fields(plan, prompt, 'whole'))
-        job.prompt_sent = True
+        job.may_read_apart = False
         started = trio.current_time()
         end = self._begin(plan, prompt, plan.decode, plan.path.work_s)
         target = self._target(job, plan)
@@ -98,22 +121,27 @@
             sending=target.sending._replace(fetch_from=plan.fetch_from),
             on_sign=partial(self._note_sign, job, plan, end, started),
         )
+        became: AttemptResult | None = None
         try:
-            return await attempt(job, target)
+            became = await attempt(job, target)
         finally:
-            self._end_stream(job, end, started)
+            self._end_stream(job, end._replace(lost=_lost(job, became)), started)
+        return became
 
     async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | None:
         job.notes.decision.update(decision_fields(plan, prompt, 'two-step'))
-        job.prompt_sent = True
+        job.may_read_apart = False
+        job.tried.add(member.runner.key)
         end = self._begin(plan, prompt, member, plan.path.work_s)
         sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
-        target = Target(member, sending, patience_s(plan.path.first_s, engine=True))
+        allowed_s = min(patience_s(plan.path.first_s, engine=True), READ_SHARE * job.first_left_s)
+        target = Target(member, sending, allowed_s)
         started = trio.current_time()
+        found: Prefilled | PrefillFailed | None = None
         try:
             found = await prefill(job.req, target, job.reply)
         finally:
-            self._sends.end(end._replace(finished=True))
+            self._sends.end(end._replace(finished=True, lost=_unread(found)))
         if isinstance(found, Prefilled):
             self._learn(job, prompt, plan, member, trio.current_time() - started)
             return found
@@ -138,7 +166,7 @@
         try:
             became = await attempt(job, target)
         finally:
-            self._end_stream(job, end, started)
+            self._end_stream(job, end._replace(lost=_lost(job, became)), started)
             if not isinstance(became, Relayed):
                 self._reclaimer.drop(prefilled)
         return became
@@ -177,4 +205,21 @@
             self._chooser.speed(job.service).observe(plan.view.fresh_tokens, prompt.tokens, took_s)
 
 
+def _lost(job: Job, became: AttemptResult | None) -> bool | None:
+    """Tell whether an engine lost the answer; None if it had no chance to give it."""
+    if became is None:
+        # Its time ran out before any sign of an answer, or its caller left.
+        return True if job.notes.first_at is None and job.first_left_s <= 0 else None
+    if isinstance(became, Unsent | Rejected):
+        return None
+    return not isinstance(became, Relayed)
+
+
+def _unread(found: Prefilled | PrefillFailed | None) -> bool | None:
+    """Tell whether an engine failed to read a prompt; None if it was not asked, or not it."""
+    if found is None or isinstance(found, Prefilled):
+        return None if found is None else False
+    return None if found.replaced else True
+
+
 __all__ = ('EngineRuns', 'EngineTools')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -54,7 +54,7 @@
         self.peers = Peers(cfg, sends, known, peer_network)
         self._reclaimer = HandleReclaimer()
         self._inventory = Inventory(self.fleet, known, rng)
-        budgets = Budgets(cfg.retry_ratio, cfg.retry_reserve)
+        budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
         chooser = Chooser(known, cfg.availability_zone, sends.backlog)
         self._waiting = WaitingRoom(chooser, sends, rng)
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -79,7 +79,8 @@
         self.tried: set[str] = set()
         self.notes = Notes()
         self.refused = False
-        self.prompt_sent = False
+        # Whether its prompt may be read apart: the first time it is free.
+        self.may_read_apart = True
         self.retry_after_s = SOON_S
 
     def note_no_runner(self) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -8,6 +8,7 @@
 from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.health import Health
 from sesamepoint_core.serving.kv_cache import CacheModel
+from sesamepoint_core.serving.losses import LossMeter
 from sesamepoint.front.pool import Pool
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
         self.pool = Pool(runner.address, network)
         self.health = Health()
         self.load = EngineLoad()
+        self.losses = LossMeter()
         self.cache = CacheModel(kv_tokens)
         self.kv_tokens = kv_tokens
         self.pace = Pace()
--- a/packages/sesamepoint/src/sesamepoint/front/sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/sends.py
@@ -61,12 +61,20 @@
 
 
 class End(NamedTuple):
-    """The end of a send: its prompt is read, or all is ``finished``."""
+    """The end of a send: its prompt is read, or all is ``finished``.
+
+    Parameters
+    ----------
+    lost
+        Whether the engine failed to give what was asked of it; None if that
+        can't be told, as of a request whose caller has left.
+    """
 
     serial: int
     runner: str
     finished: bool
     born_ms: StartMs = 0
+    lost: bool | None = None
 
 
 class NewLoad(NamedTuple):
@@ -171,6 +179,8 @@
         member.cache.read(name)
         if end.finished:
             member.load.finished(name)
+        if end.lost is not None:
+            member.losses.note(trio.current_time(), lost=end.lost)
 
 
 def _name(entry: str, serial: int) -> str:
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -29,8 +29,8 @@
         Time between the signal to stop and the end by force.
     config_s
         Within this a new configuration must be in force.
-    retry_ratio, retry_reserve
-        In a window that the platform sets, all entries together may send
+    retry_ratio, retry_reserve, retry_window_s
+        In each window of ``retry_window_s`` all entries together may send
         again ``retry_ratio`` of the requests, and ``retry_reserve`` more.
     """
 
@@ -45,6 +45,7 @@
     config_s: float
     retry_ratio: float
     retry_reserve: float
+    retry_window_s: float
     store: StoreSettings
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -60,6 +60,7 @@
         retry_ratio=float(pairs['bounds.retry_ratio']),
         # Named like a pause; it is a number of requests.
         retry_reserve=float(pairs['bounds.budget_slack']),
+        retry_window_s=float(pairs['bounds.budget_window_s']),
         store=StoreSettings(Address.parse(pairs['platform.address'])),
     )
 
