Explain a caller's requests without an id; price transfers between zones

A transfer between zones takes twice as long, and is now priced so when the second engine is chosen.

--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -7,6 +7,7 @@
   sesamectl show --deployment NAME --log URL [--json]
   sesamectl explain --entry ADDRESS [--json]
   sesamectl explain REQUEST-ID [--logs FILE]
+  sesamectl explain --caller IP [--route ROUTE] [--at TIME] [--within SECONDS] [--logs FILE]
   sesamectl burn [--logs FILE] [--objective PERCENT] [--window SECONDS] [--html FILE]
   sesamectl loss [--logs FILE] [--late-share SHARE] [--window SECONDS] [--html FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
@@ -27,6 +28,10 @@
   --compare NAMES      Policies, with commas, on the same arrivals.
   --seed N             Seed of the arrivals and of all choices [default: 1].
   --entry ADDRESS      An entry's metrics address, as IP:PORT.
+  --caller IP          A caller's address, for requests whose ids nobody has.
+  --route ROUTE        Only requests of this route.
+  --at TIME            About when the request ended, as HH:MM:SS of the logs.
+  --within SECONDS     How far from that it may lie [default: 60].
   --logs FILE          Logs of all front processes; by default standard input.
   --objective PERCENT  Share of requests that has to be on time [default: 95].
   --window SECONDS     Length of the windows that are looked at [default: 10].
--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -9,9 +10,14 @@
 
 from sesamepoint.control.decisions import Decision
 from sesamepoint.platform.http import HttpCaller
+from sesamepoint.settings_error import SettingsError
 from sesamepoint.single_error import single_error
+from sesamectl.caller_search import Search, find_requests
 from sesamectl.commands.base import COMMANDS, Arguments
+from sesamectl.commands.figures import figure
+from sesamectl.ended import read_ended, second_of_day
 from sesamectl.log_lines import opened_logs
+from sesamectl.loss_text import notes
 from sesamectl.request_walk import explain_request
 
 if TYPE_CHECKING:
@@ -26,6 +32,8 @@
     """Show the decisions that one entry remembers, or one request's way."""
     if arguments['REQUEST-ID']:
         return _walk(arguments)
+    if arguments['--caller']:
+        return _search(arguments)
     caller = HttpCaller('entry', f'http://{arguments["--entry"]}')
     with single_error():
         reply = trio.run(caller.call, 'GET', '/decisions', b'', TIMEOUT_S)
@@ -40,6 +48,20 @@
         return explain_request(arguments['REQUEST-ID'], logs)
 
 
+def _search(arguments: Arguments) -> str:
+    at = arguments['--at']
+    try:
+        ended_s = second_of_day(at) if at else None
+    except ValueError as exc:
+        raise SettingsError(f'--at is {at}', 'give the time as the logs have it, as HH:MM:SS') from exc
+    within_s = figure(arguments, '--within', math.inf)
+    search = Search(arguments['--caller'], arguments['--route'] or '', ended_s, within_s)
+    with opened_logs(arguments['--logs']) as logs:
+        read = read_ended(logs)
+    found = find_requests(search, read.ended)
+    return '\n'.join([*(found or ['no request of that caller in the logs']), *notes(read)])
+
+
 def _lines(decision: Decision) -> Iterator[str]:
     under = f'version {decision.version}, fencing number {decision.fence}'
     yield f'{decision.at:.1f} s {decision.kind} {decision.subject} ({under}): {decision.choice}'
--- a/packages/sesamectl/src/sesamectl/ended.py
+++ b/packages/sesamectl/src/sesamectl/ended.py
@@ -18,6 +18,8 @@
 FIRST_REDIRECT = 300
 # As the log output writes times.
 TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
+SECONDS_A_MINUTE = 60
+SECONDS_AN_HOUR = 3600
 
 
 class Ended(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,6 +63,8 @@
     work_ms: int = 0
     wait_expected_ms: int | None = None
     need: str = ''
+    caller: str = ''
+    runners: tuple[str, ...] = ()
     tokens: int = 0
     answer_tokens: int = 0
 
@@ -69,6 +73,11 @@
         """Return when it ended, in seconds of the process's time of day."""
         return time_s(self.asctime)
 
+    @property
+    def second_of_day(self) -> float:
+        """Return when it ended, in seconds since midnight."""
+        return second_of_day(self.asctime)
+
 
 class EndedRead(msgspec.Struct):
     """All ends that logs tell, and what was left out of them.
@@ -119,6 +128,12 @@
     return 'failed' if fields.get('unfinished') or status >= FIRST_REDIRECT else 'late'
 
 
+def second_of_day(written: str) -> float:
+    """Return the seconds since midnight of a time as the log output writes it, or its part after the date."""
+    hours, minutes, seconds = written.rpartition(' ')[2].replace(',', '.').split(':')
+    return int(hours) * SECONDS_AN_HOUR + int(minutes) * SECONDS_A_MINUTE + float(seconds)
+
+
 def time_s(written: str) -> float:
     """Return the seconds of a time as the log output writes it."""
     return datetime.strptime(written, TIME_FORMAT).timestamp()
@@ -150,4 +165,4 @@
     return figure if isinstance(figure, int) else 0
 
 
-__all__ = ('FIRST_REDIRECT', 'Ended', 'EndedRead', 'outcome_of', 'read_ended', 'time_s')
+__all__ = ('FIRST_REDIRECT', 'Ended', 'EndedRead', 'outcome_of', 'read_ended', 'second_of_day', 'time_s')
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -19,6 +19,9 @@
 # Seconds that taking parts of a prompt over from another engine adds besides
 # the transfer; measured at 25 ms on engines of today.
 FETCH_S = 0.025
+# A transfer between zones takes so many times as long as within one, and the
+# bytes of it are paid for (published by the engines' operator).
+AWAY_FACTOR = 2.0
 # Runs whose prompts were read elsewhere bring memory that pushes shared parts
 # out of their decode runner. Each step in the order of decode runners costs
 # this many seconds, so that such runs gather at the first ones, and the
@@ -77,6 +80,8 @@
         Observed over expected times, lately.
     order
         Its place among decode runners in taking prompts read elsewhere.
+    zone
+        Its availability zone.
     lost_share
         Share of its answers that is lost, as all entries see it lately.
     """
@@ -92,6 +97,7 @@
     crowded: bool = False
     pace: float = 1.0
     order: int = 0
+    zone: str = ''
     lost_share: float = 0
 
 
@@ -159,22 +165,39 @@
     """Yield whole paths, and for each prefill runner its best second step.
 
     The second step of a path depends on the first only by the transfer, so
-    one decode runner is the best for all prefill runners.
+    one decode runner is the best for all prefill runners of a zone.
     """
     decoders = [view for view in views if view.stage is Stage.decode]
     if not decoders:
         return
-    second = best_second_step(decoders, speeds)
+    seconds: dict[str, SecondStep] = {}
     for view in views:
         if view.stage is Stage.prefill:
-            yield _two_step(view, second, speeds, prompt_tokens)
+            if view.zone not in seconds:
+                seconds[view.zone] = best_second_step(decoders, speeds, view.zone, prompt_tokens)
+            yield _two_step(view, seconds[view.zone], speeds, prompt_tokens)
         elif view.stage is Stage.decode:
             yield _whole(view, speeds, prompt_tokens)
 
 
-def best_second_step(decoders: Sequence[EngineView], speeds: Speeds) -> tuple[float, str]:
-    """Return the cost and the runner of the best place for a prompt read elsewhere."""
-    return min((_second_step_cost(view, speeds), view.runner) for view in decoders)
+class SecondStep(NamedTuple):
+    """A place for a prompt that was read elsewhere.
+
+    Parameters
+    ----------
+    transfer_s
+        Seconds that its memory takes to get there.
+    """
+
+    cost: float
+    runner: str
+    transfer_s: float
+
+
+def best_second_step(decoders: Sequence[EngineView], speeds: Speeds, zone: str, tokens: int) -> SecondStep:
+    """Return the best place for a prompt of ``tokens`` that was read in ``zone``."""
+    near_s = tokens / speeds.transfer_tokens_s
+    return min(_second_step(view, speeds, near_s if view.zone == zone else AWAY_FACTOR * near_s) for view in decoders)
 
 
 def _whole(view: EngineView, speeds: Speeds, prompt_tokens: int) -> Path:
@@ -191,25 +214,26 @@
     return Path('', view.runner, first_s, work_s, cost + disturbed + own_pause)
 
 
-def _two_step(view: EngineView, second: tuple[float, str], speeds: Speeds, prompt_tokens: int) -> Path:
+def _two_step(view: EngineView, second: SecondStep, speeds: Speeds, prompt_tokens: int) -> Path:
     work_s = view.pace * speeds.reading.read_s(view.fresh_tokens, prompt_tokens)
-    transfer_s = prompt_tokens / speeds.transfer_tokens_s + _fetch_s(view, speeds)
+    transfer_s = second.transfer_s + _fetch_s(view, speeds)
     first_s = speeds.reading.overhead_s + view.wait_s + work_s + transfer_s + SECOND_STEP_S
-    cost = first_s + second[0] + speeds.prefill_price * (work_s + transfer_s)
+    cost = first_s + second.cost + speeds.prefill_price * (work_s + transfer_s)
     # A prompt that was not read can be read elsewhere.
     cost += REREAD_SHARE * view.lost_share * speeds.lost_cost_s
-    return Path(view.runner, second[1], first_s, work_s, cost + _late_cost_s(first_s, speeds))
+    return Path(view.runner, second.runner, first_s, work_s, cost + _late_cost_s(first_s, speeds))
 
 
 def _fetch_s(view: EngineView, speeds: Speeds) -> float:
     return FETCH_S + view.fetch_tokens / speeds.transfer_tokens_s if view.fetch_tokens else 0
 
 
-def _second_step_cost(view: EngineView, speeds: Speeds) -> float:
+def _second_step(view: EngineView, speeds: Speeds, transfer_s: float) -> SecondStep:
     """Return what a run whose prompt was read elsewhere suffers here."""
     late_s = _late_pause_cost_s(max(view.wait_s, view.read_lately_s), speeds)
     risk_s = view.lost_share * speeds.lost_cost_s
-    return view.wait_s + late_s + risk_s + _crowding_s(view) + ORDER_S * view.order
+    cost = view.wait_s + late_s + risk_s + _crowding_s(view) + ORDER_S * view.order
+    return SecondStep(cost + transfer_s, view.runner, transfer_s)
 
 
 def _late_cost_s(first_s: float, speeds: Speeds) -> float:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -79,6 +79,7 @@
 
     def __init__(self, network: MemoryNetwork, hosts: tuple[str, str], pipes: tuple[Pipe, Pipe]) -> None:
         """Send from the first of ``hosts`` on the first of ``pipes``."""
+        self.peer = hosts[1]
         self._network = network
         self._hosts = hosts
         self._sending = pipes[0]
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -143,14 +143,14 @@
             return plan
         return plan._replace(rank=LATE_RANK)
 
-    def second_step(self, job: Job, prompt: Prompt, cfg: Configuration) -> Member | None:
-        """Return where a prompt that was read elsewhere runs best by now."""
+    def second_step(self, job: Job, prompt: Prompt, cfg: Configuration, zone: str) -> Member | None:
+        """Return where a prompt that was read in ``zone`` runs best by now."""
         members = [member for member in self._usable(job) if member.runner.stage is Stage.decode]
         if not members:
             return None
         speeds = self._speeds_of(job, cfg)
         views = _Views(prompt, members, None, speeds.pause_s).all()
-        runner = best_second_step(tuple(views.values()), speeds)[1]
+        runner = best_second_step(tuple(views.values()), speeds, zone, prompt.tokens).runner
         return next(member for member in members if member.runner.key == runner)
 
     def _usable(self, job: Job) -> list[Member]:
@@ -260,6 +260,7 @@
             fetch_tokens=known - cached,
             pace=member.pace.factor(self._now),
             order=self._order.get(runner.key, 0),
+            zone=runner.zone,
             lost_share=member.losses.share(self._now),
         )
 
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -206,6 +206,7 @@
     events.log_event(
         events.ANSWER_ENDED,
         request=job.req.request_id,
+        caller=job.req.caller,
         route=job.route.name,
         config_version=cfg.version,
         status=job.reply.status,
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -35,7 +35,9 @@
 # Share of the time until its caller leaves for which a prompt may be read
 # apart. Reading may be done again: an engine that never answered kept callers of
 # long prompts until they left, since four times the expected time was longer.
+# But no less than twice the expected time: what is given up was read in vain.
 READ_SHARE = 0.5
+READ_FACTOR = 2.0
 
 
 class EngineTools(NamedTuple):
@@ -72,7 +74,7 @@
         if prefilled is None:
             return await self._after_failed_read(job, prompt, cfg, budget)
         # Reading took a while; the engine that was idle then may be busy now.
-        decode = self._chooser.second_step(job, prompt, cfg)
+        decode = self._chooser.second_step(job, prompt, cfg, plan.prefill.runner.zone)
         return await self._decode(job, prompt, plan._replace(decode=decode or plan.decode), prefilled)
 
     async def _after_failed_read(
@@ -134,8 +136,7 @@
         job.tried.add(member.runner.key)
         end = self._begin(plan, prompt, member, plan.path.work_s)
         sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
-        allowed_s = min(patience_s(plan.path.first_s, engine=True), READ_SHARE * job.first_left_s)
-        target = Target(member, sending, allowed_s)
+        target = Target(member, sending, _read_patience_s(plan.path.first_s, job.first_left_s))
         started = trio.current_time()
         found: Prefilled | PrefillFailed | None = None
         try:
@@ -205,6 +206,11 @@
             self._chooser.speed(job.service).observe(plan.view.fresh_tokens, prompt.tokens, took_s)
 
 
+def _read_patience_s(expected_s: float, left_s: float) -> float:
+    """Return how long to wait for a prompt to be read that was expected to take ``expected_s``."""
+    return max(min(patience_s(expected_s, engine=True), READ_SHARE * left_s), READ_FACTOR * expected_s)
+
+
 def _lost(job: Job, became: AttemptResult | None) -> bool | None:
     """Tell whether an engine lost the answer; None if it had no chance to give it."""
     if became is None:
--- a/packages/sesamepoint/src/sesamepoint/front/request.py
+++ b/packages/sesamepoint/src/sesamepoint/front/request.py
@@ -18,6 +18,8 @@
         With the headers that are forwarded only.
     arrived
         On trio's clock.
+    caller
+        The address that it came from; empty if it is not known.
     deadline_s
         Seconds after ``arrived`` until the caller leaves; None if unknown.
     """
@@ -30,6 +32,7 @@
     arrived: float
     deadline_s: float | None
     prompt: Prompt | None
+    caller: str = ''
 
     def left_s(self, now: float) -> float | None:
         """Return the seconds that the caller has from ``now`` on; None if unknown."""
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -41,11 +41,12 @@
 
 
 class Message(NamedTuple):
-    """A whole request; ``arrived`` is on trio's clock."""
+    """A whole request; ``arrived`` is on trio's clock, ``caller`` the far end's address."""
 
     head: RequestHead
     body: bytes
     arrived: float
+    caller: str = ''
 
 
 class CallerGoneError(Exception):
@@ -109,7 +110,7 @@
         arrived = trio.current_time()
         with trio.move_on_after(self._limits.head_s):
             head = await self._head()
-            return Message(head, await self._body(), arrived)
+            return Message(head, await self._body(), arrived, self._transport.peer)
         raise RejectedMessageError(REQUEST_TIMEOUT, 'the request took too long to arrive')
 
     async def watch(self) -> None:
--- a/packages/sesamepoint/src/sesamepoint/http1/transport.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/transport.py
@@ -15,7 +15,15 @@
 
 
 class Transport(Protocol):
-    """One connection; errors are those of trio's streams."""
+    """One connection; errors are those of trio's streams.
+
+    Parameters
+    ----------
+    peer
+        The address of the far end; empty if it is not known.
+    """
+
+    peer: str
 
     async def send_all(self, sent: bytes) -> None:
         """Send all bytes."""
@@ -46,6 +54,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         """Use ``stream``, which this object then owns."""
         self._stream = stream
+        self.peer = _peer(stream)
 
     async def send_all(self, sent: bytes) -> None:
         """Send all bytes."""
@@ -87,6 +96,14 @@
         return SocketTransport(trio.SocketStream(sock))
 
 
+def _peer(stream: trio.SocketStream) -> str:
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        # The far end has gone already; whatever is done next shows that.
+        return ''
+
+
 def _peek(stream: trio.SocketStream) -> bytes | None:
     """Return what waits to be read; empty at the end, None if there is nothing yet."""
     descriptor = stream.socket.fileno()
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -68,6 +68,7 @@
         arrived=message.arrived,
         deadline_s=_deadline_s(headers),
         prompt=_prompt(headers),
+        caller=message.caller,
     )
 
 
--- a/tests/core/serving/test_paths.py
+++ b/tests/core/serving/test_paths.py
@@ -56,6 +56,21 @@
         path = best(prefill('p', 17_000), decode('d1', 17_000, order=1), decode('d2', 17_000, order=0))
         self.assertEqual(path.decode, 'd2')
 
+    def test_second_step_stays_in_zone(self) -> None:
+        """Memory takes twice as long to another zone; that is worth it only if engines of this one are busy."""
+        reader = prefill('p', 60_000, zone='a')
+        far = decode('d1', 60_000, zone='b')
+        self.assertEqual(best(reader, far, decode('d2', 60_000, zone='a'), tokens=60_000).decode, 'd2')
+        busy = decode('d2', 60_000, zone='a', wait_s=0.3)
+        self.assertEqual(best(reader, far, busy, tokens=60_000).decode, 'd1')
+
+    def test_lost_answers(self) -> None:
+        """An engine that loses every fourth answer gets them if the others would take long enough."""
+        speeds = FAST._replace(lost_cost_s=1.6)
+        bad = decode('d1', 300, lost_share=0.25)
+        self.assertEqual(best(bad, decode('d2', 300, wait_s=0.3), speeds=speeds, tokens=300).decode, 'd2')
+        self.assertEqual(best(bad, decode('d2', 300, wait_s=0.6), speeds=speeds, tokens=300).decode, 'd1')
+
     def test_memory_full(self) -> None:
         path = best(decode('d1', 300, crowded=True), decode('d2', 9_000), tokens=9_000)
         self.assertEqual(path.decode, 'd2')
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -32,6 +32,8 @@
 class LateTransport:
     """Has an answer that comes while the process is held up."""
 
+    peer = ''
+
     def __init__(self) -> None:
         self._came = trio.Event()
         self._bytes = [ANSWER]
