--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -82,8 +82,8 @@
     def __init__(self, network: MemoryNetwork, hosts: tuple[str, str], pipes: tuple[Pipe, Pipe]) -> None:
         """Send from the first of ``hosts`` on the first of ``pipes``."""
         self.peer = hosts[1]
+        self.hosts = hosts
         self._network = network
-        self._hosts = hosts
         self._sending = pipes[0]
         self._receiving = pipes[1]
         self._closed = False
@@ -97,7 +97,7 @@
             raise trio.BrokenResourceError
         if sent:
             self._sending.put(
-                sent, self._network.delay_s(*self._hosts) + self._network.queue_s(self._hosts[0], len(sent))
+                sent, self._network.delay_s(*self.hosts) + self._network.queue_s(self.hosts[0], len(sent))
             )
 
     async def receive_some(self, max_bytes: int) -> bytes:
@@ -109,7 +109,7 @@
     def close(self) -> None:
         """Close at once."""
         if not self._closed:
-            self._sending.put(_END, self._network.delay_s(*self._hosts))
+            self._sending.put(_END, self._network.delay_s(*self.hosts))
         self._closed = True
 
     def reset(self) -> None:
@@ -117,6 +117,10 @@
         self._sending.break_off()
         self._receiving.break_off()
 
+    def over(self) -> bool:
+        """Tell whether this end is closed, or the connection was reset."""
+        return self._closed or self._sending.reset
+
     def quiet(self) -> bool:
         """Tell whether the connection is open and has no bytes waiting."""
         return not self._closed and not self._receiving.arrived()
@@ -139,6 +143,7 @@
         self._nursery = nursery
         self._listeners: dict[Address, Handler] = {}
         self._receivers: dict[Address, Callable[[bytes], None]] = {}
+        self._open: list[MemoryTransport] = []
 
     def listen(self, address: Address, handler: Handler) -> None:
         """Start ``handler`` for each connection to ``address``."""
@@ -148,6 +153,14 @@
         """Stop listening at ``address``."""
         self._listeners.pop(address, None)
 
+    def reset_all(self, host: str, far: str = '') -> None:
+        """Reset all connections of ``host`` whose far end's address begins with ``far``."""
+        for transport in self._open:
+            ends = transport.hosts
+            other = ends[1] if ends[0] == host else ends[0]
+            if host in ends and other.startswith(far):
+                transport.reset()
+
     def delay_s(self, source: str, target: str) -> float:
         """Return how long a packet takes; for ever over a cut."""
         return math.inf if frozenset((source, target)) in self.cut else ONE_WAY_S
@@ -181,7 +194,10 @@
         there, back = Pipe(), Pipe()
         far = MemoryTransport(self, (address.host, host), (back, there))
         self._nursery.start_soon(handler, far)
-        return MemoryTransport(self, (host, address.host), (there, back))
+        near = MemoryTransport(self, (host, address.host), (there, back))
+        self._open = [transport for transport in self._open if not transport.over()]
+        self._open.append(near)
+        return near
 
     async def receive(self, address: Address, take: Callable[[bytes], None]) -> None:
         """Hand each datagram that comes to ``address`` to ``take``."""
