Tell from the logs which attempts are the same request

Cause: a request that ends engines can't be told from its victims by the logs: ids are new with each attempt, token counts are a guess. No change of logic. Ruled out: the caller's address as part of it (the suspect came from two).

--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -15,6 +15,7 @@
 from sesamectl.caller_search import Search, find_requests
 from sesamectl.commands.base import COMMANDS, Arguments
 from sesamectl.commands.figures import figure
+from sesamectl.content_search import find_content
 from sesamectl.ended import read_ended, second_of_day
 from sesamectl.log_lines import opened_logs
 from sesamectl.request_walk import explain_request
@@ -33,6 +34,8 @@
         return _walk(arguments)
     if arguments['--caller']:
         return _search(arguments)
+    if arguments['--content']:
+        return _search_content(arguments)
     caller = HttpCaller('entry', f'http://{arguments["--entry"]}')
     with single_error():
         reply = trio.run(caller.call, 'GET', '/decisions', b'', TIMEOUT_S)
@@ -61,6 +64,11 @@
     return '\n'.join([*(found or ['no request of that caller in the logs']), *read.notes()])
 
 
+def _search_content(arguments: Arguments) -> str:
+    with opened_logs(arguments['--logs']) as logs:
+        return '\n'.join(find_content(arguments['--content'], logs))
+
+
 def _lines(decision: Decision) -> Iterator[str]:
     under = f'version {decision.version}, fencing number {decision.fence}'
     yield f'{decision.at:.1f} s {decision.kind} {decision.subject} ({under}): {decision.choice}'
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -151,6 +151,12 @@
         return newest
 
     async def _try(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
+        found = await self._send(job, cfg, budget)
+        if found is not None and not isinstance(found, Relayed):
+            self.metrics.note_broken(job.service, found.tag)
+        return found
+
+    async def _send(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
         if job.req.prompt is not None:
             return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
         member = self._chooser.plain(job)
@@ -207,6 +213,7 @@
         events.ANSWER_ENDED,
         request=job.req.request_id,
         caller=job.req.caller,
+        content=job.content_id,
         route=job.route.name,
         config_version=cfg.version,
         status=job.reply.status,
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -8,14 +8,13 @@
 import trio
 
 from sesamepoint_core.serving.paths import SECOND_STEP_S
-from sesamepoint import events
 from sesamepoint.front.attempt import Target
 from sesamepoint.front.choice import LATE_RANK
 from sesamepoint.front.decision_fields import decision_fields
 from sesamepoint.front.prefill import Prefilled, PrefillFailed, prefill
 from sesamepoint.front.results import Rejected, Relayed, Unsent
 from sesamepoint.front.sends import NewLoad
-from sesamepoint.front.tries import attempt, note_failure, note_replaced, patience_s, target_for
+from sesamepoint.front.tries import attempt, note_unread, patience_s, target_for
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
@@ -146,16 +145,7 @@
         if isinstance(found, Prefilled):
             self._learn(job, prompt, plan, member, trio.current_time() - started)
             return found
-        events.log_event(
-            events.PREFILL_FAILED,
-            request=job.req.request_id,
-            runner=member.runner.key,
-            cause=found.cause,
-        )
-        if found.replaced:
-            note_replaced(member)
-        elif not found.silent or not member.health.heard_since(started):
-            note_failure(member, found.cause)
+        note_unread(job, member, found, started)
         return None
 
     async def _decode(self, job: Job, prompt: Prompt, plan: EnginePlan, prefilled: Prefilled) -> AttemptResult:
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint.front.cause import Cause
+from sesamepoint.front.content import content_id
 from sesamepoint.front.return_time import when_unknown_s
 
 if TYPE_CHECKING:
@@ -83,6 +85,11 @@
         self.may_read_apart = True
         self.retry_after_s = SOON_S
 
+    @cached_property
+    def content_id(self) -> str:
+        """Return what is the same for each attempt with this request, at any instance."""
+        return content_id(self.req)
+
     def note_no_runner(self) -> None:
         """Note that no runner is known that could take it; nobody knows until when."""
         if not self.sends:
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -48,10 +48,21 @@
             registry=self.registry,
         )
 
+        self._broken = Counter(
+            'sesamepoint_broken_sends',
+            'Sends that ended without a whole answer, by how.',
+            ('service', 'outcome'),
+            registry=self.registry,
+        )
+
     def watch(self, name: str, text: str, value_of: Callable[[], float]) -> None:
         """Show a gauge that is asked for when the page is read."""
         Gauge(name, text, registry=self.registry).set_function(value_of)
 
+    def note_broken(self, service: str, outcome: str) -> None:
+        """Count a send that ended without a whole answer."""
+        self._broken.labels(service, outcome).inc()
+
     def observe(self, job: Job, took_s: float) -> None:
         """Count one request that has ended."""
         path = str(job.notes.decision.get('path', 'plain'))
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -8,6 +8,7 @@
 import trio
 
 from sesamepoint_core.serving.routes import Repeat
+from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.attempt import Attempt, Target
 from sesamepoint.front.results import Rejected, Relayed, RunFailed, Silent, Unsent
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from sesamepoint.front.job import Job
     from sesamepoint.front.member import Member
+    from sesamepoint.front.prefill import PrefillFailed
     from sesamepoint.front.results import AttemptResult
 
 # How long a runner may stay silent before work that may be repeated goes
@@ -64,10 +66,27 @@
     if isinstance(became, Unsent | Rejected):
         # An earlier send may have run all the same; 'not run' would be untrue.
         job.maybe_run = ran_before
-    _judge(job, member, became, started)
+    _judge(job, target, became, started)
     return became
 
 
+def note_unread(job: Job, member: Member, found: PrefillFailed, started: float) -> None:
+    """Note that ``member`` did not read the job's prompt for another engine."""
+    events.log_event(
+        events.PREFILL_FAILED,
+        request=job.req.request_id,
+        runner=member.runner.key,
+        cause=found.cause,
+        content=job.content_id,
+        under_way_ms=whole_ms(trio.current_time() - started),
+        beside=member.in_flight,
+    )
+    if found.replaced:
+        note_replaced(member)
+    elif not found.silent or not member.health.heard_since(started):
+        note_failure(member, found.cause)
+
+
 def note_failure(member: Member, cause: str, *, answered: bool = False) -> None:
     """Count a failure of ``member``, which may leave it out for a while."""
     if member.health.bad(trio.current_time(), answered=answered):
@@ -98,7 +117,8 @@
     return getattr(became, 'cause', became.tag)
 
 
-def _judge(job: Job, member: Member, became: AttemptResult, started: float) -> None:
+def _judge(job: Job, target: Target, became: AttemptResult, started: float) -> None:
+    member = target.member
     if isinstance(became, Relayed):
         member.health.good()
         return
@@ -111,6 +131,13 @@
         runner=member.runner.key,
         outcome=became.tag,
         cause=_cause(became),
+        content=job.content_id,
+        under_way_ms=whole_ms(trio.current_time() - started),
+        beside=member.in_flight,
+        begun=job.reply.begun,
+        resume_after=target.sending.resume_after,
+        fetch_from=target.sending.fetch_from,
+        kv_source=target.sending.kv_source,
     )
     if isinstance(became, Rejected) and became.replaced:
         note_replaced(member)
@@ -121,4 +148,4 @@
     note_failure(member, became.tag, answered=isinstance(became, RunFailed))
 
 
-__all__ = ('attempt', 'note_failure', 'note_replaced', 'patience_s', 'repeatable', 'target_for')
+__all__ = ('attempt', 'note_failure', 'note_replaced', 'note_unread', 'patience_s', 'repeatable', 'target_for')
--- /dev/null
+++ b/tests/ctl/test_content_search.py
@@ -0,0 +1,60 @@
+"""A request that comes again under new ids, found by what it asks."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from sesamepoint import events
+from sesamectl.cli import main
+from sesamectl.content_search import find_content
+from tests.ctl.builders import ended, line
+
+
+def broke(request: str, runner: str, second: int, asks: str = 'c1') -> str:
+    """Return the line of a send that broke off."""
+    return line(
+        events.ATTEMPT_ENDED,
+        second,
+        request=request,
+        runner=runner,
+        outcome='broken',
+        cause='reset',
+        content=asks,
+        under_way_ms=90,
+        beside=3,
+    )
+
+
+def logs() -> list[str]:
+    """Return two attempts with one request, of two sends each, and another request."""
+    return [
+        broke('again', 'i-9', 12),
+        broke('first', 'i-7', 10),
+        broke('first', 'i-8', 11),
+        ended('first', 11, content='c1', status=502, cause='runner_broke_off'),
+        broke('other', 'i-7', 10, asks='c2'),
+        broke('again', 'i-7', 13),
+    ]
+
+
+class ContentSearchTest(TestCase):
+    """By content, whatever the request's id."""
+
+    def test_in_order_of_time(self) -> None:
+        *lines, total = find_content('c1', logs())
+        self.assertEqual([found.split()[3] for found in lines], ['first:', 'first:', 'first:', 'again:', 'again:'])
+        self.assertEqual(total, '2 attempts of callers; 3 runners broke off under it: i-7, i-8, i-9')
+
+    def test_what_befell_a_send(self) -> None:
+        self.assertIn('i-7, reset, after 90 ms, beside 3 others of this instance', find_content('c1', logs())[0])
+
+    def test_unknown(self) -> None:
+        self.assertEqual(find_content('c3', logs()), ['0 attempts of callers; 0 runners broke off under it'])
+
+    def test_command(self) -> None:
+        with TemporaryDirectory() as folder:
+            source = Path(folder, 'front.log')
+            source.write_text('\n'.join(logs()), encoding='utf-8')
+            self.assertEqual(main(['explain', '--content', 'c1', '--logs', str(source)]), 0)
--- /dev/null
+++ b/tests/front/test_content.py
@@ -0,0 +1,40 @@
+"""Telling that two attempts are one request."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sesamepoint.front.content import content_id
+from sesamepoint.front.request import FrontRequest
+from sesamepoint.platform.headers import decode_request
+from sesamepoint.http1.server import Message
+from tests.front.builders import asked_prompt
+
+
+def arrived(caller: str = '10.2.0.1', at: float = 0, **changes: object) -> FrontRequest:
+    """Return a request as its instance has it, with an id of its own."""
+    parts = changes.pop('parts', (('s1', 90), ('own', 300)))
+    asked = asked_prompt('/tag/a')._replace(parts=parts, **changes)  # type: ignore[arg-type]
+    return decode_request(Message(asked.head, asked.body, at, caller))
+
+
+class ContentIdTest(TestCase):
+    """What stays the same, and what differs."""
+
+    def test_same_request_under_another_id(self) -> None:
+        """A caller's next attempt has a new id, comes from another address and has less time left."""
+        first, again = arrived(), arrived(caller='10.2.0.9', at=4, deadline_s=1.5)
+        self.assertNotEqual(first.request_id, again.request_id)
+        self.assertEqual(content_id(first), content_id(again))
+
+    def test_other_requests(self) -> None:
+        others = (
+            arrived(body=b'{"q": 1}'),
+            arrived(path='/tag/b'),
+            arrived(path='/tag/a?x'),
+            arrived(method='PUT'),
+            arrived(host='other.example'),
+            arrived(parts=(('s1', 90), ('another', 300))),
+        )
+        found = {content_id(req) for req in (arrived(), *others)}
+        self.assertEqual(len(found), 1 + len(others))
