--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -24,6 +25,9 @@
 STORE = Address('10.9.0.1', 8100)
 FRONT_PORT = 8000
 READY_S = 5.0
+# A runner that has ended is back so many seconds later, as another start; until
+# then its registration stays.
+BACK_S = 3.0
 
 
 def front_settings(number: int) -> FrontSettings:
@@ -47,6 +51,13 @@
     )
 
 
+class End(NamedTuple):
+    """The unplanned end of a runner, on trio's clock."""
+
+    runner: str
+    at: float
+
+
 class PlatformBed:
     """Everything of one deployment, and hands on its faults."""
 
@@ -56,6 +67,7 @@
         self.store = PlatformStore()
         self.runners: dict[str, RunnerStandIn] = {}
         self.fronts: dict[str, Front] = {}
+        self.ended: list[End] = []
         self._by_address: dict[str, RunnerStandIn] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._nursery = nursery
@@ -71,9 +83,17 @@
         self.runners[runner.key] = runner
         self._by_address[str(runner.address)] = runner
         runner.others = self._by_address
+        runner.on_end = self.end_runner
         self.network.listen(runner.address, runner.serve)
         self.store.put(RUNNER_TOPIC, runner.key, runner.record)
 
+    def end_runner(self, runner: RunnerStandIn) -> None:
+        """End a runner at once, with all that it runs; it is back as another start."""
+        self.ended.append(End(runner.key, trio.current_time()))
+        self.network.close(runner.address)
+        self.network.reset_all(runner.address.host)
+        self._nursery.start_soon(self._bring_back, runner)
+
     def drain_runner(self, key: str) -> None:
         """Have a runner report that it leaves; it goes on serving."""
         self.runners[key].leaving = True
@@ -108,6 +128,11 @@
             while not all(front.ready() for front in self.fronts.values()):
                 await trio.sleep(0.01)
 
+    async def _bring_back(self, runner: RunnerStandIn) -> None:
+        await trio.sleep(BACK_S)
+        self.drop_registration(runner.key)
+        self.add_runner(replace(runner, key=f'{runner.key}+', runs=[]))
+
     async def _run_front(self, front: Front) -> None:
         with trio.CancelScope() as scope:
             self._scopes[front.cfg.name] = scope
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -19,9 +19,13 @@
 from sesamepoint_standins.platform.network import MemoryTransport
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.transport import Transport
 
+# From the first token of a request that ends its runner to that end, in seconds.
+ENDS_AFTER_S = 0.1
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -89,6 +93,10 @@
     born_ms: int = 0
     # The engines that this one can fetch from, by address.
     others: dict[str, RunnerStandIn] = field(default_factory=dict)
+    # A request with this in its body ends the runner when it begins to run it.
+    ends_on: bytes = b''
+    # Called when a request ends this runner.
+    on_end: Callable[[RunnerStandIn], None] | None = None
     runs: list[Run] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -189,7 +197,15 @@
             return await self._answer_plain(conn, run, transport)
         return await self._answer_prompt(conn, run, transport)
 
+    async def _end_if_harmful(self, run: Run) -> None:
+        """End this runner, with all that it runs, if ``run`` is what does that."""
+        if self.ends_on and self.ends_on in run.message.body and self.on_end is not None:
+            await trio.sleep(ENDS_AFTER_S)
+            self.on_end(self)
+            await trio.sleep_forever()
+
     async def _answer_plain(self, conn: ServerConn, run: Run, transport: Transport) -> None:
+        await self._end_if_harmful(run)
         await trio.sleep(self.work_s)
         status = 500 if self.faults.fails else STATUS_OK
         await conn.whole(status, self._signed(run.message), body_of(run.request_id))
@@ -208,6 +224,7 @@
                 await self._fetch(run.message, parts)
                 await self._read(parts)
             self.cache.touch(parts)
+            await self._end_if_harmful(run)
             await self._stream(conn, run, output, transport)
 
     async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part]) -> None:
