--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -190,7 +190,7 @@
             raise ConnectFailedError(str(address), 'timed out')
         await trio.sleep(2 * ONE_WAY_S)
         if handler is None:
-            raise ConnectFailedError(str(address), 'refused')
+            raise ConnectFailedError(str(address), 'refused', refused=True)
         there, back = Pipe(), Pipe()
         far = MemoryTransport(self, (address.host, host), (back, there))
         self._nursery.start_soon(handler, far)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -61,6 +61,8 @@
         """Start empty and up."""
         self.down = False
         self.slow_s: float = 0
+        # Seconds more for calls about some topics.
+        self.slow_topics: dict[str, float] = {}
         self.calls = 0
         self._topics: dict[str, _Topic] = {}
 
@@ -97,6 +99,7 @@
             return _Answer(STATUS_UNAVAILABLE, b'')
         path, _, query = message.head.target.decode().partition('?')
         fields = dict(parse_qsl(query))
+        await trio.sleep(self.slow_topics.get(fields['topic'], 0))
         topic = self._topic(fields['topic'])
         if path == '/v1/log-newest':
             return _newest(topic)
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -73,6 +73,14 @@
 ATTEMPT_ENDED = _event(3205, logging.INFO, 'attempt ended without a whole answer')
 PREFILL_FAILED = _event(3206, logging.INFO, 'prompt could not be read apart')
 HANDLE_LEFT = _event(3207, logging.INFO, 'memory at a runner was left to lapse')
+RUNNER_ENDED = _event(3210, logging.INFO, 'runner ended under a request')
+TRIAL_BEGUN = _event(3211, logging.INFO, 'request is sent alone, runners have ended under it')
+SUSPECT_SERVED = _event(3212, logging.INFO, 'request answered under which a runner had ended, it is cleared')
+QUARANTINED = _event(3213, logging.WARNING, 'request ends its runners, it is not sent any more')
+QUARANTINE_ENDED = _event(3214, logging.WARNING, 'quarantine of a request is over')
+QUARANTINE_UNWRITTEN = _event(
+    3215, logging.WARNING, 'store did not take the record of a quarantine, it is written again'
+)
 RUNNER_JOINED = _event(3301, logging.INFO, 'runner registered')
 RUNNER_LEAVING = _event(3302, logging.INFO, 'runner leaves')
 RUNNER_GONE = _event(3303, logging.INFO, 'registration of a runner vanished')
@@ -91,6 +99,7 @@
 PEER_UNREACHABLE = _event(3401, logging.INFO, 'peer not reached')
 ENTRY_LOST = _event(3403, logging.WARNING, 'entry not heard for long, its record is dropped')
 ENTRY_DROPPED = _event(3404, logging.WARNING, 'record of this entry was dropped, it registers again')
+NOTICE_DROPPED = _event(3405, logging.WARNING, 'too much to tell peers, a notice is dropped')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -84,7 +84,7 @@
             with single_error():
                 return await self._converse(conn)
         except ConnBrokenError as exc:
-            return Broken(str(exc))
+            return Broken(str(exc), ended=await member.has_ended())
         finally:
             member.pool.give_back(conn)
 
--- a/packages/sesamepoint/src/sesamepoint/front/cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/cause.py
@@ -10,6 +10,8 @@
 
     none = ''
     refused = 'refused'
+    quarantined = 'ends_its_runners'
+    behind_trial = 'behind_its_trial'
     no_runner = 'no_runner'
     turned_away = 'turned_away_by_runners'
     not_run_in_time = 'not_run_in_time'
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -22,10 +22,11 @@
 from sesamepoint.front.backlog import Line, Need
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
+    from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.backlog import Backlog
     from sesamepoint.front.job import Job
     from sesamepoint.front.known_engines import KnownEngines
@@ -153,9 +154,18 @@
         runner = best_second_step(tuple(views.values()), speeds, zone, prompt.tokens).runner
         return next(member for member in members if member.runner.key == runner)
 
+    def for_trial(self, job: Job, allows: Callable[[Start], bool]) -> str | None:
+        """Return the runner to send ``job`` to alone: of those allowed, the one with least beside it."""
+        usable = (member for member in self._usable(job) if member.runner.stage is not Stage.prefill)
+        found = (member for member in usable if allows(member.start))
+        best = min(found, key=_beside, default=None)
+        return best.runner.key if best else None
+
     def _usable(self, job: Job) -> list[Member]:
         now = trio.current_time()
         found = [member for member in self._known.of_service(job.service) if member.runner.key not in job.tried]
+        if job.trial:
+            found = [member for member in found if member.runner.key == job.trial.runner]
         sound = [member for member in found if member.health.usable(now)]
         missing = math.ceil(KEPT_SHARE * len(found)) - len(sound)
         if missing <= 0:
@@ -271,6 +281,10 @@
         return load.stream_tokens(self._now) + self._prompt.tokens > MEMORY_SHARE * member.kv_tokens
 
 
+def _beside(member: Member) -> float:
+    return max(member.in_flight, member.load.streams(trio.current_time()))
+
+
 def _failing(member: Member) -> float:
     return member.health.failing
 
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/conclusion.py
@@ -0,0 +1,76 @@
+"""Why a request ends as it does, and the line that tells it."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from sesamepoint_core.units import whole_ms
+from sesamepoint import events
+from sesamepoint.front.cause import Cause
+from sesamepoint.front.results import Relayed, RunFailed, Silent
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sesamepoint_core.serving.routes import Configuration
+    from sesamepoint.front.job import Job
+    from sesamepoint.front.results import AttemptResult
+
+_CAUSE_OF_RUN: Mapping[type, Cause] = MappingProxyType({RunFailed: Cause.runner_failed, Silent: Cause.silent})
+
+
+def cause_of(job: Job, found: AttemptResult | None) -> Cause:
+    """Return why ``job`` ends without a whole answer, if it does."""
+    if isinstance(found, Relayed):
+        return Cause.none
+    if job.reply.begun:
+        return Cause.cut_in_answer
+    if job.maybe_run:
+        return _CAUSE_OF_RUN.get(type(found), Cause.broken)
+    return _cause_unsent(job)
+
+
+def log_end(job: Job, cfg: Configuration, took_s: float) -> None:
+    """Write the one line that tells what became of a request, and why."""
+    notes = job.notes
+    events.log_event(
+        events.ANSWER_ENDED,
+        request=job.req.request_id,
+        caller=job.req.caller,
+        content=job.content_id,
+        route=job.route.name,
+        config_version=cfg.version,
+        status=job.reply.status,
+        unfinished=job.reply.unfinished or not job.reply.begun,
+        refused=job.refused,
+        on_time=job.was_on_time(took_s),
+        target_ms=whole_ms(job.route.target_s),
+        deadline_ms=None if job.req.deadline_s is None else whole_ms(job.req.deadline_s),
+        returned=job.returned,
+        sends=job.sends,
+        runners=sorted(job.tried),
+        took_ms=whole_ms(took_s),
+        first_total_ms=None if notes.first_at is None else whole_ms(notes.first_at - job.req.arrived),
+        held_ms=whole_ms(notes.held_s),
+        prefill_ms=None if notes.prefill_s is None else whole_ms(notes.prefill_s),
+        wait_expected_ms=None if notes.wait_expected_s is None else whole_ms(notes.wait_expected_s),
+        need=notes.need,
+        pause_ms=whole_ms(notes.longest_pause_s),
+        pause_limit_ms=whole_ms(job.route.pause_s),
+        cause=notes.cause,
+        tokens=job.req.prompt.tokens if job.req.prompt else 0,
+        answer_tokens=job.req.prompt.max_output if job.req.prompt else 0,
+        **notes.decision,
+    )
+
+
+def _cause_unsent(job: Job) -> Cause:
+    if job.refused:
+        return Cause.refused
+    if job.notes.held_back:
+        return job.notes.held_back
+    return Cause.turned_away if job.sends else Cause.no_runner
+
+
+__all__ = ('cause_of', 'log_end')
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.serving.routes import Repeat
-from sesamepoint_core.units import whole_ms
-from sesamepoint import events
 from sesamepoint.front.cause import Cause
+from sesamepoint.front.conclusion import cause_of, log_end
 from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.return_time import hold_s, when_unknown_s
@@ -21,13 +19,13 @@
 from sesamepoint.platform.headers import returned, signed
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from random import Random
 
     from sesamepoint_core.serving.routes import Configuration, Route
 
     from sesamepoint.front.choice import Chooser
     from sesamepoint.front.engine_runs import EngineRuns
+    from sesamepoint.front.quarantine import Quarantine
     from sesamepoint.front.reply import Reply
     from sesamepoint.front.request import FrontRequest
     from sesamepoint.front.results import AttemptResult
@@ -37,9 +35,6 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
-
-_CAUSE_OF_RUN: Mapping[type, Cause] = MappingProxyType({RunFailed: Cause.runner_failed, Silent: Cause.silent})
-
 # Share of the retry budget that is used: arrivals are counted elsewhere, over
 # windows that begin and end at any moment.
 BUDGET_SHARE = 0.8
@@ -74,7 +69,9 @@
 class Dispatcher:
     """Serves requests by the configuration in force."""
 
-    def __init__(self, chooser: Chooser, engine_runs: EngineRuns, budgets: Budgets, rng: Random) -> None:
+    def __init__(
+        self, chooser: Chooser, engine_runs: EngineRuns, quarantine: Quarantine, budgets: Budgets, rng: Random
+    ) -> None:
         """Start without a configuration."""
         self.metrics = FrontMetrics()
         self.configuration: Configuration | None = None
@@ -82,6 +79,7 @@
         self._chooser = chooser
         self._engine_runs = engine_runs
         self._budgets = budgets
+        self._quarantine = quarantine
         self._rng = rng
         self._usual = UsualDeadlines()
 
@@ -116,7 +114,7 @@
         if not job.notes.cause and (job.reply.unfinished or not job.reply.begun):
             job.notes.cause = Cause.caller_left
         self.metrics.observe(job, took_s)
-        _log_end(job, cfg, took_s)
+        log_end(job, cfg, took_s)
 
     async def _serve_in_time(self, job: Job, cfg: Configuration) -> bool:
         with trio.move_on_at(job.deadline):
@@ -137,6 +135,8 @@
 
     async def _serve(self, job: Job, cfg: Configuration) -> AttemptResult | None:
         """Try runners until one serves the request or no other may."""
+        if self._quarantine.refuses(job):
+            return None
         with trio.move_on_after(hold_s(job.caller_left_s, job.first_left_s)):
             await self._chooser.until_any(job.service)
         budget = self._budgets.earn(job.service)
@@ -151,7 +151,13 @@
         return newest
 
     async def _try(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
-        found = await self._send(job, cfg, budget)
+        if not await self._quarantine.admit(job, self._chooser.for_trial):
+            return None
+        found: AttemptResult | None = None
+        try:
+            found = await self._send(job, cfg, budget)
+        finally:
+            self._quarantine.learn(job, found)
         if found is not None and not isinstance(found, Relayed):
             self.metrics.note_broken(job.service, found.tag)
         return found
@@ -172,30 +178,19 @@
         return self._rng.choices(route.shares, weights)[0].service
 
     async def _conclude(self, job: Job, found: AttemptResult | None) -> None:
-        job.notes.cause = _cause(job, found)
+        job.notes.cause = cause_of(job, found)
         if job.reply.begun:
             return
         if isinstance(found, RunFailed) and signed(found.head):
             await job.reply.whole(found.head.status, returned(found.head), found.body)
         elif job.maybe_run:
             await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
+        elif job.notes.held_back is Cause.quarantined:
+            await job.reply.refuse(UNAVAILABLE, 'its runners end under it; it has not run', job.retry_after_s)
         else:
             await job.reply.refuse(UNAVAILABLE, 'no runner can take it now; it has not run', job.retry_after_s)
 
 
-def _cause(job: Job, found: AttemptResult | None) -> Cause:
-    """Return why ``job`` ends without a whole answer, if it does."""
-    if isinstance(found, Relayed):
-        return Cause.none
-    if job.reply.begun:
-        return Cause.cut_in_answer
-    if job.maybe_run:
-        return _CAUSE_OF_RUN.get(type(found), Cause.broken)
-    if job.refused:
-        return Cause.refused
-    return Cause.turned_away if job.sends else Cause.no_runner
-
-
 def _may_go_on(job: Job, found: AttemptResult) -> bool:
     if isinstance(found, Relayed) or job.sends >= job.route.max_attempts:
         return False
@@ -206,38 +201,4 @@
     return repeatable(job)
 
 
-def _log_end(job: Job, cfg: Configuration, took_s: float) -> None:
-    """Write the one line that tells what became of a request, and why."""
-    notes = job.notes
-    events.log_event(
-        events.ANSWER_ENDED,
-        request=job.req.request_id,
-        caller=job.req.caller,
-        content=job.content_id,
-        route=job.route.name,
-        config_version=cfg.version,
-        status=job.reply.status,
-        unfinished=job.reply.unfinished or not job.reply.begun,
-        refused=job.refused,
-        on_time=job.was_on_time(took_s),
-        target_ms=whole_ms(job.route.target_s),
-        deadline_ms=None if job.req.deadline_s is None else whole_ms(job.req.deadline_s),
-        returned=job.returned,
-        sends=job.sends,
-        runners=sorted(job.tried),
-        took_ms=whole_ms(took_s),
-        first_total_ms=None if notes.first_at is None else whole_ms(notes.first_at - job.req.arrived),
-        held_ms=whole_ms(notes.held_s),
-        prefill_ms=None if notes.prefill_s is None else whole_ms(notes.prefill_s),
-        wait_expected_ms=None if notes.wait_expected_s is None else whole_ms(notes.wait_expected_s),
-        need=notes.need,
-        pause_ms=whole_ms(notes.longest_pause_s),
-        pause_limit_ms=whole_ms(job.route.pause_s),
-        cause=notes.cause,
-        tokens=job.req.prompt.tokens if job.req.prompt else 0,
-        answer_tokens=job.req.prompt.max_output if job.req.prompt else 0,
-        **notes.decision,
-    )
-
-
 __all__ = ('Budgets', 'Dispatcher')
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -94,6 +94,9 @@
         # extra arrival.
         budget.charge()
         job.may_read_apart = budget.spend()
+        if job.ended:
+            # Whether it may be sent again is for the quarantine to say.
+            return Unsent('its reader ended')
         return await self.attempt(job, prompt, cfg, budget)
 
     async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -16,6 +16,8 @@
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.prefill import HandleReclaimer
+from sesamepoint.front.quarantine import Quarantine
+from sesamepoint.front.quarantine_records import QuarantineRecords
 from sesamepoint.front.sends import SendNotes
 from sesamepoint.front.waiting import WaitingRoom
 from sesamepoint.http1.server import ServerLimits
@@ -24,6 +26,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sesamepoint_core.serving.suspects import Suspects
     from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
@@ -51,19 +54,22 @@
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
-        self.peers = Peers(cfg, sends, known, peer_network)
+        quarantine = Quarantine(cfg.name)
+        self.peers = Peers(cfg, sends, quarantine, known, peer_network)
         self._reclaimer = HandleReclaimer()
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
         chooser = Chooser(known, cfg.availability_zone, sends.backlog)
         self._waiting = WaitingRoom(chooser, sends, rng)
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
-        self.dispatcher = Dispatcher(chooser, engine_runs, budgets, rng)
-        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets), network)
+        self.dispatcher = Dispatcher(chooser, engine_runs, quarantine, budgets, rng)
+        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine), network)
+        self._records = QuarantineRecords(quarantine, cfg.store.address, network)
         self.peers.hear_news = self.intake.hear
+        self.peers.hear_again = self.intake.look_again
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
-        self._watch()
+        self._watch(quarantine.suspects)
 
     def children(self) -> list[Child]:
         """Return the parts that run beside the listeners."""
@@ -71,11 +77,15 @@
             Child('configuration', self.intake.follow_configuration),
             Child('runners', self.intake.follow_runners),
             Child('entries', self.intake.follow_entries),
+            Child('quarantine', self.intake.follow_quarantine),
+            Child('quarantine-write', self._records.write),
+            Child('quarantine-end', self._records.end_lapsed),
             Child('registration', self.intake.stay_registered),
             Child('lost-entries', self.intake.drop_lost),
             Child('keep-alive', self.peers.keep_alive),
             Child('peer-listen', self.peers.listen),
             Child('peer-tell', self.peers.tell),
+            Child('peer-notices', self.peers.tell_notices),
             Child('handles', self._reclaimer.run),
             Child('waiting', self._waiting.run),
             Child('inventory', self._inventory.run),
@@ -107,12 +117,14 @@
             while self.door.active:
                 await trio.sleep(POLL_S)
 
-    def _watch(self) -> None:
+    def _watch(self, suspects: Suspects) -> None:
         watch = self.dispatcher.metrics.watch
         watch('sesamepoint_waiting_requests', 'Requests that wait here for an engine.', self._waiting.count)
         watch('sesamepoint_active_requests', 'Requests under way.', lambda: self.door.active)
         watch('sesamepoint_entries', 'Entries that are registered.', self.peers.count)
         watch('sesamepoint_runners', 'Runners that are known.', lambda: len(self.fleet.members))
+        watch('sesamepoint_suspects', 'Requests under which a runner has ended.', lambda: len(suspects.all_suspect()))
+        watch('sesamepoint_quarantined', 'Requests that may not be sent.', lambda: len(suspects.all_quarantined()))
         watch('sesamepoint_configuration_version', 'Version in force; 0 before the first.', self._version)
 
     def _version(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -11,7 +11,7 @@
 from sesamepoint.front.reading_turns import Pacing
 from sesamepoint.front.watch import Others, Taker, Watch
 from sesamepoint.platform.configuration import decode_configuration
-from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC
 from sesamepoint.platform.registration import decode_runner
 from sesamepoint.platform.store import StoreClient
 from sesamepoint.platform.unreadable import UnreadableRecordError
@@ -22,6 +22,7 @@
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.news import News
     from sesamepoint.front.peers import Peers
+    from sesamepoint.front.quarantine import Quarantine
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import KeyedRecord
@@ -44,6 +45,11 @@
 ENTRY_WAIT_S = 1.0
 ENTRY_REST_S = 0.2
 ENTRY_SPREAD_S = 0.5
+# Entries tell each other of a quarantine at once; the store has it for those that
+# start later, or heard nothing. A call waits for long, nobody waits for it.
+QUARANTINE_WAIT_S = 10.0
+QUARANTINE_REST_S = 1.0
+QUARANTINE_SPREAD_S = 5.0
 # How often lost entries are looked for, in seconds.
 LOOK_S = 1.0
 
@@ -55,6 +61,7 @@
     fleet: Fleet
     peers: Peers
     budgets: Budgets
+    quarantine: Quarantine
 
 
 class Intake:
@@ -77,6 +84,12 @@
         if news.topic == ENTRY_TOPIC:
             self._beliefs.peers.members.read_by(news.entry)
 
+    def look_again(self) -> None:
+        """Read again which requests may not be sent: others may have told that unheard."""
+        watch = self._watches.get(QUARANTINE_TOPIC)
+        if watch is not None:
+            watch.look_soon()
+
     def reconfigure(self, cfg: FrontSettings) -> None:
         """Share the retry budget as ``cfg`` says from now on."""
         self._cfg = cfg
@@ -123,6 +136,12 @@
         pacing = Pacing(ENTRY_WAIT_S, ENTRY_REST_S, ENTRY_SPREAD_S)
         await self._follow(ENTRY_TOPIC, pacing, Taker(self._take_entries, self._take_entry))
 
+    async def follow_quarantine(self) -> None:
+        """Learn which requests may not be sent, until cancelled."""
+        quarantine = self._beliefs.quarantine
+        pacing = Pacing(QUARANTINE_WAIT_S, QUARANTINE_REST_S, QUARANTINE_SPREAD_S)
+        await self._follow(QUARANTINE_TOPIC, pacing, Taker(quarantine.take_records, quarantine.take_record))
+
     async def _follow(self, topic: str, pacing: Pacing, taker: Taker) -> None:
         peers = self._beliefs.peers
         others = Others(self._cfg.name, peers.count, peers.tell_news)
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -14,8 +14,10 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.routes import Route
+    from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.reply import Reply
     from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.trials import Trial
 
 # Taken off the time that a runner gets, so that its last word still reaches
 # the caller.
@@ -48,6 +50,8 @@
         How long it was to wait, as estimated when it came.
     cause
         Why its answer is no whole one.
+    held_back
+        Why it was not sent, if it may be that it ends its runners.
     decision
         The newest choice of a path, with the figures that decided it.
     """
@@ -59,6 +63,7 @@
     wait_expected_s: float | None = None
     need: str = ''
     cause: Cause = Cause.none
+    held_back: Cause = Cause.none
     decision: dict[str, object] = field(default_factory=dict)
 
 
@@ -72,10 +77,6 @@
         self.route = route
         self.service = service
         self.reply = reply
-        self.deadline = req.arrived + min(req.deadline_s or route.timeout_s, route.timeout_s)
-        # Callers leave a stream that shows nothing for so long.
-        patience_s = max(MIN_STREAM_PATIENCE_S, TARGETS_WAITED * route.target_s, PAUSES_WAITED * route.pause_s)
-        self.first_deadline = min(self.deadline, req.arrived + patience_s) if route.streamed else self.deadline
         self.sends = 0
         self.maybe_run = False
         self.tried: set[str] = set()
@@ -84,6 +85,25 @@
         # Whether its prompt may be read apart: the first time it is free.
         self.may_read_apart = True
         self.retry_after_s = SOON_S
+        # The runners that ended under its newest send, until that is learned from.
+        self.ended: list[Start] = []
+        # Set while it is sent alone, as one that may end its runner.
+        self.trial: Trial | None = None
+
+    @cached_property
+    def deadline(self) -> float:
+        """Return until when its caller waits, on trio's clock."""
+        return self.req.arrived + min(self.req.deadline_s or self.route.timeout_s, self.route.timeout_s)
+
+    @cached_property
+    def first_deadline(self) -> float:
+        """Return until when its caller waits for a first sign of an answer."""
+        route = self.route
+        if not route.streamed:
+            return self.deadline
+        # Callers leave a stream that shows nothing for so long.
+        patience_s = max(MIN_STREAM_PATIENCE_S, TARGETS_WAITED * route.target_s, PAUSES_WAITED * route.pause_s)
+        return min(self.deadline, self.req.arrived + patience_s)
 
     @cached_property
     def content_id(self) -> str:
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from sesamepoint_core.route.pace import Pace
 from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.health import Health
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.losses import LossMeter
+from sesamepoint_core.serving.suspects import Start
 from sesamepoint.front.pool import Pool
 
 if TYPE_CHECKING:
@@ -35,6 +38,27 @@
         self.kv_tokens = kv_tokens
         self.pace = Pace()
         self.in_flight = 0
+        self._ended = False
+        self._looking = trio.Lock()
+
+    @property
+    def start(self) -> Start:
+        """Return which run of its process this is about."""
+        return Start(self.runner.key, self.runner.born_ms)
+
+    async def has_ended(self) -> bool:
+        """Tell whether the runner, where a connection has just broken, has ended unplanned.
+
+        Runners also lose answers, and networks connections, while the runner
+        lives and takes new ones: its requests are not to blame for an end. Nor
+        are they if it was about to leave.
+        """
+        if self.runner.leaving or self.gone_at is not None:
+            return False
+        async with self._looking:
+            # With a runner all its requests break off; one look does for them.
+            self._ended = self._ended or await self.pool.refuses()
+        return self._ended
 
     def same_start(self, runner: Runner) -> bool:
         """Tell whether a registration is of the start that this is about.
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -12,6 +12,7 @@
 from sesamepoint import events
 from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
+from sesamepoint.front.notices import Notice
 from sesamepoint.front.sends import Word
 from sesamepoint.platform.names import ENTRY_TOPIC
 from sesamepoint.platform.store import KeyedRecord
@@ -21,6 +22,7 @@
 
     from sesamepoint.front.known_engines import KnownEngines
     from sesamepoint.front.peer_network import PeerNetwork
+    from sesamepoint.front.quarantine import Quarantine
     from sesamepoint.front.sends import SendNotes
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.platform.store import StoreClient
@@ -38,12 +40,23 @@
 # How often it is looked whether the reader of the list has heard of this entry,
 # in seconds.
 LOOK_S = 1.0
+# Who has heard no other entry for so long, in seconds, may have been cut off or
+# frozen, and has missed what the others told meanwhile. Under load words come
+# every 50 ms; without any, once in three seconds.
+DEAF_S = 2.0
 
 
 class Peers:
     """The other entries, and the exchange with them."""
 
-    def __init__(self, cfg: FrontSettings, sends: SendNotes, known: KnownEngines, network: PeerNetwork) -> None:
+    def __init__(
+        self,
+        cfg: FrontSettings,
+        sends: SendNotes,
+        quarantine: Quarantine,
+        known: KnownEngines,
+        network: PeerNetwork,
+    ) -> None:
         """Know nobody yet; ``known`` tells whom a send concerns."""
         self._known = known
         self._network = network
@@ -54,6 +67,10 @@
         self._addresses: dict[str, Address] = {}
         # Called with what other entries have read in the store.
         self.hear_news: Callable[[News], None] = _pass_over
+        # Called when others are heard again after a silence.
+        self.hear_again: Callable[[], None] = _do_nothing
+        self._heard_at: float = 0
+        self._quarantine = quarantine
 
     def count(self) -> int:
         """Return how many entries are registered, this one included."""
@@ -76,6 +93,8 @@
             return before is not None
         self._addresses[record.key] = address
         self.members.join(record.key, trio.current_time())
+        if address != before and record.key in self.members:
+            self._quarantine.tell_newcomer(record.key)
         return address != before
 
     async def register(self, store: StoreClient) -> None:
@@ -130,15 +149,15 @@
     def take(self, datagram: bytes) -> None:
         """Take in one datagram; one that no entry of ours sends is logged and dropped."""
         try:
-            word = msgspec.msgpack.decode(datagram, type=Word | News)
+            word = msgspec.msgpack.decode(datagram, type=Word | News | Notice)
         except msgspec.DecodeError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
-        self.members.heard(word.entry, trio.current_time())
+        self._note_heard(word.entry)
         if isinstance(word, Word):
             self._sends.heard(word)
         elif word.entry in self.members:
-            self.hear_news(word)
+            self._take_from_member(word)
 
     async def tell_news(self, news: News) -> None:
         """Tell all other entries what this one has read in the store."""
@@ -146,6 +165,28 @@
         for name in self._others():
             await self._tell(datagram, name)
 
+    async def tell_notices(self) -> None:
+        """Tell other entries of requests that may end runners, until cancelled."""
+        while True:
+            letters = await self._quarantine.outbox.next_letters()
+            for letter in letters:
+                datagram = msgspec.msgpack.encode(letter.notice)
+                for name in (letter.to,) if letter.to else self._others():
+                    await self._tell(datagram, name)
+
+    def _note_heard(self, entry: str) -> None:
+        now = trio.current_time()
+        self.members.heard(entry, now)
+        if now - self._heard_at > DEAF_S:
+            self.hear_again()
+        self._heard_at = now
+
+    def _take_from_member(self, word: News | Notice) -> None:
+        if isinstance(word, Notice):
+            self._quarantine.heard(word)
+        else:
+            self.hear_news(word)
+
     def _others(self) -> list[str]:
         return [name for name in self._addresses if name != self._cfg.name]
 
@@ -197,6 +238,10 @@
     return None
 
 
+def _do_nothing() -> None:
+    """Do nothing: topics are not followed yet."""
+
+
 def _pass_over(_: News) -> None:
     """Do nothing: topics are not followed yet."""
 
--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -7,6 +7,7 @@
 import trio
 
 from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.messages import ConnectFailedError
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
@@ -22,6 +23,9 @@
 # In one zone a connection takes under a millisecond, between zones three; a
 # lost packet is sent again after 0.2 s.
 CONNECT_S = 0.45
+# Whether a runner still listens is told within a round trip, in seconds; if the
+# network is silent that is no sign of its end, and callers wait for their retry.
+LOOK_S = 0.1
 
 
 class Pool:
@@ -49,6 +53,16 @@
             conn.close()
         return ClientConn(await self._network.connect(self._address, CONNECT_S))
 
+    async def refuses(self) -> bool:
+        """Tell whether nobody listens at the address; a connection that comes about is kept."""
+        try:
+            conn = ClientConn(await self._network.connect(self._address, LOOK_S))
+        except ConnectFailedError as exc:
+            return exc.refused
+        conn.idle_since = trio.current_time()
+        self._idle.append(conn)
+        return False
+
     def give_back(self, conn: ClientConn) -> None:
         """Keep ``conn`` if it can carry another request, else close it."""
         if conn.recycle():
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -46,12 +46,14 @@
     """Why a prompt was not read apart.
 
     ``silent`` if no answer came in the time allowed, ``replaced`` if another
-    incarnation has the runner's address by now.
+    incarnation has the runner's address by now, ``ended`` if the runner takes
+    no connections any more.
     """
 
     cause: str
     silent: bool = False
     replaced: bool = False
+    ended: bool = False
 
 
 class _HandleReply(msgspec.Struct):
@@ -83,7 +85,7 @@
             reply.check_caller()
             head, body = await _converse(req, target, conn)
     except ConnBrokenError as exc:
-        return PrefillFailed(str(exc))
+        return PrefillFailed(str(exc), ended=await member.has_ended())
     finally:
         member.pool.give_back(conn)
     member.health.heard(trio.current_time())
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine.py
@@ -0,0 +1,250 @@
+"""Keeping requests that end their runners from further ones, at all entries together.
+
+Without it a request that ends the engine that runs it was sent to a second one,
+and again by each instance that its caller turned to: four engines ended within half a
+second, with all that they ran, and so on for as long as the caller came back.
+
+A request is suspect when a runner has ended under it; so is all that ran beside it,
+and all of it keeps its retry. Under two ends it is sent alone: one send of it at a
+time over all entries, at a runner where no other such send is. If that runner ends too,
+it is quarantined: refused at once, here and everywhere. If it is answered, it is cleared.
+"""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from sesamepoint_core.serving.suspects import Start, Suspects
+from sesamepoint import events
+from sesamepoint.front.cause import Cause
+from sesamepoint.front.notices import MAX_ROWS, EndNote, Letter, Notice, Outbox, TrialNote
+from sesamepoint.front.results import Relayed, RunFailed
+from sesamepoint.front.return_time import hold_s, when_unknown_s
+from sesamepoint.front.trials import Trial, Trials, TrialState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint.front.job import Job
+    from sesamepoint.front.results import AttemptResult
+    from sesamepoint.platform.store import KeyedRecord
+
+    Picker = Callable[[Job, Callable[[Start], bool]], str | None]
+
+# After it has told that it will try a request an entry listens for so long, in
+# seconds, whether another one was about to: a word takes 5 ms, a busy entry
+# ten times that.
+CLAIM_S = 0.05
+# Who waits for a trial to end looks again after this time, in seconds, if nobody
+# tells of its end.
+LOOK_S = 0.1
+# An entry that has just started holds requests no longer than this, in seconds,
+# until it has read which are quarantined; it reads that with the rest.
+KNOWN_S = 0.5
+# Records that wait for the store; more only pile up while it is away.
+MAX_WAITING = 64
+
+
+class Quarantine:
+    """Decides which requests may be sent, and learns from what becomes of them."""
+
+    def __init__(self, entry: str) -> None:
+        """Start without suspects, in the name of ``entry``."""
+        self.suspects = Suspects()
+        self.trials = Trials(entry)
+        self.outbox = Outbox(entry)
+        # What is to be written to the store; the text is empty for a release.
+        self.records = trio.open_memory_channel[tuple[str, bytes]](MAX_WAITING)
+        self._entry = entry
+        self._known = trio.Event()
+
+    def refuses(self, job: Job) -> bool:
+        """Tell whether ``job`` may not be sent; then its caller is told when its quarantine ends."""
+        if not self.suspects.quarantined(job.content_id):
+            return False
+        job.notes.held_back = Cause.quarantined
+        job.retry_after_s = self.suspects.left_s(job.content_id, trio.current_time())
+        return True
+
+    async def admit(self, job: Job, pick: Picker) -> bool:
+        """Wait until ``job`` may be sent; False if it is refused.
+
+        Parameters
+        ----------
+        pick
+            Returns the runner for a trial, of those that a condition allows.
+        """
+        if not self._known.is_set():
+            with trio.move_on_after(KNOWN_S):
+                await self._known.wait()
+            self._known.set()
+        with trio.move_on_after(hold_s(job.caller_left_s, job.first_left_s)):
+            while not self.refuses(job):
+                if not self.suspects.needs_trial(job.content_id) or await self._claim(job, pick):
+                    return True
+            return False
+        job.notes.held_back = Cause.behind_trial
+        job.retry_after_s = when_unknown_s(job.caller_left_s)
+        return False
+
+    def learn(self, job: Job, found: AttemptResult | None) -> None:
+        """Take in what became of a send of ``job``; None if that isn't known."""
+        for start in job.ended:
+            self._note_end(job, start)
+        if job.ended and job.trial:
+            self._quarantine(job)
+        elif isinstance(found, Relayed | RunFailed):
+            self._note_served(job)
+        if job.trial:
+            self._tell(job.trial, TrialState.ended)
+        job.ended.clear()
+        job.trial = None
+
+    def heard(self, notice: Notice) -> None:
+        """Take what another entry told."""
+        for content_id, start in notice.ends:
+            self.suspects.note_end(content_id, start)
+        for note in notice.trials:
+            self.trials.note(notice.entry, note.trial, note.state)
+        for content_id in notice.served:
+            self.suspects.note_served(content_id)
+        for content_id in notice.quarantined:
+            self.suspects.quarantine(content_id, trio.current_time())
+
+    def tell_newcomer(self, entry: str) -> None:
+        """Tell an entry that has just registered what this one knows."""
+        newest = (
+            EndNote(content_id, start)
+            for content_id in reversed(self.suspects.all_suspect())
+            for start in self.suspects.starts(content_id)
+        )
+        ends = tuple(islice(newest, MAX_ROWS))
+        held = self.suspects.all_quarantined()[-MAX_ROWS:]
+        if ends or held:
+            self.outbox.send(Letter(entry, Notice(self._entry, ends=ends, quarantined=held)))
+
+    def take_records(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Take the whole list of quarantined requests from the store."""
+        for record in records:
+            self.take_record(record)
+        self._known.set()
+
+    def take_record(self, record: KeyedRecord) -> bool:
+        """Take the newest word of the store on one request; returns whether it is another one."""
+        if not record.text:
+            return self.suspects.release(record.key)
+        if self.suspects.quarantined(record.key):
+            return False
+        starts = _starts(record)
+        for start in starts:
+            self.suspects.note_end(record.key, start)
+        if starts:
+            self.suspects.quarantine(record.key, trio.current_time())
+        return bool(starts)
+
+    def release_lapsed(self) -> None:
+        """End quarantines whose time is over."""
+        for content_id in self.suspects.lapsed(trio.current_time()):
+            self._release(content_id, 'its time is over')
+
+    async def _claim(self, job: Job, pick: Picker) -> bool:
+        """Try to have a trial of ``job``; False if its state has to be looked at anew."""
+        runner = None if self.trials.tried(job.content_id) else pick(job, self._allows)
+        if runner is None:
+            with trio.move_on_after(LOOK_S):
+                await self.trials.changed.wait()
+            return False
+        trial = Trial(job.content_id, runner)
+        self._tell(trial, TrialState.claimed)
+        try:
+            await trio.sleep(CLAIM_S)
+        except BaseException:
+            # Its caller has left.
+            self._tell(trial, TrialState.ended)
+            raise
+        if not self.trials.won(trial) or self.suspects.quarantined(job.content_id):
+            self._tell(trial, TrialState.ended)
+            return False
+        job.trial = trial
+        self._tell(trial, TrialState.sent)
+        ends = self.suspects.ends(job.content_id)
+        events.log_event(
+            events.TRIAL_BEGUN,
+            request=job.req.request_id,
+            content=job.content_id,
+            runner=runner,
+            runners_ended=ends,
+        )
+        return True
+
+    def _allows(self, start: Start) -> bool:
+        """Tell whether a trial may go to a runner: it is up, and no other trial is there."""
+        return not self.suspects.has_ended(start) and not self.trials.taken(start.runner)
+
+    def _tell(self, trial: Trial, state: TrialState) -> None:
+        self.trials.note(self._entry, trial, state)
+        self.outbox.trial(TrialNote(trial, state))
+
+    def _note_end(self, job: Job, start: Start) -> None:
+        ends = self.suspects.note_end(job.content_id, start)
+        self.outbox.runner_ended(EndNote(job.content_id, start))
+        events.log_event(
+            events.RUNNER_ENDED,
+            request=job.req.request_id,
+            content=job.content_id,
+            runner=start.runner,
+            alone=job.trial is not None,
+            runners_ended=ends,
+        )
+
+    def _note_served(self, job: Job) -> None:
+        content_id = job.content_id
+        if self.suspects.quarantined(content_id):
+            # It was on its way when another send of it ended its runner.
+            self._release(content_id, 'it was answered')
+        if self.suspects.note_served(content_id):
+            self.outbox.served(content_id)
+            events.log_event(events.SUSPECT_SERVED, request=job.req.request_id, content=content_id)
+
+    def _quarantine(self, job: Job) -> None:
+        self.suspects.quarantine(job.content_id, trio.current_time())
+        self.outbox.quarantined(job.content_id)
+        self._write(job.content_id)
+        runners = [start.runner for start in self.suspects.starts(job.content_id)]
+        events.log_event(
+            events.QUARANTINED,
+            request=job.req.request_id,
+            caller=job.req.caller,
+            route=job.route.name,
+            content=job.content_id,
+            runners=runners,
+        )
+
+    def _release(self, content_id: str, cause: str) -> None:
+        if self.suspects.release(content_id):
+            self._put(content_id, b'')
+            events.log_event(events.QUARANTINE_ENDED, content=content_id, cause=cause)
+
+    def _write(self, content_id: str) -> None:
+        self._put(content_id, msgspec.json.encode(self.suspects.starts(content_id)))
+
+    def _put(self, content_id: str, text: bytes) -> None:
+        try:
+            self.records[0].send_nowait((content_id, text))
+        except trio.WouldBlock:
+            events.log_event(events.QUARANTINE_UNWRITTEN, content=content_id, cause='too many records wait')
+
+
+def _starts(record: KeyedRecord) -> tuple[Start, ...]:
+    try:
+        return msgspec.json.decode(record.text, type=tuple[Start, ...])
+    except msgspec.DecodeError as exc:
+        events.log_event(events.RECORD_UNREADABLE, cause=f'quarantined request {record.key}: {exc}')
+    return ()
+
+
+__all__ = ('Quarantine',)
--- a/packages/sesamepoint/src/sesamepoint/front/results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/results.py
@@ -48,10 +48,15 @@
 
 @dataclass(frozen=True)
 class Broken:
-    """No whole answer came; the request may have run."""
+    """No whole answer came; the request may have run.
+
+    ``ended`` if its runner takes no connections any more, so that it has not
+    just lost this answer.
+    """
 
     tag: ClassVar[str] = 'broken'
     cause: str
+    ended: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -11,7 +11,7 @@
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.attempt import Attempt, Target
-from sesamepoint.front.results import Rejected, Relayed, RunFailed, Silent, Unsent
+from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
@@ -81,6 +81,8 @@
         under_way_ms=whole_ms(trio.current_time() - started),
         beside=member.in_flight,
     )
+    if found.ended:
+        job.ended.append(member.start)
     if found.replaced:
         note_replaced(member)
     elif not found.silent or not member.health.heard_since(started):
@@ -125,6 +127,8 @@
     if isinstance(became, Unsent):
         job.sends -= 1
         member.health.unreached()
+    if isinstance(became, Broken) and became.ended:
+        job.ended.append(member.start)
     events.log_event(
         events.ATTEMPT_ENDED,
         request=job.req.request_id,
--- a/packages/sesamepoint/src/sesamepoint/front/watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/watch.py
@@ -111,6 +111,11 @@
         if self.turns.due < due:
             self._sooner.set()
 
+    def look_soon(self) -> None:
+        """Read the store oneself soon."""
+        self.turns.hint(trio.current_time())
+        self._sooner.set()
+
     async def _until_due(self) -> None:
         while trio.current_time() < self.turns.due:
             self._sooner = trio.Event()
--- a/packages/sesamepoint/src/sesamepoint/http1/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/messages.py
@@ -30,10 +30,14 @@
 
 
 class ConnectFailedError(SesamepointError):
-    """No connection came about, so nothing was sent."""
+    """No connection came about, so nothing was sent.
 
-    def __init__(self, address: str, cause: str) -> None:
+    ``refused`` if the far end's host answered that nobody listens there.
+    """
+
+    def __init__(self, address: str, cause: str, *, refused: bool = False) -> None:
         """Name the far end."""
+        self.refused = refused
         super().__init__(f'no connection to {address} ({cause})', 'another instance is tried')
 
 
--- a/packages/sesamepoint/src/sesamepoint/http1/transport.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/transport.py
@@ -101,7 +101,8 @@
                 await sock.connect(address)
         except (OSError, trio.TooSlowError) as exc:
             sock.close()
-            raise ConnectFailedError(str(address), repr(exc)) from exc
+            refused = isinstance(exc, ConnectionRefusedError)
+            raise ConnectFailedError(str(address), repr(exc), refused=refused) from exc
         except BaseException:
             sock.close()
             raise
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -64,4 +64,6 @@
 RUNNER_TOPIC: Final = 'keyed.servers'
 # A topic of our own: one record an entry, under its name.
 ENTRY_TOPIC: Final = 'keyed.entries'
+# Another: one record for each request that may not be sent any more.
+QUARANTINE_TOPIC: Final = 'keyed.quarantine'
 SETTINGS_VARIABLE: Final = 'SESAMEPOINT_CONFIG'
--- a/tests/front/harmful.py
+++ b/tests/front/harmful.py
@@ -21,6 +21,11 @@
 KNOWN_S = 3.0
 ENDED_BY_THEN = 3
 SENT_LATER = 3
+GOOD = 200
+# Callers come back after this time if they are told nothing, and heed no more
+# than that of what they are told, in seconds.
+SOON_S = 0.1
+LONGEST_WAIT_S = 1.0
 
 
 def harmful_prompt() -> Asked:
@@ -55,6 +60,18 @@
     return sum(run.started > known_at for run in sends_of_it(bed))
 
 
+async def ask_again(bed: PlatformBed, fronts: Iterable[str], req: Asked, found: list[Seen]) -> None:
+    """Send ``req`` to one of ``fronts`` after the other until it is answered whole, as its caller is told."""
+    seen = None
+    for number, front in enumerate(fronts):
+        seen = await bed.caller(front).ask(req._replace(request_id=f'{req.request_id}-{number}'))
+        if seen.status == GOOD and seen.whole:
+            break
+        await trio.sleep(min(seen.retry_after_s or SOON_S, LONGEST_WAIT_S))
+    if seen is not None:
+        found.append(seen)
+
+
 async def ask_all(bed: PlatformBed, fronts: Iterable[str], req: Asked) -> list[Seen]:
     """Send ``req`` to each of ``fronts`` at the same moment, each time under another id."""
     seen: list[Seen] = []
@@ -74,9 +91,11 @@
 
 
 __all__ = (
+    'ENDED_BY_THEN',
     'HARMFUL',
     'SENT_LATER',
     'all_end_on_it',
+    'ask_again',
     'ask_all',
     'harmful_fetch',
     'harmful_prompt',
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -52,6 +52,8 @@
 class World:
     """A deployment whose runners come, go and fail by lot."""
 
+    length_s = LENGTH_S
+
     def __init__(self, bed: PlatformBed, rng: Random) -> None:
         """Draw all from ``rng``."""
         self.bed = bed
@@ -78,7 +80,7 @@
         """Send requests and break things until the time is over."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load, nursery)
-            with trio.move_on_after(LENGTH_S):
+            with trio.move_on_after(self.length_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / FAULT_PAUSE_S))
                     self._rng.choice(self._steps)()
@@ -89,7 +91,7 @@
 
     async def _load(self, nursery: trio.Nursery) -> None:
         started = trio.current_time()
-        while trio.current_time() - started < LENGTH_S:
+        while trio.current_time() - started < self.length_s:
             await trio.sleep(self._rng.expovariate(REQUESTS_A_SECOND))
             nursery.start_soon(self._ask, self._request(), self._rng.randint(1, FRONTS))
 
--- a/tests/front/test_harmful_requests.py
+++ b/tests/front/test_harmful_requests.py
@@ -12,20 +12,77 @@
 
 from __future__ import annotations
 
+from random import Random
+from typing import TYPE_CHECKING
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 
+from sesamepoint_core.serving.suspects import Suspects
+from sesamepoint.front.trials import Trials
+from sesamepoint.platform.names import QUARANTINE_TOPIC
 from sesamepoint_standins.platform.bed import running_bed
-from tests.front.builders import configuration, engine
-from tests.front.harmful import SENT_LATER, all_end_on_it, ask_all, harmful_prompt, sent_later
+from sesamepoint_standins.virtual_time import run_virtual
+from tests.front.builders import asked, asked_prompt, configuration, engine, plain_runner
+from tests.front.harmful import (
+    ENDED_BY_THEN,
+    SENT_LATER,
+    all_end_on_it,
+    ask_again,
+    ask_all,
+    harmful_fetch,
+    harmful_prompt,
+    sends_of_it,
+    sent_later,
+)
+from tests.front.harmful_faults import play
 from tests.virtual import virtual
 
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bed import PlatformBed
+    from sesamepoint_standins.platform.caller import Seen
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
 FRONTS = 4
 ENGINES = 6
 # Engines are back when the caller comes again.
 PAUSE_S = 4.0
 TIMES = 8
+NOT_RUN = 503
+GOOD = 200
+# Refusals come at once: a round trip and some.
+AT_ONCE_S = 0.02
+SEEDS_BESIDE = (1, 2)
+# Of the first seeds these send on when nothing is remembered.
+SEEDS_AMONG_FAULTS = (3, 4)
+
+
+def _forget_end(*_: object) -> int:
+    return 0
+
+
+def _always(*_: object) -> bool:
+    return True
+
+
+def _never(*_: object) -> bool:
+    return False
+
+
+def engines(count: int = ENGINES) -> list[RunnerStandIn]:
+    """Return engines that end on the harmful request."""
+    return all_end_on_it(engine(number, 'decode') for number in range(1, count + 1))
+
+
+async def until_refused(bed: PlatformBed) -> Seen:
+    """Ask at one instance after the other until the request is refused for good."""
+    for number in range(TIMES):
+        seen = await bed.caller(f'front-{number % len(bed.fronts) + 1}').ask(harmful_prompt())
+        if seen.status == NOT_RUN and seen.took_s < AT_ONCE_S:
+            return seen
+        await trio.sleep(PAUSE_S)
+    raise AssertionError('never refused')
 
 
 class HarmfulRequestTest(TestCase):
@@ -38,8 +95,7 @@
         All instances know what befell the engines at the others: they send the
         request at most three times more.
         """
-        engines = all_end_on_it(engine(number, 'decode') for number in range(1, ENGINES + 1))
-        async with running_bed(configuration(), engines, fronts=FRONTS) as bed:
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
             for number in range(TIMES):
                 await bed.caller(f'front-{number % FRONTS + 1}').ask(harmful_prompt())
                 await trio.sleep(PAUSE_S)
@@ -48,9 +104,242 @@
     @virtual
     async def test_asked_at_the_same_moment(self) -> None:
         """The request comes to all instances at the same moment, and so again when the engines are back."""
-        engines = all_end_on_it(engine(number, 'decode') for number in range(1, ENGINES + 1))
-        async with running_bed(configuration(), engines, fronts=FRONTS) as bed:
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
             for _ in range(TIMES // 2):
                 await ask_all(bed, bed.fronts, harmful_prompt())
                 await trio.sleep(PAUSE_S)
             self.assertLessEqual(sent_later(bed), SENT_LATER)
+            # Each instance sends it twice before it knows; then one tries it for all.
+            self.assertEqual((len(bed.ended), len(sends_of_it(bed))), (ENDED_BY_THEN, 2 * FRONTS + 1))
+
+    @virtual
+    async def test_refused_at_once_when_known(self) -> None:
+        """What can't be served is refused at once: it has not run, and there is no use in coming back soon.
+
+        Three ends tell: two beside others, the third alone.
+        """
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            refused = await until_refused(bed)
+            self.assertGreater(refused.retry_after_s or 0, 3600)
+            self.assertEqual(len(bed.ended), ENDED_BY_THEN)
+
+    @virtual
+    async def test_asked_at_an_instance_just_started(self) -> None:
+        """An instance that started after the request was known for what it is refuses it like the others."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            await until_refused(bed)
+            known = len(sends_of_it(bed))
+            bed.add_front(FRONTS + 1)
+            await bed.until_ready()
+            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
+
+    @virtual
+    async def test_asked_before_the_list_is_read(self) -> None:
+        """An instance has its configuration and its runners, and the store is slow to tell what is not to be sent."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            await until_refused(bed)
+            known = len(sends_of_it(bed))
+            for name in tuple(bed.fronts):
+                bed.kill_front(name)
+                bed.fronts.pop(name)
+            bed.store.slow_topics[QUARANTINE_TOPIC] = 0.2
+            bed.add_front(FRONTS + 1)
+            await bed.until_ready()
+            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
+
+    @virtual
+    async def test_asked_after_all_instances_were_lost(self) -> None:
+        """All instances are lost at once; those that take their place find in the store what is not to be sent."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            await until_refused(bed)
+            known = len(sends_of_it(bed))
+            for name in tuple(bed.fronts):
+                bed.kill_front(name)
+                bed.fronts.pop(name)
+            bed.add_front(FRONTS + 1)
+            await bed.until_ready()
+            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
+
+    @virtual
+    async def test_asked_at_a_newcomer_while_suspect(self) -> None:
+        """Two engines have ended; an instance that starts then is told so by the others, and tries it alone."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            await bed.caller('front-1').ask(harmful_prompt())
+            bed.add_front(FRONTS + 1)
+            await bed.until_ready()
+            await trio.sleep(PAUSE_S)
+            await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            self.assertEqual(len(bed.ended), ENDED_BY_THEN)
+            seen = await bed.caller('front-2').ask(harmful_prompt())
+            self.assertLess(seen.took_s, AT_ONCE_S)
+
+    @virtual
+    async def test_store_away(self) -> None:
+        """The store is down all the while: the instances know it from each other."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            bed.store.down = True
+            await until_refused(bed)
+            await ask_all(bed, bed.fronts, harmful_prompt())
+            self.assertLessEqual(sent_later(bed), SENT_LATER)
+
+    @virtual
+    async def test_words_lost(self) -> None:
+        """No word gets from instance to instance: they know it from the store."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            bed.network.datagrams_lost = True
+            for _ in range(3):
+                await bed.caller('front-1').ask(harmful_prompt())
+                await trio.sleep(PAUSE_S)
+            # As long as an instance that hears nobody may take to look itself.
+            await trio.sleep(20)
+            known = len(sends_of_it(bed))
+            await ask_all(bed, bed.fronts, harmful_prompt())
+            self.assertEqual(len(sends_of_it(bed)), known)
+
+    @virtual
+    async def test_asked_at_an_instance_that_was_cut_off(self) -> None:
+        """An instance does not hear the others while they find out, like one that was frozen; soon after it knows."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            cut_off = bed.fronts[f'front-{FRONTS}'].cfg.host
+            others = [front.cfg.host for front in bed.fronts.values() if front.cfg.host != cut_off]
+            bed.network.cut.update(frozenset((cut_off, other)) for other in others)
+            for number in range(3):
+                await bed.caller(f'front-{number % 2 + 1}').ask(harmful_prompt())
+                await trio.sleep(PAUSE_S)
+            known = len(sends_of_it(bed))
+            bed.network.cut.clear()
+            for _ in range(30):
+                await trio.sleep(0.1)
+                await bed.caller('front-1').ask(asked_prompt('/tag/a')._replace(body=b'sound'))
+            await bed.caller(f'front-{FRONTS}').ask(harmful_prompt())
+            self.assertEqual(len(sends_of_it(bed)), known)
+
+    @virtual
+    async def test_plain_runners(self) -> None:
+        """The same with a plain service, whose requests may be repeated."""
+        runners = all_end_on_it(plain_runner(number) for number in range(1, ENGINES + 1))
+        async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+            for _ in range(TIMES // 2):
+                await ask_all(bed, bed.fronts, harmful_fetch())
+                await trio.sleep(PAUSE_S)
+            self.assertLessEqual(sent_later(bed), SENT_LATER)
+
+
+async def ask_beside(bed: PlatformBed, rng: Random, found: list[Seen], nursery: trio.Nursery) -> None:
+    """Send sound requests for some seconds, and a harmful one now and then."""
+    for number in range(300):
+        where = [f'front-{rng.randint(1, FRONTS)}' for _ in range(6)]
+        req = asked_prompt('/tag/a', output=20)._replace(body=f'sound {number}'.encode())
+        nursery.start_soon(ask_again, bed, where, req, found)
+        if number % 100 == 10:
+            nursery.start_soon(ask_again, bed, where[:3], harmful_prompt(), [])
+        await trio.sleep(rng.expovariate(40))
+
+
+async def ask_often(bed: PlatformBed, found: list[Seen], nursery: trio.Nursery) -> None:
+    """Have many callers ask for the same thing, 300 in 0.6 s."""
+    for number in range(300):
+        where = [f'front-{number % len(bed.fronts) + 1}' for _ in range(3)]
+        nursery.start_soon(ask_again, bed, where, asked('/thumb/often'), found)
+        await trio.sleep(0.002)
+
+
+class AmongFaultsTest(TestCase):
+    """A request that ends its runners, while runners come, go and fail and the store is away at times."""
+
+    def test_promises_kept(self) -> None:
+        for seed in SEEDS_AMONG_FAULTS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_virtual(play, seed, seed=seed), [])
+
+    def test_twin_nothing_remembered(self) -> None:
+        """Instances forget which runners ended under a request."""
+        seed = SEEDS_AMONG_FAULTS[-1]
+        with patch.object(Suspects, 'note_end', _forget_end):
+            found = run_virtual(play, seed, seed=seed)
+        self.assertTrue(any(line.startswith('harmful') for line in found))
+
+
+class BesideItTest(TestCase):
+    """Sound requests that were at a runner when it ended."""
+
+    @virtual
+    async def test_sound_requests_keep_their_retry(self) -> None:
+        """Four engines serve sound requests when the harmful one comes, again and again.
+
+        Whatever ran beside it loses its answer, some requests more than once. All of them are asked for again, and none
+        is taken for the harmful one: with engines up, all are answered in the end.
+        """
+        for seed in SEEDS_BESIDE:
+            async with running_bed(configuration(), engines(4), fronts=FRONTS) as bed:
+                found: list[Seen] = []
+                async with trio.open_nursery() as nursery:
+                    await ask_beside(bed, Random(seed), found, nursery)
+                with self.subTest(seed=seed):
+                    self.assertGreaterEqual(len(bed.ended), ENDED_BY_THEN)
+                    self.assertEqual([seen for seen in found if seen.status != GOOD or not seen.whole], [])
+
+    @virtual
+    async def test_twin_tried_together(self) -> None:
+        """Tried at one runner at the same time, a sound request is taken for the harmful one."""
+        found: list[Seen] = []
+        together = patch.object(Trials, 'won', _always), patch.object(Trials, 'taken', _never)
+        with together[0], together[1]:
+            async with running_bed(configuration(), engines(4), fronts=FRONTS) as bed, trio.open_nursery() as nursery:
+                await ask_beside(bed, Random(1), found, nursery)
+        self.assertNotEqual([seen for seen in found if seen.status != GOOD], [])
+
+    @virtual
+    async def test_asked_often_while_three_runners_end(self) -> None:
+        """Many callers ask for one thing, and the three runners that serve it end at once, by a fault of their own.
+
+        Ends that came together tell nothing: when runners are back it is tried alone, answered, and served to all.
+        """
+        runners = [plain_runner(number) for number in range(1, 4)]
+        async with running_bed(configuration(), runners, fronts=2) as bed:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_often, bed, [], nursery)
+                await trio.sleep(0.25)
+                for runner in runners:
+                    bed.end_runner(runner)
+            await trio.sleep(PAUSE_S)
+            seen = await ask_all(bed, [*bed.fronts, *bed.fronts], asked('/thumb/often'))
+            self.assertEqual({one.status for one in seen}, {GOOD})
+
+    @virtual
+    async def test_answers_lost_at_runners_that_live(self) -> None:
+        """A runner may lose answers, as a reset, and live: nobody is to blame for an end that there was not."""
+        runners = [plain_runner(number) for number in range(1, 4)]
+        async with running_bed(configuration(), runners, fronts=2) as bed:
+            for runner in runners:
+                runner.faults.breaks_before_answer = True
+            for _ in range(4):
+                await bed.caller('front-1').ask(asked('/thumb/unlucky'))
+            for runner in runners:
+                runner.faults.breaks_before_answer = False
+            seen = await bed.caller('front-1').ask(asked('/thumb/unlucky'))
+            self.assertEqual(seen.status, GOOD)
+            self.assertAlmostEqual(seen.took_s, runners[0].work_s, delta=AT_ONCE_S)
+
+    @virtual
+    async def test_at_runners_that_leave(self) -> None:
+        """Runners that have said that they leave end with requests on them; those are not to blame.
+
+        The caller's first attempt loses two engines, the second one a third; the fourth engine answers it.
+        """
+        runners = [engine(number, 'decode') for number in range(1, 5)]
+        async with running_bed(configuration(), runners, fronts=1) as bed:
+            req = asked_prompt('/tag/a', output=60)._replace(body=b'long')
+            found: list[Seen] = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask_again, bed, ['front-1', 'front-1'], req, found)
+                for _ in runners[:3]:
+                    await trio.sleep(0.3)
+                    busy = next(one for one in runners if one.running)
+                    bed.drain_runner(busy.key)
+                    await trio.sleep(0.5)
+                    bed.end_runner(busy)
+            self.assertEqual((found[0].status, found[0].whole), (GOOD, True))
--- a/tests/front/test_peers.py
+++ b/tests/front/test_peers.py
@@ -15,6 +15,7 @@
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.peers import Peers
+from sesamepoint.front.quarantine import Quarantine
 from sesamepoint.front.sends import NewLoad, SendNotes, Word
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint_standins.platform.bed import front_settings
@@ -45,7 +46,7 @@
     network = RecordingNetwork()
     known = KnownEngines('front-1', fleet)
     sends = SendNotes('front-1', fleet, Random(1))
-    peers = Peers(front_settings(1), sends, known, network)
+    peers = Peers(front_settings(1), sends, Quarantine('front-1'), known, network)
     for number in range(1, PEERS + 1):
         peers.update(KeyedRecord(f'front-{number}', f'10.1.0.{number}:8002'.encode()))
     for member in fleet.of_service('llm'):
