--- a/packages/sesamepoint/src/sesamepoint/front/trials.py
+++ b/packages/sesamepoint/src/sesamepoint/front/trials.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from sesamepoint_core.serving.suspects import Name
+
 # Word of a trial counts for this long, in seconds, if no end of it is heard: an
 # entry that has died must not keep a request waiting. Callers wait for 3 to 5 s.
 BELIEVED_S = 5.0
@@ -23,8 +25,8 @@
 class Trial(NamedTuple):
     """One request that is sent to one runner alone."""
 
-    content_id: str
-    runner: str
+    content_id: Name
+    runner: Name
 
 
 class _Claim(NamedTuple):
