Soak: a start that is told of new settings before it handles signals ends, and is started again

Cause as its test tells: the harness sent a signal to a process that had not got to its first line, and then waited for it in vain; the platform starts such a process again, and now the harness does. No source of the program changes.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -11,6 +11,7 @@
 import trio
 
 from sesamepoint_core.serving.address import Address
+from sesamepoint import events
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
@@ -51,12 +52,29 @@
 
 
 class FrontStub(NamedTuple):
-    """One front process and where it listens."""
+    """One front process and where it listens.
+
+    Parameters
+    ----------
+    log_from
+        Where in its log this start begins; earlier ones wrote what is before.
+    """
 
     process: trio.Process
     listen: Address
     ready: Address
     settings: Path
+    log_from: int = 0
+
+    @property
+    def log(self) -> Path:
+        """Return the file that its lines go to."""
+        return log_of(self.settings)
+
+    def has_started(self) -> bool:
+        """Tell whether this start has got to its first line; from then on it handles signals."""
+        written = self.log.read_text(encoding='utf-8')[self.log_from :]
+        return f'"event": {events.PROCESS_STARTED.number}' in written
 
 
 class ProcessBed:
@@ -91,7 +109,9 @@
 
     async def restart_front(self, number: int) -> FrontStub:
         """Start the front at place ``number`` again, with the settings that it had."""
-        front = self.fronts[number]._replace(process=await _start(self.fronts[number].settings))
+        front = self.fronts[number]
+        log_from = len(front.log.read_text(encoding='utf-8'))
+        front = front._replace(process=await _start(front.settings), log_from=log_from)
         self.fronts[number] = front
         return front
 
@@ -171,9 +191,14 @@
             nursery.cancel_scope.cancel()
 
 
+def log_of(settings: Path) -> Path:
+    """Return the log of the front that has ``settings``."""
+    return settings.with_suffix('.log')
+
+
 async def _start(settings: Path) -> trio.Process:
     command = [sys.executable, '-m', 'sesamepoint.cli', 'front', '--settings', str(settings)]
-    return await trio.lowlevel.open_process(command, stdout=settings.with_suffix('.log').open('ab'))
+    return await trio.lowlevel.open_process(command, stdout=log_of(settings).open('ab'))
 
 
 async def _free_port(host: str) -> int:
