--- a/tests/front/test_foreign_records.py
+++ b/tests/front/test_foreign_records.py
@@ -11,9 +11,12 @@
 from hypothesis import strategies as st
 
 from sesamepoint_core.serving.prompt import Part
+from sesamepoint_core.serving.suspects import Start, Suspects
+from sesamepoint.front.front import Front
+from sesamepoint.front.notices import EndNote, Notice
 from sesamepoint.front.sends import Send, Word
 from sesamepoint.platform.configuration import decode_configuration
-from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC
 from sesamepoint.platform.registration import decode_runner
 from sesamepoint.platform.unreadable import UnreadableRecordError
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
@@ -197,6 +200,40 @@
             front.peers.take(raw)
             self.assertEqual(member.load.streams(trio.current_time()), 1)
 
+    @virtual
+    async def test_foreign_notices(self) -> None:
+        """Cut notices, and rows that name nothing or have no end: none makes a request suspect."""
+        good = Notice('front-2', ends=(EndNote('c1', Start('i-1')), EndNote('c1', Start('i-2'))), quarantined=('c2',))
+        wrong = (EndNote('', Start('i-1')), EndNote('c' * 1000, Start('i-1')), EndNote('c1', Start('i-1', -1)))
+        words = [msgspec.msgpack.encode(msgspec.structs.replace(good, ends=(row,))) for row in wrong]
+        raw = msgspec.msgpack.encode(good)
+        async with running_bed(configuration(), fleet(), fronts=2) as bed:
+            front = bed.fronts['front-1']
+            suspects = suspects_of(front)
+            await trio.sleep(2)
+            for datagram in (*words, *(raw[:end] for end in range(len(raw)))):
+                front.peers.take(datagram)
+            self.assertEqual(suspects.all_suspect(), ())
+            front.peers.take(msgspec.msgpack.encode(msgspec.structs.replace(good, entry='nobody')))
+            self.assertEqual(suspects.all_suspect(), ())
+            front.peers.take(raw)
+            self.assertEqual((suspects.all_suspect(), suspects.all_quarantined()), (('c1',), ('c2',)))
+
+    @virtual
+    async def test_foreign_quarantine_records(self) -> None:
+        """Another writer fills the list of what may not be sent: what tells of no ends keeps nothing back."""
+        async with running_bed(configuration(), fleet()) as bed:
+            for number, text in enumerate((b'\xff', b'{}', b'[]', b'[["i-1"]', b'[[""]]')):
+                bed.store.put_raw(QUARANTINE_TOPIC, f'c{number}', text)
+            bed.store.put_raw(QUARANTINE_TOPIC, 'known', b'[["i-1",0]]')
+            await trio.sleep(20)
+            self.assertEqual(suspects_of(bed.fronts['front-1']).all_quarantined(), ('known',))
+
+
+def suspects_of(front: Front) -> Suspects:
+    """Return what a front knows of requests that may end runners."""
+    return front.peers._quarantine.suspects
+
 
 def _written(document: dict[str, Any]) -> list[Any]:
     rows = [document, document['limits'], *document['routes'], *document['services']]
