Real processes keep a request that ends its runners from each other's runners

Three front processes over loopback: two plain runners end at the first, one at the second, the third refuses, also after it was killed and started anew.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -24,11 +24,14 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
     from pathlib import Path
 
+    from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Transport
 
     Serve = Callable[[Transport], Awaitable[None]]
 
 START_S = 30.0
+STATUS_OK = 200
+METRICS_PATH = '/metrics'
 POLL_S = 0.05
 CONNECT_S = 1.0
 # Faster than any real engine: the processes are on trial here, not the waits.
@@ -85,8 +88,10 @@
         self.store = PlatformStore()
         self.runners: list[RunnerStandIn] = []
         self.fronts: list[FrontStub] = []
+        self.ended: list[str] = []
         self.nursery = nursery
         self._folder = folder
+        self._listening: dict[Address, trio.CancelScope] = {}
         self._store_address: Address | None = None
 
     async def start(self, configuration: object) -> None:
@@ -94,7 +99,7 @@
         self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, configuration)
         self._store_address = await self.serve(self.store.serve)
         for service, stage in (('web', None), ('web', None), ('llm', 'prefill'), ('llm', 'decode')):
-            await self._add_runner(service, stage)
+            await self.add_runner(service, stage)
 
     async def add_front(self) -> FrontStub:
         """Start a front process and wait until it is ready."""
@@ -121,11 +126,34 @@
             while not await ready(front):
                 await trio.sleep(POLL_S)
 
+    async def until_all_show(self, metric: str) -> None:
+        """Wait until the page of metrics of each front has a line ``metric``."""
+        with trio.fail_after(START_S):
+            while not all([await shows(front, metric) for front in self.fronts]):
+                await trio.sleep(POLL_S)
+
     async def serve(self, serve: Serve) -> Address:
         """Serve connections on a free port of loopback; returns where fronts reach it."""
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        self.nursery.start_soon(trio.serve_listeners, partial(_serve_stream, serve), listeners)
-        return Address(*listeners[0].socket.getsockname()[:2])
+        address = Address(*listeners[0].socket.getsockname()[:2])
+        self.nursery.start_soon(self._listen, serve, listeners, address)
+        return address
+
+    async def add_runner(self, service: str, stage: str | None = None) -> RunnerStandIn:
+        """Start a runner and register it."""
+        key = f'i-{len(self.runners)}'
+        # Where it listens is known only after it does.
+        runner = RunnerStandIn(key, service, Address('', 0), 'z1', stage=stage, speed=QUICK, work_s=0.005)
+        runner.address = await self.serve(runner.serve)
+        runner.on_end = self.end_runner
+        self.runners.append(runner)
+        self.store.put(RUNNER_TOPIC, key, runner.record)
+        return runner
+
+    def end_runner(self, runner: RunnerStandIn) -> None:
+        """End a runner at once: its connections end, and new ones are refused."""
+        self.ended.append(runner.key)
+        self._listening[runner.address].cancel()
 
     def end(self) -> None:
         """End the processes that were started here and still run."""
@@ -147,26 +175,33 @@
         )
         return listen, ready_listen, settings
 
-    async def _add_runner(self, service: str, stage: str | None) -> None:
-        key = f'i-{len(self.runners)}'
-        # Where it listens is known only after it does.
-        runner = RunnerStandIn(key, service, Address('', 0), 'z1', stage=stage, speed=QUICK, work_s=0.005)
-        runner.address = await self.serve(runner.serve)
-        self.runners.append(runner)
-        self.store.put(RUNNER_TOPIC, key, runner.record)
+    async def _listen(self, serve: Serve, listeners: list[trio.SocketListener], address: Address) -> None:
+        with trio.CancelScope() as scope:
+            self._listening[address] = scope
+            await trio.serve_listeners(partial(_serve_stream, serve), listeners)
 
 
 async def ready(front: FrontStub) -> bool:
     """Ask a front whether it is ready, as the platform does."""
+    reply = await _page(front, READY_PATH)
+    return reply is not None and reply[0].status == STATUS_OK
+
+
+async def shows(front: FrontStub, metric: str) -> bool:
+    """Tell whether a front's page of metrics has a line ``metric``."""
+    reply = await _page(front, METRICS_PATH)
+    return reply is not None and metric in reply[1].decode().splitlines()
+
+
+async def _page(front: FrontStub, path: str) -> tuple[ResponseHead, bytes] | None:
     try:
         conn = ClientConn(await SocketNetwork().connect(front.ready, CONNECT_S))
     except ConnectFailedError:
-        return False
+        return None
     try:
-        reply, _ = await conn.ask(RequestHead(b'GET', READY_PATH.encode(), ((b'host', b'x'),)))
-        return reply.status == 200
+        return await conn.ask(RequestHead(b'GET', path.encode(), ((b'host', b'x'),)))
     except ConnBrokenError:
-        return False
+        return None
     finally:
         conn.close()
 
