--- a/tests/front/test_harmful_requests.py
+++ b/tests/front/test_harmful_requests.py
@@ -50,6 +50,8 @@
 NOT_RUN = 503
 # Refusals come at once: a round trip and some.
 AT_ONCE_S = 0.02
+# As long as an instance that hears nobody may take to look itself, and a call more.
+LOOKED_S = 20.0
 # Of the first seeds these send on when nothing is remembered.
 SEEDS_AMONG_FAULTS = (3, 4)
 
@@ -113,6 +115,18 @@
             self.assertGreater(refused.retry_after_s or 0, 3600)
             self.assertEqual(len(bed.ended), ENDED_BY_THEN)
 
+    @virtual
+    async def test_released_by_an_operator(self) -> None:
+        """An operator drops the record: all instances take the request again, and its next send is a trial."""
+        async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
+            await until_refused(bed)
+            known = len(sends_of_it(bed))
+            quarantined = bed.fronts['front-1'].peers._quarantine.suspects.all_quarantined()
+            bed.store.put(QUARANTINE_TOPIC, quarantined[0], None)
+            await trio.sleep(LOOKED_S)
+            await ask_all(bed, bed.fronts, harmful_prompt())
+            self.assertEqual(len(sends_of_it(bed)), known + 1)
+
     @virtual
     async def test_asked_at_an_instance_just_started(self) -> None:
         """An instance that started after the request was known for what it is refuses it like the others."""
@@ -179,8 +193,7 @@
             for _ in range(3):
                 await bed.caller('front-1').ask(harmful_prompt())
                 await trio.sleep(PAUSE_S)
-            # As long as an instance that hears nobody may take to look itself.
-            await trio.sleep(20)
+            await trio.sleep(LOOKED_S)
             known = len(sends_of_it(bed))
             await ask_all(bed, bed.fronts, harmful_prompt())
             self.assertEqual(len(sends_of_it(bed)), known)
