One way to tell peers of suspects, and no wait set up for requests that are none

The outbox kept four lists and four methods that differed by a name; it takes notices now and merges those of one moment, 24 rows a datagram in all in place of 24 of each kind. A request that nothing suspects no longer opens a cancel scope before each send.

--- a/packages/sesamepoint/src/sesamepoint/front/notices.py
+++ b/packages/sesamepoint/src/sesamepoint/front/notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 import trio
@@ -12,20 +12,17 @@
 from sesamepoint.front.trials import Trial, TrialState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Sequence
 
 # What happened within this time goes together, in seconds: with a runner many
 # requests end at once.
 GATHER_S = 0.002
-# Rows of a kind in one datagram, so that it is about one packet.
+# Rows in one datagram, so that it is one packet.
 MAX_ROWS = 24
-# Rows of a kind that wait to be told; more only pile up while a link is full.
+# Notices that wait to be told; more only pile up while a link is full.
 MAX_WAITING = 6144
 
 
-_Row = TypeVar('_Row')
-
-
 class EndNote(NamedTuple):
     """A runner ended under a request."""
 
@@ -68,65 +65,39 @@
 class Outbox:
     """Gathers what there is to tell; never blocks who tells it."""
 
-    def __init__(self, entry: str) -> None:
-        """Tell in the name of ``entry``."""
-        self._entry = entry
+    def __init__(self) -> None:
+        """Start with nothing to tell."""
         self._fresh = trio.Event()
         self._letters: list[Letter] = []
-        self._ends: list[EndNote] = []
-        self._trials: list[TrialNote] = []
-        self._served: list[str] = []
-        self._quarantined: list[str] = []
-
-    def runner_ended(self, note: EndNote) -> None:
-        """Tell all others that a runner ended."""
-        self._add(self._ends, note)
-
-    def trial(self, note: TrialNote) -> None:
-        """Tell all others of a trial."""
-        self._add(self._trials, note)
-
-    def served(self, content_id: str) -> None:
-        """Tell all others that a suspect was answered."""
-        self._add(self._served, content_id)
-
-    def quarantined(self, content_id: str) -> None:
-        """Tell all others that a request may not be sent."""
-        self._add(self._quarantined, content_id)
 
-    def send(self, letter: Letter) -> None:
-        """Send a notice to one entry."""
-        self._add(self._letters, letter)
+    def tell(self, notice: Notice, to: str = '') -> None:
+        """Tell one entry, or all others."""
+        if len(self._letters) < MAX_WAITING:
+            self._letters.append(Letter(to, notice))
+        else:
+            events.log_event(events.NOTICE_DROPPED, notice=repr(notice))
+        self._fresh.set()
 
     async def next_letters(self) -> list[Letter]:
-        """Return what there is to send, waiting for the first."""
+        """Return what there is to send, waiting for the first; what all are told goes together."""
         await self._fresh.wait()
         await trio.sleep(GATHER_S)
         self._fresh = trio.Event()
-        letters = [*self._letters, *self._gathered()]
-        for rows in (self._letters, self._ends, self._trials, self._served, self._quarantined):
-            rows.clear()
-        return letters
-
-    def _add(self, rows: list[_Row], row: _Row) -> None:
-        if len(rows) < MAX_WAITING:
-            rows.append(row)
-        else:
-            events.log_event(events.NOTICE_DROPPED, row=repr(row))
-        self._fresh.set()
-
-    def _gathered(self) -> Iterator[Letter]:
-        longest = max(len(self._ends), len(self._trials), len(self._served), len(self._quarantined))
-        for start in range(0, longest, MAX_ROWS):
-            part = slice(start, start + MAX_ROWS)
-            notice = Notice(
-                self._entry,
-                tuple(self._ends[part]),
-                tuple(self._trials[part]),
-                tuple(self._served[part]),
-                tuple(self._quarantined[part]),
-            )
-            yield Letter('', notice)
+        waiting = self._letters
+        self._letters = []
+        to_all = [letter.notice for letter in waiting if not letter.to]
+        chunks = (to_all[start : start + MAX_ROWS] for start in range(0, len(to_all), MAX_ROWS))
+        return [*(letter for letter in waiting if letter.to), *(Letter('', _merged(chunk)) for chunk in chunks)]
+
+
+def _merged(notices: Sequence[Notice]) -> Notice:
+    return Notice(
+        notices[0].entry,
+        ends=tuple(row for notice in notices for row in notice.ends),
+        trials=tuple(row for notice in notices for row in notice.trials),
+        served=tuple(row for notice in notices for row in notice.served),
+        quarantined=tuple(row for notice in notices for row in notice.quarantined),
+    )
 
 
 __all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'TrialNote')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -18,7 +18,7 @@
 from sesamepoint.platform.store import KeyedRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sesamepoint.front.known_engines import KnownEngines
     from sesamepoint.front.peer_network import PeerNetwork
@@ -161,18 +161,14 @@
 
     async def tell_news(self, news: News) -> None:
         """Tell all other entries what this one has read in the store."""
-        datagram = msgspec.msgpack.encode(news)
-        for name in self._others():
-            await self._tell(datagram, name)
+        await self._tell_each(self._others(), news)
 
     async def tell_notices(self) -> None:
         """Tell other entries of requests that may end runners, until cancelled."""
         while True:
             letters = await self._quarantine.outbox.next_letters()
             for letter in letters:
-                datagram = msgspec.msgpack.encode(letter.notice)
-                for name in (letter.to,) if letter.to else self._others():
-                    await self._tell(datagram, name)
+                await self._tell_each([letter.to] if letter.to else self._others(), letter.notice)
 
     def _note_heard(self, entry: str) -> None:
         now = trio.current_time()
@@ -190,6 +186,11 @@
     def _others(self) -> list[str]:
         return [name for name in self._addresses if name != self._cfg.name]
 
+    async def _tell_each(self, names: Sequence[str], told: News | Notice) -> None:
+        datagram = msgspec.msgpack.encode(told)
+        for name in names:
+            await self._tell(datagram, name)
+
     async def _tell_all(self, word: Word) -> None:
         everything = msgspec.msgpack.encode(word)
         whole = self._known.whole
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine.py
@@ -22,7 +22,7 @@
 from sesamepoint_core.serving.suspects import Start, Suspects
 from sesamepoint import events
 from sesamepoint.front.cause import Cause
-from sesamepoint.front.notices import MAX_ROWS, EndNote, Letter, Notice, Outbox, TrialNote
+from sesamepoint.front.notices import MAX_ROWS, EndNote, Notice, Outbox, TrialNote
 from sesamepoint.front.results import Relayed, RunFailed, Silent
 from sesamepoint.front.return_time import hold_s, when_unknown_s
 from sesamepoint.front.trials import Trial, Trials, TrialState
@@ -72,7 +72,7 @@
         """Start without suspects, in the name of ``entry``."""
         self.suspects = Suspects()
         self.trials = Trials(entry)
-        self.outbox = Outbox(entry)
+        self.outbox = Outbox()
         # What is to be written to the store; the text is empty for a release.
         self.records = trio.open_memory_channel[tuple[str, bytes]](MAX_WAITING)
         self._entry = entry
@@ -99,14 +99,9 @@
             with trio.move_on_after(KNOWN_S):
                 await self._known.wait()
             self._known.set()
-        with trio.move_on_after(hold_s(job.caller_left_s, job.first_left_s)):
-            while not self.refuses(job):
-                if not self.suspects.needs_trial(job.content_id) or await self._claim(job, pick):
-                    return True
-            return False
-        job.notes.held_back = Cause.behind_trial
-        job.retry_after_s = when_unknown_s(job.caller_left_s)
-        return False
+        if self.suspects.quarantined(job.content_id) or self.suspects.needs_trial(job.content_id):
+            return await self._admit_suspect(job, pick)
+        return True
 
     def learn(self, job: Job, found: AttemptResult | None) -> None:
         """Take in what became of a send of ``job``; None if its caller left or it wasn't sent."""
@@ -144,7 +139,7 @@
         ends = tuple(islice(newest, MAX_ROWS))
         held = self.suspects.all_quarantined()[-MAX_ROWS:]
         if ends or held:
-            self.outbox.send(Letter(entry, Notice(self._entry, ends=ends, quarantined=held)))
+            self.outbox.tell(Notice(self._entry, ends=ends, quarantined=held), entry)
 
     def take_records(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take the whole list of quarantined requests from the store."""
@@ -170,6 +165,16 @@
         for content_id in self.suspects.lapsed(trio.current_time()):
             self._release(content_id, 'its time is over')
 
+    async def _admit_suspect(self, job: Job, pick: Picker) -> bool:
+        with trio.move_on_after(hold_s(job.caller_left_s, job.first_left_s)):
+            while not self.refuses(job):
+                if not self.suspects.needs_trial(job.content_id) or await self._claim(job, pick):
+                    return True
+            return False
+        job.notes.held_back = Cause.behind_trial
+        job.retry_after_s = when_unknown_s(job.caller_left_s)
+        return False
+
     async def _claim(self, job: Job, pick: Picker) -> bool:
         """Try to have a trial of ``job``; False if its state has to be looked at anew."""
         runner = None if self.trials.tried(job.content_id) else pick(job, self._allows)
@@ -206,12 +211,12 @@
 
     def _tell(self, trial: Trial, state: TrialState) -> None:
         self.trials.note(self._entry, trial, state)
-        self.outbox.trial(TrialNote(trial, state))
+        self.outbox.tell(Notice(self._entry, trials=(TrialNote(trial, state),)))
 
     def _note_end(self, content_id: str, start: Start, *, alone: bool) -> None:
         """Count the end of a runner; what was ``alone`` there has caused it."""
         ends = self.suspects.note_end(content_id, start)
-        self.outbox.runner_ended(EndNote(content_id, start))
+        self.outbox.tell(Notice(self._entry, ends=(EndNote(content_id, start),)))
         events.log_event(events.RUNNER_ENDED, content=content_id, runner=start.runner, alone=alone, runners_ended=ends)
         if alone:
             self._quarantine(content_id)
@@ -236,12 +241,12 @@
             # It was on its way when another send of it ended its runner.
             self._release(content_id, 'it was answered')
         if self.suspects.note_served(content_id):
-            self.outbox.served(content_id)
+            self.outbox.tell(Notice(self._entry, served=(content_id,)))
             events.log_event(events.SUSPECT_SERVED, request=job.req.request_id, content=content_id)
 
     def _quarantine(self, content_id: str) -> None:
         self.suspects.quarantine(content_id, trio.current_time())
-        self.outbox.quarantined(content_id)
+        self.outbox.tell(Notice(self._entry, quarantined=(content_id,)))
         starts = self.suspects.starts(content_id)
         self._put(content_id, msgspec.json.encode(starts))
         events.log_event(events.QUARANTINED, content=content_id, runners=[start.runner for start in starts])
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -74,12 +74,8 @@
     """Note that ``member`` did not read the job's prompt for another engine."""
     events.log_event(
         events.PREFILL_FAILED,
-        request=job.req.request_id,
-        runner=member.runner.key,
         cause=found.cause,
-        content=job.content_id,
-        under_way_ms=whole_ms(trio.current_time() - started),
-        beside=member.in_flight,
+        **_send_fields(job, member, started),
     )
     if found.ended:
         job.ended.append(member.start)
@@ -111,6 +107,17 @@
     return job.route.repeat is not Repeat.never
 
 
+def _send_fields(job: Job, member: Member, started: float) -> dict[str, object]:
+    """Return what all lines on a send tell that brought no whole answer."""
+    return {
+        'request': job.req.request_id,
+        'runner': member.runner.key,
+        'content': job.content_id,
+        'under_way_ms': whole_ms(trio.current_time() - started),
+        'beside': member.in_flight,
+    }
+
+
 def _cause(became: AttemptResult) -> str:
     if isinstance(became, RunFailed):
         return f'status {became.head.status}'
@@ -131,13 +138,9 @@
         job.ended.append(member.start)
     events.log_event(
         events.ATTEMPT_ENDED,
-        request=job.req.request_id,
-        runner=member.runner.key,
         outcome=became.tag,
         cause=_cause(became),
-        content=job.content_id,
-        under_way_ms=whole_ms(trio.current_time() - started),
-        beside=member.in_flight,
+        **_send_fields(job, member, started),
         begun=job.reply.begun,
         resume_after=target.sending.resume_after,
         fetch_from=target.sending.fetch_from,
--- a/tests/front/harmful_faults.py
+++ b/tests/front/harmful_faults.py
@@ -5,17 +5,15 @@
 
 from __future__ import annotations
 
-import sys
 from random import Random
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
-from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.builders import configuration, engine, plain_runner
 from tests.front.harmful import SENT_LATER, all_end_on_it, ask_again, ask_all, harmful_prompt, sent_later
-from tests.front.random_faults import FRONTS, World, broken_promises
+from tests.front.random_faults import FRONTS, World, broken_promises, main
 
 if TYPE_CHECKING:
     from sesamepoint_standins.platform.caller import Seen
@@ -71,12 +69,5 @@
         return [*found, *(f'beside: {name} was taken for harmful' for name in sound)]
 
 
-def main() -> None:
-    """Play a span of seeds and print what breaks."""
-    for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        sys.stdout.write(f'seed {seed}: {run_virtual(play, seed, seed=seed) or "kept"}\n')
-        sys.stdout.flush()
-
-
 if __name__ == '__main__':
-    main()
+    main(play)
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -22,10 +22,12 @@
 from tests.front.builders import asked, asked_prompt, configuration, engine, plain_runner, route
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from sesamepoint_standins.platform.caller import Asked, Seen
 
+    Play = Callable[[int], Awaitable[list[str]]]
+
 LENGTH_S = 8.0
 REQUESTS_A_SECOND = 60.0
 FAULT_PAUSE_S = 0.4
@@ -232,11 +234,12 @@
         return broken_promises(world)
 
 
-def main() -> None:
+def main(play_one: Play) -> None:
     """Play a span of seeds and print what breaks."""
     for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        sys.stdout.write(f'seed {seed}: {run_virtual(play, seed, seed=seed) or "kept"}\n')
+        sys.stdout.write(f'seed {seed}: {run_virtual(play_one, seed, seed=seed) or "kept"}\n')
+        sys.stdout.flush()
 
 
 if __name__ == '__main__':
-    main()
+    main(play)
--- a/tests/front/test_beside_harmful_requests.py
+++ b/tests/front/test_beside_harmful_requests.py
@@ -40,14 +40,6 @@
 LATEST_S = 1.5
 
 
-def _always(*_: object) -> bool:
-    return True
-
-
-def _never(*_: object) -> bool:
-    return False
-
-
 class BesideItTest(TestCase):
     """Sound requests that were at a runner when it ended."""
 
@@ -71,7 +63,7 @@
     async def test_twin_tried_together(self) -> None:
         """Tried at one runner at the same time, a sound request is taken for the harmful one."""
         found: list[Seen] = []
-        together = patch.object(Trials, 'won', _always), patch.object(Trials, 'taken', _never)
+        together = patch.object(Trials, 'won', return_value=True), patch.object(Trials, 'taken', return_value=False)
         with together[0], together[1]:
             async with running_bed(configuration(), engines(4), fronts=FRONTS) as bed, trio.open_nursery() as nursery:
                 await ask_beside(bed, Random(1), found, nursery)
--- a/tests/front/test_harmful_requests.py
+++ b/tests/front/test_harmful_requests.py
@@ -56,10 +56,6 @@
 SEEDS_AMONG_FAULTS = (3, 4)
 
 
-def _forget_end(*_: object) -> int:
-    return 0
-
-
 async def until_refused(bed: PlatformBed) -> Seen:
     """Ask at one instance after the other until the request is refused for good."""
     for number in range(TIMES):
@@ -77,6 +73,13 @@
         bed.fronts.pop(name)
 
 
+async def ask_new_front(bed: PlatformBed) -> Seen:
+    """Start one more instance, and ask there as soon as it is ready."""
+    bed.add_front(FRONTS + 1)
+    await bed.until_ready()
+    return await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+
+
 class HarmfulRequestTest(TestCase):
     """What reaches engines of a request that ends them."""
 
@@ -133,9 +136,7 @@
         async with running_bed(configuration(), engines(), fronts=FRONTS) as bed:
             await until_refused(bed)
             known = len(sends_of_it(bed))
-            bed.add_front(FRONTS + 1)
-            await bed.until_ready()
-            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            seen = await ask_new_front(bed)
             self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
 
     @virtual
@@ -146,9 +147,7 @@
             known = len(sends_of_it(bed))
             lose_all_fronts(bed)
             bed.store.slow_topics[QUARANTINE_TOPIC] = 0.2
-            bed.add_front(FRONTS + 1)
-            await bed.until_ready()
-            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            seen = await ask_new_front(bed)
             self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
 
     @virtual
@@ -158,9 +157,7 @@
             await until_refused(bed)
             known = len(sends_of_it(bed))
             lose_all_fronts(bed)
-            bed.add_front(FRONTS + 1)
-            await bed.until_ready()
-            seen = await bed.caller(f'front-{FRONTS + 1}').ask(harmful_prompt())
+            seen = await ask_new_front(bed)
             self.assertEqual((seen.status, len(sends_of_it(bed))), (NOT_RUN, known))
 
     @virtual
@@ -253,6 +250,6 @@
     def test_twin_nothing_remembered(self) -> None:
         """Instances forget which runners ended under a request."""
         seed = SEEDS_AMONG_FAULTS[-1]
-        with patch.object(Suspects, 'note_end', _forget_end):
+        with patch.object(Suspects, 'note_end', return_value=0):
             found = run_virtual(play, seed, seed=seed)
         self.assertTrue(any(line.startswith('harmful') for line in found))
