Keep a request that is past its target for as long as it can be answered

Cause: a long request that was let in as late and beside no rival was refused once two fifths of its caller's time were over, 0.81 s after it came; it had lost its chance to be on time by then, and its caller the time to come back in.

Change: past its target a held request is refused only if it can't be answered any more. The share of two fifths then never decided before the target, since patience is four targets: it is gone.

--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -72,12 +72,6 @@
         """Tell whether it may be refused: not if part of an answer may have gone out."""
         return not self.job.sends
 
-    @property
-    def waited_share(self) -> float:
-        """Return the share of its time for a first event that has passed."""
-        span_s = self.job.first_deadline - self.job.req.arrived
-        return 1 - self.job.first_left_s / span_s
-
     @property
     def small(self) -> bool:
         """Tell whether to serve it late costs the others next to nothing."""
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -148,14 +148,15 @@
 
         Those that can be on time go first. With late ones held behind them,
         half of the held were given up after 0.8 s, and their callers came
-        back to the same burst; now they do so when it may be over.
+        back to the same burst; now they do so when it may be over. Held past
+        its target a request has lost that chance, and its place would be worth
+        nothing to its caller: it stays for as long as it can be answered.
         """
         if not waiter.late or not waiter.refusable:
             return False
-        if waiter.job.returned:
+        if waiter.job.returned or waiter.job.on_time_s <= 0:
             return waiter.too_late
-        crowded_out = not waiter.small and self._lines.rivals(waiter.line) > 0
-        return crowded_out or waiter.waited_share > MAX_WAIT_SHARE
+        return not waiter.small and self._lines.rivals(waiter.line) > 0
 
     async def _look_at(self, waiters: Iterable[Waiter]) -> bool:
         vain: Counter[str] = Counter()
