Client accounts: requests are served for whom their key says

Cause: nothing knew an account's key.

Change: the operator's keys and callers' headers become digests where they enter the process. Routes that aren't public need one key that the configuration in force holds, else 401 at once, or 503 while there is none. All sends name the account and drop what the caller set. Its rank goes before the route's. With a new configuration what waits is looked at again: denied, or served for the account that has the key now; what may run ends whole. Records of the configuration are in no word to peers any more, small ones were.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.accounts import Accounts
 
 
 class Repeat(Enum):
@@ -43,6 +46,8 @@
         Runners that one request may be sent to.
     priority
         Rank; 0 is the most urgent.
+    public
+        Whether callers need no key.
     """
 
     name: str
@@ -56,6 +61,7 @@
     max_attempts: int
     priority: int
     shares: tuple[Share, ...]
+    public: bool = False
 
 
 class EngineFigures(NamedTuple):
@@ -101,12 +107,13 @@
 
 
 class Configuration(NamedTuple):
-    """One version of what the operator wants."""
+    """One version of what the operator wants; without ``accounts`` all requests are nobody's."""
 
     version: int
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     limits: CallerLimits
+    accounts: Accounts | None = None
 
     @classmethod
     def from_parts(
@@ -115,13 +122,14 @@
         routes: list[Route],
         services: list[Service],
         limits: CallerLimits,
+        accounts: Accounts | None = None,
     ) -> Configuration:
         """Index ``routes`` by host, those with the longest prefix first."""
         by_host: dict[str, list[Route]] = {}
         for route in routes:
             by_host.setdefault(route.host, []).append(route)
         index = {host: tuple(sorted(found, key=_longest_first)) for host, found in by_host.items()}
-        return cls(version, index, {service.name: service for service in services}, limits)
+        return cls(version, index, {service.name: service for service in services}, limits, accounts)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins ``path``."""
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -19,6 +19,7 @@
 ONE_WAY_S = 0.001
 # A link's queue takes what it carries in this time, in seconds.
 FULL_S = 0.02
+KEPT_DATAGRAMS = 10_000
 _END = None
 
 
@@ -137,6 +138,8 @@
         """Run the listeners' connections in ``nursery``."""
         self.cut: set[frozenset[str]] = set()
         self.datagrams_lost = False
+        # The newest datagrams, for tests of what peers get to know.
+        self.datagrams: deque[bytes] = deque(maxlen=KEPT_DATAGRAMS)
         # Bytes a second that the links of some hosts carry; others' carry all.
         self.links: dict[str, float] = {}
         self._busy_until: dict[str, float] = {}
@@ -212,6 +215,7 @@
         take = self._receivers.get(address)
         if self.link_full(host):
             return
+        self.datagrams.append(datagram)
         self.queue_s(host, len(datagram))
         if take is not None and not self.datagrams_lost and not math.isinf(self.delay_s(host, address.host)):
             self._nursery.start_soon(_deliver, take, datagram)
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -81,6 +81,7 @@
 QUARANTINE_UNWRITTEN = _event(
     3215, logging.WARNING, 'store did not take the record of a quarantine, it is written again'
 )
+REQUEST_DENIED = _event(3216, logging.INFO, "request denied, its key is no account's")
 RUNNER_JOINED = _event(3301, logging.INFO, 'runner registered')
 RUNNER_LEAVING = _event(3302, logging.INFO, 'runner leaves')
 RUNNER_GONE = _event(3303, logging.INFO, 'registration of a runner vanished')
--- a/packages/sesamepoint/src/sesamepoint/front/cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/cause.py
@@ -10,6 +10,7 @@
 
     none = ''
     refused = 'refused'
+    denied = 'key_denied'
     quarantined = 'ends_its_runners'
     behind_trial = 'behind_its_trial'
     no_runner = 'no_runner'
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -214,8 +214,8 @@
 
 
 def urgency(job: Job) -> int:
-    """Return the rank at an engine of a request that its route gives it."""
-    return min(job.route.priority, MAX_RANK)
+    """Return the rank at an engine of a request that its account or its route gives it."""
+    return min(job.priority, MAX_RANK)
 
 
 def _plan(prompt: Prompt, members: Sequence[Member], speeds: Speeds, rank: int) -> EnginePlan | None:
--- a/packages/sesamepoint/src/sesamepoint/front/conclusion.py
+++ b/packages/sesamepoint/src/sesamepoint/front/conclusion.py
@@ -38,12 +38,13 @@
         events.ANSWER_ENDED,
         request=job.req.request_id,
         caller=job.req.caller,
+        account=job.standing.account.name if job.standing.account else '',
         content=job.content_id,
         route=job.route.name,
         config_version=cfg.version,
         status=job.reply.status,
         unfinished=job.reply.unfinished or not job.reply.begun,
-        refused=job.refused,
+        refused=job.notes.refused,
         on_time=job.was_on_time(took_s),
         target_ms=whole_ms(job.route.target_s),
         deadline_ms=None if job.req.deadline_s is None else whole_ms(job.req.deadline_s),
@@ -66,7 +67,7 @@
 
 
 def _cause_unsent(job: Job) -> Cause:
-    if job.refused:
+    if job.notes.refused:
         return Cause.refused
     if job.notes.held_back:
         return job.notes.held_back
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -7,7 +7,9 @@
 import trio
 
 from sesamepoint_core.admit.window_budget import WindowBudget
+from sesamepoint_core.serving.accounts import Denied
 from sesamepoint_core.serving.routes import Repeat
+from sesamepoint.front.admission import admission_of, admit_again, attribute, deny, log_denied
 from sesamepoint.front.cause import Cause
 from sesamepoint.front.conclusion import cause_of, log_end
 from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job
@@ -82,12 +84,15 @@
         self._quarantine = quarantine
         self._rng = rng
         self._usual = UsualDeadlines()
+        self._under_way: set[Job] = set()
 
     def configure(self, cfg: Configuration) -> None:
         """Serve by ``cfg`` from now on."""
         self.configuration = cfg
         self._usual.forget_but(frozenset(route.name for routes in cfg.routes.values() for route in routes))
         self._configured.set()
+        for job in tuple(self._under_way):
+            admit_again(job, cfg)
 
     async def serve(self, req: FrontRequest, reply: Reply) -> None:
         """Answer ``req``; an answer that stays unfinished must be cut off."""
@@ -100,12 +105,20 @@
         route = cfg.find(req.host, req.path)
         if route is None:
             return await reply.refuse(NOT_FOUND, 'no such route')
+        admission = admission_of(cfg, route, req)
+        if isinstance(admission, Denied):
+            self.metrics.count_denied(admission.fault)
+            log_denied(req, route, admission.fault)
+            return await reply.deny(admission.fault)
         came_back = self._usual.returned(route.name, req.deadline_s, req.arrived)
         job = Job(req, route, self._pick_service(route), reply, returned=came_back)
+        attribute(job, cfg, admission)
+        self._under_way.add(job)
         try:
             if not await self._serve_in_time(job, cfg):
-                await self._time_out(job)
+                await self._give_up(job)
         finally:
+            self._under_way.discard(job)
             # Also if the caller has left and this task is cancelled.
             self._note_end(job, cfg)
 
@@ -117,18 +130,20 @@
         log_end(job, cfg, took_s)
 
     async def _serve_in_time(self, job: Job, cfg: Configuration) -> bool:
-        with trio.move_on_at(job.deadline):
+        job.standing.scope.deadline = job.deadline
+        with job.standing.scope:
             await self._conclude(job, await self._serve(job, cfg))
             return True
         return False
 
-    async def _time_out(self, job: Job) -> None:
+    async def _give_up(self, job: Job) -> None:
         if job.reply.begun:
             job.notes.cause = Cause.answer_too_long
-            return
-        if job.maybe_run:
+        elif job.maybe_run:
             job.notes.cause = Cause.no_answer_in_time
             await job.reply.refuse(GATEWAY_TIMEOUT, 'no answer in time; it may have run')
+        elif job.standing.denied:
+            await deny(job)
         else:
             job.notes.cause = Cause.not_run_in_time
             await job.reply.refuse(UNAVAILABLE, 'no runner took it in time; it has not run', SOON_S)
@@ -163,6 +178,8 @@
         return found
 
     async def _send(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
+        if job.standing.denied:
+            return None
         if job.req.prompt is not None:
             return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
         member = self._chooser.plain(job)
@@ -185,6 +202,8 @@
             await job.reply.whole(found.head.status, returned(found.head), found.body)
         elif job.maybe_run:
             await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
+        elif job.standing.denied:
+            await deny(job)
         elif job.notes.held_back is Cause.quarantined:
             await job.reply.refuse(UNAVAILABLE, 'its runners end under it; it has not run', job.retry_after_s)
         else:
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -113,7 +113,7 @@
 
     async def _whole(self, job: Job, prompt: Prompt, plan: EnginePlan | None) -> AttemptResult | None:
         if plan is None:
-            if not job.refused:
+            if not job.notes.refused:
                 job.note_no_runner()
             return None
         job.notes.decision.update(decision_fields(plan, prompt, 'whole'))
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -99,7 +99,9 @@
         """Put each newer configuration in force, until cancelled."""
         span_s = self._cfg.config_s
         pacing = Pacing(CONFIGURATION_WAIT_SHARE * span_s, CONFIGURATION_REST_S, CONFIGURATION_SPREAD_SHARE * span_s)
-        await self._follow(OPERATOR_TOPIC, pacing, Taker(self._take_operator_records, self._take_operator_record))
+        await self._follow(
+            OPERATOR_TOPIC, pacing, Taker(self._take_operator_records, self._take_operator_record, private=True)
+        )
 
     async def follow_runners(self) -> None:
         """Keep the fleet in step, until cancelled."""
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -13,6 +13,7 @@
 from sesamepoint.front.return_time import when_unknown_s
 
 if TYPE_CHECKING:
+    from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.routes import Route
     from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.reply import Reply
@@ -50,6 +51,8 @@
         How long it was to wait, as estimated when it came.
     cause
         Why its answer is no whole one.
+    refused
+        Whether it was turned away since engines are too busy.
     held_back
         Why it was not sent, if it may be that it ends its runners.
     decision
@@ -64,9 +67,29 @@
     need: str = ''
     cause: Cause = Cause.none
     held_back: Cause = Cause.none
+    refused: bool = False
     decision: dict[str, object] = field(default_factory=dict)
 
 
+@dataclass
+class Standing:
+    """Whose request it is, and whether it may still be sent.
+
+    Parameters
+    ----------
+    account
+        None if it is nobody's.
+    denied
+        Why it may not be sent any more: its key was taken since it came.
+    scope
+        Ends the work on it.
+    """
+
+    account: Account | None = None
+    denied: KeyFault | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
 class Job:
     """One request with its route, its deadline and its history."""
 
@@ -82,7 +105,6 @@
         # By key, in the order in which they were tried.
         self.tried: dict[str, Start] = {}
         self.notes = Notes()
-        self.refused = False
         # Whether its prompt may be read apart: the first time it is free.
         self.may_read_apart = True
         self.retry_after_s = SOON_S
@@ -90,6 +112,7 @@
         self.ended: list[Start] = []
         # Set while it is sent alone, as one that may end its runner.
         self.trial: Trial | None = None
+        self.standing = Standing()
 
     @cached_property
     def deadline(self) -> float:
@@ -111,6 +134,14 @@
         """Return what is the same for each attempt with this request, at any instance."""
         return content_id(self.req)
 
+    @property
+    def priority(self) -> int:
+        """Return its rank: that of its account if it has one, else that of its route; 0 is the most urgent."""
+        account = self.standing.account
+        if account is None or account.priority is None:
+            return self.route.priority
+        return account.priority
+
     def note_no_runner(self) -> None:
         """Note that no runner is known that could take it; nobody knows until when."""
         if not self.sends:
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -98,7 +98,7 @@
         job = self.job
         self.plan = None
         job.retry_after_s = heeded_s(wait_s, job.caller_left_s)
-        job.refused = True
+        job.notes.refused = True
         events.log_event(
             events.REQUEST_REFUSED,
             request=job.req.request_id,
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -15,6 +15,12 @@
 BUCKETS = (0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
 
 
+# Accounts that are counted by name; what others ask is counted together. Each is
+# some five rows on the page.
+MAX_ACCOUNTS = 200
+OTHER_ACCOUNTS = 'other'
+
+
 class FrontMetrics:
     """What one process counts, in a registry of its own."""
 
@@ -47,7 +53,19 @@
             ('service',),
             registry=self.registry,
         )
-
+        self._of_account = Counter(
+            'sesamepoint_account_requests',
+            'Requests of client accounts, by what became of them.',
+            ('account', 'outcome'),
+            registry=self.registry,
+        )
+        self._accounts: set[str] = set()
+        self._denied = Counter(
+            'sesamepoint_denied',
+            "Requests whose key is no account's, by why.",
+            ('cause',),
+            registry=self.registry,
+        )
         self._broken = Counter(
             'sesamepoint_broken_sends',
             'Sends that ended without a whole answer, by how.',
@@ -55,6 +73,10 @@
             registry=self.registry,
         )
 
+    def count_denied(self, fault: str) -> None:
+        """Count a request whose key is no account's."""
+        self._denied.labels(fault).inc()
+
     def watch(self, name: str, text: str, value_of: Callable[[], float]) -> None:
         """Show a gauge that is asked for when the page is read."""
         Gauge(name, text, registry=self.registry).set_function(value_of)
@@ -67,6 +89,9 @@
         """Count one request that has ended."""
         path = str(job.notes.decision.get('path', 'plain'))
         self._requests.labels(job.service, path, _outcome(job)).inc()
+        account = job.standing.account
+        if account:
+            self._of_account.labels(self._label(account.name), _outcome(job)).inc()
         if job.sends > 1:
             self._sends.labels(job.service).inc(job.sends - 1)
         if job.notes.first_at is not None:
@@ -74,13 +99,19 @@
         if job.reply.begun and not job.reply.unfinished:
             self._whole.labels(job.service).observe(took_s)
 
+    def _label(self, account: str) -> str:
+        if account not in self._accounts and len(self._accounts) >= MAX_ACCOUNTS:
+            return OTHER_ACCOUNTS
+        self._accounts.add(account)
+        return account
+
 
 def _outcome(job: Job) -> str:
     if job.reply.unfinished:
         return 'broken_off'
     if not job.reply.begun:
         return 'caller_left'
-    if job.refused:
+    if job.notes.refused:
         return 'refused'
     return f'status_{job.reply.status}'
 
--- a/packages/sesamepoint/src/sesamepoint/front/news.py
+++ b/packages/sesamepoint/src/sesamepoint/front/news.py
@@ -23,7 +23,7 @@
     ----------
     changed
         The newest record of each key that changed in between; None if they
-        are too many for a datagram, and have to be read.
+        are too many for a datagram or hold secrets, and have to be read.
     """
 
     entry: str
@@ -33,11 +33,13 @@
     changed: tuple[KeyedRecord, ...] | None
 
 
-def news_of(entry: str, topic: str, start: int, end: int, changed: dict[str, KeyedRecord]) -> News:
-    """Return what to tell of a reading; records that would not fit are left out."""
+def tellable(changed: dict[str, KeyedRecord], *, private: bool) -> tuple[KeyedRecord, ...] | None:
+    """Return the records of a reading as peers are told them; None if they have to read them."""
     records = tuple(changed.values())
     size = sum(len(record.key) + len(record.text) for record in records)
-    return News(entry, topic, start, end, records if size <= MAX_CHANGED_BYTES else None)
+    if records and (private or size > MAX_CHANGED_BYTES):
+        return None
+    return records
 
 
-__all__ = ('News', 'news_of')
+__all__ = ('News', 'tellable')
--- a/packages/sesamepoint/src/sesamepoint/front/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/reply.py
@@ -13,7 +13,9 @@
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.server import ServerConn
 
+UNAUTHORIZED = 401
 JSON_TYPE = (b'content-type', b'application/json')
+CHALLENGE = (b'www-authenticate', b'Bearer')
 
 
 class Reply:
@@ -47,6 +49,10 @@
             headers = (*headers, (RETRY_AFTER, f'{retry_after_s:.3f}'.encode()))
         await self.whole(status, headers, msgspec.json.encode({'error': reason}))
 
+    async def deny(self, reason: str) -> None:
+        """Tell the caller that it needs another key."""
+        await self.whole(UNAUTHORIZED, (JSON_TYPE, CHALLENGE), msgspec.json.encode({'error': reason}))
+
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of an answer that comes in parts."""
         self.status = status
--- a/packages/sesamepoint/src/sesamepoint/front/request.py
+++ b/packages/sesamepoint/src/sesamepoint/front/request.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.serving.accounts import ShownKey
+
 if TYPE_CHECKING:
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint.http1.messages import RequestHead
@@ -22,6 +24,8 @@
         The address that it came from; empty if it is not known.
     deadline_s
         Seconds after ``arrived`` until the caller leaves; None if unknown.
+    key
+        What its caller shows; never the key itself.
     """
 
     request_id: str
@@ -33,6 +37,7 @@
     deadline_s: float | None
     prompt: Prompt | None
     caller: str = ''
+    key: ShownKey = ShownKey()
 
     def left_s(self, now: float) -> float | None:
         """Return the seconds that the caller has from ``now`` on; None if unknown."""
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -47,7 +47,7 @@
     sending = Sending(
         member.runner.key,
         job.left_s,
-        job.route.priority,
+        job.priority,
         resume_after=job.reply.events.last_id if job.reply.begun else '',
     )
     return Target(member, sending, allowed_s, job.note_first)
--- a/packages/sesamepoint/src/sesamepoint/front/watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/watch.py
@@ -9,7 +9,7 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint import events
-from sesamepoint.front.news import News, news_of
+from sesamepoint.front.news import News, tellable
 from sesamepoint.front.reading_turns import ReadingTurns
 from sesamepoint.platform.store import HistoryGoneError
 
@@ -42,10 +42,13 @@
         Takes the whole topic.
     update
         Takes a record; returns whether it changed what is believed.
+    private
+        Whether records hold secrets: they are in no word to peers.
     """
 
     replace_all: Callable[[tuple[KeyedRecord, ...]], None]
     update: Callable[[KeyedRecord], bool]
+    private: bool = False
 
 
 class Others(NamedTuple):
@@ -147,7 +150,8 @@
             if self._taker.update(record) or record.key in changed:
                 changed[record.key] = record
         if self.turns.read(found.end, trio.current_time()) and found.end >= known:
-            await self._others.tell(news_of(self._others.name, self._topic, known, found.end, changed))
+            told = tellable(changed, private=self._taker.private)
+            await self._others.tell(News(self._others.name, self._topic, known, found.end, told))
 
     def _note_reached(self, found: Newest) -> None:
         if not self._reachable:
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.serving.accounts import Account, Accounts, Holder
 from sesamepoint_core.serving.routes import (
     CallerLimits,
     Configuration,
@@ -20,6 +21,8 @@
 from sesamepoint.platform.unreadable import UnreadableRecordError
 
 _Time = Annotated[float, msgspec.Meta(gt=0)]
+# A name that goes into a header as it is.
+_AccountName = Annotated[str, msgspec.Meta(pattern='^[!-~]([ -~]*[!-~])?$')]
 
 
 class _Share(msgspec.Struct):
@@ -41,6 +44,7 @@
     max_attempts: Positive = 1
     priority: Count = 0
     resumable: bool = False
+    public: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -64,11 +68,19 @@
     idle_timeout_ms: _Time
 
 
+class _Tenant(msgspec.Struct):
+    name: _AccountName
+    api_keys: list[str]
+    priority: Count | None = None
+
+
 class _Document(msgspec.Struct):
     version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    # Without the list, requests need no key.
+    tenants: list[_Tenant] | None = None
 
 
 def decode_configuration(text: bytes) -> Configuration:
@@ -99,6 +111,7 @@
             head_s=limits.header_timeout_ms / MS_PER_S,
             idle_s=limits.idle_timeout_ms / MS_PER_S,
         ),
+        None if found.tenants is None else _accounts(found.tenants),
     )
 
 
@@ -116,9 +129,14 @@
         max_attempts=found.max_attempts,
         priority=found.priority,
         shares=_shares(found),
+        public=found.public,
     )
 
 
+def _accounts(found: list[_Tenant]) -> Accounts:
+    return Accounts.from_keys(Holder(Account(one.name, one.priority), one.api_keys) for one in found)
+
+
 def _shares(found: _Route) -> tuple[Share, ...]:
     if found.backends:
         return tuple(Share(one.service, one.weight) for one in found.backends)
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.serving.accounts import KeyFault, ShownKey, digest_of
 from sesamepoint_core.serving.prompt import Part, Prompt
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint.front.request import FrontRequest
@@ -11,6 +12,7 @@
 from sesamepoint.platform import names
 
 if TYPE_CHECKING:
+    from sesamepoint_core.serving.accounts import Account
     from sesamepoint.http1.messages import Headers, ResponseHead
     from sesamepoint.http1.server import Message
 
@@ -69,9 +71,18 @@
         deadline_s=_deadline_s(headers),
         prompt=_prompt(headers),
         caller=message.caller,
+        key=_shown_key(headers),
     )
 
 
+def attributed(req: FrontRequest, account: Account | None) -> FrontRequest:
+    """Return ``req`` as runners get it: with the name of its account, without the key."""
+    own = tuple(pair for pair in req.head.headers if pair[0] not in {names.AUTHORIZATION, names.ACCOUNT})
+    if account is not None:
+        own = (*own, (names.ACCOUNT, account.name.encode()))
+    return req._replace(head=req.head._replace(headers=own))
+
+
 def encode_request(req: FrontRequest, sending: Sending) -> RequestHead:
     """Return the head that a runner gets."""
     added = [
@@ -134,6 +145,19 @@
     return tuple(pair for pair in headers if pair[0] not in dropped)
 
 
+def _shown_key(headers: Headers) -> ShownKey:
+    shown = [text for name, text in headers if name == names.AUTHORIZATION]
+    if not shown:
+        return ShownKey(fault=KeyFault.missing)
+    if len(shown) > 1:
+        return ShownKey(fault=KeyFault.repeated)
+    scheme, _, key = shown[0].strip().partition(b' ')
+    # A key that has a space in it is none, or two.
+    if scheme.lower() != names.KEY_SCHEME or not key or b' ' in key:
+        return ShownKey(fault=KeyFault.malformed)
+    return ShownKey(digest_of(key), KeyFault.none)
+
+
 def _deadline_s(headers: Headers) -> float | None:
     text = header(headers, names.DEADLINE_MS)
     if text is None:
@@ -166,4 +190,14 @@
     return Prompt(model, parts, tokens, max_output)
 
 
-__all__ = ('Sending', 'answers', 'decode_request', 'encode_request', 'replaced', 'returned', 'says_not_run', 'signed')
+__all__ = (
+    'Sending',
+    'answers',
+    'attributed',
+    'decode_request',
+    'encode_request',
+    'replaced',
+    'returned',
+    'says_not_run',
+    'signed',
+)
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -20,6 +20,10 @@
 KV_SOURCE: Final = b'sesamepoint-kv-source'
 KV_FETCH: Final = b'kv-fetch'
 LAST_EVENT: Final = b'last-event-id'
+# Names the account of the key that a caller showed.
+ACCOUNT: Final = b'sesamepoint-tenant'
+AUTHORIZATION: Final = b'authorization'
+KEY_SCHEME: Final = b'bearer'
 RETRY_AFTER: Final = b'retry-after'
 CONTENT_ENCODING: Final = b'content-encoding'
 
@@ -30,6 +34,7 @@
         DEADLINE_MS,
         EXPECT_INCARNATION,
         PRIORITY,
+        ACCOUNT,
         STAGE,
         KV_SOURCE,
         b'sesamepoint-kv-hold',
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -67,6 +67,16 @@
     return {**base, **changes}
 
 
+def account(name: str, *keys: str, **changes: Any) -> dict[str, Any]:
+    """Return a client account of the operator's configuration."""
+    return {'name': name, 'api_keys': list(keys), **changes}
+
+
+def bearer(key: str) -> tuple[bytes, bytes]:
+    """Return the header with which a caller shows ``key``."""
+    return (b'authorization', f'Bearer {key}'.encode())
+
+
 def encoded_configuration() -> bytes:
     """Return the same as the platform's store has it."""
     return msgspec.json.encode(configuration())
@@ -123,8 +133,10 @@
 __all__ = (
     'HOST',
     'SLOW_ENGINE',
+    'account',
     'asked',
     'asked_prompt',
+    'bearer',
     'configuration',
     'encoded_configuration',
     'engine',
--- /dev/null
+++ b/tests/front/test_accounts.py
@@ -0,0 +1,289 @@
+"""Client accounts: who is served, for whom, and what nobody gets to see."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+from unittest import TestCase
+
+import msgspec
+import trio
+from prometheus_client import generate_latest
+
+from sesamepoint.http1.messages import header
+from sesamepoint.platform import names
+from sesamepoint.platform.configuration import decode_configuration
+from sesamepoint.platform.unreadable import UnreadableRecordError
+from sesamepoint_standins.platform.bed import running_bed
+from tests.front.builders import account, asked, asked_prompt, bearer, configuration, engine, fleet, plain_runner, route
+from tests.virtual import virtual
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bed import PlatformBed
+    from sesamepoint_standins.platform.caller import Asked, Seen
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+IN_FORCE_S = 1.0
+SECRET = 'k3yOfHarborOne77'
+HARBOR = account('harbor', SECRET, 'k3yOfHarborTwo88')
+MARINA = account('marina', 'k3yOfMarina99')
+# What a caller must not set: the name of another account.
+FORGED = (names.ACCOUNT, b'marina')
+
+
+def _with(*accounts: dict[str, Any], version: int = 1, **changes: Any) -> dict[str, Any]:
+    return configuration(version, tenants=list(accounts), **changes)
+
+
+def _account_at(runner: RunnerStandIn) -> list[bytes | None]:
+    """Return what a runner was told of the account, a run each."""
+    return [header(run.message.head.headers, names.ACCOUNT) for run in runner.runs]
+
+
+class Asking:
+    """A request under way, and what came of it."""
+
+    def __init__(self, bed: PlatformBed, asked_for: Asked, nursery: trio.Nursery) -> None:
+        """Ask the first front."""
+        self.seen: list[Seen] = []
+        nursery.start_soon(self._ask, bed, asked_for)
+
+    async def _ask(self, bed: PlatformBed, asked_for: Asked) -> None:
+        self.seen.append(await bed.caller('front-1').ask(asked_for))
+
+
+class LinesKept(logging.Handler):
+    """Keeps all lines with all their fields."""
+
+    def __init__(self) -> None:
+        """Keep lines of each level."""
+        super().__init__(logging.DEBUG)
+        self.text = ''
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line."""
+        self.text += repr(record.__dict__)
+
+
+class KeyTest(TestCase):
+    """Who is served."""
+
+    @virtual
+    async def test_known_key_names_its_account(self) -> None:
+        """Runners get the account's name whatever the caller set, and never the key."""
+        runners = fleet()
+        async with running_bed(_with(HARBOR, MARINA), runners) as bed:
+            shown = (bearer(SECRET), FORGED)
+            plain = [asked(path, extra=shown) for path in ('/card/a', '/thumb/a')]
+            prompts = [asked_prompt(path, tokens=4000, extra=shown) for path in ('/tag/a', '/verdict/a')]
+            for one in (*plain, *prompts):
+                seen = await bed.caller('front-1').ask(one)
+                self.assertEqual(seen.status, 200)
+        told = [name for runner in runners for name in _account_at(runner)]
+        self.assertGreaterEqual(len(told), 4)
+        self.assertEqual(set(told), {b'harbor'})
+        seen_headers = [run.message.head.headers for runner in runners for run in runner.runs]
+        self.assertEqual({header(headers, names.AUTHORIZATION) for headers in seen_headers}, {None})
+
+    @virtual
+    async def test_keys_that_are_nobodys_are_denied_at_once(self) -> None:
+        """Unknown, missing, malformed, repeated: 401, nothing held, nothing run."""
+        shown = (
+            (),
+            (bearer('nobodys'),),
+            ((b'authorization', b'Bearer'),),
+            (bearer('two words'),),
+            (bearer('x' * 8192),),
+            (bearer(SECRET.lower()),),
+            ((b'authorization', f'Basic {SECRET}'.encode()),),
+            ((b'authorization', SECRET.encode()),),
+            (bearer(SECRET), bearer(SECRET)),
+        )
+        runners = fleet()
+        async with running_bed(_with(HARBOR), runners) as bed:
+            for extra in shown:
+                seen = await bed.caller('front-1').ask(asked('/card/a', extra=extra))
+                self.assertEqual(seen.status, 401, extra)
+                self.assertLess(seen.took_s, 0.02)
+        self.assertEqual([runner.runs for runner in runners], [[], [], [], [], []])
+
+    @virtual
+    async def test_scheme_in_other_case_is_the_same_scheme(self) -> None:
+        """Schemes have no case; keys do."""
+        async with running_bed(_with(HARBOR), fleet()) as bed:
+            extra = ((b'authorization', f'bEARER {SECRET}'.encode()),)
+            seen = await bed.caller('front-1').ask(asked('/card/a', extra=extra))
+        self.assertEqual(seen.status, 200)
+
+    @virtual
+    async def test_public_route_needs_no_key(self) -> None:
+        """Nobody's request is served there; a key that is shown stays here all the same."""
+        routes = [route('thumb', '/thumb/', 'web', 'idempotent', public=True)]
+        runner = plain_runner(1)
+        async with running_bed(_with(HARBOR, routes=routes), [runner]) as bed:
+            for extra in ((), (bearer('nobodys'),), (FORGED,)):
+                seen = await bed.caller('front-1').ask(asked('/thumb/a', extra=extra))
+                self.assertEqual(seen.status, 200)
+        self.assertEqual(_account_at(runner), [None, None, None])
+        self.assertEqual({header(run.message.head.headers, names.AUTHORIZATION) for run in runner.runs}, {None})
+
+    @virtual
+    async def test_without_accounts_nothing_is_asked(self) -> None:
+        """A configuration without accounts serves callers without keys."""
+        async with running_bed(configuration(), fleet()) as bed:
+            seen = await bed.caller('front-1').ask(asked('/card/a'))
+        self.assertEqual(seen.status, 200)
+
+    @virtual
+    async def test_account_goes_before_route_in_rank(self) -> None:
+        """The rank that an engine gets is the account's, if it has one."""
+        runners = [engine(1, 'decode')]
+        ranked = account('marina', 'k3yOfMarina99', priority=3)
+        async with running_bed(_with(HARBOR, ranked), runners) as bed:
+            for key in (SECRET, 'k3yOfMarina99'):
+                await bed.caller('front-1').ask(asked_prompt('/verdict/a', extra=(bearer(key),)))
+        ranks = [header(run.message.head.headers, names.PRIORITY) for run in runners[0].runs]
+        self.assertEqual(ranks, [b'1', b'3'])
+
+
+class ChangeTest(TestCase):
+    """Keys that are added, moved and taken."""
+
+    @virtual
+    async def test_changes_on_a_kept_connection(self) -> None:
+        """Each change is in force soon, at all instances, for callers that stay connected."""
+        runner = plain_runner(1)
+        async with running_bed(_with(HARBOR, MARINA), [runner], fronts=3) as bed:
+            callers = [bed.caller(name) for name in bed.fronts]
+            moved = account('marina', 'k3yOfMarina99', SECRET)
+            steps = ((2, moved, 200), (3, MARINA, 401), (4, HARBOR, 200))
+            for version, only, status in steps:
+                bed.publish(_with(only, version=version))
+                await trio.sleep(IN_FORCE_S)
+                for caller in callers:
+                    seen = await caller.ask(asked('/card/a', extra=(bearer(SECRET),)))
+                    self.assertEqual(seen.status, status)
+        self.assertEqual(_account_at(runner), [b'marina', b'marina', b'marina', b'harbor', b'harbor', b'harbor'])
+
+    @virtual
+    async def test_older_list_never_comes_back(self) -> None:
+        """A store that shows an older version gives no key back."""
+        async with running_bed(_with(HARBOR, version=5), [plain_runner(1)]) as bed:
+            bed.publish(_with(MARINA, version=6))
+            await trio.sleep(IN_FORCE_S)
+            bed.publish(_with(HARBOR, version=5))
+            await trio.sleep(IN_FORCE_S)
+            seen = await bed.caller('front-1').ask(asked('/card/a', extra=(bearer(SECRET),)))
+        self.assertEqual(seen.status, 401)
+
+    @virtual
+    async def test_key_taken_while_its_request_waits(self) -> None:
+        """The caller is denied as soon as its key is taken.
+
+        Its long prompt waits here behind others for a busy engine; the operator
+        takes the key. Sent on later it would run for an account that has left.
+        """
+        runners = [engine(1, 'decode')]
+        async with running_bed(_with(HARBOR, MARINA), runners) as bed, trio.open_nursery() as nursery:
+            for number in range(40):
+                other = asked_prompt(
+                    '/verdict/a', tokens=9000, shared=(f's{number}', 9000), extra=(bearer('k3yOfMarina99'),)
+                )
+                nursery.start_soon(bed.caller('front-1').ask, other)
+            await trio.sleep(0.05)
+            held = asked_prompt('/tag/a', tokens=3000, extra=(bearer(SECRET),))
+            asking = Asking(bed, held, nursery)
+            await trio.sleep(0.01)
+            waits = not asking.seen
+            bed.publish(_with(MARINA, version=2))
+            await trio.sleep(IN_FORCE_S)
+            nursery.cancel_scope.cancel()
+        self.assertTrue(waits)
+        self.assertEqual([seen.status for seen in asking.seen], [401])
+        self.assertNotIn(b'harbor', _account_at(runners[0]))
+
+    @virtual
+    async def test_key_taken_while_its_request_runs(self) -> None:
+        """What runs already ends whole."""
+        runner = plain_runner(1, work_s=0.8)
+        async with running_bed(_with(HARBOR), [runner]) as bed, trio.open_nursery() as nursery:
+            asking = Asking(bed, asked('/card/a', extra=(bearer(SECRET),)), nursery)
+            await trio.sleep(0.1)
+            bed.publish(_with(MARINA, version=2))
+        self.assertEqual([seen.status for seen in asking.seen], [200])
+
+    @virtual
+    async def test_unconfigured_instance_denies_nobody(self) -> None:
+        """503, never 401, while an instance knows no configuration."""
+        async with running_bed(_with(HARBOR), [plain_runner(1)]) as bed:
+            bed.store.down = True
+            bed.add_front(2)
+            seen = await bed.caller('front-2').ask(asked('/card/a', extra=(bearer('nobodys'),), deadline_s=1.0))
+        self.assertEqual(seen.status, 503)
+
+
+class SecretTest(TestCase):
+    """Keys are nowhere to be read."""
+
+    @virtual
+    async def test_no_output_holds_a_key(self) -> None:
+        """All log lines, metrics and words to peers of a run with denied, failed and served requests."""
+        lines = LinesKept()
+        logger = logging.getLogger('sesamepoint')
+        logger.addHandler(lines)
+        try:
+            text = await _text_of_run()
+        finally:
+            logger.removeHandler(lines)
+        text += lines.text
+        self.assertIn('harbor', text)
+        self.assertIn('unknown_key', text)
+        self.assertNotIn(SECRET, text)
+
+
+async def _text_of_run() -> str:
+    """Return the metrics, configurations and words to peers of a run."""
+    runners = fleet()
+    runners[1].faults.fails = True
+    tried = (('/card/a', SECRET), ('/thumb/a', SECRET), ('/card/b', f'{SECRET}x'), ('/x', SECRET))
+    async with running_bed(_with(HARBOR), runners, fronts=2) as bed:
+        for path, key in tried:
+            await bed.caller('front-1').ask(asked(path, extra=(bearer(key),)))
+            await bed.caller('front-2').ask(asked(path, extra=(bearer(key),)))
+        bed.publish(_with(HARBOR, account('marina', SECRET), version=2))
+        bed.publish(_with(account('marina', f'{SECRET}2'), version=3))
+        await trio.sleep(IN_FORCE_S)
+        pages = [generate_latest(one.dispatcher.metrics.registry).decode() for one in bed.fronts.values()]
+        beliefs = [repr(one.dispatcher.configuration) for one in bed.fronts.values()]
+        return repr((pages, beliefs, bed.network.datagrams))
+
+
+class ListTest(TestCase):
+    """What the operator may list."""
+
+    def test_refused_lists(self) -> None:
+        """A key of two accounts, an empty one, a name that is no header: refused without showing keys."""
+        lists = (
+            [HARBOR, account('marina', SECRET)],
+            [account('harbor', SECRET, '')],
+            [account('har\r\nbor', SECRET)],
+            [account('', SECRET)],
+        )
+        for accounts in lists:
+            self.assertNotIn(SECRET, _refusal(accounts))
+
+    def test_accepted_lists(self) -> None:
+        """An account without keys, a key that one account lists twice, ten thousand keys."""
+        many = [account(f'a{number}', *(f'key{number}x{place}' for place in range(5))) for number in range(2000)]
+        for accounts in ([account('harbor')], [account('harbor', SECRET, SECRET)], many):
+            cfg = decode_configuration(msgspec.json.encode(_with(*accounts)))
+            self.assertIsNotNone(cfg.accounts)
+
+
+def _refusal(accounts: list[dict[str, Any]]) -> str:
+    """Return why a list is refused."""
+    try:
+        decode_configuration(msgspec.json.encode(_with(*accounts)))
+    except UnreadableRecordError as exc:
+        return str(exc)
+    raise AssertionError('it was accepted')
