A store that went back: offsets belong to an era, and nothing seen is taken back

Cause: offsets of the store were believed for ever. After it comes back from an older copy they are given out again; an end that has passed the old one hides records without any 410, and a copy taken as it is brings back runners that leave and an older configuration. Ruled out: telling it by 410 alone (a test goes past it).

Change: each answer's count of returns is decoded once; answers of an earlier one are none. Words of peers carry it. Lost records of entries and quarantined requests are written again. A newer configuration comes from a peer, keys as digests, by a version that each entry tells another one now and then.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from sesamepoint_core.serving.accounts import Accounts
+from sesamepoint_core.serving.accounts import Accounts
 
 
 class Repeat(Enum):
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -114,6 +114,7 @@
         front = Front(cfg, network, network, Random(self._rng.random()))
         self.fronts[cfg.name] = front
         self.network.listen(cfg.listen, front.door.serve)
+        self.network.listen(cfg.peer_listen, front.peer_pages.serve)
         self._nursery.start_soon(self._run_front, front)
         return front
 
@@ -121,6 +122,7 @@
         """End a front at once; its connections break."""
         self._scopes[name].cancel()
         self.network.close(self.fronts[name].cfg.listen)
+        self.network.close(self.fronts[name].cfg.peer_listen)
 
     def caller(self, front: str, host: str = '10.2.0.1') -> Caller:
         """Return a caller of the front called ``front``."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/following.py
@@ -0,0 +1,68 @@
+"""The parts of a front that keep it in step with the store and the other entries."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from sesamepoint.front.intake import Beliefs, Intake
+from sesamepoint.front.own_record import OwnRecord
+from sesamepoint.front.pages import Page, Pages
+from sesamepoint.front.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
+from sesamepoint.front.quarantine_records import QuarantineRecords
+from sesamepoint.platform.store import StoreClient
+from sesamepoint.platform.store_era import StoreEra
+from sesamepoint.supervisor import Child
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint.front.settings import FrontSettings
+    from sesamepoint.http1.transport import Network
+
+
+class Following:
+    """Reads and writes the store; all its calls share what is known of the store's era."""
+
+    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network, rng: Random) -> None:
+        """Put the parts together without starting them."""
+        peers = beliefs.peers
+        new_client = partial(StoreClient, cfg.store.address, network, StoreEra())
+        self._own = OwnRecord(cfg.name, peers, new_client)
+        self._intake = Intake(cfg, beliefs, self._own, new_client)
+        self._records = QuarantineRecords(beliefs.quarantine, new_client(), rng)
+        self._peers_cfg = PeerConfiguration(cfg.name, self._intake, peers, network, rng)
+        self._intake.ask_configuration = self._peers_cfg.ask
+        peers.hear_version = self._peers_cfg.heard
+        peers.hear_news = self._intake.hear
+        peers.hear_again = self._intake.look_again
+        # What other entries may ask this one for.
+        self.pages = Pages({CONFIGURATION_PATH: Page(self._peers_cfg.page, self._peers_cfg.there)})
+
+    def children(self) -> list[Child]:
+        """Return the parts that run."""
+        intake = self._intake
+        return [
+            Child('configuration', intake.follow_configuration),
+            Child('runners', intake.follow_runners),
+            Child('entries', intake.follow_entries),
+            Child('quarantine', intake.follow_quarantine),
+            Child('quarantine-write', self._records.write),
+            Child('quarantine-restore', self._records.restore),
+            Child('quarantine-end', self._records.end_lapsed),
+            Child('registration', self._own.stay_registered),
+            Child('lost-entries', partial(self._own.drop_lost, intake.reads_entries)),
+            Child('peer-configuration', self._peers_cfg.run),
+            Child('peer-compare', self._peers_cfg.compare),
+        ]
+
+    def reconfigure(self, cfg: FrontSettings) -> None:
+        """Work by changed settings from now on."""
+        self._intake.reconfigure(cfg)
+
+    async def withdraw(self) -> None:
+        """Leave the list of entries: this one is about to stop."""
+        await self._own.withdraw()
+
+
+__all__ = ('Following',)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -11,13 +11,13 @@
 from sesamepoint.front.door import Door
 from sesamepoint.front.engine_runs import EngineRuns, EngineTools
 from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.following import Following
 from sesamepoint.front.inventory import Inventory
-from sesamepoint.front.intake import Beliefs, Intake
+from sesamepoint.front.intake import Beliefs
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.prefill import HandleReclaimer
 from sesamepoint.front.quarantine import Quarantine
-from sesamepoint.front.quarantine_records import QuarantineRecords
 from sesamepoint.front.sends import SendNotes
 from sesamepoint.front.waiting import WaitingRoom
 from sesamepoint.http1.server import ServerLimits
@@ -63,10 +63,9 @@
         self._waiting = WaitingRoom(chooser, sends, rng)
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
         self.dispatcher = Dispatcher(chooser, engine_runs, quarantine, budgets, rng)
-        self.intake = Intake(cfg, Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine), network)
-        self._records = QuarantineRecords(quarantine, cfg.store.address, network)
-        self.peers.hear_news = self.intake.hear
-        self.peers.hear_again = self.intake.look_again
+        beliefs = Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine)
+        self._following = Following(cfg, beliefs, network, rng)
+        self.peer_pages = self._following.pages
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
         self._watch(quarantine.suspects)
@@ -74,14 +73,7 @@
     def children(self) -> list[Child]:
         """Return the parts that run beside the listeners."""
         return [
-            Child('configuration', self.intake.follow_configuration),
-            Child('runners', self.intake.follow_runners),
-            Child('entries', self.intake.follow_entries),
-            Child('quarantine', self.intake.follow_quarantine),
-            Child('quarantine-write', self._records.write),
-            Child('quarantine-end', self._records.end_lapsed),
-            Child('registration', self.intake.stay_registered),
-            Child('lost-entries', self.intake.drop_lost),
+            *self._following.children(),
             Child('keep-alive', self.peers.keep_alive),
             Child('peer-listen', self.peers.listen),
             Child('peer-tell', self.peers.tell),
@@ -95,7 +87,7 @@
         """Work by ``cfg`` from now on; addresses stay as they are."""
         self.cfg = cfg
         self.fleet.allow(cfg.drain_s)
-        self.intake.reconfigure(cfg)
+        self._following.reconfigure(cfg)
 
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -113,7 +105,7 @@
             # that nothing ran; one more that is let in could be cut off.
             self.listening.cancel()
             self.door.close_idle()
-            await self.intake.withdraw()
+            await self._following.withdraw()
             while self.door.active:
                 await trio.sleep(POLL_S)
 
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -5,27 +5,27 @@
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
-import trio
-
 from sesamepoint import events
 from sesamepoint.front.reading_turns import Pacing
 from sesamepoint.front.watch import Others, Taker, Watch
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.names import ENTRY_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC
 from sesamepoint.platform.registration import decode_runner
-from sesamepoint.platform.store import StoreClient
 from sesamepoint.platform.unreadable import UnreadableRecordError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.dispatch import Budgets, Dispatcher
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.news import News
+    from sesamepoint.front.own_record import OwnRecord
     from sesamepoint.front.peers import Peers
     from sesamepoint.front.quarantine import Quarantine
     from sesamepoint.front.settings import FrontSettings
-    from sesamepoint.http1.transport import Network
-    from sesamepoint.platform.store import KeyedRecord
+    from sesamepoint.platform.store import KeyedRecord, StoreClient
 
 # One entry waits for a new configuration at all times, for this share of the
 # time in which it must be in force a call. Without word of that, the others
@@ -50,8 +50,6 @@
 QUARANTINE_WAIT_S = 10.0
 QUARANTINE_REST_S = 1.0
 QUARANTINE_SPREAD_S = 5.0
-# How often lost entries are looked for, in seconds.
-LOOK_S = 1.0
 
 
 class Beliefs(NamedTuple):
@@ -67,14 +65,23 @@
 class Intake:
     """Follows the operator's, the runners' and the entries' records."""
 
-    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network) -> None:
-        """Keep ``beliefs`` in step with the store that ``cfg`` names."""
+    def __init__(
+        self, cfg: FrontSettings, beliefs: Beliefs, own: OwnRecord, new_client: Callable[[], StoreClient]
+    ) -> None:
+        """Keep ``beliefs`` in step with the store that ``new_client`` calls."""
+        # Called with the name of an entry that has read what the store refuses.
+        self.ask_configuration: Callable[[str], None] = _pass_over
         self._cfg = cfg
         self._beliefs = beliefs
-        self._network = network
+        self._own = own
+        self._new_client = new_client
         self._watches: dict[str, Watch] = {}
         self._registered: dict[str, Runner] = {}
-        self._dropped = trio.Event()
+
+    @property
+    def in_force(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._beliefs.dispatcher.configuration
 
     def hear(self, news: News) -> None:
         """Take what another entry has read; of a topic that is not followed yet, nothing."""
@@ -90,18 +97,38 @@
         if watch is not None:
             watch.look_soon()
 
+    def reads_entries(self) -> bool:
+        """Tell whether this entry reads the list of entries for all."""
+        watch = self._watches.get(ENTRY_TOPIC)
+        return watch is not None and watch.turns.reads_for_all
+
     def reconfigure(self, cfg: FrontSettings) -> None:
         """Share the retry budget as ``cfg`` says from now on."""
         self._cfg = cfg
         self._share_budget()
 
+    def put_in_force(self, cfg: Configuration) -> bool:
+        """Serve by ``cfg`` if it is newer than what is in force."""
+        before = self.in_force
+        # What a slow or repeated read brings late must not undo a newer one.
+        if before is not None and cfg.version <= before.version:
+            return False
+        self._beliefs.fleet.configure(cfg)
+        self._beliefs.dispatcher.configure(cfg)
+        events.log_event(events.VERSION_IN_FORCE, version=cfg.version, routes=sum(map(len, cfg.routes.values())))
+        return True
+
     async def follow_configuration(self) -> None:
         """Put each newer configuration in force, until cancelled."""
         span_s = self._cfg.config_s
         pacing = Pacing(CONFIGURATION_WAIT_SHARE * span_s, CONFIGURATION_REST_S, CONFIGURATION_SPREAD_SHARE * span_s)
-        await self._follow(
-            OPERATOR_TOPIC, pacing, Taker(self._take_operator_records, self._take_operator_record, private=True)
+        taker = Taker(
+            self._take_operator_records,
+            self._take_operator_record,
+            restore=self._take_operator_records,
+            ask=self.ask_configuration,
         )
+        await self._follow(OPERATOR_TOPIC, pacing, taker)
 
     async def follow_runners(self) -> None:
         """Keep the fleet in step, until cancelled."""
@@ -109,52 +136,26 @@
         pacing = Pacing(RUNNER_WAIT_SHARE * span_s, RUNNER_REST_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s)
         await self._follow(RUNNER_TOPIC, pacing, Taker(self._take_runners, self._take_runner))
 
-    async def stay_registered(self) -> None:
-        """Register this entry, and again if its record is dropped, until cancelled.
-
-        The others drop the record of one that they do not hear for long.
-        """
-        client = self._client()
-        while True:
-            self._dropped = trio.Event()
-            await self._beliefs.peers.register(client)
-            await self._dropped.wait()
-
-    async def withdraw(self) -> None:
-        """Take the record of this entry back: it is about to stop."""
-        await self._beliefs.peers.withdraw(self._client())
-
-    async def drop_lost(self) -> None:
-        """Have the records of lost entries dropped, while it is this one's turn to read, until cancelled."""
-        client = self._client()
-        while True:
-            await trio.sleep(LOOK_S)
-            watch = self._watches.get(ENTRY_TOPIC)
-            if watch is not None:
-                await self._beliefs.peers.drop_lost(client, reading=watch.turns.reads_for_all)
-
     async def follow_entries(self) -> None:
         """Learn of the other entries, until cancelled."""
         pacing = Pacing(ENTRY_WAIT_S, ENTRY_REST_S, ENTRY_SPREAD_S)
-        await self._follow(ENTRY_TOPIC, pacing, Taker(self._take_entries, self._take_entry))
+        await self._follow(ENTRY_TOPIC, pacing, Taker(self._take_entries, self._take_entry, self._own.check))
 
     async def follow_quarantine(self) -> None:
         """Learn which requests may not be sent, until cancelled."""
         quarantine = self._beliefs.quarantine
         pacing = Pacing(QUARANTINE_WAIT_S, QUARANTINE_REST_S, QUARANTINE_SPREAD_S)
-        await self._follow(QUARANTINE_TOPIC, pacing, Taker(quarantine.take_records, quarantine.take_record))
+        taker = Taker(quarantine.take_records, quarantine.take_record, quarantine.restore)
+        await self._follow(QUARANTINE_TOPIC, pacing, taker)
 
     async def _follow(self, topic: str, pacing: Pacing, taker: Taker) -> None:
         peers = self._beliefs.peers
         others = Others(self._cfg.name, peers.count, peers.tell_news)
         # Drawn apart by name, so that no two entries keep the same step.
-        watch = Watch(self._client(), topic, pacing, taker, others, Random(self._cfg.name))
+        watch = Watch(self._new_client(), topic, pacing, taker, others, Random(self._cfg.name))
         self._watches[topic] = watch
         await watch.run()
 
-    def _client(self) -> StoreClient:
-        return StoreClient(self._cfg.store.address, self._network)
-
     def _take_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
             self._take_operator_record(record)
@@ -167,14 +168,7 @@
         except UnreadableRecordError as exc:
             events.log_event(events.RECORD_UNREADABLE, cause=str(exc))
             return False
-        before = self._beliefs.dispatcher.configuration
-        # What a slow or repeated read brings late must not undo a newer one.
-        if before is not None and cfg.version <= before.version:
-            return False
-        self._beliefs.fleet.configure(cfg)
-        self._beliefs.dispatcher.configure(cfg)
-        events.log_event(events.VERSION_IN_FORCE, version=cfg.version, routes=sum(map(len, cfg.routes.values())))
-        return True
+        return self.put_in_force(cfg)
 
     def _take_runners(self, records: tuple[KeyedRecord, ...]) -> None:
         decoded = (_decode_runner(record) for record in records if record.text)
@@ -196,23 +190,14 @@
     def _take_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._beliefs.peers.replace_all(records)
         self._share_budget()
-        if all(record.key != self._cfg.name for record in records):
-            self._note_dropped()
+        self._own.check(records)
 
     def _take_entry(self, record: KeyedRecord) -> bool:
         changed = self._beliefs.peers.update(record)
         self._share_budget()
-        if record.key == self._cfg.name and not record.text:
-            self._note_dropped()
+        self._own.heard(record)
         return changed
 
-    def _note_dropped(self) -> None:
-        """Register again, unless this entry has not yet or no more."""
-        if self._beliefs.peers.registered:
-            self._beliefs.peers.registered = False
-            events.log_event(events.ENTRY_DROPPED)
-            self._dropped.set()
-
     def _share_budget(self) -> None:
         self._beliefs.budgets.share(self._beliefs.peers.count(), self._cfg.retry_reserve)
 
@@ -225,4 +210,8 @@
         return None
 
 
+def _pass_over(_: str) -> None:
+    """Ask nobody."""
+
+
 __all__ = ('Beliefs', 'Intake')
--- a/packages/sesamepoint/src/sesamepoint/front/news.py
+++ b/packages/sesamepoint/src/sesamepoint/front/news.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sesamepoint.platform.store import KeyedRecord
+from sesamepoint.platform.store_era import MAX_ERA
 
 # One datagram in one packet: entries' links carry 5 Mbit a second and more,
 # and a reader tells all others at once.
@@ -14,6 +15,7 @@
 # No log has more records than this; at a thousand a second it takes 30 years.
 MAX_OFFSET = 1_000_000_000_000
 Offset = Annotated[int, msgspec.Meta(ge=0, lt=MAX_OFFSET)]
+Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
 
 
 class News(msgspec.Struct, frozen=True, array_like=True, tag='news'):
@@ -24,6 +26,8 @@
     changed
         The newest record of each key that changed in between; None if they
         are too many for a datagram or hold secrets, and have to be read.
+    era
+        That of the store; the offsets are of its history in it.
     """
 
     entry: str
@@ -31,6 +35,7 @@
     start: Offset
     end: Offset
     changed: tuple[KeyedRecord, ...] | None
+    era: Era = 0
 
 
 def tellable(changed: dict[str, KeyedRecord], *, private: bool) -> tuple[KeyedRecord, ...] | None:
--- a/packages/sesamepoint/src/sesamepoint/front/notices.py
+++ b/packages/sesamepoint/src/sesamepoint/front/notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
 import trio
@@ -21,6 +21,16 @@
 MAX_ROWS = 24
 # Notices that wait to be told; more only pile up while a link is full.
 MAX_WAITING = 6144
+# No configuration has more versions than this.
+MAX_VERSION = 1_000_000_000_000
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+
+
+class VersionNote(msgspec.Struct, frozen=True, array_like=True, tag='version'):
+    """The version of the configuration that is in force at an entry; 0 if none is."""
+
+    entry: str
+    version: Version
 
 
 class EndNote(NamedTuple):
@@ -56,10 +66,10 @@
 
 
 class Letter(NamedTuple):
-    """A notice and whom it is for; all others if ``to`` is empty."""
+    """A word and whom it is for; all others if ``to`` is empty."""
 
     to: str
-    notice: Notice
+    word: Notice | VersionNote
 
 
 class Outbox:
@@ -70,12 +80,12 @@
         self._fresh = trio.Event()
         self._letters: list[Letter] = []
 
-    def tell(self, notice: Notice, to: str = '') -> None:
+    def tell(self, word: Notice | VersionNote, to: str = '') -> None:
         """Tell one entry, or all others."""
         if len(self._letters) < MAX_WAITING:
-            self._letters.append(Letter(to, notice))
+            self._letters.append(Letter(to, word))
         else:
-            events.log_event(events.NOTICE_DROPPED, notice=repr(notice))
+            events.log_event(events.NOTICE_DROPPED, notice=repr(word))
         self._fresh.set()
 
     async def next_letters(self) -> list[Letter]:
@@ -85,7 +95,7 @@
         self._fresh = trio.Event()
         waiting = self._letters
         self._letters = []
-        to_all = [letter.notice for letter in waiting if not letter.to]
+        to_all = [letter.word for letter in waiting if not letter.to and isinstance(letter.word, Notice)]
         chunks = (to_all[start : start + MAX_ROWS] for start in range(0, len(to_all), MAX_ROWS))
         return [*(letter for letter in waiting if letter.to), *(Letter('', _merged(chunk)) for chunk in chunks)]
 
@@ -100,4 +110,4 @@
     )
 
 
-__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'TrialNote')
+__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'TrialNote', 'VersionNote')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -12,7 +12,7 @@
 from sesamepoint import events
 from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
-from sesamepoint.front.notices import Notice
+from sesamepoint.front.notices import Notice, VersionNote
 from sesamepoint.front.sends import Word
 from sesamepoint.platform.names import ENTRY_TOPIC
 from sesamepoint.platform.store import KeyedRecord
@@ -69,8 +69,11 @@
         self.hear_news: Callable[[News], None] = _pass_over
         # Called when others are heard again after a silence.
         self.hear_again: Callable[[], None] = _do_nothing
+        # Called with the version that another entry has in force.
+        self.hear_version: Callable[[VersionNote], None] = _pass_over
         self._heard_at: float = 0
         self._quarantine = quarantine
+        self.outbox = quarantine.outbox
 
     def count(self) -> int:
         """Return how many entries are registered, this one included."""
@@ -99,7 +102,7 @@
 
     async def register(self, store: StoreClient) -> None:
         """Tell the other entries, by the store, where this one listens."""
-        own = str(Address(self._cfg.host, self._cfg.peer_port)).encode()
+        own = str(self._cfg.peer_listen).encode()
         while not await self._put(store, self._cfg.name, own):
             await trio.sleep(REGISTER_AGAIN_S)
         self.registered = True
@@ -133,7 +136,7 @@
 
     async def listen(self) -> None:
         """Take in peers' words until cancelled."""
-        await self._network.receive(Address(self._cfg.host, self._cfg.peer_port), self.take)
+        await self._network.receive(self._cfg.peer_listen, self.take)
 
     async def tell(self) -> None:
         """Tell peers of this entry's sends until cancelled."""
@@ -149,7 +152,7 @@
     def take(self, datagram: bytes) -> None:
         """Take in one datagram; one that no entry of ours sends is logged and dropped."""
         try:
-            word = msgspec.msgpack.decode(datagram, type=Word | News | Notice)
+            word = msgspec.msgpack.decode(datagram, type=Word | News | Notice | VersionNote)
         except msgspec.DecodeError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
@@ -161,14 +164,22 @@
 
     async def tell_news(self, news: News) -> None:
         """Tell all other entries what this one has read in the store."""
-        await self._tell_each(self._others(), news)
+        await self._tell_each(self.others(), news)
+
+    def others(self) -> list[str]:
+        """Return the names of the other entries."""
+        return [name for name in self._addresses if name != self._cfg.name]
+
+    def address_of(self, entry: str) -> Address | None:
+        """Return where ``entry`` listens for its peers; None if it is not registered."""
+        return self._addresses.get(entry)
 
     async def tell_notices(self) -> None:
         """Tell other entries of requests that may end runners, until cancelled."""
         while True:
             letters = await self._quarantine.outbox.next_letters()
             for letter in letters:
-                await self._tell_each([letter.to] if letter.to else self._others(), letter.notice)
+                await self._tell_each([letter.to] if letter.to else self.others(), letter.word)
 
     def _note_heard(self, entry: str) -> None:
         now = trio.current_time()
@@ -177,16 +188,15 @@
             self.hear_again()
         self._heard_at = now
 
-    def _take_from_member(self, word: News | Notice) -> None:
+    def _take_from_member(self, word: News | Notice | VersionNote) -> None:
         if isinstance(word, Notice):
             self._quarantine.heard(word)
+        elif isinstance(word, VersionNote):
+            self.hear_version(word)
         else:
             self.hear_news(word)
 
-    def _others(self) -> list[str]:
-        return [name for name in self._addresses if name != self._cfg.name]
-
-    async def _tell_each(self, names: Sequence[str], told: News | Notice) -> None:
+    async def _tell_each(self, names: Sequence[str], told: News | Notice | VersionNote) -> None:
         datagram = msgspec.msgpack.encode(told)
         for name in names:
             await self._tell(datagram, name)
@@ -194,7 +204,7 @@
     async def _tell_all(self, word: Word) -> None:
         everything = msgspec.msgpack.encode(word)
         whole = self._known.whole
-        for name in self._others():
+        for name in self.others():
             datagram = everything if whole else self._concerning(name, word)
             if datagram:
                 await self._tell(datagram, name)
@@ -243,7 +253,7 @@
     """Do nothing: topics are not followed yet."""
 
 
-def _pass_over(_: News) -> None:
+def _pass_over(_: object) -> None:
     """Do nothing: topics are not followed yet."""
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine.py
@@ -75,6 +75,9 @@
         self.outbox = Outbox()
         # What is to be written to the store; the text is empty for a release.
         self.records = trio.open_memory_channel[tuple[str, bytes]](MAX_WAITING)
+        # Set while the store lacks records that it once had.
+        self.lacking = trio.Event()
+        self._lacking: set[str] = set()
         self._entry = entry
         self._known = trio.Event()
         self._left: deque[_Left] = deque(maxlen=MAX_LEFT)
@@ -149,6 +152,7 @@
 
     def take_record(self, record: KeyedRecord) -> bool:
         """Take the newest word of the store on one request; returns whether it is another one."""
+        self._lacking.discard(record.key)
         if not record.text:
             return self.suspects.release(record.key)
         if self.suspects.quarantined(record.key):
@@ -160,6 +164,19 @@
             self.suspects.quarantine(record.key, trio.current_time())
         return bool(starts)
 
+    def restore(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Note which records a store that came back from an older copy lacks."""
+        self._lacking = set(self.suspects.all_quarantined()) - {record.key for record in records}
+        if self._lacking:
+            self.lacking.set()
+
+    def write_lacking(self) -> None:
+        """Write again what nobody has written since the store came back."""
+        for content_id in self._lacking.intersection(self.suspects.all_quarantined()):
+            self._put(content_id, msgspec.json.encode(self.suspects.starts(content_id)))
+        self._lacking.clear()
+        self.lacking = trio.Event()
+
     def release_lapsed(self) -> None:
         """End quarantines whose time is over."""
         for content_id in self.suspects.lapsed(trio.current_time()):
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine_records.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine_records.py
@@ -9,15 +9,18 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint import events
 from sesamepoint.platform.names import QUARANTINE_TOPIC
-from sesamepoint.platform.store import StoreClient
 
 if TYPE_CHECKING:
-    from sesamepoint_core.serving.address import Address
+    from random import Random
+
     from sesamepoint.front.quarantine import Quarantine
-    from sesamepoint.http1.transport import Network
+    from sesamepoint.platform.store import StoreClient
 
 # How often quarantines are looked through for those that are over, in seconds.
 LAPSE_S = 60.0
+# What the store has lost is written again within this time, in seconds, drawn by
+# each entry for itself.
+RESTORE_SPREAD_S = 5.0
 # Pause before a record that was not written is written again, in seconds.
 WRITE_AGAIN_S = 1.0
 
@@ -25,10 +28,11 @@
 class QuarantineRecords:
     """Writes what this entry finds out, for entries that start later."""
 
-    def __init__(self, quarantine: Quarantine, store: Address, network: Network) -> None:
-        """Write for ``quarantine`` to the store at an address."""
+    def __init__(self, quarantine: Quarantine, client: StoreClient, rng: Random) -> None:
+        """Write for ``quarantine`` to the store that ``client`` calls."""
+        self._rng = rng
         self._quarantine = quarantine
-        self._client = StoreClient(store, network)
+        self._client = client
 
     async def write(self) -> None:
         """Write each record until the store has it, until cancelled."""
@@ -36,6 +40,17 @@
             while not await self._put(key, text):
                 await trio.sleep(WRITE_AGAIN_S)
 
+    async def restore(self) -> None:
+        """Write again what a store that went back has lost, until cancelled.
+
+        All entries know it, and one record is enough: the first one's is heard
+        of by the others before their time has come.
+        """
+        while True:
+            await self._quarantine.lacking.wait()
+            await trio.sleep(self._rng.uniform(0, RESTORE_SPREAD_S))
+            self._quarantine.write_lacking()
+
     async def end_lapsed(self) -> None:
         """End quarantines whose time is over, until cancelled."""
         while True:
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.address import Address
 
 
 class StoreSettings(NamedTuple):
@@ -22,7 +21,8 @@
     host
         The address of this instance, for its peers.
     peer_port
-        Peers exchange datagrams on this port; the same on all instances.
+        Peers exchange datagrams on this port, and ask each other over
+        connections; the same on all instances.
     drain_s
         How long a runner that leaves may still get requests.
     stop_s
@@ -51,5 +51,10 @@
     link_bytes_s: float
     store: StoreSettings
 
+    @property
+    def peer_listen(self) -> Address:
+        """Return where peers reach this instance, by datagrams and connections."""
+        return Address(self.host, self.peer_port)
+
 
 __all__ = ('FrontSettings', 'StoreSettings')
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -61,6 +61,9 @@
 # must see the request as its caller sent it.
 ALWAYS_FORWARDED: Final = frozenset((b'host', REQUEST_ID, MODEL, TOKEN_COUNTS, PROMPT_PARTS, LAST_EVENT))
 
+# How often the store has come back from an older copy.
+STORE_ERA: Final = b'store-era'
+
 READY_PATH: Final = '/v1/readyz'
 KV_HANDLE_PATH: Final = '/v1/kv-handle/'
 KV_LIST_PATH: Final = '/v1/kv-list'
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -22,6 +22,7 @@
     from sesamepoint_core.serving.address import Address
 
     from sesamepoint.http1.transport import Network
+    from sesamepoint.platform.store_era import StoreEra
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -40,14 +41,26 @@
 
 
 class Newest(NamedTuple):
-    """The newest record of each key, and the offset to follow from."""
+    """The newest record of each key, and the offset to follow from.
+
+    Offsets are of the history that the store is in its ``era``.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int = 0
 
 
 class HistoryGoneError(Exception):
-    """The records asked for were deleted; read the newest of each key."""
+    """The records asked for were deleted, or never were; read the newest of each key."""
+
+
+class StoreAnswer(NamedTuple):
+    """An answer of the store, and its era."""
+
+    status: int
+    text: bytes
+    era: int
 
 
 class _Entry(msgspec.Struct, rename={'encoded': 'value'}):
@@ -65,8 +78,9 @@
 class StoreClient:
     """Keeps one connection; calls of one client run one at a time."""
 
-    def __init__(self, address: Address, network: Network) -> None:
-        """Aim at ``address`` over ``network``; connects with the first call."""
+    def __init__(self, address: Address, network: Network, era: StoreEra) -> None:
+        """Aim at ``address`` over ``network``; all clients of a process share ``era``."""
+        self.era = era
         self._address = address
         self._network = network
         self._conn: ClientConn | None = None
@@ -83,14 +97,19 @@
         records: list[KeyedRecord] = []
         query = {'topic': topic, 'part': '0'}
         end: int | None = None
+        era: int | None = None
         while True:
-            page = _page(await self._call('GET', '/v1/log-newest', query, call_s - CALL_S))
+            answer = await self._call('GET', '/v1/log-newest', query, call_s - CALL_S)
+            page = _page(answer.text)
+            if era not in {None, answer.era}:
+                raise PlatformUnavailableError('store', 'it went back between two pages')
+            era = answer.era
             records.extend(_keyed(found) for found in page.entries)
             # Pages are read one after the other: what changes meanwhile is
             # on the log after the end that the first page tells.
             end = page.end if end is None else end
             if not page.has_more or not records:
-                return Newest(tuple(records), end)
+                return Newest(tuple(records), end, era)
             query['after'] = records[-1].key
 
     async def follow(self, topic: str, start: int, wait_s: float) -> Newest:
@@ -104,7 +123,8 @@
             If the store did not answer.
         """
         query = {'topic': topic, 'part': '0', 'source': str(start), 'wait_ms': str(int(wait_s * MS_PER_S))}
-        text = await self._call('GET', '/v1/log-read', query, wait_s)
+        answer = await self._call('GET', '/v1/log-read', query, wait_s)
+        text = answer.text
         if len(text) < _TWO_OFFSETS.size:
             raise PlatformUnavailableError('store', 'a reply without offsets')
         if _TWO_OFFSETS.unpack_from(text)[0] < start:
@@ -114,7 +134,7 @@
             raise HistoryGoneError
         records = _split(text[_TWO_OFFSETS.size :])
         readable = (_keyed_record(topic, found) for found in records)
-        return Newest(tuple(found for found in readable if found), start + len(records))
+        return Newest(tuple(found for found in readable if found), start + len(records), answer.era)
 
     async def put(self, topic: str, key: str, text: bytes) -> None:
         """Append the newest record of ``key``; empty text drops the key.
@@ -142,20 +162,20 @@
         query: Mapping[str, str],
         wait_s: float = 0,
         body: bytes = b'',
-    ) -> bytes:
+    ) -> StoreAnswer:
         async with self._lock:
             try:
                 with trio.fail_after(wait_s + CALL_S):
-                    status, text = await self._exchange(method, f'{path}?{urlencode(query)}', body)
+                    answer = await self._exchange(method, f'{path}?{urlencode(query)}', body)
             except (ConnBrokenError, ConnectFailedError, trio.TooSlowError) as exc:
                 raise PlatformUnavailableError('store', repr(exc)) from exc
-        if status == STATUS_GONE:
+        if answer.status == STATUS_GONE:
             raise HistoryGoneError
-        if status != STATUS_OK:
-            raise PlatformUnavailableError('store', f'status {status}')
-        return text
+        if answer.status != STATUS_OK:
+            raise PlatformUnavailableError('store', f'status {answer.status}')
+        return answer
 
-    async def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
+    async def _exchange(self, method: str, target: str, body: bytes) -> StoreAnswer:
         conn = self._conn if self._conn and self._conn.quiet() else None
         if conn is None:
             self.close()
@@ -173,7 +193,7 @@
             self._conn = conn
         else:
             conn.close()
-        return reply.status, text
+        return StoreAnswer(reply.status, text, self.era.take(reply.headers))
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
@@ -218,4 +238,4 @@
     return KeyedRecord(record[1:end].decode(errors='replace'), record[end:])
 
 
-__all__ = ('HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreClient')
+__all__ = ('HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreAnswer', 'StoreClient')
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -88,6 +88,7 @@
             Child('callers', partial(self._serve_callers, connections)),
             Child('readiness', partial(_listen, self._pages().serve, cfg.ready_listen)),
             Child('metrics', self._serve_metrics),
+            Child('peers', partial(_listen, self._front.peer_pages.serve, self._front.cfg.peer_listen)),
             Child('settings', self._watch_settings),
             *self._front.children(),
         ]
