Use of accounts, counted everywhere and reported by one holder

Ruled out: groups of the store (at times dealt anew without any request, and their lapse is the store's, not the holder's clock); counts through the store (29 writes a window for one).

Change: each instance counts requests by account and window of true time when a runner has begun to run them, and tells the holder. One holder by a lease on a log of the store, appended at a known end; it acts for 2 s from its newest accepted record, by a clock that counts sleep, and the next one waits 3.5 s of an unchanged log. The report is in the store before it is sent. After a return of the store windows that may have been reported are not, unless the same holder went on all the while.

Numbers are now made of the era and the offset.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bed.py
@@ -11,18 +11,21 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint.front.front import Front
-from sesamepoint.front.settings import FrontSettings, StoreSettings
+from sesamepoint.front.settings import DutySettings, FrontSettings, StoreSettings
 from sesamepoint.platform.names import OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint.supervisor import Supervisor
 from sesamepoint_standins.platform.caller import Caller
 from sesamepoint_standins.platform.network import MemoryNetwork
 from sesamepoint_standins.platform.runner import RunnerStandIn
 from sesamepoint_standins.platform.store import PlatformStore
+from sesamepoint_standins.platform.usage import UsageStandIn, VirtualClock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
 STORE = Address('10.9.0.1', 8100)
+USAGE = Address('10.9.0.2', 8100)
+DUTY = DutySettings(USAGE, window_s=5, late_s=10, turns_s=3)
 FRONT_PORT = 8000
 READY_S = 5.0
 # A runner that has ended is back so many seconds later, as another start; until
@@ -32,7 +35,7 @@
 ENDS_AFTER_S = 0.1
 
 
-def front_settings(number: int) -> FrontSettings:
+def front_settings(number: int, duty: DutySettings | None = None) -> FrontSettings:
     """Return the settings of the front called ``number``."""
     host = f'10.1.0.{number}'
     return FrontSettings(
@@ -50,6 +53,7 @@
         retry_window_s=10.0,
         link_bytes_s=125e6,
         store=StoreSettings(STORE),
+        duty=duty,
     )
 
 
@@ -63,8 +67,11 @@
 class PlatformBed:
     """Everything of one deployment, and hands on its faults."""
 
-    def __init__(self, nursery: trio.Nursery, seed: int = 1) -> None:
+    def __init__(self, nursery: trio.Nursery, seed: int = 1, duty: DutySettings | None = None) -> None:
         """Run all parts in ``nursery``."""
+        self.usage = UsageStandIn()
+        self.clocks: dict[str, VirtualClock] = {}
+        self._duty = duty
         self.network = MemoryNetwork(nursery)
         self.store = PlatformStore()
         self.runners: dict[str, RunnerStandIn] = {}
@@ -75,6 +82,7 @@
         self._nursery = nursery
         self._rng = Random(seed)
         self.network.listen(STORE, self.store.serve)
+        self.network.listen(USAGE, self.usage.serve)
 
     def publish(self, document: object) -> None:
         """Write a configuration as the operator does."""
@@ -109,9 +117,10 @@
 
     def add_front(self, number: int) -> Front:
         """Start a front."""
-        cfg = front_settings(number)
+        cfg = front_settings(number, self._duty)
         network = self.network.seen_from(cfg.host)
-        front = Front(cfg, network, network, Random(self._rng.random()))
+        clock = self.clocks.setdefault(cfg.name, VirtualClock())
+        front = Front(cfg, network, network, Random(self._rng.random()), clock)
         self.fronts[cfg.name] = front
         self.network.listen(cfg.listen, front.door.serve)
         self.network.listen(cfg.peer_listen, front.peer_pages.serve)
@@ -157,10 +166,11 @@
     configuration: object,
     runners: Sequence[RunnerStandIn],
     fronts: int = 1,
+    duty: DutySettings | None = None,
 ) -> AsyncIterator[PlatformBed]:
     """Start a deployment and wait until it is ready."""
     async with trio.open_nursery() as nursery:
-        bed = PlatformBed(nursery)
+        bed = PlatformBed(nursery, duty=duty)
         bed.publish(configuration)
         for runner in runners:
             bed.add_runner(runner)
@@ -171,4 +181,4 @@
         nursery.cancel_scope.cancel()
 
 
-__all__ = ('PlatformBed', 'front_settings', 'running_bed')
+__all__ = ('DUTY', 'PlatformBed', 'front_settings', 'running_bed')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -21,6 +21,7 @@
 ANSWER_S = 0.004
 STATUS_OK = 200
 STATUS_GONE = 410
+STATUS_MOVED_ON = 412
 STATUS_UNAVAILABLE = 503
 _LENGTH = struct.Struct('>I')
 _OFFSETS = struct.Struct('>QQ')
@@ -128,6 +129,8 @@
             return _newest(topic)
         if path == '/v1/log-read':
             return await _read(topic, int(fields['source']), int(fields.get('wait_ms', '0')) / MS_PER_S)
+        if int(fields.get('at', len(topic.records))) != len(topic.records):
+            return _Answer(STATUS_MOVED_ON, msgspec.json.encode({'end': len(topic.records)}))
         return _append(topic, message.body)
 
     def _topic(self, name: str) -> _Topic:
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -12,7 +12,7 @@
 from sesamepoint.front.admission import admission_of, admit_again, attribute, deny, log_denied
 from sesamepoint.front.cause import Cause
 from sesamepoint.front.conclusion import cause_of, log_end
-from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job
+from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job, OnRun
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.return_time import hold_s, when_unknown_s
 from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
@@ -85,6 +85,8 @@
         self._rng = rng
         self._usual = UsualDeadlines()
         self._under_way: set[Job] = set()
+        # Called when a runner has begun to run a request.
+        self.on_run: OnRun | None = None
 
     def configure(self, cfg: Configuration) -> None:
         """Serve by ``cfg`` from now on."""
@@ -113,6 +115,7 @@
         came_back = self._usual.returned(route.name, req.deadline_s, req.arrived)
         job = Job(req, route, self._pick_service(route), reply, returned=came_back)
         attribute(job, cfg, admission)
+        job.standing.on_run = self.on_run
         self._under_way.add(job)
         try:
             if not await self._serve_in_time(job, cfg):
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/duty.py
@@ -0,0 +1,305 @@
+"""Holding the duty: the lease in the store, and the reports on use."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
+
+import msgspec
+import trio
+
+from sesamepoint_core.duty.lease import Holding, Lease, LogView
+from sesamepoint_core.duty.reports import GATHER_S, Report, Reports, Times
+from sesamepoint_core.duty.usage import Source, Tallies
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint import events
+from sesamepoint.front.usage_words import DutyWord
+from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
+from sesamepoint.platform.duty_calls import encode_usage, report_usage
+from sesamepoint.platform.names import DUTY_TOPIC, LEASE_KEY, REPORT_KEY
+from sesamepoint.platform.store import HistoryGoneError
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint_core.duty.usage import UsageMeter
+    from sesamepoint.front.clocks import Clock, TrueTime
+    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.settings import DutySettings
+    from sesamepoint.front.usage import UsageCounts
+    from sesamepoint.front.usage_words import UsageWord
+    from sesamepoint.http1.transport import Network
+    from sesamepoint.platform.store import StoreClient
+
+# How often the holder renews its lease, in seconds, and tries again when it failed.
+RENEW_S = 0.7
+RENEW_AGAIN_S = 0.2
+# A claim waits so much longer than no two holders may take turns, in seconds: a
+# call that a holder began in time is over, or broken, by then.
+CLAIM_MARGIN_S = 0.5
+# A call with a report takes no longer, in seconds; it begins only if the lease
+# lasts until it must be over.
+CALL_S = 0.8
+CONNECT_S = 0.4
+CALL_AGAIN_S = 0.3
+# How often the holder looks what there is to do, in seconds.
+LOOK_S = 0.1
+# The holder says that it is there after so many seconds, or so many for each
+# entry, whichever is more: its words take a link of 10 Mbit/s a hundredth.
+SAY_EVERY_S = 1.0
+SAY_EVERY_PEER_S = 0.01
+# After so many words have stayed away the others look for a new holder, one
+# after the other within so many seconds.
+WORDS_MISSED = 2.5
+SEEK_SPAN_S = (0.1, 1.0)
+# At the start they wait for word of a holder first.
+START_SPAN_S = (1.0, 2.0)
+# Instances that have not told their counts are asked again after this time.
+ASK_AGAIN_S = 0.5
+STATUS_OK = 200
+STATUS_TOO_MANY = 429
+FIRST_FAILURE = 500
+
+
+_Kind = TypeVar('_Kind')
+
+
+class DutyTools(NamedTuple):
+    """What holding the duty needs of the rest of the front."""
+
+    peers: Peers
+    counts: UsageCounts
+    meter: UsageMeter
+    store: StoreClient
+    network: Network
+    clock: Clock
+    true_time: TrueTime
+    rng: Random
+
+
+class Duty:
+    """Takes the duty if nobody has it, and reports while it is held."""
+
+    def __init__(self, cfg: DutySettings, tools: DutyTools) -> None:
+        """Hold nothing yet."""
+        self._cfg = cfg
+        self._tools = tools
+        self._name = tools.peers.name
+        self._clock = tools.clock
+        self._lease = Lease(self._name, cfg.turns_s + CLAIM_MARGIN_S)
+        self._reports = Reports(tools.meter, Times(cfg.window_s, cfg.late_s))
+        self._tallies = Tallies()
+        self._quiet_until = tools.clock.steady() + tools.rng.uniform(*START_SPAN_S)
+        self._report: Report | None = None
+        self._appending = trio.Lock()
+        self._said_at: float = 0
+        self._asked_at: float = 0
+
+    def held(self) -> bool:
+        """Tell whether this instance may act."""
+        return self._lease.valid(self._clock.steady())
+
+    def heard_holder(self, word: DutyWord) -> None:
+        """Take the word of a holder."""
+        self._tools.counts.heard(word)
+        now = self._clock.steady()
+        self._quiet_until = now + WORDS_MISSED * self._say_every_s() if word.held else now
+
+    def heard_usage(self, word: UsageWord) -> None:
+        """Take counts of another entry."""
+        if word.window < self._reports.next_window:
+            return
+        source = Source(word.entry, word.start)
+        self._tallies.add(source, word.window, word.tallies)
+        if word.closed:
+            self._tallies.close(source, word.window, word.part, word.parts)
+
+    async def hold(self) -> None:
+        """Keep the lease, or take it if nobody else does, until cancelled."""
+        while True:
+            if self._lease.fence is None:
+                await self._seek()
+            elif await self._append(LEASE_KEY, msgspec.json.encode(self._lease.next_holding())):
+                await trio.sleep(RENEW_S)
+            else:
+                await self._say_left()
+                await trio.sleep(RENEW_AGAIN_S)
+                await self._look()
+
+    async def report(self) -> None:
+        """Report each window in its time while the lease is held, until cancelled."""
+        while True:
+            await trio.sleep(LOOK_S)
+            if self.held():
+                await self._say_held()
+                await self._step()
+
+    async def give_back(self) -> None:
+        """Let another entry take the duty at once: this one is about to stop."""
+        if self._lease.fence is not None:
+            holding = msgspec.structs.replace(self._lease.next_holding(), holder='')
+            await self._append(LEASE_KEY, msgspec.json.encode(holding))
+            self._lease.lose()
+            await self._say(held=False)
+
+    async def _seek(self) -> None:
+        """Claim the lease if no holder is heard and the log stays as it is."""
+        while self._clock.steady() < self._quiet_until:
+            await trio.sleep(LOOK_S)
+        await trio.sleep(self._tools.rng.uniform(*SEEK_SPAN_S))
+        if self._clock.steady() < self._quiet_until:
+            return
+        read_at = self._clock.steady()
+        if not await self._look():
+            return
+        if self._lease.may_claim(read_at):
+            await self._claim()
+        else:
+            await trio.sleep(self._cfg.turns_s + CLAIM_MARGIN_S)
+
+    async def _look(self) -> bool:
+        """Read who holds the lease; False if the store did not tell."""
+        try:
+            found = await self._tools.store.newest(DUTY_TOPIC)
+        except (PlatformUnavailableError, HistoryGoneError) as exc:
+            events.log_event(events.DUTY_STORE_FAILED, cause=str(exc))
+            return False
+        texts = {record.key: record.text for record in found.records}
+        self._report = _decoded(texts.get(REPORT_KEY), Report)
+        before = self._lease.fence
+        holding = _decoded(texts.get(LEASE_KEY), Holding)
+        self._lease.saw(LogView(found.era, found.end, holding), self._clock.steady())
+        if before is not None and self._lease.fence is None:
+            events.log_event(events.DUTY_LEFT, fence=before, holder=holding.holder if holding else '', era=found.era)
+        return True
+
+    async def _claim(self) -> None:
+        holding = self._lease.next_holding()
+        unbroken = self._lease.unbroken
+        if not await self._append(LEASE_KEY, msgspec.json.encode(holding), holding):
+            return
+        self._reports.begin(self._report, holding.era, self._tools.true_time.now(), unbroken=unbroken)
+        self._said_at = 0
+        events.log_event(
+            events.DUTY_TAKEN, fence=holding.fence, next_window=self._reports.next_window, unbroken=unbroken
+        )
+
+    async def _append(self, key: str, text: bytes, holding: Holding | None = None) -> bool:
+        """Append a record at the end that is known; it renews the lease if it is accepted."""
+        async with self._appending:
+            mine = holding or self._lease.next_holding()
+            sent_at = self._clock.steady()
+            try:
+                found = await self._tools.store.put_at(DUTY_TOPIC, key, text, self._lease.end)
+            except (PlatformUnavailableError, HistoryGoneError) as exc:
+                events.log_event(events.DUTY_STORE_FAILED, cause=str(exc))
+                return False
+            if found is None or found.era != mine.era:
+                return False
+            self._lease.appended(mine, found.end, sent_at)
+            return True
+
+    async def _step(self) -> None:
+        pending = self._reports.pending
+        if pending is not None:
+            return await self._send(pending)
+        wall_s = self._tools.true_time.now()
+        missing = self._tallies.missing(self._reports.next_window, self._tools.peers.others())
+        window = self._reports.ready(wall_s, whole=not missing)
+        if window is not None:
+            await self._decide(window, missing)
+        elif missing and wall_s > self._tools.meter.end_of(self._reports.next_window) + GATHER_S:
+            await self._ask(missing)
+
+    async def _decide(self, window: int, missing: list[str]) -> None:
+        """Keep the report in the store: whoever holds the duty after this one sends the same."""
+        counts = self._tools.counts
+        self._tallies.add(Source(counts.entry, counts.start), window, self._tools.meter.counts(window).items())
+        total = self._tallies.total(window)
+        report = Report(window, encode_usage(window, total), self._lease.era)
+        if await self._append(REPORT_KEY, msgspec.json.encode(report)):
+            self._reports.decided(report)
+            self._tallies.forget_before(window)
+            events.log_event(
+                events.USAGE_DECIDED, window=window, requests=sum(total.values()), accounts=len(total), missing=missing
+            )
+        elif await self._look() and self._report is not None and self._report.window == window:
+            # It was taken, and its answer lost.
+            self._reports.decided(self._report)
+
+    async def _send(self, report: Report) -> None:
+        if self._reports.too_late(report.window, self._tools.true_time.now()):
+            events.log_event(events.USAGE_MISSED, window=report.window)
+            self._reports.done()
+            return
+        fence = self._lease.fence
+        if fence is None or not self._lease.valid(self._clock.steady() + CALL_S):
+            return
+        status = await self._try_post(report, fence)
+        if status == STATUS_OK:
+            events.log_event(events.USAGE_REPORTED, window=report.window, fence=fence)
+            self._reports.done()
+        elif status == STATUS_TOO_MANY or status >= FIRST_FAILURE or not status:
+            await trio.sleep(CALL_AGAIN_S)
+        else:
+            # It would say the same again.
+            self._reports.done()
+
+    async def _try_post(self, report: Report, fence: int) -> int:
+        """Send a report and return the status of the answer; 0 if none came in time."""
+        status = 0
+        try:
+            with trio.fail_after(CALL_S):
+                status = await self._post(report, fence)
+        except (ConnectFailedError, ConnBrokenError, trio.TooSlowError) as exc:
+            events.log_event(events.USAGE_UNREPORTED, window=report.window, fence=fence, cause=repr(exc))
+        if status not in {0, STATUS_OK}:
+            events.log_event(events.USAGE_UNREPORTED, window=report.window, fence=fence, cause=f'status {status}')
+        return status
+
+    async def _post(self, report: Report, fence: int) -> int:
+        conn = ClientConn(await self._tools.network.connect(self._cfg.address, CONNECT_S))
+        try:
+            return await report_usage(conn, self._cfg.address, self._name, fence, report.body)
+        finally:
+            conn.close()
+
+    async def _ask(self, missing: list[str]) -> None:
+        now = self._clock.steady()
+        if now - self._asked_at >= ASK_AGAIN_S:
+            self._asked_at = now
+            await self._tools.peers.tell_to(missing, self._word(held=True, again=True))
+
+    def _say_every_s(self) -> float:
+        return max(SAY_EVERY_S, SAY_EVERY_PEER_S * self._tools.peers.count())
+
+    async def _say_held(self) -> None:
+        if self._clock.steady() - self._said_at >= self._say_every_s():
+            await self._say(held=True)
+
+    async def _say_left(self) -> None:
+        """Let the others look for a new holder as soon as this one may not act any more."""
+        if not self.held() and self._said_at:
+            await self._say(held=False)
+            self._said_at = 0
+
+    async def _say(self, *, held: bool) -> None:
+        self._said_at = self._clock.steady()
+        await self._tools.peers.tell_to(self._tools.peers.others(), self._word(held=held))
+
+    def _word(self, *, held: bool, again: bool = False) -> DutyWord:
+        return DutyWord(self._name, self._lease.fence or 0, held, self._reports.next_window, again)
+
+
+def _decoded(text: bytes | None, kind: type[_Kind]) -> _Kind | None:
+    """Return a record of the duty; one that does not decode is none."""
+    if not text:
+        return None
+    try:
+        return msgspec.json.decode(text, type=kind)
+    except msgspec.DecodeError as exc:
+        events.log_event(events.RECORD_UNREADABLE, topic=DUTY_TOPIC, cause=str(exc))
+    return None
+
+
+__all__ = ('Duty', 'DutyTools')
--- a/packages/sesamepoint/src/sesamepoint/front/following.py
+++ b/packages/sesamepoint/src/sesamepoint/front/following.py
@@ -5,11 +5,17 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import trio
+
+from sesamepoint.front.clocks import SystemClock
 from sesamepoint.front.intake import Beliefs, Intake
+from sesamepoint.front.news import News
+from sesamepoint.front.notices import VersionNote
 from sesamepoint.front.own_record import OwnRecord
 from sesamepoint.front.pages import Page, Pages
 from sesamepoint.front.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
 from sesamepoint.front.quarantine_records import QuarantineRecords
+from sesamepoint.front.reporting import Reporting
 from sesamepoint.platform.store import StoreClient
 from sesamepoint.platform.store_era import StoreEra
 from sesamepoint.supervisor import Child
@@ -17,25 +23,36 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sesamepoint.front.clocks import Clock
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
 
+# A stop waits no longer than this, in seconds, until its counts and its duty are
+# left to the others.
+LAST_WORD_S = 0.2
+
 
 class Following:
     """Reads and writes the store; all its calls share what is known of the store's era."""
 
-    def __init__(self, cfg: FrontSettings, beliefs: Beliefs, network: Network, rng: Random) -> None:
-        """Put the parts together without starting them."""
+    def __init__(
+        self, cfg: FrontSettings, beliefs: Beliefs, network: Network, rng: Random, clock: Clock | None
+    ) -> None:
+        """Put the parts together without starting them; without a clock the machine's own is used."""
         peers = beliefs.peers
         new_client = partial(StoreClient, cfg.store.address, network, StoreEra())
         self._own = OwnRecord(cfg.name, peers, new_client)
         self._intake = Intake(cfg, beliefs, self._own, new_client)
         self._records = QuarantineRecords(beliefs.quarantine, new_client(), rng)
-        self._peers_cfg = PeerConfiguration(cfg.name, self._intake, peers, network, rng)
+        self._peers_cfg = PeerConfiguration(self._intake, peers, network, rng)
         self._intake.ask_configuration = self._peers_cfg.ask
-        peers.hear_version = self._peers_cfg.heard
-        peers.hear_news = self._intake.hear
+        peers.on_word[VersionNote] = self._peers_cfg.heard
+        peers.on_word[News] = self._intake.hear
         peers.hear_again = self._intake.look_again
+        self._reporting: Reporting | None = None
+        if cfg.duty is not None:
+            self._reporting = Reporting(cfg.duty, peers, new_client(), network, clock or SystemClock(), rng)
+            beliefs.dispatcher.on_run = self._reporting.note_run
         # What other entries may ask this one for.
         self.pages = Pages({CONFIGURATION_PATH: Page(self._peers_cfg.page, self._peers_cfg.there)})
 
@@ -54,6 +71,7 @@
             Child('lost-entries', partial(self._own.drop_lost, intake.reads_entries)),
             Child('peer-configuration', self._peers_cfg.run),
             Child('peer-compare', self._peers_cfg.compare),
+            *(self._reporting.children() if self._reporting else ()),
         ]
 
     def reconfigure(self, cfg: FrontSettings) -> None:
@@ -62,7 +80,10 @@
 
     async def withdraw(self) -> None:
         """Leave the list of entries: this one is about to stop."""
+        if self._reporting:
+            with trio.move_on_after(LAST_WORD_S):
+                await self._reporting.wind_down()
         await self._own.withdraw()
 
 
-__all__ = ('Following',)
+__all__ = ('Beliefs', 'Following')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -11,9 +11,8 @@
 from sesamepoint.front.door import Door
 from sesamepoint.front.engine_runs import EngineRuns, EngineTools
 from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.following import Following
+from sesamepoint.front.following import Beliefs, Following
 from sesamepoint.front.inventory import Inventory
-from sesamepoint.front.intake import Beliefs
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.prefill import HandleReclaimer
@@ -27,6 +26,7 @@
     from random import Random
 
     from sesamepoint_core.serving.suspects import Suspects
+    from sesamepoint.front.clocks import Clock
     from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
@@ -47,8 +47,15 @@
 class Front:
     """Takes callers' connections and serves their requests."""
 
-    def __init__(self, cfg: FrontSettings, network: Network, peer_network: PeerNetwork, rng: Random) -> None:
-        """Put the parts together without starting them."""
+    def __init__(
+        self,
+        cfg: FrontSettings,
+        network: Network,
+        peer_network: PeerNetwork,
+        rng: Random,
+        clock: Clock | None = None,
+    ) -> None:
+        """Put the parts together without starting them; the clock is the machine's own if none is given."""
         self.cfg = cfg
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time)
         sends = SendNotes(cfg.name, self.fleet, rng)
@@ -64,7 +71,7 @@
         engine_runs = EngineRuns(EngineTools(chooser, sends, self._reclaimer, self._waiting))
         self.dispatcher = Dispatcher(chooser, engine_runs, quarantine, budgets, rng)
         beliefs = Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine)
-        self._following = Following(cfg, beliefs, network, rng)
+        self._following = Following(cfg, beliefs, network, rng, clock)
         self.peer_pages = self._following.pages
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TYPE_CHECKING
@@ -43,6 +44,8 @@
     ----------
     first_at
         When the caller got the first of its answer, on trio's clock.
+    sent_at
+        When it was sent last, on trio's clock.
     prefill_s
         How long reading the prompt apart took.
     held_s
@@ -60,6 +63,7 @@
     """
 
     first_at: float | None = None
+    sent_at: float = 0
     longest_pause_s: float = 0
     prefill_s: float | None = None
     held_s: float = 0
@@ -71,6 +75,9 @@
     decision: dict[str, object] = field(default_factory=dict)
 
 
+OnRun = Callable[['Job'], None]
+
+
 @dataclass
 class Standing:
     """Whose request it is, and whether it may still be sent.
@@ -83,11 +90,17 @@
         Why it may not be sent any more: its key was taken since it came.
     scope
         Ends the work on it.
+    ran
+        Whether a runner has begun to run it.
+    on_run
+        Called when the first one has.
     """
 
     account: Account | None = None
     denied: KeyFault | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    ran: bool = False
+    on_run: OnRun | None = None
 
 
 class Job:
@@ -151,6 +164,14 @@
         """Note that the caller gets the first of its answer."""
         if self.notes.first_at is None:
             self.notes.first_at = trio.current_time()
+            self.note_run()
+
+    def note_run(self) -> None:
+        """Note that a runner has begun to run it; more runs of it count as one."""
+        if not self.standing.ran:
+            self.standing.ran = True
+            if self.standing.on_run is not None:
+                self.standing.on_run(self)
 
     @property
     def on_time_s(self) -> float:
@@ -199,4 +220,4 @@
     return FIRST_SUCCESS <= status < FIRST_REDIRECT
 
 
-__all__ = ('MIN_STREAM_PATIENCE_S', 'SOON_S', 'Job', 'Notes', 'successful')
+__all__ = ('MIN_STREAM_PATIENCE_S', 'SOON_S', 'Job', 'Notes', 'OnRun', 'successful')
--- a/packages/sesamepoint/src/sesamepoint/front/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peer_configuration.py
@@ -49,9 +49,8 @@
 class PeerConfiguration:
     """Serves the configuration in force, and asks others for theirs."""
 
-    def __init__(self, name: str, intake: Intake, peers: Peers, network: Network, rng: Random) -> None:
+    def __init__(self, intake: Intake, peers: Peers, network: Network, rng: Random) -> None:
         """Serve what ``intake`` has put in force; let it take what is newer at ``peers``."""
-        self._name = name
         self._intake = intake
         self._peers = peers
         self._network = network
@@ -103,7 +102,7 @@
         return cfg.version if cfg else 0
 
     def _tell(self, entry: str) -> None:
-        self._peers.outbox.tell(VersionNote(self._name, self._version()), entry)
+        self._peers.outbox.tell(VersionNote(self._peers.name, self._version()), entry)
 
     async def _fetch(self, entry: str, address: Address) -> None:
         try:
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
@@ -14,6 +14,7 @@
 from sesamepoint.front.news import News
 from sesamepoint.front.notices import Notice, VersionNote
 from sesamepoint.front.sends import Word
+from sesamepoint.front.usage_words import DutyWord, UsageWord
 from sesamepoint.platform.names import ENTRY_TOPIC
 from sesamepoint.platform.store import KeyedRecord
 
@@ -46,6 +47,9 @@
 DEAF_S = 2.0
 
 
+PeerWord = News | Notice | VersionNote | DutyWord | UsageWord
+
+
 class Peers:
     """The other entries, and the exchange with them."""
 
@@ -65,12 +69,13 @@
         self.members = Membership(cfg.name)
         self.registered = False
         self._addresses: dict[str, Address] = {}
-        # Called with what other entries have read in the store.
-        self.hear_news: Callable[[News], None] = _pass_over
+        # What to do with words of other entries, by their kind.
+        self.on_word: dict[type, Callable[[Any], None]] = {
+            kind: _pass_over for kind in (News, VersionNote, DutyWord, UsageWord)
+        }
         # Called when others are heard again after a silence.
         self.hear_again: Callable[[], None] = _do_nothing
-        # Called with the version that another entry has in force.
-        self.hear_version: Callable[[VersionNote], None] = _pass_over
+        self.name = cfg.name
         self._heard_at: float = 0
         self._quarantine = quarantine
         self.outbox = quarantine.outbox
@@ -152,7 +157,7 @@
     def take(self, datagram: bytes) -> None:
         """Take in one datagram; one that no entry of ours sends is logged and dropped."""
         try:
-            word = msgspec.msgpack.decode(datagram, type=Word | News | Notice | VersionNote)
+            word = msgspec.msgpack.decode(datagram, type=Word | PeerWord)
         except msgspec.DecodeError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
@@ -164,7 +169,7 @@
 
     async def tell_news(self, news: News) -> None:
         """Tell all other entries what this one has read in the store."""
-        await self._tell_each(self.others(), news)
+        await self.tell_to(self.others(), news)
 
     def others(self) -> list[str]:
         """Return the names of the other entries."""
@@ -174,12 +179,18 @@
         """Return where ``entry`` listens for its peers; None if it is not registered."""
         return self._addresses.get(entry)
 
+    async def tell_to(self, names: Sequence[str], word: PeerWord) -> None:
+        """Tell some entries something."""
+        datagram = msgspec.msgpack.encode(word)
+        for name in names:
+            await self._tell(datagram, name)
+
     async def tell_notices(self) -> None:
         """Tell other entries of requests that may end runners, until cancelled."""
         while True:
             letters = await self._quarantine.outbox.next_letters()
             for letter in letters:
-                await self._tell_each([letter.to] if letter.to else self.others(), letter.word)
+                await self.tell_to([letter.to] if letter.to else self.others(), letter.word)
 
     def _note_heard(self, entry: str) -> None:
         now = trio.current_time()
@@ -188,18 +199,11 @@
             self.hear_again()
         self._heard_at = now
 
-    def _take_from_member(self, word: News | Notice | VersionNote) -> None:
+    def _take_from_member(self, word: PeerWord) -> None:
         if isinstance(word, Notice):
             self._quarantine.heard(word)
-        elif isinstance(word, VersionNote):
-            self.hear_version(word)
         else:
-            self.hear_news(word)
-
-    async def _tell_each(self, names: Sequence[str], told: News | Notice | VersionNote) -> None:
-        datagram = msgspec.msgpack.encode(told)
-        for name in names:
-            await self._tell(datagram, name)
+            self.on_word[type(word)](word)
 
     async def _tell_all(self, word: Word) -> None:
         everything = msgspec.msgpack.encode(word)
@@ -254,7 +258,7 @@
 
 
 def _pass_over(_: object) -> None:
-    """Do nothing: topics are not followed yet."""
+    """Do nothing: nobody takes such words yet, or at all."""
 
 
 __all__ = ('Peers',)
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -13,6 +13,27 @@
     address: Address
 
 
+class DutySettings(NamedTuple):
+    """What is reported on the use of client accounts, and where.
+
+    Parameters
+    ----------
+    address
+        Takes the reports.
+    window_s
+        Each report is about a window of this length.
+    late_s
+        It is due so long after the end of its window.
+    turns_s
+        Within this no two holders may take turns.
+    """
+
+    address: Address
+    window_s: float
+    late_s: float
+    turns_s: float
+
+
 class FrontSettings(NamedTuple):
     """What one front process needs to know.
 
@@ -29,6 +50,8 @@
         Time between the signal to stop and the end by force.
     config_s
         Within this a new configuration must be in force.
+    duty
+        None if nobody wants reports.
     link_bytes_s
         What the link of this instance carries a second.
     retry_ratio, retry_reserve, retry_window_s
@@ -50,6 +73,7 @@
     retry_window_s: float
     link_bytes_s: float
     store: StoreSettings
+    duty: DutySettings | None = None
 
     @property
     def peer_listen(self) -> Address:
@@ -57,4 +81,4 @@
         return Address(self.host, self.peer_port)
 
 
-__all__ = ('FrontSettings', 'StoreSettings')
+__all__ = ('DutySettings', 'FrontSettings', 'StoreSettings')
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -62,7 +62,11 @@
     job.maybe_run = True
     under_way = Attempt(job.req, target, job.reply, streamed=job.route.streamed)
     started = trio.current_time()
+    job.notes.sent_at = started
     became = await under_way.run()
+    if isinstance(became, RunFailed):
+        # It has run, and its answer may go to nobody.
+        job.note_run()
     if isinstance(became, Unsent | Rejected):
         # An earlier send may have run all the same; 'not run' would be untrue.
         job.maybe_run = ran_before
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -74,4 +74,12 @@
 ENTRY_TOPIC: Final = 'keyed.entries'
 # Another: one record for each request that may not be sent any more.
 QUARANTINE_TOPIC: Final = 'keyed.quarantine'
+# Another: the lease of the reports on use, and the newest report.
+DUTY_TOPIC: Final = 'keyed.duty'
+LEASE_KEY: Final = 'lease'
+REPORT_KEY: Final = 'report'
+USAGE_PATH: Final = '/usage'
+USAGE_DUTY: Final = 'usage'
+DUTY_HOLDER: Final = b'sesamepoint-duty-holder'
+FENCING_NUMBER: Final = b'sesamepoint-fencing-token'
 SETTINGS_VARIABLE: Final = 'SESAMEPOINT_CONFIG'
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -6,7 +6,8 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, MS_PER_S
-from sesamepoint.front.settings import FrontSettings, StoreSettings
+from sesamepoint.front.settings import DutySettings, FrontSettings, StoreSettings
+from sesamepoint.platform.names import USAGE_DUTY
 from sesamepoint.settings_error import SettingsError
 
 if TYPE_CHECKING:
@@ -63,6 +64,18 @@
         retry_window_s=float(pairs['bounds.budget_window_s']),
         link_bytes_s=float(pairs['limits.link_mbps']) * BITS_PER_MEGABIT / BITS_PER_BYTE,
         store=StoreSettings(Address.parse(pairs['platform.address'])),
+        duty=_duty(pairs),
+    )
+
+
+def _duty(pairs: Mapping[str, str]) -> DutySettings | None:
+    if USAGE_DUTY not in pairs.get('cloud.duties', '').split(','):
+        return None
+    return DutySettings(
+        address=Address.parse(pairs['cloud.address']),
+        window_s=float(pairs['bounds.usage_window_s']),
+        late_s=float(pairs['bounds.usage_late_s']),
+        turns_s=_seconds(pairs, 'bounds.lease_ms'),
     )
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -26,6 +26,7 @@
 
 STATUS_OK = 200
 STATUS_GONE = 410
+STATUS_MOVED_ON = 412
 CONNECT_S = 0.5
 # The store answers in milliseconds; when slow, in a quarter of a second.
 CALL_S = 1.0
@@ -55,6 +56,13 @@
     """The records asked for were deleted, or never were; read the newest of each key."""
 
 
+class Appended(NamedTuple):
+    """Where the log ends after a record was appended."""
+
+    end: int
+    era: int
+
+
 class StoreAnswer(NamedTuple):
     """An answer of the store, and its era."""
 
@@ -144,10 +152,24 @@
         PlatformUnavailableError
             If the store did not answer; the record may be there all the same.
         """
-        raw_key = key.encode()
-        record = bytes((len(raw_key),)) + raw_key + text
-        query = {'topic': topic, 'part': '0'}
-        await self._call('POST', '/v1/log-append', query, body=_LENGTH.pack(len(record)) + record)
+        await self._call('POST', '/v1/log-append', {'topic': topic, 'part': '0'}, body=_encoded(key, text))
+
+    async def put_at(self, topic: str, key: str, text: bytes, end: int) -> Appended | None:
+        """Append the newest record of ``key`` if the log still ends at ``end``.
+
+        Returns
+        -------
+            Where the log ends then, and in which era; None if it has moved on.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the store did not answer; the record may be there all the same,
+            or come to be there seconds later if the log still ends at ``end``.
+        """
+        query = {'topic': topic, 'part': '0', 'at': str(end)}
+        answer = await self._call('POST', '/v1/log-append', query, body=_encoded(key, text), allowed=STATUS_MOVED_ON)
+        return None if answer.status == STATUS_MOVED_ON else Appended(end + 1, answer.era)
 
     def close(self) -> None:
         """Drop the connection."""
@@ -162,6 +184,7 @@
         query: Mapping[str, str],
         wait_s: float = 0,
         body: bytes = b'',
+        allowed: int = STATUS_OK,
     ) -> StoreAnswer:
         async with self._lock:
             try:
@@ -171,7 +194,7 @@
                 raise PlatformUnavailableError('store', repr(exc)) from exc
         if answer.status == STATUS_GONE:
             raise HistoryGoneError
-        if answer.status != STATUS_OK:
+        if answer.status not in {STATUS_OK, allowed}:
             raise PlatformUnavailableError('store', f'status {answer.status}')
         return answer
 
@@ -199,6 +222,12 @@
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
 
 
+def _encoded(key: str, text: bytes) -> bytes:
+    raw_key = key.encode()
+    record = bytes((len(raw_key),)) + raw_key + text
+    return _LENGTH.pack(len(record)) + record
+
+
 def _page(text: bytes) -> _NewestReply:
     try:
         return msgspec.json.decode(text, type=_NewestReply)
@@ -238,4 +267,4 @@
     return KeyedRecord(record[1:end].decode(errors='replace'), record[end:])
 
 
-__all__ = ('HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreAnswer', 'StoreClient')
+__all__ = ('Appended', 'HistoryGoneError', 'KeyedRecord', 'Newest', 'StoreAnswer', 'StoreClient')
--- /dev/null
+++ b/tests/core/lease_world.py
@@ -0,0 +1,183 @@
+"""Instances that want one lease, on a store that delays, loses, repeats history, in steps of time."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import NamedTuple
+
+from sesamepoint_core.duty.lease import Holding, Lease, LogView
+
+STEP_S = 0.1
+CLAIM_S = 3.5
+# Calls that get no answer are given up after this time.
+CALL_S = 1.0
+# A call without an answer may be executed so much later.
+LATEST_S = 6.0
+LOST_SHARE = 0.2
+ACT_SHARE = 0.5
+BACK_SHARE = 0.004
+FREEZE_SHARE = 0.01
+LONGEST_FREEZE_S = 8.0
+
+
+class Act(NamedTuple):
+    """Something that an instance did since it took itself for the holder."""
+
+    at: float
+    name: str
+    fence: int
+
+
+class _Read(NamedTuple):
+    began: float
+    view: LogView
+    answered: float
+
+
+class _Append(NamedTuple):
+    sent: float
+    end: int
+    holding: Holding
+    executed: float
+    answered: float | None
+
+
+class Instance:
+    """One instance that reads, claims, renews and acts when it may."""
+
+    def __init__(self, name: str, world: LeaseWorld) -> None:
+        """Know nothing."""
+        self.lease = Lease(name, CLAIM_S)
+        self.name = name
+        self.awake_at: float = 0
+        self._world = world
+        self._call: _Read | _Append | None = None
+        self._must_read = True
+
+    def step(self, now: float) -> None:
+        """Do one thing."""
+        if now < self.awake_at:
+            return
+        self._act(now)
+        if isinstance(self._call, _Read):
+            self._end_read(self._call, now)
+        elif self._call is not None:
+            self._end_append(self._call, now)
+        elif self._world.rng.random() < ACT_SHARE:
+            self._begin(now)
+
+    def _act(self, now: float) -> None:
+        if self.lease.valid(now) and self.lease.fence is not None:
+            self._world.acts.append(Act(now, self.name, self.lease.fence))
+
+    def _begin(self, now: float) -> None:
+        if self._must_read or self.lease.fence is None:
+            self._call = _Read(now, self._world.view(), now + self._world.delay_s())
+        else:
+            self._append(now)
+
+    def _append(self, now: float) -> None:
+        holding = self.lease.next_holding()
+        self._call = self._world.send(now, self.lease.end, holding)
+
+    def _end_read(self, call: _Read, now: float) -> None:
+        if now < call.answered:
+            return
+        self._call = None
+        self._must_read = False
+        self.lease.saw(call.view, now)
+        if self.lease.fence is None and self.lease.may_claim(call.began):
+            self._append(now)
+
+    def _end_append(self, call: _Append, now: float) -> None:
+        if call.answered is None and now - call.sent < CALL_S:
+            return
+        if call.answered is not None and now < call.answered:
+            return
+        self._call = None
+        taken = call.answered is not None and self._world.taken.get(call)
+        if taken and self._world.era_of[call] == call.holding.era:
+            self.lease.appended(call.holding, call.end + 1, call.sent)
+        else:
+            self._must_read = True
+
+
+class LeaseWorld:
+    """The store and its instances."""
+
+    def __init__(self, seed: int, instances: int = 3) -> None:
+        """Draw everything from ``seed``."""
+        self.rng = Random(seed)
+        self.acts: list[Act] = []
+        self.taken: dict[_Append, bool] = {}
+        self.era_of: dict[_Append, int] = {}
+        self._log: list[Holding] = []
+        self._era = 1
+        self._under_way: list[_Append] = []
+        self._instances = [Instance(f'i{number}', self) for number in range(instances)]
+
+    def play(self, steps: int) -> None:
+        """Play so many steps of time."""
+        for step in range(steps):
+            now = step * STEP_S
+            self._execute(now)
+            if self.rng.random() < BACK_SHARE:
+                self._go_back()
+            for instance in self._instances:
+                if self.rng.random() < FREEZE_SHARE:
+                    instance.awake_at = now + self.rng.uniform(0, LONGEST_FREEZE_S)
+                instance.step(now)
+
+    def view(self) -> LogView:
+        """Return what a reading finds."""
+        return LogView(self._era, len(self._log), self._log[-1] if self._log else None)
+
+    def delay_s(self) -> float:
+        """Return how long an answer takes."""
+        return self.rng.choice((0, 0, STEP_S, 0.8))
+
+    def send(self, now: float, end: int, holding: Holding) -> _Append:
+        """Send a record; it may get lost, or its answer may."""
+        executed = now + self.delay_s()
+        answered: float | None = executed + self.delay_s()
+        if self.rng.random() < LOST_SHARE:
+            answered = None
+            executed = now + self.rng.uniform(0, LATEST_S)
+        call = _Append(now, end, holding, executed, answered)
+        self._under_way.append(call)
+        return call
+
+    def broken(self, turns_s: float) -> list[str]:
+        """Return what holders must not do and have done."""
+        found = []
+        highest = 0
+        holder_of: dict[int, str] = {}
+        newest: dict[str, float] = {}
+        for index, act in enumerate(self.acts):
+            if act.fence < highest:
+                found.append(f'{act} after fencing number {highest}')
+            highest = max(highest, act.fence)
+            if holder_of.setdefault(act.fence, act.name) != act.name:
+                found.append(f'{act} with the number of {holder_of[act.fence]}')
+            before = self.acts[index - 1].name if index else act.name
+            if before != act.name and act.at - newest.get(act.name, -turns_s) < turns_s:
+                found.append(f'{act} in turns with {before}')
+            newest[act.name] = act.at
+        return found
+
+    def _execute(self, now: float) -> None:
+        due = [one for one in self._under_way if one.executed <= now]
+        for call in due:
+            self._under_way.remove(call)
+            self.taken[call] = call.end == len(self._log)
+            self.era_of[call] = self._era
+            if self.taken[call]:
+                self._log.append(call.holding)
+
+    def _go_back(self) -> None:
+        self._era += 1
+        lost = self.rng.randint(0, min(len(self._log), 8))
+        self._log = self._log[: len(self._log) - lost]
+
+
+__all__ = ('LeaseWorld',)
--- a/tests/front/test_shared_reading.py
+++ b/tests/front/test_shared_reading.py
@@ -179,7 +179,7 @@
             await trio.sleep(3)
             front = bed.fronts['front-1']
             forged = News('stranger', RUNNER_TOPIC, 0, 10_000, ())
-            front.peers.hear_news = self.fail
+            front.peers.on_word[News] = self.fail
             front.peers.take(_encoded(forged))
 
     @virtual
