explain, burn and loss by client account

An operator who is asked by one account's owner can't tell its requests from the others' by route or address.

--- a/packages/sesamectl/src/sesamectl/caller_search.py
+++ b/packages/sesamectl/src/sesamectl/caller_search.py
@@ -11,7 +11,7 @@
 
     from sesamectl.ended import Ended
 
-NOT_RUN = frozenset((Cause.refused, Cause.no_runner, Cause.turned_away, Cause.not_run_in_time))
+NOT_RUN = frozenset((Cause.refused, Cause.denied, Cause.no_runner, Cause.turned_away, Cause.not_run_in_time))
 
 
 class Search(NamedTuple):
@@ -20,7 +20,7 @@
     Parameters
     ----------
     caller
-        The address that it came from.
+        The address that it came from; any if empty.
     route
         Its route; any if empty.
     ended_s
@@ -29,14 +29,14 @@
         How far from that it may lie.
     """
 
-    caller: str
+    caller: str = ''
     route: str = ''
     ended_s: float | None = None
     within_s: float = 60
 
     def matches(self, ended: Ended) -> bool:
         """Tell whether ``ended`` may be the request."""
-        if ended.caller != self.caller or self.route not in {'', ended.route}:
+        if self.caller not in {'', ended.caller} or self.route not in {'', ended.route}:
             return False
         return self.ended_s is None or abs(ended.second_of_day - self.ended_s) <= self.within_s
 
--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -7,10 +7,10 @@
   sesamectl show --deployment NAME --log URL [--json]
   sesamectl explain --entry ADDRESS [--json]
   sesamectl explain REQUEST-ID [--logs FILE]
-  sesamectl explain --caller IP [--route ROUTE] [--at TIME] [--within SECONDS] [--logs FILE]
+  sesamectl explain (--caller IP | --account NAME) [--route ROUTE] [--at TIME] [--within SECONDS] [--logs FILE]
   sesamectl explain --content ID [--logs FILE]
-  sesamectl burn [--logs FILE] [--objective PERCENT] [--window SECONDS] [--html FILE]
-  sesamectl loss [--logs FILE] [--late-share SHARE] [--window SECONDS] [--html FILE]
+  sesamectl burn [--logs FILE] [--account NAME] [--objective PERCENT] [--window SECONDS] [--html FILE]
+  sesamectl loss [--logs FILE] [--account NAME] [--late-share SHARE] [--window SECONDS] [--html FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -30,6 +30,7 @@
   --seed N             Seed of the arrivals and of all choices [default: 1].
   --entry ADDRESS      An entry's metrics address, as IP:PORT.
   --caller IP          A caller's address, for requests whose ids nobody has.
+  --account NAME       Only requests of this client account.
   --route ROUTE        Only requests of this route.
   --at TIME            About when the request ended, as HH:MM:SS of the logs.
   --within SECONDS     How far from that it may lie [default: 60].
--- a/packages/sesamectl/src/sesamectl/commands/burn.py
+++ b/packages/sesamectl/src/sesamectl/commands/burn.py
@@ -19,7 +19,7 @@
     """Read the logs of all front processes; print a table or write a page."""
     objective = figure(arguments, '--objective', PERCENT) / PERCENT
     window_s = figure(arguments, '--window', math.inf)
-    with opened_logs(arguments['--logs']) as logs:
+    with opened_logs(arguments['--logs'], arguments['--account']) as logs:
         burns = read_burn(logs, window_s)
     if not burns:
         return 'no line of the logs tells the end of a request'
--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -32,7 +32,7 @@
     """Show the decisions that one entry remembers, or one request's way."""
     if arguments['REQUEST-ID']:
         return _walk(arguments)
-    if arguments['--caller']:
+    if arguments['--caller'] or arguments['--account']:
         return _search(arguments)
     if arguments['--content']:
         return _search_content(arguments)
@@ -57,11 +57,11 @@
     except ValueError as exc:
         raise SettingsError(f'--at is {at}', 'give the time as the logs have it, as HH:MM:SS') from exc
     within_s = figure(arguments, '--within', math.inf)
-    search = Search(arguments['--caller'], arguments['--route'] or '', ended_s, within_s)
-    with opened_logs(arguments['--logs']) as logs:
+    search = Search(arguments['--caller'] or '', arguments['--route'] or '', ended_s, within_s)
+    with opened_logs(arguments['--logs'], arguments['--account']) as logs:
         read = read_ended(logs)
     found = find_requests(search, read.ended)
-    return '\n'.join([*(found or ['no request of that caller in the logs']), *read.notes()])
+    return '\n'.join([*(found or ['no such request in the logs']), *read.notes()])
 
 
 def _search_content(arguments: Arguments) -> str:
--- a/packages/sesamectl/src/sesamectl/commands/loss.py
+++ b/packages/sesamectl/src/sesamectl/commands/loss.py
@@ -20,7 +20,7 @@
     """Read the logs of all front processes; print tables or write a page too."""
     late_share = figure(arguments, '--late-share', 1)
     window_s = figure(arguments, '--window', math.inf)
-    with opened_logs(arguments['--logs']) as logs:
+    with opened_logs(arguments['--logs'], arguments['--account']) as logs:
         read = read_ended(logs)
     if not read.ended:
         return '\n'.join(['no line of the logs tells the end of a request', *read.notes()])
--- a/packages/sesamectl/src/sesamectl/log_lines.py
+++ b/packages/sesamectl/src/sesamectl/log_lines.py
@@ -26,13 +26,24 @@
 
 
 @contextmanager
-def opened_logs(name: str | None) -> Iterator[Iterable[str]]:
-    """Give the lines of the file called ``name``, or of standard input without one."""
+def opened_logs(name: str | None, account: str | None = None) -> Iterator[Iterable[str]]:
+    """Give the lines of the file called ``name``, or of standard input without one.
+
+    Of an ``account``, if one is named, only the ends of its requests; lines that
+    are none at all stay, so that they are counted.
+    """
     if name is None:
-        yield sys.stdin
+        yield _of_account(sys.stdin, account)
         return
     with Path(name).open(encoding='utf-8', errors='replace') as logs:
-        yield logs
+        yield _of_account(logs, account)
+
+
+def _of_account(lines: Iterable[str], account: str | None) -> Iterator[str]:
+    for text in lines:
+        fields = decode_line(text) if account else None
+        if fields is None or fields.get('account') == account:
+            yield text
 
 
 __all__ = ('decode_line', 'opened_logs')
