Soak of real processes with accounts, a store that goes back, and reports on use

Each request shows a key, which must be in no output; the store comes back from older copies; reports must keep to what holders may do.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/processes.py
@@ -19,6 +19,7 @@
 from sesamepoint_standins.platform.caller import Caller
 from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
 from sesamepoint_standins.platform.store import PlatformStore
+from sesamepoint_standins.platform.usage import UsageStandIn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -51,6 +52,11 @@
 bounds.budget_window_s=10
 limits.link_mbps=1000.0
 platform.address={store}
+cloud.address={usage}
+cloud.duties=usage
+bounds.lease_ms=3000
+bounds.usage_window_s=1
+bounds.usage_late_s=6
 """
 
 
@@ -92,12 +98,15 @@
         self.nursery = nursery
         self._folder = folder
         self._listening: dict[Address, trio.CancelScope] = {}
+        self.usage = UsageStandIn()
         self._store_address: Address | None = None
+        self._usage_address: Address | None = None
 
     async def start(self, configuration: object) -> None:
         """Start the store with a configuration and one runner of each kind."""
         self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, configuration)
         self._store_address = await self.serve(self.store.serve)
+        self._usage_address = await self.serve(self.usage.serve)
         for service, stage in (('web', None), ('web', None), ('llm', 'prefill'), ('llm', 'decode')):
             await self.add_runner(service, stage)
 
@@ -155,6 +164,10 @@
         self.ended.append(runner.key)
         self._listening[runner.address].cancel()
 
+    def logs(self) -> list[Path]:
+        """Return the files with all that the fronts have written."""
+        return [front.log for front in self.fronts]
+
     def end(self) -> None:
         """End the processes that were started here and still run."""
         for front in self.fronts:
@@ -172,6 +185,7 @@
             first_port=await _free_port(host),
             last_port=await _free_port(host),
             store=self._store_address,
+            usage=self._usage_address,
         )
         return listen, ready_listen, settings
 
