Give the duty back between two acts, and go on after a return of the store that took longer

A stop gave the lease back while a call with a report could be under way, beside which the next holder might begin. Now between two acts only.

--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
@@ -65,14 +65,14 @@
     def __init__(self, name: str, claim_s: float) -> None:
         """Have seen nothing and hold nothing."""
         self.fence: int | None = None
-        # Whether it was held without a break since the last look at an older
-        # era: then nobody else can have acted meanwhile.
+        # Whether nobody else can have held it between the newest record of this
+        # instance and the return of the store.
         self.unbroken = False
         self._name = name
         self._claim_s = claim_s
         self._view: LogView | None = None
         self._unchanged_since = math.inf
-        self._valid_until = -math.inf
+        self._sent_at = -math.inf
 
     @property
     def end(self) -> int:
@@ -86,20 +86,22 @@
 
     def valid(self, now: float) -> bool:
         """Tell whether this instance may act."""
-        return self.fence is not None and now < self._valid_until
+        return self.fence is not None and now < self._sent_at + HOLD_S
 
     def saw(self, view: LogView, now: float) -> None:
         """Take what a reading found that was over at ``now``."""
         before = self._view
         if before is not None and view.era != before.era:
-            self.unbroken = self.valid(now)
+            # Whoever claims has seen that record for so long.
+            self.unbroken = self.fence is not None and now < self._sent_at + self._claim_s
             self.fence = None
+        elif before is not None and view.end != before.end and self.fence is None:
+            # Whoever appended may have held it: the newest record does not tell,
+            # it may be a late one of an older era.
+            self.unbroken = False
         if before is None or (view.era, view.end) != (before.era, before.end):
             self._unchanged_since = now
         self._view = view
-        holding = view.holding
-        if holding is not None and holding.era == view.era and holding.holder != self._name:
-            self.unbroken = False
         if self.fence is not None and (view.holding is None or view.holding.fence != self.fence):
             self.lose()
 
@@ -122,7 +124,7 @@
         """Note that a record of this instance, sent at ``sent_at``, was accepted at ``end``."""
         self._view = LogView(holding.era, end, holding)
         self.fence = holding.fence
-        self._valid_until = sent_at + HOLD_S
+        self._sent_at = sent_at
 
     def lose(self) -> None:
         """Note that somebody else holds it, or nobody."""
--- a/packages/sesamepoint/src/sesamepoint/front/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/duty.py
@@ -92,6 +92,8 @@
         self._quiet_until = tools.clock.steady() + tools.rng.uniform(*START_SPAN_S)
         self._report: Report | None = None
         self._appending = trio.Lock()
+        # Held while this instance acts: the duty is given back between two acts.
+        self._acting = trio.Lock()
         self._said_at: float = 0
         self._asked_at: float = 0
 
@@ -130,17 +132,19 @@
         """Report each window in its time while the lease is held, until cancelled."""
         while True:
             await trio.sleep(LOOK_S)
-            if self.held():
-                await self._say_held()
-                await self._step()
+            async with self._acting:
+                if self.held():
+                    await self._say_held()
+                    await self._step()
 
     async def give_back(self) -> None:
         """Let another entry take the duty at once: this one is about to stop."""
-        if self._lease.fence is not None:
-            holding = msgspec.structs.replace(self._lease.next_holding(), holder='')
-            await self._append(LEASE_KEY, msgspec.json.encode(holding))
-            self._lease.lose()
-            await self._say(held=False)
+        async with self._acting:
+            if self._lease.fence is not None:
+                holding = msgspec.structs.replace(self._lease.next_holding(), holder='')
+                await self._append(LEASE_KEY, msgspec.json.encode(holding))
+                self._lease.lose()
+                await self._say(held=False)
 
     async def _seek(self) -> None:
         """Claim the lease if no holder is heard and the log stays as it is."""
--- a/tests/front/test_usage.py
+++ b/tests/front/test_usage.py
@@ -134,6 +134,25 @@
             self.assertEqual(_late(bed.usage.came), [])
             self.assertEqual(bed.usage.broken(DUTY.turns_s), [])
 
+    @virtual
+    async def test_holder_is_stopped(self) -> None:
+        """It gives the duty back: the next one does not wait it out, and nothing is lost."""
+        async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
+            await trio.sleep(12)
+            before = _holder(bed)
+            stopped_at = trio.current_time()
+            await bed.fronts[before].wind_down()
+            bed.kill_front(before)
+            bed.fronts.pop(before)
+            while not any(_holds(front) for front in bed.fronts.values()):
+                await trio.sleep(0.05)
+            # Callers still come for 3.2 s after the signal.
+            self.assertLess(trio.current_time() - stopped_at, 6)
+            await trio.sleep(15)
+            windows = sorted({one.window for one in bed.usage.came})
+            self.assertEqual(windows, list(range(min(windows), max(windows) + 1)))
+            self.assertEqual(bed.usage.broken(DUTY.turns_s), [])
+
     @virtual
     async def test_answers_are_slow(self) -> None:
         """A report that nobody has answered is sent again byte for byte."""
