--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -13,11 +13,10 @@
 # An engine that decodes reads prompts at half the rate of one that only
 # prefills (published by the engines' operator).
 DECODE_SLOWDOWN = 2.0
-# Seconds from sending a prompt's memory to an idle engine to its first token;
-# measured at 25 ms on engines of today.
+# Seconds from sending a prompt's memory to an idle engine to its first token.
 SECOND_STEP_S = 0.025
 # Seconds that taking parts of a prompt over from another engine adds besides
-# the transfer; measured at 25 ms on engines of today.
+# the transfer.
 FETCH_S = 0.025
 # A transfer between zones takes so many times as long as within one, and the
 # bytes of it are paid for (published by the engines' operator).
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/rate.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/rate.py
@@ -6,14 +6,13 @@
 from typing import NamedTuple
 
 # Seconds from sending a prompt to an idle engine to its first word, without
-# the reading itself; measured at 36 ms on engines of today.
+# the reading itself.
 FIRST_OVERHEAD_S = 0.035
 # Shorter prompts are mostly overhead, longer ones mostly reading.
 SHORT_TOKENS = 400
 LONG_TOKENS = 1500
 # Reading costs seconds a token, and seconds a pair of a token and one before
-# it. Guesses until something was measured, and how far off they may be;
-# engines of today take 9 to 27 us a token and 0.2 ns a pair.
+# it: what is believed until the first samples, and how far off that may be.
 FIRST_TOKEN_S = 25e-6
 TOKEN_SPREAD_S = 15e-6
 FIRST_PAIR_S = 0.2e-9
@@ -22,7 +21,7 @@
 # spreads above: slow enough to average some tens of samples.
 DRIFT = 0.02
 # A read of known length takes about so much more or less than the model says:
-# seconds, and a share of the time. Measured: 8 ms and a tenth.
+# seconds, and a share of the time.
 NOISE_S = 0.01
 NOISE_SHARE = 0.1
 # A read that took longer may have waited behind others, which the sample
--- a/tests/front/burst.py
+++ b/tests/front/burst.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 
@@ -60,20 +60,26 @@
 
 def _request(rng: Random, rate: float) -> Asked:
     if rate == LONG_A_SECOND:
-        kind = rng.randint(1, KINDS)
-        return asked_prompt(
-            '/verdict/a',
-            tokens=3720,
-            shared=(f'k{kind}', 13_300),
-            output=12,
-            deadline_s=5.0,
-            first_limit_s=FIRST_LIMIT_S,
-        )
+        return long_prompt(rng)
     return asked_prompt(
         '/tag/a', tokens=290, shared=('common', 90), output=5, deadline_s=3.0, first_limit_s=FIRST_LIMIT_S
     )
 
 
+def long_prompt(rng: Random, **changes: Any) -> Asked:
+    """Return a long request, whose shared part is of one of the kinds."""
+    kind = rng.randint(1, KINDS)
+    return asked_prompt(
+        '/verdict/a',
+        tokens=3720,
+        shared=(f'k{kind}', 13_300),
+        output=12,
+        deadline_s=5.0,
+        first_limit_s=FIRST_LIMIT_S,
+        **changes,
+    )
+
+
 async def _ask(bed: PlatformBed, front: int, req: Asked, found: list[Answered]) -> None:
     """Ask, and come back once when told so; the first event counts from the first try."""
     started = trio.current_time()
@@ -100,4 +106,14 @@
         return await play(bed, Random(seed))
 
 
-__all__ = ('FRONTS', 'LONG_TARGET_S', 'REFUSED', 'SHORT_TARGET_S', 'Answered', 'play', 'play_burst', 'served')
+__all__ = (
+    'FRONTS',
+    'LONG_TARGET_S',
+    'REFUSED',
+    'SHORT_TARGET_S',
+    'Answered',
+    'long_prompt',
+    'play',
+    'play_burst',
+    'served',
+)
--- a/tests/front/test_account_flood.py
+++ b/tests/front/test_account_flood.py
@@ -16,8 +16,8 @@
 import trio
 
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
-from tests.front.builders import account, asked_prompt, bearer, configuration, engine
-from tests.front.burst import BURST_S, FIRST_LIMIT_S, FRONTS, KINDS, LONG_A_SECOND
+from tests.front.builders import account, bearer, configuration, engine
+from tests.front.burst import BURST_S, FRONTS, LONG_A_SECOND, long_prompt
 from tests.virtual import virtual
 
 SMALL = tuple(f'small{number}' for number in range(8))
@@ -64,18 +64,9 @@
                 nursery.start_soon(self._ask, name, tries)
 
     async def _ask(self, name: str, tries: int) -> None:
-        kind = self._rng.randint(1, KINDS)
         served = False
         for _ in range(tries):
-            req = asked_prompt(
-                '/verdict/a',
-                tokens=3720,
-                shared=(f'k{kind}', 13_300),
-                output=12,
-                deadline_s=5.0,
-                first_limit_s=FIRST_LIMIT_S,
-                extra=(bearer(_key(name)),),
-            )
+            req = long_prompt(self._rng, extra=(bearer(_key(name)),))
             seen = await self._bed.caller(f'front-{self._rng.randint(1, FRONTS)}').ask(req)
             served = seen.status == SERVED and seen.whole
             if served:
--- a/tests/front/test_usage.py
+++ b/tests/front/test_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from contextlib import asynccontextmanager
 from random import Random
 from typing import TYPE_CHECKING
 from unittest import TestCase
@@ -18,6 +19,8 @@
 from tests.virtual import virtual
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from sesamepoint_standins.platform.usage import Reported
 
 ACCOUNTS = ('a0', 'a1', 'a2', 'a3')
@@ -47,8 +50,15 @@
         self.truth: dict[int, Counter[str]] = {}
         self._rng = Random(seed)
 
-    async def run(self) -> None:
-        """Ask until cancelled."""
+    @asynccontextmanager
+    async def under_way(self) -> AsyncIterator[None]:
+        """Ask until the end of the block."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run)
+            yield
+            nursery.cancel_scope.cancel()
+
+    async def _run(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._rng.expovariate(REQUESTS_A_SECOND))
@@ -82,10 +92,8 @@
         """One call a window, exact, within a second of its end."""
         async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
             load = Load(bed)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(load.run)
+            async with load.under_way():
                 await trio.sleep(31)
-                nursery.cancel_scope.cancel()
             found = bed.usage.counts()
             self.assertGreaterEqual(len(found), 5)
             self.assertEqual(len(bed.usage.came), len(found))
@@ -102,8 +110,7 @@
         """A jump of some clocks for seconds moves no counts."""
         async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
             load = Load(bed)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(load.run)
+            async with load.under_way():
                 await trio.sleep(11)
                 for name in ('front-1', 'front-2'):
                     bed.clocks[name].off_s = 2
@@ -111,7 +118,6 @@
                 for name in ('front-1', 'front-2'):
                     bed.clocks[name].off_s = 0
                 await trio.sleep(10)
-                nursery.cancel_scope.cancel()
             for window, counts in bed.usage.counts().items():
                 self.assertEqual(counts, dict(load.truth.get(window, {})))
 
@@ -157,15 +163,12 @@
     async def test_answers_are_slow(self) -> None:
         """A report that nobody has answered is sent again byte for byte."""
         async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
-            load = Load(bed)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(load.run)
+            async with Load(bed).under_way():
                 await trio.sleep(10)
                 bed.usage.slow_s = 3
                 await trio.sleep(8)
                 bed.usage.slow_s = 0
                 await trio.sleep(10)
-                nursery.cancel_scope.cancel()
             self.assertGreater(len(bed.usage.came), len(bed.usage.counts()))
             self.assertEqual(bed.usage.broken(DUTY.turns_s), [])
             self.assertEqual(_late(bed.usage.came), [])
@@ -193,9 +196,7 @@
         that have ended rather than one of them with other counts.
         """
         async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
-            load = Load(bed)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(load.run)
+            async with Load(bed).under_way():
                 while not bed.usage.came or trio.current_time() < 12:
                     await trio.sleep(0.05)
                 before = _holder(bed)
@@ -203,7 +204,6 @@
                 bed.kill_front(before)
                 bed.fronts.pop(before)
                 await trio.sleep(30)
-                nursery.cancel_scope.cancel()
             self.assertEqual(bed.usage.broken(DUTY.turns_s), [])
             self.assertEqual(len({one.holder for one in bed.usage.came}), 2)
 
@@ -245,14 +245,11 @@
     """Play faults, one every few seconds, and return what was broken."""
     rng = Random(seed)
     async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
-        load = Load(bed, seed)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(load.run)
+        async with Load(bed, seed).under_way():
             await trio.sleep(8)
             for number in range(FAULTS):
                 await rng.choice((_kill, _cut, _refuse, _go_back, _slow, _stop_store))(bed, rng, number)
                 await trio.sleep(rng.uniform(0.5, 6))
-            nursery.cancel_scope.cancel()
         return bed.usage.broken(DUTY.turns_s)
 
 
