Wait for no counts of an instance that is gone, and call a store that is down less often

The holder also called the store ten times a second while it was down, two log lines each time, and the others twice a second each.

Change: who was not heard for 8 s is not waited for. After a failed call the holder tries again each 0.3 s, and reads only if its record was refused; the others look again after 1 to 3 s.

--- a/packages/sesamepoint/src/sesamepoint/front/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/duty.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 import trio
 
-from sesamepoint_core.duty.lease import Holding, Lease, LogView
+from sesamepoint_core.duty.lease import Lease
 from sesamepoint_core.duty.reports import GATHER_S, Report, Reports, Times
 from sesamepoint_core.duty.usage import Source, Tallies
-from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint import events
+from sesamepoint.front.duty_log import Appending, DutyLog
 from sesamepoint.front.usage_words import DutyWord
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.duty_calls import encode_usage, report_usage
-from sesamepoint.platform.names import DUTY_TOPIC, LEASE_KEY, REPORT_KEY
-from sesamepoint.platform.store import HistoryGoneError
+from sesamepoint.platform.names import LEASE_KEY, REPORT_KEY
 
 if TYPE_CHECKING:
     from random import Random
@@ -33,7 +32,7 @@
 
 # How often the holder renews its lease, in seconds, and tries again when it failed.
 RENEW_S = 0.7
-RENEW_AGAIN_S = 0.2
+RENEW_AGAIN_S = 0.3
 # A claim waits so much longer than no two holders may take turns, in seconds: a
 # call that a holder began in time is over, or broken, by then.
 CLAIM_MARGIN_S = 0.5
@@ -52,18 +51,21 @@
 # after the other within so many seconds.
 WORDS_MISSED = 2.5
 SEEK_SPAN_S = (0.1, 1.0)
+# If the store does not answer they look again after so many seconds.
+LOOK_AGAIN_SPAN_S = (1.0, 3.0)
 # At the start they wait for word of a holder first.
 START_SPAN_S = (1.0, 2.0)
 # Instances that have not told their counts are asked again after this time.
 ASK_AGAIN_S = 0.5
+# Who was not heard for so long, in seconds, is not waited for: an instance that is
+# gone stays on the list for longer than reports have. Who lives tells its counts of
+# each window.
+SILENT_S = 8.0
 STATUS_OK = 200
 STATUS_TOO_MANY = 429
 FIRST_FAILURE = 500
 
 
-_Kind = TypeVar('_Kind')
-
-
 class DutyTools(NamedTuple):
     """What holding the duty needs of the rest of the front."""
 
@@ -90,8 +92,7 @@
         self._reports = Reports(tools.meter, Times(cfg.window_s, cfg.late_s))
         self._tallies = Tallies()
         self._quiet_until = tools.clock.steady() + tools.rng.uniform(*START_SPAN_S)
-        self._report: Report | None = None
-        self._appending = trio.Lock()
+        self._log = DutyLog(self._lease, tools.store, tools.clock)
         # Held while this instance acts: the duty is given back between two acts.
         self._acting = trio.Lock()
         self._said_at: float = 0
@@ -121,12 +122,8 @@
         while True:
             if self._lease.fence is None:
                 await self._seek()
-            elif await self._append(LEASE_KEY, msgspec.json.encode(self._lease.next_holding())):
-                await trio.sleep(RENEW_S)
             else:
-                await self._say_left()
-                await trio.sleep(RENEW_AGAIN_S)
-                await self._look()
+                await self._renew()
 
     async def report(self) -> None:
         """Report each window in its time while the lease is held, until cancelled."""
@@ -142,7 +139,7 @@
         async with self._acting:
             if self._lease.fence is not None:
                 holding = msgspec.structs.replace(self._lease.next_holding(), holder='')
-                await self._append(LEASE_KEY, msgspec.json.encode(holding))
+                await self._log.append(LEASE_KEY, msgspec.json.encode(holding))
                 self._lease.lose()
                 await self._say(held=False)
 
@@ -154,61 +151,46 @@
         if self._clock.steady() < self._quiet_until:
             return
         read_at = self._clock.steady()
-        if not await self._look():
-            return
+        if await self._log.look():
+            await self._claim_or_wait(read_at)
+        else:
+            # All look at the same time; whoever held the lease renews it first.
+            await trio.sleep(self._tools.rng.uniform(*LOOK_AGAIN_SPAN_S))
+
+    async def _claim_or_wait(self, read_at: float) -> None:
         if self._lease.may_claim(read_at):
             await self._claim()
         else:
             await trio.sleep(self._cfg.turns_s + CLAIM_MARGIN_S)
 
-    async def _look(self) -> bool:
-        """Read who holds the lease; False if the store did not tell."""
-        try:
-            found = await self._tools.store.newest(DUTY_TOPIC)
-        except (PlatformUnavailableError, HistoryGoneError) as exc:
-            events.log_event(events.DUTY_STORE_FAILED, cause=str(exc))
-            return False
-        texts = {record.key: record.text for record in found.records}
-        self._report = _decoded(texts.get(REPORT_KEY), Report)
-        before = self._lease.fence
-        holding = _decoded(texts.get(LEASE_KEY), Holding)
-        self._lease.saw(LogView(found.era, found.end, holding), self._clock.steady())
-        if before is not None and self._lease.fence is None:
-            events.log_event(events.DUTY_LEFT, fence=before, holder=holding.holder if holding else '', era=found.era)
-        return True
+    async def _renew(self) -> None:
+        outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(self._lease.next_holding()))
+        if outcome is Appending.taken:
+            await trio.sleep(RENEW_S)
+            return
+        await self._say_left()
+        await trio.sleep(RENEW_AGAIN_S)
+        if outcome is Appending.refused:
+            await self._log.look()
 
     async def _claim(self) -> None:
         holding = self._lease.next_holding()
         unbroken = self._lease.unbroken
-        if not await self._append(LEASE_KEY, msgspec.json.encode(holding), holding):
+        if await self._log.append(LEASE_KEY, msgspec.json.encode(holding), holding) is not Appending.taken:
             return
-        self._reports.begin(self._report, holding.era, self._tools.true_time.now(), unbroken=unbroken)
+        self._reports.begin(self._log.report, holding.era, self._tools.true_time.now(), unbroken=unbroken)
         self._said_at = 0
         events.log_event(
             events.DUTY_TAKEN, fence=holding.fence, next_window=self._reports.next_window, unbroken=unbroken
         )
 
-    async def _append(self, key: str, text: bytes, holding: Holding | None = None) -> bool:
-        """Append a record at the end that is known; it renews the lease if it is accepted."""
-        async with self._appending:
-            mine = holding or self._lease.next_holding()
-            sent_at = self._clock.steady()
-            try:
-                found = await self._tools.store.put_at(DUTY_TOPIC, key, text, self._lease.end)
-            except (PlatformUnavailableError, HistoryGoneError) as exc:
-                events.log_event(events.DUTY_STORE_FAILED, cause=str(exc))
-                return False
-            if found is None or found.era != mine.era:
-                return False
-            self._lease.appended(mine, found.end, sent_at)
-            return True
-
     async def _step(self) -> None:
         pending = self._reports.pending
         if pending is not None:
             return await self._send(pending)
         wall_s = self._tools.true_time.now()
-        missing = self._tallies.missing(self._reports.next_window, self._tools.peers.others())
+        alive = self._tools.peers.members.heard_within(SILENT_S, trio.current_time())
+        missing = self._tallies.missing(self._reports.next_window, alive)
         window = self._reports.ready(wall_s, whole=not missing)
         if window is not None:
             await self._decide(window, missing)
@@ -221,15 +203,17 @@
         self._tallies.add(Source(counts.entry, counts.start), window, self._tools.meter.counts(window).items())
         total = self._tallies.total(window)
         report = Report(window, encode_usage(window, total), self._lease.era)
-        if await self._append(REPORT_KEY, msgspec.json.encode(report)):
+        if await self._log.append(REPORT_KEY, msgspec.json.encode(report)) is Appending.taken:
             self._reports.decided(report)
             self._tallies.forget_before(window)
             events.log_event(
                 events.USAGE_DECIDED, window=window, requests=sum(total.values()), accounts=len(total), missing=missing
             )
-        elif await self._look() and self._report is not None and self._report.window == window:
+            return
+        await trio.sleep(RENEW_AGAIN_S)
+        if await self._log.look() and self._log.report is not None and self._log.report.window == window:
             # It was taken, and its answer lost.
-            self._reports.decided(self._report)
+            self._reports.decided(self._log.report)
 
     async def _send(self, report: Report) -> None:
         if self._reports.too_late(report.window, self._tools.true_time.now()):
@@ -295,15 +279,4 @@
         return DutyWord(self._name, self._lease.fence or 0, held, self._reports.next_window, again)
 
 
-def _decoded(text: bytes | None, kind: type[_Kind]) -> _Kind | None:
-    """Return a record of the duty; one that does not decode is none."""
-    if not text:
-        return None
-    try:
-        return msgspec.json.decode(text, type=kind)
-    except msgspec.DecodeError as exc:
-        events.log_event(events.RECORD_UNREADABLE, topic=DUTY_TOPIC, cause=str(exc))
-    return None
-
-
 __all__ = ('Duty', 'DutyTools')
--- a/packages/sesamepoint/src/sesamepoint/front/membership.py
+++ b/packages/sesamepoint/src/sesamepoint/front/membership.py
@@ -70,6 +70,10 @@
         if name in self:
             self._heard[name] = now
 
+    def heard_within(self, span_s: float, now: float) -> list[str]:
+        """Return the entries of which there was any word within ``span_s``."""
+        return [name for name, at in self._heard.items() if now - at <= span_s]
+
     def told(self, name: str, now: float) -> None:
         """Note that something was sent to ``name``."""
         self._told[name] = now
--- a/tests/front/test_usage.py
+++ b/tests/front/test_usage.py
@@ -140,6 +140,24 @@
             self.assertEqual(_late(bed.usage.came), [])
             self.assertEqual(bed.usage.broken(DUTY.turns_s), [])
 
+    @virtual
+    async def test_lost_entry_is_not_waited_for(self) -> None:
+        """An entry is gone for good, and the store falls silent later for as long as reports have.
+
+        It stays on the list for 45 s. Each window waited 6 s for its counts, and one was
+        still undecided when the store fell silent.
+        """
+        async with running_bed(_configuration(), [plain_runner(1)], ENTRIES, DUTY) as bed:
+            await trio.sleep(11)
+            lost = next(name for name, front in bed.fronts.items() if not _holds(front))
+            bed.kill_front(lost)
+            bed.fronts.pop(lost)
+            await trio.sleep(10)
+            before = len(bed.usage.came)
+            await trio.sleep(11)
+            soon = [one for one in bed.usage.came[before:] if BEGAN_S + one.at < (one.window + 1) * DUTY.window_s + 1]
+            self.assertEqual(len(soon), 2)
+
     @virtual
     async def test_holder_is_stopped(self) -> None:
         """It gives the duty back: the next one does not wait it out, and nothing is lost."""
