One way to take a decided report, and words of counts made where they are told

Reports had two methods with the same body, and what tells counts was a public method with one caller.

--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/reports.py
@@ -73,10 +73,11 @@
         unbroken
             Whether nobody else can have decided anything since this instance did.
         """
+        # A report is sent again, since it may not have been.
         if unbroken and self.newest is not None:
-            self._resume(self.newest)
+            self.decided(self.newest)
         elif found is not None and found.era == era:
-            self._resume(found)
+            self.decided(found)
         else:
             # The store may have lost the report of any window that has ended.
             self.pending = None
@@ -112,11 +113,5 @@
         """Tell whether the report of a window would come too late."""
         return wall_s >= self._meter.end_of(window) + self._times.late_s - TOO_LATE_S
 
-    def _resume(self, report: Report) -> None:
-        """Go on after a report; it is sent again, since it may not have been."""
-        self.newest = report
-        self.pending = report
-        self._next = report.window + 1
-
 
 __all__ = ('GATHER_S', 'Report', 'Reports', 'Times')
--- a/packages/sesamepoint/src/sesamepoint/front/usage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/usage.py
@@ -15,7 +15,7 @@
     from sesamepoint.front.clocks import Clock, TrueTime
     from sesamepoint.front.job import Job
     from sesamepoint.front.peers import Peers
-    from sesamepoint.front.usage_words import DutyWord, UsageWord
+    from sesamepoint.front.usage_words import DutyWord
 
 # How often it is looked whether there is something to tell, in seconds.
 LOOK_S = 0.1
@@ -64,10 +64,6 @@
         began = now if job.route.streamed else job.notes.sent_at
         self._meter.count(account.name, self._true_time.at(self._clock.steady() - (now - began)))
 
-    def words(self, window: int, *, closed: bool) -> list[UsageWord]:
-        """Return what tells the counts of a window."""
-        return list(usage_words(Counted(self.entry, self.start, window, closed), self._meter.counts(window)))
-
     def heard(self, word: DutyWord) -> None:
         """Take a word of the holder: a new one, or one that asks again, is told everything."""
         before = self._holder
@@ -110,7 +106,8 @@
             await self._tell(self._holder.entry, window, closed=False)
 
     async def _tell(self, holder: str, window: int, *, closed: bool) -> None:
-        for word in self.words(window, closed=closed):
+        counted = Counted(self.entry, self.start, window, closed)
+        for word in usage_words(counted, self._meter.counts(window)):
             await self._peers.tell_to([holder], word)
 
 
