Sight of the limits that runners name

An instance decodes the limit of each answer of a runner, on whatever kind of call, writes when it learns of one, when it ends and when it can't be read, and counts them in sesamepoint_limited_runners.

--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
@@ -0,0 +1,117 @@
+"""What is believed of the limit that one start of a runner names."""
+
+from __future__ import annotations
+
+import math
+import re
+from typing import NamedTuple
+
+# More digits name no limit that anybody could mean.
+MAX_TEXT = 32
+_DECIMAL = re.compile(r'\d+(\.\d*)?|\.\d+')
+# Without a word in this time, in seconds, and answers without one, the limit is over.
+END_AFTER_S = 0.5
+# A runner that takes nothing answers nothing, so nobody would hear that it takes
+# requests again: after so many seconds it gets one, and another after each such time.
+ZERO_BELIEVED_S = 10.0
+# A limit that has ended grows from there, doubling in this time, in seconds: what
+# made the runner name it may come back with the load.
+DOUBLING_S = 1.0
+# After this many doublings it is dropped.
+DOUBLINGS = 6
+# Requests a second that a limit which has ended grows from at least.
+LEAST_AFTER = 1.0
+
+
+class LimitWord(NamedTuple):
+    """The newest word on a runner's limit.
+
+    Parameters
+    ----------
+    rate
+        Requests a second from all instances together.
+    heard_at
+        When an answer named it last, on this instance's clock.
+    ended_at
+        When an answer came that named none any more; None while it lasts.
+    """
+
+    rate: float
+    heard_at: float
+    ended_at: float | None = None
+
+    @property
+    def newest_at(self) -> float:
+        """Return when this became known."""
+        return self.heard_at if self.ended_at is None else self.ended_at
+
+
+class LimitBelief:
+    """Takes in words of answers and of other instances; the newest counts."""
+
+    def __init__(self) -> None:
+        """Know of no limit."""
+        self.word: LimitWord | None = None
+
+    def named(self, rate: float, now: float) -> bool:
+        """Take the limit of an answer; returns whether it is another one than before."""
+        before = self.word
+        self.word = LimitWord(rate, now)
+        return before is None or before.ended_at is not None or before.rate != rate
+
+    def unnamed(self, sent_at: float, now: float) -> bool:
+        """Take an answer that names none, to a request of ``sent_at``; returns whether the limit has ended.
+
+        Answers overtake each other: one to an earlier request may have been
+        made before the limit was named.
+        """
+        word = self.word
+        if word is None or word.ended_at is not None:
+            return False
+        if sent_at <= word.heard_at or now - word.heard_at < END_AFTER_S:
+            return False
+        self.word = word._replace(ended_at=now)
+        return True
+
+    def told(self, word: LimitWord) -> bool:
+        """Take the word of another instance if it is newer; returns whether it changes what is believed."""
+        before = self.word
+        if before is not None and word.newest_at <= before.newest_at:
+            return False
+        self.word = word
+        return before is None or (before.rate, before.ended_at is None) != (word.rate, word.ended_at is None)
+
+    def allowed(self, now: float) -> float | None:
+        """Return the requests a second that the runner takes from all instances; None if it names no limit."""
+        word = self.word
+        if word is None:
+            return None
+        if word.ended_at is not None:
+            return self._after(word, now - word.ended_at)
+        if word.rate == 0 and now - word.heard_at > ZERO_BELIEVED_S:
+            return 1 / ZERO_BELIEVED_S
+        return word.rate
+
+    def _after(self, word: LimitWord, since_s: float) -> float | None:
+        doublings = since_s / DOUBLING_S
+        if doublings > DOUBLINGS:
+            self.word = None
+            return None
+        return max(word.rate, LEAST_AFTER) * math.pow(2, doublings)
+
+
+def parse_rate(text: str) -> float:
+    """Return the requests a second that ``text`` names, a plain decimal number.
+
+    Raises
+    ------
+    ValueError
+        If it is anything else.
+    """
+    stripped = text.strip()
+    if len(stripped) > MAX_TEXT or not _DECIMAL.fullmatch(stripped):
+        raise ValueError('not a plain decimal number')
+    return float(stripped)
+
+
+__all__ = ('LimitBelief', 'LimitWord', 'parse_rate')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from itertools import accumulate
 from random import Random
@@ -91,6 +92,10 @@
     born_ms: int = 0
     # The engines that this one can fetch from, by address.
     others: dict[str, RunnerStandIn] = field(default_factory=dict)
+    # The texts that its answers name as its limit, one header each.
+    names_limit: tuple[bytes, ...] = ()
+    # When requests of any kind came, looks at what it keeps and frees of memory included.
+    arrivals: list[float] = field(default_factory=list)
     # A request with this in its body ends the runner when it begins to run it.
     ends_on: bytes = b''
     # Called when such a request begins to run.
@@ -126,6 +131,12 @@
             found['born'] = self.born_ms
         return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
 
+    def most_within(self, span_s: float, since: float = 0) -> int:
+        """Return the most requests that came in any ``span_s`` that ends later than ``since``."""
+        late = [at for at in self.arrivals if at >= since]
+        ends = (bisect_right(self.arrivals, at) - bisect_right(self.arrivals, at - span_s) for at in late)
+        return max(ends, default=0)
+
     def start_again(self, born_ms: int) -> None:
         """Begin anew under the same key: nothing kept, nothing known."""
         self.born_ms = born_ms
@@ -147,16 +158,17 @@
             transport.close()
 
     async def _serve_request(self, conn: ServerConn, message: Message, transport: Transport) -> None:
+        self.arrivals.append(trio.current_time())
         if message.head.method == b'DELETE':
             self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
-            await conn.whole(STATUS_OK, (), b'')
+            await conn.whole(STATUS_OK, self._limit(), b'')
             return
         if message.head.target == names.KV_LIST_PATH.encode():
             self.listings += 1
             kept = [['', part.key, part.tokens, 'm'] for part in self.cache.kept]
             told = {'epoch': 1, 'next_token': 0, 'held': kept}
             body = msgspec.json.encode({**told, 'born': self.born_ms} if self.born_ms else told)
-            await conn.whole(STATUS_OK if self.tells_kept else STATUS_UNAVAILABLE, (), body)
+            await conn.whole(STATUS_OK if self.tells_kept else STATUS_UNAVAILABLE, self._limit(), body)
             return
         with single_error():
             async with trio.open_nursery() as nursery:
@@ -276,7 +288,10 @@
         await trio.sleep(self._read_s - read_before_s)
 
     def _echo(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
-        return ((names.REQUEST_ID, header(message.head.headers, names.REQUEST_ID) or b''),)
+        return ((names.REQUEST_ID, header(message.head.headers, names.REQUEST_ID) or b''), *self._limit())
+
+    def _limit(self) -> tuple[tuple[bytes, bytes], ...]:
+        return tuple((names.RUNNER_LIMIT, text) for text in self.names_limit)
 
     def _signed(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
         if self.faults.unsigned:
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -16,6 +16,7 @@
 
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
+    from sesamepoint.front.runner_limits import RunnerLimits
     from sesamepoint.http1.transport import Network
 
 # Runners whose newest start is remembered after they have gone, so that late
@@ -30,9 +31,10 @@
 class Fleet:
     """Members by key, kept in step with their registrations."""
 
-    def __init__(self, drain_s: float, network: Network, now: Callable[[], float]) -> None:
-        """Allow a vanished runner a part of ``drain_s``."""
+    def __init__(self, drain_s: float, network: Network, now: Callable[[], float], limits: RunnerLimits) -> None:
+        """Allow a vanished runner a part of ``drain_s``; members tell ``limits`` what their answers name."""
         self._network = network
+        self._limits = limits
         self.listed = False
         self.members: dict[str, Member] = {}
         self._grace_s = drain_s * GRACE_SHARE
@@ -151,7 +153,8 @@
             before.close()
             events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
         self._remember_start(runner)
-        member = Member(runner, self._network, self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS))
+        kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
+        member = Member(runner, self._network, self._limits, kv_tokens)
         self.members[runner.key] = member
         self._changed.set()
         self._changed = trio.Event()
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -14,6 +14,7 @@
 from sesamepoint.front.following import Beliefs, Following
 from sesamepoint.front.inventory import Inventory
 from sesamepoint.front.known_engines import KnownEngines
+from sesamepoint.front.runner_limits import RunnerLimits
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.prefill import HandleReclaimer
 from sesamepoint.front.quarantine import Quarantine
@@ -25,7 +26,6 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from sesamepoint_core.serving.suspects import Suspects
     from sesamepoint.front.clocks import Clock
     from sesamepoint.front.peer_network import PeerNetwork
     from sesamepoint.front.settings import FrontSettings
@@ -57,7 +57,8 @@
     ) -> None:
         """Put the parts together without starting them; the clock is the machine's own if none is given."""
         self.cfg = cfg
-        self.fleet = Fleet(cfg.drain_s, network, trio.current_time)
+        self._runner_limits = RunnerLimits()
+        self.fleet = Fleet(cfg.drain_s, network, trio.current_time, self._runner_limits)
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
@@ -75,7 +76,7 @@
         self.peer_pages = self._following.pages
         self.door = Door(self.dispatcher, self._limits)
         self.listening = trio.CancelScope()
-        self._watch(quarantine.suspects)
+        self._watch(quarantine)
 
     def children(self) -> list[Child]:
         """Return the parts that run beside the listeners."""
@@ -116,15 +117,15 @@
             while self.door.active:
                 await trio.sleep(POLL_S)
 
-    def _watch(self, suspects: Suspects) -> None:
+    def _watch(self, quarantine: Quarantine) -> None:
         watch = self.dispatcher.metrics.watch
         watch('sesamepoint_waiting_requests', 'Requests that wait here for an engine.', self._waiting.count)
         watch('sesamepoint_active_requests', 'Requests under way.', lambda: self.door.active)
         watch('sesamepoint_entries', 'Entries that are registered.', self.peers.count)
         watch('sesamepoint_runners', 'Runners that are known.', lambda: len(self.fleet.members))
-        watch('sesamepoint_suspects', 'Requests under which a runner has ended.', lambda: len(suspects.all_suspect()))
-        watch('sesamepoint_quarantined', 'Requests that may not be sent.', lambda: len(suspects.all_quarantined()))
+        watch('sesamepoint_limited_runners', 'Runners that name a limit.', self._runner_limits.count)
         watch('sesamepoint_configuration_version', 'Version in force; 0 before the first.', self._version)
+        quarantine.watch(watch)
 
     def _version(self) -> float:
         cfg = self.dispatcher.configuration
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -17,6 +17,8 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
+    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Network
 
 # Until the operator has published the memory of an engine.
@@ -30,12 +32,15 @@
 class Member:
     """One runner: its registration, its connections, and beliefs about it."""
 
-    def __init__(self, runner: Runner, network: Network, kv_tokens: int = UNKNOWN_KV_TOKENS) -> None:
-        """Know nothing but the registration."""
+    def __init__(
+        self, runner: Runner, network: Network, limits: RunnerLimits, kv_tokens: int = UNKNOWN_KV_TOKENS
+    ) -> None:
+        """Know nothing but the registration; what its answers say of its limit goes to ``limits``."""
         self.runner = runner
+        self._limits = limits
         self.gone_at: float | None = None
         self.replaced = False
-        self.pool = Pool(runner.address, network)
+        self.pool = Pool(runner.address, network, self._note_head)
         self.health = Health()
         self.load = EngineLoad()
         self.losses = LossMeter()
@@ -84,5 +89,8 @@
         """Close idle connections; what is under way goes on."""
         self.pool.close()
 
+    def _note_head(self, head: ResponseHead, sent_at: float) -> None:
+        self._limits.note_answer(self.start, head, sent_at)
+
 
 __all__ = ('Member',)
--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.client import OnHead
     from sesamepoint.http1.transport import Network
 
 # A runner closes idle connections after a time that it may not tell. What
@@ -31,8 +32,12 @@
 class Pool:
     """Connections to one runner that are not in use."""
 
-    def __init__(self, address: Address, network: Network) -> None:
-        """Aim at ``address`` over ``network``; opens nothing yet."""
+    def __init__(self, address: Address, network: Network, on_head: OnHead | None = None) -> None:
+        """Aim at ``address`` over ``network``; opens nothing yet.
+
+        ``on_head`` is called with the head of each response on any of the connections.
+        """
+        self._on_head = on_head
         self._address = address
         self._network = network
         self._idle: list[ClientConn] = []
@@ -51,12 +56,12 @@
             if _fresh(conn, now) and conn.quiet():
                 return conn
             conn.close()
-        return ClientConn(await self._network.connect(self._address, CONNECT_S))
+        return await self._connect(CONNECT_S)
 
     async def refuses(self) -> bool:
         """Tell whether nobody listens at the address; a connection that comes about is kept."""
         try:
-            conn = ClientConn(await self._network.connect(self._address, LOOK_S))
+            conn = await self._connect(LOOK_S)
         except ConnectFailedError as exc:
             return exc.refused
         conn.idle_since = trio.current_time()
@@ -75,6 +80,9 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _connect(self, allowed_s: float) -> ClientConn:
+        return ClientConn(await self._network.connect(self._address, allowed_s), self._on_head)
+
 
 def _fresh(conn: ClientConn, now: float) -> bool:
     allowed_s = UNTOLD_IDLE_S if conn.keep_s is None else conn.keep_s * IDLE_SHARE
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine.py
@@ -35,6 +35,7 @@
     from sesamepoint.platform.store import KeyedRecord
 
     Picker = Callable[[Job, Callable[[Start], bool]], str | None]
+    Watch = Callable[[str, str, Callable[[], float]], None]
 
 # After it has told that it will try a request an entry listens for so long, in
 # seconds, whether another one was about to: a word takes 5 ms, a busy entry
@@ -82,6 +83,12 @@
         self._known = trio.Event()
         self._left: deque[_Left] = deque(maxlen=MAX_LEFT)
 
+    def watch(self, watch: Watch) -> None:
+        """Show how many requests are suspect, and how many are refused."""
+        suspects = self.suspects
+        watch('sesamepoint_suspects', 'Requests under which a runner has ended.', lambda: len(suspects.all_suspect()))
+        watch('sesamepoint_quarantined', 'Requests that may not be sent.', lambda: len(suspects.all_quarantined()))
+
     def refuses(self, job: Job) -> bool:
         """Tell whether ``job`` may not be sent; then its caller is told when its quarantine ends."""
         if not self.suspects.quarantined(job.content_id):
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -14,6 +14,8 @@
 
     from sesamepoint.http1.transport import Transport
 
+    OnHead = Callable[[ResponseHead, float], None]
+
 RECEIVE_BYTES = 65536
 # Runners' heads are a few hundred bytes; a longer one is no sane answer.
 MAX_HEAD_BYTES = 65536
@@ -22,9 +24,15 @@
 class ClientConn:
     """Carries one request at a time; never shared between requests."""
 
-    def __init__(self, transport: Transport) -> None:
-        """Use ``transport``, which this object then owns."""
+    def __init__(self, transport: Transport, on_head: OnHead | None = None) -> None:
+        """Use ``transport``, which this object then owns.
+
+        ``on_head`` is called with the head of each response that is taken, and
+        the moment on trio's clock at which its request was begun.
+        """
         self.idle_since: float = 0
+        self._on_head = on_head
+        self._begun_at: float = 0
         self.keep_s: float | None = None
         self._transport = transport
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
@@ -38,6 +46,7 @@
         ``head`` must carry the length of ``body``.
         """
         self._sent_whole = False
+        self._begun_at = trio.current_time()
         self._request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
         wire = self._state.send(self._request) or b''
         self._finish_sending(body)
@@ -88,6 +97,8 @@
             if accept(found):
                 self._framed = found.framed
                 self._note_keep_alive(found)
+                if self._on_head is not None:
+                    self._on_head(found, self._begun_at)
                 return found
             await self._skip_answer()
 
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -25,6 +25,8 @@
 AUTHORIZATION: Final = b'authorization'
 KEY_SCHEME: Final = b'bearer'
 RETRY_AFTER: Final = b'retry-after'
+# The requests a second that a runner takes from all instances together.
+RUNNER_LIMIT: Final = b'server-limit'
 CONTENT_ENCODING: Final = b'content-encoding'
 
 # Headers that only the system may set towards a runner. A caller that set
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.attempt import Attempt, Target
+from sesamepoint.front.runner_limits import RunnerLimits
 from sesamepoint.front.member import Member
 from sesamepoint.front.reply import Reply
 from sesamepoint.front.request import FrontRequest
@@ -105,7 +106,7 @@
         """
         clock: MockClock = trio.lowlevel.current_clock()  # type: ignore[assignment]
         transport = LateTransport()
-        member = Member(_runner(), LateNetwork(transport))
+        member = Member(_runner(), LateNetwork(transport), RunnerLimits())
         conn = RecordingConn()
         reply = Reply(conn)  # type: ignore[arg-type]
         target = Target(member, Sending('i-1', 5, 0), PATIENCE_S)
--- a/tests/front/test_choice.py
+++ b/tests/front/test_choice.py
@@ -11,6 +11,7 @@
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.job import Job
 from sesamepoint.front.known_engines import KnownEngines
+from sesamepoint.front.runner_limits import RunnerLimits
 from sesamepoint.front.request import FrontRequest
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.http1.transport import SocketNetwork
@@ -20,7 +21,7 @@
 
 def build(runners: int) -> tuple[Fleet, Chooser, Job]:
     """Return a fleet of one service, its chooser, and a job for it."""
-    fleet = Fleet(2.0, SocketNetwork(), int)
+    fleet = Fleet(2.0, SocketNetwork(), int, RunnerLimits())
     for number in range(runners):
         address = Address('10.0.0.1', number)
         fleet.update(Runner(f'i-{number}', 'web', address, 'z1', 6, leaving=False, stage=Stage.plain))
--- a/tests/front/test_restarted_runners.py
+++ b/tests/front/test_restarted_runners.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import MAX_START_MS, Runner
 from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.runner_limits import RunnerLimits
 from sesamepoint.front.sends import NewLoad, Send, SendNotes, Word
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint_standins.platform.bed import running_bed
@@ -24,7 +25,7 @@
 
 def fleet_with(*runners: Runner) -> Fleet:
     """Return a fleet in which ``runners`` have registered."""
-    fleet = Fleet(DRAIN_S, SocketNetwork(), trio.current_time)
+    fleet = Fleet(DRAIN_S, SocketNetwork(), trio.current_time, RunnerLimits())
     for runner in runners:
         fleet.update(runner)
     return fleet
--- a/tests/front/waiters.py
+++ b/tests/front/waiters.py
@@ -15,6 +15,7 @@
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.job import Job
 from sesamepoint.front.known_engines import KnownEngines
+from sesamepoint.front.runner_limits import RunnerLimits
 from sesamepoint.front.lines import Lines, Waiter
 from sesamepoint.front.member import Member
 from sesamepoint.front.request import FrontRequest
@@ -38,7 +39,7 @@
 
     def __init__(self, readers: int = 2) -> None:
         """Start with nobody waiting, before ``readers`` engines that only prefill."""
-        self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time)
+        self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time, RunnerLimits())
         for number, stage in enumerate((*(Stage.prefill for _ in range(readers)), Stage.decode)):
             address = Address('10.0.0.1', number)
             self.fleet.update(Runner(f'i-{number}', 'llm', address, 'z1', 24, leaving=False, stage=stage))
