--- /dev/null
+++ b/tests/front/limited.py
@@ -0,0 +1,112 @@
+"""Runners that name a limit, the load before them, and the bound that users count by."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from tests.front.builders import asked, asked_prompt, engine, plain_runner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+    from sesamepoint_standins.platform.bed import PlatformBed
+    from sesamepoint_standins.platform.caller import Asked, Seen
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+RATE = b'6.8'
+FRONTS = 5
+# Users count the requests that a runner gets within this time, in seconds, and
+# allow so many times its limit and so many more.
+SPAN_S = 4.0
+SHARE = 1.5
+MORE = 5
+# Until so long after a runner first named its limit, in seconds, nothing is counted.
+KNOWN_S = 3.0
+
+
+class Load(NamedTuple):
+    """Requests at random instances, ``rate`` a second for ``length_s``."""
+
+    request: Callable[[], Asked]
+    rate: float
+    length_s: float
+
+
+def short_prompt() -> Asked:
+    """Return a request that any engine may run."""
+    return asked_prompt('/tag/a')
+
+
+def fetch() -> Asked:
+    """Return a request that any plain runner may run."""
+    return asked('/thumb/a')
+
+
+def engines(limited: int, free: int = 0) -> list[RunnerStandIn]:
+    """Return engines that decode, and two that only read prompts, all but ``free`` with a limit."""
+    found = [engine(number, 'decode') for number in range(1, limited + free + 1)]
+    _limit(found[:limited])
+    return [*found, engine(91, 'prefill'), engine(92, 'prefill')]
+
+
+def plain_runners(limited: int, free: int = 0) -> list[RunnerStandIn]:
+    """Return runners of a plain service, all but ``free`` with a limit."""
+    found = [plain_runner(number) for number in range(1, limited + free + 1)]
+    _limit(found[:limited])
+    return found
+
+
+async def send(bed: PlatformBed, rng: Random, load: Load, fronts: Iterable[str] = ()) -> list[Seen]:
+    """Send ``load`` to ``fronts``, all if none are named; return what callers saw."""
+    names = tuple(fronts) or tuple(bed.fronts)
+    seen: list[Seen] = []
+
+    async def ask(req: Asked) -> None:
+        seen.append(await bed.caller(rng.choice(names)).ask(req))
+
+    async with trio.open_nursery() as nursery:
+        until = trio.current_time() + load.length_s
+        while trio.current_time() < until:
+            await trio.sleep(rng.expovariate(load.rate))
+            nursery.start_soon(ask, load.request())
+    return seen
+
+
+def bound(rate: bytes = RATE) -> float:
+    """Return the most that a runner with a limit of ``rate`` may get in the span that users count."""
+    return SHARE * SPAN_S * float(rate) + MORE
+
+
+def limited(bed: PlatformBed) -> list[RunnerStandIn]:
+    """Return the runners that name a limit."""
+    return [runner for runner in bed.runners.values() if runner.names_limit]
+
+
+def most(bed: PlatformBed, since: float) -> int:
+    """Return the most that any runner with a limit got in a span that ends after ``since``."""
+    return max(runner.most_within(SPAN_S, since) for runner in limited(bed))
+
+
+def _limit(runners: Iterable[RunnerStandIn]) -> None:
+    for runner in runners:
+        runner.names_limit = (RATE,)
+
+
+__all__ = (
+    'FRONTS',
+    'KNOWN_S',
+    'RATE',
+    'SPAN_S',
+    'Load',
+    'bound',
+    'engines',
+    'fetch',
+    'limited',
+    'most',
+    'plain_runners',
+    'send',
+    'short_prompt',
+)
