Tell all instances of a runner that was replaced

Cause: the answer of the new incarnation marked the runner at the instance that got it, and nowhere else. An instance that is killed before it has told costs each other one such answer, as before.

--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -16,6 +16,7 @@
 
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
+    from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.runner_limits import RunnerLimits
     from sesamepoint.http1.transport import Network
 
@@ -42,6 +43,8 @@
         self._kv_tokens: dict[str, int] = {}
         self._starts: dict[str, int] = {}
         self.changes = 0
+        # Called when another incarnation has answered at the address of a runner.
+        self.on_replaced: Callable[[Start], None] | None = None
         self._changed = trio.Event()
         self._sizes: Counter[tuple[str, Stage]] = Counter()
         self._sizes_at = -1
@@ -155,12 +158,17 @@
         self._remember_start(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
         member = Member(runner, self._network, self._limits, kv_tokens)
+        member.on_replaced = self._tell_replaced
         self.members[runner.key] = member
         self._changed.set()
         self._changed = trio.Event()
         self._joined[0].send_nowait(member)
         events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
 
+    def _tell_replaced(self, start: Start) -> None:
+        if self.on_replaced is not None:
+            self.on_replaced(start)
+
     def _remember_start(self, runner: Runner) -> None:
         self._starts.pop(runner.key, None)
         self._starts[runner.key] = runner.born_ms
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -13,9 +13,12 @@
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.losses import LossMeter
 from sesamepoint_core.serving.suspects import Start
+from sesamepoint import events
 from sesamepoint.front.pool import Pool
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.runner_limits import RunnerLimits
     from sesamepoint.http1.messages import ResponseHead
@@ -29,6 +32,10 @@
 ONE_LOOK_S = 0.1
 
 
+# Where word of something comes from that this instance has heard itself.
+FROM_ANSWER = 'answer'
+
+
 class Member:
     """One runner: its registration, its connections, and beliefs about it."""
 
@@ -50,6 +57,8 @@
         self.in_flight = 0
         # Whether it has answered anything since it is known here.
         self.answered = False
+        # Called when an answer of its address is another incarnation's.
+        self.on_replaced: Callable[[Start], None] | None = None
         self._looked_at = -math.inf
         self._refused = False
         self._looking = trio.Lock()
@@ -74,6 +83,20 @@
                 self._looked_at = trio.current_time()
             return self._refused
 
+    def note_replaced(self, source: str) -> None:
+        """Note that another incarnation has its address, as ``source`` tells: an answer, or another instance.
+
+        Its registration may stay for seconds. Each request sent there until then
+        would be turned away, and count as an arrival all the same.
+        """
+        if self.replaced:
+            return
+        self.replaced = True
+        address = str(self.runner.address)
+        events.log_event(events.RUNNER_REPLACED, runner=self.runner.key, address=address, source=source)
+        if source == FROM_ANSWER and self.on_replaced is not None:
+            self.on_replaced(self.start)
+
     def same_start(self, runner: Runner) -> bool:
         """Tell whether a registration is of the start that this is about.
 
@@ -103,4 +126,4 @@
         self._limits.note_answer(self.start, head, sent_at)
 
 
-__all__ = ('Member',)
+__all__ = ('FROM_ANSWER', 'Member')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -14,6 +14,7 @@
 from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
 from sesamepoint.front.notices import Notice, VersionNote
+from sesamepoint.front.replaced import ReplacedWord
 from sesamepoint.front.sends import Word
 from sesamepoint.front.usage_words import DutyWord, UsageWord
 from sesamepoint.platform.names import ENTRY_TOPIC
@@ -48,7 +49,7 @@
 DEAF_S = 2.0
 
 
-PeerWord = News | Notice | VersionNote | DutyWord | UsageWord | AskWord | GrantWord
+PeerWord = News | Notice | VersionNote | DutyWord | UsageWord | AskWord | GrantWord | ReplacedWord
 
 
 class Peers:
@@ -72,7 +73,7 @@
         self._addresses: dict[str, Address] = {}
         # What to do with words of other entries, by their kind.
         self.on_word: dict[type, Callable[[Any], None]] = {
-            kind: _pass_over for kind in (News, VersionNote, DutyWord, UsageWord, AskWord, GrantWord)
+            kind: _pass_over for kind in (News, VersionNote, DutyWord, UsageWord, AskWord, GrantWord, ReplacedWord)
         }
         # Called when others are heard again after a silence.
         self.hear_again: Callable[[], None] = _do_nothing
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -12,6 +12,7 @@
 from sesamepoint import events
 from sesamepoint.front.attempt import Attempt, Target
 from sesamepoint.front.cause import Cause
+from sesamepoint.front.member import FROM_ANSWER
 from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
 from sesamepoint.platform.headers import Sending
 
@@ -88,7 +89,7 @@
     if found.ended:
         job.ended.append(member.start)
     if found.replaced:
-        note_replaced(member)
+        member.note_replaced(FROM_ANSWER)
     elif not found.silent or not member.health.heard_since(started):
         note_failure(member, found.cause)
 
@@ -99,17 +100,6 @@
         events.log_event(events.RUNNER_EJECTED, runner=member.runner.key, cause=cause)
 
 
-def note_replaced(member: Member) -> None:
-    """Note that another incarnation has the address of ``member``.
-
-    Its registration may stay for seconds. Each request sent there until then
-    would be turned away, and count as an arrival all the same.
-    """
-    if not member.replaced:
-        events.log_event(events.RUNNER_REPLACED, runner=member.runner.key, address=str(member.runner.address))
-    member.replaced = True
-
-
 def may_go_on(job: Job, found: AttemptResult) -> bool:
     """Tell whether the job may be sent once more after ``found``."""
     if isinstance(found, Relayed) or job.sends >= job.route.max_attempts:
@@ -166,7 +156,7 @@
         kv_source=target.sending.kv_source,
     )
     if isinstance(became, Rejected) and became.replaced:
-        note_replaced(member)
+        member.note_replaced(FROM_ANSWER)
         return
     if isinstance(became, Silent) and member.health.heard_since(started):
         # It is busy, not dead: it has answered others meanwhile.
@@ -178,7 +168,6 @@
     'attempt',
     'may_go_on',
     'note_failure',
-    'note_replaced',
     'note_unread',
     'patience_s',
     'repeatable',
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -131,6 +131,20 @@
                 self.assertEqual((await bed.caller('front-1').ask(req)).body, req.expected)
             self.assertEqual(new.misdirected, 1)
 
+    @virtual
+    async def test_replaced_runner_is_told_to_all(self) -> None:
+        """Guards against a request of each instance to a runner of which one knows that it was replaced."""
+        async with running_bed(configuration(), fleet(), fronts=3) as bed:
+            old = bed.runners['i-llm1']
+            new = engine(1, 'prefill')
+            new.key = 'i-new'
+            bed.network.listen(old.address, new.serve)
+            for number in range(9):
+                req = asked_prompt('/verdict/a', tokens=9000)
+                self.assertEqual((await bed.caller(f'front-{number % 3 + 1}').ask(req)).body, req.expected)
+            found = new.misdirected
+        self.assertEqual(found, 1)
+
     @virtual
     async def test_registration_gone(self) -> None:
         """A runner's entry vanishes without a word; it gets nothing after two seconds."""
