Count places of limited engines in the choice of a path, and hand them out by worth

Cause: an engine without a permit at the moment was left out of the choice, as if it were gone; a permit cost nothing; and waiting requests went by age, so that those that could not be on time any more went before those that could.

Change: a path by a limited reader costs at least the time until its limit allows the next one, twice; long prompts wait for such a permit as they wait for a busy engine; permits go by priority, then worth, of which a late answer has less; a request is taken in to wait if it can expect to be on time.

--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/lender.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/lender.py
@@ -27,6 +27,8 @@
 PERMIT_S = 1.0
 # Wishes that have changed are told no more often than this, in seconds.
 ASK_AGAIN_S = 0.02
+# How many want permits is believed for so long, in seconds.
+RIVALS_S = 2.0
 # The rank of a permit that is wanted before there is a request for it: after all others.
 NOTHING_WAITS = Rank(1000, 0)
 
@@ -38,11 +40,9 @@
     rank: Rank = NOTHING_WAITS
 
 
-class Rivals(NamedTuple):
-    """How many instances want permits by this priority, or more urgently."""
-
+class _Rivals(NamedTuple):
     instances: int
-    priority: int
+    at: float
 
 
 NOTHING = Wish(0)
@@ -76,8 +76,8 @@
         self._permits: deque[float] = deque()
         self._unused = 0
         self._told_wish = NOTHING
-        # How many others there were that wanted as urgently, and how urgently that was.
-        self._rivals = Rivals(1, NOTHING_WAITS.priority)
+        # What was told last of those that wanted as urgently as this instance, by its priority then.
+        self._rivals: dict[int, _Rivals] = {}
 
     @property
     def gives(self) -> bool:
@@ -124,17 +124,22 @@
             self._stamp = grant.stamp
             self._stamp_at = now
         self._unanswered_since = None
-        self._rivals = Rivals(max(grant.askers, 1), self._told_wish.rank.priority)
+        if self._told_wish.rank != NOTHING_WAITS:
+            self._rivals[self._told_wish.rank.priority] = _Rivals(max(grant.askers, 1), now)
         self._told_wish = self._told_wish._replace(permits=max(self._told_wish.permits - grant.permits, 0))
         if now < grant.asked_at + lease_s(instances) + PERMIT_S:
             self.add(grant.permits, now)
 
-    def rivals(self, priority: int) -> int:
+    def rivals(self, priority: int, now: float) -> int:
         """Return how many instances, this one included, want permits as urgently as by ``priority``, or more so.
 
-        Of more urgent ones than this instance has wanted lately nothing is known.
+        One, if this instance wanted none as urgently lately, or less urgent ones as well:
+        those give way, so that the next permit is mostly an urgent one's.
         """
-        return self._rivals.instances if priority >= self._rivals.priority else 1
+        fresh = [known for known, told in self._rivals.items() if now - told.at < RIVALS_S]
+        if max(fresh, default=math.inf) > priority:
+            return 1
+        return self._rivals[max(fresh)].instances
 
     def add(self, permits: int, now: float) -> None:
         """Take permits."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/sharing.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/sharing.py
@@ -91,7 +91,7 @@
         """Return the permits a second that this instance may expect for requests of ``priority``."""
         rate = self.belief.allowed(now) or 0
         if self._lender.lent(now):
-            return rate / self._lender.rivals(priority)
+            return rate / self._lender.rivals(priority, now)
         return rate * self._shares(now) / len(self._members) / max(self._giver.askers(self._name, priority), 1)
 
     def heard(self, sender: str, word: Ask | Grant, now: float) -> bool:
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/paths.py
@@ -52,6 +52,9 @@
 # What it costs that reading a prompt apart fails, as a share of the cost of a
 # lost answer: it is read again, somewhat later.
 REREAD_SHARE = 0.3
+# What a prompt costs that an engine with a limit reads, against the time until its limit
+# allows the next one: small prompts should leave such places to large ones.
+PLACE_WEIGHT = 2.0
 # The cost of a place that is not free, in seconds: used only if all are so.
 CROWDED_S = 2.0
 
@@ -83,6 +86,9 @@
         Its availability zone.
     lost_share
         Share of its answers that is lost, as all entries see it lately.
+    place_s
+        Seconds of an engine that only reads which one prompt takes at least: until its
+        limit allows the next one; 0 without a limit.
     """
 
     runner: str
@@ -98,6 +104,7 @@
     order: int = 0
     zone: str = ''
     lost_share: float = 0
+    place_s: float = 0
 
 
 class Path(NamedTuple):
@@ -223,7 +230,7 @@
     work_s = view.pace * speeds.reading.read_s(view.fresh_tokens, prompt_tokens)
     transfer_s = second.transfer_s + _fetch_s(view, speeds)
     first_s = speeds.reading.overhead_s + view.wait_s + work_s + transfer_s + SECOND_STEP_S
-    cost = first_s + second.cost + speeds.prefill_price * (work_s + transfer_s)
+    cost = first_s + second.cost + speeds.prefill_price * max(work_s + transfer_s, PLACE_WEIGHT * view.place_s)
     # A prompt that was not read can be read elsewhere.
     cost += REREAD_SHARE * view.lost_share * speeds.lost_cost_s
     return Path(view.runner, second.runner, first_s, work_s, cost + _late_cost_s(first_s, speeds))
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -59,10 +59,16 @@
 SLOT_LEARNING = 0.05
 
 
+# A prompt waits for a permit if reading it takes an engine more than this share of the
+# time until the next one.
+WORTH_WAITING = 0.25
+
+
 class EnginePlan(NamedTuple):
     """A path with the members on it; ``prefill`` is None for a whole run.
 
-    ``holder`` has parts of the prompt that its reader lacks.
+    ``holder`` has parts of the prompt that its reader lacks. Unless it is ``admitted`` its
+    reader takes it only when there is a permit.
     """
 
     path: Path
@@ -73,6 +79,7 @@
     rank: int
     crowded: bool
     speeds: Speeds
+    admitted: bool = True
 
     @property
     def fetch_from(self) -> str:
@@ -80,6 +87,22 @@
         return str(self.holder.runner.address) if self.holder and self.view.fetch_tokens else ''
 
 
+class Seen(NamedTuple):
+    """A runner as one request finds it.
+
+    Parameters
+    ----------
+    permit_wait_s
+        How long until its limit admits the request.
+    place_s
+        How long until its limit admits one more.
+    """
+
+    member: Member
+    permit_wait_s: float
+    place_s: float
+
+
 class Chooser:
     """Chooses by estimates that all entries' sends go into."""
 
@@ -134,14 +157,14 @@
         was sent before runs whole, unless the retry budget had room to read it
         apart once more: only the first call to do so is free.
         """
-        members = self._usable(job)
+        members = [*self._usable(job), *self._readers_to_wait_for(job, prompt)]
         if not job.may_read_apart:
             members = [member for member in members if member.runner.stage is Stage.decode]
         speeds = self._speeds_of(job, cfg)._replace(
             prefill_price=self._price(job, members, Stage.prefill),
             decode_price=self._price(job, members, Stage.decode),
         )
-        plan = _plan(prompt, members, speeds, urgency(job))
+        plan = _plan(prompt, self._seen(members, job), speeds, urgency(job))
         if plan is None or plan.path.first_s <= job.on_time_s:
             return plan
         return plan._replace(rank=LATE_RANK)
@@ -152,7 +175,7 @@
         if not members:
             return None
         speeds = self._speeds_of(job, cfg)
-        views = _Views(prompt, members, None, speeds.pause_s).all()
+        views = _Views(prompt, self._seen(members, job), None, speeds.pause_s).all()
         runner = best_second_step(tuple(views.values()), speeds, zone, prompt.tokens).runner
         return next(member for member in members if member.runner.key == runner)
 
@@ -181,6 +204,28 @@
             job.notes.passed_over.update(member.runner.key for member in sound if member not in admitted)
         return admitted
 
+    def _readers_to_wait_for(self, job: Job, prompt: Prompt) -> list[Member]:
+        """Return engines that only read and have no permit for ``job`` yet, but will while it can be answered.
+
+        Left out until they have a permit, engines that decode read the long prompts in the
+        moment in between, at half the speed. Short ones run there without much harm, and
+        leave the places to those that take all that such a place is worth.
+        """
+        reading = self.speed(job.service).speed
+        work_s = reading.read_s(prompt.tokens, prompt.tokens)
+        readers = (member for member in self._sound(job) if member.runner.stage is Stage.prefill)
+        return [
+            one
+            for one in readers
+            if work_s > WORTH_WAITING * self._limits.place_s(one.start)
+            and 0 < self._limits.permit_wait_s(one, job) < job.first_left_s
+        ]
+
+    def _seen(self, members: Sequence[Member], job: Job) -> list[Seen]:
+        """Return ``members`` with what their limits mean for ``job``."""
+        limits = self._limits
+        return [Seen(one, limits.permit_wait_s(one, job), limits.place_s(one.start)) for one in members]
+
     def _sound(self, job: Job) -> list[Member]:
         now = trio.current_time()
         found = [member for member in self._known.of_service(job.service) if member.runner.key not in job.tried]
@@ -238,9 +283,10 @@
     return min(job.priority, MAX_RANK)
 
 
-def _plan(prompt: Prompt, members: Sequence[Member], speeds: Speeds, rank: int) -> EnginePlan | None:
+def _plan(prompt: Prompt, seen: Sequence[Seen], speeds: Speeds, rank: int) -> EnginePlan | None:
+    members = [one.member for one in seen]
     holder = _best_holder(prompt, members)
-    views = _Views(prompt, members, holder, speeds.pause_s).all()
+    views = _Views(prompt, seen, holder, speeds.pause_s).all()
     path = best_path(tuple(views.values()), speeds, prompt.tokens)
     if path is None:
         return None
@@ -254,25 +300,27 @@
         rank=rank,
         crowded=views[path.decode].crowded,
         speeds=speeds,
+        admitted=not any(one.permit_wait_s and one.member.runner.key == path.prefill for one in seen),
     )
 
 
 class _Views:
     """The views on all engines for one prompt."""
 
-    def __init__(self, prompt: Prompt, members: Sequence[Member], holder: Member | None, pause_s: float) -> None:
+    def __init__(self, prompt: Prompt, seen: Sequence[Seen], holder: Member | None, pause_s: float) -> None:
         self._prompt = prompt
-        self._members = members
+        self._seen = seen
         self._pause_s = pause_s
         self._now = trio.current_time()
         self._held = holder.cache.readable(prompt.parts) if holder else 0
-        self._order = _order(members)
+        self._order = _order([one.member for one in seen])
 
     def all(self) -> dict[str, EngineView]:
         """Return the views by runner."""
-        return {member.runner.key: self._view(member) for member in self._members}
+        return {one.member.runner.key: self._view(one) for one in self._seen}
 
-    def _view(self, member: Member) -> EngineView:
+    def _view(self, seen: Seen) -> EngineView:
+        member = seen.member
         cached = member.cache.cached(self._prompt.parts)
         known = max(cached, self._held)
         if known - cached < MIN_FETCH_TOKENS:
@@ -281,7 +329,7 @@
         return EngineView(
             runner=runner.key,
             stage=runner.stage,
-            wait_s=member.load.wait_s(self._now),
+            wait_s=max(member.load.wait_s(self._now), seen.permit_wait_s),
             read_lately_s=member.load.read_lately_s(self._pause_s, self._now),
             streams=member.load.timely_streams(self._now),
             fill=min(member.load.streams(self._now) / max(runner.slots, 1), 1),
@@ -292,6 +340,7 @@
             order=self._order.get(runner.key, 0),
             zone=runner.zone,
             lost_share=member.losses.share(self._now),
+            place_s=seen.place_s,
         )
 
     def _crowded(self, member: Member) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -66,7 +66,7 @@
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
         self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, self._runner_limits, rng)
-        self._exchange = LimitExchange(self._runner_limits, self._tools.places, self.fleet, known, self.peers)
+        self._exchange = LimitExchange(self._tools, self.fleet, known, self.peers)
         self.dispatcher = Dispatcher(self._tools, EngineRuns(self._tools), quarantine, budgets, rng)
         beliefs = Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine)
         self._following = Following(cfg, beliefs, network, rng, clock)
--- a/packages/sesamepoint/src/sesamepoint/front/limit_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/limit_exchange.py
@@ -14,12 +14,11 @@
     from sesamepoint_core.runner_limit.sharing import Sharing
     from sesamepoint_core.runner_limit.words import Letter
     from sesamepoint_core.serving.suspects import Start
+    from sesamepoint.front.engine_tools import EngineTools
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.known_engines import KnownEngines
     from sesamepoint.front.member import Member
     from sesamepoint.front.peers import Peers
-    from sesamepoint.front.places import Places
-    from sesamepoint.front.runner_limits import RunnerLimits
 
 # Words of one moment go together: it is looked what there is to tell no more often
 # than this, in seconds.
@@ -31,16 +30,16 @@
 class LimitExchange:
     """Tells and hears what keeps the sum of all entries' sends under the limits."""
 
-    def __init__(self, limits: RunnerLimits, places: Places, fleet: Fleet, known: KnownEngines, peers: Peers) -> None:
-        """Work for ``places``, with the other entries that ``peers`` knows."""
-        self._limits = limits
-        self._places = places
+    def __init__(self, tools: EngineTools, fleet: Fleet, known: KnownEngines, peers: Peers) -> None:
+        """Work for the requests that wait in ``tools``, with the other entries that ``peers`` knows."""
+        self._limits = tools.limits
+        self._tools = tools
         self._fleet = fleet
         self._known = known
         self._peers = peers
         self._joined_at: dict[Start, float] = {}
-        peers.on_word[AskWord] = limits.heard
-        peers.on_word[GrantWord] = limits.heard
+        peers.on_word[AskWord] = tools.limits.heard
+        peers.on_word[GrantWord] = tools.limits.heard
 
     async def run(self) -> None:
         """Tell what there is to tell, and let waiting requests go, until cancelled."""
@@ -66,17 +65,17 @@
                 now = trio.current_time()
                 due_at = min(due_at, sharing.next_at(now), now + JOIN_EVERY_S)
         # Whoever waits has been handed what permits there were, so none is left to run for.
-        self._places.let_go()
+        self._tools.places.let_go()
         return due_at
 
     async def _step(self, member: Member, sharing: Sharing) -> None:
         start = member.start
         now = trio.current_time()
         self._join(start, sharing, now)
-        self._places.hand_out(start)
-        sharing.wish(self._places.wish(member, sharing.stock(now)))
+        self._tools.places.hand_out(start)
+        sharing.wish(self._tools.places.wish(member, self._tools.waiting.wanting(start.runner), sharing.stock(now)))
         letters = sharing.step(now)
-        self._places.hand_out(start)
+        self._tools.places.hand_out(start)
         for letter in letters:
             await self._tell(start, letter)
 
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -67,6 +67,11 @@
             notes.wait_expected_s = wait_s
             notes.need = self.line.need.value
 
+    @property
+    def reader(self) -> str:
+        """Return the runner that is to read its prompt, by the newest plan."""
+        return self._newest.view.runner
+
     @property
     def refusable(self) -> bool:
         """Tell whether it may be refused: not if part of an answer may have gone out."""
@@ -204,7 +209,7 @@
 
 def must_wait(plan: EnginePlan) -> bool:
     """Tell whether the engines of ``plan`` are too busy for it."""
-    return plan.view.wait_s > HOLD_ABOVE_S or plan.crowded
+    return plan.view.wait_s > HOLD_ABOVE_S or plan.crowded or not plan.admitted
 
 
 def line_of(job: Job, plan: EnginePlan) -> Line:
--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -15,7 +15,7 @@
 from sesamepoint.front.return_time import heeded_s, when_unknown_s
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.choice import Chooser
@@ -30,9 +30,11 @@
 # Share of the time that its caller waits for a first sign for which a request may wait
 # here; a caller that is refused comes back in the rest.
 MAX_WAIT_SHARE = 0.4
-# Permits come unevenly: a request is taken in if it has so many times what the wait is
-# expected to take. Without, half of those taken in were refused later on.
-WAIT_MARGIN = 2.0
+# From this share of the time to be on time it goes behind those that still can be: the
+# rest is for its run.
+ON_TIME_SHARE = 0.6
+# What a late answer is worth against one on time.
+LATE_SHARE = 0.3
 # With less left than this, in seconds, a request would hardly be answered any more.
 MIN_SPARE_S = 0.2
 # A request asks for the permit of one runner at first, and after so many seconds for
@@ -51,8 +53,8 @@
         self.until = _patient_until(job)
         self._asks_first = sorted(starts)[turn % len(starts)] if starts else None
         self._began = trio.current_time()
-        # What it had when it came: the longer it has waited, the sooner it has its turn.
-        self.patience_s = self.until - self._began
+        # How soon it had to have its turn when it came: the longer it has waited, the sooner it has.
+        self.due_s = _due_by(job) - self._began
         self.decided = trio.Event()
         self.refused = False
 
@@ -105,14 +107,15 @@
             self._release(waiter)
             job.notes.held_s += trio.current_time() - began
 
-    def wish(self, member: Member, stock: int) -> Wish:
-        """Return the permits that are wanted for ``member``, of which there are ``stock``."""
-        lately = trio.current_time() - self._asked_at.get(member.runner.service, -math.inf) < LATELY_S
+    def wish(self, member: Member, held: Iterable[Job], stock: int) -> Wish:
+        """Return the permits that are wanted for ``member``, also for jobs ``held`` elsewhere; there are ``stock``."""
         ranks = [rank_of(waiter.job) for waiter in self._waiters if waiter.asks(member.start)]
+        ranks.extend(rank_of(job) for job in held)
+        lately = trio.current_time() - self._asked_at.get(member.runner.service, -math.inf) < LATELY_S
         first = min(ranks, default=NOTHING_WAITS)
         # The others have their turn when these are through, at a rank of their own.
         alike = sum(rank.priority == first.priority for rank in ranks)
-        return Wish(max(alike, lately - stock, 0), first)
+        return Wish(max(alike - stock, lately - stock, 0), first)
 
     def hand_out(self, start: Start) -> None:
         """Let requests go that wait for the runner of ``start``, as far as there are permits."""
@@ -148,7 +151,7 @@
         ahead = 0
         for waiter in sorted(self._waiters, key=_order):
             rate = self._rate(waiter)
-            if rate and WAIT_MARGIN * (ahead + 1) / rate <= waiter.patience_s:
+            if rate and (ahead + 1) / rate <= waiter.due_s:
                 ahead += 1
             else:
                 self._refuse(waiter)
@@ -195,9 +198,11 @@
 
 
 def rank_of(job: Job) -> Rank:
-    """Return the rank in which ``job`` gets a permit: by its priority, then by what it is worth."""
-    prompt = job.req.prompt
-    return Rank(job.priority, 0 if prompt is None else -float(prompt.tokens))
+    """Return the rank in which ``job`` gets a permit: by priority, then by worth, of which a late answer has less."""
+    size = 1 if job.req.prompt is None else 1 + job.req.prompt.tokens
+    timely = job.on_time_s > (1 - ON_TIME_SHARE) * job.route.target_s
+    worth = size if timely else LATE_SHARE * size
+    return Rank(job.priority, -float(worth))
 
 
 def _patient_until(job: Job) -> float:
@@ -208,6 +213,13 @@
     return job.req.arrived + max(job.route.target_s, allowed_s)
 
 
+def _due_by(job: Job) -> float:
+    """Return by when ``job`` has to have its turn to be on time, or to be answered if it can't be."""
+    if job.returned or job.sends:
+        return _patient_until(job)
+    return job.req.arrived + ON_TIME_SHARE * job.route.target_s
+
+
 def _shown(rate: float) -> float | None:
     return None if math.isinf(rate) else round(rate, 3)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
@@ -29,6 +29,8 @@
 LINE_EVERY_S = 1.0
 # The same for limits that can't be read.
 UNREADABLE_EVERY_S = 10.0
+# A runner that has not answered yet mostly does so within this time, in seconds.
+FIRST_ANSWER_S = 0.1
 
 
 class RunnerLimits:
@@ -101,6 +103,21 @@
             return None
         return self._sharings[start].expected_rate(priority, trio.current_time())
 
+    def place_s(self, start: Start) -> float:
+        """Return the seconds from one request that the limit of a runner allows to the next; 0 without a limit."""
+        sharing = self._sharings.get(start)
+        rate = sharing.belief.allowed(trio.current_time()) if sharing else None
+        return 1 / rate if rate else 0
+
+    def permit_wait_s(self, member: Member, job: Job) -> float:
+        """Return how long ``job`` may expect to wait for a permit for ``member``."""
+        if self.admits(member, job):
+            return 0
+        rate = self.expected_rate(member.start, job.priority)
+        if rate is None:
+            return FIRST_ANSWER_S
+        return 1 / rate if rate else math.inf
+
     def note_answer(self, start: Start, head: ResponseHead, sent_at: float) -> None:
         """Take what an answer to a request of ``sent_at`` says of the limit of its runner."""
         if replaced(head, start.runner):
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -101,6 +101,10 @@
         """Return how many requests wait."""
         return len(self._waiters)
 
+    def wanting(self, runner: str) -> list[Job]:
+        """Return the jobs that wait for a permit to be read at ``runner``."""
+        return [one.job for one in self._waiters if one.plan and not one.plan.admitted and one.reader == runner]
+
     def _refuses(self, waiter: Waiter) -> bool:
         """Turn away what would wait too long, with a time to come back."""
         line = [other for other in self._waiters if other.line == waiter.line]
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -25,6 +25,7 @@
 from sesamepoint_standins.platform.runner import Faults
 from tests.front.builders import account, asked, asked_prompt, bearer, configuration, route
 from tests.front.random_faults import Outcome, broken_of_request
+from tests.front.soak_limits import SoakLimits
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -79,6 +80,9 @@
         self._rng = rng
         self._version = 1
         self._down: set[int] = set()
+        # Drawn apart, so that what else befalls a seed stays as it was.
+        self._limits = SoakLimits(bed, Random(FRONTS))
+        self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
             self._kill_front,
@@ -97,6 +101,7 @@
         """Send requests and break things, then wait until all is well."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load, nursery, length_s)
+            nursery.start_soon(self._limits.name, length_s)
             with trio.move_on_after(length_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / FAULT_PAUSE_S))
@@ -112,6 +117,7 @@
         found += [f'unasked: {name}' for name in runs if name not in known]
         found += [f'denied: {one.asked.request_id}' for one in self.outcomes if one.seen.status == DENIED]
         found += self._bed.usage.broken(TURNS_S)
+        found += self._limits.broken_promises(FRONTS + self._restarts)
         return found + [f'a key in {log.name}' for log in self._bed.logs() if KEY in log.read_text(encoding='utf-8')]
 
     async def reload_front(self, place: int) -> None:
@@ -127,6 +133,7 @@
         if front.process.returncode != -signal.SIGHUP or front.has_started() or place in self._down:
             return
         self._down.add(place)
+        self._restarts += 1
         await self._bed.restart_front(place)
         self._down.discard(place)
 
@@ -171,6 +178,7 @@
         self._down.add(place)
         await process.wait()
         await trio.sleep(self._rng.uniform(0, 0.5))
+        self._restarts += 1
         await self._bed.restart_front(place)
         self._down.discard(place)
 
@@ -213,6 +221,7 @@
     def _heal(self) -> None:
         for proxy in self._bed.proxies:
             proxy.fault = Fault.none
+        self._limits.end()
         for runner in self._bed.runners:
             runner.faults = Faults()
 
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 from unittest import TestCase
@@ -15,6 +16,7 @@
 
 from sesamepoint_standins.platform.bed import running_bed
 from tests.front.builders import asked, asked_prompt, configuration, plain_runner, route
+from tests.front.burst import LONG_TARGET_S, long_prompt
 from tests.front.limited import (
     FRONTS,
     KNOWN_S,
@@ -52,7 +54,7 @@
 MALFORMED = (b'', b'-1', b'abc', b'inf', b'nan', b'1e9', b'9' * 400)
 
 
-def long_prompt() -> Asked:
+def prompt_of_its_own() -> Asked:
     """Return a request whose prompt is read apart."""
     return asked_prompt('/verdict/a', 3000)
 
@@ -99,7 +101,7 @@
         runners = engines(2, 2)
         name(runners, LIMIT)
         async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
-            found = await with_first_answers(bed, Load(long_prompt, 40, LENGTH_S))
+            found = await with_first_answers(bed, Load(prompt_of_its_own, 40, LENGTH_S))
         self.assertLessEqual(found, bound())
 
     @virtual
@@ -205,6 +207,18 @@
             share = used(bed, began + KNOWN_S, began + LENGTH_S)
         self.assertGreaterEqual(share, USED)
 
+    @virtual
+    async def test_large_prompts_are_read_apart(self) -> None:
+        """Guards against small prompts that use up the few places at engines that read before large ones do."""
+        runners = engines(0, 4)
+        name(runners[-2:], LIMIT)
+        async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send, bed, Random(1), Load(short_prompt, 75, LENGTH_S))
+                seen = await send(bed, Random(2), Load(partial(long_prompt, Random(7)), 9, LENGTH_S))
+            share = sum(one.status == GOOD and one.first_s <= LONG_TARGET_S for one in seen) / len(seen)
+        self.assertGreaterEqual(share, MOST)
+
     @virtual
     async def test_one_instance_has_the_callers(self) -> None:
         """Guards against shares that stay with instances without callers."""
