--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -3,23 +3,16 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
-from sesamepoint_core.serving.paths import (
-    MEMORY_SHARE,
-    OTHERS_WEIGHT,
-    EngineView,
-    Path,
-    Speeds,
-    best_path,
-    best_second_step,
-)
+from sesamepoint_core.serving.paths import OTHERS_WEIGHT, Speeds, best_second_step
 from sesamepoint_core.serving.rate import PauseMeter, SpeedMeter
 from sesamepoint_core.serving.routes import Repeat
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint.front.backlog import Line, Need
+from sesamepoint.front.engine_plan import EnginePlan, Seen, Views, plan_for
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -50,59 +43,15 @@
 LOST_WEIGHT = 4.0
 # The same, as a share of that, for what may go on elsewhere.
 REPEATED_SHARE = 0.3
-# Fewer tokens than this are read sooner than fetched: a fetch takes 25 ms, in
-# which engines of today read 900 tokens and more.
-MIN_FETCH_TOKENS = 1000
 # Seconds that an answer takes up a place at an engine, until some were seen,
 # and the weight of each; answers of today take 0.2 to 0.5.
 FIRST_SLOT_S = 0.3
 SLOT_LEARNING = 0.05
-
-
 # A prompt waits for a permit if reading it takes an engine more than this share of the
 # time until the next one.
 WORTH_WAITING = 0.25
 
 
-class EnginePlan(NamedTuple):
-    """A path with the members on it; ``prefill`` is None for a whole run.
-
-    ``holder`` has parts of the prompt that its reader lacks. Unless it is ``admitted`` its
-    reader takes it only when there is a permit.
-    """
-
-    path: Path
-    prefill: Member | None
-    decode: Member
-    holder: Member | None
-    view: EngineView
-    rank: int
-    crowded: bool
-    speeds: Speeds
-    admitted: bool = True
-
-    @property
-    def fetch_from(self) -> str:
-        """Return where the reader takes parts over from, if anywhere."""
-        return str(self.holder.runner.address) if self.holder and self.view.fetch_tokens else ''
-
-
-class Seen(NamedTuple):
-    """A runner as one request finds it.
-
-    Parameters
-    ----------
-    permit_wait_s
-        How long until its limit admits the request.
-    place_s
-        How long until its limit admits one more.
-    """
-
-    member: Member
-    permit_wait_s: float
-    place_s: float
-
-
 class Chooser:
     """Chooses by estimates that all entries' sends go into."""
 
@@ -164,7 +113,7 @@
             prefill_price=self._price(job, members, Stage.prefill),
             decode_price=self._price(job, members, Stage.decode),
         )
-        plan = _plan(prompt, self._seen(members, job), speeds, urgency(job))
+        plan = plan_for(prompt, self._seen(members, job), speeds, urgency(job))
         if plan is None or plan.path.first_s <= job.on_time_s:
             return plan
         return plan._replace(rank=LATE_RANK)
@@ -175,7 +124,7 @@
         if not members:
             return None
         speeds = self._speeds_of(job, cfg)
-        views = _Views(prompt, self._seen(members, job), None, speeds.pause_s).all()
+        views = Views(prompt, self._seen(members, job), None, speeds.pause_s).all()
         runner = best_second_step(tuple(views.values()), speeds, zone, prompt.tokens).runner
         return next(member for member in members if member.runner.key == runner)
 
@@ -283,73 +232,6 @@
     return min(job.priority, MAX_RANK)
 
 
-def _plan(prompt: Prompt, seen: Sequence[Seen], speeds: Speeds, rank: int) -> EnginePlan | None:
-    members = [one.member for one in seen]
-    holder = _best_holder(prompt, members)
-    views = _Views(prompt, seen, holder, speeds.pause_s).all()
-    path = best_path(tuple(views.values()), speeds, prompt.tokens)
-    if path is None:
-        return None
-    by_key = {member.runner.key: member for member in members}
-    return EnginePlan(
-        path=path,
-        prefill=by_key.get(path.prefill),
-        decode=by_key[path.decode],
-        holder=holder,
-        view=views[path.prefill or path.decode],
-        rank=rank,
-        crowded=views[path.decode].crowded,
-        speeds=speeds,
-        admitted=not any(one.permit_wait_s and one.member.runner.key == path.prefill for one in seen),
-    )
-
-
-class _Views:
-    """The views on all engines for one prompt."""
-
-    def __init__(self, prompt: Prompt, seen: Sequence[Seen], holder: Member | None, pause_s: float) -> None:
-        self._prompt = prompt
-        self._seen = seen
-        self._pause_s = pause_s
-        self._now = trio.current_time()
-        self._held = holder.cache.readable(prompt.parts) if holder else 0
-        self._order = _order([one.member for one in seen])
-
-    def all(self) -> dict[str, EngineView]:
-        """Return the views by runner."""
-        return {one.member.runner.key: self._view(one) for one in self._seen}
-
-    def _view(self, seen: Seen) -> EngineView:
-        member = seen.member
-        cached = member.cache.cached(self._prompt.parts)
-        known = max(cached, self._held)
-        if known - cached < MIN_FETCH_TOKENS:
-            known = cached
-        runner = member.runner
-        return EngineView(
-            runner=runner.key,
-            stage=runner.stage,
-            wait_s=max(member.load.wait_s(self._now), seen.permit_wait_s),
-            read_lately_s=member.load.read_lately_s(self._pause_s, self._now),
-            streams=member.load.timely_streams(self._now),
-            fill=min(member.load.streams(self._now) / max(runner.slots, 1), 1),
-            crowded=self._crowded(member),
-            fresh_tokens=max(self._prompt.tokens - known, 1),
-            fetch_tokens=known - cached,
-            pace=member.pace.factor(self._now),
-            order=self._order.get(runner.key, 0),
-            zone=runner.zone,
-            lost_share=member.losses.share(self._now),
-            place_s=seen.place_s,
-        )
-
-    def _crowded(self, member: Member) -> bool:
-        load = member.load
-        if load.streams(self._now) >= member.runner.slots:
-            return True
-        return load.stream_tokens(self._now) + self._prompt.tokens > MEMORY_SHARE * member.kv_tokens
-
-
 def _beside(member: Member) -> float:
     return max(member.in_flight, member.load.streams(trio.current_time()))
 
@@ -358,14 +240,4 @@
     return member.health.failing
 
 
-def _best_holder(prompt: Prompt, members: Sequence[Member]) -> Member | None:
-    return max(members, key=lambda member: member.cache.readable(prompt.parts), default=None)
-
-
-def _order(members: Sequence[Member]) -> dict[str, int]:
-    """Return the order in which all entries fill decode runners."""
-    keys = (member.runner.key for member in members if member.runner.stage is Stage.decode)
-    return {key: place for place, key in enumerate(sorted(keys))}
-
-
-__all__ = ('Chooser', 'EnginePlan', 'urgency')
+__all__ = ('Chooser', 'urgency')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_plan.py
@@ -0,0 +1,141 @@
+"""The plan for one prompt: a path through the engines, by what is believed of each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.serving.paths import MEMORY_SHARE, EngineView, Path, Speeds, best_path
+from sesamepoint_core.serving.runner import Stage
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from sesamepoint_core.serving.prompt import Prompt
+    from sesamepoint.front.member import Member
+
+# Fewer tokens than this are read sooner than fetched: a fetch takes 25 ms, in
+# which engines of today read 900 tokens and more.
+MIN_FETCH_TOKENS = 1000
+
+
+class EnginePlan(NamedTuple):
+    """A path with the members on it; ``prefill`` is None for a whole run.
+
+    ``holder`` has parts of the prompt that its reader lacks. Unless it is ``admitted`` its
+    reader takes it only when there is a permit.
+    """
+
+    path: Path
+    prefill: Member | None
+    decode: Member
+    holder: Member | None
+    view: EngineView
+    rank: int
+    crowded: bool
+    speeds: Speeds
+    admitted: bool = True
+
+    @property
+    def fetch_from(self) -> str:
+        """Return where the reader takes parts over from, if anywhere."""
+        return str(self.holder.runner.address) if self.holder and self.view.fetch_tokens else ''
+
+
+class Seen(NamedTuple):
+    """A runner as one request finds it.
+
+    Parameters
+    ----------
+    permit_wait_s
+        How long until its limit admits the request.
+    place_s
+        How long until its limit admits one more.
+    """
+
+    member: Member
+    permit_wait_s: float
+    place_s: float
+
+
+def plan_for(prompt: Prompt, seen: Sequence[Seen], speeds: Speeds, rank: int) -> EnginePlan | None:
+    """Return the path of least cost for ``prompt``, with urgency ``rank``; None if no engine can run it."""
+    members = [one.member for one in seen]
+    holder = _best_holder(prompt, members)
+    views = Views(prompt, seen, holder, speeds.pause_s).all()
+    path = best_path(tuple(views.values()), speeds, prompt.tokens)
+    if path is None:
+        return None
+    by_key = {member.runner.key: member for member in members}
+    return EnginePlan(
+        path=path,
+        prefill=by_key.get(path.prefill),
+        decode=by_key[path.decode],
+        holder=holder,
+        view=views[path.prefill or path.decode],
+        rank=rank,
+        crowded=views[path.decode].crowded,
+        speeds=speeds,
+        admitted=not any(one.permit_wait_s and one.member.runner.key == path.prefill for one in seen),
+    )
+
+
+class Views:
+    """The views on all engines for one prompt."""
+
+    def __init__(self, prompt: Prompt, seen: Sequence[Seen], holder: Member | None, pause_s: float) -> None:
+        """Look at engines as they are ``seen`` for ``prompt``, of which ``holder`` has parts."""
+        self._prompt = prompt
+        self._seen = seen
+        self._pause_s = pause_s
+        self._now = trio.current_time()
+        self._held = holder.cache.readable(prompt.parts) if holder else 0
+        self._order = _order([one.member for one in seen])
+
+    def all(self) -> dict[str, EngineView]:
+        """Return the views by runner."""
+        return {one.member.runner.key: self._view(one) for one in self._seen}
+
+    def _view(self, seen: Seen) -> EngineView:
+        member = seen.member
+        cached = member.cache.cached(self._prompt.parts)
+        known = max(cached, self._held)
+        if known - cached < MIN_FETCH_TOKENS:
+            known = cached
+        runner = member.runner
+        return EngineView(
+            runner=runner.key,
+            stage=runner.stage,
+            wait_s=max(member.load.wait_s(self._now), seen.permit_wait_s),
+            read_lately_s=member.load.read_lately_s(self._pause_s, self._now),
+            streams=member.load.timely_streams(self._now),
+            fill=min(member.load.streams(self._now) / max(runner.slots, 1), 1),
+            crowded=self._crowded(member),
+            fresh_tokens=max(self._prompt.tokens - known, 1),
+            fetch_tokens=known - cached,
+            pace=member.pace.factor(self._now),
+            order=self._order.get(runner.key, 0),
+            zone=runner.zone,
+            lost_share=member.losses.share(self._now),
+            place_s=seen.place_s,
+        )
+
+    def _crowded(self, member: Member) -> bool:
+        load = member.load
+        if load.streams(self._now) >= member.runner.slots:
+            return True
+        return load.stream_tokens(self._now) + self._prompt.tokens > MEMORY_SHARE * member.kv_tokens
+
+
+def _best_holder(prompt: Prompt, members: Sequence[Member]) -> Member | None:
+    return max(members, key=lambda member: member.cache.readable(prompt.parts), default=None)
+
+
+def _order(members: Sequence[Member]) -> dict[str, int]:
+    """Return the order in which all entries fill decode runners."""
+    keys = (member.runner.key for member in members if member.runner.stage is Stage.decode)
+    return {key: place for place, key in enumerate(sorted(keys))}
+
+
+__all__ = ('EnginePlan', 'Seen', 'Views', 'plan_for')
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -22,7 +22,7 @@
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
 
-    from sesamepoint.front.choice import EnginePlan
+    from sesamepoint.front.engine_plan import EnginePlan
     from sesamepoint.front.engine_tools import EngineTools
     from sesamepoint.front.job import Job
     from sesamepoint.front.member import Member
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -19,7 +19,8 @@
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint.front.backlog import Backlog
-    from sesamepoint.front.choice import Chooser, EnginePlan
+    from sesamepoint.front.choice import Chooser
+    from sesamepoint.front.engine_plan import EnginePlan
     from sesamepoint.front.job import Job
 
 # Work that an engine may have before more is held back here: enough to keep
--- a/tests/front/waiters.py
+++ b/tests/front/waiters.py
@@ -11,7 +11,8 @@
 from sesamepoint_core.serving.routes import CallerLimits, Configuration, Repeat, Route, Share
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.backlog import Backlog
-from sesamepoint.front.choice import Chooser, EnginePlan
+from sesamepoint.front.choice import Chooser
+from sesamepoint.front.engine_plan import EnginePlan
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.job import Job
 from sesamepoint.front.known_engines import KnownEngines
