--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/words.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/words.py
@@ -13,6 +13,8 @@
 MAX_AGE_S = 1e6
 MAX_TIME = 1e12
 MAX_COUNT = 100_000
+MAX_PRIORITY = 999
+MAX_SIZE = 1e9
 MAX_START = 1_000_000_000_000_000_000
 Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
@@ -49,7 +51,8 @@
     def of(cls, word: LimitWord, now: float) -> Told:
         """Return ``word`` as it is told at ``now``."""
         rate = min(word.rate, MAX_RATE)
-        return cls(ToldStamp.of(word.origin), rate, max(now - word.newest_at, 0), word.ended_at is not None)
+        age_s = min(max(now - word.newest_at, 0), MAX_AGE_S)
+        return cls(ToldStamp.of(word.origin), rate, age_s, word.ended_at is not None)
 
     def word(self, now: float) -> LimitWord:
         """Return what this says, by the clock of who hears it at ``now``."""
@@ -62,7 +65,12 @@
 
     priority: Count
     # Larger requests are worth more; 0 for a request that has not come yet.
-    minus_size: Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=0)]
+    minus_size: Annotated[float, msgspec.Meta(ge=-MAX_SIZE, le=0)]
+
+    @classmethod
+    def of(cls, priority: int, size: float) -> Rank:
+        """Return the rank of a request; what callers and operators give is cut to what peers take."""
+        return cls(min(priority, MAX_PRIORITY), -min(size, MAX_SIZE))
 
 
 class Ask(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -202,7 +202,7 @@
     size = 1 if job.req.prompt is None else 1 + job.req.prompt.tokens
     timely = job.on_time_s > (1 - ON_TIME_SHARE) * job.route.target_s
     worth = size if timely else LATE_SHARE * size
-    return Rank(job.priority, -float(worth))
+    return Rank.of(job.priority, worth)
 
 
 def _patient_until(job: Job) -> float:
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -12,8 +12,11 @@
 from typing import TYPE_CHECKING
 from unittest import TestCase
 
+import msgspec
 import trio
 
+from sesamepoint_core.runner_limit.lender import NOTHING_WAITS
+from sesamepoint_core.runner_limit.words import Rank
 from sesamepoint_standins.platform.bed import running_bed
 from tests.front.builders import asked, asked_prompt, configuration, plain_runner, route
 from tests.front.burst import LONG_TARGET_S, long_prompt
@@ -329,6 +332,13 @@
             found = most(bed, began + KNOWN_S)
         self.assertLessEqual(found, bound(b'6.9'))
 
+    def test_rank_of_a_huge_prompt(self) -> None:
+        """Guards against a caller's figures that make the words of an instance unreadable to its peers."""
+        rank = Rank.of(10**9, 1e300)
+        encoded = msgspec.msgpack.encode(rank)
+        self.assertEqual(msgspec.msgpack.decode(encoded, type=Rank), rank)
+        self.assertLess(rank, NOTHING_WAITS)
+
     @virtual
     async def test_zero(self) -> None:
         """Guards against requests to a runner that takes none, and against callers that wait for it."""
