Ways to share a limit: count from when the limit is known

All instances of the comparison began their requests in the same moment, before anybody had heard of the limit: 68 of them, 73 requests in that second.

--- a/benchmarks/limit_ways.py
+++ b/benchmarks/limit_ways.py
@@ -15,7 +15,7 @@
 from sesamepoint_core.runner_limit.pacer import Pacer
 from sesamepoint_core.runner_limit.sharing import Sharing, Wish
 from sesamepoint_core.runner_limit.words import Ask, Grant, Letter, Told, ToldStamp
-from sesamepoint_standins.platform.limit_world import KNOWN_S, LimitWorld
+from sesamepoint_standins.platform.limit_world import LimitWorld
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +27,7 @@
 TELL_S = 0.5
 FEW = 100
 BEGIN_S = 5.0
+SETTLE_S = 5.0
 LENGTH_S = 20.0
 # A send counts for so long at those that were told of it.
 SEND_S = 1.0
@@ -200,11 +201,15 @@
 def moving(new_way: NewWay, instances: int, load: float, seed: int) -> Played:
     """Play with all the demand at one instance, another one each two seconds."""
     world = _world(new_way, instances, 0, seed)
+    world.instances['front-0'].rate = load
+    world.run(SETTLE_S)
+    world.network.words = 0
+    since = world.now
     for step in range(int(LENGTH_S / 2)):
         for number, instance in enumerate(world.instances.values()):
             instance.rate = load if number == step % instances else 0
         world.run(2)
-    return Played(world.taken(BEGIN_S), world.excess(KNOWN_S), world.network.words / (LENGTH_S + BEGIN_S))
+    return Played(world.taken(since), world.excess(since), world.network.words / LENGTH_S)
 
 
 def cut_off(new_way: NewWay, instances: int, load: float, seed: int) -> Played:
@@ -253,9 +258,12 @@
 
 
 def _count(world: LimitWorld) -> Played:
+    # What all send before anybody has heard of the limit does not count.
+    world.run(SETTLE_S)
     world.network.words = 0
+    since = world.now
     world.run(LENGTH_S)
-    return Played(world.taken(BEGIN_S), world.excess(KNOWN_S), world.network.words / LENGTH_S)
+    return Played(world.taken(since), world.excess(since), world.network.words / LENGTH_S)
 
 
 if __name__ == '__main__':
