Seeds that broke the bound while limits were built stay as tests, with the draws that they had

The test drew its faults from another source than the scratch form that had found them, so the same numbers were other plays.

--- a/tests/core/runner_limit/faults.py
+++ b/tests/core/runner_limit/faults.py
@@ -22,6 +22,7 @@
 FAULT_PAUSE_S = 1.0
 SIZES = (1, 2, 3, 5, 8, 20)
 LOADS = (20, 60, 150)
+FIRST_LIMITS = (1, 6.8, 30)
 LIMITS = (0.5, 1, 6.8, 30)
 MOST_ADDED = 4
 
@@ -32,7 +33,7 @@
     def __init__(self, seed: int, new_way: NewWay = Sharing) -> None:
         """Draw all from ``seed``."""
         self.world = LimitWorld(seed, new_way)
-        self._rng = Random(f'faults {seed}')
+        self._rng = Random(f'f{seed}')
         self._size = self._rng.choice(SIZES)
         self._load = self._rng.choice(LOADS) / self._size
         for number in range(self._size):
@@ -52,7 +53,7 @@
     def play(self) -> float:
         """Play to the end; returns by how many requests the worst span was over the bound."""
         self.world.run(BEGIN_S)
-        self._limit()
+        self.world.name_limit(self._rng.choice(FIRST_LIMITS))
         while self.world.now < LENGTH_S:
             self.world.run(self._rng.expovariate(1 / FAULT_PAUSE_S))
             self._rng.choice(self._steps)()
--- a/tests/core/runner_limit/test_sharing.py
+++ b/tests/core/runner_limit/test_sharing.py
@@ -30,8 +30,8 @@
 # Permits that may be kept at the beginning of a count, and used in it.
 SPARE = 7
 # Those that exceeded the bound while the sharing was built.
-BROKEN_SEEDS = (4, 14, 186, 199, 243, 396)
-SEEDS = (*range(1, 7), *BROKEN_SEEDS)
+BROKEN_SEEDS = (4, 8, 14, 35, 56, 80, 85, 130, 186, 190, 199, 243, 396)
+SEEDS = (*range(1, 4), *BROKEN_SEEDS)
 
 
 def calm_world(instances: int, load: float, limit: float = LIMIT, seed: int = 1) -> LimitWorld:
