One type for a moment on another clock

Stamp and ToldStamp were the same two fields, converted to and fro where a limit is told; the bounds by which peers' words are checked now stand on the one type. Nothing else changes: the words on the wire are the same.

--- a/benchmarks/limit_ways.py
+++ b/benchmarks/limit_ways.py
@@ -14,7 +14,8 @@
 from sesamepoint_core.runner_limit.belief import LimitBelief
 from sesamepoint_core.runner_limit.pacer import Pacer
 from sesamepoint_core.runner_limit.sharing import Sharing, Wish
-from sesamepoint_core.runner_limit.words import Ask, Grant, Letter, Told, ToldStamp
+from sesamepoint_core.runner_limit.stamp import Stamp
+from sesamepoint_core.runner_limit.words import Ask, Grant, Letter, Told
 from sesamepoint_standins.platform.limit_world import LimitWorld
 
 if TYPE_CHECKING:
@@ -88,7 +89,7 @@
 
     def _to_all(self, permits: int, now: float) -> list[Letter]:
         told = Told.of(self.belief.word, now) if self.belief.word else None
-        word = Grant(0, ToldStamp(self._start, now), permits, 0, told)
+        word = Grant(0, Stamp(self._start, now), permits, 0, told)
         return [Letter(name, word) for name in self._members[1:]]
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
@@ -6,6 +6,8 @@
 import re
 from typing import NamedTuple
 
+from sesamepoint_core.runner_limit.stamp import Stamp
+
 # More digits name no limit that anybody could mean.
 MAX_TEXT = 32
 _DECIMAL = re.compile(r'\d+(\.\d*)?|\.\d+')
@@ -28,13 +30,6 @@
 LEAST_AFTER = 1.0
 
 
-class Stamp(NamedTuple):
-    """A moment on the clock of one start of an instance."""
-
-    start: int
-    at: float
-
-
 class LimitWord(NamedTuple):
     """The newest word on a runner's limit.
 
@@ -151,4 +146,4 @@
     return float(stripped)
 
 
-__all__ = ('FIRST_SENDS', 'LimitBelief', 'LimitWord', 'Stamp', 'parse_rate')
+__all__ = ('FIRST_SENDS', 'LimitBelief', 'LimitWord', 'parse_rate')
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/giver.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/giver.py
@@ -7,7 +7,7 @@
 
 from sesamepoint_core.runner_limit.lender import NOTHING_WAITS, Wish, lease_s
 from sesamepoint_core.runner_limit.pacer import Pacer
-from sesamepoint_core.runner_limit.words import ToldStamp
+from sesamepoint_core.runner_limit.stamp import Stamp
 
 if TYPE_CHECKING:
     from sesamepoint_core.runner_limit.words import Ask
@@ -42,9 +42,9 @@
         self._given_at: dict[str, float] = {}
         self._forgot_at: float = -math.inf
 
-    def stamp(self, now: float) -> ToldStamp:
+    def stamp(self, now: float) -> Stamp:
         """Return this instance's clock, for others to lend by."""
-        return ToldStamp(self._start, now)
+        return Stamp(self._start, now)
 
     def heard(self, name: str, ask: Ask, instances: int, now: float) -> None:
         """Take the ask of another instance.
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/lender.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/lender.py
@@ -8,11 +8,12 @@
 from itertools import repeat
 from typing import TYPE_CHECKING, NamedTuple
 
-from sesamepoint_core.runner_limit.words import Ask, Rank, ToldStamp
+from sesamepoint_core.runner_limit.words import Ask, Rank
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from sesamepoint_core.runner_limit.stamp import Stamp
     from sesamepoint_core.runner_limit.words import Grant, Told
 
 # A share is lent for this long, in seconds, and lent again three times as often.
@@ -67,7 +68,7 @@
         self.target = name
         self._name = name
         self._runner = runner
-        self._stamp: ToldStamp | None = None
+        self._stamp: Stamp | None = None
         self._stamp_at: float = -math.inf
         self._lent_until: float = -math.inf
         self._asked_at: float = -math.inf
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/words.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/words.py
@@ -6,43 +6,24 @@
 
 import msgspec
 
-from sesamepoint_core.runner_limit.belief import LimitWord, Stamp
+from sesamepoint_core.runner_limit.belief import LimitWord
+from sesamepoint_core.runner_limit.stamp import Moment, Stamp
 
 # What peers tell is bounded before it is believed.
 MAX_RATE = 1e9
 MAX_AGE_S = 1e6
-MAX_TIME = 1e12
 MAX_COUNT = 100_000
 MAX_PRIORITY = 999
 MAX_SIZE = 1e9
-MAX_START = 1_000_000_000_000_000_000
 Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
-Moment = Annotated[float, msgspec.Meta(ge=-MAX_TIME, le=MAX_TIME)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-StartNumber = Annotated[int, msgspec.Meta(ge=0, lt=MAX_START)]
-
-
-class ToldStamp(NamedTuple):
-    """A :class:`~sesamepoint_core.runner_limit.belief.Stamp` as others are told it."""
-
-    start: StartNumber
-    at: Moment
-
-    @classmethod
-    def of(cls, stamp: Stamp) -> ToldStamp:
-        """Return ``stamp`` as it is told."""
-        return cls(stamp.start, stamp.at)
-
-    def stamp(self) -> Stamp:
-        """Return what this says."""
-        return Stamp(self.start, self.at)
 
 
 class Told(NamedTuple):
     """A :class:`LimitWord` as others are told it: by its age, since clocks differ."""
 
-    origin: ToldStamp
+    origin: Stamp
     rate: Rate
     age_s: Age
     ended: bool
@@ -52,12 +33,12 @@
         """Return ``word`` as it is told at ``now``."""
         rate = min(word.rate, MAX_RATE)
         age_s = min(max(now - word.newest_at, 0), MAX_AGE_S)
-        return cls(ToldStamp.of(word.origin), rate, age_s, word.ended_at is not None)
+        return cls(word.origin, rate, age_s, word.ended_at is not None)
 
     def word(self, now: float) -> LimitWord:
         """Return what this says, by the clock of who hears it at ``now``."""
         at = now - self.age_s
-        return LimitWord(self.origin.stamp(), self.rate, at, at if self.ended else None)
+        return LimitWord(self.origin, self.rate, at, at if self.ended else None)
 
 
 class Rank(NamedTuple):
@@ -95,7 +76,7 @@
     """
 
     asked_at: Moment
-    lends: ToldStamp | None
+    lends: Stamp | None
     lease_s: Age
     wants: Count
     rank: Rank
@@ -121,7 +102,7 @@
     """
 
     asked_at: Moment
-    stamp: ToldStamp
+    stamp: Stamp
     permits: Count
     askers: Count
     told: Told | None
@@ -134,4 +115,4 @@
     word: Ask | Grant
 
 
-__all__ = ('Ask', 'Grant', 'Letter', 'Rank', 'Told', 'ToldStamp')
+__all__ = ('Ask', 'Grant', 'Letter', 'Rank', 'Told')
--- a/tests/core/runner_limit/test_belief.py
+++ b/tests/core/runner_limit/test_belief.py
@@ -10,9 +10,9 @@
     ZERO_BELIEVED_S,
     LimitBelief,
     LimitWord,
-    Stamp,
     parse_rate,
 )
+from sesamepoint_core.runner_limit.stamp import Stamp
 
 NO_RATES = ('', ' ', '-1', '+1', 'abc', 'inf', '-inf', 'nan', '1e3', '1E3', '0x10', '1_000', '1,5', '1.2.3', '9' * 400)
 
