Look at the runners once for each choice of a path

A choice went through all runners twice (which may be sent to, which are worth waiting for), and worked out the wait for a permit two or three times for each, at each look at each waiting request. Whether a plan's reader has its permit is taken from that reader; what closed, has_open and waiting requests asked for in the same words stands once.

--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -106,14 +106,15 @@
         was sent before runs whole, unless the retry budget had room to read it
         apart once more: only the first call to do so is free.
         """
-        members = [*self._usable(job), *self._readers_to_wait_for(job, prompt)]
+        seen = self._candidates(job, prompt)
         if not job.may_read_apart:
-            members = [member for member in members if member.runner.stage is Stage.decode]
+            seen = [one for one in seen if one.member.runner.stage is Stage.decode]
+        members = [one.member for one in seen]
         speeds = self._speeds_of(job, cfg)._replace(
             prefill_price=self._price(job, members, Stage.prefill),
             decode_price=self._price(job, members, Stage.decode),
         )
-        plan = plan_for(prompt, self._seen(members, job), speeds, urgency(job))
+        plan = plan_for(prompt, seen, speeds, urgency(job))
         if plan is None or plan.path.first_s <= job.on_time_s:
             return plan
         return plan._replace(rank=LATE_RANK)
@@ -137,38 +138,39 @@
 
     def closed(self, job: Job) -> frozenset[Start]:
         """Return the runners that could run ``job`` if their limits admitted it now."""
-        found = (member for member in self._sound(job) if member.runner.stage is not Stage.prefill)
-        return frozenset(member.start for member in found if not self._limits.admits(member, job))
+        return frozenset(member.start for member in self._able(job) if not self._limits.admits(member, job))
 
     def has_open(self, job: Job) -> bool:
         """Tell whether some runner could run ``job`` now."""
-        found = (member for member in self._sound(job) if member.runner.stage is not Stage.prefill)
-        return any(self._limits.admits(member, job) for member in found)
+        return any(self._limits.admits(member, job) for member in self._able(job))
+
+    def _able(self, job: Job) -> list[Member]:
+        """Return the runners that could run ``job`` but for their limits."""
+        return [member for member in self._sound(job) if member.runner.stage is not Stage.prefill]
 
     def _usable(self, job: Job) -> list[Member]:
         """Return the runners that ``job`` may be sent to now."""
         sound = self._sound(job)
         admitted = [member for member in sound if self._limits.admits(member, job)]
-        if len(admitted) < len(sound):
-            job.notes.passed_over.update(member.runner.key for member in sound if member not in admitted)
+        _note_passed_over(job, sound, admitted)
         return admitted
 
-    def _readers_to_wait_for(self, job: Job, prompt: Prompt) -> list[Member]:
-        """Return engines that only read and have no permit for ``job`` yet, but will while it can be answered.
+    def _candidates(self, job: Job, prompt: Prompt) -> list[Seen]:
+        """Return the engines that ``job`` may be sent to now, and those that only read and are worth waiting for.
 
         Left out until they have a permit, engines that decode read the long prompts in the
         moment in between, at half the speed. Short ones run there without much harm, and
         leave the places to those that take all that such a place is worth.
         """
+        sound = self._sound(job)
+        seen = self._seen(sound, job)
+        admitted = [one for one in seen if not one.permit_wait_s]
+        _note_passed_over(job, sound, [one.member for one in admitted])
         reading = self.speed(job.service).speed
         work_s = reading.read_s(prompt.tokens, prompt.tokens)
-        readers = (member for member in self._sound(job) if member.runner.stage is Stage.prefill)
-        return [
-            one
-            for one in readers
-            if work_s > WORTH_WAITING * self._limits.place_s(one.start)
-            and 0 < self._limits.permit_wait_s(one, job) < job.first_left_s
-        ]
+        readers = (one for one in seen if one.permit_wait_s and one.member.runner.stage is Stage.prefill)
+        in_time = (one for one in readers if one.permit_wait_s < job.first_left_s)
+        return [*admitted, *(one for one in in_time if work_s > WORTH_WAITING * one.place_s)]
 
     def _seen(self, members: Sequence[Member], job: Job) -> list[Seen]:
         """Return ``members`` with what their limits mean for ``job``."""
@@ -232,6 +234,12 @@
     return min(job.priority, MAX_RANK)
 
 
+def _note_passed_over(job: Job, sound: Sequence[Member], admitted: Sequence[Member]) -> None:
+    if len(admitted) < len(sound):
+        passed_over = {member.runner.key for member in sound} - {member.runner.key for member in admitted}
+        job.notes.passed_over.update(passed_over)
+
+
 def _beside(member: Member) -> float:
     return max(member.in_flight, member.load.streams(trio.current_time()))
 
--- a/packages/sesamepoint/src/sesamepoint/front/engine_plan.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_plan.py
@@ -67,17 +67,18 @@
     path = best_path(tuple(views.values()), speeds, prompt.tokens)
     if path is None:
         return None
-    by_key = {member.runner.key: member for member in members}
+    by_key = {one.member.runner.key: one for one in seen}
+    reader = by_key[path.prefill or path.decode]
     return EnginePlan(
         path=path,
-        prefill=by_key.get(path.prefill),
-        decode=by_key[path.decode],
+        prefill=reader.member if path.prefill else None,
+        decode=by_key[path.decode].member,
         holder=holder,
-        view=views[path.prefill or path.decode],
+        view=views[reader.member.runner.key],
         rank=rank,
         crowded=views[path.decode].crowded,
         speeds=speeds,
-        admitted=not any(one.permit_wait_s and one.member.runner.key == path.prefill for one in seen),
+        admitted=not reader.permit_wait_s,
     )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/lines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/lines.py
@@ -68,10 +68,9 @@
             notes.wait_expected_s = wait_s
             notes.need = self.line.need.value
 
-    @property
-    def reader(self) -> str:
-        """Return the runner that is to read its prompt, by the newest plan."""
-        return self._newest.view.runner
+    def waits_for_permit_of(self, runner: str) -> bool:
+        """Tell whether it waits for a permit to be read at ``runner``, by the newest plan."""
+        return not self._newest.admitted and self._newest.view.runner == runner
 
     @property
     def refusable(self) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/waiting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/waiting.py
@@ -104,7 +104,7 @@
 
     def wanting(self, runner: str) -> list[Job]:
         """Return the jobs that wait for a permit to be read at ``runner``."""
-        return [one.job for one in self._waiters if one.plan and not one.plan.admitted and one.reader == runner]
+        return [one.job for one in self._waiters if one.waits_for_permit_of(runner)]
 
     def _refuses(self, waiter: Waiter) -> bool:
         """Turn away what would wait too long, with a time to come back."""
