One lookup of a runner's limit, and one estimate for each refusal

RunnerLimits asked in four places whether a runner names a limit and then looked the same thing up again; a refusal worked out the same rate three times. The word for what an instance has heard itself stands once.

--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -161,22 +161,21 @@
         waiter.refused = True
         job.notes.refused = True
         job.notes.held_back = Cause.limited
-        job.retry_after_s = self._return_s(waiter)
+        rate = self._rate(waiter)
+        job.retry_after_s = self._return_s(job, rate)
         events.log_event(
             events.LIMIT_REFUSED,
             request=job.req.request_id,
             runners=sorted(start.runner for start in waiter.starts),
             waiting=len(self._waiters),
-            rate=_shown(self._rate(waiter)),
+            rate=_shown(rate),
             left_ms=whole_ms(job.first_left_s),
             retry_after_s=job.retry_after_s,
         )
         self._release(waiter)
 
-    def _return_s(self, waiter: _Waiter) -> float:
-        """Return when its caller may come back: each refused one gets a place in the rate to come."""
-        job = waiter.job
-        rate = self._rate(waiter)
+    def _return_s(self, job: Job, rate: float) -> float:
+        """Return when its caller may come back: each refused one gets a place in the ``rate`` to come."""
         if not rate or math.isinf(rate):
             return when_unknown_s(job.caller_left_s)
         now = trio.current_time()
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
@@ -11,6 +11,7 @@
 from sesamepoint_core.runner_limit.sharing import UNKNOWN_S, Sharing
 from sesamepoint import events
 from sesamepoint.front.job import successful
+from sesamepoint.front.member import FROM_ANSWER
 from sesamepoint.platform.headers import replaced, signed
 from sesamepoint.platform.runner_limit import Named, named_limit
 
@@ -61,14 +62,14 @@
 
     def limited(self, start: Start) -> bool:
         """Tell whether a runner names a limit, or has until lately."""
-        sharing = self._sharings.get(start)
-        return sharing is not None and sharing.belief.allowed(trio.current_time()) is not None
+        return self._limiting(start) is not None
 
     def admits(self, member: Member, job: Job) -> bool:
         """Tell whether ``job`` may be sent to ``member`` now."""
-        if self.limited(member.start):
-            return member.start in job.standing.permits or self._sharings[member.start].stock(trio.current_time()) > 0
-        return member.answered or member.in_flight < FIRST_SENDS
+        sharing = self._limiting(member.start)
+        if sharing is None:
+            return member.answered or member.in_flight < FIRST_SENDS
+        return member.start in job.standing.permits or sharing.stock(trio.current_time()) > 0
 
     def take(self, member: Member, job: Job) -> bool:
         """Use a permit for ``job`` if it takes one; returns whether it may be sent to ``member``."""
@@ -76,10 +77,11 @@
         if start in job.standing.permits:
             job.standing.permits.discard(start)
             return True
-        if not self.limited(start):
+        sharing = self._limiting(start)
+        if sharing is None:
             return True
         self.fresh.set()
-        return self._sharings[start].take(trio.current_time())
+        return sharing.take(trio.current_time())
 
     def reserve(self, start: Start, job: Job) -> bool:
         """Set a permit aside for ``job``, if there is one."""
@@ -99,9 +101,8 @@
 
     def expected_rate(self, start: Start, priority: int) -> float | None:
         """Return the permits a second that requests of ``priority`` may expect; None if the runner names no limit."""
-        if not self.limited(start):
-            return None
-        return self._sharings[start].expected_rate(priority, trio.current_time())
+        sharing = self._limiting(start)
+        return None if sharing is None else sharing.expected_rate(priority, trio.current_time())
 
     def place_s(self, start: Start) -> float:
         """Return the seconds from one request that the limit of a runner allows to the next; 0 without a limit."""
@@ -145,6 +146,13 @@
         self._sharings.pop(start, None)
         self._lines.forget(start, cause)
 
+    def _limiting(self, start: Start) -> Sharing | None:
+        """Return how the limit of a runner is kept; None if it names none."""
+        sharing = self._sharings.get(start)
+        if sharing is None or sharing.belief.allowed(trio.current_time()) is None:
+            return None
+        return sharing
+
     def _sharing(self, start: Start) -> Sharing:
         found = self._sharings.get(start)
         if found is None:
@@ -154,13 +162,13 @@
 
     def _note_named(self, start: Start, rate: float) -> None:
         if self._sharing(start).belief.named(rate, trio.current_time()):
-            self._lines.told(start, rate, 'answer', 0, ended=False)
+            self._lines.told(start, rate, FROM_ANSWER, 0, ended=False)
             self.fresh.set()
 
     def _note_silent(self, start: Start, sent_at: float) -> None:
         belief = self._sharings[start].belief
         if belief.unnamed(sent_at, trio.current_time()):
-            self._lines.told(start, 0, 'answer', 0, ended=True)
+            self._lines.told(start, 0, FROM_ANSWER, 0, ended=True)
             self.fresh.set()
 
 
