Tell of replaced runners by the outbox that is there

The word had a channel without a bound, a part of its own that read it, and two callbacks in a row. The outbox gathers words, bounds them and is read already; it lost without a line what was told to all and was no notice, so it now passes that on as it is.

--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -158,17 +158,13 @@
         self._remember_start(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
         member = Member(runner, self._network, self._limits, kv_tokens)
-        member.on_replaced = self._tell_replaced
+        member.on_replaced = self.on_replaced
         self.members[runner.key] = member
         self._changed.set()
         self._changed = trio.Event()
         self._joined[0].send_nowait(member)
         events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.leaving)
 
-    def _tell_replaced(self, start: Start) -> None:
-        if self.on_replaced is not None:
-            self.on_replaced(start)
-
     def _remember_start(self, runner: Runner) -> None:
         self._starts.pop(runner.key, None)
         self._starts[runner.key] = runner.born_ms
--- a/packages/sesamepoint/src/sesamepoint/front/following.py
+++ b/packages/sesamepoint/src/sesamepoint/front/following.py
@@ -73,7 +73,6 @@
             Child('lost-entries', partial(self._own.drop_lost, intake.reads_entries)),
             Child('peer-configuration', self._peers_cfg.run),
             Child('peer-compare', self._peers_cfg.compare),
-            Child('replaced', self._replaced.tell),
             *(self._reporting.children() if self._reporting else ()),
         ]
 
--- a/packages/sesamepoint/src/sesamepoint/front/notices.py
+++ b/packages/sesamepoint/src/sesamepoint/front/notices.py
@@ -33,6 +33,13 @@
     version: Version
 
 
+class ReplacedWord(msgspec.Struct, frozen=True, array_like=True, tag='replaced'):
+    """A runner answered that it is not the one that has registered its address."""
+
+    entry: str
+    start: Start
+
+
 class EndNote(NamedTuple):
     """A runner ended under a request."""
 
@@ -65,11 +72,14 @@
     quarantined: tuple[Name, ...] = ()
 
 
+OutgoingWord = Notice | VersionNote | ReplacedWord
+
+
 class Letter(NamedTuple):
     """A word and whom it is for; all others if ``to`` is empty."""
 
     to: str
-    word: Notice | VersionNote
+    word: OutgoingWord
 
 
 class Outbox:
@@ -80,7 +90,7 @@
         self._fresh = trio.Event()
         self._letters: list[Letter] = []
 
-    def tell(self, word: Notice | VersionNote, to: str = '') -> None:
+    def tell(self, word: OutgoingWord, to: str = '') -> None:
         """Tell one entry, or all others."""
         if len(self._letters) < MAX_WAITING:
             self._letters.append(Letter(to, word))
@@ -89,7 +99,7 @@
         self._fresh.set()
 
     async def next_letters(self) -> list[Letter]:
-        """Return what there is to send, waiting for the first; what all are told goes together."""
+        """Return what there is to send, waiting for the first; notices to all go together."""
         await self._fresh.wait()
         await trio.sleep(GATHER_S)
         self._fresh = trio.Event()
@@ -97,7 +107,8 @@
         self._letters = []
         to_all = [letter.word for letter in waiting if not letter.to and isinstance(letter.word, Notice)]
         chunks = (to_all[start : start + MAX_ROWS] for start in range(0, len(to_all), MAX_ROWS))
-        return [*(letter for letter in waiting if letter.to), *(Letter('', _merged(chunk)) for chunk in chunks)]
+        apart = (letter for letter in waiting if letter.to or not isinstance(letter.word, Notice))
+        return [*apart, *(Letter('', _merged(chunk)) for chunk in chunks)]
 
 
 def _merged(notices: Sequence[Notice]) -> Notice:
@@ -110,4 +121,4 @@
     )
 
 
-__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'TrialNote', 'VersionNote')
+__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'ReplacedWord', 'TrialNote', 'VersionNote')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -13,8 +13,7 @@
 from sesamepoint.front.limit_words import AskWord, GrantWord
 from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
-from sesamepoint.front.notices import Notice, VersionNote
-from sesamepoint.front.replaced import ReplacedWord
+from sesamepoint.front.notices import Notice, ReplacedWord, VersionNote
 from sesamepoint.front.sends import Word
 from sesamepoint.front.usage_words import DutyWord, UsageWord
 from sesamepoint.platform.names import ENTRY_TOPIC
--- a/packages/sesamepoint/src/sesamepoint/front/replaced.py
+++ b/packages/sesamepoint/src/sesamepoint/front/replaced.py
@@ -2,26 +2,16 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
-import msgspec
-import trio
-
-from sesamepoint_core.serving.suspects import Start
+from sesamepoint.front.notices import ReplacedWord
 
 if TYPE_CHECKING:
+    from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.fleet import Fleet
     from sesamepoint.front.peers import Peers
 
 
-class ReplacedWord(msgspec.Struct, frozen=True, array_like=True, tag='replaced'):
-    """A runner answered that it is not the one that has registered its address."""
-
-    entry: str
-    start: Start
-
-
 class Replaced:
     """Tells what this entry found out, and takes in what others did.
 
@@ -30,24 +20,20 @@
     """
 
     def __init__(self, fleet: Fleet, peers: Peers) -> None:
-        """Mark members of ``fleet``."""
-        # No more than there are registrations, so it needs no other bound.
-        self._found = trio.open_memory_channel[Start](math.inf)
+        """Mark members of ``fleet``; those that join it from now on say when they are replaced."""
         self._fleet = fleet
         self._peers = peers
-        fleet.on_replaced = self._found[0].send_nowait
+        fleet.on_replaced = self._tell
         peers.on_word[ReplacedWord] = self.heard
 
-    async def tell(self) -> None:
-        """Tell all others of each such runner, until cancelled."""
-        async for start in self._found[1]:
-            await self._peers.tell_to(self._peers.others(), ReplacedWord(self._peers.name, start))
-
     def heard(self, word: ReplacedWord) -> None:
         """Take the word of another entry; of a start that is not known here it says nothing."""
         member = self._fleet.members.get(word.start.runner)
         if member is not None and member.start == word.start:
             member.note_replaced(word.entry)
 
+    def _tell(self, start: Start) -> None:
+        self._peers.outbox.tell(ReplacedWord(self._peers.name, start))
+
 
-__all__ = ('Replaced', 'ReplacedWord')
+__all__ = ('Replaced',)
--- a/tests/front/test_membership.py
+++ b/tests/front/test_membership.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_standins.platform.caller import Seen
+    from sesamepoint_standins.platform.runner import RunnerStandIn
 
 APPLY_S = 2.0
 # Eighty tokens take some 4 s.
@@ -40,6 +41,14 @@
     return found
 
 
+def replace_reader(bed: PlatformBed) -> RunnerStandIn:
+    """Have another incarnation listen where the first engine has registered; its record stays."""
+    new = engine(1, 'prefill')
+    new.key = 'i-new'
+    bed.network.listen(bed.runners['i-llm1'].address, new.serve)
+    return new
+
+
 class ConfigurationTest(TestCase):
     """Versions come into force everywhere, in time, for good."""
 
@@ -122,10 +131,7 @@
         answer is enough.
         """
         async with running_bed(configuration(), fleet()) as bed:
-            old = bed.runners['i-llm1']
-            new = engine(1, 'prefill')
-            new.key = 'i-new'
-            bed.network.listen(old.address, new.serve)
+            new = replace_reader(bed)
             for _ in range(10):
                 req = asked_prompt('/verdict/a', tokens=9000)
                 self.assertEqual((await bed.caller('front-1').ask(req)).body, req.expected)
@@ -135,10 +141,7 @@
     async def test_replaced_runner_is_told_to_all(self) -> None:
         """Guards against a request of each instance to a runner of which one knows that it was replaced."""
         async with running_bed(configuration(), fleet(), fronts=3) as bed:
-            old = bed.runners['i-llm1']
-            new = engine(1, 'prefill')
-            new.key = 'i-new'
-            bed.network.listen(old.address, new.serve)
+            new = replace_reader(bed)
             for number in range(9):
                 req = asked_prompt('/verdict/a', tokens=9000)
                 self.assertEqual((await bed.caller(f'front-{number % 3 + 1}').ask(req)).body, req.expected)
