What users count of a limited runner, said once

The span, the factor and the bound stood in the simulation and in the tests of the front, and the loop over spans in four places. They are in sesamepoint_standins/platform/limit_bound.py. Each test counts what it counted; the soak now counts the request that ends a span as well, and spans that begin before its first four seconds are over, so it is no laxer.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/limit_world.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/limit_world.py
@@ -4,7 +4,6 @@
 
 import heapq
 import math
-from bisect import bisect_left, bisect_right
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -15,6 +14,7 @@
 from sesamepoint_core.runner_limit.lender import NOTHING_WAITS, Wish
 from sesamepoint_core.runner_limit.sharing import UNKNOWN_S, Sharing
 from sesamepoint_core.runner_limit.words import Rank
+from sesamepoint_standins.platform.limit_bound import KNOWN_S, SPAN_S, bound, spans
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -35,12 +35,6 @@
 LISTED_S = 1.0
 START_BITS = 50
 WAITING = Rank(0, 0)
-# An instance that has been up for so long has had the time to know of a limit, in seconds.
-KNOWN_S = 3.0
-# What users count: requests in this time, in seconds; so many times the limit, and so many more.
-SPAN_S = 4.0
-SHARE = 1.5
-MORE = 5
 
 
 class Way(Protocol):
@@ -332,11 +326,9 @@
 
         Not counted is what an instance sent that has just started and was told nothing yet.
         """
-        times = [arrival.at for arrival in self.arrivals if arrival.told]
-        first = bisect_left(times, since)
-        found = (index + 1 - bisect_right(times, times[index] - SPAN_S) for index in range(first, len(times)))
-        spans = zip(found, times[first:], strict=True)
-        return max((got - self._allowed(at) for got, at in spans), default=-math.inf)
+        counted = spans([arrival.at for arrival in self.arrivals if arrival.told])
+        late = (span for span in counted if span.until >= since)
+        return max((span.requests - self._allowed(span.until) for span in late), default=-math.inf)
 
     def taken(self, since: float) -> float:
         """Return the share of the limit that was taken from ``since`` on; the limit must not have changed."""
@@ -354,7 +346,7 @@
         named = [rate for (since, rate), (until, _) in spans if until > at - SPAN_S and since <= at]
         if None in named:
             return math.inf
-        return SHARE * SPAN_S * max(rate for rate in named if rate is not None) + MORE
+        return bound(max(rate for rate in named if rate is not None))
 
     def _delay_s(self) -> float:
         if self.rng.random() < self.network.late:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, bisect_right
+from bisect import bisect_left
 from dataclasses import dataclass, field
 from itertools import accumulate
 from random import Random
@@ -133,12 +133,6 @@
             found['born'] = self.born_ms
         return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
 
-    def most_within(self, span_s: float, since: float = 0) -> int:
-        """Return the most requests that came in any ``span_s`` that ends later than ``since``."""
-        late = [at for at in self.arrivals if at >= since]
-        ends = (bisect_right(self.arrivals, at) - bisect_right(self.arrivals, at - span_s) for at in late)
-        return max(ends, default=0)
-
     def arrived(self, since: float, until: float) -> int:
         """Return how many requests came from ``since`` until before ``until``."""
         return bisect_left(self.arrivals, until) - bisect_left(self.arrivals, since)
--- a/tests/core/runner_limit/faults.py
+++ b/tests/core/runner_limit/faults.py
@@ -10,7 +10,8 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint_core.runner_limit.sharing import Sharing
-from sesamepoint_standins.platform.limit_world import KNOWN_S, LimitWorld
+from sesamepoint_standins.platform.limit_bound import KNOWN_S
+from sesamepoint_standins.platform.limit_world import LimitWorld
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/core/runner_limit/test_sharing.py
+++ b/tests/core/runner_limit/test_sharing.py
@@ -19,7 +19,8 @@
 from sesamepoint_core.runner_limit.giver import Giver
 from sesamepoint_core.runner_limit.lender import Lender
 from sesamepoint_core.runner_limit.pacer import Pacer
-from sesamepoint_standins.platform.limit_world import KNOWN_S, LimitWorld
+from sesamepoint_standins.platform.limit_bound import KNOWN_S
+from sesamepoint_standins.platform.limit_world import LimitWorld
 from tests.core.runner_limit.faults import LimitFaults
 
 if TYPE_CHECKING:
--- a/tests/front/limit_faults.py
+++ b/tests/front/limit_faults.py
@@ -6,15 +6,14 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_right
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
+from sesamepoint_standins.platform.limit_bound import KNOWN_S, SPAN_S, bound, spans
 from tests.front.builders import configuration, engine, plain_runner
-from tests.front.limited import KNOWN_S, SPAN_S, bound
 from tests.front.random_faults import FRONTS, World, broken_promises, main
 
 if TYPE_CHECKING:
@@ -55,12 +54,9 @@
         arrivals = zip(runner.arrivals, runner.senders, strict=True)
         told_at = namings[0].at + ANSWER_S
         counted = [at for at, sender in arrivals if at >= told_at and self._knows(sender, at)]
-        found = []
-        for number, at in enumerate(counted):
-            got = number + 1 - bisect_right(counted, at - SPAN_S)
-            if at >= namings[0].at + KNOWN_S and got > self._allowed(namings, at):
-                found.append(f'limit: {runner.key} got {got} in 4 s')
-        return found[:1]
+        late = (span for span in spans(counted) if span.until >= namings[0].at + KNOWN_S)
+        over = (span for span in late if span.requests > self._allowed(namings, span.until))
+        return [f'limit: {runner.key} got {span.requests} in 4 s' for span in over][:1]
 
     def _knows(self, sender: str, at: float) -> bool:
         """Tell whether an instance has been up for long enough to have heard of a limit."""
@@ -69,7 +65,7 @@
     def _allowed(self, namings: list[Naming], at: float) -> float:
         untils = [*(naming.at for naming in namings[1:]), math.inf]
         since = at - SPAN_S - ANSWER_S
-        return max(bound(one.limit) for one, until in zip(namings, untils, strict=True) if until >= since)
+        return max(bound(float(one.limit)) for one, until in zip(namings, untils, strict=True) if until >= since)
 
     def _name(self) -> None:
         runner = self._any_runner()
--- a/tests/front/limited.py
+++ b/tests/front/limited.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sesamepoint_standins.platform.limit_bound import spans
 from tests.front.builders import asked, asked_prompt, engine, plain_runner
 
 if TYPE_CHECKING:
@@ -18,13 +19,6 @@
 
 LIMIT = b'6.8'
 FRONTS = 5
-# Users count the requests that a runner gets within this time, in seconds, and
-# allow so many times its limit and so many more.
-SPAN_S = 4.0
-SHARE = 1.5
-MORE = 5
-# Until so long after a runner first named its limit, in seconds, nothing is counted.
-KNOWN_S = 3.0
 
 
 class Load(NamedTuple):
@@ -75,11 +69,6 @@
     return seen
 
 
-def bound(limit: bytes = LIMIT) -> float:
-    """Return the most that a runner with ``limit`` may get in the span that users count."""
-    return SHARE * SPAN_S * float(limit) + MORE
-
-
 def limited(bed: PlatformBed) -> list[RunnerStandIn]:
     """Return the runners that name a limit."""
     return [runner for runner in bed.runners.values() if runner.names_limit]
@@ -87,7 +76,7 @@
 
 def most(bed: PlatformBed, since: float) -> int:
     """Return the most that any runner with a limit got in a span that ends after ``since``."""
-    return max(runner.most_within(SPAN_S, since) for runner in limited(bed))
+    return max(_most_at(runner, since) for runner in limited(bed))
 
 
 def used(bed: PlatformBed, since: float, until: float) -> float:
@@ -103,13 +92,14 @@
         runner.names_limit = (limit,)
 
 
+def _most_at(runner: RunnerStandIn, since: float) -> int:
+    return max((span.requests for span in spans(runner.arrivals) if span.until >= since), default=0)
+
+
 __all__ = (
     'FRONTS',
-    'KNOWN_S',
     'LIMIT',
-    'SPAN_S',
     'Load',
-    'bound',
     'engines',
     'fetch',
     'limited',
--- a/tests/front/soak_limits.py
+++ b/tests/front/soak_limits.py
@@ -7,7 +7,7 @@
 import trio
 
 from sesamepoint_core.runner_limit.belief import FIRST_SENDS
-from tests.front.limited import KNOWN_S, SPAN_S, bound
+from sesamepoint_standins.platform.limit_bound import KNOWN_S, bound, spans
 
 if TYPE_CHECKING:
     from random import Random
@@ -49,11 +49,11 @@
 
     def broken_promises(self, starts: int) -> list[str]:
         """Return the runners that got more than users allow, with ``starts`` of fronts that knew nothing at first."""
-        allowed = bound(max(LIMITS)) + FIRST_SENDS * starts
+        allowed = bound(max(float(limit) for limit in LIMITS)) + FIRST_SENDS * starts
         found = []
         for runner in self._runners:
             counted = [at for at in runner.arrivals if self._began + KNOWN_S <= at <= self._ended]
-            got = max((runner.arrived(at - SPAN_S, at) for at in counted if at >= counted[0] + SPAN_S), default=0)
+            got = max((span.requests for span in spans(counted)), default=0)
             if got > allowed:
                 found.append(f'limit: {runner.key} got {got} in 4 s')
         return found
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -18,14 +18,13 @@
 from sesamepoint_core.runner_limit.lender import NOTHING_WAITS
 from sesamepoint_core.runner_limit.words import Rank
 from sesamepoint_standins.platform.bed import running_bed
+from sesamepoint_standins.platform.limit_bound import KNOWN_S, bound
 from tests.front.builders import asked, asked_prompt, configuration, plain_runner, route
 from tests.front.burst import LONG_TARGET_S, long_prompt
 from tests.front.limited import (
     FRONTS,
-    KNOWN_S,
     LIMIT,
     Load,
-    bound,
     engines,
     fetch,
     limited,
@@ -89,14 +88,14 @@
         """Guards against engines that are sent more than the limit they name."""
         async with running_bed(configuration(), [*engines(2, 2), plain_runner(1)], fronts=FRONTS) as bed:
             found = await with_first_answers(bed, Load(short_prompt, 90, 10))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_two_of_four_plain_runners_name_a_limit(self) -> None:
         """Guards against plain runners that are sent more than the limit they name."""
         async with running_bed(configuration(), plain_runners(2, 2), fronts=FRONTS) as bed:
             found = await with_first_answers(bed, Load(fetch, 90, 10))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_engines_that_read_apart_name_a_limit(self) -> None:
@@ -105,7 +104,7 @@
         name(runners, LIMIT)
         async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
             found = await with_first_answers(bed, Load(prompt_of_its_own, 40, LENGTH_S))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_retries_to_runners_with_limits(self) -> None:
@@ -115,7 +114,7 @@
             runner.faults.loses = 0.3
         async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
             found = await with_first_answers(bed, Load(fetch, 60, LENGTH_S))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_limit_falls_under_load(self) -> None:
@@ -129,7 +128,7 @@
                 name(limited(bed), b'2')
             fell = began + LENGTH_S
             found = most(bed, fell + KNOWN_S + 1)
-        self.assertLessEqual(found, bound(b'2'))
+        self.assertLessEqual(found, bound(2))
 
     @virtual
     async def test_instance_started_later(self) -> None:
@@ -141,7 +140,7 @@
             await bed.until_ready()
             await send(bed, Random(2), Load(fetch, 60, LENGTH_S), [f'front-{FRONTS + 1}'])
             found = most(bed, began + KNOWN_S)
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_all_instances_start_again(self) -> None:
@@ -157,7 +156,7 @@
             await bed.until_ready()
             await send(bed, Random(2), Load(fetch, 120, LENGTH_S))
             found = most(bed, began + KNOWN_S)
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_instance_cut_off_from_its_peers(self) -> None:
@@ -172,7 +171,7 @@
                 await trio.sleep(LENGTH_S / 2)
                 bed.network.cut.clear()
             found = most(bed, began + KNOWN_S)
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_words_are_lost(self) -> None:
@@ -180,7 +179,7 @@
         async with running_bed(configuration(), plain_runners(2, 2), fronts=FRONTS) as bed:
             bed.network.datagrams_lost = True
             found = await with_first_answers(bed, Load(fetch, 90, LENGTH_S))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
 
 class UsedLimitTest(TestCase):
@@ -300,7 +299,7 @@
                 runner.names_limit = (text,)
             await send(bed, Random(1), Load(fetch, 60, LENGTH_S))
             found = most(bed, began + KNOWN_S)
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_named_twice_in_one_answer(self) -> None:
@@ -309,7 +308,7 @@
             for runner in limited(bed):
                 runner.names_limit = (b'900', LIMIT, b'nan')
             found = await with_first_answers(bed, Load(fetch, 60, LENGTH_S))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_named_in_failures(self) -> None:
@@ -319,7 +318,7 @@
             runner.faults.fails = True
         async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
             found = await with_first_answers(bed, Load(fetch, 60, LENGTH_S))
-        self.assertLessEqual(found, bound())
+        self.assertLessEqual(found, bound(float(LIMIT)))
 
     @virtual
     async def test_another_limit_in_each_answer(self) -> None:
@@ -330,7 +329,7 @@
                 nursery.start_soon(send, bed, Random(1), Load(fetch, 60, LENGTH_S))
                 await name_others(bed)
             found = most(bed, began + KNOWN_S)
-        self.assertLessEqual(found, bound(b'6.9'))
+        self.assertLessEqual(found, bound(6.9))
 
     def test_rank_of_a_huge_prompt(self) -> None:
         """Guards against a caller's figures that make the words of an instance unreadable to its peers."""
