--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -17,7 +17,7 @@
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
     from sesamepoint_core.serving.suspects import Start
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runner_words import RunnerWords
     from sesamepoint.http1.transport import Network
 
 # Runners whose newest start is remembered after they have gone, so that late
@@ -32,10 +32,10 @@
 class Fleet:
     """Members by key, kept in step with their registrations."""
 
-    def __init__(self, drain_s: float, network: Network, now: Callable[[], float], limits: RunnerLimits) -> None:
-        """Allow a vanished runner a part of ``drain_s``; members tell ``limits`` what their answers name."""
+    def __init__(self, drain_s: float, network: Network, now: Callable[[], float], words: RunnerWords) -> None:
+        """Allow a vanished runner a part of ``drain_s``; members tell ``words`` what their answers say of them."""
         self._network = network
-        self._limits = limits
+        self._words = words
         self.listed = False
         self.members: dict[str, Member] = {}
         self._grace_s = drain_s * GRACE_SHARE
@@ -157,7 +157,7 @@
             events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
         self._remember_start(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
-        member = Member(runner, self._network, self._limits, kv_tokens)
+        member = Member(runner, self._network, self._words, kv_tokens)
         member.on_replaced = self.on_replaced
         self.members[runner.key] = member
         self._changed.set()
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -15,6 +15,7 @@
 from sesamepoint.front.inventory import Inventory
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.runner_limits import RunnerLimits
+from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint.front.limit_exchange import LimitExchange
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.quarantine import Quarantine
@@ -57,7 +58,7 @@
         """Put the parts together without starting them; the clock is the machine's own if none is given."""
         self.cfg = cfg
         self._runner_limits = RunnerLimits(cfg.name, rng)
-        self.fleet = Fleet(cfg.drain_s, network, trio.current_time, self._runner_limits)
+        self.fleet = Fleet(cfg.drain_s, network, trio.current_time, RunnerWords(self._runner_limits))
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runner_words import RunnerWords
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Network
 
@@ -40,11 +40,11 @@
     """One runner: its registration, its connections, and beliefs about it."""
 
     def __init__(
-        self, runner: Runner, network: Network, limits: RunnerLimits, kv_tokens: int = UNKNOWN_KV_TOKENS
+        self, runner: Runner, network: Network, words: RunnerWords, kv_tokens: int = UNKNOWN_KV_TOKENS
     ) -> None:
-        """Know nothing but the registration; what its answers say of its limit goes to ``limits``."""
+        """Know nothing but the registration; what its answers say of it goes to ``words``."""
         self.runner = runner
-        self._limits = limits
+        self._words = words
         self.gone_at: float | None = None
         self.replaced = False
         self.pool = Pool(runner.address, network, self._note_head)
@@ -117,13 +117,13 @@
     @property
     def limited(self) -> bool:
         """Tell whether it names a limit: then only requests of callers are sent there."""
-        return self._limits.limited(self.start)
+        return self._words.limits.limited(self.start)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
         if not self.answered:
             self.answered = True
-            self._limits.fresh.set()
-        self._limits.note_answer(self.start, head, sent_at)
+            self._words.limits.fresh.set()
+        self._words.note_answer(self.start, head, sent_at)
 
 
 __all__ = ('FROM_ANSWER', 'Member')
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
@@ -10,10 +10,7 @@
 from sesamepoint_core.runner_limit.belief import FIRST_SENDS
 from sesamepoint_core.runner_limit.sharing import UNKNOWN_S, Sharing
 from sesamepoint import events
-from sesamepoint.front.job import successful
 from sesamepoint.front.member import FROM_ANSWER
-from sesamepoint.platform.headers import replaced, signed
-from sesamepoint.platform.runner_limit import Named, named_limit
 
 if TYPE_CHECKING:
     from random import Random
@@ -22,14 +19,11 @@
     from sesamepoint.front.job import Job
     from sesamepoint.front.limit_words import AskWord, GrantWord
     from sesamepoint.front.member import Member
-    from sesamepoint.http1.messages import ResponseHead
 
 START_BITS = 50
 # A runner may name another limit in each answer; there is one line a runner in
 # this time, in seconds.
 LINE_EVERY_S = 1.0
-# The same for limits that can't be read.
-UNREADABLE_EVERY_S = 10.0
 # A runner that has not answered yet mostly does so within this time, in seconds.
 FIRST_ANSWER_S = 0.1
 
@@ -119,18 +113,18 @@
             return FIRST_ANSWER_S
         return 1 / rate if rate else math.inf
 
-    def note_answer(self, start: Start, head: ResponseHead, sent_at: float) -> None:
-        """Take what an answer to a request of ``sent_at`` says of the limit of its runner."""
-        if replaced(head, start.runner):
-            # It is the word of another one that has its address by now.
-            return
-        named = named_limit(head)
-        if named.unreadable:
-            self._lines.unreadable(start, named)
-        if named.rate is not None:
-            self._note_named(start, named.rate)
-        elif named.silent and start in self._sharings and successful(head.status) and signed(head):
-            self._note_silent(start, sent_at)
+    def note_named(self, start: Start, rate: float) -> None:
+        """Take the limit that an answer of a runner names."""
+        if self._sharing(start).belief.named(rate, trio.current_time()):
+            self._lines.told(start, rate, FROM_ANSWER, 0, ended=False)
+            self.fresh.set()
+
+    def note_silent(self, start: Start, sent_at: float) -> None:
+        """Take that a good answer to a request of ``sent_at`` names no limit of its runner."""
+        sharing = self._sharings.get(start)
+        if sharing is not None and sharing.belief.unnamed(sent_at, trio.current_time()):
+            self._lines.told(start, 0, FROM_ANSWER, 0, ended=True)
+            self.fresh.set()
 
     def heard(self, word: AskWord | GrantWord) -> None:
         """Take the word of another instance."""
@@ -160,24 +154,12 @@
             self._sharings[start] = found
         return found
 
-    def _note_named(self, start: Start, rate: float) -> None:
-        if self._sharing(start).belief.named(rate, trio.current_time()):
-            self._lines.told(start, rate, FROM_ANSWER, 0, ended=False)
-            self.fresh.set()
-
-    def _note_silent(self, start: Start, sent_at: float) -> None:
-        belief = self._sharings[start].belief
-        if belief.unnamed(sent_at, trio.current_time()):
-            self._lines.told(start, 0, FROM_ANSWER, 0, ended=True)
-            self.fresh.set()
-
 
 class _Lines:
     """Writes what is learned of limits, bounded for each runner."""
 
     def __init__(self) -> None:
         self._told_at: dict[Start, float] = {}
-        self._unreadable_at: dict[Start, float] = {}
 
     def told(self, start: Start, rate: float, source: str, age_s: float, *, ended: bool) -> None:
         if ended:
@@ -185,13 +167,8 @@
         elif self._due(self._told_at, start, LINE_EVERY_S):
             events.log_event(events.LIMIT_NAMED, runner=start.runner, rate=rate, source=source, age_s=round(age_s, 3))
 
-    def unreadable(self, start: Start, named: Named) -> None:
-        if self._due(self._unreadable_at, start, UNREADABLE_EVERY_S):
-            events.log_event(events.LIMIT_UNREADABLE, runner=start.runner, text=named.unreadable)
-
     def forget(self, start: Start, cause: str) -> None:
         self._told_at.pop(start, None)
-        self._unreadable_at.pop(start, None)
         events.log_event(events.LIMIT_FORGOTTEN, runner=start.runner, cause=cause)
 
     def _due(self, written: dict[Start, float], start: Start, every_s: float) -> bool:
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -0,0 +1,110 @@
+"""What runners say of themselves, heard in one place from all their answers."""
+
+from __future__ import annotations
+
+import math
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, TypeVar
+
+import trio
+
+from sesamepoint_core.runner_words.belief import Belief
+from sesamepoint_core.runner_words.words import Leaves, Limits, NoLimit, Rests, Unreadable
+from sesamepoint import events
+from sesamepoint.front.member import FROM_ANSWER
+from sesamepoint.platform.headers import replaced
+from sesamepoint.platform.runner_words import words_of
+
+if TYPE_CHECKING:
+    from sesamepoint_core.runner_words.words import RunnerWord
+    from sesamepoint_core.serving.suspects import Start
+    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.http1.messages import ResponseHead
+
+# Starts of runners of which something is remembered; the oldest are forgotten first. A
+# day has some hundred.
+REMEMBERED = 4096
+# A runner may say something that does not decode in each answer; there is one line for
+# each kind of its words in this time, in seconds.
+UNREADABLE_EVERY_S = 10.0
+
+KeyT = TypeVar('KeyT')
+ValueT = TypeVar('ValueT')
+
+
+class RunnerWords:
+    """Folds what answers say into what is believed of each start of a runner."""
+
+    def __init__(self, limits: RunnerLimits) -> None:
+        """Believe nothing; limits are kept by ``limits``."""
+        self.limits = limits
+        self._beliefs: dict[Start, Belief] = {}
+        self._unreadable_at: dict[tuple[Start, str], float] = {}
+
+    def note_answer(self, start: Start, head: ResponseHead, sent_at: float) -> None:
+        """Take what the head of an answer to a request of ``sent_at`` says of the runner of ``start``."""
+        if replaced(head, start.runner):
+            # It is the word of another one that has its address by now.
+            return
+        for word in words_of(head):
+            self.take(word, start, sent_at)
+
+    @singledispatchmethod
+    def take(self, word: RunnerWord, start: Start, sent_at: float) -> None:
+        """Take one word of the runner of ``start``."""
+        raise NotImplementedError(f'nothing is done with {word!r}; register what is')
+
+    @take.register(Leaves)
+    def _take_leaves(self, _: Leaves, start: Start, sent_at: float) -> None:
+        if self._belief(start).leave():
+            events.log_event(events.LEAVING_SAID, runner=start.runner, born_ms=start.born_ms, source=FROM_ANSWER)
+
+    @take.register(Rests)
+    def _take_rests(self, word: Rests, start: Start, sent_at: float) -> None:
+        now = trio.current_time()
+        belief = self._belief(start)
+        known_s = belief.rest_left_s(now)
+        if belief.rest(word.for_s, now):
+            events.log_event(
+                events.REST_ASKED,
+                runner=start.runner,
+                born_ms=start.born_ms,
+                for_s=word.for_s,
+                known_s=round(known_s, 3),
+            )
+
+    @take.register(Limits)
+    def _take_limits(self, word: Limits, start: Start, sent_at: float) -> None:
+        self.limits.note_named(start, word.rate)
+
+    @take.register(NoLimit)
+    def _take_no_limit(self, _: NoLimit, start: Start, sent_at: float) -> None:
+        self.limits.note_silent(start, sent_at)
+
+    @take.register(Unreadable)
+    def _take_unreadable(self, word: Unreadable, start: Start, sent_at: float) -> None:
+        now = trio.current_time()
+        key = (start, word.word)
+        if now - self._unreadable_at.get(key, -math.inf) < UNREADABLE_EVERY_S:
+            return
+        self._unreadable_at.pop(key, None)
+        self._unreadable_at[key] = now
+        _bound(self._unreadable_at)
+        events.log_event(events.WORD_UNREADABLE, runner=start.runner, word=word.word, text=word.text)
+
+    def _belief(self, start: Start) -> Belief:
+        """Return what is believed of ``start``, to add to it."""
+        found = self._beliefs.get(start)
+        if found is None:
+            found = Belief()
+            self._beliefs[start] = found
+            _bound(self._beliefs)
+        return found
+
+
+def _bound(remembered: dict[KeyT, ValueT]) -> None:
+    if len(remembered) > REMEMBERED:
+        remembered.pop(next(iter(remembered)))
+
+
+__all__ = ('RunnerWords',)
--- a/packages/sesamepoint/src/sesamepoint/platform/names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/names.py
@@ -27,6 +27,8 @@
 RETRY_AFTER: Final = b'retry-after'
 # The requests a second that a runner takes from all instances together.
 RUNNER_LIMIT: Final = b'server-limit'
+# It wants no new requests from anybody.
+RUNNER_LEAVING: Final = b'server-leaving'
 CONTENT_ENCODING: Final = b'content-encoding'
 
 # Headers that only the system may set towards a runner. A caller that set
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -11,6 +11,7 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.runner_limits import RunnerLimits
+from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint_standins.platform.caller import Asked
 from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
 
@@ -89,6 +90,11 @@
     return RunnerLimits('front-1', Random(1))
 
 
+def no_words() -> RunnerWords:
+    """Return what an instance knows of runners before any has said anything of itself."""
+    return RunnerWords(no_limits())
+
+
 def plain_runner(number: int, service: str = 'web', **changes: Any) -> RunnerStandIn:
     """Return a runner of a plain service."""
     return RunnerStandIn(f'i-{service}{number}', service, Address(f'10.3.0.{number}', 80), 'z1', **changes)
@@ -149,6 +155,7 @@
     'engine',
     'fleet',
     'no_limits',
+    'no_words',
     'plain_runner',
     'registered_engine',
     'registration',
