--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
@@ -60,6 +61,15 @@
     prefill: bool = False
 
 
+class Told(NamedTuple):
+    """A runner's word in an answer to ``sender``; ``rest_s`` is 0 if it has asked for no rest."""
+
+    at: float
+    sender: str
+    leaving: bool
+    rest_s: float
+
+
 @dataclass
 class Faults:
     """What a runner does wrong while these are set."""
@@ -94,6 +104,12 @@
     others: dict[str, RunnerStandIn] = field(default_factory=dict)
     # The texts that its answers name as its limit, one header each.
     names_limit: tuple[bytes, ...] = ()
+    # The texts that its answers have as the word that it leaves, one header each.
+    says_leaving: tuple[bytes, ...] = ()
+    # The texts with which it asks for rest where it turns requests away, one header each.
+    asks_rest: tuple[bytes, ...] = ()
+    # The words of that kind that it has said.
+    told: list[Told] = field(default_factory=list)
     # When requests of any kind came, looks at what it keeps and frees of memory included.
     arrivals: list[float] = field(default_factory=list)
     # The host that sent each of them.
@@ -162,14 +178,15 @@
         self.senders.append(transport.peer)
         if message.head.method == b'DELETE':
             self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
-            await conn.whole(STATUS_OK, self._limit(), b'')
+            await conn.whole(STATUS_OK, self._words(transport), b'')
             return
         if message.head.target == names.KV_LIST_PATH.encode():
             self.listings += 1
             kept = [['', part.key, part.tokens, 'm'] for part in self.cache.kept]
             told = {'epoch': 1, 'next_token': 0, 'held': kept}
             body = msgspec.json.encode({**told, 'born': self.born_ms} if self.born_ms else told)
-            await conn.whole(STATUS_OK if self.tells_kept else STATUS_UNAVAILABLE, self._limit(), body)
+            status = STATUS_OK if self.tells_kept and not self.faults.rejects else STATUS_UNAVAILABLE
+            await conn.whole(status, self._words(transport, status), body)
             return
         with single_error():
             async with trio.open_nursery() as nursery:
@@ -183,9 +200,10 @@
         if expected is not None and expected.decode() != self.key:
             self.misdirected += 1
             own = (names.INCARNATION, self.key.encode())
-            return await conn.whole(STATUS_MISDIRECTED, (*self._echo(message), own), b'')
+            return await conn.whole(STATUS_MISDIRECTED, (*self._echo(message, transport), own), b'')
         if self.faults.rejects:
-            return await conn.whole(STATUS_UNAVAILABLE, (*self._echo(message), (names.NOT_RUN, b'1')), b'')
+            echo = self._echo(message, transport, STATUS_UNAVAILABLE)
+            return await conn.whole(STATUS_UNAVAILABLE, (*echo, (names.NOT_RUN, b'1')), b'')
         run = Run((header(headers, names.REQUEST_ID) or b'').decode(), message, trio.current_time())
         run.prefill = header(headers, names.STAGE) == b'prefill'
         self.runs.append(run)
@@ -218,7 +236,7 @@
         await self._end_if_harmful(run)
         await trio.sleep(self.work_s)
         status = 500 if self.faults.fails else STATUS_OK
-        await conn.whole(status, self._signed(run.message), body_of(run.request_id))
+        await conn.whole(status, self._signed(run.message, transport), body_of(run.request_id))
         run.whole = True
         if self.faults.answers_twice:
             await transport.send_all(EXTRA_ANSWER % run.request_id.encode())
@@ -228,7 +246,7 @@
         source = (header(headers, names.KV_SOURCE) or b'').decode()
         parts, output = _prompt(run.message)
         if run.prefill:
-            return await self._answer_prefill(conn, run, parts)
+            return await self._answer_prefill(conn, run, parts, transport)
         async with self._places:
             if not source:
                 await self._fetch(run.message, parts)
@@ -237,14 +255,14 @@
             await self._end_if_harmful(run)
             await self._stream(conn, run, output, transport)
 
-    async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part]) -> None:
+    async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part], transport: Transport) -> None:
         await self._fetch(run.message, parts)
         await self._read(parts)
         self.cache.touch(parts)
         kv_handle = f'h{len(self.runs)}'
         self._handles[kv_handle] = run.request_id
         body = msgspec.json.encode({'kv_handle': kv_handle, 'tokens': 1, 'version': 1})
-        await conn.whole(STATUS_OK, self._echo(run.message), body)
+        await conn.whole(STATUS_OK, self._echo(run.message, transport), body)
 
     async def _fetch(self, message: Message, parts: list[Part]) -> None:
         """Take over what another engine keeps of ``parts`` beyond what is kept here."""
@@ -271,7 +289,7 @@
     async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
         after = int(header(run.message.head.headers, names.LAST_EVENT) or 0)
         event_type = (b'content-type', b'text/event-stream')
-        await conn.begin(STATUS_OK, (*self._signed(run.message), event_type))
+        await conn.begin(STATUS_OK, (*self._signed(run.message, transport), event_type))
         for number in range(after + 1, output + 1):
             if after == 0 and number == self.faults.breaks_at_event:
                 await conn.part(b'id: 99\nda')
@@ -288,16 +306,30 @@
         await trio.sleep(self.speed.stride * (self.speed.step_s + self.speed.step_slot_s * self.running))
         await trio.sleep(self._read_s - read_before_s)
 
-    def _echo(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
-        return ((names.REQUEST_ID, header(message.head.headers, names.REQUEST_ID) or b''), *self._limit())
+    def _echo(self, message: Message, transport: Transport, status: int = STATUS_OK) -> Headers:
+        request_id = header(message.head.headers, names.REQUEST_ID) or b''
+        return ((names.REQUEST_ID, request_id), *self._words(transport, status))
+
+    def _words(self, transport: Transport, status: int = STATUS_OK) -> Headers:
+        """Return what an answer says of this runner."""
+        rest = self.asks_rest if status == STATUS_UNAVAILABLE else ()
+        if self.says_leaving or rest:
+            self.told.append(Told(trio.current_time(), transport.peer, bool(self.says_leaving), _longest(rest)))
+        return (
+            *((names.RUNNER_LIMIT, text) for text in self.names_limit),
+            *((names.RUNNER_LEAVING, text) for text in self.says_leaving),
+            *((names.RETRY_AFTER, text) for text in rest),
+        )
+
+    def _signed(self, message: Message, transport: Transport) -> Headers:
+        if self.faults.unsigned:
+            return self._echo(message, transport)
+        return (*self._echo(message, transport), (names.SIGNATURE, self.key.encode()))
 
-    def _limit(self) -> tuple[tuple[bytes, bytes], ...]:
-        return tuple((names.RUNNER_LIMIT, text) for text in self.names_limit)
 
-    def _signed(self, message: Message) -> tuple[tuple[bytes, bytes], ...]:
-        if self.faults.unsigned:
-            return self._echo(message)
-        return (*self._echo(message), (names.SIGNATURE, self.key.encode()))
+def _longest(texts: tuple[bytes, ...]) -> float:
+    """Return the most seconds that ``texts`` ask for."""
+    return max((float(text) for text in texts if text.isdigit()), default=0)
 
 
 def body_of(request_id: str) -> bytes:
@@ -334,4 +366,4 @@
     scope.cancel()
 
 
-__all__ = ('EngineSpeed', 'Faults', 'Run', 'RunnerStandIn', 'body_of', 'event_of')
+__all__ = ('EngineSpeed', 'Faults', 'Run', 'RunnerStandIn', 'Told', 'body_of', 'event_of')
--- /dev/null
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/word_bounds.py
@@ -0,0 +1,50 @@
+"""What users count of runners that leave or rest: the requests of instances that were told so."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamepoint_standins.platform.runner import RunnerStandIn, Told
+
+# An instance may send to a runner for so long after it was told that this one leaves, in seconds.
+DRAIN_S = 2.0
+# Until so long after it was asked for rest nothing is counted, in seconds, and then no
+# more than so many requests.
+REST_FROM_S = 0.5
+REST_MOST = 2
+
+
+def after_leaving(runner: RunnerStandIn, within_s: float = DRAIN_S) -> list[str]:
+    """Return which instances sent ``runner`` something later than ``within_s`` after they were told that it leaves."""
+    told_at: dict[str, float] = {}
+    for told in runner.told:
+        if told.leaving:
+            told_at.setdefault(told.sender, told.at)
+    return [
+        f'leaving: {sender} sent {runner.key} a request {at - told_at[sender]:.3f} s after it was told'
+        for at, sender in zip(runner.arrivals, runner.senders, strict=True)
+        if sender in told_at and at > told_at[sender] + within_s
+    ]
+
+
+def in_rest(runner: RunnerStandIn, since_s: float = REST_FROM_S, most: int = REST_MOST) -> list[str]:
+    """Return which instances sent ``runner`` more than ``most`` in a rest, from ``since_s`` after its beginning."""
+    asked = [told for told in runner.told if told.rest_s]
+    sent = [(told, len(list(_between(runner, told, since_s)))) for told in asked]
+    return [
+        f'rest: {told.sender} sent {runner.key} {count} requests in {told.rest_s} s of rest'
+        for told, count in sent
+        if count > most
+    ]
+
+
+def _between(runner: RunnerStandIn, told: Told, since_s: float) -> Iterator[float]:
+    for at, sender in zip(runner.arrivals, runner.senders, strict=True):
+        if sender == told.sender and told.at + since_s < at < told.at + told.rest_s:
+            yield at
+
+
+__all__ = ('DRAIN_S', 'REST_FROM_S', 'REST_MOST', 'after_leaving', 'in_rest')
