--- a/benchmarks/front_slopes.py
+++ b/benchmarks/front_slopes.py
@@ -20,8 +20,8 @@
 from sesamepoint_core.serving.rate import ReadSpeed
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.gate import Gate
 from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint.front.sends import End, Send, SendNotes, Word
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.configuration import decode_configuration
@@ -49,7 +49,7 @@
 
 
 async def _words() -> None:
-    fleet = Fleet(2.0, SocketNetwork(), trio.current_time, RunnerWords(RunnerLimits('front-1', Random(1))))
+    fleet = Fleet(2.0, SocketNetwork(), trio.current_time, Gate.from_limits(RunnerLimits('front-1', Random(1))))
     fleet.update(_runner())
     notes = SendNotes('front-1', fleet, _NoRandom())  # type: ignore[arg-type]
     parts = (Part('8f3e21ab', 55), Part('17aa90cc', 13_300), Part('c0ffee12', 3720))
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/attempt.py
@@ -9,7 +9,8 @@
 import trio
 
 from sesamepoint.front.job import successful
-from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Silent, Unsent
+from sesamepoint.front.gate import GateClosedError, Purpose, SendKind
+from sesamepoint.front.results import AttemptResult, Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.headers import answers, encode_request, replaced, returned, says_not_run, signed
 from sesamepoint.single_error import single_error
@@ -40,6 +41,7 @@
     patience_s: float = math.inf
     on_sign: Callable[[], None] | None = None
     on_pause: Callable[[float], None] | None = None
+    purpose: Purpose = Purpose(SendKind.run)
 
 
 class Attempt:
@@ -77,16 +79,18 @@
 
     async def _exchange(self, member: Member) -> AttemptResult:
         try:
-            conn = await member.pool.take()
+            conn = await member.connection(self._target.purpose)
         except ConnectFailedError as exc:
             return Unsent(str(exc))
         try:
             with single_error():
                 return await self._converse(conn)
+        except GateClosedError as exc:
+            return Withheld(exc.condition)
         except ConnBrokenError as exc:
             return Broken(str(exc), ended=await member.has_ended())
         finally:
-            member.pool.give_back(conn)
+            member.give_back(conn)
 
     async def _converse(self, conn: ClientConn) -> AttemptResult:
         # Nothing is sent on for a caller that has gone.
--- a/packages/sesamepoint/src/sesamepoint/front/cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/cause.py
@@ -14,6 +14,7 @@
     quarantined = 'ends_its_runners'
     behind_trial = 'behind_its_trial'
     limited = 'runners_name_limits'
+    leaving = 'runners_leave'
     no_runner = 'no_runner'
     turned_away = 'turned_away_by_runners'
     not_run_in_time = 'not_run_in_time'
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -81,9 +81,9 @@
         """Return the share of the other entries' work that comes to engines known here."""
         return self._known.share_of(service, stage)
 
-    async def until_any(self, service: str) -> None:
-        """Wait until some runner of ``service`` is known."""
-        await self._known.until_any(service)
+    async def until_any(self, service: str) -> bool:
+        """Wait until some runner of ``service`` is known; False if all that there are leave."""
+        return await self._known.until_any(service)
 
     def slot_s(self, route: str) -> float:
         """Return how long an answer of ``route`` takes up a place at an engine."""
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -14,7 +14,7 @@
 from sesamepoint.front.job import MIN_STREAM_PATIENCE_S, SOON_S, Job, OnRun
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.return_time import hold_s, when_unknown_s
-from sesamepoint.front.results import Relayed, RunFailed
+from sesamepoint.front.results import Relayed, RunFailed, Withheld
 from sesamepoint.front.tries import PATIENCE_FACTOR, attempt, may_go_on, target_for
 from sesamepoint.front.usual_deadlines import UsualDeadlines
 from sesamepoint.platform.headers import returned, signed
@@ -159,12 +159,15 @@
         if self._quarantine.refuses(job):
             return None
         with trio.move_on_after(hold_s(job.caller_left_s, job.first_left_s)):
-            await self._chooser.until_any(job.service)
+            if not await self._chooser.until_any(job.service):
+                job.notes.held_back = Cause.leaving
+                job.note_no_runner()
+                return None
         budget = self._budgets.earn(job.service)
         self._places.note_request(job.service)
         newest = await self._try(job, cfg, budget)
         while newest is not None and may_go_on(job, newest):
-            if job.sends and not budget.spend():
+            if job.sends and not isinstance(newest, Withheld) and not budget.spend():
                 return newest
             following = await self._try(job, cfg, budget)
             if following is None:
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -11,10 +11,11 @@
 from sesamepoint.front.attempt import Target
 from sesamepoint.front.choice import LATE_RANK
 from sesamepoint.front.decision_fields import decision_fields
+from sesamepoint.front.gate import Purpose, SendKind
 from sesamepoint.front.prefill import Prefilled, PrefillFailed, prefill
-from sesamepoint.front.results import Rejected, Relayed, Unsent
+from sesamepoint.front.results import Rejected, Relayed, Unsent, Withheld
 from sesamepoint.front.sends import NewLoad
-from sesamepoint.front.tries import attempt, note_unread, patience_s, target_for
+from sesamepoint.front.tries import attempt, may_go_on, note_unread, note_withheld, patience_s, target_for
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
@@ -64,12 +65,30 @@
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
         if prefilled is None:
             return await self._after_failed_read(job, prompt, cfg, budget)
-        # Reading took a while; the engine that was idle then may be busy now.
-        decode = await self._second_step(job, prompt, cfg, plan)
-        if decode is None:
+        if isinstance(prefilled, Withheld):
+            return prefilled
+        found = await self._run_on(job, prompt, cfg, plan, prefilled)
+        if not isinstance(found, Relayed):
             self._reclaimer.drop(prefilled)
-            return Unsent('no engine is left that it may be sent to')
-        return await self._decode(job, prompt, plan._replace(decode=decode), prefilled)
+        return found
+
+    async def _run_on(
+        self,
+        job: Job,
+        prompt: Prompt,
+        cfg: Configuration,
+        plan: EnginePlan,
+        prefilled: Prefilled,
+    ) -> AttemptResult:
+        """Go on where the prompt was read; at another engine if the gate to the first has closed."""
+        while True:
+            # Reading took a while; the engine that was idle then may be busy now.
+            decode = await self._second_step(job, prompt, cfg, plan)
+            if decode is None:
+                return Unsent('no engine is left that it may be sent to')
+            found = await self._decode(job, prompt, plan._replace(decode=decode), prefilled)
+            if not isinstance(found, Withheld) or not may_go_on(job, found):
+                return found
 
     async def _after_failed_read(
         self,
@@ -115,6 +134,8 @@
             if found is None and await self._places.wait(job):
                 continue
             decode = found or plan.decode
+            if decode.closed_to(Purpose(SendKind.second_step, job)):
+                return None
             return decode if self._limits.take(decode, job) else None
 
     async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
@@ -147,18 +168,19 @@
         try:
             became = await attempt(job, target)
         finally:
-            self._end_stream(job, end._replace(lost=_lost(job, became)), started)
+            self._end_stream(job, end._replace(lost=_lost(job, became)), started, became)
         return became
 
-    async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | None:
+    async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | Withheld | None:
         job.notes.decision.update(decision_fields(plan, prompt, 'two-step'))
         job.may_read_apart = False
         job.tried[member.runner.key] = member.start
         end = await self._begin(plan, prompt, member, plan.path.work_s)
         sending = Sending(member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from)
-        target = Target(member, sending, _read_patience_s(plan.path.first_s, job.first_left_s))
+        patient_s = _read_patience_s(plan.path.first_s, job.first_left_s)
+        target = Target(member, sending, patient_s, purpose=Purpose(SendKind.read_apart, job))
         started = trio.current_time()
-        found: Prefilled | PrefillFailed | None = None
+        found: Prefilled | PrefillFailed | Withheld | None = None
         try:
             found = await prefill(job.req, target, job.reply)
         finally:
@@ -166,6 +188,10 @@
         if isinstance(found, Prefilled):
             self._learn(job, prompt, plan, member, trio.current_time() - started)
             return found
+        if isinstance(found, Withheld):
+            job.may_read_apart = True
+            note_withheld(job, target, found, started)
+            return found
         note_unread(job, member, found, started)
         return None
 
@@ -173,13 +199,17 @@
         end = await self._begin(plan, prompt, plan.decode, 0)
         started = trio.current_time()
         target = self._target(job, plan)
-        target = target._replace(sending=target.sending._replace(kv_source=prefilled.source))
+        target = target._replace(
+            sending=target.sending._replace(kv_source=prefilled.source),
+            purpose=Purpose(SendKind.second_step, job),
+        )
         became: AttemptResult | None = None
         try:
             became = await attempt(job, target)
         finally:
-            self._end_stream(job, end._replace(lost=_lost(job, became)), started)
-            if not isinstance(became, Relayed):
+            self._end_stream(job, end._replace(lost=_lost(job, became)), started, became)
+            if became is None:
+                # Its caller has left.
                 self._reclaimer.drop(prefilled)
         return became
 
@@ -196,8 +226,10 @@
             raise
         return end
 
-    def _end_stream(self, job: Job, end: End, started: float) -> None:
+    def _end_stream(self, job: Job, end: End, started: float, became: AttemptResult | None) -> None:
         self._sends.end(end._replace(finished=True))
+        if isinstance(became, Withheld):
+            return
         self._chooser.note_slot(job.route.name, trio.current_time() - started)
 
     def _target(self, job: Job, plan: EnginePlan) -> Target:
@@ -235,15 +267,17 @@
     if became is None:
         # Its time ran out before any sign of an answer, or its caller left.
         return True if job.notes.first_at is None and job.first_left_s <= 0 else None
-    if isinstance(became, Unsent | Rejected):
+    if isinstance(became, Unsent | Rejected | Withheld):
         return None
     return not isinstance(became, Relayed)
 
 
-def _unread(found: Prefilled | PrefillFailed | None) -> bool | None:
+def _unread(found: Prefilled | PrefillFailed | Withheld | None) -> bool | None:
     """Tell whether an engine failed to read a prompt; None if it was not asked, or not it."""
-    if found is None or isinstance(found, Prefilled):
-        return None if found is None else False
+    if found is None or isinstance(found, Withheld):
+        return None
+    if isinstance(found, Prefilled):
+        return False
     return None if found.replaced else True
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -17,7 +17,7 @@
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
     from sesamepoint_core.serving.suspects import Start
-    from sesamepoint.front.runner_words import RunnerWords
+    from sesamepoint.front.gate import Gate
     from sesamepoint.http1.transport import Network
 
 # Runners whose newest start is remembered after they have gone, so that late
@@ -32,10 +32,10 @@
 class Fleet:
     """Members by key, kept in step with their registrations."""
 
-    def __init__(self, drain_s: float, network: Network, now: Callable[[], float], words: RunnerWords) -> None:
-        """Allow a vanished runner a part of ``drain_s``; members tell ``words`` what their answers say of them."""
+    def __init__(self, drain_s: float, network: Network, now: Callable[[], float], gate: Gate) -> None:
+        """Allow a vanished runner a part of ``drain_s``; members ask ``gate`` before anything is sent."""
         self._network = network
-        self._words = words
+        self._gate = gate
         self.listed = False
         self.members: dict[str, Member] = {}
         self._grace_s = drain_s * GRACE_SHARE
@@ -129,10 +129,13 @@
             self._sizes = Counter((one.runner.service, one.runner.stage) for one in self.members.values())
         return self._sizes[service, stage]
 
-    async def until_any(self, service: str) -> None:
-        """Wait until some runner of ``service`` may get new requests."""
+    async def until_any(self, service: str) -> bool:
+        """Wait until some runner of ``service`` may get new requests; False if all that there are leave."""
         while not self.of_service(service):
+            if self._all_leave(service):
+                return False
             await self._changed.wait()
+        return True
 
     async def next_joined(self) -> Member:
         """Wait for a runner that was not known before."""
@@ -145,10 +148,15 @@
         """
         self._forget()
         found = [member for member in self.members.values() if member.runner.service == service]
-        staying = [member for member in found if not member.runner.leaving and not member.replaced]
+        staying = [member for member in found if not member.leaving and not member.replaced]
         present = [member for member in staying if member.gone_at is None]
         return present or staying
 
+    def _all_leave(self, service: str) -> bool:
+        """Tell whether runners of ``service`` are registered, and all of them leave."""
+        present = [one for one in self.members.values() if one.runner.service == service and one.gone_at is None]
+        return bool(present) and all(one.leaving for one in present)
+
     def _join(self, runner: Runner) -> None:
         """Begin with a runner, or with a new start of one, of which nothing is believed."""
         before = self.members.get(runner.key)
@@ -157,7 +165,7 @@
             events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
         self._remember_start(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
-        member = Member(runner, self._network, self._words, kv_tokens)
+        member = Member(runner, self._network, self._gate, kv_tokens)
         member.on_replaced = self.on_replaced
         self.members[runner.key] = member
         self._changed.set()
--- a/packages/sesamepoint/src/sesamepoint/front/following.py
+++ b/packages/sesamepoint/src/sesamepoint/front/following.py
@@ -15,7 +15,7 @@
 from sesamepoint.front.pages import Page, Pages
 from sesamepoint.front.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
 from sesamepoint.front.quarantine_records import QuarantineRecords
-from sesamepoint.front.replaced import Replaced
+from sesamepoint.front.runner_news import RunnerNews
 from sesamepoint.front.reporting import Reporting
 from sesamepoint.platform.store import StoreClient
 from sesamepoint.platform.store_era import StoreEra
@@ -50,7 +50,7 @@
         peers.on_word[VersionNote] = self._peers_cfg.heard
         peers.on_word[News] = self._intake.hear
         peers.hear_again = self._intake.look_again
-        self._replaced = Replaced(beliefs.fleet, peers)
+        self._runner_news = RunnerNews(beliefs.fleet, beliefs.words, peers)
         self._reporting: Reporting | None = None
         if cfg.duty is not None:
             self._reporting = Reporting(cfg.duty, peers, new_client(), network, clock or SystemClock(), rng)
@@ -72,6 +72,7 @@
             Child('registration', self._own.stay_registered),
             Child('lost-entries', partial(self._own.drop_lost, intake.reads_entries)),
             Child('peer-configuration', self._peers_cfg.run),
+            Child('runner-news', self._runner_news.run),
             Child('peer-compare', self._peers_cfg.compare),
             *(self._reporting.children() if self._reporting else ()),
         ]
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -12,10 +12,10 @@
 from sesamepoint.front.engine_tools import EngineTools
 from sesamepoint.front.fleet import Fleet
 from sesamepoint.front.following import Beliefs, Following
+from sesamepoint.front.gate import Gate
 from sesamepoint.front.inventory import Inventory
 from sesamepoint.front.known_engines import KnownEngines
 from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint.front.limit_exchange import LimitExchange
 from sesamepoint.front.peers import Peers
 from sesamepoint.front.quarantine import Quarantine
@@ -58,7 +58,8 @@
         """Put the parts together without starting them; the clock is the machine's own if none is given."""
         self.cfg = cfg
         self._runner_limits = RunnerLimits(cfg.name, rng)
-        self.fleet = Fleet(cfg.drain_s, network, trio.current_time, RunnerWords(self._runner_limits))
+        gate = Gate.from_limits(self._runner_limits)
+        self.fleet = Fleet(cfg.drain_s, network, trio.current_time, gate)
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
@@ -69,7 +70,7 @@
         self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, self._runner_limits, rng)
         self._exchange = LimitExchange(self._tools, self.fleet, known, self.peers)
         self.dispatcher = Dispatcher(self._tools, EngineRuns(self._tools), quarantine, budgets, rng)
-        beliefs = Beliefs(self.dispatcher, self.fleet, self.peers, budgets, quarantine)
+        beliefs = Beliefs(self.dispatcher, self.fleet, gate.words, self.peers, budgets, quarantine)
         self._following = Following(cfg, beliefs, network, rng, clock)
         self.peer_pages = self._following.pages
         self.door = Door(self.dispatcher, self._limits)
--- a/packages/sesamepoint/src/sesamepoint/front/intake.py
+++ b/packages/sesamepoint/src/sesamepoint/front/intake.py
@@ -24,6 +24,7 @@
     from sesamepoint.front.own_record import OwnRecord
     from sesamepoint.front.peers import Peers
     from sesamepoint.front.quarantine import Quarantine
+    from sesamepoint.front.runner_words import RunnerWords
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.platform.store import KeyedRecord, StoreClient
 
@@ -57,6 +58,7 @@
 
     dispatcher: Dispatcher
     fleet: Fleet
+    words: RunnerWords
     peers: Peers
     budgets: Budgets
     quarantine: Quarantine
--- a/packages/sesamepoint/src/sesamepoint/front/inventory.py
+++ b/packages/sesamepoint/src/sesamepoint/front/inventory.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint import events
+from sesamepoint.front.gate import GateClosedError, Purpose, SendKind
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_calls import list_kept
 
@@ -24,6 +25,7 @@
 # Engines of today answer in some tens of milliseconds. What has not come by
 # then is of little use: the model learns from what is sent.
 CALL_S = 1.0
+PURPOSE = Purpose(SendKind.inventory)
 
 
 class Inventory:
@@ -56,21 +58,24 @@
         cause = 'no answer in time'
         if member.limited:
             return events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause='it names a limit')
+        condition = member.closed_to(PURPOSE)
+        if condition:
+            return events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause=condition)
         with trio.move_on_after(CALL_S):
             try:
                 await self._take(member)
-            except (ConnectFailedError, ConnBrokenError) as exc:
+            except (ConnectFailedError, ConnBrokenError, GateClosedError) as exc:
                 cause = str(exc)
             else:
                 return None
         return events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause=cause)
 
     async def _take(self, member: Member) -> None:
-        conn = await member.pool.take()
+        conn = await member.connection(PURPOSE)
         try:
             kept = await list_kept(conn, member.runner.address)
         finally:
-            member.pool.give_back(conn)
+            member.give_back(conn)
         runner = member.runner
         # An engine may have started again while it was asked, or since it
         # registered; its new start is asked anew, as one that has just joined.
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -58,6 +58,8 @@
         Whether it was turned away since engines are too busy.
     held_back
         Why it was not sent, if it may be that it ends its runners.
+    withheld
+        How often nothing was sent to a runner that had been chosen.
     passed_over
         Runners that it could not be sent to at the moment of a choice, on account of their limits.
     decision
@@ -74,6 +76,7 @@
     cause: Cause = Cause.none
     held_back: Cause = Cause.none
     refused: bool = False
+    withheld: int = 0
     passed_over: set[str] = field(default_factory=set)
     decision: dict[str, object] = field(default_factory=dict)
 
--- a/packages/sesamepoint/src/sesamepoint/front/known_engines.py
+++ b/packages/sesamepoint/src/sesamepoint/front/known_engines.py
@@ -38,9 +38,9 @@
         """Return the runners of ``service`` that this entry may send new requests to."""
         return [member for member in self._fleet.of_service(service) if self.here(member.runner)]
 
-    async def until_any(self, service: str) -> None:
-        """Wait until some runner of ``service`` is registered."""
-        await self._fleet.until_any(service)
+    async def until_any(self, service: str) -> bool:
+        """Wait until some runner of ``service`` is registered; False if all that there are leave."""
+        return await self._fleet.until_any(service)
 
     def here(self, runner: Runner) -> bool:
         """Tell whether this entry knows ``runner``; asked for each engine at each choice."""
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,13 +15,16 @@
 from sesamepoint_core.serving.losses import LossMeter
 from sesamepoint_core.serving.suspects import Start
 from sesamepoint import events
+from sesamepoint.front.gate import GateClosedError, Passage, SendKind
 from sesamepoint.front.pool import Pool
+from sesamepoint.front.runner_words import FROM_ANSWER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.runner_words import RunnerWords
+    from sesamepoint.front.gate import Gate, Purpose
+    from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Network
 
@@ -32,22 +36,23 @@
 ONE_LOOK_S = 0.1
 
 
-# Where word of something comes from that this instance has heard itself.
-FROM_ANSWER = 'answer'
+# These are no requests of callers, and don't count as under way.
+CALLS_BESIDES = frozenset((SendKind.inventory, SendKind.free_memory))
 
 
 class Member:
     """One runner: its registration, its connections, and beliefs about it."""
 
-    def __init__(
-        self, runner: Runner, network: Network, words: RunnerWords, kv_tokens: int = UNKNOWN_KV_TOKENS
-    ) -> None:
-        """Know nothing but the registration; what its answers say of it goes to ``words``."""
+    def __init__(self, runner: Runner, network: Network, gate: Gate, kv_tokens: int = UNKNOWN_KV_TOKENS) -> None:
+        """Know nothing but the registration; ``gate`` is asked before anything is sent to it."""
         self.runner = runner
-        self._words = words
+        self._gate = gate
+        self._words = gate.words
+        # Whether it is another start's turn, or none's.
+        self.closed = False
         self.gone_at: float | None = None
         self.replaced = False
-        self.pool = Pool(runner.address, network, self._note_head)
+        self._pool = Pool(runner.address, network, self._note_head)
         self.health = Health()
         self.load = EngineLoad()
         self.losses = LossMeter()
@@ -68,6 +73,29 @@
         """Return which run of its process this is about."""
         return Start(self.runner.key, self.runner.born_ms)
 
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it leaves, by its registration or by what it has said."""
+        return self.runner.leaving or self._words.leaves(self.start)
+
+    def closed_to(self, purpose: Purpose) -> str:
+        """Return what would keep ``purpose`` from being sent if it were chosen now; empty if nothing does."""
+        return self._gate.closed_by(Passage(self, purpose, self.in_flight))
+
+    async def connection(self, purpose: Purpose) -> ClientConn:
+        """Return a connection that asks the gate before it sends anything.
+
+        Raises
+        ------
+        ConnectFailedError
+            If there is none, and no new one came about.
+        """
+        return await self._pool.take(partial(self._pass, purpose))
+
+    def give_back(self, conn: ClientConn) -> None:
+        """Take a connection back."""
+        self._pool.give_back(conn)
+
     async def has_ended(self) -> bool:
         """Tell whether the runner, where a connection has just broken, has ended unplanned.
 
@@ -75,11 +103,11 @@
         lives and takes new ones: its requests are not to blame for an end. Nor
         are they if it was about to leave.
         """
-        if self.runner.leaving or self.gone_at is not None:
+        if self.leaving or self.gone_at is not None:
             return False
         async with self._looking:
             if trio.current_time() - self._looked_at > ONE_LOOK_S:
-                self._refused = await self.pool.refuses()
+                self._refused = await self._pool.refuses()
                 self._looked_at = trio.current_time()
             return self._refused
 
@@ -112,13 +140,21 @@
 
     def close(self) -> None:
         """Close idle connections; what is under way goes on."""
-        self.pool.close()
+        self.closed = True
+        self._pool.close()
 
     @property
     def limited(self) -> bool:
         """Tell whether it names a limit: then only requests of callers are sent there."""
         return self._words.limits.limited(self.start)
 
+    def _pass(self, purpose: Purpose) -> None:
+        # A request of a caller is under way there already.
+        beside = self.in_flight if purpose.kind in CALLS_BESIDES else self.in_flight - 1
+        condition = self._gate.closed_by(Passage(self, purpose, beside))
+        if condition:
+            raise GateClosedError(self.runner.key, condition)
+
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
         if not self.answered:
             self.answered = True
@@ -126,4 +162,4 @@
         self._words.note_answer(self.start, head, sent_at)
 
 
-__all__ = ('FROM_ANSWER', 'Member')
+__all__ = ('Member',)
--- a/packages/sesamepoint/src/sesamepoint/front/notices.py
+++ b/packages/sesamepoint/src/sesamepoint/front/notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import msgspec
@@ -24,6 +25,9 @@
 # No configuration has more versions than this.
 MAX_VERSION = 1_000_000_000_000
 Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+# Nothing is told of what was found out longer ago than this, in seconds.
+MAX_AGE_S = 3600
+AgeS = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
 
 
 class VersionNote(msgspec.Struct, frozen=True, array_like=True, tag='version'):
@@ -33,11 +37,21 @@
     version: Version
 
 
-class ReplacedWord(msgspec.Struct, frozen=True, array_like=True, tag='replaced'):
-    """A runner answered that it is not the one that has registered its address."""
+class RunnerFact(StrEnum):
+    """What an entry may find out about a runner from one answer."""
+
+    # It answered that it is not the one that has registered its address.
+    replaced = 'replaced'
+    leaving = 'leaving'
+
+
+class RunnerNote(msgspec.Struct, frozen=True, array_like=True, tag='runner'):
+    """A fact about a runner that ``entry`` learned from an answer ``age_s`` seconds before."""
 
     entry: str
     start: Start
+    fact: RunnerFact
+    age_s: AgeS = 0
 
 
 class EndNote(NamedTuple):
@@ -72,7 +86,7 @@
     quarantined: tuple[Name, ...] = ()
 
 
-OutgoingWord = Notice | VersionNote | ReplacedWord
+OutgoingWord = Notice | VersionNote | RunnerNote
 
 
 class Letter(NamedTuple):
@@ -121,4 +135,4 @@
     )
 
 
-__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'ReplacedWord', 'TrialNote', 'VersionNote')
+__all__ = ('MAX_ROWS', 'EndNote', 'Letter', 'Notice', 'Outbox', 'RunnerFact', 'RunnerNote', 'TrialNote', 'VersionNote')
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peers.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.limit_words import AskWord, GrantWord
 from sesamepoint.front.membership import Membership
 from sesamepoint.front.news import News
-from sesamepoint.front.notices import Notice, ReplacedWord, VersionNote
+from sesamepoint.front.notices import Notice, RunnerNote, VersionNote
 from sesamepoint.front.sends import Word
 from sesamepoint.front.usage_words import DutyWord, UsageWord
 from sesamepoint.platform.names import ENTRY_TOPIC
@@ -48,7 +48,7 @@
 DEAF_S = 2.0
 
 
-PeerWord = News | Notice | VersionNote | DutyWord | UsageWord | AskWord | GrantWord | ReplacedWord
+PeerWord = News | Notice | VersionNote | DutyWord | UsageWord | AskWord | GrantWord | RunnerNote
 
 
 class Peers:
@@ -72,8 +72,10 @@
         self._addresses: dict[str, Address] = {}
         # What to do with words of other entries, by their kind.
         self.on_word: dict[type, Callable[[Any], None]] = {
-            kind: _pass_over for kind in (News, VersionNote, DutyWord, UsageWord, AskWord, GrantWord, ReplacedWord)
+            kind: _pass_over for kind in (News, VersionNote, DutyWord, UsageWord, AskWord, GrantWord, RunnerNote)
         }
+        # Called with the name of an entry that has just registered.
+        self.on_newcomer: list[Callable[[str], None]] = [quarantine.tell_newcomer]
         # Called when others are heard again after a silence.
         self.hear_again: Callable[[], None] = _do_nothing
         self.name = cfg.name
@@ -103,7 +105,8 @@
         self._addresses[record.key] = address
         self.members.join(record.key, trio.current_time())
         if address != before and record.key in self.members:
-            self._quarantine.tell_newcomer(record.key)
+            for tell in self.on_newcomer:
+                tell(record.key)
         return address != before
 
     async def register(self, store: StoreClient) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -10,6 +10,8 @@
 from sesamepoint.http1.messages import ConnectFailedError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.client import OnHead
     from sesamepoint.http1.transport import Network
@@ -42,8 +44,8 @@
         self._network = network
         self._idle: list[ClientConn] = []
 
-    async def take(self) -> ClientConn:
-        """Return a connection, kept or new.
+    async def take(self, admit: Callable[[], None]) -> ClientConn:
+        """Return a connection, kept or new, which asks ``admit`` before it sends anything.
 
         Raises
         ------
@@ -54,9 +56,12 @@
         while self._idle:
             conn = self._idle.pop()
             if _fresh(conn, now) and conn.quiet():
+                conn.admit = admit
                 return conn
             conn.close()
-        return await self._connect(CONNECT_S)
+        conn = await self._connect(CONNECT_S)
+        conn.admit = admit
+        return conn
 
     async def refuses(self) -> bool:
         """Tell whether nobody listens at the address; a connection that comes about is kept."""
@@ -64,7 +69,6 @@
             conn = await self._connect(LOOK_S)
         except ConnectFailedError as exc:
             return exc.refused
-        conn.idle_since = trio.current_time()
         self._idle.append(conn)
         return False
 
@@ -81,7 +85,9 @@
             self._idle.pop().close()
 
     async def _connect(self, allowed_s: float) -> ClientConn:
-        return ClientConn(await self._network.connect(self._address, allowed_s), self._on_head)
+        conn = ClientConn(await self._network.connect(self._address, allowed_s), self._on_head)
+        conn.idle_since = trio.current_time()
+        return conn
 
 
 def _fresh(conn: ClientConn, now: float) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -9,6 +9,8 @@
 import trio
 
 from sesamepoint import events
+from sesamepoint.front.gate import GateClosedError, Purpose, SendKind
+from sesamepoint.front.results import Withheld
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_calls import free_handle
 from sesamepoint.platform.headers import answers, encode_request, replaced
@@ -60,7 +62,7 @@
     kv_handle: str
 
 
-async def prefill(req: FrontRequest, target: Target, reply: Reply) -> Prefilled | PrefillFailed:
+async def prefill(req: FrontRequest, target: Target, reply: Reply) -> Prefilled | PrefillFailed | Withheld:
     """Have the prompt of ``req`` read, if the caller of ``reply`` is still there."""
     member = target.member
     ticket = member.health.sent(trio.current_time())
@@ -74,21 +76,27 @@
     return PrefillFailed('no answer in time', silent=True)
 
 
-async def _exchange(req: FrontRequest, target: Target, reply: Reply) -> Prefilled | PrefillFailed:
+async def _exchange(req: FrontRequest, target: Target, reply: Reply) -> Prefilled | PrefillFailed | Withheld:
     member = target.member
     try:
-        conn = await member.pool.take()
+        conn = await member.connection(target.purpose)
     except ConnectFailedError as exc:
         return PrefillFailed(str(exc))
     try:
         with single_error():
             reply.check_caller()
             head, body = await _converse(req, target, conn)
+    except GateClosedError as exc:
+        return Withheld(exc.condition)
     except ConnBrokenError as exc:
         return PrefillFailed(str(exc), ended=await member.has_ended())
     finally:
-        member.pool.give_back(conn)
+        member.give_back(conn)
     member.health.heard(trio.current_time())
+    return _decode(member, head, body)
+
+
+def _decode(member: Member, head: ResponseHead, body: bytes) -> Prefilled | PrefillFailed:
     if head.status != STATUS_OK:
         return PrefillFailed(f'status {head.status}', replaced=replaced(head, member.runner.key))
     try:
@@ -130,19 +138,25 @@
                 await self._free(prefilled)
 
     async def _free(self, prefilled: Prefilled) -> None:
-        runner = prefilled.member.runner
-        if prefilled.member.limited:
+        """Free a handle; it lapses by itself where the runner wants no message, or gets none."""
+        member = prefilled.member
+        runner = member.runner
+        if member.limited:
             return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause='the runner names a limit')
+        purpose = Purpose(SendKind.free_memory)
+        condition = member.closed_to(purpose)
+        if condition:
+            return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=condition)
         try:
-            conn = await prefilled.member.pool.take()
+            conn = await member.connection(purpose)
         except ConnectFailedError as exc:
             return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
         try:
             await free_handle(conn, runner.address, prefilled.kv_handle)
-        except ConnBrokenError as exc:
+        except (ConnBrokenError, GateClosedError) as exc:
             events.log_event(events.HANDLE_LEFT, runner=runner.key, cause=str(exc))
         finally:
-            prefilled.member.pool.give_back(conn)
+            member.give_back(conn)
 
 
 __all__ = ('HandleReclaimer', 'PrefillFailed', 'Prefilled', 'prefill')
--- a/packages/sesamepoint/src/sesamepoint/front/results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/results.py
@@ -25,6 +25,14 @@
     cause: str
 
 
+@dataclass(frozen=True)
+class Withheld:
+    """The gate to the runner had closed since it was chosen, by ``condition``; nothing was sent."""
+
+    tag: ClassVar[str] = 'withheld'
+    condition: str
+
+
 @dataclass(frozen=True)
 class Rejected:
     """The runner stated that it did not run the request.
@@ -66,6 +74,6 @@
     tag: ClassVar[str] = 'silent'
 
 
-AttemptResult = Relayed | Unsent | Rejected | RunFailed | Broken | Silent
+AttemptResult = Relayed | Unsent | Withheld | Rejected | RunFailed | Broken | Silent
 
-__all__ = ('AttemptResult', 'Broken', 'Rejected', 'Relayed', 'RunFailed', 'Silent', 'Unsent')
+__all__ = ('AttemptResult', 'Broken', 'Rejected', 'Relayed', 'RunFailed', 'Silent', 'Unsent', 'Withheld')
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
@@ -10,7 +10,7 @@
 from sesamepoint_core.runner_limit.belief import FIRST_SENDS
 from sesamepoint_core.runner_limit.sharing import UNKNOWN_S, Sharing
 from sesamepoint import events
-from sesamepoint.front.member import FROM_ANSWER
+from sesamepoint.front.runner_words import FROM_ANSWER
 
 if TYPE_CHECKING:
     from random import Random
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_news.py
@@ -0,0 +1,96 @@
+"""Telling the other entries what this one has found out about a runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint.front.notices import RunnerFact, RunnerNote
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.suspects import Start
+    from sesamepoint.front.fleet import Fleet
+    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.runner_words import RunnerWords
+
+# A word may get lost, or come to an entry that is cut off: it is told again by who found
+# it out, so often in seconds, for so many seconds. A runner that leaves is there for some
+# seconds more.
+AGAIN_S = 1.0
+AGAIN_FOR_S = 10.0
+
+
+class _Found(NamedTuple):
+    start: Start
+    fact: RunnerFact
+
+
+class RunnerNews:
+    """Tells what this entry found out, and takes in what others did.
+
+    Registrations may say otherwise for seconds, or as long as the store is away. Each
+    entry that does not know would send the runner a request to find out by.
+    """
+
+    def __init__(self, fleet: Fleet, words: RunnerWords, peers: Peers) -> None:
+        """Tell through ``peers`` what ``fleet`` and ``words`` learn from answers."""
+        self._fleet = fleet
+        self._words = words
+        self._peers = peers
+        self._found_at: dict[_Found, float] = {}
+        self._somebody = trio.Event()
+        fleet.on_replaced = self._note_replaced
+        words.on_leaving = self._note_leaving
+        peers.on_word[RunnerNote] = self.heard
+        peers.on_newcomer.append(self.tell_newcomer)
+
+    def heard(self, note: RunnerNote) -> None:
+        """Take the word of another entry."""
+        if note.fact is RunnerFact.leaving:
+            self._words.told_leaving(note.start, note.entry, note.age_s)
+            return
+        # Of a start that is not known here it says nothing.
+        member = self._fleet.members.get(note.start.runner)
+        if member is not None and member.start == note.start:
+            member.note_replaced(note.entry)
+
+    def tell_newcomer(self, entry: str) -> None:
+        """Tell an entry that has just registered which runners leave."""
+        known = {member.start for member in self._fleet.members.values()}
+        for start in self._words.leaving():
+            if start in known:
+                self._peers.outbox.tell(RunnerNote(self._peers.name, start, RunnerFact.leaving), entry)
+
+    async def run(self) -> None:
+        """Tell again what this entry found out, until cancelled."""
+        while True:
+            await self._somebody.wait()
+            await trio.sleep(AGAIN_S)
+            self._forget()
+            for found in self._found_at:
+                self._tell(found)
+
+    def _note_replaced(self, start: Start) -> None:
+        self._note(_Found(start, RunnerFact.replaced))
+
+    def _note_leaving(self, start: Start) -> None:
+        self._note(_Found(start, RunnerFact.leaving))
+
+    def _note(self, found: _Found) -> None:
+        self._found_at[found] = trio.current_time()
+        self._somebody.set()
+        self._tell(found)
+
+    def _tell(self, found: _Found) -> None:
+        age_s = trio.current_time() - self._found_at[found]
+        self._peers.outbox.tell(RunnerNote(self._peers.name, found.start, found.fact, age_s))
+
+    def _forget(self) -> None:
+        since = trio.current_time() - AGAIN_FOR_S
+        self._found_at = {found: at for found, at in self._found_at.items() if at > since}
+        if not self._found_at:
+            self._somebody = trio.Event()
+
+
+__all__ = ('RunnerNews',)
--- a/packages/sesamepoint/src/sesamepoint/front/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -11,11 +11,12 @@
 from sesamepoint_core.runner_words.belief import Belief
 from sesamepoint_core.runner_words.words import Leaves, Limits, NoLimit, Rests, Unreadable
 from sesamepoint import events
-from sesamepoint.front.member import FROM_ANSWER
 from sesamepoint.platform.headers import replaced
 from sesamepoint.platform.runner_words import words_of
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_core.runner_words.words import RunnerWord
     from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.runner_limits import RunnerLimits
@@ -27,6 +28,8 @@
 # A runner may say something that does not decode in each answer; there is one line for
 # each kind of its words in this time, in seconds.
 UNREADABLE_EVERY_S = 10.0
+# Where word of something comes from that this instance has heard itself.
+FROM_ANSWER = 'answer'
 
 KeyT = TypeVar('KeyT')
 ValueT = TypeVar('ValueT')
@@ -38,6 +41,8 @@
     def __init__(self, limits: RunnerLimits) -> None:
         """Believe nothing; limits are kept by ``limits``."""
         self.limits = limits
+        # Called when a start says in an answer that it leaves, with the moment.
+        self.on_leaving: Callable[[Start], None] | None = None
         self._beliefs: dict[Start, Belief] = {}
         self._unreadable_at: dict[tuple[Start, str], float] = {}
 
@@ -49,6 +54,19 @@
         for word in words_of(head):
             self.take(word, start, sent_at)
 
+    def leaves(self, start: Start) -> bool:
+        """Tell whether it is known that the runner of ``start`` leaves."""
+        belief = self._beliefs.get(start)
+        return belief is not None and belief.leaving
+
+    def leaving(self) -> list[Start]:
+        """Return all starts of which that is known, also of such as have gone."""
+        return [start for start, belief in self._beliefs.items() if belief.leaving]
+
+    def told_leaving(self, start: Start, source: str, age_s: float) -> None:
+        """Take the word of another instance, which heard it ``age_s`` seconds before."""
+        self._leave(start, source, age_s)
+
     @singledispatchmethod
     def take(self, word: RunnerWord, start: Start, sent_at: float) -> None:
         """Take one word of the runner of ``start``."""
@@ -56,8 +74,8 @@
 
     @take.register(Leaves)
     def _take_leaves(self, _: Leaves, start: Start, sent_at: float) -> None:
-        if self._belief(start).leave():
-            events.log_event(events.LEAVING_SAID, runner=start.runner, born_ms=start.born_ms, source=FROM_ANSWER)
+        if self._leave(start, FROM_ANSWER, 0) and self.on_leaving is not None:
+            self.on_leaving(start)
 
     @take.register(Rests)
     def _take_rests(self, word: Rests, start: Start, sent_at: float) -> None:
@@ -92,6 +110,18 @@
         _bound(self._unreadable_at)
         events.log_event(events.WORD_UNREADABLE, runner=start.runner, word=word.word, text=word.text)
 
+    def _leave(self, start: Start, source: str, age_s: float) -> bool:
+        news = self._belief(start).leave()
+        if news:
+            events.log_event(
+                events.LEAVING_SAID,
+                runner=start.runner,
+                born_ms=start.born_ms,
+                source=source,
+                age_s=round(age_s, 3),
+            )
+        return news
+
     def _belief(self, start: Start) -> Belief:
         """Return what is believed of ``start``, to add to it."""
         found = self._beliefs.get(start)
@@ -107,4 +137,4 @@
         remembered.pop(next(iter(remembered)))
 
 
-__all__ = ('RunnerWords',)
+__all__ = ('FROM_ANSWER', 'RunnerWords')
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -12,8 +12,9 @@
 from sesamepoint import events
 from sesamepoint.front.attempt import Attempt, Target
 from sesamepoint.front.cause import Cause
-from sesamepoint.front.member import FROM_ANSWER
-from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent
+from sesamepoint.front.gate import Purpose, SendKind
+from sesamepoint.front.runner_words import FROM_ANSWER
+from sesamepoint.front.results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
 from sesamepoint.platform.headers import Sending
 
 if TYPE_CHECKING:
@@ -30,6 +31,9 @@
 MIN_PATIENCE_S = 0.4
 ENGINE_PATIENCE_FACTOR = 4.0
 MIN_ENGINE_PATIENCE_S = 1.2
+# So often may the gate to a runner close between its choice and the send of one request;
+# beliefs that change oftener than that are no ground to choose by.
+MAX_WITHHELD = 16
 
 
 def patience_s(expected_s: float, *, engine: bool) -> float:
@@ -52,7 +56,7 @@
         job.priority,
         resume_after=job.reply.events.last_id if job.reply.begun else '',
     )
-    return Target(member, sending, allowed_s, job.note_first)
+    return Target(member, sending, allowed_s, job.note_first, purpose=Purpose(SendKind.run, job))
 
 
 async def attempt(job: Job, target: Target) -> AttemptResult:
@@ -72,13 +76,30 @@
     if isinstance(became, RunFailed):
         # It has run, and its answer may go to nobody.
         job.note_run()
-    if isinstance(became, Unsent | Rejected):
+    if isinstance(became, Unsent | Rejected | Withheld):
         # An earlier send may have run all the same; 'not run' would be untrue.
         job.maybe_run = ran_before
-    _judge(job, target, became, started)
+    if isinstance(became, Withheld):
+        job.sends -= 1
+        note_withheld(job, target, became, started)
+    else:
+        _judge(job, target, became, started)
     return became
 
 
+def note_withheld(job: Job, target: Target, became: Withheld, started: float) -> None:
+    """Note that nothing was sent to a runner; it may be tried again when its gate has opened."""
+    member = target.member
+    job.tried.pop(member.runner.key, None)
+    job.notes.withheld += 1
+    events.log_event(
+        events.SEND_WITHHELD,
+        condition=became.condition,
+        kind=target.purpose.kind.value,
+        **_send_fields(job, member, started),
+    )
+
+
 def note_unread(job: Job, member: Member, found: PrefillFailed, started: float) -> None:
     """Note that ``member`` did not read the job's prompt for another engine."""
     events.log_event(
@@ -106,6 +127,8 @@
         return False
     if isinstance(found, Unsent | Rejected):
         return True
+    if isinstance(found, Withheld):
+        return job.notes.withheld < MAX_WITHHELD
     if job.reply.begun:
         return job.route.repeat is Repeat.resume and isinstance(found, Broken | Silent)
     return repeatable(job)
@@ -169,6 +192,7 @@
     'may_go_on',
     'note_failure',
     'note_unread',
+    'note_withheld',
     'patience_s',
     'repeatable',
     'target_for',
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -34,6 +34,8 @@
         self._on_head = on_head
         self._begun_at: float = 0
         self.keep_s: float | None = None
+        # Called before anything of a request goes out; raises if it may not.
+        self.admit: Callable[[], None] | None = None
         self._transport = transport
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
@@ -43,8 +45,11 @@
     def begin(self, head: RequestHead, body: bytes) -> bytes:
         """Take up a request; returns the bytes for :meth:`send`.
 
-        ``head`` must carry the length of ``body``.
+        ``head`` must carry the length of ``body``. Raises what ``admit`` raises; then the
+        connection is as it was.
         """
+        if self.admit is not None:
+            self.admit()
         self._sent_whole = False
         self._begun_at = trio.current_time()
         self._request = h11.Request(method=head.method, target=head.target, headers=list(head.headers))
@@ -143,6 +148,8 @@
 
     def recycle(self) -> bool:
         """Get ready for the next request; False if that cannot be."""
+        if self._state.our_state is h11.IDLE:
+            return True
         clean = self._sent_whole and self._framed and not self._state.trailing_data[0]
         if not clean or self._state.our_state is not h11.DONE or self._state.their_state is not h11.DONE:
             return False
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -10,8 +10,8 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.gate import Gate
 from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint_standins.platform.caller import Asked
 from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
 
@@ -90,9 +90,9 @@
     return RunnerLimits('front-1', Random(1))
 
 
-def no_words() -> RunnerWords:
-    """Return what an instance knows of runners before any has said anything of itself."""
-    return RunnerWords(no_limits())
+def open_gate() -> Gate:
+    """Return the gate of an instance to which no runner has said anything of itself."""
+    return Gate.from_limits(no_limits())
 
 
 def plain_runner(number: int, service: str = 'web', **changes: Any) -> RunnerStandIn:
@@ -155,7 +155,7 @@
     'engine',
     'fleet',
     'no_limits',
-    'no_words',
+    'open_gate',
     'plain_runner',
     'registered_engine',
     'registration',
--- /dev/null
+++ b/tests/front/gate_bed.py
@@ -0,0 +1,171 @@
+"""One engine behind a gate, all kinds of sends to it, and all that closes the gate."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from types import MappingProxyType
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.attempt import Attempt, Target
+from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.gate import Purpose, SendKind
+from sesamepoint.front.inventory import Inventory
+from sesamepoint.front.known_engines import KnownEngines
+from sesamepoint.front.prefill import HandleReclaimer, Prefilled, prefill
+from sesamepoint.front.reply import Reply
+from sesamepoint.front.request import FrontRequest
+from sesamepoint.http1.messages import RequestHead
+from sesamepoint.platform.headers import Sending
+from tests.front.builders import open_gate
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from sesamepoint.front.gate import Gate
+    from sesamepoint.front.member import Member
+
+    Send = Callable[['Bed'], Awaitable[None]]
+    Close = Callable[['Bed'], None]
+
+# From the choice of a runner to its connection, in seconds.
+CONNECT_S = 0.05
+PATIENCE_S = 0.3
+
+
+class SilentTransport:
+    """Notes what is sent, and answers nothing."""
+
+    peer = ''
+
+    def __init__(self) -> None:
+        self.sent = b''
+
+    async def send_all(self, sent: bytes) -> None:
+        """Note what is sent."""
+        self.sent += sent
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Answer nothing."""
+        return await trio.sleep_forever()
+
+    def close(self) -> None:
+        """Close nothing."""
+
+    def quiet(self) -> bool:
+        """Tell that it may be used."""
+        return True
+
+    def ended(self) -> bool:
+        """Tell that it is open."""
+        return False
+
+
+class SlowNetwork:
+    """Takes its time to connect."""
+
+    def __init__(self) -> None:
+        self.transport = SilentTransport()
+
+    async def connect(self, address: Address, timeout_s: float) -> SilentTransport:
+        """Return a connection after a while."""
+        await trio.sleep(CONNECT_S)
+        return self.transport
+
+
+class CallerConn:
+    """A caller that waits."""
+
+    def check_caller(self) -> None:
+        """Find the caller there."""
+
+
+class Bed(NamedTuple):
+    """One engine, and what is believed of it."""
+
+    network: SlowNetwork
+    gate: Gate
+    fleet: Fleet
+
+    @property
+    def member(self) -> Member:
+        """Return the engine."""
+        return self.fleet.members['i-1']
+
+
+def bed() -> Bed:
+    """Return an instance that knows one engine."""
+    network = SlowNetwork()
+    gate = open_gate()
+    fleet = Fleet(2.0, network, trio.current_time, gate)
+    fleet.replace_all([Runner('i-1', 'llm', Address('10.0.0.1', 80), 'z1', 24, leaving=False, stage=Stage.decode)])
+    return Bed(network, gate, fleet)
+
+
+async def send_run(kind: SendKind, found: Bed) -> None:
+    """Send a request, or its second step."""
+    target = Target(found.member, Sending('i-1', 5, 0), PATIENCE_S, purpose=Purpose(kind))
+    await Attempt(_request(), target, _reply(), streamed=True).run()
+
+
+async def send_to_read(found: Bed) -> None:
+    """Have a prompt read apart."""
+    purpose = Purpose(SendKind.read_apart)
+    target = Target(found.member, Sending('i-1', 5, 0, prefill_only=True), PATIENCE_S, purpose=purpose)
+    await prefill(_request(), target, _reply())
+
+
+async def look_at_memory(found: Bed) -> None:
+    """Ask what the engine keeps."""
+    inventory = Inventory(found.fleet, KnownEngines('front-1', found.fleet), Random(1))
+    with trio.move_on_after(PATIENCE_S):
+        await inventory.run()
+
+
+async def free_memory(found: Bed) -> None:
+    """Give memory back."""
+    reclaimer = HandleReclaimer()
+    reclaimer.drop(Prefilled(found.member, 'h1'))
+    with trio.move_on_after(PATIENCE_S):
+        await reclaimer.run()
+
+
+SENDS: Mapping[SendKind, Send] = MappingProxyType(
+    {
+        SendKind.run: partial(send_run, SendKind.run),
+        SendKind.second_step: partial(send_run, SendKind.second_step),
+        SendKind.read_apart: send_to_read,
+        SendKind.inventory: look_at_memory,
+        SendKind.free_memory: free_memory,
+    }
+)
+
+
+def _leave(found: Bed) -> None:
+    found.gate.words.told_leaving(found.member.start, 'front-2', 0)
+
+
+CLOSES: Mapping[str, Close] = MappingProxyType(
+    {
+        'gone': lambda found: found.member.close(),
+        'replaced': lambda found: found.member.note_replaced('front-2'),
+        'leaving': _leave,
+    }
+)
+
+
+def _reply() -> Reply:
+    return Reply(CallerConn())  # type: ignore[arg-type]
+
+
+def _request() -> FrontRequest:
+    head = RequestHead(b'POST', b'/tag/a', ((b'host', b'x'), (b'sesamepoint-request-id', b'r1')))
+    return FrontRequest('r1', 'x', '/tag/a', head, b'', 0, None, None)
+
+
+__all__ = ('CLOSES', 'CONNECT_S', 'SENDS', 'Bed', 'Close', 'Send', 'bed')
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -15,7 +15,7 @@
 from sesamepoint.front.request import FrontRequest
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.platform.headers import Sending
-from tests.front.builders import no_words
+from tests.front.builders import open_gate
 from tests.virtual import virtual
 
 if TYPE_CHECKING:
@@ -106,7 +106,7 @@
         """
         clock: MockClock = trio.lowlevel.current_clock()  # type: ignore[assignment]
         transport = LateTransport()
-        member = Member(_runner(), LateNetwork(transport), no_words())
+        member = Member(_runner(), LateNetwork(transport), open_gate())
         conn = RecordingConn()
         reply = Reply(conn)  # type: ignore[arg-type]
         target = Target(member, Sending('i-1', 5, 0), PATIENCE_S)
--- a/tests/front/test_choice.py
+++ b/tests/front/test_choice.py
@@ -15,13 +15,13 @@
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint_core.serving.address import Address
-from tests.front.builders import no_limits, no_words
+from tests.front.builders import no_limits, open_gate
 from tests.virtual import virtual
 
 
 def build(runners: int) -> tuple[Fleet, Chooser, Job]:
     """Return a fleet of one service, its chooser, and a job for it."""
-    fleet = Fleet(2.0, SocketNetwork(), int, no_words())
+    fleet = Fleet(2.0, SocketNetwork(), int, open_gate())
     for number in range(runners):
         address = Address('10.0.0.1', number)
         fleet.update(Runner(f'i-{number}', 'web', address, 'z1', 6, leaving=False, stage=Stage.plain))
--- /dev/null
+++ b/tests/front/test_gate.py
@@ -0,0 +1,65 @@
+"""The last question before a send: what closes the gate closes it for all that runners get."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+import sesamepoint
+from sesamepoint.front.gate import CONDITIONS, SendKind
+from tests.front.gate_bed import CLOSES, CONNECT_S, SENDS, bed
+from tests.virtual import virtual
+
+if TYPE_CHECKING:
+    from tests.front.gate_bed import Close, Send
+
+# Runners are spoken to by connections of this module, which ask the gate.
+POOL = 'front/pool.py'
+# These lead to no runner: the store, the reports on use, other entries.
+ELSEWHERE = frozenset(('platform/store.py', 'front/duty.py', 'front/peer_configuration.py'))
+
+
+class GateTest(TestCase):
+    """Nothing goes round the gate."""
+
+    def test_all_kinds_and_conditions_are_tried(self) -> None:
+        """Guards against a kind of send, or a condition, that nobody tries here."""
+        self.assertEqual(SENDS.keys(), set(SendKind))
+        self.assertEqual(CLOSES.keys(), set(CONDITIONS))
+
+    def test_connections_come_from_the_pool(self) -> None:
+        """Guards against a new kind of send with a connection that asks no gate."""
+        root = Path(sesamepoint.__file__).parent
+        found = {
+            path.relative_to(root).as_posix() for path in root.rglob('*.py') if 'ClientConn(' in path.read_text('utf-8')
+        }
+        self.assertEqual(found, {POOL, *ELSEWHERE})
+
+    @virtual
+    async def test_open(self) -> None:
+        """Guards against tests of a gate that never opens."""
+        for kind, send in SENDS.items():
+            with self.subTest(kind=kind):
+                found = bed()
+                await send(found)
+                self.assertNotEqual(found.network.transport.sent, b'')
+
+    @virtual
+    async def test_closed_while_connecting(self) -> None:
+        """Guards against sends to runners of which something was learned since they were chosen."""
+        for kind, send in SENDS.items():
+            for condition, close in CLOSES.items():
+                with self.subTest(kind=kind, condition=condition):
+                    self.assertEqual(await _sent(send, close), b'')
+
+
+async def _sent(send: Send, close: Close) -> bytes:
+    found = bed()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, found)
+        await trio.sleep(CONNECT_S / 2)
+        close(found)
+    return found.network.transport.sent
--- a/tests/front/test_known_engines.py
+++ b/tests/front/test_known_engines.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.known_engines import KNOWN, KnownEngines
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.configuration import decode_configuration
-from tests.front.builders import encoded_configuration, no_words
+from tests.front.builders import encoded_configuration, open_gate
 from tests.virtual import virtual
 
 ENTRIES = tuple(f'front-{number}' for number in range(350))
@@ -21,7 +21,7 @@
 
 def fleet_of(engines: int, stage: Stage = Stage.decode) -> Fleet:
     """Return a fleet of ``engines``, and one plain service."""
-    fleet = Fleet(2.0, SocketNetwork(), trio.current_time, no_words())
+    fleet = Fleet(2.0, SocketNetwork(), trio.current_time, open_gate())
     for number in range(engines):
         fleet.update(Runner(f'i-{number}', 'llm', Address('10.0.0.1', number), 'z1', 24, leaving=False, stage=stage))
     for number in range(40):
--- a/tests/front/test_pool.py
+++ b/tests/front/test_pool.py
@@ -48,10 +48,14 @@
         async def check(listener: trio.SocketListener, pool: Pool) -> None:
             self.assertFalse(await pool.refuses())
             async with await listener.accept():
-                conn = await pool.take()
+                conn = await pool.take(_admit)
                 # Nobody listens any more: a second one would not come about.
                 self.assertTrue(await ended(listener, pool))
                 self.assertTrue(conn.quiet())
                 conn.close()
 
         trio.run(with_listener, check)
+
+
+def _admit() -> None:
+    """Let everything pass."""
--- a/tests/front/test_random_faults.py
+++ b/tests/front/test_random_faults.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from sesamepoint.front import attempt, dispatch, door, fleet, reply
+from sesamepoint.front import attempt, dispatch, door, member, reply
 from sesamepoint.front.results import Rejected, Relayed
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.random_faults import play
@@ -35,10 +35,6 @@
     return Rejected(503)
 
 
-def _all_of_service(self: fleet.Fleet, service: str) -> list[Any]:
-    return [member for member in self.members.values() if member.runner.service == service]
-
-
 class RandomFaultsTest(TestCase):
     """The promises hold under faults that nobody chose."""
 
@@ -63,7 +59,7 @@
 
     def test_twin_leaving_ignored(self) -> None:
         """Runners that leave get requests as before."""
-        with patch.object(fleet.Fleet, 'of_service', _all_of_service):
+        with patch.object(member.Member, 'leaving', new=False):
             self._finds('drain')
 
     def test_twin_leaving_of_callers_unnoticed(self) -> None:
--- a/tests/front/test_restarted_runners.py
+++ b/tests/front/test_restarted_runners.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.sends import NewLoad, Send, SendNotes, Word
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint_standins.platform.bed import running_bed
-from tests.front.builders import asked_prompt, configuration, engine, no_words, registered_engine
+from tests.front.builders import asked_prompt, configuration, engine, open_gate, registered_engine
 from tests.virtual import virtual
 
 EARLIER = 1_700_000_000_000
@@ -24,7 +24,7 @@
 
 def fleet_with(*runners: Runner) -> Fleet:
     """Return a fleet in which ``runners`` have registered."""
-    fleet = Fleet(DRAIN_S, SocketNetwork(), trio.current_time, no_words())
+    fleet = Fleet(DRAIN_S, SocketNetwork(), trio.current_time, open_gate())
     for runner in runners:
         fleet.update(runner)
     return fleet
--- a/tests/front/waiters.py
+++ b/tests/front/waiters.py
@@ -21,7 +21,7 @@
 from sesamepoint.front.request import FrontRequest
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.http1.transport import SocketNetwork
-from tests.front.builders import no_limits, no_words
+from tests.front.builders import no_limits, open_gate
 
 # Seconds that an answer takes besides its reading.
 REST_S = 0.06
@@ -40,7 +40,7 @@
 
     def __init__(self, readers: int = 2) -> None:
         """Start with nobody waiting, before ``readers`` engines that only prefill."""
-        self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time, no_words())
+        self.fleet = Fleet(2.0, SocketNetwork(), trio.current_time, open_gate())
         for number, stage in enumerate((*(Stage.prefill for _ in range(readers)), Stage.decode)):
             address = Address('10.0.0.1', number)
             self.fleet.update(Runner(f'i-{number}', 'llm', address, 'z1', 24, leaving=False, stage=stage))
