Heed the rest that a runner asks for

Cause: the 503 counted as any other failure, three of them leave a runner out for a second, and the time was dropped with the rest of the head.

From the head of a 503 that names a time, on any kind of call, that start of the runner gets nothing from this instance until the end of it: one more condition of the gate, and of the choice. A later word lengthens a rest and never shortens it. When it is over one request at a time goes there, twice as many each quarter of a second. What rests has no part in the share of a fleet that stays in use whatever fails, nor does its 503 count as a failure. Where all rest requests wait as they do for limits, by worth, if an end comes in their time; else they are refused at once, with times to return behind the earliest end.

Which runners a request may be sent to is a module of its own now (front/usable.py).

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -103,4 +103,4 @@
         return True
 
 
-__all__ = ('Health',)
+__all__ = ('MAX_OUT_S', 'Health')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -138,6 +138,8 @@
         """Run the listeners' connections in ``nursery``."""
         self.cut: set[frozenset[str]] = set()
         self.datagrams_lost = False
+        # How long a connection takes to come about.
+        self.connect_s = 2 * ONE_WAY_S
         # The newest datagrams, for tests of what peers get to know.
         self.datagrams: deque[bytes] = deque(maxlen=KEPT_DATAGRAMS)
         # Bytes a second that the links of some hosts carry; others' carry all.
@@ -191,7 +193,7 @@
         if math.isinf(self.delay_s(host, address.host)):
             await trio.sleep(timeout_s)
             raise ConnectFailedError(str(address), 'timed out')
-        await trio.sleep(2 * ONE_WAY_S)
+        await trio.sleep(self.connect_s)
         if handler is None:
             raise ConnectFailedError(str(address), 'refused', refused=True)
         there, back = Pipe(), Pipe()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/word_bounds.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/word_bounds.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from sesamepoint_standins.platform.runner import RunnerStandIn, Told
 
+    # Tells of an instance whether it is excused of what it was told at a moment, until another one.
+    Excused = Callable[[str, float, float], bool]
+
 # An instance may send to a runner for so long after it was told that this one leaves, in seconds.
 DRAIN_S = 2.0
 # Until so long after it was asked for rest nothing is counted, in seconds, and then no
@@ -17,23 +20,27 @@
 REST_MOST = 2
 
 
-def after_leaving(runner: RunnerStandIn, within_s: float = DRAIN_S) -> list[str]:
+def nobody(instance: str, since: float, until: float) -> bool:
+    """Excuse no instance."""
+    return False
+
+
+def after_leaving(runner: RunnerStandIn, within_s: float = DRAIN_S, excused: Excused = nobody) -> list[str]:
     """Return which instances sent ``runner`` something later than ``within_s`` after they were told that it leaves."""
-    told_at: dict[str, float] = {}
-    for told in runner.told:
-        if told.leaving:
-            told_at.setdefault(told.sender, told.at)
+    told = [one for one in runner.told if one.leaving]
     return [
-        f'leaving: {sender} sent {runner.key} a request {at - told_at[sender]:.3f} s after it was told'
+        f'leaving: {sender} sent {runner.key} a request {within_s} s and more after it was told'
         for at, sender in zip(runner.arrivals, runner.senders, strict=True)
-        if sender in told_at and at > told_at[sender] + within_s
+        if any(one.sender == sender and one.at + within_s < at and not excused(sender, one.at, at) for one in told)
     ]
 
 
-def in_rest(runner: RunnerStandIn, since_s: float = REST_FROM_S, most: int = REST_MOST) -> list[str]:
+def in_rest(
+    runner: RunnerStandIn, since_s: float = REST_FROM_S, most: int = REST_MOST, excused: Excused = nobody
+) -> list[str]:
     """Return which instances sent ``runner`` more than ``most`` in a rest, from ``since_s`` after its beginning."""
     asked = [told for told in runner.told if told.rest_s]
-    sent = [(told, len(list(_between(runner, told, since_s)))) for told in asked]
+    sent = [(told, len(list(_between(runner, told, since_s, excused)))) for told in asked]
     return [
         f'rest: {told.sender} sent {runner.key} {count} requests in {told.rest_s} s of rest'
         for told, count in sent
@@ -41,10 +48,11 @@
     ]
 
 
-def _between(runner: RunnerStandIn, told: Told, since_s: float) -> Iterator[float]:
+def _between(runner: RunnerStandIn, told: Told, since_s: float, excused: Excused) -> Iterator[float]:
     for at, sender in zip(runner.arrivals, runner.senders, strict=True):
-        if sender == told.sender and told.at + since_s < at < told.at + told.rest_s:
+        in_time = told.at + since_s < at < told.at + told.rest_s
+        if sender == told.sender and in_time and not excused(sender, told.at, at):
             yield at
 
 
-__all__ = ('DRAIN_S', 'REST_FROM_S', 'REST_MOST', 'after_leaving', 'in_rest')
+__all__ = ('DRAIN_S', 'REST_FROM_S', 'REST_MOST', 'Excused', 'after_leaving', 'in_rest', 'nobody')
--- a/packages/sesamepoint/src/sesamepoint/front/cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/cause.py
@@ -14,6 +14,7 @@
     quarantined = 'ends_its_runners'
     behind_trial = 'behind_its_trial'
     limited = 'runners_name_limits'
+    resting = 'runners_rest'
     leaving = 'runners_leave'
     no_runner = 'no_runner'
     turned_away = 'turned_away_by_runners'
--- a/packages/sesamepoint/src/sesamepoint/front/choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -13,6 +12,7 @@
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint.front.backlog import Line, Need
 from sesamepoint.front.engine_plan import EnginePlan, Seen, Views, plan_for
+from sesamepoint.front.usable import Usable, note_passed_over
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -31,9 +31,6 @@
 # A runner of another zone is as good as one of this zone with this many
 # requests more: a millisecond and a half each way against tens of them.
 ZONE_PENALTY = 0.5
-# Share of a service's runners that stays in use, whatever fails, as long as
-# they answer some requests: the rest would not bear the load of more.
-KEPT_SHARE = 0.7
 # Ranks of requests that can be on time, and of those that can't any more. The
 # late ones wait behind all others, so that they make no others late.
 MAX_RANK = 4
@@ -59,6 +56,7 @@
         """Choose among ``known`` from ``availability_zone``, with ``backlog`` behind, as far as ``limits`` admit it."""
         self._known = known
         self._limits = limits
+        self.usable = Usable(known, limits)
         self._backlog = backlog
         self._zone = availability_zone
         self._speeds: dict[str, SpeedMeter] = {}
@@ -75,7 +73,7 @@
 
     def engines(self, job: Job, stage: Stage | None = None) -> int:
         """Return how many engines, of ``stage`` if one is given, could serve ``job``."""
-        return sum(stage is None or member.runner.stage is stage for member in self._usable(job))
+        return sum(stage is None or member.runner.stage is stage for member in self.usable.now(job))
 
     def share_of(self, service: str, stage: Stage) -> float:
         """Return the share of the other entries' work that comes to engines known here."""
@@ -96,7 +94,7 @@
 
     def plain(self, job: Job) -> Member | None:
         """Return the runner with the fewest requests, near ones first."""
-        found = self._usable(job)
+        found = self.usable.now(job)
         return min(found, key=self._crowding, default=None)
 
     def engine(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
@@ -121,7 +119,7 @@
 
     def second_step(self, job: Job, prompt: Prompt, cfg: Configuration, zone: str) -> Member | None:
         """Return where a prompt that was read in ``zone`` runs best by now."""
-        members = [member for member in self._usable(job) if member.runner.stage is Stage.decode]
+        members = [member for member in self.usable.now(job) if member.runner.stage is Stage.decode]
         if not members:
             return None
         speeds = self._speeds_of(job, cfg)
@@ -131,30 +129,11 @@
 
     def for_trial(self, job: Job, allows: Callable[[Start], bool]) -> str | None:
         """Return the runner to send ``job`` to alone: of those allowed, the one with least beside it."""
-        usable = (member for member in self._usable(job) if member.runner.stage is not Stage.prefill)
+        usable = (member for member in self.usable.now(job) if member.runner.stage is not Stage.prefill)
         found = (member for member in usable if allows(member.start))
         best = min(found, key=_beside, default=None)
         return best.runner.key if best else None
 
-    def closed(self, job: Job) -> frozenset[Start]:
-        """Return the runners that could run ``job`` if their limits admitted it now."""
-        return frozenset(member.start for member in self._able(job) if not self._limits.admits(member, job))
-
-    def has_open(self, job: Job) -> bool:
-        """Tell whether some runner could run ``job`` now."""
-        return any(self._limits.admits(member, job) for member in self._able(job))
-
-    def _able(self, job: Job) -> list[Member]:
-        """Return the runners that could run ``job`` but for their limits."""
-        return [member for member in self._sound(job) if member.runner.stage is not Stage.prefill]
-
-    def _usable(self, job: Job) -> list[Member]:
-        """Return the runners that ``job`` may be sent to now."""
-        sound = self._sound(job)
-        admitted = [member for member in sound if self._limits.admits(member, job)]
-        _note_passed_over(job, sound, admitted)
-        return admitted
-
     def _candidates(self, job: Job, prompt: Prompt) -> list[Seen]:
         """Return the engines that ``job`` may be sent to now, and those that only read and are worth waiting for.
 
@@ -162,10 +141,10 @@
         moment in between, at half the speed. Short ones run there without much harm, and
         leave the places to those that take all that such a place is worth.
         """
-        sound = self._sound(job)
+        sound = self.usable.sound(job)
         seen = self._seen(sound, job)
         admitted = [one for one in seen if not one.permit_wait_s]
-        _note_passed_over(job, sound, [one.member for one in admitted])
+        note_passed_over(job, sound, [one.member for one in admitted])
         reading = self.speed(job.service).speed
         work_s = reading.read_s(prompt.tokens, prompt.tokens)
         readers = (one for one in seen if one.permit_wait_s and one.member.runner.stage is Stage.prefill)
@@ -174,22 +153,8 @@
 
     def _seen(self, members: Sequence[Member], job: Job) -> list[Seen]:
         """Return ``members`` with what their limits mean for ``job``."""
-        limits = self._limits
-        return [Seen(one, limits.permit_wait_s(one, job), limits.place_s(one.start)) for one in members]
-
-    def _sound(self, job: Job) -> list[Member]:
-        now = trio.current_time()
-        found = [member for member in self._known.of_service(job.service) if member.runner.key not in job.tried]
-        if job.trial:
-            found = [member for member in found if member.runner.key == job.trial.runner]
-        sound = [member for member in found if member.health.usable(now)]
-        missing = math.ceil(KEPT_SHARE * len(found)) - len(sound)
-        if missing <= 0:
-            return sound
-        # If many fail now and then, all that is left out is load on the rest.
-        shaky = [member for member in found if member not in sound and member.health.works_at_times(now)]
-        shaky.sort(key=_failing)
-        return sound + shaky[:missing] or found
+        place_s = self._limits.place_s
+        return [Seen(one, self.usable.wait_s(one, job), place_s(one.start)) for one in members]
 
     def _price(self, job: Job, members: Sequence[Member], stage: Stage) -> float:
         """Return what a second of an engine costs those that wait for one.
@@ -234,18 +199,8 @@
     return min(job.priority, MAX_RANK)
 
 
-def _note_passed_over(job: Job, sound: Sequence[Member], admitted: Sequence[Member]) -> None:
-    if len(admitted) < len(sound):
-        passed_over = {member.runner.key for member in sound} - {member.runner.key for member in admitted}
-        job.notes.passed_over.update(passed_over)
-
-
 def _beside(member: Member) -> float:
     return max(member.in_flight, member.load.streams(trio.current_time()))
 
 
-def _failing(member: Member) -> float:
-    return member.health.failing
-
-
 __all__ = ('Chooser', 'urgency')
--- a/packages/sesamepoint/src/sesamepoint/front/engine_tools.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_tools.py
@@ -14,6 +14,7 @@
 
     from sesamepoint.front.known_engines import KnownEngines
     from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runner_words import RunnerWords
     from sesamepoint.front.sends import SendNotes
 
 
@@ -29,12 +30,12 @@
 
     @classmethod
     def from_zone(
-        cls, availability_zone: str, known: KnownEngines, sends: SendNotes, limits: RunnerLimits, rng: Random
+        cls, availability_zone: str, known: KnownEngines, sends: SendNotes, words: RunnerWords, rng: Random
     ) -> EngineTools:
-        """Build what sends from ``availability_zone`` to the runners of ``known``, as far as ``limits`` admit it."""
-        chooser = Chooser(known, availability_zone, sends.backlog, limits)
+        """Build what sends from ``availability_zone`` to the runners of ``known``, as far as they admit it."""
+        chooser = Chooser(known, availability_zone, sends.backlog, words.limits)
         waiting = WaitingRoom(chooser, sends, rng)
-        return cls(chooser, sends, HandleReclaimer(), waiting, limits, Places(limits, chooser))
+        return cls(chooser, sends, HandleReclaimer(), waiting, words.limits, Places(words, chooser.usable))
 
 
 __all__ = ('EngineTools',)
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -129,6 +129,14 @@
             self._sizes = Counter((one.runner.service, one.runner.stage) for one in self.members.values())
         return self._sizes[service, stage]
 
+    def leaving(self) -> int:
+        """Return how many runners leave."""
+        return sum(member.leaving for member in self.members.values())
+
+    def resting(self) -> int:
+        """Return how many runners want nothing from this instance now."""
+        return sum(member.rests for member in self.members.values())
+
     async def until_any(self, service: str) -> bool:
         """Wait until some runner of ``service`` may get new requests; False if all that there are leave."""
         while not self.of_service(service):
@@ -162,6 +170,7 @@
         before = self.members.get(runner.key)
         if before is not None:
             before.close()
+            self._gate.words.forget(before.start)
             events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
         self._remember_start(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -67,7 +67,7 @@
         self.peers = Peers(cfg, sends, quarantine, known, peer_network)
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
-        self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, self._runner_limits, rng)
+        self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, gate.words, rng)
         self._exchange = LimitExchange(self._tools, self.fleet, known, self.peers)
         self.dispatcher = Dispatcher(self._tools, EngineRuns(self._tools), quarantine, budgets, rng)
         beliefs = Beliefs(self.dispatcher, self.fleet, gate.words, self.peers, budgets, quarantine)
@@ -118,14 +118,21 @@
                 await trio.sleep(POLL_S)
 
     def _watch(self, quarantine: Quarantine) -> None:
+        tools, fleet = self._tools, self.fleet
+        gauges = (
+            ('waiting_requests', 'Requests that wait here for an engine.', tools.waiting.count),
+            ('active_requests', 'Requests under way.', lambda: self.door.active),
+            ('entries', 'Entries that are registered.', self.peers.count),
+            ('runners', 'Runners that are known.', lambda: len(fleet.members)),
+            ('waiting_for_limits', 'Requests that wait for runners with limits, or at rest.', tools.places.count),
+            ('limited_runners', 'Runners that name a limit.', self._runner_limits.count),
+            ('leaving_runners', 'Runners that leave.', fleet.leaving),
+            ('resting_runners', 'Runners that want nothing from here now.', fleet.resting),
+            ('configuration_version', 'Version in force; 0 before the first.', self._version),
+        )
         watch = self.dispatcher.metrics.watch
-        watch('sesamepoint_waiting_requests', 'Requests that wait here for an engine.', self._tools.waiting.count)
-        watch('sesamepoint_active_requests', 'Requests under way.', lambda: self.door.active)
-        watch('sesamepoint_entries', 'Entries that are registered.', self.peers.count)
-        watch('sesamepoint_runners', 'Runners that are known.', lambda: len(self.fleet.members))
-        watch('sesamepoint_waiting_for_limits', 'Requests that wait for runners with limits.', self._tools.places.count)
-        watch('sesamepoint_limited_runners', 'Runners that name a limit.', self._runner_limits.count)
-        watch('sesamepoint_configuration_version', 'Version in force; 0 before the first.', self._version)
+        for name, text, value_of in gauges:
+            watch(f'sesamepoint_{name}', text, value_of)
         quarantine.watch(watch)
 
     def _version(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/gate.py
+++ b/packages/sesamepoint/src/sesamepoint/front/gate.py
@@ -72,6 +72,7 @@
     def __init__(self, words: RunnerWords) -> None:
         """Decide by what is believed in ``words``."""
         self.words = words
+        self._conditions = tuple((name, CONDITIONS.get(name)) for name in CONDITIONS)
 
     @classmethod
     def from_limits(cls, limits: RunnerLimits) -> Gate:
@@ -80,7 +81,7 @@
 
     def closed_by(self, passage: Passage) -> str:
         """Return the name of a condition that keeps ``passage`` from being sent; empty if there is none."""
-        return next((name for name in CONDITIONS if CONDITIONS.get(name)(self.words, passage)), '')
+        return next((name for name, closes in self._conditions if closes(self.words, passage)), '')
 
 
 @CONDITIONS.register('gone')
@@ -94,6 +95,12 @@
     return passage.member.replaced
 
 
+@CONDITIONS.register('resting')
+def _resting(words: RunnerWords, passage: Passage) -> bool:
+    """It wants nothing from this instance, or no more at a time so soon after."""
+    return passage.beside >= words.room(passage.member.start)
+
+
 @CONDITIONS.register('leaving')
 def _leaving(_: RunnerWords, passage: Passage) -> bool:
     return passage.member.leaving
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/job.py
@@ -61,7 +61,7 @@
     withheld
         How often nothing was sent to a runner that had been chosen.
     passed_over
-        Runners that it could not be sent to at the moment of a choice, on account of their limits.
+        Runners that it could not be sent to at the moment of a choice, as they rested or by their limits.
     decision
         The newest choice of a path, with the figures that decided it.
     """
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -78,6 +78,16 @@
         """Tell whether it leaves, by its registration or by what it has said."""
         return self.runner.leaving or self._words.leaves(self.start)
 
+    @property
+    def rests(self) -> bool:
+        """Tell whether it wants nothing from this instance now."""
+        return self._words.rest_left_s(self.start) > 0
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether it takes one request more of this instance, by its rest."""
+        return self.in_flight < self._words.room(self.start)
+
     def closed_to(self, purpose: Purpose) -> str:
         """Return what would keep ``purpose`` from being sent if it were chosen now; empty if nothing does."""
         return self._gate.closed_by(Passage(self, purpose, self.in_flight))
--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -1,9 +1,9 @@
-"""Requests that wait for a permit, since all runners that could take them name limits."""
+"""Requests that wait, since all runners that could take them name limits or rest."""
 
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -18,10 +18,10 @@
     from collections.abc import Iterable, Iterator
 
     from sesamepoint_core.serving.suspects import Start
-    from sesamepoint.front.choice import Chooser
     from sesamepoint.front.job import Job
     from sesamepoint.front.member import Member
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runner_words import RunnerWords
+    from sesamepoint.front.usable import Usable
 
 # A runner without a limit may have room again: waiting requests look so often, in seconds.
 LOOK_S = 0.05
@@ -40,6 +40,8 @@
 # A request asks for the permit of one runner at first, and after so many seconds for
 # those of all: asking for more than it takes, urgent ones would use up all permits.
 ASKS_ONE_S = 0.1
+# Requests a second that an instance expects to send to a runner that has just rested.
+RATE_AFTER_REST = 8.0
 # Callers that are told to come back are spread over no more than this, in seconds.
 LONGEST_RETURN_S = 10.0
 
@@ -70,13 +72,31 @@
         return rank_of(self.job), self.job.first_deadline
 
 
-class Places:
-    """Hands permits to waiting requests, the most urgent first, and refuses what would wait in vain."""
+class _Outlook(NamedTuple):
+    """When the runners that a request waits for take any, and how many a second then.
+
+    ``rate`` is infinite if one of them takes all as soon as it has answered once.
+    """
+
+    opens_s: float
+    rate: float
+
+    def wait_s(self, ahead: int) -> float:
+        """Return how long a request waits with so many before it; at the end of a rest the first goes at once."""
+        if not self.rate:
+            return math.inf
+        return self.opens_s + ahead / self.rate if self.opens_s else (ahead + 1) / self.rate
 
-    def __init__(self, limits: RunnerLimits, chooser: Chooser) -> None:
-        """Wait for the permits of ``limits``, for the runners that ``chooser`` would choose from."""
-        self._limits = limits
-        self._chooser = chooser
+
+class Places:
+    """Lets waiting requests go, the most urgent first, and refuses what would wait in vain."""
+
+    def __init__(self, words: RunnerWords, usable: Usable) -> None:
+        """Wait for runners that are ``usable``, by what ``words`` has of them."""
+        self._words = words
+        self._limits = words.limits
+        self._looked_at = -math.inf
+        self._usable = usable
         self._waiters: dict[_Waiter, None] = {}
         self._turns = 0
         self._asked_at: dict[str, float] = {}
@@ -94,7 +114,7 @@
     async def wait(self, job: Job) -> bool:
         """Wait until ``job`` may be sent to some runner; False if it is refused or there is no runner to wait for."""
         self._turns += 1
-        waiter = _Waiter(job, self._chooser.closed(job), self._turns)
+        waiter = _Waiter(job, self._usable.closed(job), self._turns)
         if not waiter.starts:
             return False
         began = trio.current_time()
@@ -125,10 +145,17 @@
             self._release(waiter)
 
     def let_go(self) -> None:
-        """Let requests go that may be sent to some runner by now."""
-        admitted = [waiter for waiter in self._waiters if self._chooser.has_open(waiter.job)]
-        for waiter in admitted:
-            self._release(waiter)
+        """Let requests go that may be sent to some runner by now, to one that has rested a few at a time."""
+        self._looked_at = trio.current_time()
+        room: dict[Start, float] = {}
+        for waiter in sorted(self._waiters, key=_order):
+            for member in self._usable.open_to(waiter.job):
+                start = member.start
+                left = room.get(start, self._words.room(start) - member.in_flight)
+                if left > 0:
+                    room[start] = left - 1
+                    self._release(waiter)
+                    break
 
     async def _until_decided(self, waiter: _Waiter) -> bool:
         while not waiter.decided.is_set():
@@ -137,8 +164,10 @@
                 await waiter.decided.wait()
             if waiter.refused:
                 return False
-            if self._chooser.has_open(waiter.job):
-                return True
+            if trio.current_time() - self._looked_at > LOOK_S / 2:
+                self.let_go()
+            if waiter.decided.is_set():
+                return not waiter.refused
             if trio.current_time() >= waiter.until:
                 self._refuse(waiter)
         return not waiter.refused
@@ -150,8 +179,7 @@
         """Refuse at once those that would wait for longer than they can, behind all that go before them."""
         ahead = 0
         for waiter in sorted(self._waiters, key=_order):
-            rate = self._rate(waiter)
-            if rate and (ahead + 1) / rate <= waiter.due_s:
+            if self._outlook(waiter).wait_s(ahead) <= waiter.due_s:
                 ahead += 1
             else:
                 self._refuse(waiter)
@@ -160,26 +188,29 @@
         job = waiter.job
         waiter.refused = True
         job.notes.refused = True
-        job.notes.held_back = Cause.limited
-        rate = self._rate(waiter)
-        job.retry_after_s = self._return_s(job, rate)
+        outlook = self._outlook(waiter)
+        rest = any(math.isfinite(self._words.room(start)) for start in waiter.starts)
+        job.notes.held_back = Cause.resting if rest else Cause.limited
+        job.retry_after_s = self._return_s(job, outlook)
         events.log_event(
-            events.LIMIT_REFUSED,
+            events.REST_REFUSED if rest else events.LIMIT_REFUSED,
             request=job.req.request_id,
             runners=sorted(start.runner for start in waiter.starts),
             waiting=len(self._waiters),
-            rate=_shown(rate),
+            opens_ms=whole_ms(outlook.opens_s),
+            rate=_shown(outlook.rate),
             left_ms=whole_ms(job.first_left_s),
             retry_after_s=job.retry_after_s,
         )
         self._release(waiter)
 
-    def _return_s(self, job: Job, rate: float) -> float:
-        """Return when its caller may come back: each refused one gets a place in the ``rate`` to come."""
+    def _return_s(self, job: Job, outlook: _Outlook) -> float:
+        """Return when its caller may come back: each refused one gets a place in the rate to come."""
+        rate = outlook.rate
         if not rate or math.isinf(rate):
             return when_unknown_s(job.caller_left_s)
         now = trio.current_time()
-        queued_until = now + len(self._waiters) / rate
+        queued_until = now + outlook.opens_s + len(self._waiters) / rate
         returns_at = max(self._returns_until.get(job.service, 0), queued_until) + 1 / rate
         if returns_at <= now + LONGEST_RETURN_S:
             self._returns_until[job.service] = returns_at
@@ -190,10 +221,18 @@
         self._waiters.pop(waiter, None)
         self._limits.fresh.set()
 
-    def _rate(self, waiter: _Waiter) -> float:
-        """Return the permits a second to expect; infinite if a runner takes all as soon as it has answered once."""
-        rates = (self._limits.expected_rate(start, waiter.job.priority) for start in waiter.starts)
-        return sum(math.inf if rate is None else rate for rate in rates)
+    def _outlook(self, waiter: _Waiter) -> _Outlook:
+        rests = {start: self._words.rest_left_s(start) for start in waiter.starts}
+        opens_s = min(rests.values(), default=0)
+        # Of those that rest for longer it has nothing.
+        in_time_s = max(opens_s, waiter.due_s)
+        rates = (self._rate(start, waiter.job) for start, rest_s in rests.items() if rest_s <= in_time_s)
+        return _Outlook(opens_s, sum(rates))
+
+    def _rate(self, start: Start, job: Job) -> float:
+        limit = self._limits.expected_rate(start, job.priority)
+        after_rest = RATE_AFTER_REST if math.isfinite(self._words.room(start)) else math.inf
+        return after_rest if limit is None else min(limit, after_rest)
 
 
 def rank_of(job: Job) -> Rank:
--- a/packages/sesamepoint/src/sesamepoint/front/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -63,10 +63,32 @@
         """Return all starts of which that is known, also of such as have gone."""
         return [start for start, belief in self._beliefs.items() if belief.leaving]
 
+    def room(self, start: Start) -> float:
+        """Return how many requests of this instance the runner of ``start`` may have at a time."""
+        belief = self._beliefs.get(start)
+        return math.inf if belief is None else belief.room(trio.current_time())
+
+    def rest_left_s(self, start: Start) -> float:
+        """Return for how many seconds the runner of ``start`` still wants nothing from this instance."""
+        belief = self._beliefs.get(start)
+        return 0 if belief is None else belief.rest_left_s(trio.current_time())
+
     def told_leaving(self, start: Start, source: str, age_s: float) -> None:
         """Take the word of another instance, which heard it ``age_s`` seconds before."""
         self._leave(start, source, age_s)
 
+    def forget(self, start: Start) -> None:
+        """Drop what was said by a start that has been followed by another one."""
+        belief = self._beliefs.pop(start, None)
+        if belief is not None:
+            events.log_event(
+                events.WORDS_FORGOTTEN,
+                runner=start.runner,
+                born_ms=start.born_ms,
+                leaving=belief.leaving,
+                rest_left_s=round(belief.rest_left_s(trio.current_time()), 3),
+            )
+
     @singledispatchmethod
     def take(self, word: RunnerWord, start: Start, sent_at: float) -> None:
         """Take one word of the runner of ``start``."""
--- a/packages/sesamepoint/src/sesamepoint/front/tries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/tries.py
@@ -111,6 +111,8 @@
         job.ended.append(member.start)
     if found.replaced:
         member.note_replaced(FROM_ANSWER)
+    elif member.rests:
+        return
     elif not found.silent or not member.health.heard_since(started):
         note_failure(member, found.cause)
 
@@ -181,6 +183,9 @@
     if isinstance(became, Rejected) and became.replaced:
         member.note_replaced(FROM_ANSWER)
         return
+    if isinstance(became, Rejected) and member.rests:
+        # It has said when it takes requests again; that is no failure to find out by.
+        return
     if isinstance(became, Silent) and member.health.heard_since(started):
         # It is busy, not dead: it has answered others meanwhile.
         return
--- a/tests/front/gate_bed.py
+++ b/tests/front/gate_bed.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from sesamepoint_core.runner_words.words import Rests
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.attempt import Attempt, Target
@@ -146,6 +147,10 @@
 )
 
 
+def _rest(found: Bed) -> None:
+    found.gate.words.take(Rests(3), found.member.start, 0)
+
+
 def _leave(found: Bed) -> None:
     found.gate.words.told_leaving(found.member.start, 'front-2', 0)
 
@@ -155,6 +160,7 @@
         'gone': lambda found: found.member.close(),
         'replaced': lambda found: found.member.note_replaced('front-2'),
         'leaving': _leave,
+        'resting': _rest,
     }
 )
 
--- a/tests/front/limit_faults.py
+++ b/tests/front/limit_faults.py
@@ -40,7 +40,8 @@
         """Draw all from ``rng``."""
         super().__init__(bed, rng)
         self.namings: dict[str, list[Naming]] = {}
-        self._started_at: dict[str, float] = {}
+        # When instances started anew, by their hosts.
+        self.starts: dict[str, list[float]] = {}
         self._steps = (*self._steps, self._name, self._name, self._restart_front)
 
     def over_limits(self) -> list[str]:
@@ -60,7 +61,7 @@
 
     def _knows(self, sender: str, at: float) -> bool:
         """Tell whether an instance has been up for long enough to have heard of a limit."""
-        return at - self._started_at.get(sender, -math.inf) > KNOWN_S
+        return at - max(self.starts.get(sender, ()), default=-math.inf) > KNOWN_S
 
     def _allowed(self, namings: list[Naming], at: float) -> float:
         untils = [*(naming.at for naming in namings[1:]), math.inf]
@@ -68,7 +69,9 @@
         return max(bound(float(one.limit)) for one, until in zip(namings, untils, strict=True) if until >= since)
 
     def _name(self) -> None:
-        runner = self._any_runner()
+        self._name_limit_of(self._any_runner())
+
+    def _name_limit_of(self, runner: RunnerStandIn) -> None:
         limit = self._rng.choice(LIMITS)
         runner.names_limit = (limit,)
         self.namings.setdefault(runner.key, []).append(Naming(trio.current_time(), limit))
@@ -78,7 +81,7 @@
         name = self._rng.choice(list(self.bed.fronts))
         self.bed.kill_front(name)
         front = self.bed.add_front(int(name.rpartition('-')[2]))
-        self._started_at[front.cfg.host] = trio.current_time()
+        self.starts.setdefault(front.cfg.host, []).append(trio.current_time())
 
 
 async def play(seed: int) -> list[str]:
--- a/tests/front/test_gate.py
+++ b/tests/front/test_gate.py
@@ -5,15 +5,17 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 
 import sesamepoint
-from sesamepoint.front.gate import CONDITIONS, SendKind
+from sesamepoint.front.gate import CONDITIONS, Gate, SendKind
 from tests.front.gate_bed import CLOSES, CONNECT_S, SENDS, bed
 from tests.virtual import virtual
 
 if TYPE_CHECKING:
+    from sesamepoint.front.gate import Passage
     from tests.front.gate_bed import Close, Send
 
 # Runners are spoken to by connections of this module, which ask the gate.
@@ -55,6 +57,18 @@
                 with self.subTest(kind=kind, condition=condition):
                     self.assertEqual(await _sent(send, close), b'')
 
+    @virtual
+    async def test_twin_that_asks_at_the_choice_only(self) -> None:
+        """What closes after the choice is sent all the same."""
+        with patch.object(Gate, 'closed_by', _open):
+            for kind, send in SENDS.items():
+                with self.subTest(kind=kind):
+                    self.assertNotEqual(await _sent(send, CLOSES['leaving']), b'')
+
+
+def _open(self: Gate, passage: Passage) -> str:
+    return ''
+
 
 async def _sent(send: Send, close: Close) -> bytes:
     found = bed()
--- /dev/null
+++ b/tests/front/word_faults.py
@@ -0,0 +1,96 @@
+"""Runners that say of themselves that they leave, rest or take no more than a limit, among random faults.
+
+Run by hand: python -m tests.front.word_faults FIRST-SEED LAST-SEED
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from sesamepoint_standins.platform.bed import PlatformBed, running_bed
+from sesamepoint_standins.platform.runner import Faults
+from sesamepoint_standins.platform.word_bounds import after_leaving, in_rest
+from tests.front.builders import configuration, engine, plain_runner
+from tests.front.limit_faults import LimitWorld
+from tests.front.random_faults import FRONTS, broken_promises, main
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+RESTS = (b'1', b'3', b'8')
+LONGEST_BACK_S = 4.0
+
+
+class WordWorld(LimitWorld):
+    """Runners say all three words, while the store is up, away, slow or back, and instances start again."""
+
+    def __init__(self, bed: PlatformBed, rng: Random) -> None:
+        """Draw all from ``rng``."""
+        super().__init__(bed, rng)
+        words = (self._say_leaving, self._ask_rest, self._say_all)
+        self._steps = (*self._steps, *words, *words, self._end_rests, self._store_back, self._cut_peers)
+
+    def over_words(self) -> list[str]:
+        """Return the runners that got what they did not want."""
+        runners = self.runners()
+        found = [text for runner in runners for text in after_leaving(runner, excused=self._started_between)[:1]]
+        return found + [text for runner in runners for text in in_rest(runner, excused=self._started_between)[:1]]
+
+    def _started_between(self, host: str, since: float, until: float) -> bool:
+        return any(since <= at <= until for at in self.starts.get(host, ()))
+
+    def _unsaid(self) -> RunnerStandIn:
+        """Return a runner that has not said that it leaves."""
+        return self._rng.choice([one for one in self.bed.runners.values() if not one.says_leaving])
+
+    def _say_leaving(self) -> None:
+        """Have a runner leave by its answers alone; another one comes in its place."""
+        runner = self._unsaid()
+        self._replacement(runner)
+        runner.says_leaving = (b'1',)
+
+    def _ask_rest(self) -> None:
+        self._rest(self._any_runner())
+
+    def _rest(self, runner: RunnerStandIn) -> None:
+        runner.faults = Faults(rejects=True)
+        runner.asks_rest = (self._rng.choice(RESTS),)
+
+    def _say_all(self) -> None:
+        runner = self._unsaid()
+        self._name_limit_of(runner)
+        self._rest(runner)
+        self._replacement(runner)
+        runner.says_leaving = (b'1',)
+
+    def _end_rests(self) -> None:
+        for runner in self.bed.runners.values():
+            if runner.asks_rest:
+                runner.faults = Faults()
+
+    def _store_back(self) -> None:
+        """Have the store come back from an older copy, with registrations that call leaving runners ready."""
+        self.bed.store.go_back(self._rng.uniform(0, LONGEST_BACK_S))
+        for runner in self.bed.runners.values():
+            self.bed.store.put('keyed.servers', runner.key, runner.record)
+        self._excuse_unread_drains()
+
+    def _cut_peers(self) -> None:
+        first, second = self._rng.sample(list(self.bed.fronts.values()), 2)
+        self.bed.network.cut.add(frozenset((first.cfg.host, second.cfg.host)))
+
+
+async def play(seed: int) -> list[str]:
+    """Play one seed and return the broken promises."""
+    rng = Random(seed)
+    runners = [plain_runner(number) for number in range(1, 5)]
+    runners += [engine(number, 'prefill' if number < 3 else 'decode') for number in range(1, 8)]
+    async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+        world = WordWorld(bed, rng)
+        await world.play()
+        return [*broken_promises(world), *world.over_limits(), *world.over_words()]
+
+
+if __name__ == '__main__':
+    main(play)
