Ask the gate for limits and suspect requests too, and hear a word in whichever answer it comes

A request that had been found to end its runners while it waited for an engine was sent on once more; a limit that was named while a request waited for its connection was not counted. Both are conditions of the gate now. A permit is set aside at the choice and used at the gate; what is not used goes back at once, also where the runner rests or leaves by then.

A word that comes in a 421 is the word of the runner that answers, and is taken as that one's.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
@@ -129,4 +129,4 @@
         kept.pop(next(iter(kept)))  # type: ignore[call-overload]
 
 
-__all__ = ('QUARANTINE_S', 'TRIAL_FROM', 'Name', 'Start', 'Suspects')
+__all__ = ('MAX_NAME', 'QUARANTINE_S', 'TRIAL_FROM', 'Name', 'Start', 'Suspects')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -114,6 +114,10 @@
     arrivals: list[float] = field(default_factory=list)
     # The host that sent each of them.
     senders: list[str] = field(default_factory=list)
+    # When it answered that it is not the one that a request was for.
+    misdirected_at: set[float] = field(default_factory=set)
+    # When it got a look at what it keeps, or a free of memory, which no caller has asked for.
+    besides_at: set[float] = field(default_factory=set)
     # A request with this in its body ends the runner when it begins to run it.
     ends_on: bytes = b''
     # Called when such a request begins to run.
@@ -176,6 +180,8 @@
     async def _serve_request(self, conn: ServerConn, message: Message, transport: Transport) -> None:
         self.arrivals.append(trio.current_time())
         self.senders.append(transport.peer)
+        if names.REQUEST_ID not in dict(message.head.headers):
+            self.besides_at.add(self.arrivals[-1])
         if message.head.method == b'DELETE':
             self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
             await conn.whole(STATUS_OK, self._words(transport), b'')
@@ -199,6 +205,7 @@
         expected = header(headers, names.EXPECT_INCARNATION)
         if expected is not None and expected.decode() != self.key:
             self.misdirected += 1
+            self.misdirected_at.add(self.arrivals[-1])
             own = (names.INCARNATION, self.key.encode())
             return await conn.whole(STATUS_MISDIRECTED, (*self._echo(message, transport), own), b'')
         if self.faults.rejects:
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -128,7 +128,6 @@
 
     def _note_end(self, job: Job, cfg: Configuration) -> None:
         self._under_way.discard(job)
-        self._limits.give_back(job)
         took_s = trio.current_time() - job.req.arrived
         if not job.notes.cause and (job.reply.unfinished or not job.reply.begun):
             job.notes.cause = Cause.caller_left
@@ -183,6 +182,7 @@
             found = await self._send(job, cfg, budget)
         finally:
             self._quarantine.learn(job, found)
+            self._limits.give_back(job)
         if found is not None and not isinstance(found, Relayed):
             self.metrics.note_broken(job.service, found.tag)
         return found
@@ -203,7 +203,7 @@
         """Return a runner of a plain service that may be sent the request now; None if there is none in time."""
         while True:
             member = self._chooser.plain(job)
-            if member is not None and self._limits.take(member, job):
+            if member is not None and self._limits.set_aside(member, job):
                 return member
             if member is None and not await self._places.wait(job):
                 return None
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
@@ -89,6 +89,7 @@
             found = await self._decode(job, prompt, plan._replace(decode=decode), prefilled)
             if not isinstance(found, Withheld) or not may_go_on(job, found):
                 return found
+            self._limits.give_back(job)
 
     async def _after_failed_read(
         self,
@@ -120,7 +121,7 @@
             if plan is None:
                 if not await self._gets_place(job):
                     return None
-            elif self._limits.take(plan.prefill or plan.decode, job):
+            elif self._limits.set_aside(plan.prefill or plan.decode, job):
                 return plan
 
     async def _gets_place(self, job: Job) -> bool:
@@ -136,7 +137,7 @@
             decode = found or plan.decode
             if decode.closed_to(Purpose(SendKind.second_step, job)):
                 return None
-            return decode if self._limits.take(decode, job) else None
+            return decode if self._limits.set_aside(decode, job) else None
 
     async def _wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Hold the request here until its best engine has nearly got to it.
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -58,12 +58,12 @@
         """Put the parts together without starting them; the clock is the machine's own if none is given."""
         self.cfg = cfg
         self._runner_limits = RunnerLimits(cfg.name, rng)
-        gate = Gate.from_limits(self._runner_limits)
+        quarantine = Quarantine(cfg.name)
+        gate = Gate.from_limits(self._runner_limits, quarantine.suspects)
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time, gate)
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
         known = KnownEngines(cfg.name, self.fleet)
-        quarantine = Quarantine(cfg.name)
         self.peers = Peers(cfg, sends, quarantine, known, peer_network)
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
--- a/packages/sesamepoint/src/sesamepoint/front/inventory.py
+++ b/packages/sesamepoint/src/sesamepoint/front/inventory.py
@@ -56,8 +56,6 @@
         await trio.sleep(self._rng.uniform(0, SPREAD_S))
         runner = member.runner
         cause = 'no answer in time'
-        if member.limited:
-            return events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause='it names a limit')
         condition = member.closed_to(PURPOSE)
         if condition:
             return events.log_event(events.INVENTORY_FAILED, runner=runner.key, cause=condition)
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -153,17 +153,14 @@
         self.closed = True
         self._pool.close()
 
-    @property
-    def limited(self) -> bool:
-        """Tell whether it names a limit: then only requests of callers are sent there."""
-        return self._words.limits.limited(self.start)
-
     def _pass(self, purpose: Purpose) -> None:
         # A request of a caller is under way there already.
         beside = self.in_flight if purpose.kind in CALLS_BESIDES else self.in_flight - 1
         condition = self._gate.closed_by(Passage(self, purpose, beside))
         if condition:
             raise GateClosedError(self.runner.key, condition)
+        if purpose.job is not None:
+            self._words.limits.use(self.start, purpose.job)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
         if not self.answered:
@@ -172,4 +169,4 @@
         self._words.note_answer(self.start, head, sent_at)
 
 
-__all__ = ('Member',)
+__all__ = ('CALLS_BESIDES', 'Member')
--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -151,12 +151,15 @@
         for waiter in sorted(self._waiters, key=_order):
             for member in self._usable.open_to(waiter.job):
                 start = member.start
-                left = room.get(start, self._words.room(start) - member.in_flight)
+                left = room.get(start, self._room(member))
                 if left > 0:
                     room[start] = left - 1
                     self._release(waiter)
                     break
 
+    def _room(self, member: Member) -> float:
+        return min(self._words.room(member.start), self._limits.room(member)) - member.in_flight
+
     async def _until_decided(self, waiter: _Waiter) -> bool:
         while not waiter.decided.is_set():
             left_s = max(waiter.until - trio.current_time(), 0)
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/prefill.py
@@ -141,8 +141,6 @@
         """Free a handle; it lapses by itself where the runner wants no message, or gets none."""
         member = prefilled.member
         runner = member.runner
-        if member.limited:
-            return events.log_event(events.HANDLE_LEFT, runner=runner.key, cause='the runner names a limit')
         purpose = Purpose(SendKind.free_memory)
         condition = member.closed_to(purpose)
         if condition:
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
@@ -60,22 +60,36 @@
 
     def admits(self, member: Member, job: Job) -> bool:
         """Tell whether ``job`` may be sent to ``member`` now."""
-        sharing = self._limiting(member.start)
-        if sharing is None:
-            return member.answered or member.in_flight < FIRST_SENDS
-        return member.start in job.standing.permits or sharing.stock(trio.current_time()) > 0
+        return member.in_flight < self.room(member) and self.has_permit(member.start, job)
 
-    def take(self, member: Member, job: Job) -> bool:
-        """Use a permit for ``job`` if it takes one; returns whether it may be sent to ``member``."""
+    def room(self, member: Member) -> float:
+        """Return how many requests ``member`` may have at a time, as long as it may name a limit any moment."""
+        if member.answered or self.limited(member.start):
+            return math.inf
+        return FIRST_SENDS
+
+    def has_permit(self, start: Start, job: Job) -> bool:
+        """Tell whether there is a permit to send ``job`` to a runner, or it takes none."""
+        sharing = self._limiting(start)
+        return sharing is None or start in job.standing.permits or sharing.stock(trio.current_time()) > 0
+
+    def set_aside(self, member: Member, job: Job) -> bool:
+        """Set a permit aside if ``job`` takes one to be sent to ``member``; returns whether it may be."""
         start = member.start
+        if start in job.standing.permits or self._limiting(start) is None:
+            return True
+        self.fresh.set()
+        return self.reserve(start, job)
+
+    def use(self, start: Start, job: Job) -> None:
+        """Use a permit, as ``job`` is sent to the runner of ``start``."""
         if start in job.standing.permits:
             job.standing.permits.discard(start)
-            return True
+            return
         sharing = self._limiting(start)
-        if sharing is None:
-            return True
-        self.fresh.set()
-        return sharing.take(trio.current_time())
+        if sharing is not None:
+            sharing.take(trio.current_time())
+            self.fresh.set()
 
     def reserve(self, start: Start, job: Job) -> bool:
         """Set a permit aside for ``job``, if there is one."""
--- a/packages/sesamepoint/src/sesamepoint/front/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -10,15 +10,15 @@
 
 from sesamepoint_core.runner_words.belief import Belief
 from sesamepoint_core.runner_words.words import Leaves, Limits, NoLimit, Rests, Unreadable
+from sesamepoint_core.serving.suspects import MAX_NAME, Start
 from sesamepoint import events
-from sesamepoint.platform.headers import replaced
+from sesamepoint.platform.headers import answered_by
 from sesamepoint.platform.runner_words import words_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamepoint_core.runner_words.words import RunnerWord
-    from sesamepoint_core.serving.suspects import Start
     from sesamepoint.front.runner_limits import RunnerLimits
     from sesamepoint.http1.messages import ResponseHead
 
@@ -47,10 +47,15 @@
         self._unreadable_at: dict[tuple[Start, str], float] = {}
 
     def note_answer(self, start: Start, head: ResponseHead, sent_at: float) -> None:
-        """Take what the head of an answer to a request of ``sent_at`` says of the runner of ``start``."""
-        if replaced(head, start.runner):
-            # It is the word of another one that has its address by now.
-            return
+        """Take what the head of an answer to a request of ``sent_at`` says of the runner of ``start``.
+
+        If another one has its address by now the words are that one's, known here yet or not.
+        """
+        named = answered_by(head, start.runner)
+        if named != start.runner:
+            if not 0 < len(named) <= MAX_NAME:
+                return
+            start = Start(named)
         for word in words_of(head):
             self.take(word, start, sent_at)
 
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -128,10 +128,13 @@
 
 def replaced(found: ResponseHead, incarnation: str) -> bool:
     """Tell whether another incarnation than the one expected has answered."""
-    if found.status != MISDIRECTED:
-        return False
-    named = header(found.headers, names.INCARNATION)
-    return named is not None and named.decode('latin-1') != incarnation
+    return answered_by(found, incarnation) != incarnation
+
+
+def answered_by(found: ResponseHead, incarnation: str) -> str:
+    """Return the incarnation that has answered where ``incarnation`` was expected."""
+    named = header(found.headers, names.INCARNATION) if found.status == MISDIRECTED else None
+    return incarnation if named is None else named.decode('latin-1')
 
 
 def returned(found: ResponseHead) -> Headers:
@@ -192,6 +195,7 @@
 
 __all__ = (
     'Sending',
+    'answered_by',
     'answers',
     'attributed',
     'decode_request',
