--- a/packages/sesamectl/src/sesamectl/caller_search.py
+++ b/packages/sesamectl/src/sesamectl/caller_search.py
@@ -12,7 +12,16 @@
     from sesamectl.ended import Ended
 
 NOT_RUN = frozenset(
-    (Cause.refused, Cause.denied, Cause.limited, Cause.no_runner, Cause.turned_away, Cause.not_run_in_time)
+    (
+        Cause.refused,
+        Cause.denied,
+        Cause.limited,
+        Cause.resting,
+        Cause.leaving,
+        Cause.no_runner,
+        Cause.turned_away,
+        Cause.not_run_in_time,
+    )
 )
 
 
--- a/packages/sesamectl/src/sesamectl/request_walk.py
+++ b/packages/sesamectl/src/sesamectl/request_walk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from sesamepoint import events
@@ -12,7 +13,7 @@
 from sesamectl.log_lines import decode_line
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 # What else happened to the runners of a request is shown if it lies so many
 # log lines before its end or less; busy processes write some hundred a second.
@@ -29,10 +30,22 @@
         events.ATTEMPT_ENDED,
         events.LIMIT_NAMED,
         events.LIMIT_ENDED,
+        events.LEAVING_SAID,
+        events.REST_ASKED,
     )
 )
 
 
+# By what its runners have said of themselves.
+_REFUSED_BY_WORDS: Mapping[str, str] = MappingProxyType(
+    {
+        Cause.limited: 'refused: its runners name limits, and it had no place among what they take in its time',
+        Cause.resting: 'refused: its runners had asked for rest, and none ended in its time',
+        Cause.leaving: 'refused: all runners of its service leave, and no other one is registered',
+    }
+)
+
+
 class UnknownRequestError(SesamepointError):
     """No log line names the request."""
 
@@ -102,8 +115,9 @@
 
 
 def _refused(end: dict[str, Any], kinds: set[int]) -> str:
-    if end.get('cause') == Cause.limited:
-        return 'refused: its runners name limits, and it had no place among what they take in its time'
+    by_words = _REFUSED_BY_WORDS.get(end.get('cause', ''))
+    if by_words:
+        return by_words
     if events.REQUEST_REFUSED.number in kinds:
         return 'refused at once: every engine had more work than would have been done in its time'
     return ''
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -68,6 +68,7 @@
     sender: str
     leaving: bool
     rest_s: float
+    request: str = ''
 
 
 @dataclass
@@ -108,10 +109,14 @@
     says_leaving: tuple[bytes, ...] = ()
     # The texts with which it asks for rest where it turns requests away, one header each.
     asks_rest: tuple[bytes, ...] = ()
+    # The only host that it turns away while it does; all if it is empty.
+    rejects_from: str = ''
     # The words of that kind that it has said.
     told: list[Told] = field(default_factory=list)
     # When requests of any kind came, looks at what it keeps and frees of memory included.
     arrivals: list[float] = field(default_factory=list)
+    # The id of each, empty if no caller has asked for it.
+    requests: list[str] = field(default_factory=list)
     # The host that sent each of them.
     senders: list[str] = field(default_factory=list)
     # When it answered that it is not the one that a request was for.
@@ -178,10 +183,7 @@
             transport.close()
 
     async def _serve_request(self, conn: ServerConn, message: Message, transport: Transport) -> None:
-        self.arrivals.append(trio.current_time())
-        self.senders.append(transport.peer)
-        if names.REQUEST_ID not in dict(message.head.headers):
-            self.besides_at.add(self.arrivals[-1])
+        self._note_arrival(message, transport)
         if message.head.method == b'DELETE':
             self._handles.pop(message.head.target.decode().rpartition('/')[2], None)
             await conn.whole(STATUS_OK, self._words(transport), b'')
@@ -200,6 +202,13 @@
                 await self._run(conn, message, transport)
                 nursery.cancel_scope.cancel()
 
+    def _note_arrival(self, message: Message, transport: Transport) -> None:
+        self.arrivals.append(trio.current_time())
+        self.senders.append(transport.peer)
+        self.requests.append((header(message.head.headers, names.REQUEST_ID) or b'').decode())
+        if not self.requests[-1]:
+            self.besides_at.add(self.arrivals[-1])
+
     async def _run(self, conn: ServerConn, message: Message, transport: Transport) -> None:
         headers = message.head.headers
         expected = header(headers, names.EXPECT_INCARNATION)
@@ -208,7 +217,7 @@
             self.misdirected_at.add(self.arrivals[-1])
             own = (names.INCARNATION, self.key.encode())
             return await conn.whole(STATUS_MISDIRECTED, (*self._echo(message, transport), own), b'')
-        if self.faults.rejects:
+        if self.faults.rejects and self.rejects_from in {'', transport.peer}:
             echo = self._echo(message, transport, STATUS_UNAVAILABLE)
             return await conn.whole(STATUS_UNAVAILABLE, (*echo, (names.NOT_RUN, b'1')), b'')
         run = Run((header(headers, names.REQUEST_ID) or b'').decode(), message, trio.current_time())
@@ -315,13 +324,15 @@
 
     def _echo(self, message: Message, transport: Transport, status: int = STATUS_OK) -> Headers:
         request_id = header(message.head.headers, names.REQUEST_ID) or b''
-        return ((names.REQUEST_ID, request_id), *self._words(transport, status))
+        return ((names.REQUEST_ID, request_id), *self._words(transport, status, request_id.decode()))
 
-    def _words(self, transport: Transport, status: int = STATUS_OK) -> Headers:
+    def _words(self, transport: Transport, status: int = STATUS_OK, request: str = '') -> Headers:
         """Return what an answer says of this runner."""
         rest = self.asks_rest if status == STATUS_UNAVAILABLE else ()
         if self.says_leaving or rest:
-            self.told.append(Told(trio.current_time(), transport.peer, bool(self.says_leaving), _longest(rest)))
+            self.told.append(
+                Told(trio.current_time(), transport.peer, bool(self.says_leaving), _longest(rest), request)
+            )
         return (
             *((names.RUNNER_LIMIT, text) for text in self.names_limit),
             *((names.RUNNER_LEAVING, text) for text in self.says_leaving),
--- a/tests/ctl/test_request_walk.py
+++ b/tests/ctl/test_request_walk.py
@@ -33,6 +33,22 @@
         self.assertIn('before, i-7: runner names a limit', found)
         self.assertIn('verdict: refused: its runners name limits', found)
 
+    def test_refused_for_rest(self) -> None:
+        """The runners that were passed over are named, with the rest that they had asked for."""
+        logs = [
+            line(events.REST_ASKED, runner=RUNNER, for_s=3, known_s=0),
+            line(events.REST_REFUSED, request='r1', runners=[RUNNER], opens_ms=2400, retry_after_s=0.6),
+            ended('r1', status=503, runners=[], passed_over=[RUNNER], cause='runners_rest'),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('before, i-7: runner asks this instance for rest', found)
+        self.assertIn('verdict: refused: its runners had asked for rest', found)
+
+    def test_refused_as_all_leave(self) -> None:
+        """The cause is told, though no runner was tried."""
+        found = explain_request('r1', [ended('r1', status=503, runners=[], cause='runners_leave')])
+        self.assertIn('verdict: refused: all runners of its service leave', found)
+
     def test_late(self) -> None:
         found = explain_request('r1', ['no log line', ended('r1', expected_ms=80, first_total_ms=900)])
         self.assertIn('expected_ms 80', found)
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -26,6 +26,7 @@
 from tests.front.builders import account, asked, asked_prompt, bearer, configuration, route
 from tests.front.random_faults import Outcome, broken_of_request
 from tests.front.soak_limits import SoakLimits
+from tests.front.soak_words import Disturbance, SoakWords
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -51,6 +52,8 @@
 # Within this time no two holders of the duty may take turns.
 TURNS_S = 3.0
 DENIED = 401
+# A front that has just been started or woken has caught up after this time.
+STARTED_S = 1.0
 # Of the moments at which the store might go back it does so at these.
 BACK_SHARE = 0.1
 
@@ -82,6 +85,7 @@
         self._down: set[int] = set()
         # Drawn apart, so that what else befalls a seed stays as it was.
         self._limits = SoakLimits(bed, Random(FRONTS))
+        self.words = SoakWords(bed, Random(FRONTS))
         self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
@@ -102,6 +106,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load, nursery, length_s)
             nursery.start_soon(self._limits.name, length_s)
+            nursery.start_soon(self.words.say, length_s)
             with trio.move_on_after(length_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / FAULT_PAUSE_S))
@@ -111,13 +116,15 @@
 
     def broken_promises(self) -> list[str]:
         """Return what callers and runners saw that must not be."""
-        runs = Counter(run.request_id for runner in self._bed.runners for run in runner.runs if not run.prefill)
+        runners = (*self._bed.runners, *self.words.runners)
+        runs = Counter(run.request_id for runner in runners for run in runner.runs if not run.prefill)
         found = [text for one in self.outcomes for text in broken_of_request(one, runs[one.asked.request_id])]
         known = {one.asked.request_id for one in self.outcomes}
         found += [f'unasked: {name}' for name in runs if name not in known]
         found += [f'denied: {one.asked.request_id}' for one in self.outcomes if one.seen.status == DENIED]
         found += self._bed.usage.broken(TURNS_S)
         found += self._limits.broken_promises(FRONTS + self._restarts)
+        found += self.words.broken_promises({one.asked.request_id for one in self.outcomes if one.seen.status})
         return found + [f'a key in {log.name}' for log in self._bed.logs() if KEY in log.read_text(encoding='utf-8')]
 
     async def reload_front(self, place: int) -> None:
@@ -134,8 +141,10 @@
             return
         self._down.add(place)
         self._restarts += 1
+        began = trio.current_time()
         await self._bed.restart_front(place)
         self._down.discard(place)
+        self._note_disturbed(place, began)
 
     async def _load(self, nursery: trio.Nursery, length_s: float) -> None:
         with trio.move_on_after(length_s):
@@ -144,6 +153,7 @@
                 nursery.start_soon(self._ask, self._request(), self._rng.randrange(FRONTS))
 
     async def _ask(self, req: Asked, front: int) -> bool:
+        self.words.asked_at[req.request_id] = front
         seen = await caller_of(self._bed.fronts[front]).ask(req)
         self.outcomes.append(Outcome(req, seen, trio.current_time()))
         return seen.status == 200 and seen.whole
@@ -157,10 +167,13 @@
         return asked_prompt(path, 500, shared, output=20, deadline_s=3.0, first_limit_s=limit_s, extra=SHOWN)
 
     async def _freeze_front(self) -> None:
-        front = self._rng.choice(self._bed.fronts).process
+        place = self._rng.randrange(FRONTS)
+        began = trio.current_time()
+        front = self._bed.fronts[place].process
         _signal(front, signal.SIGSTOP)
         await trio.sleep(self._rng.uniform(0.1, LONGEST_FREEZE_S))
         _signal(front, signal.SIGCONT)
+        self._note_disturbed(place, began)
 
     async def _kill_front(self) -> None:
         await self._end_front(signal.SIGKILL)
@@ -176,15 +189,20 @@
         if place in self._down:
             return
         self._down.add(place)
+        began = trio.current_time()
         await process.wait()
         await trio.sleep(self._rng.uniform(0, 0.5))
         self._restarts += 1
         await self._bed.restart_front(place)
         self._down.discard(place)
+        self._note_disturbed(place, began)
 
     async def _reload_front(self) -> None:
         await self.reload_front(self._rng.randrange(FRONTS))
 
+    def _note_disturbed(self, place: int, began: float) -> None:
+        self.words.disturbed[place].append(Disturbance(began, trio.current_time() + STARTED_S))
+
     async def _harm_connections(self) -> None:
         proxy = self._rng.choice(self._bed.proxies)
         proxy.delay_s = self._rng.uniform(0.02, 0.3)
@@ -268,6 +286,7 @@
     for _ in range(FRONTS):
         await bed.add_front()
     soak = Soak(bed, rng)
+    await soak.words.begin()
     await soak.play(length_s)
     return soak.broken_promises()
 
