Wait in test_known_to_all_processes until all know of both ends

Traced by 16 plays of it beside eight busy processes, of which one failed with its logs shown: the second process had heard of one of the two ends when it admitted the request, so that its next send was no trial; the word of the other end was still under way, 30 ms after it was told. The test waited for sesamepoint_suspects 1.0, which one end is enough for. It now waits for a gauge of ends, sesamepoint_suspect_ends 2.0, and the bound of three stays.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
@@ -72,6 +72,10 @@
         """Return how many runners have ended under a request."""
         return len(self._starts.get(content_id, ()))
 
+    def count_ends(self) -> int:
+        """Return how many ends of runners count against requests, an end once for each."""
+        return sum(len(starts) for starts in self._starts.values())
+
     def starts(self, content_id: str) -> tuple[Start, ...]:
         """Return the runners that ended under a request."""
         return tuple(self._starts.get(content_id, ()))
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine.py
@@ -87,6 +87,7 @@
         """Show how many requests are suspect, and how many are refused."""
         suspects = self.suspects
         watch('sesamepoint_suspects', 'Requests under which a runner has ended.', lambda: len(suspects.all_suspect()))
+        watch('sesamepoint_suspect_ends', 'Ends of runners that count against requests.', suspects.count_ends)
         watch('sesamepoint_quarantined', 'Requests that may not be sent.', lambda: len(suspects.all_quarantined()))
 
     def refuses(self, job: Job) -> bool:
--- a/tests/front/test_processes.py
+++ b/tests/front/test_processes.py
@@ -88,6 +88,7 @@
             await bed.until_all_show(f'sesamepoint_runners {len(bed.runners)}.0')
             self.assertEqual((await self._ask(bed, 0)).status, BAD_GATEWAY)
             await bed.until_all_show('sesamepoint_suspects 1.0')
+            await bed.until_all_show('sesamepoint_suspect_ends 2.0')
             self.assertEqual((await self._ask(bed, 1)).status, BAD_GATEWAY)
             await bed.until_all_show('sesamepoint_quarantined 1.0')
             self.assertEqual((await self._ask(bed, 2)).status, NOT_RUN)
