Tell the others of a rest, so that they ask elsewhere while they can

Others now ask it only where no other runner is there, until the rest is over or it answers them otherwise. It closes nothing: where it is the only one it is asked. Found by the tests of this: a runner of which something else than a rest was believed had no room (0.25 s went into infinity; test_room_without_a_rest).

--- a/benchmarks/rest_ways.py
+++ b/benchmarks/rest_ways.py
@@ -1,6 +1,6 @@
-"""Whether the other instances should heed the rest that a runner asks one of them for.
+"""Whether the other instances should heed the rest that a runner asks one of them for, on the same seeds.
 
-Run by hand: python -m benchmarks.rest_ways SEEDS
+Run: python -m benchmarks.rest_ways [SEEDS]
 """
 
 from __future__ import annotations
@@ -9,7 +9,9 @@
 import sys
 from functools import partial
 from random import Random
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
+from unittest.mock import patch
 
 import trio
 
@@ -22,27 +24,25 @@
 from tests.front.limited import Load, engines, send
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
-    from sesamepoint_core.runner_words.words import RunnerWord
     from sesamepoint_core.serving.suspects import Start
     from sesamepoint_standins.platform.bed import PlatformBed
     from sesamepoint_standins.platform.caller import Seen
     from sesamepoint_standins.platform.runner import RunnerStandIn
 
-    Take = Callable[[RunnerWord, Start, float], None]
+    Heed = Callable[[RunnerWords, Start, float, str], None]
 
 LENGTH_S = 10.0
 REST = b'3'
-# From a word of one instance until the others have it.
-WORD_S = 0.005
-# Of the time asked for others heed so much.
-HINT_SHARES = (0, 0.3, 1)
+LAST_SEED = 2
 RATE = 90.0
 GOOD = 200
-TARGET_S = 0.25
+TARGET_S = 0.4
 TIMES = ((1.0, 4.5), (6.0, 7.0))
-
+ALL_HOSTS = ''
+WHOSE = ('all', 'of one instance')
+DEPLOYMENTS = ((5, False), (5, True), (31, False))
 
 logging.getLogger('sesamepoint').addHandler(logging.NullHandler())
 logging.getLogger('sesamepoint').propagate = False
@@ -56,46 +56,36 @@
     turned_away: int
 
 
-class Hint:
-    """Has all instances heed a share of the rest that one was asked for."""
+def _heed_not(words: RunnerWords, start: Start, for_s: float, source: str) -> None:
+    """Heed nothing that another instance was asked for."""
 
-    def __init__(self, bed: PlatformBed, share: float) -> None:
-        """Pass words on between the instances of ``bed``."""
-        self._bed = bed
-        self._share = share
-        self._own: list[tuple[RunnerWords, Take]] = []
 
-    def begin(self) -> None:
-        """Listen to all instances."""
-        for front in self._bed.fronts.values():
-            words = front.words
-            self._own.append((words, words.take))
-            words.take = partial(self._take, words, words.take)
+def _rest_too(words: RunnerWords, start: Start, for_s: float, source: str) -> None:
+    """Take it as if it had been asked of this instance."""
+    on_rest = words.on_rest
+    words.on_rest = None
+    words.take(Rests(for_s), start, 0)
+    words.on_rest = on_rest
 
-    def _take(self, words: RunnerWords, own: Take, word: RunnerWord, start: Start, sent_at: float) -> None:
-        own(word, start, sent_at)
-        if isinstance(word, Rests) and self._share:
-            trio.lowlevel.spawn_system_task(self._tell, words, word, start)
 
-    async def _tell(self, words: RunnerWords, word: Rests, start: Start) -> None:
-        await trio.sleep(WORD_S)
-        for others, own in self._own:
-            if others is not words:
-                own(Rests(word.for_s * self._share), start, 0)
+WAYS: Mapping[str, Heed] = MappingProxyType(
+    {
+        'own only': _heed_not,
+        'others ask elsewhere (in use)': RunnerWords.told_rest,
+        'others rest too': _rest_too,
+    }
+)
 
 
-async def play(seed: int, fronts: int, share: float, only: bool) -> Outcome:
-    """Have one of four engines turn requests away, of one instance ``only`` or of all."""
+async def play(seed: int, fronts: int, of_one: bool) -> Outcome:
+    """Have one of four engines turn requests away, all or those ``of_one`` instance."""
     runners = engines(0, 4)
     load = Load(partial(asked_prompt, '/verdict/a'), RATE, LENGTH_S)
-    async with running_bed(configuration(), runners, fronts=fronts) as bed:
-        seen: list[Seen] = []
-        hint = Hint(bed, share)
-        hint.begin()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_send, bed, seed, load, seen)
-            for times in TIMES:
-                nursery.start_soon(_turn_away, bed, runners[0], times, only)
+    seen: list[Seen] = []
+    async with running_bed(configuration(), runners, fronts=fronts) as bed, trio.open_nursery() as nursery:
+        nursery.start_soon(_send, bed, seed, load, seen)
+        for times in TIMES:
+            nursery.start_soon(_turn_away, bed, runners[0], times, of_one)
     on_time = sum(one.status == GOOD and one.first_s <= TARGET_S for one in seen) / len(seen)
     return Outcome(on_time, sum(one.status != GOOD for one in seen), sum(one.rest_s > 0 for one in runners[0].told))
 
@@ -104,28 +94,31 @@
     seen.extend(await send(bed, Random(seed), load))
 
 
-async def _turn_away(bed: PlatformBed, runner: RunnerStandIn, times: tuple[float, float], only: bool) -> None:
+async def _turn_away(bed: PlatformBed, runner: RunnerStandIn, times: tuple[float, float], of_one: bool) -> None:
     begin, end = times
     await trio.sleep(begin)
     runner.asks_rest = (REST,)
-    host = next(iter(bed.fronts.values())).cfg.host
-    runner.rejects_from = host if only else ''
+    runner.rejects_from = _first_host(bed) if of_one else ALL_HOSTS
     runner.faults = Faults(rejects=True)
     await trio.sleep(end - begin)
     runner.faults = Faults()
 
 
+def _first_host(bed: PlatformBed) -> str:
+    return next(iter(bed.fronts.values())).cfg.host
+
+
 def main() -> None:
     """Play all ways and print a table."""
-    seeds = range(1, int(sys.argv[1]) + 1)
-    for fronts, only in ((5, False), (5, True), (31, False)):
-        for share in HINT_SHARES:
-            found = [run_virtual(play, seed, fronts, share, only, seed=seed) for seed in seeds]
-            on_time = sum(one.on_time for one in found) / len(found)
-            lost = sum(one.lost for one in found) / len(found)
-            away = sum(one.turned_away for one in found) / len(found)
-            whom = 'one instance' if only else 'all'
-            sys.stdout.write(f'| {fronts} | {whom} | {share} | {on_time:.4f} | {lost:.1f} | {away:.1f} |\n')
+    last_seed = int(sys.argv[1]) if len(sys.argv) > 1 else LAST_SEED
+    seeds = range(1, last_seed + 1)
+    for fronts, of_one in DEPLOYMENTS:
+        whose = WHOSE[of_one]
+        for name, way in WAYS.items():
+            with patch.object(RunnerWords, 'told_rest', way):
+                found = [run_virtual(play, seed, fronts, of_one, seed=seed) for seed in seeds]
+            means = [sum(column) / len(found) for column in zip(*found, strict=True)]
+            sys.stdout.write(f'| {fronts} | {whose} | {name} | {means[0]:.4f} | {means[1]:.1f} | {means[2]:.1f} |\n')
             sys.stdout.flush()
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_words/belief.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_words/belief.py
@@ -24,6 +24,7 @@
         """Believe nothing."""
         self.leaving = False
         self._rests_until = -math.inf
+        self._hinted_until = -math.inf
 
     def leave(self) -> bool:
         """Take that it leaves; returns whether that is news."""
@@ -39,6 +40,20 @@
         self._rests_until = until
         return True
 
+    def hint(self, for_s: float, now: float) -> bool:
+        """Take that it wants nothing from another instance for ``for_s`` seconds; returns whether that is news."""
+        news = now >= self._hinted_until
+        self._hinted_until = max(self._hinted_until, now + for_s)
+        return news
+
+    def drop_hint(self) -> None:
+        """Take that it takes requests of this instance."""
+        self._hinted_until = -math.inf
+
+    def hinted(self, now: float) -> bool:
+        """Tell whether it wants nothing from another instance, so that this one had better ask others."""
+        return now < self._hinted_until
+
     def rest_left_s(self, now: float) -> float:
         """Return for how many seconds it still wants nothing."""
         return max(self._rests_until - now, 0)
@@ -48,8 +63,9 @@
         since_s = now - self._rests_until
         if since_s < 0:
             return 0
-        doublings = since_s // DOUBLING_S
-        return math.inf if doublings > DOUBLINGS else FIRST_AFTER_REST * math.pow(2, doublings)
+        if since_s >= (DOUBLINGS + 1) * DOUBLING_S:
+            return math.inf
+        return FIRST_AFTER_REST * math.pow(2, since_s // DOUBLING_S)
 
 
 __all__ = ('Belief',)
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -95,6 +95,7 @@
 LIMIT_FORGOTTEN = _event(3313, logging.INFO, 'limit of a runner forgotten')
 LEAVING_SAID = _event(3314, logging.INFO, 'runner says that it leaves')
 REST_ASKED = _event(3315, logging.INFO, 'runner asks this instance for rest')
+REST_TOLD = _event(3317, logging.INFO, 'runner has asked another instance for rest')
 WORDS_FORGOTTEN = _event(3316, logging.INFO, 'what a runner said of itself is forgotten, it has started again')
 REST_REFUSED = _event(3219, logging.INFO, 'request refused, its runners rest')
 LIMIT_REFUSED = _event(3217, logging.INFO, 'request refused, its runners name limits')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -60,7 +60,6 @@
         self._runner_limits = RunnerLimits(cfg.name, rng)
         quarantine = Quarantine(cfg.name)
         gate = Gate.from_limits(self._runner_limits, quarantine.suspects)
-        self.words = gate.words
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time, gate)
         sends = SendNotes(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
@@ -68,10 +67,10 @@
         self.peers = Peers(cfg, sends, quarantine, known, peer_network)
         self._inventory = Inventory(self.fleet, known, rng)
         budgets = Budgets(cfg.retry_ratio, cfg.retry_window_s)
-        self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, self.words, rng)
+        self._tools = EngineTools.from_zone(cfg.availability_zone, known, sends, gate.words, rng)
         self._exchange = LimitExchange(self._tools, self.fleet, known, self.peers)
         self.dispatcher = Dispatcher(self._tools, EngineRuns(self._tools), quarantine, budgets, rng)
-        beliefs = Beliefs(self.dispatcher, self.fleet, self.words, self.peers, budgets, quarantine)
+        beliefs = Beliefs(self.dispatcher, self.fleet, gate.words, self.peers, budgets, quarantine)
         self._following = Following(cfg, beliefs, network, rng, clock)
         self.peer_pages = self._following.pages
         self.door = Door(self.dispatcher, self._limits)
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -83,6 +83,11 @@
         """Tell whether it wants nothing from this instance now."""
         return self._words.rest_left_s(self.start) > 0
 
+    @property
+    def rests_elsewhere(self) -> bool:
+        """Tell whether it wants nothing from another instance now."""
+        return self._words.rests_elsewhere(self.start)
+
     @property
     def has_room(self) -> bool:
         """Tell whether it takes one request more of this instance, by its rest."""
--- a/packages/sesamepoint/src/sesamepoint/front/notices.py
+++ b/packages/sesamepoint/src/sesamepoint/front/notices.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.runner_words.texts import LONGEST_REST_S
 from sesamepoint_core.serving.suspects import Name, Start
 from sesamepoint import events
 from sesamepoint.front.trials import Trial, TrialState
@@ -28,6 +29,7 @@
 # Nothing is told of what was found out longer ago than this, in seconds.
 MAX_AGE_S = 3600
 AgeS = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
+RestS = Annotated[float, msgspec.Meta(ge=0, le=LONGEST_REST_S)]
 
 
 class VersionNote(msgspec.Struct, frozen=True, array_like=True, tag='version'):
@@ -43,15 +45,21 @@
     # It answered that it is not the one that has registered its address.
     replaced = 'replaced'
     leaving = 'leaving'
+    # It turned the entry away and wants nothing from it for a while.
+    resting = 'resting'
 
 
 class RunnerNote(msgspec.Struct, frozen=True, array_like=True, tag='runner'):
-    """A fact about a runner that ``entry`` learned from an answer ``age_s`` seconds before."""
+    """A fact about a runner that ``entry`` learned from an answer ``age_s`` seconds before.
+
+    ``rest_s`` is for how long it wants rest, if that is the fact.
+    """
 
     entry: str
     start: Start
     fact: RunnerFact
     age_s: AgeS = 0
+    rest_s: RestS = 0
 
 
 class EndNote(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/runner_news.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_news.py
@@ -42,6 +42,7 @@
         self._somebody = trio.Event()
         fleet.on_replaced = self._note_replaced
         words.on_leaving = self._note_leaving
+        words.on_rest = self._tell_rest
         peers.on_word[RunnerNote] = self.heard
         peers.on_newcomer.append(self.tell_newcomer)
 
@@ -50,6 +51,9 @@
         if note.fact is RunnerFact.leaving:
             self._words.told_leaving(note.start, note.entry, note.age_s)
             return
+        if note.fact is RunnerFact.resting:
+            self._words.told_rest(note.start, note.rest_s, note.entry)
+            return
         # Of a start that is not known here it says nothing.
         member = self._fleet.members.get(note.start.runner)
         if member is not None and member.start == note.start:
@@ -77,6 +81,10 @@
     def _note_leaving(self, start: Start) -> None:
         self._note(_Found(start, RunnerFact.leaving))
 
+    def _tell_rest(self, start: Start, for_s: float) -> None:
+        """Tell once: the others make use of it, and need not know."""
+        self._peers.outbox.tell(RunnerNote(self._peers.name, start, RunnerFact.resting, rest_s=for_s))
+
     def _note(self, found: _Found) -> None:
         self._found_at[found] = trio.current_time()
         self._somebody.set()
--- a/packages/sesamepoint/src/sesamepoint/front/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -13,7 +13,7 @@
 from sesamepoint_core.serving.suspects import MAX_NAME, Start
 from sesamepoint import events
 from sesamepoint.platform.headers import answered_by
-from sesamepoint.platform.runner_words import words_of
+from sesamepoint.platform.runner_words import UNAVAILABLE, words_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +43,8 @@
         self.limits = limits
         # Called when a start says in an answer that it leaves, with the moment.
         self.on_leaving: Callable[[Start], None] | None = None
+        # Called when a start asks this instance for so many seconds of rest.
+        self.on_rest: Callable[[Start, float], None] | None = None
         self._beliefs: dict[Start, Belief] = {}
         self._unreadable_at: dict[tuple[Start, str], float] = {}
 
@@ -56,6 +58,9 @@
             if not 0 < len(named) <= MAX_NAME:
                 return
             start = Start(named)
+        belief = self._beliefs.get(start)
+        if belief is not None and head.status != UNAVAILABLE:
+            belief.drop_hint()
         for word in words_of(head):
             self.take(word, start, sent_at)
 
@@ -94,6 +99,16 @@
                 rest_left_s=round(belief.rest_left_s(trio.current_time()), 3),
             )
 
+    def told_rest(self, start: Start, for_s: float, source: str) -> None:
+        """Take that a runner has asked another instance for rest."""
+        if self._belief(start).hint(for_s, trio.current_time()):
+            events.log_event(events.REST_TOLD, runner=start.runner, born_ms=start.born_ms, for_s=for_s, source=source)
+
+    def rests_elsewhere(self, start: Start) -> bool:
+        """Tell whether the runner of ``start`` wants nothing from another instance, as that one has told."""
+        belief = self._beliefs.get(start)
+        return belief is not None and belief.hinted(trio.current_time())
+
     @singledispatchmethod
     def take(self, word: RunnerWord, start: Start, sent_at: float) -> None:
         """Take one word of the runner of ``start``."""
@@ -117,6 +132,8 @@
                 for_s=word.for_s,
                 known_s=round(known_s, 3),
             )
+            if self.on_rest is not None:
+                self.on_rest(start, word.for_s)
 
     @take.register(Limits)
     def _take_limits(self, word: Limits, start: Start, sent_at: float) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/usable.py
+++ b/packages/sesamepoint/src/sesamepoint/front/usable.py
@@ -62,7 +62,10 @@
         """
         now = trio.current_time()
         untried = self._untried(job)
-        found = [member for member in untried if not member.rests]
+        awake = [member for member in untried if not member.rests]
+        # Who turns one instance away mostly turns all away; with a request each to find out, 31 of them
+        # would be lost in each rest.
+        found = [member for member in awake if not member.rests_elsewhere] or awake
         note_passed_over(job, untried, found)
         sound = [member for member in found if member.health.usable(now)]
         missing = math.ceil(KEPT_SHARE * len(found)) - len(sound)
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_words.py
@@ -78,4 +78,4 @@
     return said, unreadable
 
 
-__all__ = ('DECODERS', 'words_of')
+__all__ = ('DECODERS', 'UNAVAILABLE', 'words_of')
--- a/tests/core/runner_words/test_belief.py
+++ b/tests/core/runner_words/test_belief.py
@@ -143,6 +143,12 @@
         self.assertEqual(belief.room(1 + 2.5 * DOUBLING_S), 4 * FIRST_AFTER_REST)
         self.assertEqual(belief.room(1 + (DOUBLINGS + 1) * DOUBLING_S), math.inf)
 
+    def test_room_without_a_rest(self) -> None:
+        """Guards against a runner that never asked for rest, and is left out for another word of it."""
+        belief = Belief()
+        belief.hint(1, 0)
+        self.assertEqual(belief.room(0.5), math.inf)
+
     def test_word_again_is_no_news(self) -> None:
         """Guards against a line, and a word to all others, for each answer of a runner that leaves."""
         belief = Belief()
--- a/tests/front/test_asked_for_rest.py
+++ b/tests/front/test_asked_for_rest.py
@@ -255,3 +255,41 @@
             seen = await send(bed, Random(2), Load(fetch, 60, 1.5))
         self.assertEqual({one.status for one in seen}, {GOOD})
         return runners[0].arrived(since, math.inf)
+
+
+class HintTest(TestCase):
+    """What the others make of a rest that one instance was asked for."""
+
+    @virtual
+    async def test_others_ask_elsewhere(self) -> None:
+        """Guards against a request of each instance to an engine that turns all away."""
+        runners = engines(0, 4)
+        async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+            await rest_under(bed, runners[:1], Load(short_prompt, 90, LENGTH_S / 2))
+        first = runners[0].told[0].at
+        self.assertLess(sum(told.at < first + float(REST) for told in runners[0].told), FRONTS)
+
+    @virtual
+    async def test_asked_where_no_other_is_there(self) -> None:
+        """Guards against callers that are refused for a rest that was asked of another instance."""
+        runners = plain_runners(0, 1)
+        async with running_bed(configuration(), runners, fronts=2) as bed:
+            await send(bed, Random(1), Load(fetch, 20, 0.5))
+            ask_for_rest(runners, REST)
+            await bed.caller('front-1').ask(fetch())
+            end_rest(runners)
+            await trio.sleep(AT_ONCE_S)
+            seen = await bed.caller('front-2').ask(fetch())
+        self.assertEqual(seen.status, GOOD)
+
+    @virtual
+    async def test_hint_ends(self) -> None:
+        """Guards against a runner that is left out by the others after the rest of one."""
+        runners = plain_runners(0, 4)
+        async with running_bed(configuration(), runners, fronts=FRONTS) as bed:
+            await rest_under(bed, runners[:1], Load(fetch, 90, 1.5))
+            end_rest(runners)
+            await trio.sleep(float(REST))
+            since = trio.current_time()
+            await send(bed, Random(2), Load(fetch, 90, 2))
+        self.assertGreater(runners[0].arrived(since, math.inf), 20)
