--- a/packages/sesamepoint/src/sesamepoint/front/pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pool.py
@@ -74,6 +74,8 @@
 
     def give_back(self, conn: ClientConn) -> None:
         """Keep ``conn`` if it can carry another request, else close it."""
+        # What is kept must not keep the request before it in memory.
+        conn.admit = None
         if conn.recycle():
             self._idle.append(conn)
         else:
