--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import math
-import re
 from typing import NamedTuple
 
+from sesamepoint_core.decimals import plain_decimal
 from sesamepoint_core.runner_limit.stamp import Stamp
 
 # More digits name no limit that anybody could mean.
 MAX_TEXT = 32
-_DECIMAL = re.compile(r'\d+(\.\d*)?|\.\d+')
 # Without a word in this time, in seconds, and answers without one, the limit is over.
 END_AFTER_S = 0.5
 # Until a runner has answered an instance for the first time, that one has no more
@@ -140,10 +139,10 @@
     ValueError
         If it is anything else.
     """
-    stripped = text.strip()
-    if len(stripped) > MAX_TEXT or not _DECIMAL.fullmatch(stripped):
-        raise ValueError('not a plain decimal number')
-    return float(stripped)
+    rate = plain_decimal(text)
+    if len(rate) > MAX_TEXT:
+        raise ValueError('too long for a limit')
+    return float(rate)
 
 
 __all__ = ('FIRST_SENDS', 'LimitBelief', 'LimitWord', 'parse_rate')
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_words/texts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_words/texts.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import re
+from sesamepoint_core.decimals import plain_decimal
 
 # A runner rests for no longer than this, in seconds, whatever it says: hardly one lives for longer.
 LONGEST_REST_S = 86_400.0
 # More digits name more than that in any case, and are not turned into a number.
 MAX_DIGITS = 32
-_SECONDS = re.compile(r'(\d+)(\.\d*)?|\.\d+')
 
 
 def parse_leaving(text: str) -> bool:
@@ -33,13 +32,10 @@
     ValueError
         If it is anything else, as a date or a number with an exponent.
     """
-    stripped = text.strip()
-    found = _SECONDS.fullmatch(stripped)
-    if not found:
-        raise ValueError('not a plain decimal number')
-    if len((found[1] or '').lstrip('0')) > MAX_DIGITS:
+    seconds = plain_decimal(text)
+    if len(seconds.partition('.')[0].lstrip('0')) > MAX_DIGITS:
         return LONGEST_REST_S
-    return min(float(stripped), LONGEST_REST_S)
+    return min(float(seconds), LONGEST_REST_S)
 
 
 __all__ = ('LONGEST_REST_S', 'parse_leaving', 'parse_rest')
