--- a/benchmarks/rest_ways.py
+++ b/benchmarks/rest_ways.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 import sys
 from functools import partial
 from random import Random
@@ -19,7 +18,7 @@
 from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint_standins.platform.bed import running_bed
 from sesamepoint_standins.platform.runner import Faults
-from sesamepoint_standins.virtual_time import run_virtual
+from sesamepoint_standins.virtual_time import quiet_logs, run_virtual
 from tests.front.builders import asked_prompt, configuration
 from tests.front.limited import Load, engines, send
 
@@ -44,8 +43,7 @@
 WHOSE = ('all', 'of one instance')
 DEPLOYMENTS = ((5, False), (5, True), (31, False))
 
-logging.getLogger('sesamepoint').addHandler(logging.NullHandler())
-logging.getLogger('sesamepoint').propagate = False
+quiet_logs()
 
 
 class Outcome(NamedTuple):
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/virtual_time.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/virtual_time.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, TypeVar
 
 import trio
@@ -27,4 +28,11 @@
     return trio.run(main, *arguments, clock=MockClock(autojump_threshold=0))
 
 
-__all__ = ('run_virtual',)
+def quiet_logs() -> None:
+    """Write no lines of the program: thousands a run, and nobody reads them."""
+    logger = logging.getLogger('sesamepoint')
+    logger.addHandler(logging.NullHandler())
+    logger.propagate = False
+
+
+__all__ = ('quiet_logs', 'run_virtual')
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 import sys
 from collections import Counter
@@ -18,7 +17,7 @@
 from sesamepoint.platform.names import OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.bed import PlatformBed, running_bed
 from sesamepoint_standins.platform.runner import Faults, RunnerStandIn
-from sesamepoint_standins.virtual_time import run_virtual
+from sesamepoint_standins.virtual_time import quiet_logs, run_virtual
 from tests.front.builders import asked, asked_prompt, configuration, engine, plain_runner, route
 
 if TYPE_CHECKING:
@@ -39,8 +38,7 @@
 ONCE = frozenset(('/card/a', '/verdict/a'))
 
 
-logging.getLogger('sesamepoint').addHandler(logging.NullHandler())
-logging.getLogger('sesamepoint').propagate = False
+quiet_logs()
 
 
 class Outcome(NamedTuple):
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from functools import wraps
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -12,7 +11,7 @@
 from sesamepoint.entry.request import CallerRequest
 from sesamepoint.link.messages import Job
 from sesamepoint_standins.engine_model import answer_text, seed_of
-from sesamepoint_standins.virtual_time import run_virtual
+from sesamepoint_standins.virtual_time import quiet_logs, run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -21,9 +20,8 @@
     from sesamepoint_standins.bed import Bed
 
 SETTLE_S = 5.0
-_logger = logging.getLogger('sesamepoint')
-_logger.addHandler(logging.NullHandler())
-_logger.propagate = False
+
+quiet_logs()
 
 
 def virtual(test: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
