Call what was there already, and read beliefs of a runner in one place

The twin that heeds no leaving takes out Belief.leave, since RunnerWords.leaves is gone; its oracle is the same.

--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/belief.py
@@ -5,6 +5,7 @@
 import math
 from typing import NamedTuple
 
+from sesamepoint_core.bounded import forget_oldest
 from sesamepoint_core.decimals import plain_decimal
 from sesamepoint_core.runner_limit.stamp import Stamp
 
@@ -119,8 +120,7 @@
             return True
         self._seen.pop(origin.start, None)
         self._seen[origin.start] = origin.at
-        if len(self._seen) > REMEMBERED:
-            self._seen.pop(next(iter(self._seen)))
+        forget_oldest(self._seen, REMEMBERED)
         return False
 
     def _after(self, word: LimitWord, since_s: float) -> float | None:
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/suspects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.bounded import forget_oldest
 from sesamepoint_core.serving.runner import StartMs
 
 # Runners that ended under a request before it is sent alone only. The first one
@@ -50,13 +51,13 @@
     def note_end(self, content_id: str, start: Start) -> int:
         """Note that a runner ended under a request; returns how many have."""
         self._ended[start] = None
-        _bound(self._ended)
+        forget_oldest(self._ended, REMEMBERED)
         if start in self._explained and content_id not in self._since:
             return self.ends(content_id)
         starts = self._starts.pop(content_id, {})
         starts[start] = None
         self._starts[content_id] = starts
-        _bound(self._starts)
+        forget_oldest(self._starts, REMEMBERED)
         return len(starts)
 
     def has_ended(self, start: Start) -> bool:
@@ -93,7 +94,7 @@
         self._since.setdefault(content_id, now)
         for start in self._starts.get(content_id, ()):
             self._explain(start)
-        _bound(self._since)
+        forget_oldest(self._since, REMEMBERED)
 
     def release(self, content_id: str) -> bool:
         """End a quarantine; tells whether there was one. The next send is a trial."""
@@ -119,7 +120,7 @@
     def _explain(self, start: Start) -> None:
         """Count the end of ``start`` against no request but the quarantined ones."""
         self._explained[start] = None
-        _bound(self._explained)
+        forget_oldest(self._explained, REMEMBERED)
         for content_id, starts in tuple(self._starts.items()):
             if content_id in self._since:
                 continue
@@ -128,9 +129,4 @@
                 self._starts.pop(content_id)
 
 
-def _bound(kept: dict[str, dict[Start, None]] | dict[str, float] | dict[Start, None]) -> None:
-    if len(kept) > REMEMBERED:
-        kept.pop(next(iter(kept)))  # type: ignore[call-overload]
-
-
 __all__ = ('MAX_NAME', 'QUARANTINE_S', 'TRIAL_FROM', 'Name', 'Start', 'Suspects')
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sesamepoint_core.bounded import forget_oldest
 from sesamepoint import events
 from sesamepoint.front.member import UNKNOWN_KV_TOKENS, Member
 
@@ -114,6 +115,11 @@
         self._join(member.runner._replace(born_ms=born_ms))
         return self.members[key]
 
+    def of_start(self, start: Start) -> Member | None:
+        """Return the member of ``start``, if that is the start which is known of its runner."""
+        member = self.members.get(start.runner)
+        return member if member is not None and member.start == start else None
+
     def remove(self, key: str) -> None:
         """Note that a registration has vanished."""
         member = self.members.get(key)
@@ -185,8 +191,7 @@
     def _remember_start(self, runner: Runner) -> None:
         self._starts.pop(runner.key, None)
         self._starts[runner.key] = runner.born_ms
-        if len(self._starts) > REMEMBERED_STARTS:
-            self._starts.pop(next(iter(self._starts)))
+        forget_oldest(self._starts, REMEMBERED_STARTS)
 
     def _forget(self) -> None:
         now = self._now()
--- a/packages/sesamepoint/src/sesamepoint/front/gate.py
+++ b/packages/sesamepoint/src/sesamepoint/front/gate.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+import trio
+
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
 from sesamepoint.front.runner_words import RunnerWords
@@ -100,7 +102,7 @@
 @CONDITIONS.register('resting')
 def _resting(gate: Gate, passage: Passage) -> bool:
     """It wants nothing from this instance, or no more at a time so soon after."""
-    return passage.beside >= gate.words.room(passage.member.start)
+    return passage.beside >= gate.words.belief_of(passage.member.start).room(trio.current_time())
 
 
 @CONDITIONS.register('leaving')
--- a/packages/sesamepoint/src/sesamepoint/front/limit_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/limit_exchange.py
@@ -55,7 +55,7 @@
         """Go through all limits; returns when the next one is due."""
         due_at = math.inf
         for start, sharing in self._limits.sharings():
-            member = self._member(start)
+            member = self._fleet.of_start(start)
             if member is None:
                 self._forget(start, 'the runner is gone')
             elif sharing.belief.allowed(trio.current_time()) is None:
@@ -91,10 +91,6 @@
             self._joined_at[start] = now
             sharing.join(name for name in self._peers.others() if self._known.at(name, start.runner))
 
-    def _member(self, start: Start) -> Member | None:
-        member = self._fleet.members.get(start.runner)
-        return member if member is not None and member.start == start else None
-
     def _forget(self, start: Start, cause: str) -> None:
         self._joined_at.pop(start, None)
         self._limits.forget(start, cause)
--- a/packages/sesamepoint/src/sesamepoint/front/member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/member.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint_core.runner_words.belief import Belief
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.gate import Gate, Purpose
     from sesamepoint.http1.client import ClientConn
@@ -76,22 +77,22 @@
     @property
     def leaving(self) -> bool:
         """Tell whether it leaves, by its registration or by what it has said."""
-        return self.runner.leaving or self._words.leaves(self.start)
+        return self.runner.leaving or self._belief.leaving
 
     @property
     def rests(self) -> bool:
         """Tell whether it wants nothing from this instance now."""
-        return self._words.rest_left_s(self.start) > 0
+        return self._belief.rest_left_s(trio.current_time()) > 0
 
     @property
     def rests_elsewhere(self) -> bool:
         """Tell whether it wants nothing from another instance now."""
-        return self._words.rests_elsewhere(self.start)
+        return self._belief.hinted(trio.current_time())
 
     @property
     def has_room(self) -> bool:
         """Tell whether it takes one request more of this instance, by its rest."""
-        return self.in_flight < self._words.room(self.start)
+        return self.in_flight < self._belief.room(trio.current_time())
 
     def closed_to(self, purpose: Purpose) -> str:
         """Return what would keep ``purpose`` from being sent if it were chosen now; empty if nothing does."""
@@ -158,6 +159,10 @@
         self.closed = True
         self._pool.close()
 
+    @property
+    def _belief(self) -> Belief:
+        return self._words.belief_of(self.start)
+
     def _pass(self, purpose: Purpose) -> None:
         # A request of a caller is under way there already.
         beside = self.in_flight if purpose.kind in CALLS_BESIDES else self.in_flight - 1
--- a/packages/sesamepoint/src/sesamepoint/front/places.py
+++ b/packages/sesamepoint/src/sesamepoint/front/places.py
@@ -158,7 +158,10 @@
                     break
 
     def _room(self, member: Member) -> float:
-        return min(self._words.room(member.start), self._limits.room(member)) - member.in_flight
+        return min(self._room_of(member.start), self._limits.room(member)) - member.in_flight
+
+    def _room_of(self, start: Start) -> float:
+        return self._words.belief_of(start).room(trio.current_time())
 
     async def _until_decided(self, waiter: _Waiter) -> bool:
         while not waiter.decided.is_set():
@@ -192,7 +195,7 @@
         waiter.refused = True
         job.notes.refused = True
         outlook = self._outlook(waiter)
-        rest = any(math.isfinite(self._words.room(start)) for start in waiter.starts)
+        rest = any(math.isfinite(self._room_of(start)) for start in waiter.starts)
         job.notes.held_back = Cause.resting if rest else Cause.limited
         job.retry_after_s = self._return_s(job, outlook)
         events.log_event(
@@ -225,7 +228,7 @@
         self._limits.fresh.set()
 
     def _outlook(self, waiter: _Waiter) -> _Outlook:
-        rests = {start: self._words.rest_left_s(start) for start in waiter.starts}
+        rests = {start: self._words.belief_of(start).rest_left_s(trio.current_time()) for start in waiter.starts}
         opens_s = min(rests.values(), default=0)
         # Of those that rest for longer it has nothing.
         in_time_s = max(opens_s, waiter.due_s)
@@ -234,7 +237,7 @@
 
     def _rate(self, start: Start, job: Job) -> float:
         limit = self._limits.expected_rate(start, job.priority)
-        after_rest = RATE_AFTER_REST if math.isfinite(self._words.room(start)) else math.inf
+        after_rest = RATE_AFTER_REST if math.isfinite(self._room_of(start)) else math.inf
         return after_rest if limit is None else min(limit, after_rest)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/runner_news.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_news.py
@@ -59,21 +59,20 @@
     def heard(self, note: RunnerNote) -> None:
         """Take the word of another entry."""
         if note.fact is RunnerFact.leaving:
-            self._words.told_leaving(note.start, note.entry, note.age_s)
+            self._words.note_leaving(note.start, note.entry, note.age_s)
             return
         if note.fact is RunnerFact.resting:
             self._words.told_rest(note.start, note.rest_s, note.entry)
             return
         # Of a start that is not known here it says nothing.
-        member = self._fleet.members.get(note.start.runner)
-        if member is not None and member.start == note.start:
+        member = self._fleet.of_start(note.start)
+        if member is not None:
             member.note_replaced(note.entry)
 
     def tell_newcomer(self, entry: str) -> None:
         """Tell an entry that has just registered which runners leave."""
-        known = {member.start for member in self._fleet.members.values()}
         for start in self._words.leaving():
-            if start in known:
+            if self._fleet.of_start(start):
                 self._peers.outbox.tell(RunnerNote(self._peers.name, start, RunnerFact.leaving), entry)
 
     async def run(self) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runner_words.py
@@ -4,10 +4,11 @@
 
 import math
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 import trio
 
+from sesamepoint_core.bounded import forget_oldest
 from sesamepoint_core.runner_words.belief import Belief
 from sesamepoint_core.runner_words.words import Leaves, Limits, NoLimit, Rests, Unreadable
 from sesamepoint_core.serving.suspects import MAX_NAME, Start
@@ -30,9 +31,8 @@
 UNREADABLE_EVERY_S = 10.0
 # Where word of something comes from that this instance has heard itself.
 FROM_ANSWER = 'answer'
-
-KeyT = TypeVar('KeyT')
-ValueT = TypeVar('ValueT')
+# Of a start that has said nothing; never written to.
+NOTHING_SAID = Belief()
 
 
 class RunnerWords:
@@ -41,7 +41,7 @@
     def __init__(self, limits: RunnerLimits) -> None:
         """Believe nothing; limits are kept by ``limits``."""
         self.limits = limits
-        # Called when a start says in an answer that it leaves, with the moment.
+        # Called when a start says in an answer that it leaves.
         self.on_leaving: Callable[[Start], None] | None = None
         # Called when a start asks this instance for so many seconds of rest.
         self.on_rest: Callable[[Start, float], None] | None = None
@@ -58,35 +58,19 @@
             if not 0 < len(named) <= MAX_NAME:
                 return
             start = Start(named)
-        belief = self._beliefs.get(start)
-        if belief is not None and head.status != UNAVAILABLE:
-            belief.drop_hint()
+        if start in self._beliefs and head.status != UNAVAILABLE:
+            self._beliefs[start].drop_hint()
         for word in words_of(head):
             self.take(word, start, sent_at)
 
-    def leaves(self, start: Start) -> bool:
-        """Tell whether it is known that the runner of ``start`` leaves."""
-        belief = self._beliefs.get(start)
-        return belief is not None and belief.leaving
+    def belief_of(self, start: Start) -> Belief:
+        """Return what is believed of the runner of ``start``, to read."""
+        return self._beliefs.get(start, NOTHING_SAID)
 
     def leaving(self) -> list[Start]:
         """Return all starts of which that is known, also of such as have gone."""
         return [start for start, belief in self._beliefs.items() if belief.leaving]
 
-    def room(self, start: Start) -> float:
-        """Return how many requests of this instance the runner of ``start`` may have at a time."""
-        belief = self._beliefs.get(start)
-        return math.inf if belief is None else belief.room(trio.current_time())
-
-    def rest_left_s(self, start: Start) -> float:
-        """Return for how many seconds the runner of ``start`` still wants nothing from this instance."""
-        belief = self._beliefs.get(start)
-        return 0 if belief is None else belief.rest_left_s(trio.current_time())
-
-    def told_leaving(self, start: Start, source: str, age_s: float) -> None:
-        """Take the word of another instance, which heard it ``age_s`` seconds before."""
-        self._leave(start, source, age_s)
-
     def forget(self, start: Start) -> None:
         """Drop what was said by a start that has been followed by another one."""
         belief = self._beliefs.pop(start, None)
@@ -99,16 +83,24 @@
                 rest_left_s=round(belief.rest_left_s(trio.current_time()), 3),
             )
 
+    def note_leaving(self, start: Start, source: str, age_s: float) -> bool:
+        """Take that a runner leaves, as ``source`` heard ``age_s`` seconds before; returns whether that is news."""
+        news = self._belief(start).leave()
+        if news:
+            events.log_event(
+                events.LEAVING_SAID,
+                runner=start.runner,
+                born_ms=start.born_ms,
+                source=source,
+                age_s=round(age_s, 3),
+            )
+        return news
+
     def told_rest(self, start: Start, for_s: float, source: str) -> None:
         """Take that a runner has asked another instance for rest."""
         if self._belief(start).hint(for_s, trio.current_time()):
             events.log_event(events.REST_TOLD, runner=start.runner, born_ms=start.born_ms, for_s=for_s, source=source)
 
-    def rests_elsewhere(self, start: Start) -> bool:
-        """Tell whether the runner of ``start`` wants nothing from another instance, as that one has told."""
-        belief = self._beliefs.get(start)
-        return belief is not None and belief.hinted(trio.current_time())
-
     @singledispatchmethod
     def take(self, word: RunnerWord, start: Start, sent_at: float) -> None:
         """Take one word of the runner of ``start``."""
@@ -116,7 +108,7 @@
 
     @take.register(Leaves)
     def _take_leaves(self, _: Leaves, start: Start, sent_at: float) -> None:
-        if self._leave(start, FROM_ANSWER, 0) and self.on_leaving is not None:
+        if self.note_leaving(start, FROM_ANSWER, 0) and self.on_leaving is not None:
             self.on_leaving(start)
 
     @take.register(Rests)
@@ -151,34 +143,17 @@
             return
         self._unreadable_at.pop(key, None)
         self._unreadable_at[key] = now
-        _bound(self._unreadable_at)
+        forget_oldest(self._unreadable_at, REMEMBERED)
         events.log_event(events.WORD_UNREADABLE, runner=start.runner, word=word.word, text=word.text)
 
-    def _leave(self, start: Start, source: str, age_s: float) -> bool:
-        news = self._belief(start).leave()
-        if news:
-            events.log_event(
-                events.LEAVING_SAID,
-                runner=start.runner,
-                born_ms=start.born_ms,
-                source=source,
-                age_s=round(age_s, 3),
-            )
-        return news
-
     def _belief(self, start: Start) -> Belief:
         """Return what is believed of ``start``, to add to it."""
         found = self._beliefs.get(start)
         if found is None:
             found = Belief()
             self._beliefs[start] = found
-            _bound(self._beliefs)
+            forget_oldest(self._beliefs, REMEMBERED)
         return found
 
 
-def _bound(remembered: dict[KeyT, ValueT]) -> None:
-    if len(remembered) > REMEMBERED:
-        remembered.pop(next(iter(remembered)))
-
-
 __all__ = ('FROM_ANSWER', 'RunnerWords')
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_words.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_words.py
@@ -9,6 +9,7 @@
 from sesamepoint_core.runner_limit.belief import parse_rate
 from sesamepoint_core.runner_words.texts import parse_leaving, parse_rest
 from sesamepoint_core.runner_words.words import Leaves, Limits, NoLimit, Rests, Unreadable
+from sesamepoint.front.job import successful
 from sesamepoint.platform import names
 from sesamepoint.platform.headers import signed
 
@@ -17,8 +18,6 @@
     from sesamepoint.http1.messages import ResponseHead
 
 UNAVAILABLE = 503
-FIRST_SUCCESS = 200
-FIRST_REDIRECT = 300
 # As much of a text that can't be read as a log line needs.
 SHOWN_TEXT = 40
 
@@ -59,7 +58,7 @@
     said, unreadable = _read(head, names.RUNNER_LIMIT, 'limit', parse_rate)
     if said:
         yield Limits(said[-1])
-    elif not unreadable and FIRST_SUCCESS <= head.status < FIRST_REDIRECT and signed(head):
+    elif not unreadable and successful(head.status) and signed(head):
         yield NoLimit()
     yield from unreadable
 
--- a/tests/front/gate_bed.py
+++ b/tests/front/gate_bed.py
@@ -121,7 +121,7 @@
 
 
 def _leave(found: Bed) -> None:
-    found.gate.words.told_leaving(found.member.start, 'front-2', 0)
+    found.gate.words.note_leaving(found.member.start, 'front-2', 0)
 
 
 CLOSES: Mapping[str, Close] = MappingProxyType(
--- a/tests/front/test_word_faults.py
+++ b/tests/front/test_word_faults.py
@@ -7,7 +7,6 @@
 from unittest.mock import patch
 
 from sesamepoint_core.runner_words.belief import Belief
-from sesamepoint.front.runner_words import RunnerWords
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.word_faults import play
 
@@ -18,7 +17,7 @@
 TWIN_SEEDS = (1, 2, 3, 4)
 
 
-def _never(self: RunnerWords, start: object) -> bool:
+def _never(self: Belief) -> bool:
     return False
 
 
@@ -45,7 +44,7 @@
 
     def test_twin_that_heeds_no_leaving(self) -> None:
         """Answers say that a runner leaves, and nobody heeds it."""
-        with patch.object(RunnerWords, 'leaves', _never):
+        with patch.object(Belief, 'leave', _never):
             self._finds('leaving')
 
     def test_twin_that_heeds_no_rest(self) -> None:
