--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -16,13 +16,13 @@
 
 from sesamepoint_core.registry import Registry
 from sesamepoint_core.serving import placement
-from sesamepoint.front.backlog import Backlog
-from sesamepoint.front.cache_inventory import CacheInventory
-from sesamepoint.front.engine_queue import EngineQueue
-from sesamepoint.front.peers import Peers
-from sesamepoint.front.queue_triage import QueueTriage, Waiter
-from sesamepoint.front.retry_detection import RetryDetector
-from sesamepoint.front.runner_selection import RunnerSelector
+from sesamepoint.front.engines.backlog import Backlog
+from sesamepoint.front.engines.cache_inventory import CacheInventory
+from sesamepoint.front.engines.engine_queue import EngineQueue
+from sesamepoint.front.peering.peers import Peers
+from sesamepoint.front.engines.queue_triage import QueueTriage, Waiter
+from sesamepoint.front.requests.retry_detection import RetryDetector
+from sesamepoint.front.runners.runner_selection import RunnerSelector
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.burst import LONG_TARGET_S, SHORT_TARGET_S, STATUS_REFUSED, run_burst, served_share
 
@@ -109,7 +109,7 @@
 
 @PATCHERS.register('lots before long sends')
 def _no_send_jitter(stack: ExitStack) -> None:
-    stack.enter_context(patch('sesamepoint.front.engine_queue.MAX_JITTER_S', 0))
+    stack.enter_context(patch('sesamepoint.front.engines.engine_queue.MAX_JITTER_S', 0))
 
 
 @PATCHERS.register('refusing what is late for others')
@@ -129,7 +129,7 @@
 
 @PATCHERS.register('serving small work late')
 def _no_late_small_requests(stack: ExitStack) -> None:
-    stack.enter_context(patch('sesamepoint.front.queue_triage.SMALL_WORK_S', 0))
+    stack.enter_context(patch('sesamepoint.front.engines.queue_triage.SMALL_WORK_S', 0))
 
 
 @PATCHERS.register('pricing engine time by the line')
--- a/benchmarks/front_slopes.py
+++ b/benchmarks/front_slopes.py
@@ -20,10 +20,10 @@
 from sesamepoint_core.serving.speed_meters import PrefillSpeed
 from sesamepoint_core.serving.poison_requests import SuspectRequests
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.send_check import SendCheck
-from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.engine_sends import Send, SendEnd, SendTracker, SendUpdate
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.runners.send_check import SendCheck
+from sesamepoint.front.runners.runner_limits import RunnerLimits
+from sesamepoint.front.engines.engine_sends import Send, SendEnd, SendTracker, SendUpdate
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.runner_registration import decode_runner
--- a/benchmarks/rest_ways.py
+++ b/benchmarks/rest_ways.py
@@ -15,7 +15,7 @@
 import trio
 
 from sesamepoint_core.runner_status.status_headers import BackOff
-from sesamepoint.front.runner_status import RunnerStatuses
+from sesamepoint.front.runners.runner_status import RunnerStatuses
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.runner import Faults
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
--- a/packages/sesamectl/src/sesamectl/ended_requests.py
+++ b/packages/sesamectl/src/sesamectl/ended_requests.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sesamepoint import events
-from sesamepoint.front.failure_cause import FailureCause
+from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamectl.log_lines import decode_line
 
 if TYPE_CHECKING:
--- a/packages/sesamectl/src/sesamectl/request_explanation.py
+++ b/packages/sesamectl/src/sesamectl/request_explanation.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from sesamepoint import events
-from sesamepoint.front.failure_cause import FailureCause
+from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint_core.errors import SesamepointError
 from sesamectl.ended_requests import FIRST_REDIRECT_STATUS
 from sesamectl.log_lines import decode_line
--- a/packages/sesamectl/src/sesamectl/request_search.py
+++ b/packages/sesamectl/src/sesamectl/request_search.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sesamepoint.front.failure_cause import FailureCause
+from sesamepoint.front.requests.failure_cause import FailureCause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: admission by key, usage counts, and their report under a lease."""
--- a/packages/sesamepoint/src/sesamepoint/front/account_admission.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/account_admission.py
@@ -6,14 +6,14 @@
 
 from sesamepoint_core.serving.accounts import Admitted, Denied, admit
 from sesamepoint import events
-from sesamepoint.front.failure_cause import FailureCause
+from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.platform.headers import with_account
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.accounts import Admission, KeyFault
     from sesamepoint_core.serving.routes import Configuration, Route
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.requests.request import FrontRequest
 
 
 def admission_of(cfg: Configuration, route: Route, req: FrontRequest) -> Admission:
--- a/packages/sesamepoint/src/sesamepoint/front/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -11,8 +11,8 @@
 from sesamepoint_core.duty.report_schedule import COUNTS_DUE_S, Report, ReportSchedule, ReportTimes
 from sesamepoint_core.duty.usage import Source, UsageTotals
 from sesamepoint import events
-from sesamepoint.front.duty_log import AppendOutcome, DutyLog
-from sesamepoint.front.usage_messages import DutyMessage
+from sesamepoint.front.accounts.duty_log import AppendOutcome, DutyLog
+from sesamepoint.front.accounts.usage_messages import DutyMessage
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.usage_reports import encode_usage, report_usage
@@ -23,10 +23,10 @@
 
     from sesamepoint_core.duty.usage import UsageMeter
     from sesamepoint.front.clocks import Clock, SmoothedTime
-    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.peering.peers import Peers
     from sesamepoint.front.settings import DutySettings
-    from sesamepoint.front.usage import UsageCounts
-    from sesamepoint.front.usage_messages import UsageMessage
+    from sesamepoint.front.accounts.usage import UsageCounts
+    from sesamepoint.front.accounts.usage_messages import UsageMessage
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import StoreClient
 
--- a/packages/sesamepoint/src/sesamepoint/front/usage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage.py
@@ -6,16 +6,16 @@
 
 import trio
 
-from sesamepoint.front.usage_messages import WindowHeader, split_counts
+from sesamepoint.front.accounts.usage_messages import WindowHeader, split_counts
 
 if TYPE_CHECKING:
     from random import Random
 
     from sesamepoint_core.duty.usage import UsageMeter
     from sesamepoint.front.clocks import Clock, SmoothedTime
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.peers import Peers
-    from sesamepoint.front.usage_messages import DutyMessage
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.peering.peers import Peers
+    from sesamepoint.front.accounts.usage_messages import DutyMessage
 
 # How often to check for counts to send, in seconds.
 CHECK_INTERVAL_S = 0.1
--- a/packages/sesamepoint/src/sesamepoint/front/usage_reporting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
@@ -6,17 +6,17 @@
 
 from sesamepoint_core.duty.usage import UsageMeter
 from sesamepoint.front.clocks import SmoothedTime
-from sesamepoint.front.duty import Duty, DutyTools
-from sesamepoint.front.usage import UsageCounts
-from sesamepoint.front.usage_messages import DutyMessage, UsageMessage
+from sesamepoint.front.accounts.duty import Duty, DutyTools
+from sesamepoint.front.accounts.usage import UsageCounts
+from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
     from random import Random
 
     from sesamepoint.front.clocks import Clock
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.peering.peers import Peers
     from sesamepoint.front.settings import DutySettings
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store import StoreClient
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -8,15 +8,21 @@
 
 from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.serving.accounts import Denied
-from sesamepoint.front.account_admission import admission_of, assign_account, deny, log_denied, recheck_admission
-from sesamepoint.front.failure_cause import FailureCause
-from sesamepoint.front.request_end import failure_cause_of, log_request_end
-from sesamepoint.front.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, RunStartedCallback
+from sesamepoint.front.accounts.account_admission import (
+    admission_of,
+    assign_account,
+    deny,
+    log_denied,
+    recheck_admission,
+)
+from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.requests.request_end import failure_cause_of, log_request_end
+from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, RunStartedCallback
 from sesamepoint.front.metrics import FrontMetrics
-from sesamepoint.front.retry_after import default_retry_after_s, max_hold_s
-from sesamepoint.front.attempt_results import Relayed, RunFailed, Withheld
-from sesamepoint.front.retries import SILENCE_TIMEOUT_FACTOR, may_retry, run_attempt, target_for
-from sesamepoint.front.retry_detection import RetryDetector
+from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
+from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Withheld
+from sesamepoint.front.requests.retries import SILENCE_TIMEOUT_FACTOR, may_retry, run_attempt, target_for
+from sesamepoint.front.requests.retry_detection import RetryDetector
 from sesamepoint.platform.headers import is_signed, response_headers
 
 if TYPE_CHECKING:
@@ -24,13 +30,13 @@
 
     from sesamepoint_core.serving.routes import Configuration, Route
 
-    from sesamepoint.front.attempt_results import AttemptResult
+    from sesamepoint.front.requests.attempt_results import AttemptResult
     from sesamepoint.front.dispatch_components import DispatchComponents
-    from sesamepoint.front.engine_runs import EngineRuns
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.quarantine import Quarantine
-    from sesamepoint.front.reply import Reply
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.engines.engine_runs import EngineRuns
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.quarantine.quarantine import Quarantine
+    from sesamepoint.front.requests.reply import Reply
+    from sesamepoint.front.requests.request import FrontRequest
 
 NOT_FOUND = 404
 BAD_GATEWAY = 502
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from sesamepoint.front.engine_queue import EngineQueue
-from sesamepoint.front.permit_queue import PermitQueue
-from sesamepoint.front.prefill import HandleReclaimer
-from sesamepoint.front.runner_selection import RunnerSelector
+from sesamepoint.front.engines.engine_queue import EngineQueue
+from sesamepoint.front.runners.permit_queue import PermitQueue
+from sesamepoint.front.engines.prefill import HandleReclaimer
+from sesamepoint.front.runners.runner_selection import RunnerSelector
 
 if TYPE_CHECKING:
     from random import Random
 
-    from sesamepoint.front.engine_sends import SendTracker
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.runner_limits import RunnerLimits
-    from sesamepoint.front.runner_status import RunnerStatuses
+    from sesamepoint.front.engines.engine_sends import SendTracker
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.runner_limits import RunnerLimits
+    from sesamepoint.front.runners.runner_status import RunnerStatuses
 
 
 class DispatchComponents(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/cache_inventory.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/cache_inventory.py
@@ -8,16 +8,16 @@
 
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint import events
-from sesamepoint.front.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_cache_calls import list_cached_blocks
 
 if TYPE_CHECKING:
     from random import Random
 
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.fleet_member import Member
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.runners.fleet_member import Member
 
 # Calls are delayed by a random time of up to this many seconds: each takes some of the
 # engine's time, and instances may start together.
--- a/packages/sesamepoint/src/sesamepoint/front/decision_fields.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/decision_fields.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.prompt import Prompt
-    from sesamepoint.front.engine_plan import EnginePlan
+    from sesamepoint.front.engines.engine_plan import EnginePlan
 
 
 def decision_fields(plan: EnginePlan, prompt: Prompt, path: str) -> dict[str, object]:
--- a/packages/sesamepoint/src/sesamepoint/front/engine_plan.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_plan.py
@@ -13,7 +13,7 @@
     from collections.abc import Sequence
 
     from sesamepoint_core.serving.prompt import Prompt
-    from sesamepoint.front.fleet_member import Member
+    from sesamepoint.front.runners.fleet_member import Member
 
 # Fewer tokens than this are prefilled faster than fetched: a fetch takes 25 ms, in
 # which current engines prefill 900 tokens and more.
--- a/packages/sesamepoint/src/sesamepoint/front/engine_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from sesamepoint.front.backlog import Need
-from sesamepoint.front.engine_sends import LONG_PREFILL_S
-from sesamepoint.front.queue_triage import QueueTriage, Waiter, engines_busy, queue_key_of
-from sesamepoint.front.runner_selection import queue_rank
+from sesamepoint.front.engines.backlog import Need
+from sesamepoint.front.engines.engine_sends import LONG_PREFILL_S
+from sesamepoint.front.engines.queue_triage import QueueTriage, Waiter, engines_busy, queue_key_of
+from sesamepoint.front.runners.runner_selection import queue_rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,10 +18,10 @@
 
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
-    from sesamepoint.front.engine_plan import EnginePlan
-    from sesamepoint.front.engine_sends import SendTracker
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_selection import RunnerSelector
+    from sesamepoint.front.engines.engine_plan import EnginePlan
+    from sesamepoint.front.engines.engine_sends import SendTracker
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_selection import RunnerSelector
 
 # Interval between two passes over the queue, in seconds: short against the work of
 # one prompt. It is longer after a pass that released nothing: with hundreds of waiting
--- a/packages/sesamepoint/src/sesamepoint/front/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -8,12 +8,12 @@
 import trio
 
 from sesamepoint_core.serving.placement import DECODE_STEP_S
-from sesamepoint.front.attempt import Target
-from sesamepoint.front.attempt_results import Rejected, Relayed, Unsent, Withheld
-from sesamepoint.front.decision_fields import decision_fields
-from sesamepoint.front.engine_sends import NewLoad
-from sesamepoint.front.prefill import Prefilled, PrefillFailed, prefill
-from sesamepoint.front.retries import (
+from sesamepoint.front.requests.attempt import Target
+from sesamepoint.front.requests.attempt_results import Rejected, Relayed, Unsent, Withheld
+from sesamepoint.front.engines.decision_fields import decision_fields
+from sesamepoint.front.engines.engine_sends import NewLoad
+from sesamepoint.front.engines.prefill import Prefilled, PrefillFailed, prefill
+from sesamepoint.front.requests.retries import (
     may_retry,
     note_prefill_failure,
     note_withheld,
@@ -21,8 +21,8 @@
     silence_timeout_s,
     target_for,
 )
-from sesamepoint.front.runner_selection import LATE_RANK
-from sesamepoint.front.send_check import SendKind, SendPurpose
+from sesamepoint.front.runners.runner_selection import LATE_RANK
+from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.platform.headers import AttemptHeaders
 
 if TYPE_CHECKING:
@@ -30,12 +30,12 @@
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
 
-    from sesamepoint.front.attempt_results import AttemptResult
+    from sesamepoint.front.requests.attempt_results import AttemptResult
     from sesamepoint.front.dispatch_components import DispatchComponents
-    from sesamepoint.front.engine_plan import EnginePlan
-    from sesamepoint.front.engine_sends import SendEnd
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
+    from sesamepoint.front.engines.engine_plan import EnginePlan
+    from sesamepoint.front.engines.engine_sends import SendEnd
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
 
 
 # A remote prefill may take up to this share of the time until its caller leaves.
--- a/packages/sesamepoint/src/sesamepoint/front/engine_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_sends.py
@@ -10,14 +10,14 @@
 from sesamepoint_core.serving.engine_load import PrefillWork, Stream
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import StartMs
-from sesamepoint.front.backlog import Backlog, QueuedWork
+from sesamepoint.front.engines.backlog import Backlog, QueuedWork
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from random import Random
 
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.fleet_member import Member
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.runners.fleet_member import Member
 
 FIRST_SERIAL_BITS = 30
 # Prefills of this many seconds or more are announced in a datagram of their own:
--- a/packages/sesamepoint/src/sesamepoint/front/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -9,18 +9,18 @@
 import trio
 
 from sesamepoint import events
-from sesamepoint.front.attempt_results import Withheld
-from sesamepoint.front.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.requests.attempt_results import Withheld
+from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_cache_calls import free_kv_handle
 from sesamepoint.platform.headers import encode_request, is_other_incarnation, matches_request
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
-    from sesamepoint.front.attempt import Target
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.reply import Reply
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.requests.attempt import Target
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.reply import Reply
+    from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
 
--- a/packages/sesamepoint/src/sesamepoint/front/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -10,18 +10,18 @@
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.backlog import Need, QueueKey, QueuedWork
-from sesamepoint.front.retry_after import capped_retry_after_s
+from sesamepoint.front.engines.backlog import Need, QueueKey, QueuedWork
+from sesamepoint.front.requests.retry_after import capped_retry_after_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
-    from sesamepoint.front.backlog import Backlog
-    from sesamepoint.front.engine_plan import EnginePlan
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_selection import RunnerSelector
+    from sesamepoint.front.engines.backlog import Backlog
+    from sesamepoint.front.engines.engine_plan import EnginePlan
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_selection import RunnerSelector
 
 # Work that an engine may have, in seconds, before requests are queued here: enough to
 # keep it busy for the 30 ms that an announcement to peers takes.
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -8,18 +8,18 @@
 
 from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
 from sesamepoint.front.http_handler import HttpHandler
-from sesamepoint.front.engine_runs import EngineRuns
+from sesamepoint.front.engines.engine_runs import EngineRuns
 from sesamepoint.front.dispatch_components import DispatchComponents
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.store_sync import StoreSync, SyncTargets
-from sesamepoint.front.send_check import SendCheck
-from sesamepoint.front.cache_inventory import CacheInventory
-from sesamepoint.front.engine_subset import EngineSubset
-from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.limit_exchange import LimitExchange
-from sesamepoint.front.peers import Peers
-from sesamepoint.front.quarantine import Quarantine
-from sesamepoint.front.engine_sends import SendTracker
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.store.store_sync import StoreSync, SyncTargets
+from sesamepoint.front.runners.send_check import SendCheck
+from sesamepoint.front.engines.cache_inventory import CacheInventory
+from sesamepoint.front.runners.engine_subset import EngineSubset
+from sesamepoint.front.runners.runner_limits import RunnerLimits
+from sesamepoint.front.runners.limit_exchange import LimitExchange
+from sesamepoint.front.peering.peers import Peers
+from sesamepoint.front.quarantine.quarantine import Quarantine
+from sesamepoint.front.engines.engine_sends import SendTracker
 from sesamepoint.http1.server import ServerLimits
 from sesamepoint.supervisor import Child
 
@@ -27,7 +27,7 @@
     from random import Random
 
     from sesamepoint.front.clocks import Clock
-    from sesamepoint.front.peer_network import PeerNetwork
+    from sesamepoint.front.peering.peer_network import PeerNetwork
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.http1.transport import Network
 
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint import events
-from sesamepoint.front.reply import Reply
+from sesamepoint.front.requests.reply import Reply
 from sesamepoint.http1.messages import RejectedRequestError
 from sesamepoint.http1.server import CallerGoneError, ServerConn, ServerLimits
 from sesamepoint.platform.headers import decode_request
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from sesamepoint.front.dispatch import Dispatcher
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.transport import Transport
 
 UNAVAILABLE = 503
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint.front.job import Job
+    from sesamepoint.front.requests.job import Job
 
 # Bounds in seconds, around the current target latencies of 0.2 to 0.8 s.
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances and the list of live peers."""
--- a/packages/sesamepoint/src/sesamepoint/front/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -11,7 +11,7 @@
 from sesamepoint_core.runner_status.parsing import MAX_BACK_OFF_S
 from sesamepoint_core.serving.poison_requests import BoundedName, Incarnation
 from sesamepoint import events
-from sesamepoint.front.probes import Probe, ProbeState
+from sesamepoint.front.quarantine.probes import Probe, ProbeState
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/sesamepoint/src/sesamepoint/front/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -10,22 +10,22 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
-from sesamepoint.front.engine_sends import SendUpdate
-from sesamepoint.front.limit_messages import PermitGrantMessage, PermitRequestMessage
-from sesamepoint.front.membership import Membership
-from sesamepoint.front.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
-from sesamepoint.front.topic_updates import TopicUpdate
-from sesamepoint.front.usage_messages import DutyMessage, UsageMessage
+from sesamepoint.front.engines.engine_sends import SendUpdate
+from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
+from sesamepoint.front.peering.membership import Membership
+from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
+from sesamepoint.front.store.topic_updates import TopicUpdate
+from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.wire_names import INSTANCE_TOPIC
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from sesamepoint.front.engine_sends import SendTracker
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.peer_network import PeerNetwork
-    from sesamepoint.front.quarantine import Quarantine
+    from sesamepoint.front.engines.engine_sends import SendTracker
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.peering.peer_network import PeerNetwork
+    from sesamepoint.front.quarantine.quarantine import Quarantine
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.platform.store import StoreClient
 
--- a/packages/sesamepoint/src/sesamepoint/front/content_id.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/content_id.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.requests.request import FrontRequest
 
 # Bytes of a content id: two of a million remembered requests share an id in about
 # one of ten million such sets.
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -22,17 +22,17 @@
 
 from sesamepoint_core.serving.poison_requests import Incarnation, SuspectRequests
 from sesamepoint import events
-from sesamepoint.front.attempt_results import Relayed, RunFailed, Silent
-from sesamepoint.front.failure_cause import FailureCause
-from sesamepoint.front.peer_messages import MAX_ROWS, ProbeUpdate, RunnerEnd, SendQueue, SuspectUpdate
-from sesamepoint.front.probes import Probe, ProbeState, Probes
-from sesamepoint.front.retry_after import default_retry_after_s, max_hold_s
+from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
+from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.peering.peer_messages import MAX_ROWS, ProbeUpdate, RunnerEnd, SendQueue, SuspectUpdate
+from sesamepoint.front.quarantine.probes import Probe, ProbeState, Probes
+from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint.front.attempt_results import AttemptResult
-    from sesamepoint.front.job import Job
+    from sesamepoint.front.requests.attempt_results import AttemptResult
+    from sesamepoint.front.requests.job import Job
     from sesamepoint.platform.store import KeyedRecord
 
     RunnerPicker = Callable[[Job, Callable[[Incarnation], bool]], str | None]
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine_records.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine_records.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from sesamepoint.front.quarantine import Quarantine
+    from sesamepoint.front.quarantine.quarantine import Quarantine
     from sesamepoint.platform.store import StoreClient
 
 # How often expired quarantines are looked for, in seconds.
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/__init__.py
@@ -0,0 +1,1 @@
+"""One request in progress: attempts, retries, reply and cause of failure."""
--- a/packages/sesamepoint/src/sesamepoint/front/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -8,9 +8,9 @@
 
 import trio
 
-from sesamepoint.front.job import is_success
-from sesamepoint.front.send_check import SendBlockedError, SendKind, SendPurpose
-from sesamepoint.front.attempt_results import (
+from sesamepoint.front.requests.job import is_success
+from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
     Broken,
     Rejected,
@@ -34,9 +34,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.reply import Reply
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.reply import Reply
+    from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.platform.headers import AttemptHeaders
--- a/packages/sesamepoint/src/sesamepoint/front/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -9,17 +9,17 @@
 
 import trio
 
-from sesamepoint.front.content_id import content_id
-from sesamepoint.front.failure_cause import FailureCause
-from sesamepoint.front.retry_after import default_retry_after_s
+from sesamepoint.front.quarantine.content_id import content_id
+from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.requests.retry_after import default_retry_after_s
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.routes import Route
-    from sesamepoint.front.probes import Probe
-    from sesamepoint.front.reply import Reply
-    from sesamepoint.front.request import FrontRequest
+    from sesamepoint.front.quarantine.probes import Probe
+    from sesamepoint.front.requests.reply import Reply
+    from sesamepoint.front.requests.request import FrontRequest
 
 # Subtracted from the time that a runner gets, so that the end of its answer
 # still reaches the caller in time.
--- a/packages/sesamepoint/src/sesamepoint/front/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sesamepoint.front.event_splitter import EventSplitter
+from sesamepoint.front.requests.event_splitter import EventSplitter
 from sesamepoint.platform.wire_names import RETRY_AFTER
 
 if TYPE_CHECKING:
--- a/packages/sesamepoint/src/sesamepoint/front/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -7,15 +7,15 @@
 
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.attempt_results import Relayed, RunFailed, Silent
-from sesamepoint.front.failure_cause import FailureCause
+from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
+from sesamepoint.front.requests.failure_cause import FailureCause
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from sesamepoint_core.serving.routes import Configuration
-    from sesamepoint.front.attempt_results import AttemptResult
-    from sesamepoint.front.job import Job
+    from sesamepoint.front.requests.attempt_results import AttemptResult
+    from sesamepoint.front.requests.job import Job
 
 _CAUSE_BY_OUTCOME: Mapping[type, FailureCause] = MappingProxyType(
     {RunFailed: FailureCause.runner_failed, Silent: FailureCause.silent}
--- a/packages/sesamepoint/src/sesamepoint/front/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -10,18 +10,18 @@
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.attempt import Attempt, Target
-from sesamepoint.front.failure_cause import FailureCause
-from sesamepoint.front.send_check import SendKind, SendPurpose
-from sesamepoint.front.runner_status import FROM_ANSWER
-from sesamepoint.front.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
+from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.runners.send_check import SendKind, SendPurpose
+from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.requests.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
 from sesamepoint.platform.headers import AttemptHeaders
 
 if TYPE_CHECKING:
-    from sesamepoint.front.attempt_results import AttemptResult
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.prefill import PrefillFailed
+    from sesamepoint.front.requests.attempt_results import AttemptResult
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.engines.prefill import PrefillFailed
 
 # Silence timeout after which a repeatable request goes to another runner: this
 # many times the expected time, and at least this many seconds. Plain services
--- a/packages/sesamepoint/src/sesamepoint/front/eligibility.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/eligibility.py
@@ -13,10 +13,10 @@
     from collections.abc import Sequence
 
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_limits import RunnerLimits
 
 # At least this share of a service's runners stays in use, however many fail, as long as
 # they answer some requests: fewer could not carry the load.
--- a/packages/sesamepoint/src/sesamepoint/front/engine_subset.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/engine_subset.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.fleet_member import Member
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.runners.fleet_member import Member
 
 # Engines of one service and stage in an instance's subset. Current fleets are smaller
 # and used by all instances. With 600 engines and 350 instances each engine is used by
--- a/packages/sesamepoint/src/sesamepoint/front/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -10,7 +10,7 @@
 
 from sesamepoint_core.bounded_dict import drop_oldest
 from sesamepoint import events
-from sesamepoint.front.fleet_member import UNKNOWN_KV_TOKENS, Member
+from sesamepoint.front.runners.fleet_member import UNKNOWN_KV_TOKENS, Member
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -18,7 +18,7 @@
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
-    from sesamepoint.front.send_check import SendCheck
+    from sesamepoint.front.runners.send_check import SendCheck
     from sesamepoint.http1.transport import Network
 
 # Number of runners whose newest incarnation is remembered, also after they have gone, so
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -15,16 +15,16 @@
 from sesamepoint_core.serving.loss_meter import LossMeter
 from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint import events
-from sesamepoint.front.connection_pool import ConnectionPool
-from sesamepoint.front.runner_status import FROM_ANSWER
-from sesamepoint.front.send_check import PendingSend, SendBlockedError, SendKind
+from sesamepoint.front.runners.connection_pool import ConnectionPool
+from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.send_check import PendingSend, SendBlockedError, SendKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamepoint_core.runner_status.known_status import KnownStatus
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.send_check import SendCheck, SendPurpose
+    from sesamepoint.front.runners.send_check import SendCheck, SendPurpose
     from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Network
--- a/packages/sesamepoint/src/sesamepoint/front/limit_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/limit_exchange.py
@@ -8,17 +8,17 @@
 import trio
 
 from sesamepoint_core.runner_limit.messages import PermitRequest
-from sesamepoint.front.limit_messages import PermitGrantMessage, PermitRequestMessage
+from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 
 if TYPE_CHECKING:
     from sesamepoint_core.runner_limit.messages import AddressedMessage
     from sesamepoint_core.runner_limit.shared_limit import SharedLimit
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint.front.dispatch_components import DispatchComponents
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.peering.peers import Peers
 
 # Least time between two rounds of messages, in seconds: messages that become due at the same
 # moment are sent in one round.
--- a/packages/sesamepoint/src/sesamepoint/front/permit_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/permit_queue.py
@@ -11,17 +11,17 @@
 from sesamepoint_core.runner_limit.share_lender import IDLE_RANK, Demand
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.failure_cause import FailureCause
-from sesamepoint.front.retry_after import capped_retry_after_s, default_retry_after_s
+from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.requests.retry_after import capped_retry_after_s, default_retry_after_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.eligibility import EligibleRunners
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_status import RunnerStatuses
+    from sesamepoint.front.runners.eligibility import EligibleRunners
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_status import RunnerStatuses
 
 # Waiting requests check this often, in seconds, whether a runner without a limit admits them.
 POLL_INTERVAL_S = 0.05
--- a/packages/sesamepoint/src/sesamepoint/front/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_limits.py
@@ -10,15 +10,15 @@
 from sesamepoint_core.runner_limit.known_limit import FIRST_IN_FLIGHT
 from sesamepoint_core.runner_limit.shared_limit import STARTUP_HOLD_S, SharedLimit
 from sesamepoint import events
-from sesamepoint.front.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.runner_status import FROM_ANSWER
 
 if TYPE_CHECKING:
     from random import Random
 
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.limit_messages import PermitGrantMessage, PermitRequestMessage
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 
 INCARNATION_BITS = 50
 # Least time between two log lines about the limit of one runner, in seconds: each answer
--- a/packages/sesamepoint/src/sesamepoint/front/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -10,9 +10,9 @@
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint_core.serving.speed_meters import PauseMeter, PrefillSpeedMeter
-from sesamepoint.front.backlog import Need, QueueKey
-from sesamepoint.front.eligibility import EligibleRunners, note_passed_over
-from sesamepoint.front.engine_plan import Candidate, EnginePlan, EngineViews, plan_for
+from sesamepoint.front.engines.backlog import Need, QueueKey
+from sesamepoint.front.runners.eligibility import EligibleRunners, note_passed_over
+from sesamepoint.front.engines.engine_plan import Candidate, EnginePlan, EngineViews, plan_for
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -20,11 +20,11 @@
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
-    from sesamepoint.front.backlog import Backlog
-    from sesamepoint.front.engine_subset import EngineSubset
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.engines.backlog import Backlog
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_limits import RunnerLimits
 
 # Used for a service whose link and cache sizes are not published: a transfer costs nothing.
 DEFAULT_TRANSFER_TOKENS_S = 1e9
--- a/packages/sesamepoint/src/sesamepoint/front/runner_status.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from sesamepoint_core.runner_status.status_headers import StatusHeader
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runners.runner_limits import RunnerLimits
     from sesamepoint.http1.messages import ResponseHead
 
 # Number of incarnations of runners whose status is kept; the oldest are dropped first. A day
--- a/packages/sesamepoint/src/sesamepoint/front/runner_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
@@ -6,13 +6,13 @@
 
 import trio
 
-from sesamepoint.front.peer_messages import ReportedStatus, RunnerStatusMessage
+from sesamepoint.front.peering.peer_messages import ReportedStatus, RunnerStatusMessage
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.peers import Peers
-    from sesamepoint.front.runner_status import RunnerStatuses
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.peering.peers import Peers
+    from sesamepoint.front.runners.runner_status import RunnerStatuses
 
 # A message may be lost, or its recipient disconnected, so the instance that found out a fact
 # sends it again: first at this age of the fact, in seconds, then each time at twice the age.
--- a/packages/sesamepoint/src/sesamepoint/front/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -10,13 +10,13 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
-from sesamepoint.front.runner_status import RunnerStatuses
+from sesamepoint.front.runners.runner_status import RunnerStatuses
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.poison_requests import SuspectRequests
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.job import Job
-    from sesamepoint.front.runner_limits import RunnerLimits
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.runner_limits import RunnerLimits
 
 
 class SendKind(StrEnum):
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/store/__init__.py
@@ -0,0 +1,1 @@
+"""Topics of the platform's store: polling, updates from peers, registration."""
--- a/packages/sesamepoint/src/sesamepoint/front/instance_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/instance_registration.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint.front.peers import Peers
+    from sesamepoint.front.peering.peers import Peers
     from sesamepoint.platform.store import KeyedRecord, StoreClient
 
 # How often to check for failed peers, in seconds.
--- a/packages/sesamepoint/src/sesamepoint/front/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -17,7 +17,7 @@
 
 from sesamepoint_core.serving.routes import Configuration
 from sesamepoint import events
-from sesamepoint.front.peer_messages import VersionMessage
+from sesamepoint.front.peering.peer_messages import VersionMessage
 from sesamepoint.http1.client import ClientConn
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
@@ -25,8 +25,8 @@
     from random import Random
 
     from sesamepoint_core.serving.address import Address
-    from sesamepoint.front.peers import Peers
-    from sesamepoint.front.topic_sync import TopicSync
+    from sesamepoint.front.peering.peers import Peers
+    from sesamepoint.front.store.topic_sync import TopicSync
     from sesamepoint.http1.messages import ResponseHead
     from sesamepoint.http1.transport import Network
 
--- a/packages/sesamepoint/src/sesamepoint/front/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -8,15 +8,15 @@
 import trio
 
 from sesamepoint.front.clocks import SystemClock
-from sesamepoint.front.topic_sync import SyncTargets, TopicSync
-from sesamepoint.front.topic_updates import TopicUpdate
-from sesamepoint.front.peer_messages import VersionMessage
-from sesamepoint.front.instance_registration import InstanceRegistration
+from sesamepoint.front.store.topic_sync import SyncTargets, TopicSync
+from sesamepoint.front.store.topic_updates import TopicUpdate
+from sesamepoint.front.peering.peer_messages import VersionMessage
+from sesamepoint.front.store.instance_registration import InstanceRegistration
 from sesamepoint.front.pages import Page, Pages
-from sesamepoint.front.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
-from sesamepoint.front.quarantine_records import QuarantineRecords
-from sesamepoint.front.runner_updates import RunnerUpdates
-from sesamepoint.front.usage_reporting import UsageReporting
+from sesamepoint.front.store.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
+from sesamepoint.front.quarantine.quarantine_records import QuarantineRecords
+from sesamepoint.front.runners.runner_updates import RunnerUpdates
+from sesamepoint.front.accounts.usage_reporting import UsageReporting
 from sesamepoint.platform.store import StoreClient
 from sesamepoint.platform.store_epoch import StoreEpoch
 from sesamepoint.supervisor import Child
--- a/packages/sesamepoint/src/sesamepoint/front/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint import events
-from sesamepoint.front.polling_turns import Pacing
-from sesamepoint.front.topic_watch import PeerGroup, RecordHandlers, TopicWatch
+from sesamepoint.front.store.polling_turns import Pacing
+from sesamepoint.front.store.topic_watch import PeerGroup, RecordHandlers, TopicWatch
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.runner_registration import decode_runner
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
@@ -19,13 +19,13 @@
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
-    from sesamepoint.front.fleet import Fleet
-    from sesamepoint.front.instance_registration import InstanceRegistration
-    from sesamepoint.front.peers import Peers
-    from sesamepoint.front.quarantine import Quarantine
-    from sesamepoint.front.runner_status import RunnerStatuses
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.store.instance_registration import InstanceRegistration
+    from sesamepoint.front.peering.peers import Peers
+    from sesamepoint.front.quarantine.quarantine import Quarantine
+    from sesamepoint.front.runners.runner_status import RunnerStatuses
     from sesamepoint.front.settings import FrontSettings
-    from sesamepoint.front.topic_updates import TopicUpdate
+    from sesamepoint.front.store.topic_updates import TopicUpdate
     from sesamepoint.platform.store import KeyedRecord, StoreClient
 
 # Shares of the time within which a new configuration must be in force. One
--- a/packages/sesamepoint/src/sesamepoint/front/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -10,16 +10,16 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint import events
-from sesamepoint.front.out_of_order import OutOfOrderUpdates, Position
-from sesamepoint.front.polling_turns import PollingTurns
-from sesamepoint.front.topic_updates import TopicUpdate, broadcastable
+from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
+from sesamepoint.front.store.polling_turns import PollingTurns
+from sesamepoint.front.store.topic_updates import TopicUpdate, broadcastable
 from sesamepoint.platform.store import HistoryGoneError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
 
-    from sesamepoint.front.polling_turns import Pacing
+    from sesamepoint.front.store.polling_turns import Pacing
     from sesamepoint.platform.store import KeyedRecord, StoreClient, TopicRecords
 
 # Range of the random pause before a failed call is repeated, in seconds: spreads
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -7,7 +7,7 @@
 from sesamepoint_core.serving.accounts import KeyFault, PresentedKey, digest_of
 from sesamepoint_core.serving.prompt import Part, Prompt
 from sesamepoint_core.units import MS_PER_S
-from sesamepoint.front.request import FrontRequest
+from sesamepoint.front.requests.request import FrontRequest
 from sesamepoint.http1.messages import RejectedRequestError, RequestHead, header
 from sesamepoint.platform import wire_names
 
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_status_headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_status_headers.py
@@ -9,7 +9,7 @@
 from sesamepoint_core.runner_limit.known_limit import parse_rate
 from sesamepoint_core.runner_status.parsing import parse_back_off, parse_draining
 from sesamepoint_core.runner_status.status_headers import BackOff, Draining, NoRateLimit, RateLimit, Unreadable
-from sesamepoint.front.job import is_success
+from sesamepoint.front.requests.job import is_success
 from sesamepoint.platform import wire_names
 from sesamepoint.platform.headers import is_signed
 
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -13,7 +13,7 @@
 from sesamepoint import events
 from sesamepoint.front.front import Front
 from sesamepoint.front.pages import Page, Pages
-from sesamepoint.front.peer_network import SocketPeerNetwork
+from sesamepoint.front.peering.peer_network import SocketPeerNetwork
 from sesamepoint.http1.link_pacing import LinkPacer
 from sesamepoint.http1.socket_options import set_dead_peer_timeouts
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -11,9 +11,9 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.poison_requests import SuspectRequests
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.request import FrontRequest
-from sesamepoint.front.runner_limits import RunnerLimits
-from sesamepoint.front.send_check import SendCheck
+from sesamepoint.front.requests.request import FrontRequest
+from sesamepoint.front.runners.runner_limits import RunnerLimits
+from sesamepoint.front.runners.send_check import SendCheck
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint_standins.platform.caller import RequestSpec
 from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
--- a/tests/front/queue_triage_bench.py
+++ b/tests/front/queue_triage_bench.py
@@ -10,15 +10,15 @@
 from sesamepoint_core.serving.routes import CallerLimits, Configuration, RepeatPolicy, Route, ServiceShare
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint_core.serving.speed_meters import PrefillSpeed
-from sesamepoint.front.backlog import Backlog
-from sesamepoint.front.engine_plan import EnginePlan
-from sesamepoint.front.engine_subset import EngineSubset
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.fleet_member import Member
-from sesamepoint.front.job import Job
-from sesamepoint.front.queue_triage import QueueTriage, Waiter
-from sesamepoint.front.request import FrontRequest
-from sesamepoint.front.runner_selection import RunnerSelector
+from sesamepoint.front.engines.backlog import Backlog
+from sesamepoint.front.engines.engine_plan import EnginePlan
+from sesamepoint.front.runners.engine_subset import EngineSubset
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.runners.fleet_member import Member
+from sesamepoint.front.requests.job import Job
+from sesamepoint.front.engines.queue_triage import QueueTriage, Waiter
+from sesamepoint.front.requests.request import FrontRequest
+from sesamepoint.front.runners.runner_selection import RunnerSelector
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.http1.transport import SocketNetwork
 from tests.front.builders import empty_runner_limits, permissive_send_check
--- a/tests/front/send_check_bench.py
+++ b/tests/front/send_check_bench.py
@@ -13,14 +13,14 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.attempt import Attempt, Target
-from sesamepoint.front.cache_inventory import CacheInventory
-from sesamepoint.front.engine_subset import EngineSubset
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.job import Job
-from sesamepoint.front.prefill import HandleReclaimer, Prefilled, prefill
-from sesamepoint.front.reply import Reply
-from sesamepoint.front.send_check import SendKind, SendPurpose
+from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.engines.cache_inventory import CacheInventory
+from sesamepoint.front.runners.engine_subset import EngineSubset
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.requests.job import Job
+from sesamepoint.front.engines.prefill import HandleReclaimer, Prefilled, prefill
+from sesamepoint.front.requests.reply import Reply
+from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.platform.headers import AttemptHeaders
 from tests.front.builders import permissive_send_check, tag_request
 from tests.front.silent_network import SlowNetwork
@@ -28,8 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
-    from sesamepoint.front.fleet_member import Member
-    from sesamepoint.front.send_check import SendCheck
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.runners.send_check import SendCheck
 
     SendCall = Callable[['SendCheckBench'], Awaitable[None]]
     BlockTrigger = Callable[['SendCheckBench'], None]
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -9,10 +9,10 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.attempt import Attempt, Target
-from sesamepoint.front.fleet_member import Member
-from sesamepoint.front.reply import Reply
-from sesamepoint.front.request import FrontRequest
+from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.runners.fleet_member import Member
+from sesamepoint.front.requests.reply import Reply
+from sesamepoint.front.requests.request import FrontRequest
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.platform.headers import AttemptHeaders
 from tests.front.builders import permissive_send_check
--- a/tests/front/test_burst.py
+++ b/tests/front/test_burst.py
@@ -12,8 +12,8 @@
 
 import trio
 
-from sesamepoint.front.engine_queue import EngineQueue
-from sesamepoint.front.retry_detection import RetryDetector
+from sesamepoint.front.engines.engine_queue import EngineQueue
+from sesamepoint.front.requests.retry_detection import RetryDetector
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, engine
 from tests.front.burst import (
--- a/tests/front/test_cache_inventory.py
+++ b/tests/front/test_cache_inventory.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint_core.serving.prompt import Part
-from sesamepoint.front.cache_inventory import CacheInventory
+from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, engine, new_prompt_request
 from tests.virtual_time import in_virtual_time
--- a/tests/front/test_connection_pool.py
+++ b/tests/front/test_connection_pool.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint_core.serving.address import Address
-from sesamepoint.front.connection_pool import ConnectionPool
+from sesamepoint.front.runners.connection_pool import ConnectionPool
 from sesamepoint.http1.transport import SocketNetwork
 
 if TYPE_CHECKING:
--- a/tests/front/test_connection_resets.py
+++ b/tests/front/test_connection_resets.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from sesamepoint.front import retries
+from sesamepoint.front.requests import retries
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from tests.front.builders import configuration, fleet, new_prompt_request, new_request
 from tests.virtual_time import in_virtual_time
--- a/tests/front/test_content_id.py
+++ b/tests/front/test_content_id.py
@@ -4,8 +4,8 @@
 
 from unittest import TestCase
 
-from sesamepoint.front.content_id import content_id
-from sesamepoint.front.request import FrontRequest
+from sesamepoint.front.quarantine.content_id import content_id
+from sesamepoint.front.requests.request import FrontRequest
 from sesamepoint.platform.headers import decode_request
 from sesamepoint.http1.server import ReceivedRequest
 from tests.front.builders import new_prompt_request
--- a/tests/front/test_engine_subset.py
+++ b/tests/front/test_engine_subset.py
@@ -9,8 +9,8 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.engine_subset import SUBSET_ENGINES, EngineSubset
-from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.runners.engine_subset import SUBSET_ENGINES, EngineSubset
+from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.configuration import decode_configuration
 from tests.front.builders import encoded_configuration, permissive_send_check
--- a/tests/front/test_invalid_records.py
+++ b/tests/front/test_invalid_records.py
@@ -12,9 +12,9 @@
 
 from sesamepoint_core.serving.poison_requests import Incarnation, SuspectRequests
 from sesamepoint_core.serving.prompt import Part
-from sesamepoint.front.engine_sends import Send, SendUpdate
+from sesamepoint.front.engines.engine_sends import Send, SendUpdate
 from sesamepoint.front.front import Front
-from sesamepoint.front.peer_messages import RunnerEnd, SuspectUpdate
+from sesamepoint.front.peering.peer_messages import RunnerEnd, SuspectUpdate
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.runner_registration import decode_runner
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
--- a/tests/front/test_limit_faults.py
+++ b/tests/front/test_limit_faults.py
@@ -6,7 +6,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
-from sesamepoint.front.runner_limits import RunnerLimits
+from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.limit_faults import run_seed
 
--- a/tests/front/test_peer_membership.py
+++ b/tests/front/test_peer_membership.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sesamepoint.front.membership import FAILURE_TIMEOUT_S, HEARTBEAT_S, Membership
+from sesamepoint.front.peering.membership import FAILURE_TIMEOUT_S, HEARTBEAT_S, Membership
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from tests.front.builders import configuration, fleet
 from tests.virtual_time import in_virtual_time
--- a/tests/front/test_peers.py
+++ b/tests/front/test_peers.py
@@ -12,11 +12,11 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.prompt import Part
-from sesamepoint.front.engine_sends import NewLoad, SendTracker, SendUpdate
-from sesamepoint.front.engine_subset import EngineSubset
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.peers import Peers
-from sesamepoint.front.quarantine import Quarantine
+from sesamepoint.front.engines.engine_sends import NewLoad, SendTracker, SendUpdate
+from sesamepoint.front.runners.engine_subset import EngineSubset
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.peering.peers import Peers
+from sesamepoint.front.quarantine.quarantine import Quarantine
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint_standins.platform.bench import front_settings
 from tests.front.test_engine_subset import fleet_of
--- a/tests/front/test_queue_triage.py
+++ b/tests/front/test_queue_triage.py
@@ -7,9 +7,9 @@
 import trio
 
 from sesamepoint_core.serving.runner import Stage
-from sesamepoint.front.backlog import REPORT_TTL_S, Need, QueueKey, QueuedWork
-from sesamepoint.front.engine_subset import SUBSET_ENGINES
-from sesamepoint.front.queue_triage import MAX_ENGINE_BACKLOG_S, Waiter
+from sesamepoint.front.engines.backlog import REPORT_TTL_S, Need, QueueKey, QueuedWork
+from sesamepoint.front.runners.engine_subset import SUBSET_ENGINES
+from sesamepoint.front.engines.queue_triage import MAX_ENGINE_BACKLOG_S, Waiter
 from tests.front.queue_triage_bench import LONG_ROUTE, SHORT_ROUTE, QueueTriageBench
 from tests.virtual_time import in_virtual_time
 
--- a/tests/front/test_random_faults.py
+++ b/tests/front/test_random_faults.py
@@ -8,8 +8,10 @@
 
 import trio
 
-from sesamepoint.front import attempt, dispatch, fleet_member, http_handler, reply
-from sesamepoint.front.attempt_results import Rejected, Relayed
+from sesamepoint.front import dispatch, http_handler
+from sesamepoint.front.requests import attempt, reply
+from sesamepoint.front.runners import fleet_member
+from sesamepoint.front.requests.attempt_results import Rejected, Relayed
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.random_faults import run_seed
 
--- a/tests/front/test_requests_beside_poison.py
+++ b/tests/front/test_requests_beside_poison.py
@@ -14,7 +14,7 @@
 
 import trio
 
-from sesamepoint.front.probes import Probes
+from sesamepoint.front.quarantine.probes import Probes
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner
 from tests.front.poison_requests import (
--- a/tests/front/test_restarted_runners.py
+++ b/tests/front/test_restarted_runners.py
@@ -9,8 +9,8 @@
 
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import MAX_START_MS, Runner
-from sesamepoint.front.engine_sends import NewLoad, Send, SendTracker, SendUpdate
-from sesamepoint.front.fleet import Fleet
+from sesamepoint.front.engines.engine_sends import NewLoad, Send, SendTracker, SendUpdate
+from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, engine, new_prompt_request, permissive_send_check, registered_engine
--- a/tests/front/test_retry_detection.py
+++ b/tests/front/test_retry_detection.py
@@ -4,7 +4,7 @@
 
 from unittest import TestCase
 
-from sesamepoint.front.retry_detection import WINDOW_S, RetryDetector
+from sesamepoint.front.requests.retry_detection import WINDOW_S, RetryDetector
 
 
 class RetryDetectorTest(TestCase):
--- a/tests/front/test_runner_selection.py
+++ b/tests/front/test_runner_selection.py
@@ -6,12 +6,12 @@
 
 from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.backlog import Backlog
-from sesamepoint.front.runner_selection import RunnerSelector
-from sesamepoint.front.fleet import Fleet
-from sesamepoint.front.job import Job
-from sesamepoint.front.engine_subset import EngineSubset
-from sesamepoint.front.request import FrontRequest
+from sesamepoint.front.engines.backlog import Backlog
+from sesamepoint.front.runners.runner_selection import RunnerSelector
+from sesamepoint.front.runners.fleet import Fleet
+from sesamepoint.front.requests.job import Job
+from sesamepoint.front.runners.engine_subset import EngineSubset
+from sesamepoint.front.requests.request import FrontRequest
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint_core.serving.address import Address
--- a/tests/front/test_shared_polling.py
+++ b/tests/front/test_shared_polling.py
@@ -10,8 +10,8 @@
 import msgspec
 import trio
 
-from sesamepoint.front.polling_turns import SELF_CHECK_S, TAKEOVER_MARGIN_S, PollingTurns
-from sesamepoint.front.topic_updates import TopicUpdate
+from sesamepoint.front.store.polling_turns import SELF_CHECK_S, TAKEOVER_MARGIN_S, PollingTurns
+from sesamepoint.front.store.topic_updates import TopicUpdate
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.virtual_time import run_virtual
--- a/tests/front/test_store_rollback.py
+++ b/tests/front/test_store_rollback.py
@@ -9,7 +9,7 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
-from sesamepoint.front.topic_watch import SETTLE_JITTER_S, SETTLE_S, TopicWatch
+from sesamepoint.front.store.topic_watch import SETTLE_JITTER_S, SETTLE_S, TopicWatch
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.store_epoch import StoreEpoch
 from sesamepoint.platform.wire_names import INSTANCE_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC, STORE_EPOCH
--- a/tests/front/topic_simulation.py
+++ b/tests/front/topic_simulation.py
@@ -8,10 +8,10 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
-from sesamepoint.front.out_of_order import Position
-from sesamepoint.front.polling_turns import Pacing
-from sesamepoint.front.topic_updates import TopicUpdate
-from sesamepoint.front.topic_watch import PeerGroup, RecordHandlers, TopicWatch
+from sesamepoint.front.store.out_of_order import Position
+from sesamepoint.front.store.polling_turns import Pacing
+from sesamepoint.front.store.topic_updates import TopicUpdate
+from sesamepoint.front.store.topic_watch import PeerGroup, RecordHandlers, TopicWatch
 from sesamepoint.platform.store import HistoryGoneError, KeyedRecord, TopicRecords
 from sesamepoint.platform.store_epoch import StoreEpoch
 from sesamepoint.platform.wire_names import STORE_EPOCH
