Answer 502 where a runner refuses without reporting that nothing ran; losses by runner, instance and account

Cause: a runner's signed 408, 429 or 503 without the header that reports that the request has not run went to the caller as it was. A caller takes these statuses as a promise and sends a non-idempotent request again, which may then run twice.

Change: such a failure becomes a 502 of the instance. The test fails on the code before. sesamectl loss gains tables by runner, by instance and, where there are accounts, by account; the last log line of a request names its runners in the order of the attempts.

--- a/packages/sesamectl/src/sesamectl/ended_requests.py
+++ b/packages/sesamectl/src/sesamectl/ended_requests.py
@@ -36,6 +36,8 @@
     wait_expected_ms
         Time in the queue of the instance as estimated on arrival; None if it
         did not wait.
+    runners
+        Runners that got it, in the order of the attempts.
     answer_tokens
         Length of the longest answer that the caller accepts.
     pause_limit_ms
@@ -64,6 +66,7 @@
     wait_expected_ms: int | None = None
     need: str = ''
     caller: str = ''
+    account: str = ''
     runners: tuple[str, ...] = ()
     tokens: int = 0
     answer_tokens: int = 0
@@ -73,6 +76,11 @@
         """Tell whether its caller got a whole answer with a status of success."""
         return 0 < self.status < FIRST_REDIRECT_STATUS and not self.unfinished
 
+    @property
+    def last_runner(self) -> str:
+        """Return the runner that got it last; empty if it was never sent."""
+        return self.runners[-1] if self.runners else ''
+
     @property
     def ended_s(self) -> float:
         """Return when it ended by the clock of its process, in seconds."""
--- a/packages/sesamectl/src/sesamectl/loss_text.py
+++ b/packages/sesamectl/src/sesamectl/loss_text.py
@@ -20,6 +20,8 @@
 MAX_TABLE_ROWS = 14
 MAX_WORST_WINDOWS = 4
 MAX_CAUSES_PER_WINDOW = 3
+NOT_SENT = 'sent to no runner'
+NO_ACCOUNT = 'no account'
 
 
 def loss_text(loss: Loss, errors: Sequence[WaitError], ended_requests: EndedRequests, window_s: float) -> str:
@@ -29,6 +31,9 @@
         _table('by cause', loss.grouped_by(cause_key), loss),
         _table('by route and cause', loss.grouped_by(route_key), loss),
         _table('by size of prompt and cause', loss.grouped_by(size_key), loss),
+        _table('by runner and cause', loss.grouped_by(runner_key), loss),
+        _table('by instance', loss.grouped_by(instance_key), loss),
+        _table('by account', loss.grouped_by(account_key), loss) if _has_accounts(loss) else '',
         _worst_windows(loss, window_s),
         _wait_table(errors),
         '\n'.join(ended_requests.notes()),
@@ -51,6 +56,21 @@
     return size_band(one.ended), one.cause
 
 
+def runner_key(one: LostRequest) -> tuple[str, ...]:
+    """Return the runner that got the request last and the cause of a loss, to group by."""
+    return one.ended.last_runner or NOT_SENT, one.cause
+
+
+def instance_key(one: LostRequest) -> tuple[str, ...]:
+    """Return the instance that took the request, to group by."""
+    return (one.ended.process,)
+
+
+def account_key(one: LostRequest) -> tuple[str, ...]:
+    """Return the client account of the request, to group by."""
+    return (one.ended.account or NO_ACCOUNT,)
+
+
 def split_into_windows(loss: Loss, window_s: float) -> LossWindows:
     """Return the start and the losses of each window that has any, in order of time."""
     losses: dict[int, list[LostRequest]] = defaultdict(list)
@@ -121,6 +141,10 @@
     return '\n'.join(lines)
 
 
+def _has_accounts(loss: Loss) -> bool:
+    return any(one.account for one in loss.ended)
+
+
 def _total_worth(lost: Iterable[LostRequest]) -> float:
     return sum(one.worth for one in lost)
 
@@ -129,4 +153,14 @@
     return f'{part / whole:.1%}' if whole else '-'
 
 
-__all__ = ('LossWindows', 'cause_key', 'loss_text', 'route_key', 'size_key', 'split_into_windows')
+__all__ = (
+    'LossWindows',
+    'account_key',
+    'cause_key',
+    'instance_key',
+    'loss_text',
+    'route_key',
+    'runner_key',
+    'size_key',
+    'split_into_windows',
+)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -85,6 +85,7 @@
 
     rejects: bool = False
     fails: bool = False
+    failure_status: int = 500
     hangs: bool = False
     breaks_at_event: int | None = None
     breaks_before_answer: bool = False
@@ -259,7 +260,7 @@
     async def _answer_plain(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         await self._crash_if_poison(run)
         await trio.sleep(self.work_s)
-        status = 500 if self.faults.fails else STATUS_OK
+        status = self.faults.failure_status if self.faults.fails else STATUS_OK
         await conn.send_whole(status, self._signed(run.message, transport), plain_body(run.request_id))
         run.complete = True
         if self.faults.answers_twice:
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -16,14 +16,14 @@
     recheck_admission,
 )
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.request_end import failure_cause_of, log_request_end
+from sesamepoint.front.requests.request_end import failure_cause_of, log_request_end, may_relay_failure
 from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, RunStartedCallback
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Withheld
 from sesamepoint.front.requests.retries import SILENCE_TIMEOUT_FACTOR, may_retry, run_attempt, target_for
 from sesamepoint.front.requests.retry_detection import RetryDetector
-from sesamepoint.platform.headers import is_signed, response_headers
+from sesamepoint.platform.headers import response_headers
 
 if TYPE_CHECKING:
     from random import Random
@@ -229,7 +229,7 @@
         job.trace.cause = failure_cause_of(job, outcome)
         if job.reply.started:
             return
-        if isinstance(outcome, RunFailed) and is_signed(outcome.head):
+        if isinstance(outcome, RunFailed) and may_relay_failure(outcome.head):
             await job.reply.send_whole(outcome.head.status, response_headers(outcome.head), outcome.body)
         elif job.may_have_run:
             await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -9,6 +9,7 @@
 from sesamepoint import events
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
 from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.platform.headers import is_signed
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -16,7 +17,10 @@
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint.front.requests.attempt_results import AttemptResult
     from sesamepoint.front.requests.job import Job
+    from sesamepoint.http1.messages import ResponseHead
 
+# Statuses by which a caller may conclude that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _CAUSE_BY_OUTCOME: Mapping[type, FailureCause] = MappingProxyType(
     {RunFailed: FailureCause.runner_failed, Silent: FailureCause.silent}
 )
@@ -33,6 +37,15 @@
     return _cause_of_unsent(job)
 
 
+def may_relay_failure(head: ResponseHead) -> bool:
+    """Tell whether a runner's failure goes to the caller with its own status.
+
+    A runner that answers with a status of a refusal, but doesn't report that the request has
+    not run, may have run it. Its caller would send it again.
+    """
+    return is_signed(head) and head.status not in NOT_RUN_STATUSES
+
+
 def log_request_end(job: Job, cfg: Configuration, took_s: float) -> None:
     """Write the final log line of a request."""
     trace = job.trace
@@ -52,7 +65,7 @@
         deadline_ms=None if job.req.deadline_s is None else whole_ms(job.req.deadline_s),
         returned=job.caller_retry,
         sends=job.sends,
-        runners=sorted(job.tried_runners),
+        runners=list(job.tried_runners),
         passed_over=sorted(trace.ineligible_runners),
         took_ms=whole_ms(took_s),
         first_total_ms=None if trace.first_output_at is None else whole_ms(trace.first_output_at - job.req.arrived_at),
@@ -77,4 +90,4 @@
     return FailureCause.rejected_by_runners if job.sends else FailureCause.no_runner
 
 
-__all__ = ('failure_cause_of', 'log_request_end')
+__all__ = ('failure_cause_of', 'log_request_end', 'may_relay_failure')
--- a/tests/ctl/test_loss_analysis.py
+++ b/tests/ctl/test_loss_analysis.py
@@ -13,7 +13,7 @@
 from sesamectl.ended_requests import EndedRequest, EndedRequests, read_ended_requests
 from sesamectl.loss_analysis import find_loss, late_cause, size_band
 from sesamectl.loss_page import loss_html
-from sesamectl.loss_text import cause_key, loss_text, route_key
+from sesamectl.loss_text import account_key, cause_key, instance_key, loss_text, route_key, runner_key
 from sesamectl.wait_estimates import wait_errors
 from tests.ctl.builders import end_line, log_line
 
@@ -77,6 +77,24 @@
         self.assertAlmostEqual(worth['large'], 0.3 + 0.7 * 3000 / 2000)
         self.assertAlmostEqual(worth['unknown'], 0.3)
 
+    def test_groups_by_runner_instance_account(self) -> None:
+        """A request that was sent twice counts at its last runner; one that was never sent at none."""
+        ended_requests = read_ended_requests(
+            [
+                end_line('twice', runners=['i-9', 'i-2'], account='harbor', **LATE),
+                end_line('unsent', runners=[], **REFUSED),
+            ],
+        )
+        found = find_loss(ended_requests.ended, 0)
+        runners = {group.name[0] for group in found.grouped_by(runner_key)}
+        self.assertEqual(runners, {'i-2', 'sent to no runner'})
+        self.assertEqual([group.requests for group in found.grouped_by(instance_key)], [2])
+        self.assertEqual({group.name for group in found.grouped_by(account_key)}, {('harbor',), ('no account',)})
+
+    def test_account_table_without_accounts(self) -> None:
+        """Guards against a table of accounts for a deployment that has none."""
+        self.assertNotIn('by account', report_text(read_ended_requests(logs())))
+
     def test_late_cause(self) -> None:
         """The cause is what took most of the time until the first event."""
         self.assertEqual(
--- a/tests/front/test_runner_failures.py
+++ b/tests/front/test_runner_failures.py
@@ -83,6 +83,23 @@
             statuses = {(await bench.new_caller('front-1').send(new_request('/thumb/a'))).status for _ in range(4)}
             self.assertEqual(statuses, {502})
 
+    @in_virtual_time
+    async def test_refusal_status_after_run(self) -> None:
+        """Guards against a second run of a non-idempotent request, sent again by its caller after a 503.
+
+        The runner runs the request and answers with a status of a refusal, without the header that
+        reports that nothing ran. The caller gets 502, which claims neither.
+        """
+        for status in (408, 429, 503):
+            async with open_bench(configuration(), [plain_runner(1)]) as bench:
+                faults = bench.runners['i-web1'].faults
+                faults.fails = True
+                faults.failure_status = status
+                req = new_request('/card/a')
+                seen = await bench.new_caller('front-1').send(req)
+                self.assertEqual((seen.status, seen.has_signature), (502, False))
+                self.assertEqual(len(runs_of(bench, req.request_id)), 1)
+
     @in_virtual_time
     async def test_unsigned_success(self) -> None:
         """A successful answer that no runner signed is not passed on."""
