Pace failed calls to the store by the number of instances

Each instance repeated a failed call for each topic every 0.1 to 0.4 s while the store was down or refused it: calls grew with the number of instances and topics. An instance that holds a state now backs off exponentially, scaled by the number of instances. Once three instances (or all, if fewer) have failed and none was answered, the store counts as down; then one instance at a time probes it and announces that with StoreProbe, which delays the others by a random time. Any answer ends it. Instances without a configuration or runner list ask as often as before.

A configuration that the store refuses to return is requested from the peer that announced it without another call to the store.

--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/__init__.py
@@ -0,0 +1,1 @@
+"""When an instance repeats a failed call to the platform's store."""
--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
@@ -0,0 +1,120 @@
+"""Detection of an outage of the store, and the turns at probing it."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+from sesamepoint_core.store_pacing.suppression import draw_suppressing_share
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from sesamepoint_core.store_pacing.backoff import RetryLimits
+
+# The store counts as down once this many instances have failed and none was
+# answered meanwhile. A store that refuses a third of the instances is seen as down
+# after one takeover in 27 only, and until the next probe that is answered.
+CONFIRMING_INSTANCES = 3
+# Share of the interval between probes that is the same for all instances.
+FIXED_SHARE = 0.4
+# Beyond this many doublings the interval has reached its limit.
+MAX_DOUBLINGS = 16
+
+
+class OutageState(NamedTuple):
+    """Inputs of the decision whether the store is down, for the log."""
+
+    failed_instances: int
+    needed_instances: int
+    probes: int
+
+
+class StoreOutage:
+    """What one instance knows of an outage of the store; does no input or output.
+
+    An answer to any instance ends the outage. While it lasts, instances that hold
+    a state leave the calls to one instance at a time: each announced probe delays
+    the probes of all others by a random time, so that the next instance to probe
+    is another one, which the store may not refuse.
+
+    Parameters
+    ----------
+    intervals
+        First and longest interval between two probes of all instances together.
+    """
+
+    def __init__(self, name: str, intervals: RetryLimits, rng: Random) -> None:
+        """Start with a store that is not known to fail, at the instance ``name``."""
+        self.probe_at: float = 0
+        self._name = name
+        self._intervals = intervals
+        self._rng = rng
+        self._failed: set[str] = set()
+        self._answered_at: float = 0
+        self._probes = 0
+
+    def is_down(self, instances: int) -> bool:
+        """Return whether the store counts as down for all of the ``instances``."""
+        return len(self._failed) >= min(CONFIRMING_INSTANCES, max(instances, 1))
+
+    def state(self, instances: int) -> OutageState:
+        """Return the inputs of ``is_down``."""
+        return OutageState(len(self._failed), min(CONFIRMING_INSTANCES, max(instances, 1)), self._probes)
+
+    def note_answered(self, now: float) -> None:
+        """Note that the store answered this instance, which may call it again at once."""
+        self.note_peer_answered(now)
+        self.probe_at = 0
+
+    def note_peer_answered(self, now: float) -> None:
+        """Note that the store answered a peer.
+
+        The time of the next probe stays: the peer reads all topics and sends the
+        changes, and calls of all others at the same moment would be in vain.
+        """
+        self._answered_at = now
+        self._failed.clear()
+        self._probes = 0
+
+    def answered_since(self, began_at: float) -> bool:
+        """Return whether the store has answered any instance since ``began_at``.
+
+        Such an answer shows that a call that failed meanwhile is no sign of an
+        outage: the store refuses this instance, or it is slow for one topic.
+        """
+        return began_at < self._answered_at
+
+    def note_failed(self, began_at: float, now: float, instances: int) -> bool:
+        """Note that a call of this instance failed; return whether to announce it."""
+        if self.answered_since(began_at):
+            return False
+        was_down = self.is_down(instances)
+        self._failed.add(self._name)
+        if was_down:
+            self.probe_at = max(self.probe_at, now + self._interval_s(instances))
+            return False
+        self._delay_probes(now, instances)
+        return True
+
+    def note_announced(self, peer: str, now: float, instances: int) -> None:
+        """Note that ``peer`` announced a failed call or a probe."""
+        self._failed.add(peer)
+        self._delay_probes(now, instances)
+
+    def begin_probe(self, now: float, instances: int) -> None:
+        """Note that this instance is about to probe the store for all, and announces that."""
+        self._delay_probes(now, instances)
+
+    def _delay_probes(self, now: float, instances: int) -> None:
+        if self.is_down(instances):
+            self.probe_at = now + self._interval_s(instances)
+            self._probes += 1
+
+    def _interval_s(self, instances: int) -> float:
+        doublings = min(self._probes, MAX_DOUBLINGS)
+        longest_s = min(math.ldexp(self._intervals.first_s, doublings), self._intervals.longest_s)
+        return longest_s * (FIXED_SHARE + (1 - FIXED_SHARE) * draw_suppressing_share(instances, self._rng))
+
+
+__all__ = ('CONFIRMING_INSTANCES', 'OutageState', 'StoreOutage')
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.duty.lease import Lease
 from sesamepoint_core.duty.report_schedule import COUNTS_DUE_S, Report, ReportSchedule, ReportTimes
 from sesamepoint_core.duty.usage import Source, UsageTotals
+from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
 from sesamepoint import events
 from sesamepoint.front.accounts.duty_log import AppendOutcome, DutyLog
 from sesamepoint.front.accounts.usage_messages import DutyMessage
@@ -28,7 +29,7 @@
     from sesamepoint.front.accounts.usage import UsageCounts
     from sesamepoint.front.accounts.usage_messages import UsageMessage
     from sesamepoint.http1.transport import Network
-    from sesamepoint.platform.store import StoreClient
+    from sesamepoint.front.store.store_pacer import PacedStore
 
 # How often the holder renews its lease, and retries a failed renewal, in seconds.
 RENEW_S = 0.7
@@ -52,9 +53,10 @@
 # after a delay drawn from the range, in seconds.
 MISSED_ANNOUNCEMENTS = 2.5
 SEEK_RANGE_S = (0.1, 1.0)
-# Range of the random pause before they retry if the store does not answer, in
-# seconds.
-SEEK_RETRY_RANGE_S = (1.0, 3.0)
+# Pauses before they retry if the store does not answer, in seconds. The holder
+# renews its lease before that, at its own fixed interval.
+FIRST_SEEK_RETRY_S = 3.0
+LONGEST_SEEK_RETRY_S = 6.0
 # Range of the random time for which an instance waits for an announcement at its
 # start, in seconds.
 STARTUP_RANGE_S = (1.0, 2.0)
@@ -75,7 +77,7 @@
     peers: Peers
     counts: UsageCounts
     meter: UsageMeter
-    store: StoreClient
+    store: PacedStore
     network: Network
     clock: Clock
     true_time: SmoothedTime
@@ -95,7 +97,8 @@
         self._reports = ReportSchedule(tools.meter, ReportTimes(cfg.window_s, cfg.report_delay_s))
         self._counters = UsageTotals()
         self._holder_expected_until = tools.clock.steady() + tools.rng.uniform(*STARTUP_RANGE_S)
-        self._log = DutyLog(self._lease, tools.store, tools.clock)
+        self._log = DutyLog(self._lease, tools.store.client, tools.clock)
+        self._seek_backoff = Backoff(RetryLimits(FIRST_SEEK_RETRY_S, LONGEST_SEEK_RETRY_S), tools.rng)
         # Held during each step of a report, so that the duty is released only between two steps.
         self._acting = trio.Lock()
         self._announced_at: float = 0
@@ -155,10 +158,10 @@
             return
         read_at = self._clock.steady()
         if await self._log.refresh():
+            self._seek_backoff.reset()
             await self._claim_or_wait(read_at)
         else:
-            # All instances retry at the same time; the holder renews its lease before that.
-            await trio.sleep(self._tools.rng.uniform(*SEEK_RETRY_RANGE_S))
+            await self._tools.store.pacer.wait_to_retry(self._seek_backoff)
 
     async def _claim_or_wait(self, read_at: float) -> None:
         if self._lease.may_claim(read_at):
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
@@ -19,14 +19,14 @@
     from sesamepoint.front.peering.peers import Peers
     from sesamepoint.front.settings import DutySettings
     from sesamepoint.http1.transport import Network
-    from sesamepoint.platform.store import StoreClient
+    from sesamepoint.front.store.store_pacer import PacedStore
 
 
 class UsageReporting:
     """Counts usage, and reports it for all instances while this one holds the lease of the duty."""
 
     def __init__(
-        self, cfg: DutySettings, peers: Peers, store: StoreClient, network: Network, clock: Clock, rng: Random
+        self, cfg: DutySettings, peers: Peers, store: PacedStore, network: Network, clock: Clock, rng: Random
     ) -> None:
         """Create the components without starting them."""
         true_time = SmoothedTime(clock)
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -12,6 +12,7 @@
 from sesamepoint_core.serving.poison_requests import BoundedName, Incarnation
 from sesamepoint import events
 from sesamepoint.front.quarantine.probes import Probe, ProbeState
+from sesamepoint.front.store.outage_messages import StoreProbe
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -95,7 +96,7 @@
     quarantined: tuple[BoundedName, ...] = ()
 
 
-QueuedMessage = SuspectUpdate | VersionMessage | RunnerStatusMessage
+QueuedMessage = SuspectUpdate | VersionMessage | RunnerStatusMessage | StoreProbe
 
 
 class Outgoing(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -14,6 +14,7 @@
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.peering.membership import Membership
 from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
+from sesamepoint.front.store.outage_messages import StoreProbe
 from sesamepoint.front.store.topic_updates import TopicUpdate
 from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
 from sesamepoint.platform.store import KeyedRecord
@@ -36,8 +37,6 @@
 # everything else that is pending. Broadcasting it at once took ten datagrams
 # per request and half of the processor.
 FLUSH_INTERVAL_S = 0.05
-# Pause before a failed registration is repeated, in seconds.
-REGISTER_RETRY_S = 1.0
 # A stop waits for the store no longer than this, in seconds; a working store
 # answers in milliseconds.
 WITHDRAW_TIMEOUT_S = 0.3
@@ -59,6 +58,7 @@
     | PermitRequestMessage
     | PermitGrantMessage
     | RunnerStatusMessage
+    | StoreProbe
 )
 
 
@@ -92,6 +92,7 @@
                 PermitRequestMessage,
                 PermitGrantMessage,
                 RunnerStatusMessage,
+                StoreProbe,
             )
         }
         # Called with the name of a peer that has just registered.
@@ -129,12 +130,11 @@
                 callback(record.key)
         return address != old_address
 
-    async def register(self, store: StoreClient) -> None:
-        """Write the address on which this instance listens for peers to the store."""
+    async def register(self, store: StoreClient) -> bool:
+        """Write the address on which this instance listens for peers to the store; return whether it answered."""
         own_address = str(self._cfg.peer_listen).encode()
-        while not await self._put_record(store, self._cfg.name, own_address):
-            await trio.sleep(REGISTER_RETRY_S)
-        self.registered = True
+        self.registered = await self._put_record(store, self._cfg.name, own_address)
+        return self.registered
 
     async def withdraw(self, store: StoreClient) -> None:
         """Remove the record of this instance, unless the store is slow to answer.
--- a/packages/sesamepoint/src/sesamepoint/front/store/instance_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/instance_registration.py
@@ -6,26 +6,35 @@
 
 import trio
 
+from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
 from sesamepoint import events
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from sesamepoint.front.peering.peers import Peers
-    from sesamepoint.platform.store import KeyedRecord, StoreClient
+    from sesamepoint.front.store.store_pacer import PacedStore
+    from sesamepoint.platform.store import KeyedRecord
 
 # How often to check for failed peers, in seconds.
 FAILURE_CHECK_S = 1.0
+# Pauses before a failed registration is repeated, in seconds. Peers send no updates
+# to an instance that is not registered, and the others use more than their share
+# of the retry budget.
+FIRST_RETRY_S = 1.0
+LONGEST_RETRY_S = 3.0
 
 
 class InstanceRegistration:
     """Keeps this instance on the list of instances, and removes failed peers from it."""
 
-    def __init__(self, name: str, peers: Peers, new_client: Callable[[], StoreClient]) -> None:
+    def __init__(self, name: str, peers: Peers, new_store: Callable[[], PacedStore], rng: Random) -> None:
         """Keep the record of the instance called ``name``."""
         self._name = name
         self._peers = peers
-        self._new_client = new_client
+        self._new_store = new_store
+        self._rng = rng
         self._dropped = trio.Event()
 
     async def stay_registered(self) -> None:
@@ -34,19 +43,21 @@
         Peers remove the record of an instance that they declare dead, and a
         store that was restored from an older copy may lack it.
         """
-        client = self._new_client()
+        store = self._new_store()
         while True:
             self._dropped = trio.Event()
-            await self._peers.register(client)
+            backoff = Backoff(RetryLimits(FIRST_RETRY_S, LONGEST_RETRY_S), self._rng)
+            while not await self._peers.register(store.client):
+                await store.pacer.wait_to_retry(backoff)
             await self._dropped.wait()
 
     async def withdraw(self) -> None:
         """Remove the record of this instance, which is about to stop."""
-        await self._peers.withdraw(self._new_client())
+        await self._peers.withdraw(self._new_store().client)
 
     async def drop_failed(self, polls_list: Callable[[], bool]) -> None:
         """Remove the records of failed peers while this instance polls the list for all, until cancelled."""
-        client = self._new_client()
+        client = self._new_store().client
         while True:
             await trio.sleep(FAILURE_CHECK_S)
             await self._peers.drop_failed(client, polling=polls_list())
--- a/packages/sesamepoint/src/sesamepoint/front/store/out_of_order.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/out_of_order.py
@@ -32,6 +32,10 @@
         self._early_keys: dict[str, Position] = {}
         self._newest = Position(0, 0)
 
+    def keys(self) -> frozenset[str]:
+        """Return the keys that out-of-order updates have changed."""
+        return frozenset(self._early_keys)
+
     def position_of(self, key: str, known: Position) -> Position:
         """Return up to which position ``key`` is known, if the whole topic is known up to ``known``."""
         return max(self._early_keys.get(key, known), known)
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.store_pacing.suppression import draw_suppressing_share
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
@@ -26,6 +27,9 @@
 # How much longer than usual a poll may take before peers poll too, in seconds: a
 # call of 4 ms, a datagram, and as much again if the polling instance is busy.
 TAKEOVER_MARGIN_S = 0.1
+# Longest pause before a failed call is repeated, in seconds, for topics without a
+# time within which changes must be known.
+LONGEST_RETRY_S = 2.0
 # After a hint that there are changes, an instance polls the store within this
 # many seconds.
 POLL_JITTER_S = 0.05
@@ -44,11 +48,14 @@
     takeover_spread_s
         When the updates cease, the peers poll after a random delay within this
         time, in seconds.
+    longest_retry_s
+        Longest pause before a failed call is repeated, in seconds.
     """
 
     long_poll_s: float
     pause_s: float
     takeover_spread_s: float
+    longest_retry_s: float = LONGEST_RETRY_S
 
 
 class PollingTurns:
@@ -164,15 +171,8 @@
         self._check_at = now + SELF_CHECK_S
 
     def _takeover_delay_s(self) -> float:
-        """Return how long to go without an update before taking over the polling, in seconds.
-
-        The density of the random part grows exponentially towards the end of its
-        range, so that with any number of instances about one is first, early
-        enough for its update to arrive before the next one polls. Multicast
-        receivers suppress duplicate feedback in the same way.
-        """
-        steepness = 1 + math.log(max(self._instance_count(), 1))
-        drawn = math.log1p(self._rng.random() * math.expm1(steepness)) / steepness
+        """Return how long to go without an update before taking over the polling, in seconds."""
+        drawn = draw_suppressing_share(self._instance_count(), self._rng)
         pacing = self._pacing
         return pacing.long_poll_s + pacing.pause_s + TAKEOVER_MARGIN_S + pacing.takeover_spread_s * drawn
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -8,6 +8,8 @@
 import trio
 
 from sesamepoint.front.clocks import SystemClock
+from sesamepoint.front.store.outage_messages import StoreProbe
+from sesamepoint.front.store.store_pacer import PacedStore, StorePacer
 from sesamepoint.front.store.topic_sync import SyncTargets, TopicSync
 from sesamepoint.front.store.topic_updates import TopicUpdate
 from sesamepoint.front.peering.peer_messages import VersionMessage
@@ -42,9 +44,15 @@
         """Create the components without starting them; ``clock`` defaults to the system clock."""
         peers = targets.peers
         new_client = partial(StoreClient, cfg.store.address, network, StoreEpoch())
-        self._registration = InstanceRegistration(cfg.name, peers, new_client)
-        self._topic_sync = TopicSync(cfg, targets, self._registration, new_client)
-        self._quarantine_records = QuarantineRecords(targets.quarantine, new_client(), rng)
+        pacer = StorePacer.from_config(cfg, peers.count, peers.send_queue.enqueue, rng)
+        peers.handlers[StoreProbe] = pacer.on_probe
+        targets.dispatcher.metrics.add_gauge(
+            'sesamepoint_store_down', 'Whether the store answers no instance.', pacer.is_down
+        )
+        new_store = partial(PacedStore.open, new_client, pacer)
+        self._registration = InstanceRegistration(cfg.name, peers, new_store, rng)
+        self._topic_sync = TopicSync(cfg, targets, self._registration, new_store)
+        self._quarantine_records = QuarantineRecords(targets.quarantine, new_store(), rng)
         self._peer_configuration = PeerConfiguration(self._topic_sync, peers, network, rng)
         self._topic_sync.request_configuration = self._peer_configuration.request_from
         peers.handlers[VersionMessage] = self._peer_configuration.on_version
@@ -53,7 +61,7 @@
         self._runner_status = RunnerUpdates(targets.fleet, targets.runner_statuses, peers)
         self._reporting: UsageReporting | None = None
         if cfg.duty is not None:
-            self._reporting = UsageReporting(cfg.duty, peers, new_client(), network, clock or SystemClock(), rng)
+            self._reporting = UsageReporting(cfg.duty, peers, new_store(), network, clock or SystemClock(), rng)
             targets.dispatcher.on_run_started = self._reporting.note_run
         # Pages that peers may request from this instance.
         self.pages = Pages(
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -26,7 +26,8 @@
     from sesamepoint.front.runners.runner_status import RunnerStatuses
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.front.store.topic_updates import TopicUpdate
-    from sesamepoint.platform.store import KeyedRecord, StoreClient
+    from sesamepoint.front.store.store_pacer import PacedStore
+    from sesamepoint.platform.store import KeyedRecord
 
 # Shares of the time within which a new configuration must be in force. One
 # instance always has a call waiting at the store, held for the wait share. If
@@ -42,6 +43,9 @@
 RUNNER_WAIT_SHARE = 0.1
 RUNNER_PAUSE_SHARE = 0.2
 RUNNER_SPREAD_SHARE = 0.15
+# Longest pause before a failed call is repeated, as a share of the time within
+# which a change of the configuration or of the runners must be known.
+RETRY_SHARE = 0.25
 # Instances rarely join or leave. When they start together, each underestimates
 # their number at first and uses more than its share of the retry budget.
 ENTRY_WAIT_S = 1.0
@@ -73,15 +77,15 @@
         cfg: FrontSettings,
         targets: SyncTargets,
         registration: InstanceRegistration,
-        new_client: Callable[[], StoreClient],
+        new_store: Callable[[], PacedStore],
     ) -> None:
-        """Keep the given parts in step with the store that ``new_client`` calls."""
+        """Keep the given parts in step with the store that the clients of ``new_store`` call."""
         # Called with the name of a peer that has read a configuration which this instance could not read.
         self.request_configuration: Callable[[str], None] = _ignore_request
         self._cfg = cfg
         self._targets = targets
         self._registration = registration
-        self._new_client = new_client
+        self._new_store = new_store
         self._watches: dict[str, TopicWatch] = {}
         self._registered: dict[str, Runner] = {}
 
@@ -128,20 +132,31 @@
     async def follow_configuration(self) -> None:
         """Apply each newer configuration, until cancelled."""
         span_s = self._cfg.config_s
-        pacing = Pacing(CONFIGURATION_WAIT_SHARE * span_s, CONFIGURATION_PAUSE_S, CONFIGURATION_SPREAD_SHARE * span_s)
+        pacing = Pacing(
+            CONFIGURATION_WAIT_SHARE * span_s,
+            CONFIGURATION_PAUSE_S,
+            CONFIGURATION_SPREAD_SHARE * span_s,
+            RETRY_SHARE * span_s,
+        )
         taker = RecordHandlers(
             self._apply_operator_records,
             self._apply_operator_record,
             restore=self._apply_operator_records,
             request_from=self.request_configuration,
+            urgent=lambda: self.in_force is None,
         )
         await self._follow_topic(OPERATOR_TOPIC, pacing, taker)
 
     async def follow_runners(self) -> None:
         """Keep the fleet in step with the registered runners, until cancelled."""
         span_s = self._cfg.drain_s
-        pacing = Pacing(RUNNER_WAIT_SHARE * span_s, RUNNER_PAUSE_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s)
-        await self._follow_topic(RUNNER_TOPIC, pacing, RecordHandlers(self._apply_runners, self._apply_runner))
+        pacing = Pacing(
+            RUNNER_WAIT_SHARE * span_s, RUNNER_PAUSE_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s, RETRY_SHARE * span_s
+        )
+        handlers = RecordHandlers(
+            self._apply_runners, self._apply_runner, urgent=lambda: not self._targets.fleet.listed
+        )
+        await self._follow_topic(RUNNER_TOPIC, pacing, handlers)
 
     async def follow_entries(self) -> None:
         """Keep the list of peers in step with the store, until cancelled."""
@@ -161,9 +176,10 @@
 
     async def _follow_topic(self, topic: str, pacing: Pacing, handlers: RecordHandlers) -> None:
         peers = self._targets.peers
-        others = PeerGroup(self._cfg.name, peers.count, peers.broadcast_update)
+        store = self._new_store()
+        others = PeerGroup(self._cfg.name, peers.count, peers.broadcast_update, store.pacer)
         # Seeded by name, so that no two instances poll at the same times.
-        watch = TopicWatch(self._new_client(), topic, pacing, handlers, others, Random(self._cfg.name))
+        watch = TopicWatch(store.client, topic, pacing, handlers, others, Random(self._cfg.name))
         self._watches[topic] = watch
         await watch.run()
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -9,6 +9,7 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
 from sesamepoint import events
 from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
 from sesamepoint.front.store.polling_turns import PollingTurns
@@ -20,11 +21,16 @@
     from random import Random
 
     from sesamepoint.front.store.polling_turns import Pacing
+    from sesamepoint.front.store.store_pacer import StorePacer
     from sesamepoint.platform.store import KeyedRecord, StoreClient, TopicRecords
 
-# Range of the random pause before a failed call is repeated, in seconds: spreads
-# the load on a store that recovers.
-RETRY_RANGE_S = (0.1, 0.4)
+# Range of the random pause before a failed call is repeated while this instance
+# can't serve without the answer, in seconds: spreads the load on a store that
+# recovers.
+URGENT_RETRY_RANGE_S = (0.1, 0.4)
+# Longest pause after the first failure of an instance that holds a state, in
+# seconds, if it is alone.
+FIRST_RETRY_S = 0.1
 # Timeouts of calls for a whole topic, used in turn, in seconds. A store that was
 # down never answers calls from before its recovery, so a short timeout detects
 # the recovery sooner; the longer one copes with a slow store. With 1 s for each
@@ -47,6 +53,10 @@
     """Do nothing."""
 
 
+def _never() -> bool:
+    return False
+
+
 class RecordHandlers(NamedTuple):
     """Callbacks for the records of a topic.
 
@@ -62,12 +72,16 @@
     request_from
         Called with the name of a peer to request records from that the store
         does not return to this instance; None if updates contain all records.
+    urgent
+        Returns whether this instance cannot serve before it has read the topic;
+        failed calls are then repeated soon.
     """
 
     replace_all: Callable[[tuple[KeyedRecord, ...]], None]
     update: Callable[[KeyedRecord], bool]
     restore: Callable[[tuple[KeyedRecord, ...]], None] = _ignore
     request_from: Callable[[str], None] | None = None
+    urgent: Callable[[], bool] = _never
 
     @property
     def confidential(self) -> bool:
@@ -86,11 +100,14 @@
         Returns the number of instances, including this one.
     broadcast
         Sends an update to all peers.
+    pacer
+        Paces the failed calls of this instance.
     """
 
     name: str
     instance_count: Callable[[], int]
     broadcast: Callable[[TopicUpdate], Awaitable[None]]
+    pacer: StorePacer
 
 
 class TopicWatch:
@@ -118,6 +135,10 @@
         self._peers = peers
         self._rng = rng
         self.turns = PollingTurns(pacing, peers.name, peers.instance_count, rng)
+        self._backoff = Backoff(RetryLimits(FIRST_RETRY_S, pacing.longest_retry_s), rng)
+        # Time before which this instance does not repeat a failed call.
+        self._retry_at: float = 0
+        peers.pacer.on_answered_again.append(self._retry_now)
         self._reachable = True
         self._list_timeout_s = cycle(LIST_TIMEOUTS_S)
         self._rescheduled = trio.Event()
@@ -134,13 +155,14 @@
         """Apply the whole topic, then each change, until cancelled."""
         while True:
             await self._wait_until_due()
+            began_at = trio.current_time()
             try:
                 await self._poll()
             except HistoryGoneError:
                 self.turns.reset()
             except PlatformUnavailableError as exc:
                 self._note_unreachable(exc)
-                self.turns.note_failed(self._rng.uniform(*RETRY_RANGE_S), trio.current_time())
+                self._note_failed(began_at)
                 self._request_from_sender()
             self._check_epoch()
 
@@ -149,6 +171,7 @@
         if topic_update.epoch < self._epoch:
             # It is from before the store was restored.
             return
+        self._peers.pacer.note_peer_answered()
         old_due = self.turns.due
         now = trio.current_time()
         known_end = self.turns.end
@@ -176,23 +199,57 @@
             self.turns.reset()
 
     def _next_due(self) -> float:
-        return min(self.turns.due, self._settles_at)
+        due = min(self.turns.due, self._settles_at)
+        if self._handlers.urgent():
+            return due
+        return max(due, self._retry_at, self._peers.pacer.not_before())
+
+    def _note_failed(self, began_at: float) -> None:
+        if self._handlers.urgent():
+            pause_s = self._rng.uniform(*URGENT_RETRY_RANGE_S)
+        else:
+            pause_s = self._backoff.next_pause_s(self._peers.instance_count())
+        now = trio.current_time()
+        self._retry_at = now + pause_s
+        self.turns.note_failed(pause_s, now)
+        self._peers.pacer.note_failed(began_at)
+
+    def _note_answered(self, answer: TopicRecords) -> None:
+        self._note_reachable(answer)
+        self._backoff.reset()
+        self._retry_at = 0
+        self._peers.pacer.note_answered()
+
+    def _retry_now(self) -> None:
+        """Repeat a failed call at once, since the store answers this instance again."""
+        if self._backoff.failures or not self._reachable:
+            self._retry_at = 0
+            self.turns.due = trio.current_time()
+        self._rescheduled.set()
 
     async def _poll(self) -> None:
         self.turns.begin_poll()
+        if not self._handlers.urgent():
+            self._peers.pacer.begin_call()
         start = self.turns.end
         if start is None:
             return await self._list()
-        changes = await self._store.follow(self._topic, start, self._wait_s if self._has_followed else FIRST_WAIT_S)
+        changes = await self._store.follow(self._topic, start, self._follow_wait_s())
         if changes.epoch == self._epoch:
             self._has_followed = True
-            self._note_reachable(changes)
+            self._note_answered(changes)
             await self._apply_poll(start, changes)
 
+    def _follow_wait_s(self) -> float:
+        if not self._reachable:
+            # A store that returns is noticed by its first answer, which it must not hold.
+            return 0
+        return self._wait_s if self._has_followed else FIRST_WAIT_S
+
     async def _list(self) -> None:
         listing = await self._store.read_newest(self._topic, next(self._list_timeout_s))
         self._check_epoch()
-        self._note_reachable(listing)
+        self._note_answered(listing)
         if self._settling():
             self._handlers.restore(listing.records)
         else:
@@ -212,11 +269,15 @@
             )
 
     def _update(self, position: Position, records: tuple[KeyedRecord, ...]) -> dict[str, KeyedRecord]:
+        # Peers may lack what an out-of-order update has changed here.
+        changed_early = self.out_of_order.keys()
+        current = self.out_of_order.drop_outdated(position, records)
         changed: dict[str, KeyedRecord] = {}
-        for record in self.out_of_order.drop_outdated(position, records):
+        for record in records:
+            is_new = record in current and self._handlers.update(record)
             # A key that changed and changed back counts too: a peer may have
             # received the first change and not the second.
-            if self._handlers.update(record) or record.key in changed:
+            if is_new or record.key in changed or record.key in changed_early:
                 changed[record.key] = record
         return changed
 
@@ -227,6 +288,9 @@
             self._update_sender = topic_update.entry
             self.turns.request_poll(now)
             self._apply_out_of_order(topic_update)
+            if self._retry_at > now:
+                # The store refuses this instance, which calls it later only.
+                self._request_from_sender()
 
     def _apply_out_of_order(self, topic_update: TopicUpdate) -> None:
         if self._has_records:
--- a/tests/front/topic_simulation.py
+++ b/tests/front/topic_simulation.py
@@ -8,8 +8,12 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.store_pacing.backoff import RetryLimits
+from sesamepoint_core.store_pacing.outage import StoreOutage
 from sesamepoint.front.store.out_of_order import Position
+from sesamepoint.front.store.outage_messages import StoreProbe
 from sesamepoint.front.store.polling_turns import Pacing
+from sesamepoint.front.store.store_pacer import StorePacer
 from sesamepoint.front.store.topic_updates import TopicUpdate
 from sesamepoint.front.store.topic_watch import PeerGroup, RecordHandlers, TopicWatch
 from sesamepoint.platform.store import HistoryGoneError, KeyedRecord, TopicRecords
@@ -17,11 +21,14 @@
 from sesamepoint.platform.wire_names import STORE_EPOCH
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
+
+    NewOutage = Callable[[str, Random], StoreOutage]
 
 TOPIC = 'keyed.things'
 # As for the topic of runners, whose changes must be known within 2 s.
-PACING = Pacing(long_poll_s=0.2, pause_s=0.4, takeover_spread_s=0.3)
+PACING = Pacing(long_poll_s=0.2, pause_s=0.4, takeover_spread_s=0.3, longest_retry_s=0.5)
+PROBE_INTERVALS = RetryLimits(0.2, 0.5)
 ANSWER_S = 0.004
 KEYS = tuple(f'k{number}' for number in range(12))
 # Most records are heartbeats that change nothing, as those of runners are.
@@ -99,9 +106,14 @@
         """Follow the topic of the simulation."""
         self.name = name
         self.records: dict[str, bytes] = {}
-        peers = PeerGroup(name, lambda: len(simulation.instances), simulation.broadcaster_of(name))
+        self.has_records = False
+        rng = Random(name)
+        self.pacer = StorePacer(
+            name, simulation.new_outage(name, rng), lambda: len(simulation.instances), simulation.announcer_of(name)
+        )
+        peers = PeerGroup(name, lambda: len(simulation.instances), simulation.broadcaster_of(name), self.pacer)
         store = InstanceStore(name, simulation.store)
-        handlers = RecordHandlers(self._replace_all, self._update)
+        handlers = RecordHandlers(self._replace_all, self._update, urgent=lambda: not self.has_records)
         self.watch = TopicWatch(store, TOPIC, PACING, handlers, peers, Random(name))  # type: ignore[arg-type]
 
     @property
@@ -111,6 +123,7 @@
 
     def _replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         self.records = newest_by_key(records)
+        self.has_records = True
 
     def _update(self, record: KeyedRecord) -> bool:
         before = self.records.pop(record.key, b'')
@@ -119,11 +132,16 @@
         return before != record.text
 
 
+def _new_outage(name: str, rng: Random) -> StoreOutage:
+    return StoreOutage(name, PROBE_INTERVALS, rng)
+
+
 class TopicSimulation:
     """A store, instances, and datagrams between them that may be lost, delayed or duplicated."""
 
-    def __init__(self, instance_count: int, seed: int = 1) -> None:
-        """Create ``instance_count`` instances."""
+    def __init__(self, instance_count: int, seed: int = 1, new_outage: NewOutage = _new_outage) -> None:
+        """Create ``instance_count`` instances; ``new_outage`` builds what each knows of an outage."""
+        self.new_outage = new_outage
         self.rng = Random(seed)
         self.store = LogStore()
         self.loss_share: float = 0
@@ -167,6 +185,16 @@
 
         return broadcast
 
+    def announcer_of(self, name: str) -> Callable[[StoreProbe], None]:
+        """Return a function that sends an announcement of the instance ``name`` to all others."""
+
+        def announce(message: StoreProbe) -> None:
+            for peer in tuple(self.instances.values()):
+                if peer.name != name:
+                    self._send(peer, message)
+
+        return announce
+
     def inconsistent_instances(self) -> list[str]:
         """Return the names of instances whose records differ from the log.
 
@@ -186,16 +214,20 @@
             instance.records.get(key) != newest_by_key(self.store.log[:end]).get(key) for key, end in ends.items()
         )
 
-    def _send(self, peer: Instance, topic_update: TopicUpdate) -> None:
+    def _send(self, peer: Instance, message: TopicUpdate | StoreProbe) -> None:
         self.datagrams_sent += 1
         for _ in range(2 if self.rng.random() < self.loss_share else 1):
             if self.rng.random() >= self.loss_share and peer.name not in self.unreachable:
-                self._nursery.start_soon(self._deliver, peer, topic_update, self.rng.uniform(0.001, self.max_delay_s))
+                self._nursery.start_soon(self._deliver, peer, message, self.rng.uniform(0.001, self.max_delay_s))
 
-    async def _deliver(self, peer: Instance, topic_update: TopicUpdate, delay_s: float) -> None:
+    async def _deliver(self, peer: Instance, message: TopicUpdate | StoreProbe, delay_s: float) -> None:
         await trio.sleep(delay_s)
-        if peer.name in self.instances:
-            peer.watch.on_update(topic_update)
+        if peer.name not in self.instances:
+            return
+        if isinstance(message, StoreProbe):
+            peer.pacer.on_probe(message)
+        else:
+            peer.watch.on_update(message)
 
     async def _run(self, instance: Instance) -> None:
         with trio.CancelScope() as scope:
