Import prometheus_client and importlib.metadata only when they are needed

Both were imported by every front process before it served. The metrics are plain figures now; the library renders them when a page is read, and is imported in a thread some seconds after the start.

--- a/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
@@ -16,6 +16,9 @@
 # answered meanwhile. A store that refuses a third of the instances is seen as down
 # after one takeover in 27 only, and until the next probe that is answered.
 CONFIRMING_INSTANCES = 3
+# An answer is evidence against an outage for this long, in seconds. All instances
+# that the store refuses fail together when a peer announces a change.
+FRESH_S = 0.5
 # Share of the interval between probes that is the same for all instances.
 FIXED_SHARE = 0.4
 # Beyond this many doublings the interval has reached its limit.
@@ -51,7 +54,7 @@
         self._intervals = intervals
         self._rng = rng
         self._failed: set[str] = set()
-        self._answered_at: float = 0
+        self._answered_at = -math.inf
         self._probes = 0
 
     def is_down(self, instances: int) -> bool:
@@ -78,12 +81,12 @@
         self._probes = 0
 
     def answered_since(self, began_at: float) -> bool:
-        """Return whether the store has answered any instance since ``began_at``.
+        """Return whether the store has answered any instance since shortly before ``began_at``.
 
         Such an answer shows that a call that failed meanwhile is no sign of an
         outage: the store refuses this instance, or it is slow for one topic.
         """
-        return began_at < self._answered_at
+        return began_at < self._answered_at + FRESH_S
 
     def note_failed(self, began_at: float, now: float, instances: int) -> bool:
         """Note that a call of this instance failed; return whether to announce it."""
--- a/packages/sesamepoint/src/sesamepoint/command_line.py
+++ b/packages/sesamepoint/src/sesamepoint/command_line.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sys
-from importlib.metadata import PackageNotFoundError, version
 from typing import TYPE_CHECKING, Any
 
 from docopt import DocoptExit, docopt
@@ -33,7 +32,7 @@
         2 for wrong usage or invalid settings.
     """
     try:
-        arguments = docopt(usage, argv, version=_version(program))
+        arguments = docopt(usage, argv, version=_Version(program))
     except DocoptExit as exc:
         sys.stderr.write(f'{exc}\n')
         return EXIT_USAGE
@@ -48,12 +47,23 @@
     return 0
 
 
-def _version(program: str) -> str:
-    """Return the installed version, or a placeholder if the package isn't installed."""
-    try:
-        return version(program)
-    except PackageNotFoundError:
-        return 'from a source tree'
+class _Version:
+    """The installed version of a program, or a placeholder if it isn't installed.
+
+    It is looked up only when it is printed: a process that starts does not need
+    ``importlib.metadata``, which imports 20 ms of modules.
+    """
+
+    def __init__(self, program: str) -> None:
+        self._program = program
+
+    def __str__(self) -> str:
+        from importlib.metadata import PackageNotFoundError, version  # noqa: PLC0415
+
+        try:
+            return version(self._program)
+        except PackageNotFoundError:
+            return 'from a source tree'
 
 
 __all__ = ('run_command_line',)
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/metrics.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from prometheus_client import CollectorRegistry
 
     from sesamepoint.front.requests.job import Job
 
@@ -21,83 +22,132 @@
 OTHER_ACCOUNTS_LABEL = 'other'
 
 
+class Rows(NamedTuple):
+    """A counter with one amount for each combination of its labels."""
+
+    name: str
+    text: str
+    labels: tuple[str, ...]
+    amounts: defaultdict[tuple[str, ...], float]
+
+    @classmethod
+    def empty(cls, name: str, text: str, *labels: str) -> Rows:
+        """Return a counter without amounts."""
+        return cls(name, text, labels, defaultdict(float))
+
+    def add(self, *labels: str, amount: float = 1) -> None:
+        """Increase the amount of one combination of labels."""
+        self.amounts[labels] += amount
+
+
+class Latencies(NamedTuple):
+    """A histogram of seconds for each service."""
+
+    name: str
+    text: str
+    # Number of observations in each bucket, not cumulated; the last one has no bound.
+    counts: dict[str, list[int]]
+    sums: defaultdict[str, float]
+
+    @classmethod
+    def empty(cls, name: str, text: str) -> Latencies:
+        """Return a histogram without observations."""
+        return cls(name, text, {}, defaultdict(float))
+
+    def observe(self, service: str, took_s: float) -> None:
+        """Add an observation, in seconds."""
+        counts = self.counts.setdefault(service, [0 for _ in range(len(LATENCY_BUCKETS_S) + 1)])
+        counts[bisect_left(LATENCY_BUCKETS_S, took_s)] += 1
+        self.sums[service] += took_s
+
+
+class GaugeValue(NamedTuple):
+    """A gauge that is evaluated when the page is read."""
+
+    name: str
+    text: str
+    value_of: Callable[[], float]
+
+
 class FrontMetrics:
-    """Metrics of one process, in a registry of its own."""
+    """Metrics of one process.
+
+    They are plain figures; ``prometheus_client`` is imported when a page is read,
+    since its import takes a tenth of the processor time of a start.
+    """
 
     def __init__(self) -> None:
         """Start at zero."""
-        self.registry = CollectorRegistry()
-        self._requests = Counter(
+        self.gauges: list[GaugeValue] = []
+        self._requests = Rows.empty(
             'sesamepoint_requests',
             'Requests that found a route, by what became of them.',
-            ('service', 'path', 'outcome'),
-            registry=self.registry,
+            'service',
+            'path',
+            'outcome',
         )
-        self._first_event = Histogram(
-            'sesamepoint_first_event_seconds',
-            'From arrival to the first event of a stream.',
-            ('service',),
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
+        self._first_event = Latencies.empty(
+            'sesamepoint_first_event_seconds', 'From arrival to the first event of a stream.'
         )
-        self._whole_request = Histogram(
-            'sesamepoint_request_seconds',
-            'From arrival to the end of the answer.',
-            ('service',),
-            buckets=LATENCY_BUCKETS_S,
-            registry=self.registry,
-        )
-        self._extra_sends = Counter(
-            'sesamepoint_extra_sends',
-            'Sends of a request beyond its first.',
-            ('service',),
-            registry=self.registry,
-        )
-        self._by_account = Counter(
-            'sesamepoint_account_requests',
-            'Requests of client accounts, by what became of them.',
-            ('account', 'outcome'),
-            registry=self.registry,
+        self._whole_request = Latencies.empty('sesamepoint_request_seconds', 'From arrival to the end of the answer.')
+        self._extra_sends = Rows.empty('sesamepoint_extra_sends', 'Sends of a request beyond its first.', 'service')
+        self._by_account = Rows.empty(
+            'sesamepoint_account_requests', 'Requests of client accounts, by what became of them.', 'account', 'outcome'
         )
         self._named_accounts: set[str] = set()
-        self._denied = Counter(
-            'sesamepoint_denied',
-            "Requests whose key is no account's, by why.",
-            ('cause',),
-            registry=self.registry,
-        )
-        self._broken_sends = Counter(
-            'sesamepoint_broken_sends',
-            'Sends that ended without a whole answer, by how.',
-            ('service', 'outcome'),
-            registry=self.registry,
+        self._denied = Rows.empty('sesamepoint_denied', "Requests whose key is no account's, by why.", 'cause')
+        self._broken_sends = Rows.empty(
+            'sesamepoint_broken_sends', 'Sends that ended without a whole answer, by how.', 'service', 'outcome'
         )
 
+    @property
+    def counters(self) -> tuple[Rows, ...]:
+        """Return all counters."""
+        return (self._requests, self._extra_sends, self._by_account, self._denied, self._broken_sends)
+
+    @property
+    def histograms(self) -> tuple[Latencies, ...]:
+        """Return all histograms."""
+        return (self._first_event, self._whole_request)
+
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Return a registry that reads these metrics."""
+        from sesamepoint.front.metrics_page import registry_of  # noqa: PLC0415
+
+        return registry_of(self)
+
+    def render(self) -> bytes:
+        """Return the page of these metrics."""
+        from sesamepoint.front.metrics_page import render_page  # noqa: PLC0415
+
+        return render_page(self)
+
     def count_denied(self, fault: str) -> None:
         """Count a request whose key belongs to no account."""
-        self._denied.labels(fault).inc()
+        self._denied.add(fault)
 
     def add_gauge(self, name: str, text: str, value_of: Callable[[], float]) -> None:
         """Add a gauge that is evaluated when the page is read."""
-        Gauge(name, text, registry=self.registry).set_function(value_of)
+        self.gauges.append(GaugeValue(name, text, value_of))
 
     def count_broken_send(self, service: str, outcome: str) -> None:
         """Count a send that ended without a complete answer."""
-        self._broken_sends.labels(service, outcome).inc()
+        self._broken_sends.add(service, outcome)
 
     def count_request_end(self, job: Job, took_s: float) -> None:
         """Count a request that has ended."""
         path = str(job.trace.decision.get('path', 'plain'))
-        self._requests.labels(job.service, path, _outcome(job)).inc()
+        self._requests.add(job.service, path, _outcome(job))
         account = job.access.account
         if account:
-            self._by_account.labels(self._account_label(account.name), _outcome(job)).inc()
+            self._by_account.add(self._account_label(account.name), _outcome(job))
         if job.sends > 1:
-            self._extra_sends.labels(job.service).inc(job.sends - 1)
+            self._extra_sends.add(job.service, amount=job.sends - 1)
         if job.trace.first_output_at is not None:
-            self._first_event.labels(job.service).observe(job.trace.first_output_at - job.req.arrived_at)
+            self._first_event.observe(job.service, job.trace.first_output_at - job.req.arrived_at)
         if job.reply.started and not job.reply.unfinished:
-            self._whole_request.labels(job.service).observe(took_s)
+            self._whole_request.observe(job.service, took_s)
 
     def _account_label(self, account: str) -> str:
         if account not in self._named_accounts and len(self._named_accounts) >= MAX_ACCOUNTS:
@@ -116,4 +166,4 @@
     return f'status_{job.reply.status}'
 
 
-__all__ = ('FrontMetrics',)
+__all__ = ('LATENCY_BUCKETS_S', 'FrontMetrics', 'GaugeValue', 'Latencies', 'Rows')
--- a/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
@@ -1,4 +1,4 @@
-"""Announcement of a failed call to the store, or of a probe while the store is down."""
+"""Announcement of a failed call to the store, of a probe while the store is down, or of its answer."""
 
 from __future__ import annotations
 
@@ -6,9 +6,16 @@
 
 
 class StoreProbe(msgspec.Struct, frozen=True, array_like=True, tag='store_probe'):
-    """The sender's call to the store failed, or it probes the store for all."""
+    """The sender's call to the store failed, or it probes the store for all.
+
+    Parameters
+    ----------
+    answered
+        Whether the store has answered the sender, which ends the outage.
+    """
 
     entry: str
+    answered: bool = False
 
 
 __all__ = ('StoreProbe',)
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -79,10 +79,14 @@
 
     def note_answered(self) -> None:
         """Note that the store answered this instance."""
-        was_failing = self._failing or self.is_down()
+        was_down = self.is_down()
+        was_failing = self._failing or was_down
         self._failing = False
         self._outage.note_answered(trio.current_time())
         self._log_change()
+        if was_down:
+            # The answer itself is sent to the peers only by an instance that polls for all.
+            self._announce(StoreProbe(self._name, answered=True))
         if was_failing:
             for callback in self.on_answered_again:
                 callback()
@@ -94,6 +98,8 @@
 
     def on_probe(self, message: StoreProbe) -> None:
         """Handle the announcement of a peer."""
+        if message.answered:
+            return self.note_peer_answered()
         self._outage.note_announced(message.entry, trio.current_time(), self._instance_count())
         self._log_change()
 
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from functools import partial
+from importlib import import_module
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
 import trio
-from prometheus_client import generate_latest
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
@@ -35,6 +35,9 @@
 # Metrics are also served on this fixed port, which the deploy file names: the
 # address for readiness may differ from day to day.
 METRICS_PORT = 9464
+# The library of the metrics page is imported this long after the start, in seconds,
+# when the first requests have been served.
+METRICS_LIBRARY_DELAY_S = 5.0
 # Interval of checks whether the settings file has changed: it may change
 # without a signal, and no setting is urgent.
 SETTINGS_POLL_INTERVAL_S = 1.0
@@ -89,6 +92,7 @@
             Child('readiness', partial(_listen, self._pages().serve, cfg.ready_listen)),
             Child('metrics', self._serve_metrics),
             Child('peers', partial(_listen, self._front.peer_pages.serve, self._front.cfg.peer_listen)),
+            Child('metrics-library', _load_metrics_library),
             Child('settings', self._watch_settings),
             *self._front.children(),
         ]
@@ -119,7 +123,7 @@
         return Pages(
             {
                 READY_PATH: Page(_empty_body, self._front.ready),
-                METRICS_PATH: Page(partial(generate_latest, self._front.dispatcher.metrics.registry), _always),
+                METRICS_PATH: Page(self._front.dispatcher.metrics.render, _always),
             }
         )
 
@@ -135,6 +139,12 @@
     await serve(SocketTransport(stream))
 
 
+async def _load_metrics_library() -> None:
+    """Import what the metrics page needs in a thread, so that the first reader does not stop the loop."""
+    await trio.sleep(METRICS_LIBRARY_DELAY_S)
+    await trio.to_thread.run_sync(import_module, 'sesamepoint.front.metrics_page')
+
+
 def _empty_body() -> bytes:
     return b''
 
