--- a/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
@@ -16,9 +16,9 @@
 # answered meanwhile. A store that refuses a third of the instances is seen as down
 # after one takeover in 27 only, and until the next probe that is answered.
 CONFIRMING_INSTANCES = 3
-# An answer is evidence against an outage for this long, in seconds. All instances
-# that the store refuses fail together when a peer announces a change.
-FRESH_S = 0.5
+# An answer is evidence against an outage for this long, in seconds. While the store
+# serves any instance, its updates reach all others about every second.
+FRESH_S = 1.0
 # Share of the interval between probes that is the same for all instances.
 FIXED_SHARE = 0.4
 # Beyond this many doublings the interval has reached its limit.
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -73,6 +73,8 @@
         """Make the first poll due at once, with no offset known."""
         self.due: float = 0
         self.end: int | None = None
+        # Whether the next poll is for changes that a peer has announced.
+        self.hinted = False
         self._pacing = pacing
         self._name = name
         self._instance_count = instance_count
@@ -159,6 +161,7 @@
     def request_poll(self, now: float) -> None:
         """Make a poll due soon, for changes that no update contains."""
         self._polls_for_itself = True
+        self.hinted = True
         self.due = min(self.due, now + self._rng.uniform(0, POLL_JITTER_S))
 
     def _end_turn(self) -> None:
@@ -167,6 +170,7 @@
 
     def _note_position(self, end: int, now: float) -> None:
         self._polls_for_itself = False
+        self.hinted = False
         self.end = max(end, self.end or 0)
         self._check_at = now + SELF_CHECK_S
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -64,6 +64,13 @@
         """Return the time before which instances that hold a state do not call the store."""
         return self._outage.probe_at
 
+    def affected_instances(self, began_at: float) -> int:
+        """Return how many instances the cause of a failed call, begun at ``began_at``, may affect.
+
+        If the store answers others, the answer was lost or this instance is refused.
+        """
+        return 1 if self._outage.answered_since(began_at) else self._instance_count()
+
     def begin_call(self) -> None:
         """Note that a caller that holds a state is about to call; announce it if the store is down."""
         if self.is_down():
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -45,7 +45,7 @@
 RUNNER_SPREAD_SHARE = 0.15
 # Longest pause before a failed call is repeated, as a share of the time within
 # which a change of the configuration or of the runners must be known.
-RETRY_SHARE = 0.25
+RETRY_SHARE = 0.5
 # Instances rarely join or leave. When they start together, each underestimates
 # their number at first and uses more than its share of the retry budget.
 ENTRY_WAIT_S = 1.0
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -208,7 +208,7 @@
         if self._handlers.urgent():
             pause_s = self._rng.uniform(*URGENT_RETRY_RANGE_S)
         else:
-            pause_s = self._backoff.next_pause_s(self._peers.instance_count())
+            pause_s = self._backoff.next_pause_s(self._peers.pacer.affected_instances(began_at))
         now = trio.current_time()
         self._retry_at = now + pause_s
         self.turns.note_failed(pause_s, now)
@@ -241,8 +241,10 @@
             await self._apply_poll(start, changes)
 
     def _follow_wait_s(self) -> float:
-        if not self._reachable:
-            # A store that returns is noticed by its first answer, which it must not hold.
+        if self.turns.hinted or not self._reachable:
+            # The records are there already, or an answer of any kind shows that the
+            # store has returned: a held call would only delay the detection of a
+            # lost answer.
             return 0
         return self._wait_s if self._has_followed else FIRST_WAIT_S
 
