--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -178,8 +178,9 @@
         peers = self._targets.peers
         store = self._new_store()
         others = PeerGroup(self._cfg.name, peers.count, peers.broadcast_update, store.pacer)
-        # Seeded by name, so that no two instances poll at the same times.
-        watch = TopicWatch(store.client, topic, pacing, handlers, others, Random(self._cfg.name))
+        # Seeded so that no two instances poll at the same times, and that the topics
+        # of one instance are not retried together: the first answer wakes the others.
+        watch = TopicWatch(store.client, topic, pacing, handlers, others, Random(f'{self._cfg.name} {topic}'))
         self._watches[topic] = watch
         await watch.run()
 
--- a/tests/front/store/__init__.py
+++ b/tests/front/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of an instance's reads and writes of the store."""
