--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -28,8 +28,8 @@
     from sesamepoint.front.settings import DutySettings
     from sesamepoint.front.accounts.usage import UsageCounts
     from sesamepoint.front.accounts.usage_messages import UsageMessage
-    from sesamepoint.http1.transport import Network
     from sesamepoint.front.store.store_pacer import PacedStore
+    from sesamepoint.http1.transport import Network
 
 # How often the holder renews its lease, and retries a failed renewal, in seconds.
 RENEW_S = 0.7
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
@@ -18,8 +18,8 @@
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.peering.peers import Peers
     from sesamepoint.front.settings import DutySettings
-    from sesamepoint.http1.transport import Network
     from sesamepoint.front.store.store_pacer import PacedStore
+    from sesamepoint.http1.transport import Network
 
 
 class UsageReporting:
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -33,8 +33,8 @@
         self, name: str, outage: StoreOutage, instance_count: Callable[[], int], announce: Callable[[StoreProbe], None]
     ) -> None:
         """Pace the instance ``name``; ``announce`` sends a message to all peers."""
-        # Called when the store answers this instance again.
-        self.on_answered_again: list[Callable[[], None]] = []
+        # Called when the store answers this instance again, by topic.
+        self.on_answered_again: dict[str, Callable[[], None]] = {}
         self._name = name
         self._outage = outage
         self._instance_count = instance_count
@@ -95,7 +95,7 @@
             # The answer itself is sent to the peers only by an instance that polls for all.
             self._announce(StoreProbe(self._name, answered=True))
         if was_failing:
-            for callback in self.on_answered_again:
+            for callback in self.on_answered_again.values():
                 callback()
 
     def note_peer_answered(self) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -138,7 +138,7 @@
         self._backoff = Backoff(RetryLimits(FIRST_RETRY_S, pacing.longest_retry_s), rng)
         # Time before which this instance does not repeat a failed call.
         self._retry_at: float = 0
-        peers.pacer.on_answered_again.append(self._retry_now)
+        peers.pacer.on_answered_again[topic] = self._retry_now
         self._reachable = True
         self._list_timeout_s = cycle(LIST_TIMEOUTS_S)
         self._rescheduled = trio.Event()
@@ -273,10 +273,10 @@
     def _update(self, position: Position, records: tuple[KeyedRecord, ...]) -> dict[str, KeyedRecord]:
         # Peers may lack what an out-of-order update has changed here.
         changed_early = self.out_of_order.keys()
-        current = self.out_of_order.drop_outdated(position, records)
+        current = {record.key for record in self.out_of_order.drop_outdated(position, records)}
         changed: dict[str, KeyedRecord] = {}
         for record in records:
-            is_new = record in current and self._handlers.update(record)
+            is_new = record.key in current and self._handlers.update(record)
             # A key that changed and changed back counts too: a peer may have
             # received the first change and not the second.
             if is_new or record.key in changed or record.key in changed_early:
