--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.store_pacing.suppression import draw_suppressing_share
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
@@ -26,6 +27,9 @@
 # How much longer than usual a poll may take before peers poll too, in seconds: a
 # call of 4 ms, a datagram, and as much again if the polling instance is busy.
 TAKEOVER_MARGIN_S = 0.1
+# Longest pause before a failed call is repeated, in seconds, for topics without a
+# time within which changes must be known.
+LONGEST_RETRY_S = 2.0
 # After a hint that there are changes, an instance polls the store within this
 # many seconds.
 POLL_JITTER_S = 0.05
@@ -44,11 +48,14 @@
     takeover_spread_s
         When the updates cease, the peers poll after a random delay within this
         time, in seconds.
+    longest_retry_s
+        Longest pause before a failed call is repeated, in seconds.
     """
 
     long_poll_s: float
     pause_s: float
     takeover_spread_s: float
+    longest_retry_s: float = LONGEST_RETRY_S
 
 
 class PollingTurns:
@@ -66,6 +73,8 @@
         """Make the first poll due at once, with no offset known."""
         self.due: float = 0
         self.end: int | None = None
+        # Whether the next poll is for changes that a peer has announced.
+        self.hinted = False
         self._pacing = pacing
         self._name = name
         self._instance_count = instance_count
@@ -152,6 +161,7 @@
     def request_poll(self, now: float) -> None:
         """Make a poll due soon, for changes that no update contains."""
         self._polls_for_itself = True
+        self.hinted = True
         self.due = min(self.due, now + self._rng.uniform(0, POLL_JITTER_S))
 
     def _end_turn(self) -> None:
@@ -160,19 +170,13 @@
 
     def _note_position(self, end: int, now: float) -> None:
         self._polls_for_itself = False
+        self.hinted = False
         self.end = max(end, self.end or 0)
         self._check_at = now + SELF_CHECK_S
 
     def _takeover_delay_s(self) -> float:
-        """Return how long to go without an update before taking over the polling, in seconds.
-
-        The density of the random part grows exponentially towards the end of its
-        range, so that with any number of instances about one is first, early
-        enough for its update to arrive before the next one polls. Multicast
-        receivers suppress duplicate feedback in the same way.
-        """
-        steepness = 1 + math.log(max(self._instance_count(), 1))
-        drawn = math.log1p(self._rng.random() * math.expm1(steepness)) / steepness
+        """Return how long to go without an update before taking over the polling, in seconds."""
+        drawn = draw_suppressing_share(self._instance_count(), self._rng)
         pacing = self._pacing
         return pacing.long_poll_s + pacing.pause_s + TAKEOVER_MARGIN_S + pacing.takeover_spread_s * drawn
 
