Model each engine's lasting prefill speed and pause

One prefill speed and one pause were held for a whole service, with a correction for each engine that decays in 30 s and that each instance learned alone. Now each incarnation has a model: a Kalman filter of the log ratio of its prefill time to a reference speed and a tracker of a low quantile of its pauses, merged with the reports of peers by weight with outliers cut. The correction remains for what passes, with a decay of 5 s.

A sample is the time between two ends of prefills at an engine, or from the send to an idle one. A first version subtracted the expected wait: errors of the wait made equal engines look unequal by up to a factor of 2 in a burst. Prefills that are short against their noise do not count.

--- a/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
@@ -20,8 +20,9 @@
     decays, a runner that was avoided is tried again after some time.
     """
 
-    def __init__(self) -> None:
-        """Start with a factor of one."""
+    def __init__(self, decay_s: float = DECAY_S) -> None:
+        """Start with a factor of one; what was observed counts for some ``decay_s`` seconds."""
+        self._decay_s = decay_s
         self._log_factor: float = 0
         self._observed_at: float = 0
 
@@ -37,7 +38,7 @@
         return math.exp(self._decayed(now))
 
     def _decayed(self, now: float) -> float:
-        return self._log_factor * math.exp((self._observed_at - now) / DECAY_S)
+        return self._log_factor * math.exp((self._observed_at - now) / self._decay_s)
 
 
 __all__ = ('TimeCorrection',)
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/engine_load.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/engine_load.py
@@ -93,6 +93,13 @@
         total_s = sum(work.work_s for work in self._prefills.values())
         return max(total_s - min(now - begun_at, oldest.work_s), 0)
 
+    def begun_at(self, name: str) -> float | None:
+        """Return when the engine began the prompt ``name``; None if an earlier one has not ended, or it has itself."""
+        work = self._prefills.get(name)
+        if work is None or name != next(iter(self._prefills)):
+            return None
+        return max(self._prefill_ended_at, work.added_at)
+
     def recent_prefill_s(self, span_s: float, now: float) -> float:
         """Return the seconds of prefill work that were sent in the last ``span_s`` seconds."""
         while self._recent_prefills and now - self._recent_prefills[0].added_at > PREFILL_HISTORY_S:
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -37,6 +37,8 @@
         self._waiting: dict[int, float] = {}
         self._active_at: float = 0
         self._last_ticket = 0
+        # Ratio of the runner's times to those of its service, by which it may be silent for longer.
+        self.slowness: float = 1.0
 
     def eligible(self, now: float) -> bool:
         """Tell whether requests may be sent to the runner."""
@@ -58,7 +60,7 @@
     def silent(self, now: float) -> bool:
         """Tell whether the runner has sent nothing for too long while a request is outstanding."""
         oldest = next(iter(self._waiting.values()), now)
-        return now - max(oldest, self._active_at) > SILENCE_TIMEOUT_S
+        return now - max(oldest, self._active_at) > SILENCE_TIMEOUT_S * self.slowness
 
     def note_activity(self, now: float) -> None:
         """Note that the runner has sent a part of any answer."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/placement.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/placement.py
@@ -87,6 +87,11 @@
     permit_interval_s
         For a prefill engine, seconds until its rate limit allows the next request; 0
         without a limit. A prompt costs at least this time.
+    plain_pause_s
+        Its own pause between two events while it prefills nothing, in seconds; 0 if it
+        is that of its service.
+    prefill_factor
+        Lasting ratio of its prefill time to that of its service; ``pace`` includes it.
     """
 
     runner: str
@@ -103,6 +108,8 @@
     zone: str = ''
     lost_share: float = 0
     permit_interval_s: float = 0
+    plain_pause_s: float = 0
+    prefill_factor: float = 1.0
 
 
 class Placement(NamedTuple):
@@ -150,7 +157,8 @@
         Seconds left for the first token to be on time; 0 if that is impossible.
     prefill_price, decode_price
         Cost of a second of an engine of that stage for the requests that wait for
-        one, in seconds of waiting.
+        one, in seconds of waiting. A second of a slow engine costs less, since less
+        work of theirs is done in it.
     """
 
     prefill_speed: PrefillSpeed
@@ -169,6 +177,29 @@
     return min(all_placements(views, speeds, prompt_tokens), key=_cost, default=None)
 
 
+def slower_idle_placement(
+    views: Sequence[EngineView], speeds: Speeds, prompt_tokens: int, busy: EngineView, max_wait_s: float
+) -> Placement | None:
+    """Return the placement of least cost that begins soon, at a slower engine, and is on time; None if there is none.
+
+    A prompt with enough time left does not queue for a fast engine while a slow one is idle.
+
+    Parameters
+    ----------
+    busy
+        First engine of the placement of least cost of all.
+    max_wait_s
+        Longest wait of an engine that counts as idle, in seconds.
+    """
+    idle = {view.runner for view in views if view.prefill_factor > busy.prefill_factor and view.wait_s <= max_wait_s}
+    if not idle:
+        return None
+    on_time_s = ON_TIME_SHARE * speeds.on_time_s
+    placements = all_placements(views, speeds, prompt_tokens)
+    fitting = (one for one in placements if (one.prefill or one.decode) in idle and one.first_s <= on_time_s)
+    return min((one for one in fitting if bool(one.prefill) == (busy.stage is Stage.prefill)), key=_cost, default=None)
+
+
 def all_placements(views: Sequence[EngineView], speeds: Speeds, prompt_tokens: int) -> Iterator[Placement]:
     """Yield a placement for each decode engine alone, and one for each prefill engine.
 
@@ -226,10 +257,10 @@
     earlier_s = max(view.wait_s, view.recent_prefill_s)
     # The prefill lengthens the pauses of all streams at this engine, and prefill work
     # sent earlier lengthens those of this request.
-    others_cost = view.streams * _late_pause_cost_s(work_s + earlier_s, speeds)
+    others_cost = view.streams * _late_pause_cost_s(view, work_s + earlier_s, speeds)
     others_cost += (SLOWDOWN_SHARE + view.fill**SLOWDOWN_POWER) * view.streams * work_s
-    own_cost = _own_pause_cost_s(earlier_s, first_s, speeds)
-    cost = first_s + speeds.decode_price * work_s + _late_cost_s(first_s, speeds)
+    own_cost = _own_pause_cost_s(view, earlier_s, first_s, speeds)
+    cost = first_s + speeds.decode_price * work_s / view.prefill_factor + _late_cost_s(first_s, speeds)
     cost += _crowding_s(view) + view.lost_share * speeds.lost_cost_s
     return Placement('', view.runner, first_s, work_s, cost + others_cost + own_cost)
 
@@ -237,11 +268,10 @@
 def _split_placement(view: EngineView, decode_step: DecodeStep, speeds: Speeds, prompt_tokens: int) -> Placement:
     work_s = view.pace * speeds.prefill_speed.prefill_s(view.uncached_tokens, prompt_tokens)
     transfer_s = decode_step.transfer_s + _fetch_s(view, speeds)
+    occupied_s = work_s / view.prefill_factor + transfer_s
     first_s = speeds.prefill_speed.overhead_s + view.wait_s + work_s + transfer_s + DECODE_STEP_S
     cost = (
-        first_s
-        + decode_step.cost
-        + speeds.prefill_price * max(work_s + transfer_s, RATE_LIMIT_WEIGHT * view.permit_interval_s)
+        first_s + decode_step.cost + speeds.prefill_price * max(occupied_s, RATE_LIMIT_WEIGHT * view.permit_interval_s)
     )
     # If the prefill fails, another engine can do it.
     cost += PREFILL_LOSS_SHARE * view.lost_share * speeds.lost_cost_s
@@ -279,7 +309,7 @@
 
 def _decode_step_cost(view: EngineView, speeds: Speeds) -> float:
     """Return the cost of decoding here after a remote prefill, without the transfer."""
-    late_s = _late_pause_cost_s(max(view.wait_s, view.recent_prefill_s), speeds)
+    late_s = _late_pause_cost_s(view, max(view.wait_s, view.recent_prefill_s), speeds) + _slow_step_cost_s(view, speeds)
     risk_s = view.lost_share * speeds.lost_cost_s
     return view.wait_s + late_s + risk_s + _crowding_s(view) + ORDER_S * view.order
 
@@ -292,24 +322,35 @@
     return OWN_LATE_WEIGHT * speeds.late_cost_s * min(max(probability, 0), 1)
 
 
-def _own_pause_cost_s(prefill_s: float, first_s: float, speeds: Speeds) -> float:
+def _own_pause_cost_s(view: EngineView, prefill_s: float, first_s: float, speeds: Speeds) -> float:
     """Return the cost of pauses for the request itself: none if it misses its deadline anyway."""
-    return 0 if first_s > speeds.on_time_s else _late_pause_cost_s(prefill_s, speeds)
+    if first_s > speeds.on_time_s:
+        return 0
+    return _late_pause_cost_s(view, prefill_s, speeds) + _slow_step_cost_s(view, speeds)
 
 
-def _late_pause_cost_s(prefill_s: float, speeds: Speeds) -> float:
+def _late_pause_cost_s(view: EngineView, prefill_s: float, speeds: Speeds) -> float:
     """Return the expected cost for a stream of some seconds of prefill at the same engine.
 
     Between two tokens an engine prefills a chunk of a prompt. A prefill that fills
     the time by which a pause may exceed its usual length makes the stream late.
     """
-    free_s = max(speeds.pause_s - speeds.plain_pause_s, MIN_FREE_SHARE * speeds.pause_s)
+    plain_pause_s = view.plain_pause_s or speeds.plain_pause_s
+    free_s = max(speeds.pause_s - plain_pause_s, MIN_FREE_SHARE * speeds.pause_s)
     if free_s <= 0:
         return 0
     probability = (prefill_s / free_s - HARMLESS_SHARE) / (1 - HARMLESS_SHARE)
     return speeds.late_cost_s * min(max(probability, 0), 1)
 
 
+def _slow_step_cost_s(view: EngineView, speeds: Speeds) -> float:
+    """Return the expected cost of pauses that are too long at an engine whose own pause is long even undisturbed."""
+    if not view.plain_pause_s or speeds.pause_s <= 0:
+        return 0
+    probability = (view.plain_pause_s / speeds.pause_s - HARMLESS_SHARE) / (1 - HARMLESS_SHARE)
+    return speeds.late_cost_s * min(max(probability, 0), 1)
+
+
 def _crowding_s(view: EngineView) -> float:
     return CROWDED_COST_S if view.crowded else 0
 
@@ -328,4 +369,5 @@
     'all_placements',
     'best_decode_step',
     'best_placement',
+    'slower_idle_placement',
 )
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -125,6 +125,7 @@
 OWN_RECORD_DROPPED = _event(3404, logging.WARNING, 'record of this instance was dropped, it registers again')
 UPDATE_DROPPED = _event(3405, logging.WARNING, 'send queue to peers is full, a message is dropped')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
+ENGINE_MODEL_CHANGED = _event(3701, logging.INFO, 'model of an engine changed')
 
 
 class _LineFormatter(JsonFormatter):
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_plan.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_plan.py
@@ -6,8 +6,16 @@
 
 import trio
 
-from sesamepoint_core.serving.placement import MEMORY_SHARE, EngineView, Placement, Speeds, best_placement
+from sesamepoint_core.serving.placement import (
+    MEMORY_SHARE,
+    EngineView,
+    Placement,
+    Speeds,
+    best_placement,
+    slower_idle_placement,
+)
 from sesamepoint_core.serving.runner import Stage
+from sesamepoint.front.engines.queue_triage import MAX_ENGINE_BACKLOG_S
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -79,6 +87,10 @@
     placement = best_placement(tuple(views.values()), speeds, prompt.tokens)
     if placement is None:
         return None
+    best = views[placement.prefill or placement.decode]
+    if best.wait_s > MAX_ENGINE_BACKLOG_S:
+        idle = slower_idle_placement(tuple(views.values()), speeds, prompt.tokens, best, MAX_ENGINE_BACKLOG_S)
+        placement = idle or placement
     by_key = {one.member.runner.key: one for one in candidates}
     first = by_key[placement.prefill or placement.decode]
     return EnginePlan(
@@ -135,11 +147,13 @@
             crowded=self._is_full(member),
             uncached_tokens=max(self._prompt.tokens - available_tokens, 1),
             fetch_tokens=available_tokens - cached_tokens,
-            pace=member.pace.factor(self._now),
+            pace=member.model.factor(self._now),
             order=self._fill_order.get(runner.key, 0),
             zone=runner.zone,
             lost_share=member.losses.share(self._now),
             permit_interval_s=candidate.permit_interval_s,
+            plain_pause_s=member.model.lasting.pause_s,
+            prefill_factor=member.model.lasting.prefill_factor,
         )
 
     def _is_full(self, member: Member) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -7,11 +7,11 @@
 
 import trio
 
-from sesamepoint_core.serving.placement import DECODE_STEP_S
 from sesamepoint.front.requests.attempt import Target
 from sesamepoint.front.requests.attempt_results import Rejected, Relayed, Unsent, Withheld
 from sesamepoint.front.engines.decision_fields import decision_fields
 from sesamepoint.front.engines.engine_sends import NewLoad
+from sesamepoint.front.engine_model.engine_samples import EngineSamples, PrefillTimes
 from sesamepoint.front.engines.prefill import Prefilled, PrefillFailed, prefill
 from sesamepoint.front.requests.retries import (
     may_retry,
@@ -58,6 +58,7 @@
         self._engine_queue = components.engine_queue
         self._limits = components.limits
         self._permit_queue = components.permit_queue
+        self._samples = EngineSamples(components.selector)
 
     async def attempt(
         self,
@@ -176,7 +177,7 @@
         target = self._target(job, plan)
         target = target._replace(
             sending=target.sending._replace(fetch_from=plan.fetch_from),
-            on_first_output=partial(self._note_first_event, job, plan, end, started),
+            on_first_output=partial(self._note_first_event, job, prompt, plan, end, started),
         )
         outcome: AttemptResult | None = None
         try:
@@ -193,16 +194,21 @@
         sending = AttemptHeaders(
             member.runner.key, job.left_s, plan.rank, prefill_only=True, fetch_from=plan.fetch_from
         )
-        timeout_s = _prefill_timeout_s(plan.placement.first_s, job.first_output_left_s)
+        silence_s = silence_timeout_s(plan.placement.first_s, engine=True, slowness=member.health.slowness)
+        timeout_s = _prefill_timeout_s(silence_s, plan.placement.first_s, job.first_output_left_s)
         target = Target(member, sending, timeout_s, purpose=SendPurpose(SendKind.remote_prefill, job))
         started = trio.current_time()
         outcome: Prefilled | PrefillFailed | Withheld | None = None
+        begun_at: float | None = None
         try:
             outcome = await prefill(job.req, target, job.reply)
         finally:
+            begun_at = self._sends.prefill_begun_at(end)
             self._sends.end(end._replace(finished=True, engine_failed=_prefill_lost(outcome)))
         if isinstance(outcome, Prefilled):
-            self._observe_prefill(job, prompt, plan, member, trio.current_time() - started)
+            member.health.note_success()
+            job.trace.prefill_s = trio.current_time() - started
+            self._samples.observe_remote_prefill(plan, prompt, member, PrefillTimes(started, begun_at))
             return outcome
         if isinstance(outcome, Withheld):
             job.allow_remote_prefill = True
@@ -252,37 +258,33 @@
         target = target_for(job, plan.decode, plan.placement.first_s)
         return target._replace(
             sending=target.sending._replace(priority=plan.rank),
-            on_pause=partial(self._note_pause, job),
+            on_pause=partial(self._note_pause, job, plan.decode),
         )
 
-    def _note_first_event(self, job: Job, plan: EnginePlan, end: SendEnd, started: float) -> None:
-        now = trio.current_time()
+    def _note_first_event(self, job: Job, prompt: Prompt, plan: EnginePlan, end: SendEnd, started: float) -> None:
+        times = PrefillTimes(started, self._sends.prefill_begun_at(end))
         self._sends.end(end)
         job.note_first_output()
-        plan.decode.pace.observe(now, plan.placement.first_s, now - started)
+        self._samples.observe_whole_run(plan, prompt, times)
 
-    def _note_pause(self, job: Job, pause_s: float) -> None:
+    def _note_pause(self, job: Job, member: Member, pause_s: float) -> None:
         job.trace.longest_pause_s = max(job.trace.longest_pause_s, pause_s)
         self._selector.pause_meter(job.service).observe(pause_s)
+        member.model.observe_pause(pause_s, trio.current_time())
 
-    def _observe_prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member, took_s: float) -> None:
-        member.health.note_success()
-        member.pace.observe(trio.current_time(), plan.placement.first_s - DECODE_STEP_S, took_s)
-        job.trace.prefill_s = took_s
-        if plan.view.wait_s == 0 and plan.view.fetch_tokens == 0:
-            self._selector.speed_meter(job.service).observe(plan.view.uncached_tokens, prompt.tokens, took_s)
 
-
-def _prefill_timeout_s(expected_s: float, left_s: float) -> float:
+def _prefill_timeout_s(silence_s: float, expected_s: float, left_s: float) -> float:
     """Return the timeout of a remote prefill that is expected to take ``expected_s``.
 
     Parameters
     ----------
+    silence_s
+        Silence timeout of the engine, in seconds.
     left_s
         Seconds until the caller stops waiting for the start of an answer.
     """
     return max(
-        min(silence_timeout_s(expected_s, engine=True), PREFILL_TIMEOUT_SHARE * left_s),
+        min(silence_s, PREFILL_TIMEOUT_SHARE * left_s),
         PREFILL_TIMEOUT_FACTOR * expected_s,
     )
 
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_sends.py
@@ -145,6 +145,11 @@
             self._long_prefills.discard(end.serial)
             self.flush.set()
 
+    def prefill_begun_at(self, end: SendEnd) -> float | None:
+        """Return when the engine began the prefill that ``end`` will end; None if that is not known."""
+        member = self._fleet.at_incarnation(end.runner, end.born_ms)
+        return member.load.begun_at(_work_id(self._instance, end.serial)) if member else None
+
     def on_peer_update(self, update: SendUpdate) -> None:
         """Apply an update from a peer."""
         self.backlog.update_peer(update.entry, update.queued)
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -124,7 +124,8 @@
         """
         plan = self._newest_plan
         after_s = plan.placement.first_s - plan.view.wait_s - plan.placement.work_s
-        work_s = plan.placement.work_s
+        # In terms of the service's median engine, like the capacity of the engines.
+        work_s = plan.placement.work_s / plan.view.prefill_factor
         if self.queue.need is Need.slot:
             work_s = slot_s / plan.decode.runner.slots
         self.turn = WaitingRequest(self.job.target_left_s - after_s, work_s)
@@ -171,7 +172,7 @@
         before_s = _work_s(one for one in queued if not one.late and one.turn.due_s <= newcomer.turn.due_s)
         at_peers = (work.timely_work_s for work in self._backlog.at_peers(newcomer.queue) if work.target_s <= target_s)
         before_s += self._peer_share(newcomer.queue) * sum(at_peers)
-        begin_s = _engine_free_s(newcomer.queue) + before_s / self._count_engines(newcomer)
+        begin_s = _engine_free_s(newcomer.queue) + before_s / self._capacity(newcomer)
         newcomer.late = begin_s + newcomer.turn.work_s > newcomer.turn.due_s
         newcomer.set_expected_wait(self.wait_s([*queued, newcomer]) if newcomer.late else begin_s)
 
@@ -179,7 +180,7 @@
         """Return the seconds until all waiters of a queue are done, late ones and those at peers included."""
         at_peers_s = sum(work.timely_work_s + work.late_work_s for work in self._backlog.at_peers(queued[0].queue))
         work_s = _work_s(queued) + self._peer_share(queued[0].queue) * at_peers_s
-        return _engine_free_s(queued[0].queue) + work_s / self._count_engines(queued[0])
+        return _engine_free_s(queued[0].queue) + work_s / self._capacity(queued[0])
 
     def count_timely(self, queue: QueueKey) -> float:
         """Return how many requests of a queue can be on time, at all instances."""
@@ -204,10 +205,13 @@
         own_s = _work_s(queued)
         share = self._peer_share(queued[0].queue)
         competing = min(len(at_peers), sum(one.timely_work_s for one in at_peers) / own_s) if own_s else 0
-        return (1 + share * competing) / self._count_engines(queued[0])
+        return (1 + share * competing) / self._capacity(queued[0])
 
-    def _count_engines(self, waiter: Waiter) -> int:
-        return max(self._selector.count_engines(waiter.job, _stage_of(waiter.queue)), 1)
+    def _capacity(self, waiter: Waiter) -> float:
+        """Return the engines that may serve a queue, as a number of median engines of their service."""
+        if waiter.queue.need is Need.slot:
+            return max(self._selector.count_engines(waiter.job, Stage.decode), 1)
+        return self._selector.engine_capacity(waiter.job, _stage_of(waiter.queue)) or 1
 
     def _peer_share(self, queue: QueueKey) -> float:
         return self._selector.share_of(queue.service, _stage_of(queue))
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -8,12 +8,12 @@
 
 from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
 from sesamepoint.front.http_handler import HttpHandler
+from sesamepoint.front.engine_model.engine_tracking import EngineTracking
 from sesamepoint.front.engines.engine_runs import EngineRuns
 from sesamepoint.front.dispatch_components import DispatchComponents
 from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.front.store.store_sync import StoreSync, SyncTargets
 from sesamepoint.front.runners.send_check import SendCheck
-from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint.front.runners.engine_subset import EngineSubset
 from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint.front.runners.limit_exchange import LimitExchange
@@ -66,7 +66,7 @@
         self.backlog = sends.backlog
         engine_subset = EngineSubset(cfg.name, self.fleet)
         self.peers = Peers(cfg, sends, quarantine, engine_subset, peer_network)
-        self._inventory = CacheInventory(self.fleet, engine_subset, rng)
+        self._engine_tracking = EngineTracking(self.fleet, engine_subset, self.peers, rng)
         budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_window_s)
         self._components = DispatchComponents.build(
             cfg.availability_zone, engine_subset, sends, send_check.runner_statuses, rng
@@ -92,8 +92,8 @@
             Child('peer-notices', self.peers.send_queued),
             Child('handles', self._components.reclaimer.run),
             Child('waiting', self._components.engine_queue.run),
-            Child('inventory', self._inventory.run),
             Child('runner-limits', self._limit_exchange.run),
+            *self._engine_tracking.children(),
         ]
 
     def reconfigure(self, cfg: FrontSettings) -> None:
@@ -143,6 +143,7 @@
         for name, text, value_of in gauges:
             add_gauge(f'sesamepoint_{name}', text, value_of)
         quarantine.watch(add_gauge)
+        self._engine_tracking.watch(add_gauge)
 
     def _config_version(self) -> float:
         cfg = self.dispatcher.configuration
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
+from sesamepoint.front.engine_model.model_messages import EngineModelMessage
 from sesamepoint.front.engines.engine_sends import SendUpdate
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.peering.membership import Membership
@@ -59,6 +60,7 @@
     | PermitRequestMessage
     | PermitGrantMessage
     | RunnerStatusMessage
+    | EngineModelMessage
 )
 
 
@@ -92,6 +94,7 @@
                 PermitRequestMessage,
                 PermitGrantMessage,
                 RunnerStatusMessage,
+                EngineModelMessage,
             )
         }
         # Called with the name of a peer that has just registered.
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -36,10 +36,16 @@
 MAX_WITHHELD_SENDS = 16
 
 
-def silence_timeout_s(expected_s: float, *, engine: bool) -> float:
-    """Return the silence timeout in seconds for a first output that is expected in ``expected_s``."""
+def silence_timeout_s(expected_s: float, *, engine: bool, slowness: float = 1.0) -> float:
+    """Return the silence timeout in seconds for a first output that is expected in ``expected_s``.
+
+    Parameters
+    ----------
+    slowness
+        Ratio of the engine's times to those of its service; ``expected_s`` includes it already.
+    """
     if engine:
-        return max(MIN_ENGINE_SILENCE_TIMEOUT_S, ENGINE_SILENCE_TIMEOUT_FACTOR * expected_s)
+        return max(MIN_ENGINE_SILENCE_TIMEOUT_S * slowness, ENGINE_SILENCE_TIMEOUT_FACTOR * expected_s)
     return max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_FACTOR * expected_s)
 
 
@@ -50,7 +56,10 @@
     silent runner may still be at work.
     """
     movable = repeatable(job) and job.sends + 1 < job.route.max_attempts
-    allowed_s = silence_timeout_s(expected_s, engine=job.req.prompt is not None) if movable else math.inf
+    allowed_s = math.inf
+    if movable:
+        is_engine = job.req.prompt is not None
+        allowed_s = silence_timeout_s(expected_s, engine=is_engine, slowness=member.health.slowness)
     sending = AttemptHeaders(
         member.runner.key,
         job.left_s,
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from sesamepoint_core.route.time_correction import TimeCorrection
+from sesamepoint_core.engine_model.engine_model import EngineModel
 from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.health import RunnerHealth
 from sesamepoint_core.serving.kv_cache import CacheModel
@@ -67,7 +67,7 @@
         self.losses = LossMeter()
         self.cache = CacheModel(kv_tokens)
         self.kv_tokens = kv_tokens
-        self.pace = TimeCorrection()
+        self.model = EngineModel()
         self.in_flight = 0
         # Whether it has answered any request of this instance.
         self.answered = False
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -85,6 +85,11 @@
         """Return how many eligible engines, of ``stage`` if one is given, could serve ``job``."""
         return sum(stage is None or member.runner.stage is stage for member in self.eligible.for_job(job))
 
+    def engine_capacity(self, job: Job, stage: Stage) -> float:
+        """Return the speeds of the eligible engines of ``stage`` together, that of the service's median engine as 1."""
+        members = (member for member in self.eligible.for_job(job) if member.runner.stage is stage)
+        return sum(1 / member.model.lasting.prefill_factor for member in members)
+
     def share_of(self, service: str, stage: Stage) -> float:
         """Return the share of the peers' work that goes to engines in this instance's subset."""
         return self._subset.subset_share(service, stage)
--- /dev/null
+++ b/tests/core/engine_model/__init__.py
@@ -0,0 +1,1 @@
+"""Estimators, merge and use of the engine models."""
--- /dev/null
+++ b/tests/front/engine_model/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the engines in a deployment of stand-ins."""
