--- a/packages/sesamepoint-core/src/sesamepoint_core/engine_model/merging.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/engine_model/merging.py
@@ -56,7 +56,7 @@
         if below > half:
             return one.mean
         if below == half:
-            return (one.mean + ordered[index + 1].value) / 2
+            return (one.mean + ordered[index + 1].mean) / 2
     return 0
 
 
--- a/tests/front/engine_model/unequal_engines.py
+++ b/tests/front/engine_model/unequal_engines.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack, contextmanager
 from enum import Enum
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -17,6 +18,8 @@
 
 import trio
 
+from sesamepoint_core.engine_model import engine_model
+from sesamepoint_core.route import time_correction
 from sesamepoint.front.engine_model.engine_models import EngineModels
 from sesamepoint.front.engine_model.model_exchange import ModelExchange
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
@@ -24,7 +27,7 @@
 from tests.front.builders import configuration, engine, new_prompt_request, route
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
 
@@ -148,7 +151,7 @@
     speeds: Sequence[float], seed: int, method: Method = Method.shared, *, warm_up_s: float = 10, seconds: float = 20
 ) -> Outcome:
     """Run the load on a new deployment after a time to learn, and return what was on time."""
-    with _patched(method):
+    with learned_by(method):
         async with open_bench(two_routes(), unequal_engines(speeds), fronts=FRONTS) as bench:
             rng = Random(seed)
             await Load(bench, rng).run(warm_up_s, long_rate(speeds))
@@ -157,13 +160,16 @@
     return load.outcome
 
 
-def _patched(method: Method) -> Any:
-    """Return a context in which ``method`` learns the speeds."""
-    if method is Method.unshared:
-        return patch.object(ModelExchange, 'send_round', _send_nothing)
-    if method is Method.existing:
-        return patch.object(EngineModels, 'refresh', _keep)
-    return patch.object(EngineModels, 'refresh', EngineModels.refresh)
+@contextmanager
+def learned_by(method: Method) -> Iterator[None]:
+    """Let ``method`` learn the speeds within the context."""
+    with ExitStack() as stack:
+        if method is Method.unshared:
+            stack.enter_context(patch.object(ModelExchange, 'send_round', _send_nothing))
+        elif method is Method.existing:
+            stack.enter_context(patch.object(EngineModels, 'refresh', _keep))
+            stack.enter_context(patch.object(engine_model, 'TRANSIENT_DECAY_S', time_correction.DECAY_S))
+        yield
 
 
 async def _send_nothing(_: ModelExchange) -> None:
@@ -187,6 +193,7 @@
     'Load',
     'Method',
     'Outcome',
+    'learned_by',
     'long_rate',
     'run_load',
     'two_routes',
