--- a/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
@@ -20,9 +20,8 @@
     decays, a runner that was avoided is tried again after some time.
     """
 
-    def __init__(self, decay_s: float = DECAY_S) -> None:
-        """Start with a factor of one; what was observed counts for some ``decay_s`` seconds."""
-        self._decay_s = decay_s
+    def __init__(self) -> None:
+        """Start with a factor of one."""
         self._log_factor: float = 0
         self._observed_at: float = 0
 
@@ -33,12 +32,17 @@
         self._log_factor = self._decayed(now) + LEARNING_RATE * bounded
         self._observed_at = now
 
+    def scale(self, now: float, factor: float) -> None:
+        """Multiply the factor by ``factor``."""
+        self._log_factor = self._decayed(now) + math.log(factor)
+        self._observed_at = now
+
     def factor(self, now: float) -> float:
         """Return the factor to multiply expected times by."""
         return math.exp(self._decayed(now))
 
     def _decayed(self, now: float) -> float:
-        return self._log_factor * math.exp((self._observed_at - now) / self._decay_s)
+        return self._log_factor * math.exp((self._observed_at - now) / DECAY_S)
 
 
 __all__ = ('TimeCorrection',)
--- a/packages/sesamepoint/src/sesamepoint/front/engine_model/engine_models.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_model/engine_models.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from statistics import median
 from typing import TYPE_CHECKING
 
 import trio
 
+from sesamepoint_core.engine_model.passing import excess_decay
 from sesamepoint_core.engine_model.relative import center_of, lasting_model
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint.front.engine_model.model_log import ModelLog
@@ -31,6 +33,7 @@
         self._fleet = fleet
         self._engine_subset = engine_subset
         self._log = ModelLog()
+        self._refreshed_at: float = 0
 
     async def run(self) -> None:
         """Refresh all models until cancelled."""
@@ -44,8 +47,11 @@
         groups: dict[tuple[str, Stage], list[Member]] = {}
         for member in self._engines():
             groups.setdefault((member.runner.service, member.runner.stage), []).append(member)
+        now = trio.current_time()
         for members in groups.values():
             self._refresh_group(members)
+            _fade_excess(members, now - self._refreshed_at)
+        self._refreshed_at = now
         self._log.keep_only(self._fleet.members)
 
     def watch(self, add_gauge: Callable[[str, str, Callable[[], float]], None]) -> None:
@@ -88,4 +94,14 @@
             self._log.note(member, estimates, center)
 
 
+def _fade_excess(members: Sequence[Member], passed_s: float) -> None:
+    """Let the short-term factors that are unusual for a service and stage fade quickly."""
+    now = trio.current_time()
+    usual = median(member.model.transient.factor(now) for member in members)
+    for member in members:
+        decay = excess_decay(member.model.transient.factor(now), usual, passed_s)
+        if decay != 1:
+            member.model.transient.scale(now, decay)
+
+
 __all__ = ('EngineModels',)
