--- a/packages/sesamepoint/src/sesamepoint/front/engines/decision_fields.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/decision_fields.py
@@ -28,6 +28,8 @@
         'rate': round(prompt.tokens / plan.speeds.prefill_speed.prefill_s(prompt.tokens, prompt.tokens)),
         'overhead_ms': whole_ms(plan.speeds.prefill_speed.overhead_s),
         'plain_pause_ms': whole_ms(plan.speeds.plain_pause_s),
+        'engine_factor': round(plan.view.prefill_factor, 2),
+        'engine_pause_ms': whole_ms(plan.view.plain_pause_s),
     }
 
 
