--- a/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/route/time_correction.py
@@ -32,6 +32,11 @@
         self._log_factor = self._decayed(now) + LEARNING_RATE * bounded
         self._observed_at = now
 
+    def scale(self, now: float, factor: float) -> None:
+        """Multiply the factor by ``factor``."""
+        self._log_factor = self._decayed(now) + math.log(factor)
+        self._observed_at = now
+
     def factor(self, now: float) -> float:
         """Return the factor to multiply expected times by."""
         return math.exp(self._decayed(now))
