Share the health of runners among all instances

Cause: each instance learned alone that a runner fails, and the ejection of one of three plain runners had no effect, because a share of 0.7 of the runners stays in use. Trials after an ejection were any requests of callers.

Change: RunnerHealthMessage carries what each instance observes; RunnerHealth is the only place that decides on an ejection, by own evidence or by that of two or more instances. A runner returns through one probe at a time. Plain runners stay in use if the others can't carry the known load. They are chosen by the known total occupancy; the choice by own requests in flight stays available as method 'own'. The import cycle of fleet_member, runner_limits, runner_status and send_check is removed by a protocol and a module for the name of a source.

Failed try: a choice by occupancy times response time never used a runner again whose response time was unknown or once long.

--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -0,0 +1,233 @@
+"""Reports of instances about a runner, and the windows that they count in."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from sesamepoint_core.bounded_dict import drop_oldest
+from sesamepoint_core.serving.poison_requests import Incarnation
+
+# Highest count that is accepted from a peer; a false report must not outweigh all others.
+MAX_COUNT = 1_000_000
+# Longest response time that is accepted from a peer, in seconds.
+MAX_RESPONSE_S = 3600
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+WindowNumber = Annotated[int, msgspec.Meta(ge=0)]
+MeanCount = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+ResponseS = Annotated[float, msgspec.Meta(ge=0, le=MAX_RESPONSE_S)]
+# Weight of the newest response in the mean response time.
+RESPONSE_GAIN = 0.1
+# Shortest length of a window, in seconds.
+WINDOW_S = 2.0
+# Most peers whose reports on one runner are kept; those first heard of go first.
+MAX_PEERS = 1024
+# Decimal places of times and mean counts in reports.
+PLACES = 3
+
+
+class ProbeState(IntEnum):
+    """State of the latest probe of a reporter."""
+
+    none = 0
+    # The health page reports the runner healthy; requests may be sent as trials.
+    opened = 1
+    # A request was sent as a trial.
+    sent = 2
+    failed = 3
+    passed = 4
+
+
+class RunnerReport(NamedTuple):
+    """What one instance observed at a runner in its current window.
+
+    Parameters
+    ----------
+    window
+        Number of the sender's window; the counts of one window only grow.
+    in_flight
+        Mean number of its requests in flight since its last report.
+    response_s
+        Mean response time in seconds; 0 if unknown.
+    repeatable
+        Whether requests that may be repeated came to the runner's service lately.
+    """
+
+    incarnation: Incarnation
+    window: WindowNumber
+    successes: Count
+    failures: Count
+    connect_failures: Count
+    rejections: Count
+    in_flight: MeanCount
+    response_s: ResponseS
+    repeatable: bool = False
+    probe: ProbeState = ProbeState.none
+
+
+class Counts(NamedTuple):
+    """Numbers of outcomes."""
+
+    successes: int = 0
+    failures: int = 0
+    connect_failures: int = 0
+    rejections: int = 0
+
+    def minus(self, earlier: Counts) -> Counts:
+        """Return what was counted since ``earlier``; nothing if this is the older one."""
+        return Counts(*(max(mine - other, 0) for mine, other in zip(self, earlier, strict=True)))
+
+
+class OwnWindow:
+    """Outcomes and load that this instance observes at one runner."""
+
+    def __init__(self) -> None:
+        """Start with an empty window."""
+        self.counts = Counts()
+        self.response_s: float = 0
+        self.probe = ProbeState.none
+        self._number = 0
+        self._began_at: float = 0
+        self._level = 0
+        self._level_at: float = 0
+        self._busy_s: float = 0
+        self._reported_at: float = 0
+        self._reported: tuple[object, ...] = (Counts(), ProbeState.none, 0)
+
+    def note_success(self, took_s: float) -> None:
+        """Count an answer that took ``took_s`` seconds."""
+        self.counts = self.counts._replace(successes=self.counts.successes + 1)
+        gain = RESPONSE_GAIN if self.response_s else 1
+        self.response_s += gain * (took_s - self.response_s)
+
+    def note_failure(self) -> None:
+        """Count a failure."""
+        self.counts = self.counts._replace(failures=self.counts.failures + 1)
+
+    def note_connect_failure(self) -> None:
+        """Count a failure to connect."""
+        self.counts = self.counts._replace(connect_failures=self.counts.connect_failures + 1)
+
+    def note_rejection(self) -> None:
+        """Count a rejected request."""
+        self.counts = self.counts._replace(rejections=self.counts.rejections + 1)
+
+    def note_level(self, in_flight: int, now: float) -> None:
+        """Note how many requests are in flight from now on."""
+        self._busy_s += self._level * (now - self._level_at)
+        self._level = in_flight
+        self._level_at = now
+
+    def mean_in_flight(self, now: float) -> float:
+        """Return the mean number of requests in flight since the last report."""
+        span_s = now - self._reported_at
+        busy_s = self._busy_s + self._level * (now - self._level_at)
+        return round(busy_s / span_s, PLACES) if span_s > 0 else self._level
+
+    def changed(self, now: float) -> bool:
+        """Tell whether there is anything to report."""
+        return self._reported != (self.counts, self.probe, self.mean_in_flight(now))
+
+    def report(self, incarnation: Incarnation, now: float, *, repeatable: bool) -> RunnerReport:
+        """Return the report on the current window."""
+        return RunnerReport(
+            incarnation,
+            self._number,
+            *self.counts,
+            self.mean_in_flight(now),
+            round(self.response_s, PLACES),
+            repeatable,
+            self.probe,
+        )
+
+    def note_reported(self, now: float) -> None:
+        """Note that a report was sent, and begin a new window if this one is long enough."""
+        mean = self.mean_in_flight(now)
+        self.note_level(self._level, now)
+        self._busy_s = 0
+        self._reported_at = now
+        if now - self._began_at >= WINDOW_S:
+            self._began_at = now
+            self._number += 1
+            self.counts = Counts()
+            self.probe = ProbeState.none
+        self._reported = (self.counts, self.probe, mean)
+
+
+class PeerWindow:
+    """The latest report of one peer about one runner."""
+
+    def __init__(self) -> None:
+        """Start without a report."""
+        self._report: RunnerReport | None = None
+        self._expires_at: float = 0
+
+    def take(self, report: RunnerReport, now: float, ttl_s: float) -> NewlyReported | None:
+        """Return what ``report`` adds to the latest one; None if it is late or a duplicate.
+
+        An expired report no longer counts, so that the reports of a restarted peer,
+        whose windows are numbered from zero again, are accepted.
+        """
+        earlier = self._report if self.live(now) else None
+        if earlier is not None and (report.window < earlier.window or report == earlier):
+            return None
+        same = earlier is not None and report.window == earlier.window
+        known = _counts(earlier) if same and earlier is not None else Counts()
+        if any(new < old for new, old in zip(_counts(report), known, strict=True)):
+            return None
+        probe = ProbeState.none if same and earlier is not None and report.probe is earlier.probe else report.probe
+        self._report = report
+        self._expires_at = now + ttl_s
+        return NewlyReported(_counts(report).minus(known), probe)
+
+    def live(self, now: float) -> bool:
+        """Tell whether the report has not expired."""
+        return self._report is not None and now < self._expires_at
+
+    def in_flight(self, now: float) -> float:
+        """Return the mean number of requests of the peer in flight; 0 if the report has expired."""
+        return self._report.in_flight if self._report is not None and self.live(now) else 0
+
+    def response_s(self, now: float) -> float:
+        """Return the mean response time that the peer observed; 0 if it is unknown."""
+        return self._report.response_s if self._report is not None and self.live(now) else 0
+
+
+class PeerWindows:
+    """The latest reports of all peers about one runner."""
+
+    def __init__(self) -> None:
+        """Start without reports."""
+        self._windows: dict[str, PeerWindow] = {}
+
+    def take(self, peer: str, report: RunnerReport, now: float, ttl_s: float) -> NewlyReported | None:
+        """Return what a report of ``peer`` adds; None if it is late or a duplicate."""
+        new = self._windows.setdefault(peer, PeerWindow()).take(report, now, ttl_s)
+        drop_oldest(self._windows, MAX_PEERS)
+        return new
+
+    def in_flight(self, now: float) -> float:
+        """Return how many requests of the peers are in flight, by their reports."""
+        return sum(window.in_flight(now) for window in self._windows.values())
+
+    def response_s(self, now: float) -> float:
+        """Return the mean response time that peers observed, in seconds; 0 if it is unknown."""
+        observed = [window.response_s(now) for window in self._windows.values()]
+        known = [seconds for seconds in observed if seconds]
+        return sum(known) / len(known) if known else 0
+
+
+class NewlyReported(NamedTuple):
+    """What a report adds to the one before: outcomes, and the state of a probe if it changed."""
+
+    counts: Counts
+    probe: ProbeState
+
+
+def _counts(report: RunnerReport) -> Counts:
+    return Counts(report.successes, report.failures, report.connect_failures, report.rejections)
+
+
+__all__ = ('WINDOW_S', 'Counts', 'NewlyReported', 'OwnWindow', 'PeerWindows', 'ProbeState', 'RunnerReport')
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
@@ -93,11 +93,14 @@
         Most connections to one runner from all instances of the system together.
     engine
         Capacity of an engine; None if the runners are no engines.
+    health_path
+        Path of the health page of a runner; empty if it has none.
     """
 
     name: str
     max_conns: int
     engine: EngineSpec | None = None
+    health_path: str = ''
 
 
 class CallerLimits(NamedTuple):
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -27,6 +27,7 @@
     from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
+HEALTH_PATH = b'/healthz'
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 SURPLUS_ANSWER = (
@@ -92,6 +93,8 @@
     loses: float = 0
     answers_twice: bool = False
     unsigned: bool = False
+    # Whether the health page reports a failure; by itself it reports the runner healthy.
+    unhealthy_page: bool = False
 
 
 @dataclass
@@ -136,6 +139,8 @@
     # Called when such a request starts to run.
     on_crash: Callable[[RunnerStandIn], None] | None = None
     runs: list[Run] = field(default_factory=list)
+    # Times of calls to the health page.
+    health_calls: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Start without requests."""
@@ -194,21 +199,24 @@
         self._record_arrival(message, transport)
         if message.head.method == b'DELETE':
             self._kv_handles.pop(message.head.target.decode().rpartition('/')[2], None)
-            await conn.send_whole(STATUS_OK, self._status_headers(transport), b'')
-            return
+            return await conn.send_whole(STATUS_OK, self._status_headers(transport), b'')
+        if message.head.target == HEALTH_PATH:
+            self.health_calls.append(trio.current_time())
+            status = STATUS_UNAVAILABLE if self.faults.unhealthy_page else STATUS_OK
+            return await conn.send_whole(status, self._status_headers(transport, status), b'')
         if message.head.target == wire_names.KV_LIST_PATH.encode():
             self.inventory_calls += 1
             held = [['', part.key, part.tokens, 'm'] for part in self.cache.blocks]
             inventory = {'epoch': 1, 'next_token': 0, 'held': held}
             body = msgspec.json.encode({**inventory, 'born': self.born_ms} if self.born_ms else inventory)
             status = STATUS_OK if self.serves_inventory and not self.faults.rejects else STATUS_UNAVAILABLE
-            await conn.send_whole(status, self._status_headers(transport, status), body)
-            return
+            return await conn.send_whole(status, self._status_headers(transport, status), body)
         with single_error():
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_when_gone, conn, nursery.cancel_scope)
                 await self._run(conn, message, transport)
                 nursery.cancel_scope.cancel()
+        return None
 
     def _record_arrival(self, message: ReceivedRequest, transport: Transport) -> None:
         self.arrivals.append(trio.current_time())
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint.front.engines.engine_queue import EngineQueue
+from sesamepoint.front.fleet_health.plain_choice import PlainChoice
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
@@ -48,7 +49,8 @@
         rng
             Source of random delays.
         """
-        selector = RunnerSelector(subset, availability_zone, sends.backlog, runner_statuses.limits)
+        plain_choice = PlainChoice(availability_zone, rng)
+        selector = RunnerSelector(subset, availability_zone, sends.backlog, runner_statuses.limits, plain_choice)
         engine_queue = EngineQueue(selector, sends, rng)
         return cls(
             selector,
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -266,8 +266,9 @@
         self._selector.pause_meter(job.service).observe(pause_s)
 
     def _observe_prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member, took_s: float) -> None:
-        member.health.note_success()
-        member.pace.observe(trio.current_time(), plan.placement.first_s - DECODE_STEP_S, took_s)
+        now = trio.current_time()
+        member.health.note_success(now, now - took_s)
+        member.pace.observe(now, plan.placement.first_s - DECODE_STEP_S, took_s)
         job.trace.prefill_s = took_s
         if plan.view.wait_s == 0 and plan.view.fetch_tokens == 0:
             self._selector.speed_meter(job.service).observe(plan.view.uncached_tokens, prompt.tokens, took_s)
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -76,7 +76,7 @@
             return await _exchange(req, target, reply)
     finally:
         member.in_flight -= 1
-        member.health.note_settled(ticket)
+        member.health.note_settled(ticket, trio.current_time())
     return PrefillFailed('no answer in time', timed_out=True)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -10,12 +10,12 @@
 from sesamepoint.front.http_handler import HttpHandler
 from sesamepoint.front.engines.engine_runs import EngineRuns
 from sesamepoint.front.dispatch_components import DispatchComponents
+from sesamepoint.front.fleet_health.shared_health import SharedHealth
 from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.front.store.store_sync import StoreSync, SyncTargets
 from sesamepoint.front.runners.send_check import SendCheck
 from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint.front.runners.engine_subset import EngineSubset
-from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint.front.runners.limit_exchange import LimitExchange
 from sesamepoint.front.peering.peers import Peers
 from sesamepoint.front.quarantine.quarantine import Quarantine
@@ -58,9 +58,8 @@
     ) -> None:
         """Create the components without starting them; without a clock the system clock is used."""
         self.cfg = cfg
-        self._runner_limits = RunnerLimits(cfg.name, rng)
         quarantine = Quarantine(cfg.name)
-        send_check = SendCheck.from_limits(self._runner_limits, quarantine.suspects)
+        send_check = SendCheck.for_instance(cfg.name, rng, quarantine.suspects)
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time, send_check)
         sends = SendTracker(cfg.name, self.fleet, rng)
         self.backlog = sends.backlog
@@ -71,6 +70,8 @@
         self._components = DispatchComponents.build(
             cfg.availability_zone, engine_subset, sends, send_check.runner_statuses, rng
         )
+        eligible = self._components.selector.eligible
+        self._shared_health = SharedHealth(self.fleet, engine_subset, self.peers, eligible)
         self._limit_exchange = LimitExchange(self._components, self.fleet, engine_subset, self.peers)
         self.dispatcher = Dispatcher(self._components, EngineRuns(self._components), quarantine, budgets, rng)
         sync_targets = SyncTargets(
@@ -93,6 +94,7 @@
             Child('handles', self._components.reclaimer.run),
             Child('waiting', self._components.engine_queue.run),
             Child('inventory', self._inventory.run),
+            *self._shared_health.children(),
             Child('runner-limits', self._limit_exchange.run),
         ]
 
@@ -134,7 +136,8 @@
                 'Requests that wait for runners with limits, or at rest.',
                 components.permit_queue.count,
             ),
-            ('limited_runners', 'Runners that name a limit.', self._runner_limits.count),
+            ('limited_runners', 'Runners that name a limit.', self._components.limits.count),
+            ('ejected_runners', 'Runners that are ejected here.', self._shared_health.count_ejected),
             ('leaving_runners', 'Runners that leave.', fleet.count_draining),
             ('resting_runners', 'Runners that want nothing from here now.', fleet.count_backing_off),
             ('configuration_version', 'Version in force; 0 before the first.', self._config_version),
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -96,7 +96,7 @@
                 return await self._exchange(member)
         finally:
             member.in_flight -= 1
-            member.health.note_settled(self._health_ticket)
+            member.health.note_settled(self._health_ticket, trio.current_time())
         return Silent()
 
     async def _exchange(self, member: Member) -> AttemptResult:
@@ -193,9 +193,8 @@
         if self.first_output_at is None:
             await trio.lowlevel.checkpoint_if_cancelled()
             self.first_output_at = trio.current_time()
-            self._target.member.health.note_activity(self.first_output_at)
             self._silence_scope.deadline = math.inf
-            self._target.member.health.note_settled(self._health_ticket)
+            self._target.member.health.note_first_output(self._health_ticket, self.first_output_at)
             if self._target.on_first_output:
                 self._target.on_first_output()
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.requests.attempt import Attempt, Target
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
-from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.requests.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
 from sesamepoint.platform.headers import AttemptHeaders
 
@@ -115,13 +115,13 @@
     elif member.backing_off:
         return
     elif not failure.timed_out or not member.health.active_since(started):
-        note_failure(member, failure.cause)
+        note_failure(member, failure.cause, started)
 
 
-def note_failure(member: Member, cause: str, *, answered: bool = False) -> None:
-    """Count a failure of ``member``, which may eject it for a time."""
-    if member.health.note_failure(trio.current_time(), answered=answered):
-        events.log_event(events.RUNNER_EJECTED, runner=member.runner.key, cause=cause)
+def note_failure(member: Member, cause: str, sent_at: float, *, answered: bool = False) -> None:
+    """Count a failure of a request sent to ``member`` at ``sent_at``, which may eject it for a time."""
+    if member.health.note_failure(trio.current_time(), answered=answered, sent_at=sent_at):
+        _log_ejection(member, cause)
 
 
 def may_retry(job: Job, outcome: AttemptResult) -> bool:
@@ -164,7 +164,7 @@
 def _note_outcome(job: Job, target: Target, outcome: AttemptResult, started: float) -> None:
     member = target.member
     if isinstance(outcome, Relayed):
-        member.health.note_success()
+        member.health.note_success(trio.current_time(), started)
         return
     if isinstance(outcome, Unsent):
         job.sends -= 1
@@ -190,7 +190,28 @@
     if isinstance(outcome, Silent) and member.health.active_since(started):
         # The runner is busy, not dead: it has answered other requests since.
         return
-    note_failure(member, outcome.tag, answered=isinstance(outcome, RunFailed))
+    if isinstance(outcome, Rejected):
+        _note_rejection(member, started)
+        return
+    note_failure(member, outcome.tag, started, answered=isinstance(outcome, RunFailed))
+
+
+def _note_rejection(member: Member, sent_at: float) -> None:
+    if member.health.note_rejection(trio.current_time(), sent_at):
+        _log_ejection(member, Rejected.tag)
+
+
+def _log_ejection(member: Member, cause: str) -> None:
+    health = member.health
+    now = trio.current_time()
+    events.log_event(
+        events.RUNNER_EJECTED,
+        runner=member.runner.key,
+        cause=cause,
+        reporters=health.evidence.reporters(now),
+        failure_share=round(health.failures.recent, 3),
+        retry_s=round(health.half_open.retry_at - now, 3),
+    )
 
 
 __all__ = (
--- a/packages/sesamepoint/src/sesamepoint/front/runners/eligibility.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/eligibility.py
@@ -7,10 +7,13 @@
 
 import trio
 
+from sesamepoint_core.fleet_health.half_open import TrialRequest
+from sesamepoint_core.fleet_health.kept_runners import RunnerLoad, kept_runners
+from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint_core.serving.runner import Stage
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint.front.runners.engine_subset import EngineSubset
@@ -18,9 +21,10 @@
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.runners.runner_limits import RunnerLimits
 
-# At least this share of a service's runners stays in use, however many fail, as long as
-# they answer some requests: fewer could not carry the load.
-MIN_ELIGIBLE_SHARE = 0.7
+# At least this share of the engines of a service stays in use, however many fail, as long as
+# they answer some requests. Each of many engines loses some answers at times, and their load,
+# unlike that of plain runners, is not known from the number of requests in flight.
+MIN_ENGINE_SHARE = 0.7
 
 
 class EligibleRunners:
@@ -30,6 +34,10 @@
         """Use the runners of an instance's subset, with their rate ``limits``."""
         self._subset = subset
         self._limits = limits
+        # Tells whether a request may be sent to an ejected runner as a trial.
+        self.may_try: Callable[[Member, Job], bool] = _may_try_alone
+        # Called with each request for which a runner is chosen.
+        self.on_request: Callable[[Job], None] | None = None
 
     def not_admitting(self, job: Job) -> frozenset[Incarnation]:
         """Return the runners that could run ``job`` but don't admit it now, by limit or back-off."""
@@ -58,9 +66,11 @@
     def healthy(self, job: Job) -> list[Member]:
         """Return the healthy runners for ``job``, whatever their rate limits.
 
-        Runners in back-off are excluded, and don't count towards the share of a
-        service's runners that stays in use.
+        Runners in back-off are excluded. Ejected ones are included if the request
+        may be a trial for them, or if the others can't carry the load.
         """
+        if self.on_request is not None:
+            self.on_request(job)
         now = trio.current_time()
         untried = self._untried(job)
         available = [member for member in untried if not member.backing_off]
@@ -69,13 +79,16 @@
         preferred = [member for member in available if not member.backing_off_peer] or available
         note_passed_over(job, untried, preferred)
         healthy = [member for member in preferred if member.health.eligible(now)]
-        missing = math.ceil(MIN_ELIGIBLE_SHARE * len(preferred)) - len(healthy)
-        if missing <= 0:
+        failing = [member for member in preferred if member not in healthy]
+        if not failing:
             return healthy
-        # If many runners fail at times, each ejected one adds load to the others, so the least failing are kept.
-        flaky = [member for member in preferred if member not in healthy and member.health.partly_works(now)]
-        flaky.sort(key=_failing)
-        return healthy + flaky[:missing] or preferred
+        kept = (
+            _kept_plain(healthy, failing)
+            if failing[0].runner.stage is Stage.plain
+            else _kept_engines(preferred, healthy)
+        )
+        trials = [member for member in failing if member not in kept and self.may_try(member, job)]
+        return [*healthy, *kept, *trials]
 
     def _untried(self, job: Job) -> list[Member]:
         untried = [
@@ -101,8 +114,39 @@
     return member.runner.stage is not Stage.prefill
 
 
+def _kept_engines(preferred: Sequence[Member], healthy: Sequence[Member]) -> list[Member]:
+    """Return the failing engines that stay in use: the least failing ones, or all if no engine works."""
+    now = trio.current_time()
+    missing = math.ceil(MIN_ENGINE_SHARE * len(preferred)) - len(healthy)
+    flaky = [member for member in preferred if member not in healthy and member.health.partly_works(now)]
+    flaky.sort(key=_failing)
+    kept = flaky[: max(missing, 0)]
+    return kept if healthy or kept else list(preferred)
+
+
+def _kept_plain(healthy: Sequence[Member], failing: Sequence[Member]) -> list[Member]:
+    """Return the failing plain runners that stay in use because the others can't carry the load."""
+    kept = kept_runners([_load(member) for member in healthy], [_load(member) for member in failing])
+    return [member for member in failing if member.runner.key in kept]
+
+
+def _load(member: Member) -> RunnerLoad:
+    now = trio.current_time()
+    health = member.health
+    in_flight = member.in_flight + health.peers.in_flight(now)
+    return RunnerLoad(
+        member.runner.key, member.runner.slots, in_flight, health.failures.recent, health.partly_works(now)
+    )
+
+
+def _may_try_alone(member: Member, job: Job) -> bool:
+    """Tell whether a request may be a trial for an instance that has no peers."""
+    repeatable = job.route.repeat is not RepeatPolicy.never
+    return member.health.admits_trial(trio.current_time(), TrialRequest(repeatable))
+
+
 def _failing(member: Member) -> float:
-    return member.health.failure_share
+    return member.health.failures.recent
 
 
 __all__ = ('EligibleRunners', 'note_passed_over')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -52,10 +53,14 @@
         self._grace_s = drain_s * GRACE_SHARE
         self._now = now
         self._kv_tokens: dict[str, int] = {}
+        # Paths of health pages by service; empty for a service that has none.
+        self.health_paths: dict[str, str] = {}
         self._newest_born_ms: dict[str, int] = {}
         self.changes = 0
         # Called when another incarnation answers at the address of a runner.
         self.on_replaced: Callable[[Incarnation], None] | None = None
+        # Called with a member of whose health peers must learn at once.
+        self.on_health_urgent: Callable[[Member], None] | None = None
         self._changed = trio.Event()
         self._sizes: Counter[tuple[str, Stage]] = Counter()
         self._sizes_at = -1
@@ -67,7 +72,8 @@
         self._grace_s = drain_s * GRACE_SHARE
 
     def configure(self, cfg: Configuration) -> None:
-        """Set the KV cache sizes of engines, registered ones included."""
+        """Set the paths of health pages, and the KV cache sizes of engines, registered ones included."""
+        self.health_paths = {service.name: service.health_path for service in cfg.services.values()}
         for service in cfg.services.values():
             if service.engine:
                 self._kv_tokens[service.name] = service.engine.kv_tokens
@@ -196,12 +202,18 @@
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
         member = Member(runner, self._network, self._send_check, kv_tokens)
         member.on_replaced = self.on_replaced
+        member.health.on_urgent = partial(self._note_health_urgent, member)
+        member.health.on_returned = partial(_log_returned, runner)
         self.members[runner.key] = member
         self._changed.set()
         self._changed = trio.Event()
         self._joined[0].send_nowait(member)
         events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.draining)
 
+    def _note_health_urgent(self, member: Member) -> None:
+        if self.on_health_urgent is not None:
+            self.on_health_urgent(member)
+
     def _remember_incarnation(self, runner: Runner) -> None:
         self._newest_born_ms.pop(runner.key, None)
         self._newest_born_ms[runner.key] = runner.born_ms
@@ -216,4 +228,8 @@
                 self.changes += 1
 
 
+def _log_returned(runner: Runner) -> None:
+    events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
+
+
 __all__ = ('Fleet',)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -8,15 +8,15 @@
 
 import trio
 
+from sesamepoint_core.fleet_health.runner_health import RunnerHealth
 from sesamepoint_core.route.time_correction import TimeCorrection
 from sesamepoint_core.serving.engine_load import EngineLoad
-from sesamepoint_core.serving.health import RunnerHealth
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.loss_meter import LossMeter
 from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint import events
 from sesamepoint.front.runners.connection_pool import ConnectionPool
-from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.runners.send_check import PendingSend, SendBlockedError, SendKind
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
 # of 24 requests was answered 0.9 s later in a network where connections got no reply.
 PROBE_TTL_S = 0.1
 # Calls that are not requests of callers and don't count as requests in progress.
-MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory))
+MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory, SendKind.health_call))
 
 
 class Member:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_limits.py
@@ -10,13 +10,13 @@
 from sesamepoint_core.runner_limit.known_limit import FIRST_IN_FLIGHT
 from sesamepoint_core.runner_limit.shared_limit import STARTUP_HOLD_S, SharedLimit
 from sesamepoint import events
-from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.status_sources import FROM_ANSWER
 
 if TYPE_CHECKING:
     from random import Random
 
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.runners.known_runner import KnownRunner
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 
@@ -58,11 +58,11 @@
         """Return whether a runner has a limit, or one that ended lately and still grows."""
         return self._active(incarnation) is not None
 
-    def admits(self, member: Member, job: Job) -> bool:
+    def admits(self, member: KnownRunner, job: Job) -> bool:
         """Return whether the limit lets ``job`` be sent to ``member`` now."""
         return member.in_flight < self.max_in_flight(member) and self.has_permit(member.incarnation, job)
 
-    def max_in_flight(self, member: Member) -> float:
+    def max_in_flight(self, member: KnownRunner) -> float:
         """Return how many requests may be in flight at ``member``; bounded until it answers or has a known limit."""
         if member.answered or self.limited(member.incarnation):
             return math.inf
@@ -73,7 +73,7 @@
         limit = self._active(incarnation)
         return limit is None or incarnation in job.access.permits or limit.available(trio.current_time()) > 0
 
-    def reserve_if_limited(self, member: Member, job: Job) -> bool:
+    def reserve_if_limited(self, member: KnownRunner, job: Job) -> bool:
         """Reserve a permit if ``job`` needs one for ``member``; return whether it may be sent."""
         incarnation = member.incarnation
         if incarnation in job.access.permits or self._active(incarnation) is None:
@@ -118,7 +118,7 @@
         rate = limit.known.allowed_rate(trio.current_time()) if limit else None
         return 1 / rate if rate else 0
 
-    def permit_wait_s(self, member: Member, job: Job) -> float:
+    def permit_wait_s(self, member: KnownRunner, job: Job) -> float:
         """Return how many seconds ``job`` can expect to wait for a permit for ``member``."""
         if self.admits(member, job):
             return 0
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING
 
 import trio
@@ -11,6 +12,7 @@
 from sesamepoint_core.serving.runner import Stage
 from sesamepoint_core.serving.speed_meters import PauseMeter, PrefillSpeedMeter
 from sesamepoint.front.engines.backlog import Need, QueueKey
+from sesamepoint.front.fleet_health.plain_choice import PlainChoice
 from sesamepoint.front.runners.eligibility import EligibleRunners, note_passed_over
 from sesamepoint.front.engines.engine_plan import Candidate, EnginePlan, EngineViews, plan_for
 
@@ -28,9 +30,6 @@
 
 # Used for a service whose link and cache sizes are not published: a transfer costs nothing.
 DEFAULT_TRANSFER_TOKENS_S = 1e9
-# A runner in another zone counts as if it had this many more requests in flight.
-# Crossing zones costs 1.5 ms each way; a request takes tens of milliseconds.
-ZONE_PENALTY_REQUESTS = 0.5
 # Highest rank of a request that can be on time, and the rank of one that can't.
 # Late requests wait behind all others, so that they make no others late.
 MAX_RANK = 4
@@ -52,7 +51,14 @@
 class RunnerSelector:
     """Selects runners by estimates that include the sends of all instances."""
 
-    def __init__(self, subset: EngineSubset, availability_zone: str, backlog: Backlog, limits: RunnerLimits) -> None:
+    def __init__(
+        self,
+        subset: EngineSubset,
+        availability_zone: str,
+        backlog: Backlog,
+        limits: RunnerLimits,
+        plain_choice: PlainChoice | None = None,
+    ) -> None:
         """Select from the instance's subset of engines.
 
         Parameters
@@ -63,12 +69,14 @@
             Requests queued for engines, here and at peers.
         limits
             Rate limits of the runners.
+        plain_choice
+            Chooses among plain runners; without one, by the requests of this instance.
         """
         self._subset = subset
         self._limits = limits
         self.eligible = EligibleRunners(subset, limits)
         self._backlog = backlog
-        self._availability_zone = availability_zone
+        self._plain_choice = plain_choice or PlainChoice(availability_zone, Random(0), 'own')
         self._speed_meters: dict[str, PrefillSpeedMeter] = {}
         self._pause_meters: dict[str, PauseMeter] = {}
         self._slot_s: dict[str, float] = {}
@@ -103,9 +111,12 @@
         self._slot_s[route] = average_s + SLOT_SMOOTHING * (took_s - average_s)
 
     def plain_runner(self, job: Job) -> Member | None:
-        """Return the eligible runner with the fewest requests in flight, preferring this instance's zone."""
+        """Return the runner to send ``job`` to, first one that needs it as a trial; None if there is none."""
+        now = trio.current_time()
         eligible = self.eligible.for_job(job)
-        return min(eligible, key=self._load_score, default=None)
+        ejected = (member for member in eligible if not member.health.eligible(now))
+        trial = next((member for member in ejected if self.eligible.may_try(member, job)), None)
+        return trial or self._plain_choice.choose(eligible, _lost_cost_s(job))
 
     def plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Return the placement of least cost; None if no engine can run ``job``.
@@ -179,10 +190,6 @@
         waiting = sum(self._backlog.count_requests(QueueKey(job.service, need), share) for need in needs)
         return QUEUED_WEIGHT + waiting / max(engines, 1)
 
-    def _load_score(self, member: Member) -> float:
-        penalty = 0 if member.runner.zone == self._availability_zone else ZONE_PENALTY_REQUESTS
-        return member.in_flight + penalty
-
     def _cost_inputs(self, job: Job, cfg: Configuration) -> Speeds:
         service = cfg.services.get(job.service)
         engine = service.engine if service else None
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
@@ -13,6 +13,7 @@
 from sesamepoint_core.runner_status.status_headers import BackOff, Draining, NoRateLimit, RateLimit, Unreadable
 from sesamepoint_core.serving.poison_requests import MAX_NAME_CHARS, Incarnation
 from sesamepoint import events
+from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.platform.headers import responding_incarnation
 from sesamepoint.platform.runner_status_headers import UNAVAILABLE, decode_status
 
@@ -29,8 +30,6 @@
 # Least time between two log lines about an undecodable header of one kind from one runner,
 # in seconds: each answer may have one.
 UNREADABLE_LOG_INTERVAL_S = 10.0
-# The source in log lines for what an answer to this instance reported.
-FROM_ANSWER = 'answer'
 # Status of an incarnation that has reported nothing; never modified.
 NO_STATUS = KnownStatus()
 
@@ -165,4 +164,4 @@
         return status
 
 
-__all__ = ('FROM_ANSWER', 'RunnerStatuses')
+__all__ = ('RunnerStatuses',)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -10,13 +10,15 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
+from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint.front.runners.runner_status import RunnerStatuses
 
 if TYPE_CHECKING:
+    from random import Random
+
     from sesamepoint_core.serving.poison_requests import SuspectRequests
-    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.runners.known_runner import KnownRunner
     from sesamepoint.front.requests.job import Job
-    from sesamepoint.front.runners.runner_limits import RunnerLimits
 
 
 class SendKind(StrEnum):
@@ -28,6 +30,7 @@
     remote_decode = 'second_step'
     inventory = 'inventory'
     free_memory = 'free_memory'
+    health_call = 'health_call'
 
 
 class SendPurpose(NamedTuple):
@@ -46,7 +49,7 @@
         Other requests of this instance in progress at the runner.
     """
 
-    member: Member
+    member: KnownRunner
     purpose: SendPurpose
     other_requests: int
 
@@ -83,6 +86,11 @@
         """Build the check of an instance without runner status so far, which keeps rate limits by ``limits``."""
         return cls(RunnerStatuses(limits), suspects)
 
+    @classmethod
+    def for_instance(cls, name: str, rng: Random, suspects: SuspectRequests) -> SendCheck:
+        """Build the check of the instance called ``name``, without runner status and rate limits so far."""
+        return cls.from_limits(RunnerLimits(name, rng), suspects)
+
     def blocked_by(self, pending_send: PendingSend) -> str:
         """Return the name of a condition that blocks the message; empty if there is none."""
         return next((name for name, blocks in self._conditions if blocks(self, pending_send)), '')
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -59,6 +59,8 @@
     name: NonEmptyText
     max_conns: NonNegativeInt
     engine: _Engine | None = None
+    # Without one no health page is called.
+    health_path: str = ''
 
 
 class _Limits(msgspec.Struct):
@@ -104,7 +106,7 @@
     return Configuration.from_parts(
         document.version,
         [_route(record) for record in document.routes],
-        [Service(record.name, record.max_conns, _engine(record.engine)) for record in document.services],
+        [_service(record) for record in document.services],
         CallerLimits(
             head_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -115,6 +117,10 @@
     )
 
 
+def _service(record: _Service) -> Service:
+    return Service(record.name, record.max_conns, _engine(record.engine), record.health_path)
+
+
 def _route(route: _Route) -> Route:
     target_ms = route.timeout_ms if route.target_latency_ms is None else route.target_latency_ms
     return Route(
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/platform/health_call.py
@@ -0,0 +1,28 @@
+"""Call to the health page of a runner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint.http1.messages import RequestHead
+
+if TYPE_CHECKING:
+    from sesamepoint_core.serving.address import Address
+    from sesamepoint.http1.client import ClientConn
+
+STATUS_OK = 200
+
+
+async def call_health_page(conn: ClientConn, address: Address, path: str) -> str:
+    """Return why the health page does not report the runner at ``address`` healthy; empty if it does.
+
+    Raises
+    ------
+    ConnBrokenError
+        If the connection ended before the response.
+    """
+    head, _ = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(address).encode()),)))
+    return '' if head.status == STATUS_OK else f'status {head.status}'
+
+
+__all__ = ('call_health_page',)
--- /dev/null
+++ b/tests/core/fleet_health/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on the health of runners."""
--- a/tests/core/serving/test_models.py
+++ b/tests/core/serving/test_models.py
@@ -5,7 +5,7 @@
 from unittest import TestCase
 
 from sesamepoint_core.serving.engine_load import EngineLoad, PrefillWork, Stream
-from sesamepoint_core.serving.health import FAILURES_TO_EJECT, MIN_EJECTION_S, SILENCE_TIMEOUT_S, RunnerHealth
+from sesamepoint_core.serving.health import SILENCE_TIMEOUT_S, RunnerSilence
 from sesamepoint_core.serving.kv_cache import BLOCK_MEMORY_SHARE, CacheModel
 from sesamepoint_core.serving.speed_meters import PauseMeter, PrefillSpeed, PrefillSpeedMeter
 from tests.core.serving.builders import blocks
@@ -124,48 +124,16 @@
         self.assertLess(meter.plain_s, 0.1)
 
 
-class HealthTest(TestCase):
-    """Runners that fail, hang and recover."""
-
-    def test_eject_and_return(self) -> None:
-        health = RunnerHealth()
-        ejected = [health.note_failure(10) for _ in range(FAILURES_TO_EJECT)]
-        self.assertEqual(ejected, [False, False, True])
-        self.assertFalse(health.eligible(10 + MIN_EJECTION_S / 2))
-        self.assertTrue(health.eligible(10 + MIN_EJECTION_S))
-
-    def test_eject_again_at_once(self) -> None:
-        health = RunnerHealth()
-        for _ in range(FAILURES_TO_EJECT):
-            health.note_failure(10)
-        self.assertTrue(health.note_failure(12))
-        self.assertFalse(health.eligible(12 + MIN_EJECTION_S))
-
-    def test_eject_alternating_failures(self) -> None:
-        """Every other request fails, never three in a row."""
-        health = RunnerHealth()
-        ejected = False
-        for _ in range(20):
-            health.note_success()
-            ejected = health.note_failure(10) or ejected
-        self.assertTrue(ejected)
-
-    def test_sound_runner_stays(self) -> None:
-        """One answer in seven fails, as at healthy services, sometimes three in a row: no ejection."""
-        health = RunnerHealth()
-        for _ in range(30):
-            for _ in range(3):
-                self.assertFalse(health.note_failure(10, answered=True))
-            for _ in range(18):
-                health.note_success()
+class SilenceTest(TestCase):
+    """Runners that hang."""
 
     def test_silent(self) -> None:
         """A runner with a request outstanding sends nothing; one that answers other requests is only busy."""
-        health = RunnerHealth()
+        health = RunnerSilence()
         ticket = health.note_sent(10)
         self.assertFalse(health.silent(10 + SILENCE_TIMEOUT_S / 2))
         self.assertTrue(health.silent(10.1 + SILENCE_TIMEOUT_S))
         health.note_activity(10.1 + SILENCE_TIMEOUT_S)
         self.assertFalse(health.silent(10.2 + SILENCE_TIMEOUT_S))
-        health.note_settled(ticket)
+        health.note_settled(ticket, 11)
         self.assertFalse(health.silent(99))
--- a/tests/front/send_check_bench.py
+++ b/tests/front/send_check_bench.py
@@ -4,17 +4,16 @@
 
 from functools import partial
 from random import Random
-from types import MappingProxyType
+from types import MappingProxyType, SimpleNamespace
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_core.runner_status.status_headers import BackOff, RateLimit
-from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
-from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.requests.attempt import Attempt, Target
 from sesamepoint.front.engines.cache_inventory import CacheInventory
+from sesamepoint.front.fleet_health.probing import Probing
 from sesamepoint.front.runners.engine_subset import EngineSubset
 from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.front.requests.job import Job
@@ -22,7 +21,7 @@
 from sesamepoint.front.requests.reply import Reply
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.platform.headers import AttemptHeaders
-from tests.front.builders import permissive_send_check, tag_request
+from tests.front.builders import permissive_send_check, registered_engine, tag_request
 from tests.front.silent_network import SlowNetwork
 
 if TYPE_CHECKING:
@@ -63,7 +62,7 @@
     network = SlowNetwork()
     send_check = permissive_send_check()
     fleet = Fleet(2.0, network, trio.current_time, send_check)
-    fleet.replace_all([Runner('i-1', 'llm', Address('10.0.0.1', 80), 'z1', 24, draining=False, stage=Stage.decode)])
+    fleet.replace_all([registered_engine()])
     share = ServiceShare('llm', 1)
     route = Route('tag', 'x', '/', RepeatPolicy.resume, True, 5.0, 0.25, 0.15, 2, 0, (share,))
     return SendCheckBench(network, send_check, fleet, Job(tag_request(), route, 'llm', _reply()))
@@ -97,6 +96,14 @@
         await reclaimer.run()
 
 
+async def call_health_page(bench: SendCheckBench) -> None:
+    """Call the health page of an ejected engine."""
+    bench.fleet.health_paths['llm'] = '/healthz'
+    peers = SimpleNamespace(name='front-1', peer_names=tuple)
+    probing = Probing(bench.fleet, EngineSubset('front-1', bench.fleet), peers)  # type: ignore[arg-type]
+    await probing.call_health_page(bench.member)
+
+
 SEND_CALLS: Mapping[SendKind, SendCall] = MappingProxyType(
     {
         SendKind.run: partial(send_run, SendKind.run),
@@ -104,6 +111,7 @@
         SendKind.remote_prefill: send_remote_prefill,
         SendKind.inventory: request_inventory,
         SendKind.free_memory: free_memory,
+        SendKind.health_call: call_health_page,
     }
 )
 
--- a/tests/front/test_back_off.py
+++ b/tests/front/test_back_off.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from sesamepoint_core.serving.health import MAX_EJECTION_S
+from sesamepoint_core.fleet_health.half_open import MAX_EJECTION_S
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.status_bounds import back_off_violations
 from tests.front.builders import configuration, new_prompt_request, new_request
