Tests of runner health; failures of one reporter don't change the placement of others

Cause: a test with a bad link of one instance found that its peers avoided the healthy runner for 0.94 s: its failures counted in their share of failures, and its attempts to connect in the load that it reported.

Change: peers' failures count for the placement from two reporters on. A request is load on a runner only from the moment that it has a connection.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/kept_runners.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/kept_runners.py
@@ -51,7 +51,7 @@
         if load.answers and carried < demand:
             kept.append(load)
             carried += _capacity(load)
-    return [load.runner for load in kept]
+    return [one.runner for one in kept]
 
 
 def _capacity(load: RunnerLoad) -> float:
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
@@ -47,6 +47,7 @@
         self.on_returned: Callable[[], None] | None = None
         self.evidence = Evidence()
         self.peers = PeerWindows()
+        self._connected: set[int] = set()
         self.failures = FailureShare()
         self._connect_failures = 0
         # When this instance sent its trial; infinite if none is under way.
@@ -64,24 +65,24 @@
         """Tell whether the runner answers some requests, even if it is ejected."""
         return not self.silent(now) and self._connect_failures == 0
 
-    def response_s(self, now: float) -> float:
-        """Return the mean response time in seconds, observed here or else by peers; 0 if it is unknown."""
-        return self.own.response_s or self.peers.response_s(now)
-
     def note_sent(self, now: float) -> int:
         """Note that a request awaits its first response; returns its ticket."""
         if self.half_open.due(now, 0):
             self.half_open.begin_trial(now)
             self._own_trial_at = now
             self._announce(ProbeState.sent)
-        ticket = super().note_sent(now)
-        self.own.note_level(self.waiting, now)
-        return ticket
+        return super().note_sent(now)
+
+    def note_connected(self, ticket: int, now: float) -> None:
+        """Note that the request with ``ticket`` has a connection; only from then on it is load on the runner."""
+        self._connected.add(ticket)
+        self.own.note_level(len(self._connected), now)
 
     def note_settled(self, ticket: int, now: float) -> None:
         """Note that the request with ``ticket`` no longer awaits its first response."""
         super().note_settled(ticket, now)
-        self.own.note_level(self.waiting, now)
+        self._connected.discard(ticket)
+        self.own.note_level(len(self._connected), now)
 
     def note_first_output(self, ticket: int, now: float) -> None:
         """Note the first output for the request with ``ticket``; for a stream it decides a trial."""
@@ -201,7 +202,8 @@
 
     def _add(self, outcomes: Outcomes) -> None:
         self.evidence.add(outcomes)
-        self.failures.add(outcomes.at, outcomes.successes, outcomes.failures)
+        counts = outcomes.reporter == OWN or self.evidence.reporters(outcomes.at) >= MIN_REPORTERS
+        self.failures.add(outcomes.at, outcomes.successes, outcomes.failures if counts else 0)
 
     def _announce(self, probe: ProbeState) -> None:
         self.own.probe = probe
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -17,11 +17,6 @@
         self._active_at: float = 0
         self._last_ticket = 0
 
-    @property
-    def waiting(self) -> int:
-        """Return how many requests await their first response."""
-        return len(self._waiting)
-
     def silent(self, now: float) -> bool:
         """Tell whether the runner has sent nothing for too long while a request is outstanding."""
         oldest = next(iter(self._waiting.values()), now)
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/plain_choice.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/plain_choice.py
@@ -58,7 +58,7 @@
             member.in_flight + penalty,
             health.peers.in_flight(now),
             health.failures.expected(now),
-            health.response_s(now),
+            health.own.response_s or health.peers.response_s(now),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -104,6 +104,7 @@
             conn = await member.connection(self._target.purpose)
         except ConnectFailedError as exc:
             return Unsent(str(exc))
+        member.health.note_connected(self._health_ticket, trio.current_time())
         try:
             with single_error():
                 return await self._send_and_read(conn)
