Set the odds of plain runners by reported load, choose by own requests

Cause: the reported load is up to some seconds old. A choice of the less loaded of two runners by it sent the requests of all instances to the same runner until the next reports.

Change: two runners are drawn in proportion to the slots that peers leave free, and the one with fewer own requests is chosen.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/plain_placement.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/plain_placement.py
@@ -14,7 +14,8 @@
 # Response time that is assumed before any was measured, in seconds.
 DEFAULT_RESPONSE_S = 0.05
 # Runners that are drawn at random, of which the better one is chosen. Reports of load are up to
-# some seconds old; if all instances chose the best runner by them, it would get all requests.
+# some seconds old; if all instances chose the best runner by them, it would get all requests
+# until the next reports, so they only set the odds.
 CHOICES = 2
 
 
@@ -59,8 +60,9 @@
     """Choose by expected cost, from the load and the failures that all instances report.
 
     A runner is avoided if the loss expected there, above that at the best one, costs
-    more than a response takes, as long as the others can carry the load. Of two of
-    the rest, drawn at random, the one with the smaller share of occupied slots is chosen.
+    more than a response takes, as long as the others can carry the load. Of the rest,
+    two are drawn at random, in proportion to the slots that the peers leave free, and
+    the one with fewer requests of this instance is chosen.
 
     Parameters
     ----------
@@ -72,8 +74,9 @@
     avoided = [one for one in candidates if one not in usable]
     kept = kept_runners([_load(one) for one in usable], [_load(one) for one in avoided]) if avoided else ()
     usable.extend(one for one in avoided if one.runner in kept)
-    drawn = rng.sample(usable, min(CHOICES, len(usable)))
-    return min(drawn, key=_occupied_share)
+    free = [max(_slots(one) - one.peers_in_flight, 0) for one in usable]
+    drawn = rng.choices(usable, free if any(free) else None, k=CHOICES)
+    return min(drawn, key=_own_in_flight)
 
 
 def _own_in_flight(one: PlainCandidate) -> float:
@@ -88,13 +91,8 @@
     return one.response_s or DEFAULT_RESPONSE_S
 
 
-def _occupied_share(one: PlainCandidate) -> float:
-    """Return the share of the slots that is occupied.
-
-    A slow runner has more of its slots occupied at the same rate of requests. A response
-    time is no part of it: that of a runner that is not used is never measured again.
-    """
-    return (one.own_in_flight + one.peers_in_flight) / (one.slots or DEFAULT_SLOTS)
+def _slots(one: PlainCandidate) -> int:
+    return one.slots or DEFAULT_SLOTS
 
 
 __all__ = ('PLACEMENT_METHODS', 'PlacementMethod', 'PlainCandidate', 'least_cost', 'least_own')
