Design note of runner health; a blocked call to a health page opens trials

Cause: the send check blocks calls without a caller at runners with a rate limit, and the blocked call counted as a failed probe, which kept such a runner out of use.

--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
@@ -131,8 +131,11 @@
             return str(exc)
         try:
             return await health_call.call_health_page(conn, member.runner.address, path)
-        except (ConnBrokenError, SendBlockedError) as exc:
+        except ConnBrokenError as exc:
             return str(exc)
+        except SendBlockedError:
+            # Nothing was sent, as to a runner with a rate limit, so requests must show whether it has recovered.
+            return ''
         finally:
             member.release(conn)
 
