--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from statistics import median
 from typing import Annotated, NamedTuple
 
 import msgspec
@@ -24,6 +25,8 @@
 WINDOW_S = 2.0
 # Most peers whose reports on one runner are kept; those first heard of go first.
 MAX_PEERS = 1024
+# Most that one peer's requests in flight count for, in medians of all peers.
+MAX_MEDIANS = 3
 # Decimal places of times and mean counts in reports.
 PLACES = 3
 
@@ -209,8 +212,14 @@
         return new
 
     def in_flight(self, now: float) -> float:
-        """Return how many requests of the peers are in flight, by their reports."""
-        return sum(window.in_flight(now) for window in self._windows.values())
+        """Return how many requests of the peers are in flight, by their reports.
+
+        Requests pile up at an instance with a bad link, and are no load on the runner,
+        so no peer counts for more than some times the median.
+        """
+        reported = [window.in_flight(now) for window in self._windows.values() if window.live(now)]
+        most = max(1, MAX_MEDIANS * median(reported)) if reported else 0
+        return sum(min(one, most) for one in reported)
 
     def response_s(self, now: float) -> float:
         """Return the mean response time that peers observed, in seconds; 0 if it is unknown."""
