--- a/tests/front/fleet_health/test_failing_runner.py
+++ b/tests/front/fleet_health/test_failing_runner.py
@@ -97,12 +97,6 @@
                 await load.run(FAILURE_S, idempotent=True)
             self.assertLess(Served(runner, since).longest_gap_s(since + FAILURE_S), MAX_GAP_S)
 
-    async def _check_in_use(self, bench: PlatformBench, until: float) -> None:
-        others = [front.fleet.members[FAILING].health for name, front in bench.fronts.items() if name != 'front-1']
-        while trio.current_time() < until:
-            self.assertTrue(all(health.eligible(trio.current_time()) for health in others))
-            await trio.sleep(MAX_UNUSED_S / 10)
-
     @in_virtual_time
     async def test_all_messages_lost(self) -> None:
         """Guards against instances that never eject a runner, or never use it again, without reports of peers."""
@@ -160,3 +154,9 @@
                 for sender in ('front-2', 'front-3'):
                     front.peers.on_datagram(msgspec.msgpack.encode(RunnerHealthMessage(sender, (row,))))
                 self.assertEqual(member.health.eligible(trio.current_time()), in_use)
+
+    async def _check_in_use(self, bench: PlatformBench, until: float) -> None:
+        others = [front.fleet.members[FAILING].health for name, front in bench.fronts.items() if name != 'front-1']
+        while trio.current_time() < until:
+            self.assertTrue(all(health.eligible(trio.current_time()) for health in others))
+            await trio.sleep(MAX_UNUSED_S / 10)
