--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -10,14 +10,10 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
-from sesamepoint.front.engine_model.model_messages import EngineModelMessage
 from sesamepoint.front.engines.engine_sends import SendUpdate
-from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.peering.membership import Membership
-from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
-from sesamepoint.front.store.outage_messages import StoreProbe
-from sesamepoint.front.store.topic_updates import TopicUpdate
-from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
+from sesamepoint.front.peering.message_types import PEER_MESSAGES, PeerMessage
+from sesamepoint.front.peering.peer_messages import SuspectUpdate
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.wire_names import INSTANCE_TOPIC
 
@@ -29,6 +25,7 @@
     from sesamepoint.front.peering.peer_network import PeerNetwork
     from sesamepoint.front.quarantine.quarantine import Quarantine
     from sesamepoint.front.settings import FrontSettings
+    from sesamepoint.front.store.topic_updates import TopicUpdate
     from sesamepoint.platform.store import StoreClient
 
 # Sends are batched for this long, in seconds, before they are broadcast. Long
@@ -50,20 +47,6 @@
 ISOLATION_S = 2.0
 
 
-PeerMessage = (
-    TopicUpdate
-    | SuspectUpdate
-    | VersionMessage
-    | DutyMessage
-    | UsageMessage
-    | PermitRequestMessage
-    | PermitGrantMessage
-    | RunnerStatusMessage
-    | StoreProbe
-    | EngineModelMessage
-)
-
-
 class Peers:
     """Known peers, their addresses, and the exchange of messages with them."""
 
@@ -84,20 +67,7 @@
         self.registered = False
         self._addresses: dict[str, Address] = {}
         # Handlers of messages from peers, by message type.
-        self.handlers: dict[type, Callable[[Any], None]] = {
-            kind: _ignore
-            for kind in (
-                TopicUpdate,
-                VersionMessage,
-                DutyMessage,
-                UsageMessage,
-                PermitRequestMessage,
-                PermitGrantMessage,
-                RunnerStatusMessage,
-                StoreProbe,
-                EngineModelMessage,
-            )
-        }
+        self.handlers: dict[type, Callable[[Any], None]] = {message_type: _ignore for message_type in PEER_MESSAGES}
         # Called with the name of a peer that has just registered.
         self.on_peer_joined: list[Callable[[str], None]] = [quarantine.announce_to]
         # Called on the first message after a time without any.
--- a/tests/core/engine_model/test_relative.py
+++ b/tests/core/engine_model/test_relative.py
@@ -8,7 +8,7 @@
 from sesamepoint_core.engine_model.engine_model import MAX_SLOWNESS, LastingModel, ModelReport
 from sesamepoint_core.engine_model.estimates import Estimate
 from sesamepoint_core.engine_model.relative import center_of, lasting_model
-from sesamepoint_core.serving.health import SILENCE_TIMEOUT_S, RunnerHealth
+from sesamepoint_core.serving.health import SILENCE_TIMEOUT_S, RunnerSilence
 from tests.core.engine_model.builders import learned_model
 
 
@@ -56,7 +56,7 @@
 
     def test_silence_slow_engine(self) -> None:
         """Guards against a slow engine that counts as silent while it works, and against one that never does."""
-        health = RunnerHealth()
+        health = RunnerSilence()
         health.slowness = 1.7
         health.note_sent(10)
         self.assertFalse(health.silent(10 + 1.5 * SILENCE_TIMEOUT_S))
