--- /dev/null
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/__init__.py
@@ -0,0 +1,1 @@
+"""Max-min fair shares of work among client accounts."""
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/fair_share/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of capacity among client accounts."""
--- /dev/null
+++ b/tests/core/fair_share/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fair shares of work among accounts."""
