--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/max_min.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/max_min.py
@@ -9,6 +9,11 @@
     from collections.abc import Iterable
 
 
+# Sums of floats whose terms come in another order differ by less than this share. Without it
+# the largest account could be above its share while all demands are met.
+ROUNDING = 1e-9
+
+
 class Demand(NamedTuple):
     """Work that a number of accounts ask for together, in seconds."""
 
@@ -29,7 +34,7 @@
     """
     ascending = sorted(demands, key=_per_account_s)
     accounts = sum(demand.accounts for demand in ascending)
-    left_s = capacity_s
+    left_s = capacity_s * (1 + ROUNDING)
     for demand in ascending:
         if demand.per_account_s * accounts > left_s:
             return max(left_s, 0) / accounts
--- a/tests/core/fair_share/test_fair_shares.py
+++ b/tests/core/fair_share/test_fair_shares.py
@@ -126,7 +126,7 @@
         report = shares.next_report(1, 0)
         self.assertEqual(len(report.rows), MAX_NAMED + 1)
         self.assertEqual(sum(row.accounts for row in report.rows), 3100)
-        offered_s = sum(1 + number / 100 for number in range(3100))
+        offered_s = sum(1 + each / 100 for each in range(3100))
         self.assertAlmostEqual(sum(row.work.offered_s for row in report.rows), offered_s)
 
     def test_flood_at_peer(self) -> None:
