Order waiting prompts by the fair shares of their accounts, and exchange the work of accounts

Cause: the engine queue knows no accounts. Requests of accounts within their share now go before those of accounts above, the queue triage counts only work that goes before a request, and a refusal of an account above its share names when the share has room. Where the configuration has no accounts there is one order and all decisions are as before.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
@@ -9,7 +9,7 @@
 from sesamepoint_core.fair_share.peer_work import PeerTotals, PeerWork
 from sesamepoint_core.fair_share.work import MEMORY_S, NO_WORK
 from sesamepoint_core.fair_share.work_meter import WorkMeter
-from sesamepoint_core.fair_share.work_report import WorkReport, report_rows
+from sesamepoint_core.fair_share.work_report import MAX_NAMED, WorkReport, report_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -106,11 +106,13 @@
         """Take the report of a peer; return whether it is newer than what is known."""
         return report.sender != self._name and self.peers.update(report, now)
 
-    def next_report(self, valid_s: float, now: float) -> WorkReport:
-        """Return the next report for peers; it is empty without work."""
+    def next_report(self, valid_s: float, now: float, max_named: int = MAX_NAMED) -> WorkReport:
+        """Return the next report for peers, with at most ``max_named`` accounts by name; it is empty without work."""
         self.meter.prune(now)
         self._reports += 1
-        return WorkReport(self._name, self._incarnation, self._reports, valid_s, report_rows(self.meter, now))
+        return WorkReport(
+            self._name, self._incarnation, self._reports, valid_s, report_rows(self.meter, now, max_named)
+        )
 
     def count_above(self, now: float) -> int:
         """Return how many accounts that have work here are above their shares, counted in each group."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/peer_work.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/peer_work.py
@@ -7,7 +7,7 @@
 from sesamepoint_core.fair_share.work import MEMORY_S, NO_WORK, Work, WorkGroup
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from sesamepoint_core.fair_share.work_report import WorkReport, WorkRow
 
@@ -70,6 +70,11 @@
         """Drop the report of a peer that has left."""
         self._latest.pop(peer, None)
 
+    def keep_only(self, peers: Iterable[str]) -> None:
+        """Drop the reports of all but ``peers``."""
+        for gone in self._latest.keys() - set(peers):
+            self.forget(gone)
+
     def count(self) -> int:
         """Return the number of peers with a report."""
         return len(self._latest)
--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/work_report.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/work_report.py
@@ -46,7 +46,7 @@
     rows: tuple[WorkRow, ...]
 
 
-def report_rows(meter: WorkMeter, now: float) -> tuple[WorkRow, ...]:
+def report_rows(meter: WorkMeter, now: float, max_named: int = MAX_NAMED) -> tuple[WorkRow, ...]:
     """Return the largest accounts by name, and the sum of the others of each group."""
     rows = [
         WorkRow(group, account, work)
@@ -54,7 +54,7 @@
         for account, work in meter.by_account(group, now).items()
     ]
     rows.sort(key=_size, reverse=True)
-    return (*rows[:MAX_NAMED], *_sums(rows[MAX_NAMED:]))
+    return (*rows[:max_named], *_sums(rows[max_named:]))
 
 
 def _sums(rows: list[WorkRow]) -> list[WorkRow]:
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/deadline_check.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/deadline_check.py
@@ -23,7 +23,12 @@
     work_s: float
 
 
-def late_requests(waiting: Sequence[WaitingRequest], free_in_s: float, time_factor: float) -> set[int]:
+def late_requests(
+    waiting: Sequence[WaitingRequest],
+    free_in_s: float,
+    time_factor: float,
+    orders: Sequence[tuple[int, float]] | None = None,
+) -> set[int]:
     """Return the indices of the requests that can't meet their deadlines.
 
     If a burst is served in the order of arrival, each request waits until it is just
@@ -42,10 +47,13 @@
     time_factor
         Seconds that one engine second of this work takes: less than one if several
         engines share it, more if other requests wait for them too.
+    orders
+        The order of each request: those of a lower order go first, whenever they
+        are due. None if all have the same.
     """
     late: set[int] = set()
     elapsed_s = free_in_s
-    for turn, index in sorted(zip(waiting, range(len(waiting)), strict=True)):
+    for _, turn, index in sorted(zip(orders or _same_order(waiting), waiting, range(len(waiting)), strict=True)):
         if elapsed_s + turn.work_s > turn.due_s:
             late.add(index)
         else:
@@ -53,4 +61,8 @@
     return late
 
 
+def _same_order(waiting: Sequence[WaitingRequest]) -> list[tuple[int, float]]:
+    return [(0, 0) for _ in waiting]
+
+
 __all__ = ('WaitingRequest', 'late_requests')
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -127,6 +127,13 @@
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
 
 
+FAIR_SHARES_BEGUN = _event(3601, logging.INFO, 'fair shares among accounts are in force')
+FAIR_SHARES_ENDED = _event(3602, logging.INFO, 'fair shares are no longer in force, the configuration has no accounts')
+ACCOUNT_ABOVE_SHARE = _event(3603, logging.INFO, 'account is above its share, its requests wait for others')
+REQUEST_REFUSED_SHARE = _event(3604, logging.INFO, 'request refused, its account is above its share')
+WORK_REPORT_IGNORED = _event(3605, logging.INFO, 'late or repeated report of account work ignored')
+
+
 class _LineFormatter(JsonFormatter):
     """Formats a record with its line end, so that each line is a single write."""
 
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -92,6 +92,7 @@
         self._selector = components.selector
         self._runner_limits = components.limits
         self._permit_queue = components.permit_queue
+        self._account_shares = components.account_shares
         self._engine_runs = engine_runs
         self._budgets = budgets
         self._quarantine = quarantine
@@ -104,6 +105,7 @@
     def configure(self, cfg: Configuration) -> None:
         """Apply ``cfg`` to new requests, and check the accounts of those in progress again."""
         self.configuration = cfg
+        self._account_shares.configure(cfg)
         self._usual_deadlines.keep_only(frozenset(route.name for routes in cfg.routes.values() for route in routes))
         self._configured.set()
         for job in tuple(self._active):
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint.front.engines.engine_queue import EngineQueue
+from sesamepoint.front.clocks import SystemClock
+from sesamepoint.front.fair_share.account_shares import AccountShares
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
@@ -12,6 +14,8 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sesamepoint.front.clocks import Clock
+    from sesamepoint.front.settings import FrontSettings
     from sesamepoint.front.engines.engine_sends import SendTracker
     from sesamepoint.front.runners.engine_subset import EngineSubset
     from sesamepoint.front.runners.runner_limits import RunnerLimits
@@ -27,29 +31,34 @@
     engine_queue: EngineQueue
     limits: RunnerLimits
     permit_queue: PermitQueue
+    account_shares: AccountShares
 
     @classmethod
     def build(
         cls,
-        availability_zone: str,
+        cfg: FrontSettings,
         subset: EngineSubset,
         sends: SendTracker,
         runner_statuses: RunnerStatuses,
         rng: Random,
+        clock: Clock | None = None,
     ) -> DispatchComponents:
         """Build the components.
 
         Parameters
         ----------
-        availability_zone
-            Zone of this instance.
+        cfg
+            Name and zone of this instance.
         sends
             Record of the sends of all instances.
         rng
             Source of random delays.
+        clock
+            Clocks of this instance; without them, those of the system.
         """
-        selector = RunnerSelector(subset, availability_zone, sends.backlog, runner_statuses.limits)
-        engine_queue = EngineQueue(selector, sends, rng)
+        selector = RunnerSelector(subset, cfg.availability_zone, sends.backlog, runner_statuses.limits)
+        account_shares = AccountShares.from_clock(cfg.name, clock or SystemClock())
+        engine_queue = EngineQueue(selector, sends, rng, account_shares)
         return cls(
             selector,
             sends,
@@ -57,6 +66,7 @@
             engine_queue,
             runner_statuses.limits,
             PermitQueue(runner_statuses, selector.eligible),
+            account_shares,
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/engines/backlog.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/backlog.py
@@ -43,6 +43,18 @@
     timely_work_s: float
     # Engine seconds that the late requests take.
     late_work_s: float = 0
+    # The part of these that belongs to accounts above their shares.
+    above_timely_requests: int = 0
+    above_timely_work_s: float = 0
+    above_late_work_s: float = 0
+
+    def within_shares(self) -> QueuedWork:
+        """Return the work without that of accounts above their shares."""
+        return self._replace(
+            timely_requests=self.timely_requests - self.above_timely_requests,
+            timely_work_s=self.timely_work_s - self.above_timely_work_s,
+            late_work_s=self.late_work_s - self.above_late_work_s,
+        )
 
 
 class _PeerReport(NamedTuple):
@@ -71,6 +83,11 @@
         own = sum(work.timely_requests for work in self.own if work.queue == queue)
         return own + share * sum(work.timely_requests for work in self.at_peers(queue))
 
+    def count_within_shares(self, queue: QueueKey) -> float:
+        """Return how many requests in a queue can be on time, without those of accounts above their shares."""
+        works = (*(work for work in self.own if work.queue == queue), *self.at_peers(queue))
+        return sum(work.within_shares().timely_requests for work in works)
+
     def at_peers(self, queue: QueueKey) -> list[QueuedWork]:
         """Return the work that peers have in a queue, by their valid reports."""
         oldest = trio.current_time() - REPORT_TTL_S
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
@@ -13,13 +13,15 @@
 from sesamepoint.front.runners.runner_selection import queue_rank
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
     from random import Random
 
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
+    from sesamepoint.front.engines.backlog import QueueKey
     from sesamepoint.front.engines.engine_plan import EnginePlan
     from sesamepoint.front.engines.engine_sends import SendTracker
+    from sesamepoint.front.fair_share.account_shares import AccountShares
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.runners.runner_selection import RunnerSelector
 
@@ -50,8 +52,11 @@
     some hundred would take the whole processor and starve requests in progress.
     """
 
-    def __init__(self, selector: RunnerSelector, sends: SendTracker, rng: Random) -> None:
+    def __init__(
+        self, selector: RunnerSelector, sends: SendTracker, rng: Random, account_shares: AccountShares
+    ) -> None:
         """Plan each request by runner selection, and report the queue to peers through ``sends``."""
+        self._account_shares = account_shares
         self._selector = selector
         self._sends = sends
         self._rng = rng
@@ -64,14 +69,19 @@
         """Tell whether a request that arrives now with ``plan`` has to wait.
 
         It has to even if its prefill engine is free, when requests that can be
-        on time are already queued for prefill engines.
+        on time are already queued for prefill engines, or requests that go before
+        it by their accounts for any engines.
         """
         if engines_busy(plan):
             return True
-        queue = queue_key_of(job, plan)
-        if queue.need is not Need.prefill:
+        if not self._waiters:
             return False
-        return any(waiter.queue == queue and not waiter.late for waiter in self._waiters)
+        queue = queue_key_of(job, plan)
+        order = self._account_shares.share_of(job).order
+        queued = [waiter for waiter in self._waiters if waiter.queue == queue and waiter.share.order <= order]
+        if any(waiter.share.order < order for waiter in queued):
+            return True
+        return queue.need is Need.prefill and any(not waiter.late for waiter in queued)
 
     async def wait_for_plan(self, job: Job, prompt: Prompt, cfg: Configuration, plan: EnginePlan) -> EnginePlan | None:
         """Wait until an engine is nearly free for the request.
@@ -114,11 +124,19 @@
 
     def _refuse_on_arrival(self, waiter: Waiter) -> bool:
         """Refuse a new request that would wait too long, and set its retry time; return whether it is refused."""
+        waiter.share = self._account_shares.share_of(waiter.job)
         queued = [other for other in self._waiters if other.queue == waiter.queue]
         self._queue_triage.assess(waiter, queued)
-        if not waiter.late or not waiter.refusable:
+        if not waiter.refusable:
             return False
-        if self._queue_triage.count_timely(waiter.queue) and not waiter.small and not waiter.job.caller_retry:
+        if not waiter.share.admitted:
+            waiter.refuse(waiter.expected_s)
+            return True
+        return waiter.late and self._refuse_late(waiter)
+
+    def _refuse_late(self, waiter: Waiter) -> bool:
+        """Refuse a new request that can't be on time if it would wait too long; return whether it is refused."""
+        if self._queue_triage.count_timely_before(waiter) and not waiter.small and not waiter.job.caller_retry:
             waiter.refuse(waiter.job.caller_left_s)
             return True
         if waiter.job.caller_retry:
@@ -144,19 +162,43 @@
     async def _poll(self) -> bool:
         """Make one pass over the queue; return whether a request was released to an engine.
 
-        Urgent retries come first, then requests that can be on time, then late ones.
+        Requests go in the order of their accounts. Of the same order, urgent retries
+        come first, then requests that can be on time, then late ones.
         """
+        for waiting in self._waiters:
+            waiting.share = self._account_shares.share_of(waiting.job)
         self._queue_triage.mark_late(self._waiters)
         refused = [one for one in self._waiters if self._should_refuse(one)]
         for waiter in refused:
             waiter.refuse(waiter.job.caller_left_s)
             self._release(waiter)
-        urgent = await self._try_each([one for one in self._waiters if one.urgent_retry])
-        timely = await self._try_each([one for one in self._waiters if not one.late])
-        late = await self._try_each(sorted((one for one in self._waiters if one.late), key=_is_large))
+        released = await self._try_all()
         self._queue_triage.publish(self._waiters)
+        return released
+
+    async def _try_all(self) -> bool:
+        """Try to release each request, in the order of accounts; return whether one was released.
+
+        An order is skipped in the queues where requests of a lower one wait for
+        busy engines: these would become free for the wrong request.
+        """
+        released = False
+        blocked: set[QueueKey] = set()
+        for order in sorted({one.share.order for one in self._waiters}):
+            released = await self._try_order(order, blocked) or released
+            blocked.update(one.queue for one in self._of_order(order, blocked) if one.waits_for_engine)
+        return released
+
+    async def _try_order(self, order: tuple[int, float], blocked: Container[QueueKey]) -> bool:
+        urgent = await self._try_each([one for one in self._of_order(order, blocked) if one.urgent_retry])
+        timely = await self._try_each([one for one in self._of_order(order, blocked) if not one.late])
+        late_waiters = (one for one in self._of_order(order, blocked) if one.late)
+        late = await self._try_each(sorted(late_waiters, key=_is_large))
         return urgent or timely or late
 
+    def _of_order(self, order: tuple[int, float], blocked: Container[QueueKey]) -> list[Waiter]:
+        return [one for one in self._waiters if one.share.order == order and one.queue not in blocked]
+
     def _should_refuse(self, waiter: Waiter) -> bool:
         """Tell whether to refuse a queued request so that its caller retries later.
 
@@ -170,7 +212,7 @@
             return False
         if waiter.job.caller_retry or waiter.job.target_left_s <= 0:
             return waiter.unservable
-        return not waiter.small and self._queue_triage.count_timely(waiter.queue) > 0
+        return not waiter.small and self._queue_triage.count_timely_before(waiter) > 0
 
     async def _try_each(self, waiters: Iterable[Waiter]) -> bool:
         failed: Counter[str] = Counter()
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -12,6 +12,7 @@
 from sesamepoint.front.requests.attempt_results import Rejected, Relayed, Unsent, Withheld
 from sesamepoint.front.engines.decision_fields import decision_fields
 from sesamepoint.front.engines.engine_sends import NewLoad
+from sesamepoint.front.fair_share.request_work import prompt_work_s
 from sesamepoint.front.engines.prefill import Prefilled, PrefillFailed, prefill
 from sesamepoint.front.requests.retries import (
     may_retry,
@@ -58,6 +59,7 @@
         self._engine_queue = components.engine_queue
         self._limits = components.limits
         self._permit_queue = components.permit_queue
+        self._account_shares = components.account_shares
 
     async def attempt(
         self,
@@ -74,6 +76,8 @@
             The outcome; None if no engine can run it or it was refused.
         """
         plan = await self._admitted_plan(job, prompt, cfg)
+        if plan is not None:
+            self._account_shares.note_used(job, self._work_s(job, plan))
         if plan is None or plan.prefill is None:
             return await self._run_whole(job, prompt, plan)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
@@ -160,10 +164,15 @@
         goes to whichever engine is free first.
         """
         plan = self._selector.plan(job, prompt, cfg)
+        if plan is not None:
+            self._account_shares.note_offered(job, self._work_s(job, plan))
         if plan is None or not self._engine_queue.must_queue(job, plan):
             return plan
         return await self._engine_queue.wait_for_plan(job, prompt, cfg, plan)
 
+    def _work_s(self, job: Job, plan: EnginePlan) -> float:
+        return prompt_work_s(plan, self._selector.slot_s(job.route.name))
+
     async def _run_whole(self, job: Job, prompt: Prompt, plan: EnginePlan | None) -> AttemptResult | None:
         if plan is None:
             if not job.trace.refused:
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -11,6 +11,7 @@
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.engines.backlog import Need, QueueKey, QueuedWork
+from sesamepoint.front.fair_share.account_shares import EQUAL_SHARE
 from sesamepoint.front.requests.retry_after import capped_retry_after_s
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self.plan: EnginePlan | None = plan
         self.late = False
         self.expected_s: float = 0
+        self.share = EQUAL_SHARE
         self.decided = trio.Event()
         self.turn = WaitingRequest(0, 0)
         self.update_plan(plan)
@@ -72,6 +74,11 @@
         """Tell whether it waits for a permit for prefill at ``runner``, by the newest plan."""
         return not self._newest_plan.admitted and self._newest_plan.view.runner == runner
 
+    @property
+    def waits_for_engine(self) -> bool:
+        """Tell whether it waits for an engine that admits it, by the newest plan, and not for a permit."""
+        return self._newest_plan.admitted
+
     @property
     def refusable(self) -> bool:
         """Tell whether it may be refused: not once it was sent, since part of an answer may have gone out."""
@@ -99,13 +106,19 @@
         return self.slack_s < max(MIN_SLACK_S, self._newest_plan.placement.work_s)
 
     def refuse(self, wait_s: float) -> None:
-        """Refuse the request; its caller may retry after ``wait_s``, capped to a share of the time that it has left."""
+        """Refuse the request; its caller may retry after ``wait_s``, capped to a share of the time that it has left.
+
+        If its account is above its share, the caller may retry when there is room in the share.
+        """
         job = self.job
         self.plan = None
-        job.retry_after_s = capped_retry_after_s(wait_s, job.caller_left_s)
+        above = self.share.above or not self.share.admitted
+        job.retry_after_s = capped_retry_after_s(
+            max(wait_s, self.share.room_in_s) if above else wait_s, job.caller_left_s
+        )
         job.trace.refused = True
         events.log_event(
-            events.REQUEST_REFUSED,
+            events.REQUEST_REFUSED_SHARE if above else events.REQUEST_REFUSED,
             request=job.req.request_id,
             need=self.queue.need.value,
             work_ms=whole_ms(self.turn.work_s),
@@ -168,16 +181,21 @@
         """
         newcomer.update_turn(self._selector.slot_s(newcomer.job.route.name))
         target_s = newcomer.job.route.target_s
-        before_s = _work_s(one for one in queued if not one.late and one.turn.due_s <= newcomer.turn.due_s)
-        at_peers = (work.timely_work_s for work in self._backlog.at_peers(newcomer.queue) if work.target_s <= target_s)
+        before_s = _work_s(one for one in queued if not one.late and _goes_before(one, newcomer))
+        at_peers = (work.timely_work_s for work in self._at_peers(newcomer) if work.target_s <= target_s)
         before_s += self._peer_share(newcomer.queue) * sum(at_peers)
         begin_s = _engine_free_s(newcomer.queue) + before_s / self._count_engines(newcomer)
         newcomer.late = begin_s + newcomer.turn.work_s > newcomer.turn.due_s
-        newcomer.set_expected_wait(self.wait_s([*queued, newcomer]) if newcomer.late else begin_s)
+        if newcomer.late:
+            begin_s = self.wait_s([*(one for one in queued if one.share.order <= newcomer.share.order), newcomer])
+        newcomer.set_expected_wait(begin_s)
 
     def wait_s(self, queued: Sequence[Waiter]) -> float:
-        """Return the seconds until all waiters of a queue are done, late ones and those at peers included."""
-        at_peers_s = sum(work.timely_work_s + work.late_work_s for work in self._backlog.at_peers(queued[0].queue))
+        """Return the seconds until all waiters of a queue are done, late ones and those at peers included.
+
+        The last of ``queued`` decides whether the work of accounts above their shares counts.
+        """
+        at_peers_s = sum(work.timely_work_s + work.late_work_s for work in self._at_peers(queued[-1]))
         work_s = _work_s(queued) + self._peer_share(queued[0].queue) * at_peers_s
         return _engine_free_s(queued[0].queue) + work_s / self._count_engines(queued[0])
 
@@ -185,11 +203,20 @@
         """Return how many requests of a queue can be on time, at all instances."""
         return self._backlog.count_requests(queue)
 
+    def count_timely_before(self, waiter: Waiter) -> float:
+        """Return how many requests that can be on time may go before a late one, at all instances."""
+        if waiter.share.above:
+            return self.count_timely(waiter.queue)
+        return self._backlog.count_within_shares(waiter.queue)
+
     def _triage_queue(self, queued: Sequence[Waiter]) -> None:
         for waiter in queued:
             waiter.update_turn(self._selector.slot_s(waiter.job.route.name))
         late = late_requests(
-            [one.turn for one in queued], _engine_free_s(queued[0].queue), self._contention_factor(queued)
+            [one.turn for one in queued],
+            _engine_free_s(queued[0].queue),
+            self._contention_factor(queued),
+            [one.share.order for one in queued],
         )
         for index, waiter in enumerate(queued):
             waiter.late = index in late
@@ -200,12 +227,17 @@
         Peers with queued work take turns with this instance, for as long as they
         have any.
         """
-        at_peers = self._backlog.at_peers(queued[0].queue)
+        at_peers = self._at_peers(min(queued, key=_share_order))
         own_s = _work_s(queued)
         share = self._peer_share(queued[0].queue)
         competing = min(len(at_peers), sum(one.timely_work_s for one in at_peers) / own_s) if own_s else 0
         return (1 + share * competing) / self._count_engines(queued[0])
 
+    def _at_peers(self, waiter: Waiter) -> list[QueuedWork]:
+        """Return the work at peers that may go before ``waiter``."""
+        at_peers = self._backlog.at_peers(waiter.queue)
+        return at_peers if waiter.share.above else [work.within_shares() for work in at_peers]
+
     def _count_engines(self, waiter: Waiter) -> int:
         return max(self._selector.count_engines(waiter.job, _stage_of(waiter.queue)), 1)
 
@@ -238,10 +270,28 @@
     return sum(waiter.turn.work_s for waiter in waiters)
 
 
+def _goes_before(other: Waiter, newcomer: Waiter) -> bool:
+    return (other.share.order, other.turn.due_s) <= (newcomer.share.order, newcomer.turn.due_s)
+
+
+def _share_order(waiter: Waiter) -> tuple[int, float]:
+    return waiter.share.order
+
+
 def _queued_work(queued: Sequence[Waiter]) -> QueuedWork:
     timely = [waiter for waiter in queued if not waiter.late]
-    late_s = _work_s(queued) - _work_s(timely)
-    return QueuedWork(queued[0].queue, queued[0].job.route.target_s, len(timely), _work_s(timely), late_s)
+    above = [waiter for waiter in queued if waiter.share.above]
+    above_timely = [waiter for waiter in above if not waiter.late]
+    return QueuedWork(
+        queued[0].queue,
+        queued[0].job.route.target_s,
+        len(timely),
+        _work_s(timely),
+        _work_s(queued) - _work_s(timely),
+        len(above_timely),
+        _work_s(above_timely),
+        _work_s(above) - _work_s(above_timely),
+    )
 
 
 __all__ = ('QueueTriage', 'Waiter', 'engines_busy', 'queue_key_of')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -16,7 +16,7 @@
 from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint.front.runners.engine_subset import EngineSubset
 from sesamepoint.front.runners.runner_limits import RunnerLimits
-from sesamepoint.front.runners.limit_exchange import LimitExchange
+from sesamepoint.front.peering.exchanges import Exchanges
 from sesamepoint.front.peering.peers import Peers
 from sesamepoint.front.quarantine.quarantine import Quarantine
 from sesamepoint.front.engines.engine_sends import SendTracker
@@ -68,10 +68,8 @@
         self.peers = Peers(cfg, sends, quarantine, engine_subset, peer_network)
         self._inventory = CacheInventory(self.fleet, engine_subset, rng)
         budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_window_s)
-        self._components = DispatchComponents.build(
-            cfg.availability_zone, engine_subset, sends, send_check.runner_statuses, rng
-        )
-        self._limit_exchange = LimitExchange(self._components, self.fleet, engine_subset, self.peers)
+        self._components = DispatchComponents.build(cfg, engine_subset, sends, send_check.runner_statuses, rng, clock)
+        self._exchanges = Exchanges.build(self._components, self.fleet, engine_subset, self.peers)
         self.dispatcher = Dispatcher(self._components, EngineRuns(self._components), quarantine, budgets, rng)
         sync_targets = SyncTargets(
             self.dispatcher, self.fleet, send_check.runner_statuses, self.peers, budgets, quarantine
@@ -93,7 +91,7 @@
             Child('handles', self._components.reclaimer.run),
             Child('waiting', self._components.engine_queue.run),
             Child('inventory', self._inventory.run),
-            Child('runner-limits', self._limit_exchange.run),
+            *self._exchanges.children(),
         ]
 
     def reconfigure(self, cfg: FrontSettings) -> None:
@@ -143,6 +141,7 @@
         for name, text, value_of in gauges:
             add_gauge(f'sesamepoint_{name}', text, value_of)
         quarantine.watch(add_gauge)
+        self._exchanges.account_work.watch(add_gauge)
 
     def _config_version(self) -> float:
         cfg = self.dispatcher.configuration
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -11,6 +11,7 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
 from sesamepoint.front.engines.engine_sends import SendUpdate
+from sesamepoint.front.fair_share.work_messages import AccountWorkMessage
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.peering.membership import Membership
 from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
@@ -59,6 +60,7 @@
     | PermitRequestMessage
     | PermitGrantMessage
     | RunnerStatusMessage
+    | AccountWorkMessage
 )
 
 
@@ -92,6 +94,7 @@
                 PermitRequestMessage,
                 PermitGrantMessage,
                 RunnerStatusMessage,
+                AccountWorkMessage,
             )
         }
         # Called with the name of a peer that has just registered.
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -102,6 +102,8 @@
         Whether a runner has begun to run the request.
     on_run_started
         Called when the first runner has begun to run it.
+    work_offered
+        Whether its work was counted as offered by its account.
     """
 
     account: Account | None = None
@@ -110,6 +112,7 @@
     permits: set[Incarnation] = field(default_factory=set)
     run_started: bool = False
     on_run_started: RunStartedCallback | None = None
+    work_offered: bool = False
 
 
 class Job:
