--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -93,6 +93,7 @@
         self._runner_limits = components.limits
         self._permit_queue = components.permit_queue
         self._account_shares = components.account_shares
+        self._plain_shares = components.plain_shares
         self._engine_runs = engine_runs
         self._budgets = budgets
         self._quarantine = quarantine
@@ -106,7 +107,9 @@
         """Apply ``cfg`` to new requests, and check the accounts of those in progress again."""
         self.configuration = cfg
         self._account_shares.configure(cfg)
-        self._usual_deadlines.keep_only(frozenset(route.name for routes in cfg.routes.values() for route in routes))
+        route_names = frozenset(route.name for routes in cfg.routes.values() for route in routes)
+        self._usual_deadlines.keep_only(route_names)
+        self._plain_shares.keep_only(route_names)
         self._configured.set()
         for job in tuple(self._active):
             recheck_admission(job, cfg)
@@ -205,12 +208,19 @@
             return None
         if job.req.prompt is not None:
             return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
+        self._plain_shares.note_offered(job)
+        if self._plain_shares.refuses(job, self._selector.plain_runners):
+            return None
         member = await self._choose_plain_runner(job)
         if member is None:
             if not job.trace.refused:
                 job.set_no_runner_retry()
             return None
-        return await run_attempt(job, target_for(job, member, job.route.target_s / SILENCE_TIMEOUT_FACTOR))
+        self._plain_shares.note_sent(job)
+        outcome = await run_attempt(job, target_for(job, member, job.route.target_s / SILENCE_TIMEOUT_FACTOR))
+        if isinstance(outcome, Relayed):
+            self._plain_shares.note_answered(job)
+        return outcome
 
     async def _choose_plain_runner(self, job: Job) -> Member | None:
         """Wait for a runner of a plain service that may get the request now; None if there is none in time."""
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -7,6 +7,7 @@
 from sesamepoint.front.engines.engine_queue import EngineQueue
 from sesamepoint.front.clocks import SystemClock
 from sesamepoint.front.fair_share.account_shares import AccountShares
+from sesamepoint.front.fair_share.plain_shares import PlainShares
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
@@ -32,6 +33,7 @@
     limits: RunnerLimits
     permit_queue: PermitQueue
     account_shares: AccountShares
+    plain_shares: PlainShares
 
     @classmethod
     def build(
@@ -67,6 +69,7 @@
             runner_statuses.limits,
             PermitQueue(runner_statuses, selector.eligible),
             account_shares,
+            PlainShares(account_shares),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/fair_share/account_shares.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fair_share/account_shares.py
@@ -59,6 +59,8 @@
         self.shares = shares
         self.method = share_methods.get(DEFAULT_METHOD)
         self.active = False
+        # Number of instances that share the runners, this one included.
+        self.instances = 1
         self._by_priority = False
         self._logged_at: dict[tuple[WorkGroup, str], float] = {}
 
--- a/packages/sesamepoint/src/sesamepoint/front/fair_share/work_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fair_share/work_exchange.py
@@ -61,6 +61,7 @@
         while True:
             await trio.sleep(SEND_INTERVAL_S)
             names = self._peers.peer_names()
+            self._account_shares.instances = len(names) + 1
             self._shares.peers.keep_only(names)
             self._shares.meter.prune(trio.current_time())
             if names and self._account_shares.active and self._shares.meter.count():
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -107,6 +107,10 @@
         eligible = self.eligible.for_job(job)
         return min(eligible, key=self._load_score, default=None)
 
+    def plain_runners(self, job: Job) -> Sequence[Member]:
+        """Return the runners that could run a request of a plain service, whether or not they admit it now."""
+        return self.eligible.healthy(job)
+
     def plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Return the placement of least cost; None if no engine can run ``job``.
 
