--- a/benchmarks/fair_shares.py
+++ b/benchmarks/fair_shares.py
@@ -8,14 +8,17 @@
 from __future__ import annotations
 
 import sys
+from itertools import product, starmap
 from concurrent.futures import ProcessPoolExecutor
 from random import Random
-from typing import NamedTuple
+from types import MappingProxyType
+from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.fair_share.methods import share_methods
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
 from tests.front.fair_share.account_load import (
     CALM,
+    CROWD,
     FLOOD,
     IMPATIENT_FLOOD,
     LARGE,
@@ -26,13 +29,20 @@
     run_load,
 )
 
-LOADS = {
-    'small alone': SMALL_ALONE,
-    'calm': CALM,
-    'flood': FLOOD,
-    'impatient': IMPATIENT_FLOOD,
-    'leaving': LEAVING_FLOOD,
-}
+LOADS = MappingProxyType(
+    {
+        'small alone': SMALL_ALONE,
+        'calm': CALM,
+        'crowd': CROWD,
+        'flood': FLOOD,
+        'impatient': IMPATIENT_FLOOD,
+        'leaving': LEAVING_FLOOD,
+    }
+)
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 
 class Case(NamedTuple):
@@ -52,7 +62,7 @@
     everyone: float
     small_value: float
     worst_value: float
-    value: float
+    total_value: float
 
 
 def run_case(case: Case) -> Figures:
@@ -72,9 +82,9 @@
         min(map(load.served_share, SMALL)),
         load.served_share(LARGE) if has_large else 0,
         load.served_share(*everyone),
-        load.value(*SMALL),
-        min(map(load.value, SMALL)),
-        load.value(*everyone),
+        load.mean_worth(*SMALL),
+        min(map(load.mean_worth, SMALL)),
+        load.mean_worth(*everyone),
     )
 
 
@@ -82,15 +92,20 @@
     """Print one line for each load and method."""
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
     processes = int(sys.argv[2]) if len(sys.argv) > 2 else 3
-    cases = [Case(load, method, seed) for load in LOADS for method in share_methods for seed in range(1, seeds + 1)]
+    cases = list(starmap(Case, product(LOADS, share_methods, range(1, seeds + 1))))
     with ProcessPoolExecutor(processes) as pool:
         found = dict(zip(cases, pool.map(run_case, cases), strict=True))
-    sys.stdout.write(f'{"load":12} {"method":21} ' + ' '.join(f'{name:>11}' for name in Figures._fields) + '\n')
+    _write('load', 'method', Figures._fields)
     for load in LOADS:
         for method in share_methods:
             rows = [found[Case(load, method, seed)] for seed in range(1, seeds + 1)]
             means = (sum(column) / seeds for column in zip(*rows, strict=True))
-            sys.stdout.write(f'{load:12} {method:21} ' + ' '.join(f'{mean:11.3f}' for mean in means) + '\n')
+            _write(load, method, [f'{mean:.3f}' for mean in means])
+
+
+def _write(load: str, method: str, cells: Sequence[str]) -> None:
+    columns = ' '.join(f'{cell:>11}' for cell in cells)
+    sys.stdout.write(f'{load:12} {method:21} {columns}\n')
 
 
 if __name__ == '__main__':
--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
@@ -48,6 +48,11 @@
     above: bool = False
     room_in_s: float = 0
 
+    @property
+    def within_limit(self) -> bool:
+        """Tell whether it is within its share while there is not enough for all."""
+        return not self.above and self.share_s < math.inf
+
 
 class _Level(NamedTuple):
     """Level of a group, and the work at peers that it was computed from."""
@@ -108,7 +113,6 @@
 
     def next_report(self, valid_s: float, now: float, max_named: int = MAX_NAMED) -> WorkReport:
         """Return the next report for peers, with at most ``max_named`` accounts by name; it is empty without work."""
-        self.meter.prune(now)
         self._reports += 1
         return WorkReport(
             self._name, self._incarnation, self._reports, valid_s, report_rows(self.meter, now, max_named)
--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/methods.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/methods.py
@@ -21,11 +21,15 @@
         Whether the request waits and is refused on behalf of all accounts within their shares.
     admitted
         Whether the request may wait at all.
+    protected
+        Whether it is refused only if it can't be answered at all: what it does not use
+        would go to accounts above their shares.
     """
 
     turn: float = 0
     above: bool = False
     admitted: bool = True
+    protected: bool = False
 
 
 class ShareMethod(Protocol):
@@ -61,13 +65,13 @@
 @share_methods.register('shares')
 def order_by_share(standing: AccountStanding) -> ShareDecision:
     """Let accounts within their shares go before those above."""
-    return ShareDecision(float(standing.above), standing.above)
+    return ShareDecision(float(standing.above), standing.above, protected=standing.within_limit)
 
 
 @share_methods.register('shares-and-admission')
 def order_and_limit(standing: AccountStanding) -> ShareDecision:
     """Let accounts within their shares go first, and no request of those above wait."""
-    return ShareDecision(float(standing.above), standing.above, not standing.above)
+    return ShareDecision(float(standing.above), standing.above, not standing.above, standing.within_limit)
 
 
 __all__ = ('DEFAULT_METHOD', 'ShareDecision', 'ShareMethod', 'share_methods')
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
@@ -136,19 +136,19 @@
 
     def _refuse_late(self, waiter: Waiter) -> bool:
         """Refuse a new request that can't be on time if it would wait too long; return whether it is refused."""
-        if self._queue_triage.count_timely_before(waiter) and not waiter.small and not waiter.job.caller_retry:
+        if waiter.job.caller_retry or waiter.share.protected:
+            return self._refuse_unservable(waiter)
+        if self._queue_triage.count_timely_before(waiter) and not waiter.small:
             waiter.refuse(waiter.job.caller_left_s)
             return True
-        if waiter.job.caller_retry:
-            return self._refuse_retry(waiter)
         wait_s = waiter.expected_s
         if wait_s <= MAX_WAIT_SHARE * waiter.job.first_output_left_s:
             return False
         waiter.refuse(wait_s)
         return True
 
-    def _refuse_retry(self, waiter: Waiter) -> bool:
-        """Refuse the retry of a caller only if it can't be served at all; return whether it is refused.
+    def _refuse_unservable(self, waiter: Waiter) -> bool:
+        """Refuse the retry of a caller, or a protected request, only if it can't be served; return whether it is.
 
         Callers retry once or a few times. When retries were refused like first
         attempts, 15 of 2,000 callers were never served on a quiet day, and 30 to
@@ -210,7 +210,7 @@
         """
         if not waiter.late or not waiter.refusable:
             return False
-        if waiter.job.caller_retry or waiter.job.target_left_s <= 0:
+        if waiter.job.caller_retry or waiter.share.protected or waiter.job.target_left_s <= 0:
             return waiter.unservable
         return not waiter.small and self._queue_triage.count_timely_before(waiter) > 0
 
--- a/packages/sesamepoint/src/sesamepoint/front/fair_share/account_shares.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fair_share/account_shares.py
@@ -37,6 +37,8 @@
         Whether its account is above its share.
     admitted
         Whether it may wait at all while runners are short.
+    protected
+        Whether it is refused only if it can't be answered at all.
     room_in_s
         Seconds until its account is within its share again.
     """
@@ -44,6 +46,7 @@
     order: tuple[int, float] = (0, 0)
     above: bool = False
     admitted: bool = True
+    protected: bool = False
     room_in_s: float = 0
 
 
@@ -104,7 +107,8 @@
         decision = self.method(standing)
         if decision.above or not decision.admitted:
             self._log_above(group, account, standing)
-        return JobShare((group.priority, decision.turn), decision.above, decision.admitted, standing.room_in_s)
+        order = (group.priority, decision.turn)
+        return JobShare(order, decision.above, decision.admitted, decision.protected, standing.room_in_s)
 
     def count_above(self) -> int:
         """Return how many accounts with work here are above their shares."""
--- a/tests/core/fair_share/test_fair_shares.py
+++ b/tests/core/fair_share/test_fair_shares.py
@@ -174,6 +174,9 @@
                 'virtual-time': (2, False, True),
             },
         )
+        within = AccountStanding(used_s=1, own_used_s=1, demand_s=2, share_s=3)
+        protected = {name for name in share_methods if share_methods.get(name)(within).protected}
+        self.assertEqual(protected, {'shares', 'shares-and-admission'})
 
     def test_unknown_method(self) -> None:
         """Guards against a misspelt name that is taken for the default."""
--- a/tests/front/fair_share/account_load.py
+++ b/tests/front/fair_share/account_load.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from sesamepoint_core.fair_share.methods import share_methods
+from sesamepoint_core.fair_share.methods import DEFAULT_METHOD, share_methods
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from tests.front.builders import account, bearer_header, configuration, engine, new_prompt_request
 from tests.front.burst import FRONTS, LONG_TARGET_S, SHORT_TARGET_S
@@ -35,6 +35,7 @@
 # Refusals without a retry time, and retries of callers that ignore it, come after this long.
 IMMEDIATE_S = 0.01
 FIRST_EVENT_TIMEOUT_S = 2.0
+MIN_LEFT_S = 0.01
 
 
 class Sender(NamedTuple):
@@ -70,6 +71,8 @@
 CALM = tuple(Sender(name) for name in (*SMALL, LARGE))
 SMALL_ALONE = CALM[:-1]
 FLOOD = (*SMALL_ALONE, Sender(LARGE, FLOOD_FACTOR))
+# All accounts ask for more than their shares.
+CROWD = tuple(Sender(name, 2.6) for name in (*SMALL, LARGE))
 # Callers of the large account retry at once up to four times.
 IMPATIENT_FLOOD = (*SMALL_ALONE, Sender(LARGE, FLOOD_FACTOR, attempts=4, heeds=False))
 # Callers of the large account disconnect before their answers are whole.
@@ -97,35 +100,32 @@
         served = [one.served for one in self.requests if one.account in names]
         return sum(served) / len(served)
 
-    def value(self, *names: str) -> float:
+    def mean_worth(self, *names: str) -> float:
         """Return the mean worth of the requests of the accounts ``names``."""
         worths = [one.worth for one in self.requests if one.account in names]
         return sum(worths) / len(worths)
 
     async def _send_at_rate(self, sender: Sender, rate: float, long: bool, load_s: float) -> None:
+        target_s = LONG_TARGET_S if long else SHORT_TARGET_S
         async with trio.open_nursery() as nursery:
             ends_at = trio.current_time() + load_s
             while True:
                 await trio.sleep(self._rng.expovariate(sender.factor * rate))
                 if trio.current_time() >= ends_at:
                     return
-                nursery.start_soon(self._ask, sender, self._request(sender, long), long)
+                nursery.start_soon(self._ask, sender, self._request(sender, long), target_s)
 
-    async def _ask(self, sender: Sender, req: RequestSpec, long: bool) -> None:
+    async def _ask(self, sender: Sender, req: RequestSpec, target_s: float) -> None:
         started_at = trio.current_time()
-        served, first_s = False, 0.0
         for attempt in range(sender.attempts):
-            left_s = req.deadline_s - (trio.current_time() - started_at)
-            if left_s <= 0:
-                break
+            left_s = max(req.deadline_s - (trio.current_time() - started_at), MIN_LEFT_S)
             answer = await self._send(req._replace(request_id=f'{req.request_id}.{attempt}', deadline_s=left_s))
-            first_s = trio.current_time() - started_at - answer.took_s + answer.first_byte_s
-            served = answer.status == STATUS_OK and answer.complete
-            if served:
-                break
-            await trio.sleep((answer.retry_after_s or IMMEDIATE_S) if sender.heeds else IMMEDIATE_S)
-        on_time = first_s <= (LONG_TARGET_S if long else SHORT_TARGET_S)
-        self.requests.append(Served(sender.name, served, served * (1 if on_time else LATE_VALUE)))
+            if answer.status == STATUS_OK and answer.complete:
+                first_s = trio.current_time() - started_at - answer.took_s + answer.first_byte_s
+                worth = 1 if first_s <= target_s else LATE_VALUE
+                return self.requests.append(Served(sender.name, True, worth))
+            await trio.sleep(_retry_after_s(sender, answer))
+        return self.requests.append(Served(sender.name, False, 0))
 
     async def _send(self, req: RequestSpec) -> CallerAnswer:
         fronts = list(self.bench.fronts)
@@ -142,6 +142,11 @@
         return req._replace(deadline_s=sender.leaves_s) if sender.leaves_s else req
 
 
+def _retry_after_s(sender: Sender, answer: CallerAnswer) -> float:
+    retry_after_s = answer.retry_after_s if sender.heeds else None
+    return retry_after_s or IMMEDIATE_S
+
+
 def key_of(name: str) -> str:
     """Return the API key of an account."""
     return f'k3yOf{name}'
@@ -152,19 +157,22 @@
     return configuration(version, tenants=[account(name, key_of(name)) for name in names])
 
 
-async def run_load(senders: tuple[Sender, ...], rng: Random, method: str = 'shares') -> AccountLoad:
+async def run_load(
+    senders: tuple[Sender, ...], rng: Random, method: str = DEFAULT_METHOD, load_s: float = LOAD_S
+) -> AccountLoad:
     """Run a load on a new deployment whose instances use a share method."""
     runners = [engine(number, 'prefill' if number < 3 else 'decode') for number in range(1, 7)]
     async with open_bench(accounts_configuration(), runners, fronts=FRONTS) as bench:
         for front in bench.fronts.values():
             front._components.account_shares.method = share_methods.get(method)
         load = AccountLoad(bench, rng)
-        await load.run(senders)
+        await load.run(senders, load_s)
         return load
 
 
 __all__ = (
     'CALM',
+    'CROWD',
     'FLOOD',
     'IMPATIENT_FLOOD',
     'LARGE',
