--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -6,6 +6,9 @@
 
 from sesamepoint.front.engines.engine_queue import EngineQueue
 from sesamepoint.front.fleet_health.plain_choice import PlainChoice
+from sesamepoint.front.clocks import SystemClock
+from sesamepoint.front.fair_share.account_shares import AccountShares
+from sesamepoint.front.fair_share.plain_shares import PlainShares
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
@@ -13,6 +16,8 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sesamepoint.front.clocks import Clock
+    from sesamepoint.front.settings import FrontSettings
     from sesamepoint.front.engines.engine_sends import SendTracker
     from sesamepoint.front.runners.engine_subset import EngineSubset
     from sesamepoint.front.runners.runner_limits import RunnerLimits
@@ -28,30 +33,36 @@
     engine_queue: EngineQueue
     limits: RunnerLimits
     permit_queue: PermitQueue
+    account_shares: AccountShares
+    plain_shares: PlainShares
 
     @classmethod
     def build(
         cls,
-        availability_zone: str,
+        cfg: FrontSettings,
         subset: EngineSubset,
         sends: SendTracker,
         runner_statuses: RunnerStatuses,
         rng: Random,
+        clock: Clock | None = None,
     ) -> DispatchComponents:
         """Build the components.
 
         Parameters
         ----------
-        availability_zone
-            Zone of this instance.
+        cfg
+            Name and zone of this instance.
         sends
             Record of the sends of all instances.
         rng
             Source of random delays.
+        clock
+            Clocks of this instance; without them, those of the system.
         """
-        plain_choice = PlainChoice(availability_zone, rng)
-        selector = RunnerSelector(subset, availability_zone, sends.backlog, runner_statuses.limits, plain_choice)
-        engine_queue = EngineQueue(selector, sends, rng)
+        plain_choice = PlainChoice(cfg.availability_zone, rng)
+        selector = RunnerSelector(subset, cfg.availability_zone, sends.backlog, runner_statuses.limits, plain_choice)
+        account_shares = AccountShares.from_clock(cfg.name, clock or SystemClock())
+        engine_queue = EngineQueue(selector, sends, rng, account_shares)
         return cls(
             selector,
             sends,
@@ -59,6 +70,8 @@
             engine_queue,
             runner_statuses.limits,
             PermitQueue(runner_statuses, selector.eligible),
+            account_shares,
+            PlainShares(account_shares),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
@@ -6,6 +6,7 @@
 
 from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
 from sesamepoint.front.engine_model.model_messages import EngineModelMessage
+from sesamepoint.front.fair_share.work_messages import AccountWorkMessage
 from sesamepoint.front.fleet_health.health_messages import RunnerHealthMessage
 from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
@@ -24,6 +25,7 @@
     | StoreProbe
     | EngineModelMessage
     | RunnerHealthMessage
+    | AccountWorkMessage
 )
 PEER_MESSAGES: tuple[type, ...] = get_args(PeerMessage)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -123,6 +123,10 @@
         trial = next((member for member in ejected if self.eligible.may_try(member, job)), None)
         return trial or self._plain_choice.choose(eligible, _lost_cost_s(job))
 
+    def plain_runners(self, job: Job) -> Sequence[Member]:
+        """Return the runners that could run a request of a plain service, whether or not they admit it now."""
+        return self.eligible.healthy(job)
+
     def plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Return the placement of least cost; None if no engine can run ``job``.
 
