Keep an instance within its limits on memory and descriptors

Nothing read limits.memory_mb, limits.cpu_share, limits.cores and limits.max_fds. They are decoded into FrontSettings.limits; a settings file without them means no limit.

Bytes held for callers (request bodies, pipelined bytes, answers not yet taken) and for runners (bytes that wait to be sent) are counted by connection and in total. With a memory limit, an answer is read on while its caller reads slowly; above a first bound the largest slow readers are paused, above a second one new requests are refused with 503 before their bodies are kept, above a third one the largest slow reader is disconnected. Without a memory limit a slow reader slows its runner as before.

Connections stay below limits.max_fds less 200: idle connections to runners and of callers are closed first, then new ones are refused. A refusal by this limit does not count as a failure of the runner. Idle connections of callers are closed only after 0.5 s: without that, a burst of new connections closed 24 of 25 of them before their first request.

--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/health.py
@@ -51,9 +51,10 @@
         """Tell whether the runner answers some requests, even if it is ejected."""
         return not self.silent(now) and self._connect_failures == 0
 
-    def note_connect_failure(self) -> None:
-        """Count a failure to connect to the runner."""
-        self._connect_failures += 1
+    def note_connect_failure(self, *, local: bool = False) -> None:
+        """Count a failure to connect to the runner, unless a limit of this process is the cause."""
+        if not local:
+            self._connect_failures += 1
 
     def silent(self, now: float) -> bool:
         """Tell whether the runner has sent nothing for too long while a request is outstanding."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/units.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/units.py
@@ -5,6 +5,7 @@
 MS_PER_S = 1000
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 def whole_ms(seconds: float) -> int:
@@ -17,4 +18,4 @@
     return milliseconds / MS_PER_S
 
 
-__all__ = ('BITS_PER_BYTE', 'BITS_PER_MEGABIT', 'MS_PER_S', 'from_ms', 'whole_ms')
+__all__ = ('BITS_PER_BYTE', 'BITS_PER_MEGABIT', 'BYTES_PER_MEGABYTE', 'MS_PER_S', 'from_ms', 'whole_ms')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.serving.address import Address
 from sesamepoint.front.front import Front
 from sesamepoint.front.settings import DutySettings, FrontSettings, StoreSettings
@@ -35,7 +36,9 @@
 CRASH_DELAY_S = 0.1
 
 
-def front_settings(number: int, duty: DutySettings | None = None) -> FrontSettings:
+def front_settings(
+    number: int, duty: DutySettings | None = None, limits: InstanceLimits | None = None
+) -> FrontSettings:
     """Return the settings of the front with this number."""
     host = f'10.1.0.{number}'
     return FrontSettings(
@@ -54,6 +57,7 @@
         link_bytes_s=125e6,
         store=StoreSettings(STORE_ADDRESS),
         duty=duty,
+        limits=limits or InstanceLimits(),
     )
 
 
@@ -72,6 +76,8 @@
         self.usage = UsageStandIn()
         self.clocks: dict[str, VirtualClock] = {}
         self._duty = duty
+        # Limits of the fronts that are added from now on.
+        self.limits = InstanceLimits()
         self.network = MemoryNetwork(nursery)
         self.store = PlatformStore()
         self.runners: dict[str, RunnerStandIn] = {}
@@ -117,7 +123,7 @@
 
     def add_front(self, number: int) -> Front:
         """Start a front."""
-        cfg = front_settings(number, self._duty)
+        cfg = front_settings(number, self._duty, self.limits)
         network = self.network.for_host(cfg.host)
         clock = self.clocks.setdefault(cfg.name, VirtualClock())
         front = Front(cfg, network, network, Random(self._rng.random()), clock)
@@ -167,10 +173,12 @@
     runners: Sequence[RunnerStandIn],
     fronts: int = 1,
     duty: DutySettings | None = None,
+    limits: InstanceLimits | None = None,
 ) -> AsyncIterator[PlatformBench]:
     """Run a bench with a deployment and wait until all fronts are ready."""
     async with trio.open_nursery() as nursery:
         bed = PlatformBench(nursery, duty=duty)
+        bed.limits = limits or InstanceLimits()
         bed.publish(configuration)
         for runner in runners:
             bed.add_runner(runner)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -36,9 +36,21 @@
         self.reset = False
         self._packets: deque[_Packet] = deque()
         self._packet_added = trio.Event()
+        self._unread = 0
+        self._taken = trio.Event()
+
+    def room(self, window: float) -> float:
+        """Return how many bytes more the receiver's window of ``window`` bytes takes."""
+        return max(window - self._unread, 0)
+
+    async def wait_until_taken(self) -> None:
+        """Wait until the receiver takes bytes, or a reset."""
+        if not self.reset:
+            await self._taken.wait()
 
     def put(self, payload: bytes | None, delay_s: float) -> None:
         """Queue a packet that arrives after ``delay_s``; None marks the end."""
+        self._unread += len(payload or b'')
         self._packets.append(_Packet(trio.current_time() + delay_s, payload))
         self._packet_added.set()
 
@@ -54,6 +66,7 @@
         """Reset this direction of the connection."""
         self.reset = True
         self._packet_added.set()
+        self._taken.set()
 
     async def receive(self) -> bytes:
         """Return the next bytes, or empty bytes at the end.
@@ -74,6 +87,9 @@
         if carried is _END:
             return b''
         self._packets.popleft()
+        self._unread -= len(carried)
+        self._taken.set()
+        self._taken = trio.Event()
         return carried
 
 
@@ -92,14 +108,23 @@
     async def send_all(self, sent: bytes) -> None:
         """Send all bytes."""
         await trio.lowlevel.checkpoint()
-        if self._closed:
-            raise trio.ClosedResourceError
-        if self._sending.reset:
-            raise trio.BrokenResourceError
-        if sent:
-            self._sending.put(
-                sent, self._network.delay_s(*self.hosts) + self._network.enqueue(self.hosts[0], len(sent))
-            )
+        self._check_open()
+        rest = sent[self.send_now(sent) :]
+        while rest:
+            await self._sending.wait_until_taken()
+            self._check_open()
+            rest = rest[self.send_now(rest) :]
+
+    def send_now(self, sent: bytes) -> int:
+        """Send what fits into the window of the far end and return its size."""
+        if self.is_closed():
+            return 0
+        window = self._network.windows.get(self.hosts[1], math.inf)
+        size = int(min(self._sending.room(window), len(sent)))
+        if size:
+            delay_s = self._network.delay_s(*self.hosts) + self._network.enqueue(self.hosts[0], size)
+            self._sending.put(sent[:size], delay_s)
+        return size
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return some bytes, or empty bytes at the end."""
@@ -130,6 +155,12 @@
         """Return whether the connection is closed and has no bytes to read."""
         return self._closed or self._receiving.has_ended()
 
+    def _check_open(self) -> None:
+        if self._closed:
+            raise trio.ClosedResourceError
+        if self._sending.reset:
+            raise trio.BrokenResourceError
+
 
 class MemoryNetwork:
     """Network of a test bench: listeners, connections and datagrams."""
@@ -144,6 +175,8 @@
         self.recent_datagrams: deque[bytes] = deque(maxlen=MAX_RECORDED_DATAGRAMS)
         # Bandwidth of the links of some hosts, in bytes/s; other links are unlimited.
         self.link_rates: dict[str, float] = {}
+        # Bytes that a connection to some hosts takes before its reader has read them; unlimited for others.
+        self.windows: dict[str, int] = {}
         self._link_busy_until: dict[str, float] = {}
         self._nursery = nursery
         self._listeners: dict[Address, Handler] = {}
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -123,6 +123,11 @@
 PEER_UNREACHABLE = _event(3401, logging.INFO, 'peer not reached')
 PEER_DECLARED_DEAD = _event(3403, logging.WARNING, 'peer declared dead, its record is dropped')
 OWN_RECORD_DROPPED = _event(3404, logging.WARNING, 'record of this instance was dropped, it registers again')
+SLOW_READER_DISCONNECTED = _event(3801, logging.WARNING, 'slow reader disconnected, too many bytes are held')
+REQUEST_REFUSED_MEMORY = _event(3802, logging.INFO, 'request refused, too many bytes are held')
+PROCESS_SIZE_UNKNOWN = _event(3803, logging.WARNING, 'size of this process could not be measured')
+CONNECTION_LIMIT_REACHED = _event(3804, logging.WARNING, 'limit on connections reached')
+REQUEST_REFUSED_LAG = _event(3805, logging.INFO, 'request refused, this instance lags and would serve it late')
 UPDATE_DROPPED = _event(3405, logging.WARNING, 'send queue to peers is full, a message is dropped')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
 
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -16,8 +16,8 @@
     recheck_admission,
 )
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.request_end import failure_cause_of, log_request_end
-from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, RunStartedCallback
+from sesamepoint.front.requests.request_end import failure_cause_of, log_request_end, refusal_reason
+from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, JobAdmission, RunStartedCallback
 from sesamepoint.front.metrics import FrontMetrics
 from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Withheld
@@ -100,6 +100,8 @@
         self._active: set[Job] = set()
         # Called when the first runner has begun to run a request.
         self.on_run_started: RunStartedCallback | None = None
+        # Refuses requests that this process would serve late.
+        self.lag: JobAdmission | None = None
 
     def configure(self, cfg: Configuration) -> None:
         """Apply ``cfg`` to new requests, and check the accounts of those in progress again."""
@@ -129,6 +131,7 @@
         job = Job(req, route, self._pick_service(route), reply, caller_retry=caller_retry)
         assign_account(job, cfg, admission)
         job.access.on_run_started = self.on_run_started
+        job.access.on_first_send = self.lag.note_first_send if self.lag else None
         self._active.add(job)
         try:
             if not await self._serve_until_deadline(job, cfg):
@@ -139,6 +142,8 @@
 
     def _note_end(self, job: Job, cfg: Configuration) -> None:
         self._active.discard(job)
+        if self.lag:
+            self.lag.note_end(job)
         took_s = trio.current_time() - job.req.arrived_at
         if not job.trace.cause and (job.reply.unfinished or not job.reply.started):
             job.trace.cause = FailureCause.caller_left
@@ -166,7 +171,7 @@
 
     async def _attempt_until_done(self, job: Job, cfg: Configuration) -> AttemptResult | None:
         """Attempt the request until it is served or no further attempt is allowed."""
-        if self._quarantine.refuses(job):
+        if self._quarantine.refuses(job) or self._lag_refuses(job):
             return None
         with trio.move_on_after(max_hold_s(job.caller_left_s, job.first_output_left_s)):
             if not await self._selector.wait_for_any(job.service):
@@ -219,6 +224,9 @@
             if member is None and not await self._permit_queue.wait(job):
                 return None
 
+    def _lag_refuses(self, job: Job) -> bool:
+        return self.lag is not None and self.lag.refuses(job)
+
     def _pick_service(self, route: Route) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
@@ -235,10 +243,8 @@
             await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
         elif job.access.denial:
             await deny(job)
-        elif job.trace.unsent_cause is FailureCause.quarantined:
-            await job.reply.refuse(UNAVAILABLE, 'its runners end under it; it has not run', job.retry_after_s)
         else:
-            await job.reply.refuse(UNAVAILABLE, 'no runner can take it now; it has not run', job.retry_after_s)
+            await job.reply.refuse(UNAVAILABLE, refusal_reason(job), job.retry_after_s)
 
 
 __all__ = ('Dispatcher', 'RetryBudgets')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -8,6 +8,7 @@
 
 from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
 from sesamepoint.front.http_handler import HttpHandler
+from sesamepoint.front.instance_room.room import InstanceRoom
 from sesamepoint.front.engines.engine_runs import EngineRuns
 from sesamepoint.front.dispatch_components import DispatchComponents
 from sesamepoint.front.runners.fleet import Fleet
@@ -20,7 +21,6 @@
 from sesamepoint.front.peering.peers import Peers
 from sesamepoint.front.quarantine.quarantine import Quarantine
 from sesamepoint.front.engines.engine_sends import SendTracker
-from sesamepoint.http1.server import ServerLimits
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
@@ -58,6 +58,8 @@
     ) -> None:
         """Create the components without starting them; without a clock the system clock is used."""
         self.cfg = cfg
+        self.room = InstanceRoom(cfg, network)
+        network = self.room.network
         self._runner_limits = RunnerLimits(cfg.name, rng)
         quarantine = Quarantine(cfg.name)
         send_check = SendCheck.from_limits(self._runner_limits, quarantine.suspects)
@@ -78,7 +80,10 @@
         )
         self._store_sync = StoreSync(cfg, sync_targets, network, rng, clock)
         self.peer_pages = self._store_sync.pages
-        self.http_handler = HttpHandler(self.dispatcher, self._server_limits)
+        self.http_handler = HttpHandler(self.dispatcher, self.room)
+        self.room.connections.close_idle_outgoing = self.fleet.close_idle
+        self.room.connections.close_idle_callers = self.http_handler.close_longest_idle
+        self.dispatcher.lag = self.room.lag
         self.listener_scope = trio.CancelScope()
         self._add_gauges(quarantine)
 
@@ -86,6 +91,7 @@
         """Return the background tasks besides the listeners."""
         return [
             *self._store_sync.children(),
+            *self.room.children(),
             Child('keep-alive', self.peers.send_heartbeats),
             Child('peer-listen', self.peers.listen),
             Child('peer-tell', self.peers.broadcast_sends),
@@ -100,6 +106,7 @@
         """Apply ``cfg``; changed addresses need a restart."""
         self.cfg = cfg
         self.fleet.set_drain(cfg.drain_s)
+        self.room.reconfigure(cfg)
         self._store_sync.reconfigure(cfg)
 
     def ready(self) -> bool:
@@ -143,17 +150,11 @@
         for name, text, value_of in gauges:
             add_gauge(f'sesamepoint_{name}', text, value_of)
         quarantine.watch(add_gauge)
+        self.room.add_gauges(add_gauge)
 
     def _config_version(self) -> float:
         cfg = self.dispatcher.configuration
         return cfg.version if cfg else 0
 
-    def _server_limits(self) -> ServerLimits:
-        cfg = self.dispatcher.configuration
-        if cfg is None:
-            return ServerLimits()
-        limits = cfg.limits
-        return ServerLimits(limits.head_bytes, limits.body_bytes, limits.head_s, limits.idle_s)
-
 
 __all__ = ('Front',)
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -9,39 +9,69 @@
 
 from sesamepoint import events
 from sesamepoint.front.requests.reply import Reply
-from sesamepoint.http1.messages import RejectedRequestError
-from sesamepoint.http1.server import CallerGoneError, ServerConn, ServerLimits
+from sesamepoint.http1.messages import RejectedRequestError, header
+from sesamepoint.http1.server import CallerGoneError, NoRoomError, ServerConn, ServerLimits
 from sesamepoint.platform.headers import decode_request
+from sesamepoint.platform.wire_names import REQUEST_ID
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from sesamepoint_core.serving.routes import Configuration
 
     from sesamepoint.front.dispatch import Dispatcher
+    from sesamepoint.front.instance_room.room import InstanceRoom
     from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.transport import Transport
 
 UNAVAILABLE = 503
 # Retry-After of a stopping instance, in seconds: other instances can serve the retry at once.
 RETRY_NOW_S = 0.02
+# A connection that has been idle for less is not closed for lack of descriptors: its first request may be on the
+# way. With closing at once, a burst of new connections had most of them closed.
+MIN_IDLE_S = 0.5
 
 
 class HttpHandler:
     """Serves the connections of callers and supports a graceful stop."""
 
-    def __init__(self, dispatcher: Dispatcher, limits: Callable[[], ServerLimits]) -> None:
-        """Pass requests to ``dispatcher``; ``limits`` is called for each new connection."""
+    def __init__(self, dispatcher: Dispatcher, room: InstanceRoom) -> None:
+        """Pass requests to ``dispatcher`` within ``room``."""
         self.stopping = False
         self.active = 0
         # Time on trio's clock; once it is set, a request is accepted only if its
         # deadline is no later than that.
         self.must_end_by = math.inf
         self._dispatcher = dispatcher
-        self._limits = limits
-        self._idle: set[trio.CancelScope] = set()
+        self._room = room
+        # Since when, in the order in which they became idle.
+        self._idle: dict[trio.CancelScope, float] = {}
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
-        conn = ServerConn(transport, self._limits(), lambda: self.stopping)
+        connections = self._room.connections
+        if not connections.admit_caller():
+            # Closed before anything of a request was read, so that the caller knows that nothing ran.
+            transport.close()
+            return
+        with connections.caller_connection():
+            await self._serve_connection(transport)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request in progress."""
+        for scope in tuple(self._idle):
+            scope.cancel()
+
+    def close_longest_idle(self, number: int) -> int:
+        """Close up to ``number`` connections that have been idle for a time; return how many were closed."""
+        idle_before = trio.current_time() - MIN_IDLE_S
+        longest = [scope for scope, since in self._idle.items() if since < idle_before][:number]
+        for scope in longest:
+            self._idle.pop(scope)
+            scope.cancel()
+        return len(longest)
+
+    async def _serve_connection(self, transport: Transport) -> None:
+        account = self._room.memory.open_account(transport.peer, lambda: _disconnect(conn, transport))
+        conn = ServerConn(transport, _server_limits(self._dispatcher.configuration), lambda: self.stopping, account)
         try:
             await self._serve_requests(conn)
         except CallerGoneError:
@@ -51,11 +81,7 @@
             events.log_event(events.CONNECTION_BROKE, cause=repr(exc))
         finally:
             transport.close()
-
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
-        for scope in tuple(self._idle):
-            scope.cancel()
+            account.close()
 
     async def _serve_requests(self, conn: ServerConn) -> None:
         while await self._next_request(conn):
@@ -65,11 +91,11 @@
 
     async def _next_request(self, conn: ServerConn) -> bool:
         with trio.CancelScope() as scope:
-            self._idle.add(scope)
+            self._idle[scope] = trio.current_time()
             try:
                 return await conn.wait_for_request()
             finally:
-                self._idle.discard(scope)
+                self._idle.pop(scope, None)
         return False
 
     async def _read_and_serve(self, conn: ServerConn) -> bool:
@@ -80,8 +106,11 @@
             conn.closing = True
             events.log_event(events.REQUEST_REJECTED, status=exc.status, cause=str(exc))
             await Reply(conn).refuse(exc.status, str(exc))
+        except NoRoomError as exc:
+            await self._refuse_for_memory(conn, exc)
         finally:
             self.active -= 1
+            conn.release_request()
         return conn.reusable
 
     async def _serve_request(self, conn: ServerConn, req: FrontRequest) -> None:
@@ -90,13 +119,28 @@
             events.log_event(events.REQUEST_REFUSED_STOPPING, request=req.request_id)
             return await reply.refuse(UNAVAILABLE, 'this instance is stopping; it has not run', RETRY_NOW_S)
         async with trio.open_nursery() as nursery:
+            if self._room.memory.limited:
+                conn.outbox.start_task = nursery.start_soon
             nursery.start_soon(self._cancel_on_disconnect, conn, req, nursery.cancel_scope)
             try:
                 await self._dispatcher.serve(req, reply)
             except CallerGoneError:
                 events.log_event(events.CALLER_DISCONNECTED, request=req.request_id)
+            conn.outbox.start_task = None
             nursery.cancel_scope.cancel()
 
+    async def _refuse_for_memory(self, conn: ServerConn, exc: NoRoomError) -> None:
+        memory = self._room.memory
+        memory.refused += 1
+        request_id = header(exc.head.headers, REQUEST_ID) or b''
+        events.log_event(
+            events.REQUEST_REFUSED_MEMORY,
+            request=request_id.decode('latin-1'),
+            held_bytes=memory.held.total,
+            bound_bytes=int(memory.bounds.refuse),
+        )
+        await Reply(conn).refuse(UNAVAILABLE, 'this instance is short of memory; it has not run', RETRY_NOW_S)
+
     def _may_outlast_stop(self, req: FrontRequest) -> bool:
         """Return whether ``req`` might be cut off by the end of this process.
 
@@ -115,4 +159,16 @@
         scope.cancel()
 
 
+def _server_limits(cfg: Configuration | None) -> ServerLimits:
+    if cfg is None:
+        return ServerLimits()
+    limits = cfg.limits
+    return ServerLimits(limits.head_bytes, limits.body_bytes, limits.head_s, limits.idle_s)
+
+
+def _disconnect(conn: ServerConn, transport: Transport) -> None:
+    conn.outbox.drop()
+    transport.close()
+
+
 __all__ = ('HttpHandler',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
@@ -0,0 +1,110 @@
+"""Admission of requests by the lag of this process and the queue of its link."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.instance_room.lag import LagMeter
+from sesamepoint_core.instance_room.lag_admission import LagForecast, RunnerTimes, link_wait_s
+from sesamepoint_core.units import whole_ms
+from sesamepoint import events
+from sesamepoint.front.requests.failure_cause import FailureCause
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamepoint.front.instance_room.room_network import RoomNetwork
+    from sesamepoint.front.requests.job import Job
+
+# Four wake-ups fit into the shortest time in which lag is to be noticed.
+WAKE_UP_INTERVAL_S = 0.05
+# Retry-After of a request that another instance can take at once, in seconds.
+RETRY_NOW_S = 0.02
+
+
+class LagAdmission:
+    """Measures the lag of this process and refuses requests that would be late because of it."""
+
+    def __init__(self, network: RoomNetwork, link_bytes_s: Callable[[], float]) -> None:
+        """Judge the link by what ``network`` has queued and by the callable's bandwidth."""
+        self.refused = 0
+        self._network = network
+        self._link_bytes_s = link_bytes_s
+        self._meter = LagMeter()
+        self._runner_times = RunnerTimes()
+
+    def refuses(self, job: Job) -> bool:
+        """Return whether ``job`` is to be refused, and prepare its refusal.
+
+        A caller retries once, so a retry is served even if it is late.
+        """
+        if job.caller_retry:
+            return False
+        forecast = self._forecast(job)
+        if not forecast.late_by_own_lag():
+            return False
+        self.refused += 1
+        job.trace.unsent_cause = FailureCause.instance_lag
+        job.retry_after_s = RETRY_NOW_S
+        events.log_event(
+            events.REQUEST_REFUSED_LAG,
+            request=job.req.request_id,
+            target_ms=whole_ms(forecast.target_s),
+            left_ms=whole_ms(forecast.target_left_s),
+            lag_ms=whole_ms(forecast.lag_s),
+            loop_lag_ms=whole_ms(self._meter.loop_lag_s()),
+            link_ms=whole_ms(forecast.link_s),
+            runner_ms=whole_ms(forecast.runner_s),
+        )
+        return True
+
+    def note_first_send(self, job: Job) -> None:
+        """Record how long a request took until its first send, without its waits for runners."""
+        trace = job.trace
+        waited_s = trace.queued_s + (trace.prefill_s or 0)
+        now = trio.current_time()
+        self._meter.note_sojourn(now - job.req.arrived_at - waited_s, now)
+
+    def note_end(self, job: Job) -> None:
+        """Record how long the runners took for the first output of a request."""
+        first_at = job.trace.first_output_at
+        if first_at is not None and job.sends == 1:
+            self._runner_times.note(job.route.name, first_at - job.trace.sent_at)
+
+    def keep_only(self, routes: frozenset[str]) -> None:
+        """Forget the times of all routes except ``routes``."""
+        self._runner_times.keep_only(routes)
+
+    def lag_s(self) -> float:
+        """Return the standing lag in seconds."""
+        return self._meter.lag_s(trio.current_time())
+
+    def loop_lag_s(self) -> float:
+        """Return the mean lateness of the latest wake-ups in seconds."""
+        return self._meter.loop_lag_s()
+
+    async def run(self) -> None:
+        """Measure how late this task is woken up."""
+        while True:
+            due_at = trio.current_time() + WAKE_UP_INTERVAL_S
+            await trio.sleep_until(due_at)
+            now = trio.current_time()
+            self._meter.note_wake_up(now - due_at, now)
+
+    def _forecast(self, job: Job) -> LagForecast:
+        network = self._network
+        link_s: float = 0
+        if network.sends:
+            link_s = link_wait_s(len(job.req.body), network.queued_bytes(), network.sends, self._link_bytes_s())
+        return LagForecast(
+            target_s=job.route.target_s,
+            target_left_s=job.target_left_s,
+            lag_s=self.lag_s(),
+            link_s=link_s,
+            runner_s=self._runner_times.expected_s(job.route.name),
+        )
+
+
+__all__ = ('LagAdmission',)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -103,7 +103,7 @@
         try:
             conn = await member.connection(self._target.purpose)
         except ConnectFailedError as exc:
-            return Unsent(str(exc))
+            return Unsent(str(exc), local=exc.local)
         try:
             with single_error():
                 return await self._send_and_read(conn)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
@@ -19,10 +19,14 @@
 
 @dataclass(frozen=True)
 class Unsent:
-    """The request did not reach the runner."""
+    """The request did not reach the runner.
+
+    The flag is set if the cause is a limit of this process, not the runner.
+    """
 
     tag: ClassVar[str] = 'unsent'
     cause: str
+    local: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
@@ -16,6 +16,7 @@
     rate_limited = 'runners_name_limits'
     backed_off = 'runners_rest'
     draining = 'runners_leave'
+    instance_lag = 'instance_lags'
     no_runner = 'no_runner'
     rejected_by_runners = 'turned_away_by_runners'
     not_run_in_time = 'not_run_in_time'
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import cached_property
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -102,6 +102,8 @@
         Whether a runner has begun to run the request.
     on_run_started
         Called when the first runner has begun to run it.
+    on_first_send
+        Called when it is first sent to a runner.
     """
 
     account: Account | None = None
@@ -110,6 +112,20 @@
     permits: set[Incarnation] = field(default_factory=set)
     run_started: bool = False
     on_run_started: RunStartedCallback | None = None
+    on_first_send: RunStartedCallback | None = None
+
+
+class JobAdmission(Protocol):
+    """Refuses requests that this process would serve late, by what it learns from others."""
+
+    def refuses(self, job: Job) -> bool:
+        """Return whether ``job`` is to be refused, and prepare its refusal."""
+
+    def note_first_send(self, job: Job) -> None:
+        """Learn from the first send of a request."""
+
+    def note_end(self, job: Job) -> None:
+        """Learn from the end of a request."""
 
 
 class Job:
@@ -233,4 +249,12 @@
     return FIRST_SUCCESS <= status < FIRST_REDIRECT
 
 
-__all__ = ('MIN_FIRST_EVENT_WAIT_S', 'RETRY_SOON_S', 'Job', 'RequestTrace', 'RunStartedCallback', 'is_success')
+__all__ = (
+    'MIN_FIRST_EVENT_WAIT_S',
+    'RETRY_SOON_S',
+    'Job',
+    'JobAdmission',
+    'RequestTrace',
+    'RunStartedCallback',
+    'is_success',
+)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -21,6 +21,19 @@
     {RunFailed: FailureCause.runner_failed, Silent: FailureCause.silent}
 )
 
+_REASON_BY_CAUSE: Mapping[FailureCause, str] = MappingProxyType(
+    {
+        FailureCause.quarantined: 'its runners end under it',
+        FailureCause.instance_lag: 'this instance is busy',
+    }
+)
+
+
+def refusal_reason(job: Job) -> str:
+    """Return the text of the refusal of a request that was not run."""
+    reason = _REASON_BY_CAUSE.get(job.trace.unsent_cause, 'no runner can take it now')
+    return f'{reason}; it has not run'
+
 
 def failure_cause_of(job: Job, outcome: AttemptResult | None) -> FailureCause:
     """Return why ``job`` ends without a complete answer; none if it was served."""
@@ -77,4 +90,4 @@
     return FailureCause.rejected_by_runners if job.sends else FailureCause.no_runner
 
 
-__all__ = ('failure_cause_of', 'log_request_end')
+__all__ = ('failure_cause_of', 'log_request_end', 'refusal_reason')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -73,6 +73,8 @@
     exchange = Attempt(job.req, target, job.reply, streamed=job.route.streamed)
     started = trio.current_time()
     job.trace.sent_at = started
+    if job.access.on_first_send is not None and not ran_before:
+        job.access.on_first_send(job)
     outcome = await exchange.run()
     if isinstance(outcome, RunFailed):
         # The runner has run the request, even if its answer is never relayed.
@@ -126,7 +128,7 @@
 
 def may_retry(job: Job, outcome: AttemptResult) -> bool:
     """Return whether another attempt is allowed after this outcome."""
-    if isinstance(outcome, Relayed) or job.sends >= job.route.max_attempts:
+    if isinstance(outcome, Relayed) or _is_local(outcome) or job.sends >= job.route.max_attempts:
         return False
     if isinstance(outcome, Unsent | Rejected):
         return True
@@ -168,7 +170,7 @@
         return
     if isinstance(outcome, Unsent):
         job.sends -= 1
-        member.health.note_connect_failure()
+        member.health.note_connect_failure(local=outcome.local)
     if isinstance(outcome, Broken) and outcome.runner_ended:
         job.ended_incarnations.append(member.incarnation)
     events.log_event(
@@ -184,13 +186,21 @@
     if isinstance(outcome, Rejected) and outcome.runner_replaced:
         member.note_replaced(FROM_ANSWER)
         return
-    if isinstance(outcome, Rejected) and member.backing_off:
-        # The runner asked for back-off and said for how long; that is no failure.
-        return
-    if isinstance(outcome, Silent) and member.health.active_since(started):
-        # The runner is busy, not dead: it has answered other requests since.
-        return
-    note_failure(member, outcome.tag, answered=isinstance(outcome, RunFailed))
+    if not _is_local(outcome) and not _is_no_failure(outcome, member, started):
+        note_failure(member, outcome.tag, answered=isinstance(outcome, RunFailed))
+
+
+def _is_local(outcome: AttemptResult) -> bool:
+    """Return whether a limit of this process ended the attempt, so that its runner is not to blame."""
+    return isinstance(outcome, Unsent) and outcome.local
+
+
+def _is_no_failure(outcome: AttemptResult, member: Member, started: float) -> bool:
+    if isinstance(outcome, Rejected):
+        # The runner asked for back-off and said for how long.
+        return member.backing_off
+    # A runner that has answered other requests since is busy, not dead.
+    return isinstance(outcome, Silent) and member.health.active_since(started)
 
 
 __all__ = (
--- a/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
@@ -81,6 +81,16 @@
         else:
             conn.close()
 
+    @property
+    def oldest_idle_since(self) -> float | None:
+        """Return since when the connection that is idle for longest has been idle; None if there is none."""
+        return self._idle[0].idle_since if self._idle else None
+
+    def close_oldest(self) -> None:
+        """Close the connection that is idle for longest."""
+        if self._idle:
+            self._idle.pop(0).close()
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -155,6 +156,14 @@
         """Return from how many runners this instance is backing off."""
         return sum(member.backing_off for member in self.members.values())
 
+    def close_idle(self, number: int) -> int:
+        """Close up to ``number`` idle connections, at most one of each runner; return how many were closed."""
+        idle = [(one.oldest_idle_since, one.runner.key) for one in self.members.values() if one.oldest_idle_since]
+        longest = heapq.nsmallest(number, idle)
+        for _, key in longest:
+            self.members[key].close_oldest_idle()
+        return len(longest)
+
     async def wait_for_any(self, service: str) -> bool:
         """Wait until a runner of ``service`` may get new requests; return False if all of its runners are draining."""
         while not self.of_service(service):
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -168,6 +168,15 @@
             self.kv_tokens = kv_tokens
             self.cache.resize(kv_tokens)
 
+    @property
+    def oldest_idle_since(self) -> float | None:
+        """Return since when its longest idle connection has been idle; None if there is none."""
+        return self._pool.oldest_idle_since
+
+    def close_oldest_idle(self) -> None:
+        """Close the connection that is idle for longest."""
+        self._pool.close_oldest()
+
     def close(self) -> None:
         """Close idle connections; requests in progress go on."""
         self.closed = True
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.serving.address import Address
 
 
@@ -53,6 +54,8 @@
         None if there are no usage reports.
     link_bytes_s
         Bandwidth of the link of this instance, in bytes per second.
+    limits
+        Limits on the memory, the processor and the descriptors of this instance.
     retry_ratio, retry_reserve, retry_window_s
         In each window of ``retry_window_s`` seconds all instances together may
         retry ``retry_ratio`` of the requests, and ``retry_reserve`` more.
@@ -73,6 +76,7 @@
     link_bytes_s: float
     store: StoreSettings
     duty: DutySettings | None = None
+    limits: InstanceLimits = InstanceLimits()
 
     @property
     def peer_listen(self) -> Address:
--- a/packages/sesamepoint/src/sesamepoint/http1/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/messages.py
@@ -32,12 +32,14 @@
 class ConnectFailedError(SesamepointError):
     """A connection could not be opened, so nothing was sent.
 
-    ``refused`` is set if the host responded that no process listens at the address.
+    ``refused`` is set if the host responded that no process listens at the address,
+    ``local`` if this process was at a limit of its own and tried nothing.
     """
 
-    def __init__(self, address: str, cause: str, *, refused: bool = False) -> None:
+    def __init__(self, address: str, cause: str, *, refused: bool = False, local: bool = False) -> None:
         """Set the address that could not be reached."""
         self.refused = refused
+        self.local = local
         super().__init__(f'no connection to {address} ({cause})', 'another instance is tried')
 
 
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -7,12 +7,14 @@
 import h11
 import trio
 
-from sesamepoint.http1.messages import RejectedRequestError, RequestHead
+from sesamepoint.http1.messages import RejectedRequestError, RequestHead, header
+from sesamepoint.http1.outbox import Outbox, UnboundedAccount
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamepoint.http1.messages import Headers
+    from sesamepoint.http1.outbox import HeldAccount
     from sesamepoint.http1.transport import Transport
 
 RECEIVE_BYTES = 65536
@@ -59,6 +61,15 @@
     """The caller closed the connection."""
 
 
+class NoRoomError(Exception):
+    """A complete request arrived, and its body was dropped because too many bytes are held."""
+
+    def __init__(self, head: RequestHead) -> None:
+        """Set the head of the request."""
+        super().__init__('too many bytes are held')
+        self.head = head
+
+
 def _never() -> bool:
     return False
 
@@ -66,13 +77,27 @@
 class ServerConn:
     """A server connection: reads requests and writes responses one after the other."""
 
-    def __init__(self, transport: Transport, limits: ServerLimits, should_close: Callable[[], bool] = _never) -> None:
+    def __init__(
+        self,
+        transport: Transport,
+        limits: ServerLimits,
+        should_close: Callable[[], bool] = _never,
+        held: HeldAccount | None = None,
+    ) -> None:
         """Use ``transport``, which the creator of this object closes.
 
-        The callable is invoked for each response; if it returns true, the
-        response announces that the connection closes after it.
+        Parameters
+        ----------
+        should_close
+            Called for each response; if it returns true, the response announces
+            that the connection closes after it.
+        held
+            Counts the bytes that are held for the caller, and bounds them.
         """
         self.closing = False
+        self._held = held or UnboundedAccount()
+        self.outbox = Outbox(transport, self._held)
+        self._body_size = 0
         self._should_close = should_close
         self._transport = transport
         self._limits = limits
@@ -83,7 +108,8 @@
     def reusable(self) -> bool:
         """Return whether the connection can carry another request."""
         state = self._state
-        return not self.closing and state.our_state is h11.DONE and state.their_state is h11.DONE
+        done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        return done and not self.closing and self.outbox.empty
 
     def start_next_cycle(self) -> None:
         """Prepare for the next request."""
@@ -98,14 +124,15 @@
             False if none starts in time, or the caller closes the connection.
         """
         if self._buffered:
-            self._feed(self._buffered)
+            self._state.receive_data(self._buffered)
+            self._held.remove(len(self._buffered))
             self._buffered = b''
             return True
         if self._state.trailing_data[0]:
             return True
         with trio.move_on_after(self._limits.idle_s):
             received = await self._receive()
-            self._feed(received)
+            self._state.receive_data(received)
             return bool(received)
         return False
 
@@ -118,13 +145,20 @@
             If the request is invalid, too large or too slow; with the status of the response.
         CallerGoneError
             If the caller closed the connection before the request was complete.
+        NoRoomError
+            If too many bytes are held to keep the body.
         """
         arrived = trio.current_time()
         with trio.move_on_after(self._limits.head_s):
             head = await self._read_head()
-            return ReceivedRequest(head, await self._read_body(), arrived, self._transport.peer)
+            return ReceivedRequest(head, await self._read_body(head), arrived, self._transport.peer)
         raise RejectedRequestError(REQUEST_TIMEOUT, 'the request took too long to arrive')
 
+    def release_request(self) -> None:
+        """Count the body of the last request as no longer held."""
+        self._held.remove(self._body_size)
+        self._body_size = 0
+
     async def wait_for_close(self) -> None:
         """Return once the caller has closed the connection; buffer what it sends until then."""
         while True:
@@ -132,6 +166,7 @@
             if not received:
                 return
             self._buffered += received
+            self._held.add(len(received))
             if len(self._buffered) > MAX_BUFFERED_BYTES:
                 await trio.sleep_forever()
 
@@ -146,6 +181,14 @@
     async def end(self) -> None:
         """End a response that :meth:`begin` started."""
         await self._send(self._state.send(h11.EndOfMessage()) or b'')
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Wait until the caller has taken all that was sent."""
+        try:
+            await self.outbox.flush()
+        except trio.BrokenResourceError as exc:
+            raise CallerGoneError from exc
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response at once."""
@@ -155,6 +198,7 @@
             wire += self._state.send(h11.Data(data=body)) or b''
         wire += self._state.send(h11.EndOfMessage()) or b''
         await self._send(wire)
+        await self.flush()
 
     def check_caller(self) -> None:
         """Check without waiting whether the caller is still connected.
@@ -187,19 +231,40 @@
             await self._send(self._state.send(h11.InformationalResponse(status_code=100, headers=[])) or b'')
         return head
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, head: RequestHead) -> bytes:
         parts: list[bytes] = []
         size = 0
+        keep = self._held.admits(int(header(head.headers, b'content-length') or 0))
+        while part := await self._body_part():
+            size += len(part)
+            if size > self._limits.body_bytes:
+                raise RejectedRequestError(BODY_TOO_LARGE, f'the body is over {self._limits.body_bytes} bytes')
+            keep = keep and self._keep_part(parts, part)
+        if not keep:
+            raise NoRoomError(head)
+        return b''.join(parts)
+
+    async def _body_part(self) -> bytes:
+        """Return the next part of the body; empty at its end."""
         while True:
             event = await self._event()
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                return b''
             if not isinstance(event, h11.Data):
                 raise CallerGoneError
-            size += len(event.data)
-            if size > self._limits.body_bytes:
-                raise RejectedRequestError(BODY_TOO_LARGE, f'the body is over {self._limits.body_bytes} bytes')
-            parts.append(bytes(event.data))
+            if event.data:
+                return bytes(event.data)
+
+    def _keep_part(self, parts: list[bytes], part: bytes) -> bool:
+        """Keep a part of a body; return False, and drop those before it, if too many bytes are held."""
+        if self._held.admits(len(part)):
+            parts.append(part)
+            self._body_size += len(part)
+            self._held.add(len(part))
+            return True
+        parts.clear()
+        self.release_request()
+        return False
 
     async def _event(self) -> object:
         while True:
@@ -209,7 +274,7 @@
             received = await self._receive()
             if not received:
                 raise CallerGoneError
-            self._feed(received)
+            self._state.receive_data(received)
 
     def _next_event(self) -> object:
         try:
@@ -218,9 +283,6 @@
             status = HEAD_TOO_LARGE if exc.error_status_hint == HEAD_TOO_LARGE else BAD_REQUEST
             raise RejectedRequestError(status, str(exc)) from exc
 
-    def _feed(self, received: bytes) -> None:
-        self._state.receive_data(received)
-
     async def _receive(self) -> bytes:
         try:
             return await self._transport.receive_some(RECEIVE_BYTES)
@@ -229,7 +291,7 @@
 
     async def _send(self, wire: bytes) -> None:
         try:
-            await self._transport.send_all(wire)
+            await self.outbox.send(wire)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise CallerGoneError from exc
 
@@ -255,4 +317,4 @@
         raise RejectedRequestError(HEAD_TOO_LARGE, f'the head is over {limit} bytes')
 
 
-__all__ = ('CallerGoneError', 'ReceivedRequest', 'ServerConn', 'ServerLimits')
+__all__ = ('CallerGoneError', 'NoRoomError', 'ReceivedRequest', 'ServerConn', 'ServerLimits')
--- a/packages/sesamepoint/src/sesamepoint/http1/socket_options.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/socket_options.py
@@ -1,4 +1,4 @@
-"""Socket options that detect a dead far end."""
+"""Socket options that detect a dead far end and bound the buffers of the kernel."""
 
 from __future__ import annotations
 
@@ -16,6 +16,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
+# Size of each buffer of a socket where memory is limited: the longest usual request body fits. The kernel lets
+# buffers grow to some MB by default, and they count towards the memory of the process.
+SOCKET_BUFFER_BYTES = 65536
 
 
 def set_dead_peer_timeouts(sock: trio.socket.SocketType) -> None:
@@ -31,4 +34,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
 
-__all__ = ('set_dead_peer_timeouts',)
+def bound_buffers(sock: trio.socket.SocketType) -> None:
+    """Bound the buffers of a socket; an accepted connection takes them over from its listener."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+
+
+__all__ = (
+    'bound_buffers',
+    'set_dead_peer_timeouts',
+)
--- a/packages/sesamepoint/src/sesamepoint/http1/transport.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/transport.py
@@ -9,7 +9,7 @@
 
 from sesamepoint.http1.link_pacing import PIECE_BYTES
 from sesamepoint.http1.messages import ConnectFailedError
-from sesamepoint.http1.socket_options import set_dead_peer_timeouts
+from sesamepoint.http1.socket_options import bound_buffers, set_dead_peer_timeouts
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.address import Address
@@ -31,6 +31,9 @@
     async def send_all(self, sent: bytes) -> None:
         """Send all bytes."""
 
+    def send_now(self, sent: bytes) -> int:
+        """Send what fits without waiting and return its size; an error shows at the next waiting send."""
+
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return up to ``max_bytes`` bytes; empty at the end."""
 
@@ -69,6 +72,19 @@
             await self._pacer.wait_to_send(len(piece))
             await self._stream.send_all(piece)
 
+    def send_now(self, sent: bytes) -> int:
+        """Send what fits without waiting and return its size; an error shows at the next waiting send."""
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return 0
+        raw = socket.socket(fileno=descriptor)
+        try:
+            return raw.send(sent, socket.MSG_DONTWAIT)
+        except OSError:
+            return 0
+        finally:
+            raw.detach()
+
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return up to ``max_bytes`` bytes; empty at the end."""
         return bytes(await self._stream.receive_some(max_bytes))
@@ -89,13 +105,16 @@
 class SocketNetwork:
     """Opens connections over TCP sockets."""
 
-    def __init__(self, pacer: LinkPacer | None = None) -> None:
-        """Let ``pacer``, if given, pace the sends of all connections."""
+    def __init__(self, pacer: LinkPacer | None = None, *, bounded_buffers: bool = False) -> None:
+        """Let ``pacer``, if given, pace the sends of all connections; the flag bounds the kernel's buffers."""
         self._pacer = pacer
+        self._bounded_buffers = bounded_buffers
 
     async def connect(self, address: Address, timeout_s: float) -> Transport:
         """Open a connection within ``timeout_s``, or raise ``ConnectFailedError``."""
         sock = trio.socket.socket()
+        if self._bounded_buffers:
+            bound_buffers(sock)
         try:
             with trio.fail_after(timeout_s):
                 await sock.connect(address)
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.serving.address import Address
-from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, MS_PER_S
+from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, BYTES_PER_MEGABYTE, MS_PER_S
 from sesamepoint.front.settings import DutySettings, FrontSettings, StoreSettings
 from sesamepoint.platform.wire_names import USAGE_DUTY
 from sesamepoint.settings_error import SettingsError
@@ -65,6 +67,12 @@
         link_bytes_s=float(pairs['limits.link_mbps']) * BITS_PER_MEGABIT / BITS_PER_BYTE,
         store=StoreSettings(Address.parse(pairs['platform.address'])),
         duty=_duty_settings(pairs),
+        limits=InstanceLimits(
+            memory_bytes=_limit(pairs, 'memory_mb') * BYTES_PER_MEGABYTE,
+            processor_share=_limit(pairs, 'cpu_share'),
+            cores=_limit(pairs, 'cores'),
+            descriptors=_limit(pairs, 'max_fds'),
+        ),
     )
 
 
@@ -79,6 +87,16 @@
     )
 
 
+def _limit(pairs: Mapping[str, str], name: str) -> float:
+    text = pairs.get(f'limits.{name}')
+    if text is None:
+        return math.inf
+    limit = float(text)
+    if not limit > 0:
+        raise ValueError(f'limits.{name} is {text}, not above 0')
+    return limit
+
+
 def _seconds(pairs: Mapping[str, str], name: str) -> float:
     return float(pairs[name]) / MS_PER_S
 
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from random import SystemRandom
 from typing import TYPE_CHECKING
@@ -15,7 +16,7 @@
 from sesamepoint.front.pages import Page, Pages
 from sesamepoint.front.peering.peer_network import SocketPeerNetwork
 from sesamepoint.http1.link_pacing import LinkPacer
-from sesamepoint.http1.socket_options import set_dead_peer_timeouts
+from sesamepoint.http1.socket_options import bound_buffers, set_dead_peer_timeouts
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
 from sesamepoint.platform.settings import read_settings
 from sesamepoint.platform.wire_names import READY_PATH
@@ -27,9 +28,8 @@
     from pathlib import Path
 
     from sesamepoint.front.settings import FrontSettings
-    from sesamepoint.http1.transport import Transport
 
-    Serve = Callable[[Transport], Awaitable[None]]
+    Serve = Callable[[SocketTransport], Awaitable[None]]
 
 METRICS_PATH = '/metrics'
 # Metrics are also served on this fixed port, which the deploy file names: the
@@ -47,7 +47,8 @@
         """Assemble the components without starting them."""
         self._path = path
         pacer = LinkPacer(cfg.link_bytes_s)
-        self._front = Front(cfg, SocketNetwork(pacer), SocketPeerNetwork(pacer), SystemRandom())
+        network = SocketNetwork(pacer, bounded_buffers=not math.isinf(cfg.limits.memory_bytes))
+        self._front = Front(cfg, network, SocketPeerNetwork(pacer), SystemRandom())
 
     @classmethod
     def from_config(cls, path: Path) -> FrontProcess:
@@ -96,7 +97,12 @@
     async def _serve_callers(self, connections: trio.Nursery) -> None:
         """Accept connections until the stop; connections outlive the listener."""
         with self._front.listener_scope:
-            await _listen(self._front.http_handler.serve, self._front.cfg.listen, connections)
+            await _listen(
+                self._front.http_handler.serve,
+                self._front.cfg.listen,
+                connections,
+                bounded=self._front.room.memory.limited,
+            )
 
     async def _serve_metrics(self) -> None:
         """Serve metrics; if the port is in use, only log that."""
@@ -124,9 +130,13 @@
         )
 
 
-async def _listen(serve: Serve, address: tuple[str, int], connections: trio.Nursery | None = None) -> None:
+async def _listen(
+    serve: Serve, address: tuple[str, int], connections: trio.Nursery | None = None, *, bounded: bool = False
+) -> None:
     host, port = address
     listeners = await trio.open_tcp_listeners(port, host=host)
+    for listener in listeners if bounded else ():
+        bound_buffers(listener.socket)
     await trio.serve_listeners(partial(_serve_stream, serve), listeners, handler_nursery=connections)
 
 
--- /dev/null
+++ b/tests/core/instance_room/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on the room of an instance."""
--- /dev/null
+++ b/tests/front/instance_room/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of instances near their limits."""
--- a/tests/front/silent_network.py
+++ b/tests/front/silent_network.py
@@ -26,6 +26,9 @@
         self.sent += sent
         await trio.lowlevel.checkpoint()
 
+    def send_now(self, sent: bytes) -> int:
+        return len(sent)
+
     async def receive_some(self, max_bytes: int) -> bytes:
         """Block until cancelled."""
         return await trio.sleep_forever()
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -48,6 +48,9 @@
     async def send_all(self, sent: bytes) -> None:
         await trio.lowlevel.checkpoint()
 
+    def send_now(self, sent: bytes) -> int:
+        return len(sent)
+
     async def receive_some(self, max_bytes: int) -> bytes:
         await self._came.wait()
         if self._bytes:
