Refuse requests that an instance would serve late because of its own lag

The lag is the standing time of requests from their last byte to their first send, less their waits for runners, and counts only while the loop also wakes up late. A first attempt is refused with 503 and Retry-After 0.02 s if it would be on time without the lag (or the queue of the link) and late with it. Retries are served.

Lagging instances report that to 8 peers in turn every 0.5 s; a request is refused only while at most a fifth of the peers lag.

--- a/packages/sesamepoint-core/src/sesamepoint_core/instance_room/lag.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/instance_room/lag.py
@@ -5,9 +5,13 @@
 from collections import deque
 from typing import NamedTuple
 
-# Time for which a delay must stand before it counts as overload. One long step of the loop makes the requests
-# of that moment late, and no others.
-INTERVAL_S = 0.2
+# Time over which late wake-ups are averaged, and for which nothing need be known before a lag is forgotten.
+INTERVAL_S = 0.4
+# Delays are averaged over slots of this length: the loop runs the tasks of a pass in random order, so that single
+# requests of a lagging process are fast.
+SLOT_S = 0.1
+# All of this many slots must be late. One long step of the loop makes the requests of one slot late, or of two.
+MIN_SLOTS = 4
 # Shorter delays are those of a loop that keeps up with its work.
 FLOOR_S = 0.02
 
@@ -17,39 +21,46 @@
     delay_s: float
 
 
+class _Slot(NamedTuple):
+    number: int
+    sum_s: float
+    samples: int
+
+    @property
+    def mean_s(self) -> float:
+        return self.sum_s / self.samples
+
+
 class StandingDelay:
-    """The least delay of an interval, once all delays of an interval were above the floor."""
+    """The least mean delay of the latest slots that have samples."""
 
     def __init__(self) -> None:
         """Start without samples."""
-        self._since: float | None = None
         self._last_at: float = 0
-        # Delays in rising order, each the least of all that came after the one before it.
-        self._least: deque[_Sample] = deque()
+        self._slots: deque[_Slot] = deque(maxlen=MIN_SLOTS)
 
     def note(self, delay_s: float, now: float) -> None:
         """Record a delay that was measured at ``now``."""
-        if delay_s < FLOOR_S:
-            self._since = None
-            self._least.clear()
-            return
-        if self._since is None or now - self._last_at > INTERVAL_S + delay_s:
-            self._since = now
-            self._least.clear()
+        if now - self._last_at > self._memory_s():
+            self._slots.clear()
         self._last_at = now
-        while self._least and self._least[-1].delay_s >= delay_s:
-            self._least.pop()
-        self._least.append(_Sample(now, delay_s))
-        while self._least[0].at < now - INTERVAL_S:
-            self._least.popleft()
+        number = int(now / SLOT_S)
+        slot = _Slot(number, 0, 0)
+        if self._slots and self._slots[-1].number == number:
+            slot = self._slots.pop()
+        self._slots.append(_Slot(number, slot.sum_s + delay_s, slot.samples + 1))
 
     def standing_s(self, now: float) -> float:
-        """Return the standing delay in seconds; 0 if there is none."""
-        if self._since is None or self._last_at - self._since < INTERVAL_S:
+        """Return the standing delay in seconds; 0 if there is none, or too little is known."""
+        if len(self._slots) < MIN_SLOTS or now - self._last_at > self._memory_s():
             return 0
-        least_s = self._least[0].delay_s
-        # Without samples for an interval, nothing is known of the present any more.
-        return least_s if now - self._last_at <= INTERVAL_S + least_s else 0
+        least_s = min(slot.mean_s for slot in self._slots)
+        return least_s if least_s >= FLOOR_S else 0
+
+    def _memory_s(self) -> float:
+        """Return for how long the samples tell something: a lagging process gives few."""
+        latest_s = self._slots[-1].mean_s if self._slots else 0
+        return INTERVAL_S + 2 * latest_s
 
 
 class LagMeter:
@@ -82,7 +93,7 @@
         return sum(one.delay_s for one in self._wake_ups) / len(self._wake_ups)
 
     def lag_s(self, now: float) -> float:
-        """Return how long a request that arrives now takes until its first send because of this process."""
+        """Return how long a request that is read now takes until its first send because of this process."""
         return self._sojourn.standing_s(now) if self.loop_lag_s() >= FLOOR_S else 0
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -68,6 +68,7 @@
         self.backlog = sends.backlog
         engine_subset = EngineSubset(cfg.name, self.fleet)
         self.peers = Peers(cfg, sends, quarantine, engine_subset, peer_network)
+        self.room.lag.join(self.peers)
         self._inventory = CacheInventory(self.fleet, engine_subset, rng)
         budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_window_s)
         self._components = DispatchComponents.build(
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
 
 from sesamepoint_core.instance_room.lag import LagMeter
 from sesamepoint_core.instance_room.lag_admission import LagForecast, RunnerTimes, link_wait_s
+from sesamepoint_core.instance_room.lagging_peers import REPORT_INTERVAL_S, LaggingPeers, report_recipients
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
+from sesamepoint.front.instance_room.lag_messages import MAX_LAG_MS, LagMessage
 from sesamepoint.front.requests.failure_cause import FailureCause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint.front.instance_room.lag_messages import PeerExchange
     from sesamepoint.front.instance_room.room_network import RoomNetwork
     from sesamepoint.front.requests.job import Job
 
@@ -34,6 +38,15 @@
         self._link_bytes_s = link_bytes_s
         self._meter = LagMeter()
         self._runner_times = RunnerTimes()
+        self._lagging_peers = LaggingPeers()
+        self._peers: PeerExchange | None = None
+        self._reports = 0
+        self._reported_at = -math.inf
+
+    def join(self, peers: PeerExchange) -> None:
+        """Exchange reports on lag with ``peers``."""
+        self._peers = peers
+        peers.handlers[LagMessage] = self._note_report
 
     def refuses(self, job: Job) -> bool:
         """Return whether ``job`` is to be refused, and prepare its refusal.
@@ -43,7 +56,7 @@
         if job.caller_retry:
             return False
         forecast = self._forecast(job)
-        if not forecast.late_by_own_lag():
+        if not forecast.late_by_own_lag() or not self._others_have_room():
             return False
         self.refused += 1
         job.trace.unsent_cause = FailureCause.instance_lag
@@ -57,6 +70,7 @@
             loop_lag_ms=whole_ms(self._meter.loop_lag_s()),
             link_ms=whole_ms(forecast.link_s),
             runner_ms=whole_ms(forecast.runner_s),
+            lagging_share=round(self.lagging_share(), 2),
         )
         return True
 
@@ -92,6 +106,29 @@
             await trio.sleep_until(due_at)
             now = trio.current_time()
             self._meter.note_wake_up(now - due_at, now)
+            await self._report_if_due(now)
+
+    def lagging_share(self) -> float:
+        """Return the estimated share of the other instances that lag."""
+        return self._lagging_peers.share(self._peer_count(), trio.current_time())
+
+    def _others_have_room(self) -> bool:
+        return self._lagging_peers.others_have_room(self._peer_count(), trio.current_time())
+
+    def _peer_count(self) -> int:
+        return 0 if self._peers is None else len(self._peers.peer_names())
+
+    def _note_report(self, _: LagMessage) -> None:
+        self._lagging_peers.note_report(trio.current_time())
+
+    async def _report_if_due(self, now: float) -> None:
+        lag_s = self._meter.lag_s(now)
+        if self._peers is None or not lag_s or now - self._reported_at < REPORT_INTERVAL_S:
+            return
+        self._reported_at = now
+        self._reports += 1
+        message = LagMessage(self._peers.name, min(whole_ms(lag_s), MAX_LAG_MS))
+        await self._peers.send_to(report_recipients(self._peers.peer_names(), self._reports), message)
 
     def _forecast(self, job: Job) -> LagForecast:
         network = self._network
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/room.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/room.py
@@ -52,6 +52,7 @@
             ('refused_connections', 'Connections refused for lack of descriptors.', lambda: connections.refused),
             ('lag_seconds', 'Standing lag of this process.', lag.lag_s),
             ('loop_lag_seconds', 'Mean lateness of wake-ups.', lag.loop_lag_s),
+            ('lagging_peers_share', 'Estimated share of the other instances that lag.', lag.lagging_share),
             ('refused_for_lag', 'Requests refused because of lag.', lambda: lag.refused),
         )
         for name, text, value_of in gauges:
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -11,6 +11,7 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
 from sesamepoint.front.engines.engine_sends import SendUpdate
+from sesamepoint.front.instance_room.lag_messages import LagMessage
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.peering.membership import Membership
 from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
@@ -59,6 +60,7 @@
     | PermitRequestMessage
     | PermitGrantMessage
     | RunnerStatusMessage
+    | LagMessage
 )
 
 
@@ -92,6 +94,7 @@
                 PermitRequestMessage,
                 PermitGrantMessage,
                 RunnerStatusMessage,
+                LagMessage,
             )
         }
         # Called with the name of a peer that has just registered.
--- /dev/null
+++ b/tests/front/instance_room/test_lag_admission.py
@@ -0,0 +1,116 @@
+"""Refusals by an instance that lags, in a deployment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, cast
+from unittest import TestCase
+
+import trio
+from trio.testing import MockClock
+
+from sesamepoint.front.instance_room.lag_admission import RETRY_NOW_S
+from sesamepoint_standins.platform.bench import open_bench
+from tests.front.builders import configuration, fleet, new_request
+from tests.virtual_time import in_virtual_time
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bench import PlatformBench
+    from sesamepoint_standins.platform.caller import CallerAnswer
+
+# Steps of the loop's pass that are not those of requests.
+TASKS = 8
+STEP_S = 0.025
+LAG_S = 4.0
+SEND_INTERVAL_S = 0.01
+RETRY_DEADLINE_S = 1.5
+
+
+async def _lag(until: float) -> None:
+    """Let each of some tasks, which are ready in every pass of the loop, take ``STEP_S`` seconds in turn."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(TASKS):
+            nursery.start_soon(_be_busy, until)
+
+
+async def _be_busy(until: float) -> None:
+    clock = cast(MockClock, trio.lowlevel.current_clock())
+    while trio.current_time() < until:
+        await trio.lowlevel.checkpoint()
+        clock.jump(STEP_S)
+
+
+async def _send_all(
+    bench: PlatformBench, answers: list[CallerAnswer], deadline_s: float = 3.0, front: str = 'front-1'
+) -> None:
+    """Send a request each 10 ms for some seconds."""
+
+    async def send() -> None:
+        req = new_request('/thumb/a', deadline_s=deadline_s)
+        answers.append(await bench.new_caller(front).send(req))
+
+    # A loop that is late sends what is due, as callers with processors of their own do.
+    due_at = trio.current_time()
+    until = due_at + LAG_S
+    async with trio.open_nursery() as nursery:
+        while due_at < until:
+            await trio.sleep_until(due_at)
+            nursery.start_soon(send)
+            due_at += SEND_INTERVAL_S
+
+
+class LagRefusalTest(TestCase):
+    """Two instances in one loop; each of them is lagging when the loop is."""
+
+    @in_virtual_time
+    async def test_refused_while_lagging(self) -> None:
+        """Guards against requests that are served late while another instance could take them."""
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            # The other instance counts as one with room, because its reports are lost.
+            bench.network.drops_datagrams = True
+            answers: list[CallerAnswer] = []
+            await _send_all(bench, answers)
+            self.assertEqual({answer.status for answer in answers}, {200})
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_lag, trio.current_time() + LAG_S)
+                await _send_all(bench, answers)
+            refused = [answer for answer in answers if answer.status == 503]
+            self.assertGreater(len(refused), 0)
+            self.assertEqual({answer.retry_after_s for answer in refused}, {RETRY_NOW_S})
+            self.assertEqual(bench.fronts['front-1'].room.lag.refused, len(refused))
+
+    @in_virtual_time
+    async def test_retries_served_while_lagging(self) -> None:
+        """Guards against refusing callers that have already retried and won't come again."""
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            bench.network.drops_datagrams = True
+            answers: list[CallerAnswer] = []
+            await _send_all(bench, answers)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_lag, trio.current_time() + LAG_S)
+                await _send_all(bench, answers, RETRY_DEADLINE_S)
+            self.assertEqual(bench.fronts['front-1'].room.lag.refused, 0)
+
+    @in_virtual_time
+    async def test_not_refused_while_peers_lag(self) -> None:
+        """Guards against refusals that come back as retries to instances that lag as well."""
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            answers: list[CallerAnswer] = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_lag, trio.current_time() + LAG_S)
+                for front in bench.fronts:
+                    nursery.start_soon(_send_all, bench, answers, 3.0, front)
+            refused = sum(one.room.lag.refused for one in bench.fronts.values())
+            self.assertLess(refused, 0.1 * len(answers))
+
+    @in_virtual_time
+    async def test_single_long_step_refuses_nothing(self) -> None:
+        """Guards against refusals because of one step of 0.4 s."""
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            bench.network.drops_datagrams = True
+            answers: list[CallerAnswer] = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_send_all, bench, answers)
+                await trio.sleep(1)
+                cast(MockClock, trio.lowlevel.current_clock()).jump(0.4)
+            self.assertEqual(bench.fronts['front-1'].room.lag.refused, 0)
+            self.assertEqual({answer.status for answer in answers}, {200})
