--- a/packages/sesamectl/src/sesamectl/request_search.py
+++ b/packages/sesamectl/src/sesamectl/request_search.py
@@ -18,6 +18,7 @@
         FailureCause.rate_limited,
         FailureCause.backed_off,
         FailureCause.draining,
+        FailureCause.instance_lag,
         FailureCause.no_runner,
         FailureCause.rejected_by_runners,
         FailureCause.not_run_in_time,
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -9,6 +9,7 @@
 
 from sesamepoint import events
 from sesamepoint.front.requests.reply import Reply
+from sesamepoint.front.requests.retry_after import DEFAULT_DEADLINE_S
 from sesamepoint.http1.messages import RejectedRequestError, header
 from sesamepoint.http1.server import CallerGoneError, NoRoomError, ServerConn, ServerLimits
 from sesamepoint.platform.headers import decode_request
@@ -123,11 +124,17 @@
                 conn.outbox.start_task = nursery.start_soon
             nursery.start_soon(self._cancel_on_disconnect, conn, req, nursery.cancel_scope)
             try:
-                await self._dispatcher.serve(req, reply)
+                await self._serve_and_flush(conn, req, reply)
             except CallerGoneError:
                 events.log_event(events.CALLER_DISCONNECTED, request=req.request_id)
-            conn.outbox.start_task = None
             nursery.cancel_scope.cancel()
+        conn.outbox.start_task = None
+
+    async def _serve_and_flush(self, conn: ServerConn, req: FrontRequest, reply: Reply) -> None:
+        await self._dispatcher.serve(req, reply)
+        # The parts of an answer that broke off are delivered too.
+        with trio.move_on_at(req.arrived_at + (req.deadline_s or DEFAULT_DEADLINE_S)):
+            await conn.flush()
 
     async def _refuse_for_memory(self, conn: ServerConn, exc: NoRoomError) -> None:
         memory = self._room.memory
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -118,9 +118,12 @@
         # Nothing is sent for a caller that has disconnected.
         self._reply.check_caller()
         request_bytes = conn.start_request(encode_request(self._req, self._target.sending), self._req.body)
+        rest = request_bytes[conn.send_now(request_bytes) :]
+        if not rest:
+            return await self._read_answer(conn)
         async with trio.open_nursery() as nursery:
             # A runner may answer before it has received all of a long body.
-            nursery.start_soon(conn.send_ignoring_errors, request_bytes)
+            nursery.start_soon(conn.send_ignoring_errors, rest)
             outcome = await self._read_answer(conn)
             nursery.cancel_scope.cancel()
         return outcome
@@ -144,8 +147,7 @@
         while chunk := await conn.read_chunk():
             buffered += chunk
             if len(buffered) > MAX_BUFFERED_BYTES:
-                await self._begin(head)
-                await self._reply.send_part(buffered)
+                await self._send_part(head, buffered)
                 buffered = b''
         if self._reply.started:
             await self._finish(buffered)
@@ -161,15 +163,18 @@
             if whole_events:
                 await self._note_first_output()
                 self._note_pause()
-                await self._begin(head)
-                await self._reply.send_part(whole_events)
-        await self._begin(head)
+                await self._send_part(head, whole_events)
+        if not self._reply.started:
+            await self._reply.begin(head.status, response_headers(head))
         await self._finish(splitter.remainder)
         return Relayed(head.status)
 
-    async def _begin(self, head: ResponseHead) -> None:
-        if not self._reply.started:
-            await self._reply.begin(head.status, response_headers(head))
+    async def _send_part(self, head: ResponseHead, body: bytes) -> None:
+        """Send a part of the answer, the first one in one packet with the head."""
+        if self._reply.started:
+            await self._reply.send_part(body)
+        else:
+            await self._reply.begin(head.status, response_headers(head), body)
 
     async def _finish(self, remainder: bytes) -> None:
         if remainder:
--- a/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
@@ -53,11 +53,11 @@
         """Send a 401, which asks the caller for another key."""
         await self.send_whole(UNAUTHORIZED, (JSON_TYPE, CHALLENGE), msgspec.json.encode({'error': reason}))
 
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of a streamed answer."""
+    async def begin(self, status: int, headers: Headers, body: bytes = b'') -> None:
+        """Send the head of a streamed answer with the first part of its body, if given."""
         self.status = status
         self._streaming = True
-        await self._conn.begin(status, headers)
+        await self._conn.begin(status, headers, body)
 
     async def send_part(self, body: bytes) -> None:
         """Send a part of the body."""
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retry_after.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retry_after.py
@@ -49,4 +49,4 @@
     return min(wait_s, default_retry_after_s(left_s))
 
 
-__all__ = ('capped_retry_after_s', 'default_retry_after_s', 'max_hold_s')
+__all__ = ('DEFAULT_DEADLINE_S', 'capped_retry_after_s', 'default_retry_after_s', 'max_hold_s')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -16,7 +16,7 @@
 from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint import events
 from sesamepoint.front.runners.connection_pool import ConnectionPool
-from sesamepoint.front.runners.runner_status import FROM_ANSWER
+from sesamepoint.front.runners.runner_status import FROM_ANSWER, NO_STATUS
 from sesamepoint.front.runners.send_check import PendingSend, SendBlockedError, SendKind
 
 if TYPE_CHECKING:
@@ -55,6 +55,8 @@
             Size of the KV cache, in tokens.
         """
         self.runner = runner
+        # The same for all registrations of one member.
+        self.incarnation = Incarnation(runner.key, runner.born_ms)
         self._send_check = send_check
         self._runner_statuses = send_check.runner_statuses
         # Whether a newer incarnation has taken its place, or it was dropped from the fleet.
@@ -77,11 +79,6 @@
         self._probe_refused = False
         self._probe_lock = trio.Lock()
 
-    @property
-    def incarnation(self) -> Incarnation:
-        """Return the incarnation of the runner that this member stands for."""
-        return Incarnation(self.runner.key, self.runner.born_ms)
-
     @property
     def draining(self) -> bool:
         """Tell whether it is draining, by its registration or its reported status."""
@@ -90,17 +87,20 @@
     @property
     def backing_off(self) -> bool:
         """Tell whether it asked this instance for a back-off that still lasts."""
-        return self._status.back_off_left_s(trio.current_time()) > 0
+        status = self._status
+        return status is not NO_STATUS and status.back_off_left_s(trio.current_time()) > 0
 
     @property
     def backing_off_peer(self) -> bool:
         """Tell whether it asked a peer for a back-off that still lasts."""
-        return self._status.peer_backs_off(trio.current_time())
+        status = self._status
+        return status is not NO_STATUS and status.peer_backs_off(trio.current_time())
 
     @property
     def accepts_more(self) -> bool:
         """Tell whether it takes one more request of this instance: none in a back-off, few just after one."""
-        return self.in_flight < self._status.max_in_flight(trio.current_time())
+        status = self._status
+        return status is NO_STATUS or self.in_flight < status.max_in_flight(trio.current_time())
 
     def blocking_condition(self, purpose: SendPurpose) -> str:
         """Return the condition that forbids to send ``purpose`` to the runner now; empty if none does."""
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
@@ -165,4 +165,4 @@
         return status
 
 
-__all__ = ('FROM_ANSWER', 'RunnerStatuses')
+__all__ = ('FROM_ANSWER', 'NO_STATUS', 'RunnerStatuses')
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -71,6 +71,12 @@
             raise ConnBrokenError(repr(exc)) from exc
         self._request_sent = True
 
+    def send_now(self, wire: bytes) -> int:
+        """Send what fits of the bytes of a started request without waiting, and return its size."""
+        sent = self._transport.send_now(wire)
+        self._request_sent = sent == len(wire)
+        return sent
+
     async def send_ignoring_errors(self, wire: bytes) -> None:
         """Send while another task reads the response.
 
--- a/packages/sesamepoint/src/sesamepoint/http1/link_pacing.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/link_pacing.py
@@ -32,6 +32,14 @@
         """Account for ``size`` bytes that are sent without waiting."""
         self._queue_empty_at = max(self._queue_empty_at, trio.current_time()) + size / self._bytes_s
 
+    def try_send(self, size: int) -> bool:
+        """Account for ``size`` bytes if they fit into the queue now; return whether they do."""
+        queued_s = max(self._queue_empty_at - trio.current_time(), 0)
+        if queued_s + size / self._bytes_s > MAX_QUEUE_S:
+            return False
+        self.count_unpaced(size)
+        return True
+
     async def wait_to_send(self, size: int) -> None:
         """Wait until ``size`` more bytes fit into the queue."""
         self.count_unpaced(size)
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -170,9 +170,12 @@
             if len(self._buffered) > MAX_BUFFERED_BYTES:
                 await trio.sleep_forever()
 
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of a response; its body and :meth:`end` follow."""
-        await self._send(self._head_bytes(status, headers))
+    async def begin(self, status: int, headers: Headers, body: bytes = b'') -> None:
+        """Send the head of a response with the first part of its body, if given; the rest and :meth:`end` follow."""
+        wire = self._head_bytes(status, headers)
+        if body:
+            wire += self._state.send(h11.Data(data=body)) or b''
+        await self._send(wire)
 
     async def send_part(self, body: bytes) -> None:
         """Send a part of the response's body."""
--- a/packages/sesamepoint/src/sesamepoint/http1/transport.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/transport.py
@@ -75,7 +75,7 @@
     def send_now(self, sent: bytes) -> int:
         """Send what fits without waiting and return its size; an error shows at the next waiting send."""
         descriptor = self._stream.socket.fileno()
-        if descriptor < 0:
+        if descriptor < 0 or not self._may_send_now(len(sent)):
             return 0
         raw = socket.socket(fileno=descriptor)
         try:
@@ -101,6 +101,9 @@
         """Return whether the far end has closed and all its bytes are read."""
         return _peek(self._stream) == b''
 
+    def _may_send_now(self, size: int) -> bool:
+        return self._pacer is None or (size <= PIECE_BYTES and self._pacer.try_send(size))
+
 
 class SocketNetwork:
     """Opens connections over TCP sockets."""
--- a/tests/front/instance_room/test_memory.py
+++ b/tests/front/instance_room/test_memory.py
@@ -115,3 +115,18 @@
                 req = new_prompt_request('/tag/a', body=bytes(900))
                 self.assertEqual((await caller.send(req)).status, 200)
                 self.assertEqual(bench.fronts['front-1'].room.memory.held.total, 0)
+
+
+class BrokenAnswerTest(TestCase):
+    """Answers whose runner breaks off while their caller is slow."""
+
+    @in_virtual_time
+    async def test_received_parts_delivered(self) -> None:
+        """Guards against the loss of events that were received before the runner broke off."""
+        async with slow_reader_bench(MemoryBounds(10_000, 20_000, 30_000)) as bench:
+            for runner in bench.runners.values():
+                runner.faults.breaks_at_event = 25
+            req = long_answer(30)
+            answer = await read_after(bench, req, IDLE_S)
+            self.assertFalse(answer.complete)
+            self.assertEqual(answer.body.count(b'\n\n'), 24)
--- a/tests/front/silent_network.py
+++ b/tests/front/silent_network.py
@@ -27,6 +27,7 @@
         await trio.lowlevel.checkpoint()
 
     def send_now(self, sent: bytes) -> int:
+        self.sent += sent
         return len(sent)
 
     async def receive_some(self, max_bytes: int) -> bytes:
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -87,7 +87,7 @@
     def check_caller(self) -> None:
         """Report no disconnect."""
 
-    async def begin(self, status: int, headers: Headers) -> None:
+    async def begin(self, status: int, headers: Headers, body: bytes = b'') -> None:
         await trio.lowlevel.checkpoint()
         self.heads += 1
 
