Do not reuse a connection on which the send of an answer was cancelled

A send that the deadline cancels may have sent half an answer, while the parser already counts the answer as complete. The next answer then followed it.

--- a/packages/sesamepoint/src/sesamepoint/http1/outbox.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/outbox.py
@@ -53,7 +53,7 @@
     @property
     def empty(self) -> bool:
         """Return whether all bytes were sent."""
-        return not self._pieces
+        return not self._pieces and not self.broken
 
     async def send(self, wire: bytes) -> None:
         """Send ``wire``, or keep it until the caller takes it; wait if too much is held.
@@ -65,7 +65,7 @@
         """
         self._check()
         if self.start_task is None:
-            await self._transport.send_all(wire)
+            await self._send_waiting(wire)
             return
         sent = 0 if self._pieces else self._transport.send_now(wire)
         if sent < len(wire):
@@ -93,6 +93,14 @@
             self._held.remove(len(self._pieces.popleft()))
         self._note_taken()
 
+    async def _send_waiting(self, wire: bytes) -> None:
+        try:
+            await self._transport.send_all(wire)
+        except BaseException:
+            # A cancelled send may have sent a part; nothing may follow that on the connection.
+            self.broken = True
+            raise
+
     def _check(self) -> None:
         if self.broken:
             raise trio.BrokenResourceError
