--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from itertools import islice
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -31,6 +32,11 @@
 MIN_IDLE_S = 0.5
 
 
+class _IdleConnection(NamedTuple):
+    since: float
+    conn: ServerConn
+
+
 class HttpHandler:
     """Serves the connections of callers and supports a graceful stop."""
 
@@ -43,8 +49,8 @@
         self.must_end_by = math.inf
         self._dispatcher = dispatcher
         self._room = room
-        # Since when, in the order in which they became idle.
-        self._idle: dict[trio.CancelScope, float] = {}
+        # In the order in which they became idle.
+        self._idle: dict[trio.CancelScope, _IdleConnection] = {}
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
@@ -64,7 +70,8 @@
     def close_longest_idle(self, number: int) -> int:
         """Close up to ``number`` connections that have been idle for a time; return how many were closed."""
         idle_before = trio.current_time() - MIN_IDLE_S
-        longest = [scope for scope, since in self._idle.items() if since < idle_before][:number]
+        closable = (scope for scope, idle in self._idle.items() if idle.since < idle_before and idle.conn.is_idle())
+        longest = list(islice(closable, number))
         for scope in longest:
             self._idle.pop(scope)
             scope.cancel()
@@ -92,7 +99,7 @@
 
     async def _next_request(self, conn: ServerConn) -> bool:
         with trio.CancelScope() as scope:
-            self._idle[scope] = trio.current_time()
+            self._idle[scope] = _IdleConnection(trio.current_time(), conn)
             try:
                 return await conn.wait_for_request()
             finally:
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -203,6 +203,10 @@
         await self._send(wire)
         await self.flush()
 
+    def is_idle(self) -> bool:
+        """Return whether the caller is connected and none of its bytes has arrived unread."""
+        return not self._buffered and self._transport.is_idle()
+
     def check_caller(self) -> None:
         """Check without waiting whether the caller is still connected.
 
--- a/tests/front/instance_room/test_connections.py
+++ b/tests/front/instance_room/test_connections.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from unittest import TestCase
 
 import trio
 
 from sesamepoint_core.instance_room.limits import RESERVED_DESCRIPTORS, InstanceLimits
 from sesamepoint.front.http_handler import MIN_IDLE_S
+from sesamepoint.http1.client import ClientConn, accept_any
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_request, plain_runner
 from tests.virtual_time import in_virtual_time
 
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
 # Half of them for callers, half to runners, the store and peers.
 CONNECTIONS = 40
 LIMITS = InstanceLimits(descriptors=RESERVED_DESCRIPTORS + CONNECTIONS)
@@ -85,3 +90,19 @@
                 caller.disconnect()
             await trio.sleep(1)
             self.assertEqual(connections.callers, 0)
+
+    @in_virtual_time
+    async def test_arrived_request_not_closed_as_idle(self) -> None:
+        """Guards against closing a connection whose next request has arrived and is not yet read, as in a busy loop."""
+        async with open_bench(configuration(), fleet(), limits=LIMITS) as bench:
+            front = bench.fronts['front-1']
+            conn = ClientConn(await bench.network.for_host('10.2.0.9').connect(front.cfg.listen, 1.0))
+            await trio.sleep(2 * MIN_IDLE_S)
+            req = new_request('/thumb/a')
+            await conn.send(conn.start_request(req.head, req.body))
+            # The clock advances before the task that reads from the connection runs.
+            clock: MockClock = trio.lowlevel.current_clock()  # type: ignore[assignment]
+            clock.jump(0.1)
+            self.assertEqual(front.http_handler.close_longest_idle(1), 0)
+            self.assertEqual((await conn.read_head(accept_any)).status, 200)
+            conn.close()
