Disconnect for memory only callers whose unread answer takes much of it

Request bodies counted as unread bytes: a caller that reads, or waits for its answer, was disconnected because of the body that it had sent. The copies of bodies that wait on a slow link reach the bound without any slow reader.

--- a/packages/sesamepoint-core/src/sesamepoint_core/instance_room/held_bytes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/instance_room/held_bytes.py
@@ -7,9 +7,10 @@
 
 
 class HolderKind(StrEnum):
-    """For whom bytes are held."""
+    """For whom bytes are held; ``request`` are the bodies that were received from a caller."""
 
     caller = 'caller'
+    request = 'request'
     runner = 'runner'
 
 
@@ -21,7 +22,7 @@
     address
         Address of the caller or the runner.
     number
-        Number of the connection, for callers; the connections of one runner share 0.
+        Number of the connection, for callers and their requests; the connections of one runner share 0.
     """
 
     kind: HolderKind
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/memory_room.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/memory_room.py
@@ -70,10 +70,14 @@
         await self._freed.wait()
 
     def shed_largest(self) -> None:
-        """Disconnect the largest slow readers until the sum is within the last bound."""
+        """Disconnect the largest slow readers until the sum is within the last bound.
+
+        A caller with less than an equal share of the bound is kept: bodies of
+        requests, or bytes for runners, take up the memory then.
+        """
         while self.held.over(self.bounds.disconnect):
             holder = self.held.largest(HolderKind.caller)
-            if holder is None or holder not in self._disconnects:
+            if holder not in self._disconnects or not self.held.must_pause(holder, self.bounds.disconnect):
                 return
             self.disconnected += 1
             events.log_event(
@@ -112,6 +116,7 @@
         """Count bytes for ``holder``."""
         self._room = room
         self._holder = holder
+        self._request = holder._replace(kind=HolderKind.request)
 
     def admits(self, more: int) -> bool:
         """Return whether ``more`` bytes of a request may be read into memory."""
@@ -126,6 +131,14 @@
         """Count bytes that are no longer held."""
         self._room.remove(self._holder, size)
 
+    def add_body(self, size: int) -> None:
+        """Count bytes of a request's body that are held from now on."""
+        self._room.held.add(self._request, size)
+
+    def remove_body(self, size: int) -> None:
+        """Count bytes of a request's body that are no longer held."""
+        self._room.remove(self._request, size)
+
     def must_pause(self) -> bool:
         """Return whether nothing more may be read for this caller."""
         return self._room.held.must_pause(self._holder, self._room.bounds.pause)
@@ -137,6 +150,7 @@
     def close(self) -> None:
         """Count all bytes of the connection as released."""
         self._room.close_account(self._holder)
+        self._room.close_account(self._request)
 
 
 __all__ = ('CallerAccount', 'MemoryRoom')
--- a/packages/sesamepoint/src/sesamepoint/http1/outbox.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/outbox.py
@@ -30,6 +30,12 @@
     def remove(self, size: int) -> None:
         """Count bytes that are no longer held."""
 
+    def add_body(self, size: int) -> None:
+        """Count bytes of a request's body that are held from now on."""
+
+    def remove_body(self, size: int) -> None:
+        """Count bytes of a request's body that are no longer held."""
+
     def must_pause(self) -> bool:
         """Return whether nothing more may be read for this caller."""
 
@@ -146,6 +152,12 @@
     def remove(self, size: int) -> None:
         """Do nothing."""
 
+    def add_body(self, size: int) -> None:
+        """Do nothing."""
+
+    def remove_body(self, size: int) -> None:
+        """Do nothing."""
+
     def must_pause(self) -> bool:
         """Return False."""
         return False
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -156,7 +156,7 @@
 
     def release_request(self) -> None:
         """Count the body of the last request as no longer held."""
-        self._held.remove(self._body_size)
+        self._held.remove_body(self._body_size)
         self._body_size = 0
 
     async def wait_for_close(self) -> None:
@@ -267,7 +267,7 @@
         if self._held.admits(len(part)):
             parts.append(part)
             self._body_size += len(part)
-            self._held.add(len(part))
+            self._held.add_body(len(part))
             return True
         parts.clear()
         self.release_request()
--- a/tests/front/instance_room/test_memory.py
+++ b/tests/front/instance_room/test_memory.py
@@ -91,6 +91,35 @@
             self.assertFalse(answers[60].complete)
             self.assertEqual(bench.fronts['front-1'].room.memory.disconnected, 1)
 
+    @in_virtual_time
+    async def test_caller_with_large_body_kept(self) -> None:
+        """Guards against disconnecting a caller that reads, because its request body is larger than unread answers."""
+        async with slow_reader_bench(MemoryBounds(5000, 5000, 1500)) as bench:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_after, bench, long_answer(), IDLE_S)
+                req = new_prompt_request('/tag/a', output=60, body=bytes(1200))
+                answer = await bench.new_caller('front-1').send(req)
+            self.assertEqual((answer.body, answer.complete), (req.expected_body, True))
+            self.assertEqual(bench.fronts['front-1'].room.memory.disconnected, 1)
+            self.assertEqual(bench.fronts['front-1'].room.memory.held.total, 0)
+
+    @in_virtual_time
+    async def test_small_reader_kept_beside_large_bodies(self) -> None:
+        """Guards against disconnecting a caller whose few unread bytes would not bring the sum within the bound."""
+        async with slow_reader_bench(MemoryBounds(5000, 5000, 1500)) as bench:
+            answers: list[ReadAnswer] = []
+            req = long_answer(8)
+
+            async def read() -> None:
+                answers.append(await read_after(bench, req, IDLE_S))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                large = new_prompt_request('/tag/a', output=60, body=bytes(1600))
+                self.assertTrue((await bench.new_caller('front-1').send(large)).complete)
+            self.assertEqual(answers, [ReadAnswer(req.expected_body, complete=True)])
+            self.assertEqual(bench.fronts['front-1'].room.memory.disconnected, 0)
+
 
 class RefusalTest(TestCase):
     """Requests near the bound on held bytes."""
