Do not blame an engine for a remote prefill that found no connection here

The limit on connections of this process counted as a failure of the engine, and as a lost answer, so that the instance turned away from healthy engines.

--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -303,7 +303,7 @@
         return None
     if isinstance(outcome, Prefilled):
         return False
-    return None if outcome.replaced else True
+    return None if outcome.replaced or outcome.local else True
 
 
 __all__ = ('EngineRuns',)
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -53,6 +53,8 @@
         Whether another incarnation now has the runner's address.
     ended
         Whether the runner refuses connections, which shows that it has ended.
+    local
+        Whether a limit of this process is the cause, so that the runner is not to blame.
     """
 
     cause: str
@@ -60,6 +62,7 @@
     timed_out: bool = False
     replaced: bool = False
     ended: bool = False
+    local: bool = False
 
 
 class _HandleReply(msgspec.Struct):
@@ -85,7 +88,7 @@
     try:
         conn = await member.connection(target.purpose)
     except ConnectFailedError as exc:
-        return PrefillFailed(str(exc))
+        return PrefillFailed(str(exc), local=exc.local)
     try:
         with single_error():
             reply.check_caller()
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -114,7 +114,7 @@
         job.ended_incarnations.append(member.incarnation)
     if failure.replaced:
         member.note_replaced(FROM_ANSWER)
-    elif member.backing_off:
+    elif failure.local or member.backing_off:
         return
     elif not failure.timed_out or not member.health.active_since(started):
         note_failure(member, failure.cause)
