--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -72,8 +72,9 @@
     job.may_have_run = True
     exchange = Attempt(job.req, target, job.reply, streamed=job.route.streamed)
     started = trio.current_time()
+    first_send = not job.trace.sent_at
     job.trace.sent_at = started
-    if job.access.on_first_send is not None and not ran_before:
+    if job.access.on_first_send is not None and first_send:
         job.access.on_first_send(job)
     outcome = await exchange.run()
     if isinstance(outcome, RunFailed):
--- a/tests/front/instance_room/test_lag_admission.py
+++ b/tests/front/instance_room/test_lag_admission.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING, cast
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 from trio.testing import MockClock
 
+from sesamepoint_core.instance_room.lag import LagMeter
 from sesamepoint.front.instance_room.lag_admission import RETRY_NOW_S
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_request
@@ -114,3 +116,18 @@
                 cast(MockClock, trio.lowlevel.current_clock()).jump(0.4)
             self.assertEqual(bench.fronts['front-1'].room.lag.refused, 0)
             self.assertEqual({answer.status for answer in answers}, {200})
+
+
+class SojournTest(TestCase):
+    """What counts as time until the first send of a request."""
+
+    @in_virtual_time
+    async def test_rejected_send_is_first_send(self) -> None:
+        """Guards against counting the time of a runner that rejects a request as lag of this process."""
+        async with open_bench(configuration(), fleet()) as bench:
+            for runner in bench.runners.values():
+                runner.faults.rejects = True
+            with patch.object(LagMeter, 'note_sojourn') as note_sojourn:
+                await bench.new_caller('front-1').send(new_request('/thumb/a'))
+            self.assertGreater(sum(len(runner.arrivals) for runner in bench.runners.values()), 1)
+            note_sojourn.assert_called_once()
