--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -97,6 +97,8 @@
         self.closing = False
         self._held = held or UnboundedAccount()
         self.outbox = Outbox(transport, self._held)
+        # Returns whether the caller is connected and none of its bytes has arrived unread.
+        self.is_idle = transport.is_idle
         self._body_size = 0
         self._should_close = should_close
         self._transport = transport
@@ -203,10 +205,6 @@
         await self._send(wire)
         await self.flush()
 
-    def is_idle(self) -> bool:
-        """Return whether the caller is connected and none of its bytes has arrived unread."""
-        return not self._buffered and self._transport.is_idle()
-
     def check_caller(self) -> None:
         """Check without waiting whether the caller is still connected.
 
--- a/tests/front/instance_room/test_lag_admission.py
+++ b/tests/front/instance_room/test_lag_admission.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, cast
 from unittest import TestCase
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import trio
 from trio.testing import MockClock
@@ -127,7 +127,8 @@
         async with open_bench(configuration(), fleet()) as bench:
             for runner in bench.runners.values():
                 runner.faults.rejects = True
-            with patch.object(LagMeter, 'note_sojourn') as note_sojourn:
+            note_sojourn = Mock()
+            with patch.object(LagMeter, 'note_sojourn', note_sojourn):
                 await bench.new_caller('front-1').send(new_request('/thumb/a'))
-            self.assertGreater(sum(len(runner.arrivals) for runner in bench.runners.values()), 1)
+            self.assertGreater(sum(len(one.arrivals) for one in bench.runners.values()), 1)
             note_sojourn.assert_called_once()
--- a/tests/front/instance_room/test_prefill.py
+++ b/tests/front/instance_room/test_prefill.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from unittest import TestCase
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 import trio
 
@@ -23,10 +23,12 @@
         async with open_bench(configuration(), fleet()) as bench:
             front = bench.fronts['front-1']
             engine = front.fleet.members['i-llm1']
-            while front.fleet.close_idle(REQUESTS):
-                continue
+            # One connection of each runner at a time.
+            for _ in range(REQUESTS):
+                front.fleet.close_idle(REQUESTS)
             no_connection = patch.object(front.room.connections, 'admit_outgoing', return_value=False)
-            with no_connection, patch.object(engine.health, 'note_failure') as note_failure:
+            note_failure = Mock()
+            with no_connection, patch.object(engine.health, 'note_failure', note_failure):
                 for _ in range(REQUESTS):
                     answer = await bench.new_caller('front-1').send(new_prompt_request('/verdict/a', 3000))
                     self.assertEqual(answer.status, 503)
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
 from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.requests.attempt_results import Relayed
 from sesamepoint.front.runners.fleet_member import Member
 from sesamepoint.front.requests.reply import Reply
 from sesamepoint.front.requests.request import FrontRequest
@@ -67,6 +68,25 @@
         return False
 
 
+class FullTransport(LateTransport):
+    """Transport that takes ten bytes at once and no more, and whose answer has arrived already."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.closed = False
+        self._bytes = [b'%b0\r\n\r\n' % ANSWER]
+        self._came.set()
+
+    async def send_all(self, sent: bytes) -> None:
+        await trio.sleep_forever()
+
+    def send_now(self, sent: bytes) -> int:
+        return 10
+
+    def close(self) -> None:
+        self.closed = True
+
+
 class LateNetwork:
     """Network that connects every address to one transport."""
 
@@ -91,6 +111,9 @@
         await trio.lowlevel.checkpoint()
         self.heads += 1
 
+    async def end(self) -> None:
+        await trio.lowlevel.checkpoint()
+
     async def send_part(self, body: bytes) -> None:
         await trio.lowlevel.checkpoint()
 
@@ -118,6 +141,21 @@
                 await Attempt(_request(), target, reply, streamed=True).run()
         self.assertEqual(reply.started, conn.heads == 1)
 
+    @in_virtual_time
+    async def test_answer_before_end_of_body(self) -> None:
+        """Guard against an attempt that sends all of a long body first, and against reuse of its connection.
+
+        A runner may reject a request before it has read the body. On a connection that is reused
+        it would take the next request for the rest of the body.
+        """
+        transport = FullTransport()
+        member = Member(_runner(), LateNetwork(transport), permissive_send_check())
+        target = Target(member, AttemptHeaders('i-1', 5, 0), SILENCE_TIMEOUT_S)
+        reply = Reply(RecordingConn())  # type: ignore[arg-type]
+        outcome = await Attempt(_request(), target, reply, streamed=True).run()
+        self.assertIsInstance(outcome, Relayed)
+        self.assertTrue(transport.closed)
+
 
 def _runner() -> Runner:
     return Runner('i-1', 'llm', Address('10.0.0.1', 80), 'z1', 24, draining=False, stage=Stage.decode)
