Deliver the received parts of a broken answer also without a caller's deadline

A request that names no deadline was taken to end 3 s after its arrival; the parts of a longer answer that its caller had not yet taken were dropped.

--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -140,7 +140,8 @@
     async def _serve_and_flush(self, conn: ServerConn, req: FrontRequest, reply: Reply) -> None:
         await self._dispatcher.serve(req, reply)
         # The parts of an answer that broke off are delivered too.
-        with trio.move_on_at(req.arrived_at + (req.deadline_s or DEFAULT_DEADLINE_S)):
+        left_s = req.left_s(trio.current_time())
+        with trio.move_on_after(DEFAULT_DEADLINE_S if left_s is None else max(left_s, 0)):
             await conn.flush()
 
     async def _refuse_for_memory(self, conn: ServerConn, exc: NoRoomError) -> None:
--- a/tests/front/instance_room/test_memory.py
+++ b/tests/front/instance_room/test_memory.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 
 from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.instance_room.memory_bounds import MemoryBounds
+from sesamepoint.platform.wire_names import DEADLINE_MS
+from sesamepoint_standins.platform.caller import RequestSpec
 from tests.front.builders import new_prompt_request, new_request
 from tests.front.instance_room.slow_reader import ReadAnswer, long_answer, read_after, slow_reader_bench
 from tests.virtual_time import in_virtual_time
@@ -159,3 +162,17 @@
             answer = await read_after(bench, req, IDLE_S)
             self.assertFalse(answer.complete)
             self.assertEqual(answer.body.count(b'\n\n'), 24)
+
+    @in_virtual_time
+    async def test_parts_delivered_without_deadline(self) -> None:
+        """Guards against the loss of received events if the request names no deadline and takes over 3 s."""
+        async with slow_reader_bench(MemoryBounds(10_000, 20_000, 30_000)) as bench:
+            for runner in bench.runners.values():
+                runner.faults.breaks_at_event = 100
+            req = long_answer(110)
+            headers = tuple(pair for pair in req.head.headers if pair[0] != DEADLINE_MS)
+            with patch.object(RequestSpec, 'head', req.head._replace(headers=headers)):
+                answer = await read_after(bench, req, 2 * IDLE_S)
+            run = bench.runners['i-llm2'].runs[-1]
+            self.assertGreater((run.ended_at or 0) - run.started_at, 3)
+            self.assertEqual(answer.body.count(b'\n\n'), 99)
