--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
@@ -102,10 +102,11 @@
         if not self.half_open.ejected:
             self.half_open.note_healthy()
 
-    def note_connect_failure(self) -> None:
-        """Count a failure to connect to the runner."""
-        self._connect_failures += 1
-        self.own.note_connect_failure()
+    def note_connect_failure(self, *, local: bool = False) -> None:
+        """Count a failure to connect to the runner, unless a limit of this process is the cause."""
+        if not local:
+            self._connect_failures += 1
+            self.own.note_connect_failure()
 
     def note_rejection(self, now: float, sent_at: float | None = None) -> bool:
         """Count a request that the runner rejected; returns whether the runner is ejected now.
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_status/known_status.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_status/known_status.py
@@ -69,4 +69,11 @@
         return FIRST_AFTER_BACK_OFF * math.pow(2, since_s // RAMP_DOUBLING_S)
 
 
-__all__ = ('KnownStatus',)
+# Status of an incarnation that has reported nothing; never modified.
+NO_STATUS = KnownStatus()
+
+
+__all__ = (
+    'NO_STATUS',
+    'KnownStatus',
+)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -9,6 +9,7 @@
 from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
 from sesamepoint.front.http_handler import HttpHandler
 from sesamepoint.front.engine_model.engine_tracking import EngineTracking
+from sesamepoint.front.instance_room.room import InstanceRoom
 from sesamepoint.front.engines.engine_runs import EngineRuns
 from sesamepoint.front.dispatch_components import DispatchComponents
 from sesamepoint.front.fleet_health.shared_health import SharedHealth
@@ -20,7 +21,6 @@
 from sesamepoint.front.peering.peers import Peers
 from sesamepoint.front.quarantine.quarantine import Quarantine
 from sesamepoint.front.engines.engine_sends import SendTracker
-from sesamepoint.http1.server import ServerLimits
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
@@ -58,6 +58,8 @@
     ) -> None:
         """Create the components without starting them; without a clock the system clock is used."""
         self.cfg = cfg
+        self.room = InstanceRoom(cfg, network)
+        network = self.room.network
         quarantine = Quarantine(cfg.name)
         send_check = SendCheck.for_instance(cfg.name, rng, quarantine.suspects)
         self.fleet = Fleet(cfg.drain_s, network, trio.current_time, send_check)
@@ -66,6 +68,7 @@
         engine_subset = EngineSubset(cfg.name, self.fleet)
         self.peers = Peers(cfg, sends, quarantine, engine_subset, peer_network)
         self._engine_tracking = EngineTracking(self.fleet, engine_subset, self.peers, rng)
+        self.room.lag.join(self.peers)
         budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_window_s)
         self._components = DispatchComponents.build(cfg, engine_subset, sends, send_check.runner_statuses, rng, clock)
         eligible = self._components.selector.eligible
@@ -77,7 +80,10 @@
         )
         self._store_sync = StoreSync(cfg, sync_targets, network, rng, clock)
         self.peer_pages = self._store_sync.pages
-        self.http_handler = HttpHandler(self.dispatcher, self._server_limits)
+        self.http_handler = HttpHandler(self.dispatcher, self.room)
+        self.room.connections.close_idle_outgoing = self.fleet.close_idle
+        self.room.connections.close_idle_callers = self.http_handler.close_longest_idle
+        self.dispatcher.lag = self.room.lag
         self.listener_scope = trio.CancelScope()
         self._add_gauges(quarantine)
 
@@ -85,6 +91,7 @@
         """Return the background tasks besides the listeners."""
         return [
             *self._store_sync.children(),
+            *self.room.children(),
             Child('keep-alive', self.peers.send_heartbeats),
             Child('peer-listen', self.peers.listen),
             Child('peer-tell', self.peers.broadcast_sends),
@@ -100,6 +107,7 @@
         """Apply ``cfg``; changed addresses need a restart."""
         self.cfg = cfg
         self.fleet.set_drain(cfg.drain_s)
+        self.room.reconfigure(cfg)
         self._store_sync.reconfigure(cfg)
 
     def ready(self) -> bool:
@@ -146,17 +154,11 @@
         quarantine.watch(add_gauge)
         self._engine_tracking.watch(add_gauge)
         self._exchanges.account_work.watch(add_gauge)
+        self.room.add_gauges(add_gauge)
 
     def _config_version(self) -> float:
         cfg = self.dispatcher.configuration
         return cfg.version if cfg else 0
 
-    def _server_limits(self) -> ServerLimits:
-        cfg = self.dispatcher.configuration
-        if cfg is None:
-            return ServerLimits()
-        limits = cfg.limits
-        return ServerLimits(limits.head_bytes, limits.body_bytes, limits.head_s, limits.idle_s)
-
 
 __all__ = ('Front',)
--- a/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
@@ -8,6 +8,7 @@
 from sesamepoint.front.engine_model.model_messages import EngineModelMessage
 from sesamepoint.front.fair_share.work_messages import AccountWorkMessage
 from sesamepoint.front.fleet_health.health_messages import RunnerHealthMessage
+from sesamepoint.front.instance_room.lag_messages import LagMessage
 from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.store.outage_messages import StoreProbe
@@ -26,6 +27,7 @@
     | EngineModelMessage
     | RunnerHealthMessage
     | AccountWorkMessage
+    | LagMessage
 )
 PEER_MESSAGES: tuple[type, ...] = get_args(PeerMessage)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -10,6 +10,7 @@
 
 from sesamepoint_core.engine_model.engine_model import EngineModel
 from sesamepoint_core.fleet_health.runner_health import RunnerHealth
+from sesamepoint_core.runner_status.known_status import NO_STATUS
 from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.loss_meter import LossMeter
@@ -55,6 +56,8 @@
             Size of the KV cache, in tokens.
         """
         self.runner = runner
+        # The same for all registrations of one member.
+        self.incarnation = Incarnation(runner.key, runner.born_ms)
         self._send_check = send_check
         self._runner_statuses = send_check.runner_statuses
         # Whether a newer incarnation has taken its place, or it was dropped from the fleet.
@@ -77,11 +80,6 @@
         self._probe_refused = False
         self._probe_lock = trio.Lock()
 
-    @property
-    def incarnation(self) -> Incarnation:
-        """Return the incarnation of the runner that this member stands for."""
-        return Incarnation(self.runner.key, self.runner.born_ms)
-
     @property
     def draining(self) -> bool:
         """Tell whether it is draining, by its registration or its reported status."""
@@ -90,17 +88,20 @@
     @property
     def backing_off(self) -> bool:
         """Tell whether it asked this instance for a back-off that still lasts."""
-        return self._status.back_off_left_s(trio.current_time()) > 0
+        status = self._status
+        return status is not NO_STATUS and status.back_off_left_s(trio.current_time()) > 0
 
     @property
     def backing_off_peer(self) -> bool:
         """Tell whether it asked a peer for a back-off that still lasts."""
-        return self._status.peer_backs_off(trio.current_time())
+        status = self._status
+        return status is not NO_STATUS and status.peer_backs_off(trio.current_time())
 
     @property
     def accepts_more(self) -> bool:
         """Tell whether it takes one more request of this instance: none in a back-off, few just after one."""
-        return self.in_flight < self._status.max_in_flight(trio.current_time())
+        status = self._status
+        return status is NO_STATUS or self.in_flight < status.max_in_flight(trio.current_time())
 
     def blocking_condition(self, purpose: SendPurpose) -> str:
         """Return the condition that forbids to send ``purpose`` to the runner now; empty if none does."""
@@ -168,6 +169,15 @@
             self.kv_tokens = kv_tokens
             self.cache.resize(kv_tokens)
 
+    @property
+    def oldest_idle_since(self) -> float | None:
+        """Return since when its longest idle connection has been idle; None if there is none."""
+        return self._pool.oldest_idle_since
+
+    def close_oldest_idle(self) -> None:
+        """Close the connection that is idle for longest."""
+        self._pool.close_oldest()
+
     def close(self) -> None:
         """Close idle connections; requests in progress go on."""
         self.closed = True
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
@@ -9,7 +9,7 @@
 import trio
 
 from sesamepoint_core.bounded_dict import drop_oldest
-from sesamepoint_core.runner_status.known_status import KnownStatus
+from sesamepoint_core.runner_status.known_status import NO_STATUS, KnownStatus
 from sesamepoint_core.runner_status.status_headers import BackOff, Draining, NoRateLimit, RateLimit, Unreadable
 from sesamepoint_core.serving.poison_requests import MAX_NAME_CHARS, Incarnation
 from sesamepoint import events
@@ -30,8 +30,6 @@
 # Least time between two log lines about an undecodable header of one kind from one runner,
 # in seconds: each answer may have one.
 UNREADABLE_LOG_INTERVAL_S = 10.0
-# Status of an incarnation that has reported nothing; never modified.
-NO_STATUS = KnownStatus()
 
 
 class RunnerStatuses:
