Bound how often one peer delays a probe of the store

Instances that the store refuses and that hear no peers announce a probe at each of their turns, and each announcement drew a new time for the probes of all others. With 5 such instances of 10, the others did not know a change of the configuration within 20 s, the limit of the run; with 10 of 30 likewise.

A registration was also repeated without any pause when a failure became an outage because other instances left: the event of the previous outage's end was still set. The pacer now updates its view of the outage before it waits.

--- a/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.store_pacing.suppression import draw_suppressing_share
@@ -21,6 +22,10 @@
 FRESH_S = 1.0
 # Share of the interval between probes that is the same for all instances.
 FIXED_SHARE = 0.4
+# Announcements of one peer delay the probe of an instance at most this often until that
+# instance has called the store. Instances that the store refuses and that hear no peers announce
+# probes all the while: ten of them among 30 kept the others from the store for good.
+MAX_DELAYS_OF_PEER = 2
 # Beyond this many doublings the interval has reached its limit.
 MAX_DOUBLINGS = 16
 
@@ -54,6 +59,7 @@
         self._intervals = intervals
         self._rng = rng
         self._failed: set[str] = set()
+        self._delays: Counter[str] = Counter()
         self._answered_at = -math.inf
         self._probes = 0
 
@@ -68,6 +74,7 @@
     def note_answered(self, now: float) -> None:
         """Note that the store answered this instance, which may call it again at once."""
         self.note_peer_answered(now)
+        self._delays.clear()
         self.probe_at = 0
 
     def note_peer_answered(self, now: float) -> None:
@@ -94,6 +101,7 @@
             return False
         was_down = self.is_down(instances)
         self._failed.add(self._name)
+        self._delays.clear()
         if was_down:
             self.probe_at = max(self.probe_at, now + self._interval_s(instances))
             return False
@@ -103,10 +111,14 @@
     def note_announced(self, peer: str, now: float, instances: int) -> None:
         """Note that ``peer`` announced a failed call or a probe."""
         self._failed.add(peer)
+        if not self.is_down(instances) or self._delays[peer] >= MAX_DELAYS_OF_PEER:
+            return
+        self._delays[peer] += 1
         self._delay_probes(now, instances)
 
     def begin_probe(self, now: float, instances: int) -> None:
         """Note that this instance is about to probe the store for all, and announces that."""
+        self._delays.clear()
         self._delay_probes(now, instances)
 
     def _delay_probes(self, now: float, instances: int) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -116,6 +116,8 @@
         The wait ends early if an outage of the store ends.
         """
         pause_s = backoff.next_pause_s(self._instance_count())
+        # The number of instances may have changed, and with it whether the store counts as down.
+        self._log_change()
         if not self.is_down():
             return await trio.sleep(pause_s)
         with trio.move_on_after(pause_s):
--- a/tests/core/store_pacing/test_outage.py
+++ b/tests/core/store_pacing/test_outage.py
@@ -86,6 +86,16 @@
             self.assertLessEqual(outage.probe_at, NOW + INTERVALS.longest_s)
         self.assertGreaterEqual(outage.probe_at, NOW + FIXED_SHARE * INTERVALS.longest_s)
 
+    def test_same_peers_announce_all_the_while(self) -> None:
+        """Guards against peers that announce probes without end and never let this instance call the store."""
+        outage = known_outage()
+        now = NOW
+        while now < outage.probe_at and now < NOW + 10:
+            for peer in PEERS:
+                outage.note_announced(peer, now, INSTANCES)
+            now += 0.05
+        self.assertLess(now, NOW + 2 * INTERVALS.longest_s)
+
     def test_announcements_before_confirmation(self) -> None:
         """Guards against one refused instance whose announcements keep the others from calling."""
         outage = new_outage()
--- a/tests/front/store/outage_simulation.py
+++ b/tests/front/store/outage_simulation.py
@@ -212,6 +212,8 @@
         for topic in PACINGS:
             self.store.append(topic, '0')
         self.datagrams = 0
+        # Instances that get no datagrams, as with a link that is cut in one direction.
+        self.deaf: set[str] = set()
         self._count = count
         self._nursery = nursery
         self._rng = Random(3)
@@ -243,14 +245,17 @@
         number = len(self.store.logs[topic])
         self.store.append(topic, str(number))
         began_at = trio.current_time()
+        hearing = [instance for name, instance in self.instances.items() if name not in self.deaf]
         with trio.move_on_after(limit_s):
-            while any(instance.known.get(topic, -1) < number for instance in self.instances.values()):
+            while any(instance.known.get(topic, -1) < number for instance in hearing):
                 await trio.sleep(0.01)
         return trio.current_time() - began_at
 
     def _later(self, delay_s: float, peer: SimulatedInstance, message: TopicUpdate | StoreProbe) -> None:
         async def deliver() -> None:
             await trio.sleep(delay_s)
+            if peer.name in self.deaf:
+                return
             if isinstance(message, StoreProbe):
                 peer.pacer.on_probe(message)
             else:
@@ -285,6 +290,22 @@
 LIMIT_S = 20.0
 
 
+async def measure_deaf(count: int, deaf: int) -> float:
+    """Return the longest time to know a change while ``deaf`` instances are refused and hear no peers."""
+    async with trio.open_nursery() as nursery:
+        simulation = OutageSimulation(count, SHARED, nursery)
+        simulation.start()
+        await trio.sleep(5)
+        simulation.deaf = {f'e{number}' for number in range(deaf)}
+        simulation.store.refused_instances = simulation.deaf
+        known_after_s: list[float] = []
+        for _ in range(CHANGES):
+            await trio.sleep(CHANGE_INTERVAL_S)
+            known_after_s.append(await simulation.time_until_known(CONFIGURATION, LIMIT_S))
+        nursery.cancel_scope.cancel()
+    return max(known_after_s)
+
+
 async def measure_outage(count: int, method: Method, *, silent: bool = False) -> Figures:
     """Measure an outage of the store for all, and a change of each kind at its return."""
     async with trio.open_nursery() as nursery:
@@ -365,6 +386,7 @@
     'Method',
     'OutageSimulation',
     'lose_answers',
+    'measure_deaf',
     'measure_fault',
     'measure_outage',
     'refuse_one',
--- a/tests/front/store/test_outages.py
+++ b/tests/front/store/test_outages.py
@@ -13,7 +13,9 @@
 
 import trio
 
+from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
 from sesamepoint_core.store_pacing.outage import StoreOutage
+from sesamepoint.front.store.store_pacer import StorePacer
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.builders import configuration, fleet, new_request
@@ -22,6 +24,7 @@
     FIXED,
     SHARED,
     lose_answers,
+    measure_deaf,
     measure_fault,
     measure_outage,
     refuse_one,
@@ -31,6 +34,7 @@
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
+    from sesamepoint.front.store.outage_messages import StoreProbe
     from tests.front.store.outage_simulation import Figures, SimulatedStore
 
 SEEDS = range(1, 5)
@@ -81,6 +85,10 @@
             with self.subTest(instances=count):
                 self.assertLess(run_virtual(measure_fault, count, SHARED, refuse_third).latest_s, BOUND_S)
 
+    def test_refused_and_without_peers(self) -> None:
+        """Guards against instances that hear no peers, and whose announcements keep the others from the store."""
+        self.assertLess(run_virtual(measure_deaf, 10, 5), BOUND_S)
+
     def test_fewer_calls_of_refused_instances(self) -> None:
         """Guards against refused instances that repeat calls in vain while their peers tell them all changes."""
         calls_per_s = [run_virtual(measure_fault, 30, method, refuse_third).calls_per_s for method in (FIXED, SHARED)]
@@ -105,6 +113,28 @@
         self.assertGreater(figures.latest_s, BOUND_S)
 
 
+class RegistrationPauseTest(TestCase):
+    """The pause before a failed registration is repeated."""
+
+    @in_virtual_time
+    async def test_fewer_instances_after_an_outage(self) -> None:
+        """Guards against calls without a pause when a failure becomes an outage because other instances leave."""
+        counts = [1]
+        rng = Random(1)
+        outage = StoreOutage('e0', RetryLimits(0.2, 0.75), rng)
+        pacer = StorePacer('e0', outage, lambda: counts[-1], _ignore_probe)
+        pacer.note_failed(trio.current_time())
+        pacer.note_answered()
+        counts.append(3)
+        await trio.sleep(5)
+        pacer.note_failed(trio.current_time())
+        counts.append(1)
+        self.assertTrue(pacer.is_down())
+        began_at = trio.current_time()
+        await pacer.wait_to_retry(Backoff(RetryLimits(1, 3), rng))
+        self.assertGreaterEqual(trio.current_time() - began_at, 0.5)
+
+
 class FrontsTest(TestCase):
     """Whole instances, with all their callers of the store."""
 
@@ -158,5 +188,9 @@
     return False
 
 
+def _ignore_probe(_: StoreProbe) -> None:
+    """Ignore the announcement."""
+
+
 def _ignore(*_: object) -> None:
     """Replace a safeguard."""
