Refuse plain requests for shares only while all slots are taken

An instance refused requests of accounts above their shares once it had its part of the slots in use, at least one: with more instances than slots, one request in flight counted as all slots taken. The requests in flight that peers report for the same runners now count as well, and all slots must be taken. The part of the instance remains a condition, since reports are up to some seconds old.

Also test that the engine queue of a deployment without accounts never asks how an account stands.

--- a/packages/sesamepoint/src/sesamepoint/front/fair_share/plain_shares.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fair_share/plain_shares.py
@@ -20,10 +20,19 @@
 
 
 class Slots(NamedTuple):
-    """Slots of the runners that a request may be sent to, and how many of them this instance has taken."""
+    """Slots of the runners that a request may be sent to, and how many of them are taken.
+
+    Parameters
+    ----------
+    taken
+        Slots taken by requests of this instance.
+    at_peers
+        Slots taken by requests of the peers, by their reports.
+    """
 
     total: int
     taken: int
+    at_peers: float
 
 
 class PlainShares:
@@ -58,7 +67,7 @@
         if not self._account_shares.active or job.sends:
             return False
         members = runners_for(job)
-        slots = Slots(sum(member.runner.slots for member in members), sum(member.in_flight for member in members))
+        slots = _slots_of(members)
         if not self._all_taken(slots):
             return False
         share = self._account_shares.share_of(job, slots.total)
@@ -72,14 +81,33 @@
             work_ms=whole_ms(self._work.work_s(job.route.name)),
             slots=slots.total,
             taken=slots.taken,
+            at_peers=round(slots.at_peers, 1),
             left_ms=whole_ms(job.first_output_left_s),
             retry_after_s=job.retry_after_s,
         )
         return True
 
     def _all_taken(self, slots: Slots) -> bool:
-        """Tell whether this instance has as many requests under way as its part of the slots, at least one."""
-        return slots.taken * self._account_shares.instances >= max(slots.total, 1) and slots.taken > 0
+        """Tell whether all slots are taken, and this instance has taken its part of them, at least one.
+
+        Reports of peers are up to some seconds old. Without its part, an instance would
+        refuse requests whenever its peers were busy at the time of their reports. Without
+        the occupancy, one request in flight would count as all slots taken where there are
+        more instances than slots. If the reports of peers are lost, only the requests of
+        this instance count, and too few are refused rather than too many.
+        """
+        if not slots.taken or slots.taken * self._account_shares.instances < slots.total:
+            return False
+        return slots.taken + slots.at_peers >= slots.total
+
+
+def _slots_of(members: Sequence[Member]) -> Slots:
+    now = trio.current_time()
+    return Slots(
+        sum(member.runner.slots for member in members),
+        sum(member.in_flight for member in members),
+        sum(member.health.peers.in_flight(now) for member in members),
+    )
 
 
 __all__ = ('PlainShares',)
--- a/tests/front/fair_share/test_flood.py
+++ b/tests/front/fair_share/test_flood.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from sesamepoint_core.fair_share.work import WorkGroup
 from sesamepoint.front.fair_share.work_messages import AccountWorkMessage
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from tests.front.builders import configuration, engine, new_prompt_request
@@ -18,6 +19,7 @@
 from tests.front.fair_share.account_load import (
     FLOOD,
     IMPATIENT_FLOOD,
+    LARGE,
     LEAVING_FLOOD,
     SMALL,
     AccountLoad,
@@ -29,6 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint_core.fair_share.fair_shares import AccountStanding
+    from sesamepoint_core.fair_share.methods import ShareDecision
     from sesamepoint_standins.platform.runner import RunnerStandIn
 
 LOAD_S = 3.0
@@ -140,6 +144,20 @@
             self.assertEqual(received, [])
             self.assertEqual(bench.fronts['front-1']._components.account_shares.shares.meter.count(), 0)
 
+    @in_virtual_time
+    async def test_decisions_as_before(self) -> None:
+        """Guards against an engine queue that orders or refuses by work which was counted for accounts earlier."""
+        async with open_bench(configuration(), _engines(), fronts=FRONTS) as bench:
+            for front in bench.fronts.values():
+                account_shares = front._components.account_shares
+                account_shares.method = _fail_to_decide
+                account_shares.shares.note_offered(WorkGroup('llm'), '', 100, trio.current_time())
+                account_shares.shares.note_used(WorkGroup('llm'), '', 10, trio.current_time())
+            load = AccountLoad(bench, Random(1))
+            await load.run(FLOOD, 1)
+            # Some are late or refused, so the engines were short.
+            self.assertLess(load.mean_worth(*SMALL, LARGE), 1)
+
 
 class _Garbler:
     """Loses each third message, doubles each second one, and delivers an old one again after each."""
@@ -159,6 +177,11 @@
         self._handler(self._messages[count // 2])
 
 
+def _fail_to_decide(standing: AccountStanding) -> ShareDecision:
+    """Fail, since no decision may depend on the standing of an account."""
+    raise AssertionError(standing)
+
+
 def _drop(_: AccountWorkMessage) -> None:
     """Drop a message."""
 
--- a/tests/front/fair_share/test_plain_shares.py
+++ b/tests/front/fair_share/test_plain_shares.py
@@ -9,11 +9,32 @@
 from random import Random
 from unittest import TestCase
 
+import msgspec
 import trio
 
+from sesamepoint_core.fair_share.fair_shares import FairShares
+from sesamepoint_core.fair_share.work import WorkGroup
+from sesamepoint_core.fleet_health.reports import RunnerReport
+from sesamepoint_core.serving.address import Address
+from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
+from sesamepoint_core.serving.runner import Runner, Stage
+from sesamepoint.front.fair_share.account_shares import AccountShares
+from sesamepoint.front.fair_share.plain_shares import PlainShares
+from sesamepoint.front.requests.job import Job
+from sesamepoint.front.requests.request import FrontRequest
+from sesamepoint.front.runners.fleet_member import Member
+from sesamepoint.http1.messages import RequestHead
+from sesamepoint.http1.transport import SocketNetwork
+from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from sesamepoint_standins.platform.runner import EngineSpeed
-from tests.front.builders import bearer_header, configuration, new_request, plain_runner
+from tests.front.builders import (
+    bearer_header,
+    configuration,
+    new_request,
+    permissive_send_check,
+    plain_runner,
+)
 from tests.front.fair_share.account_load import LARGE, SMALL, accounts_configuration, key_of
 from tests.virtual_time import in_virtual_time
 
@@ -63,6 +84,27 @@
             self.retry_after_s.append(answer.retry_after_s)
 
 
+class OccupancyTest(TestCase):
+    """Which slots count as taken: 8 slots of two runners, and 30 instances."""
+
+    @in_virtual_time
+    async def test_more_instances_than_slots(self) -> None:
+        """Guards against refusals while slots are free, because this instance has one request in flight."""
+        self.assertFalse(_refuses_large(taken=1, at_peers=0))
+        self.assertFalse(_refuses_large(taken=1, at_peers=5))
+
+    @in_virtual_time
+    async def test_all_taken(self) -> None:
+        """Guards against an account above its share that gets slots which no account within its share can get."""
+        self.assertTrue(_refuses_large(taken=1, at_peers=7))
+        self.assertTrue(_refuses_large(taken=8, at_peers=0))
+
+    @in_virtual_time
+    async def test_nothing_taken_here(self) -> None:
+        """Guards against refusals by reports of peers alone, which may be out of date."""
+        self.assertFalse(_refuses_large(taken=0, at_peers=8))
+
+
 class PlainSharesTest(TestCase):
     """Requests while all known slots are taken, and while they are not."""
 
@@ -90,6 +132,31 @@
         self.assertEqual(load.refused(LARGE, *SMALL[:4]), 0)
 
 
+def _refuses_large(taken: int, at_peers: int) -> bool:
+    """Tell whether an instance with ``taken`` requests in flight refuses one of an account above its share."""
+    shares = FairShares('front-1', 1)
+    account_shares = AccountShares(shares)
+    account_shares.configure(decode_configuration(msgspec.json.encode(accounts_configuration())))
+    account_shares.instances = 30
+    shares.note_offered(WorkGroup('web'), '', 80, trio.current_time())
+    shares.note_used(WorkGroup('web'), '', 60, trio.current_time())
+    shares.note_offered(WorkGroup('web'), '', WORK_S, trio.current_time())
+    runners = (
+        Runner(f'i-web{number}', 'web', Address('10.3.0.1', number), 'z1', 4, draining=False, stage=Stage.plain)
+        for number in (1, 2)
+    )
+    members = [Member(runner, SocketNetwork(), permissive_send_check()) for runner in runners]
+    members[0].in_flight = taken
+    for number in range(at_peers):
+        member = members[number % 2]
+        report = RunnerReport(member.incarnation, 0, 1, 0, 0, 0, 1, WORK_S)
+        member.health.take_report(f'front-{number + 2}', report, trio.current_time(), 5)
+    route = Route('card', 'x', '/', RepeatPolicy.never, True, 1.0, 0.25, 0.25, 1, 0, (ServiceShare('web', 1),))
+    req = FrontRequest('q', 'x', '/', RequestHead(b'POST', b'/', ()), b'', trio.current_time(), 1.0, None)
+    job = Job(req, route, 'web', None)  # type: ignore[arg-type]
+    return PlainShares(account_shares).refuses(job, lambda _: members)
+
+
 async def _run(cfg: dict[str, object], large_per_s: float) -> PlainLoad:
     speed = EngineSpeed(slots=4)
     runners = [plain_runner(number, speed=speed, work_s=WORK_S) for number in (1, 2)]
