Count the failures of a peer's window once, also after its report expired; sum reports up at an interval

A report on a window whose earlier report had expired counted all its failures again, some of them 15 s old at 350 instances, and two of them and one more ejected a runner. The requests in flight at peers were summed over all instances for each request and runner.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 from statistics import median
 from typing import Annotated, NamedTuple
@@ -27,6 +28,10 @@
 MAX_PEERS = 1024
 # Most that one peer's requests in flight count for, in medians of all peers.
 MAX_MEDIANS = 3
+# Least time between two sums of the reports of all peers, in seconds, and for each peer. Each peer
+# reports at most every 0.5 s, and of 350 peers each some 15 s.
+MIN_SUM_INTERVAL_S = 0.1
+SUM_INTERVAL_S_PER_PEER = 0.002
 # Decimal places of times and mean counts in reports.
 PLACES = 3
 
@@ -170,16 +175,19 @@
     def take(self, report: RunnerReport, now: float, ttl_s: float) -> NewlyReported | None:
         """Return what ``report`` adds to the latest one; None if it is late or a duplicate.
 
-        An expired report no longer counts, so that the reports of a restarted peer,
-        whose windows are numbered from zero again, are accepted.
+        After the expiry of the latest report, lower windows and counts are accepted: they are
+        those of a restarted peer, whose windows are numbered from zero again. What was counted of
+        a window does not count again, since one may be reported on over longer than the expiry.
         """
-        earlier = self._report if self.live(now) else None
-        if earlier is not None and (report.window < earlier.window or report == earlier):
+        earlier = self._report
+        if report == earlier or (earlier is not None and self.live(now) and report.window < earlier.window):
             return None
         same = earlier is not None and report.window == earlier.window
         known = _counts(earlier) if same and earlier is not None else Counts()
         if any(new < old for new, old in zip(_counts(report), known, strict=True)):
-            return None
+            if self.live(now):
+                return None
+            known = Counts()
         probe = ProbeState.none if same and earlier is not None and report.probe is earlier.probe else report.probe
         self._report = report
         self._expires_at = now + ttl_s
@@ -204,6 +212,9 @@
     def __init__(self) -> None:
         """Start without reports."""
         self._windows: dict[str, PeerWindow] = {}
+        self._summed_at = -math.inf
+        self._in_flight: float = 0
+        self._response_s: float = 0
 
     def take(self, peer: str, report: RunnerReport, now: float, ttl_s: float) -> NewlyReported | None:
         """Return what a report of ``peer`` adds; None if it is late or a duplicate."""
@@ -217,15 +228,26 @@
         Requests pile up at an instance with a bad link, and are no load on the runner,
         so no peer counts for more than some times the median.
         """
-        reported = [window.in_flight(now) for window in self._windows.values() if window.live(now)]
-        most = max(1, MAX_MEDIANS * median(reported)) if reported else 0
-        return sum(min(one, most) for one in reported)
+        self._sum(now)
+        return self._in_flight
 
     def response_s(self, now: float) -> float:
         """Return the mean response time that peers observed, in seconds; 0 if it is unknown."""
-        observed = [window.response_s(now) for window in self._windows.values()]
+        self._sum(now)
+        return self._response_s
+
+    def _sum(self, now: float) -> None:
+        """Sum the reports up, unless that was done lately: the sums are read several times for each request."""
+        if now - self._summed_at < max(MIN_SUM_INTERVAL_S, SUM_INTERVAL_S_PER_PEER * len(self._windows)):
+            return
+        self._summed_at = now
+        live = [window for window in self._windows.values() if window.live(now)]
+        reported = [window.in_flight(now) for window in live]
+        most = max(1, MAX_MEDIANS * median(reported)) if reported else 0
+        self._in_flight = sum(min(one, most) for one in reported)
+        observed = [window.response_s(now) for window in live]
         known = [seconds for seconds in observed if seconds]
-        return sum(known) / len(known) if known else 0
+        self._response_s = sum(known) / len(known) if known else 0
 
 
 class NewlyReported(NamedTuple):
@@ -239,4 +261,13 @@
     return Counts(report.successes, report.failures, report.connect_failures, report.rejections)
 
 
-__all__ = ('WINDOW_S', 'Counts', 'NewlyReported', 'OwnWindow', 'PeerWindows', 'ProbeState', 'RunnerReport')
+__all__ = (
+    'WINDOW_S',
+    'Counts',
+    'NewlyReported',
+    'OwnWindow',
+    'PeerWindow',
+    'PeerWindows',
+    'ProbeState',
+    'RunnerReport',
+)
--- a/tests/core/fleet_health/test_runner_health.py
+++ b/tests/core/fleet_health/test_runner_health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from unittest import TestCase
+from unittest.mock import patch
 
 from sesamepoint_core.fleet_health.half_open import (
     MAX_EJECTION_S,
@@ -12,7 +13,7 @@
     TRIAL_TIMEOUT_S,
     TrialRequest,
 )
-from sesamepoint_core.fleet_health.reports import ProbeState
+from sesamepoint_core.fleet_health.reports import PeerWindow, ProbeState
 from sesamepoint_core.fleet_health.runner_health import HealthChange, RunnerHealth
 from tests.core.fleet_health.builders import TTL_S, report
 
@@ -138,6 +139,34 @@
         health.take_report('front-3', report(failures=2), 11 + TTL_S, TTL_S)
         self.assertTrue(health.eligible(11 + TTL_S))
 
+    def test_late_report_of_expired_window(self) -> None:
+        """Guards against old failures that count again in the next report of their window, after the first expired."""
+        health = RunnerHealth()
+        health.take_report('front-2', report(failures=2), 10, TTL_S)
+        health.take_report('front-2', report(failures=2, successes=1), 11 + TTL_S, TTL_S)
+        self.assertFalse(health.note_failure(11 + TTL_S))
+
+    def test_duplicate_of_expired_report(self) -> None:
+        """Guards against old failures that count again as an instance that was frozen reads a duplicate."""
+        health = RunnerHealth()
+        health.take_report('front-2', report(failures=2), 10, TTL_S)
+        health.take_report('front-2', report(failures=2), 11 + TTL_S, TTL_S)
+        self.assertFalse(health.note_failure(11 + TTL_S))
+
+    def test_work_with_many_peers(self) -> None:
+        """Guards against a sum over the reports of all instances for each request."""
+        health = RunnerHealth()
+        for number in range(350):
+            health.take_report(f'front-{number}', report(in_flight=1), 10, TTL_S)
+        with patch.object(PeerWindow, 'in_flight', autospec=True, side_effect=PeerWindow.in_flight) as summed:
+            for request in range(100):
+                self.assertEqual(health.peers.in_flight(10 + request / 1000), 350)
+            self.assertLessEqual(summed.call_count, 350)
+        with patch.object(PeerWindow, 'response_s', autospec=True, side_effect=PeerWindow.response_s) as averaged:
+            for request in range(100):
+                health.peers.response_s(10 + request / 1000)
+            self.assertLessEqual(averaged.call_count, 350)
+
     def test_restarted_reporter(self) -> None:
         """Guards against reports that are ignored because the windows of a restarted peer begin at zero."""
         health = RunnerHealth()
