Let the first trial decide on a runner, withdraw passed probes, and bound what one bad link does to placement

With answers slower than the time between trials only the newest trial counted, and its answer never came in time. The report on an ejection still told of a probe that had passed before. A peer's failures beyond the two that count as evidence raised the expected share of failures at all instances.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/evidence.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/evidence.py
@@ -101,4 +101,4 @@
     return score
 
 
-__all__ = ('EVIDENCE_S', 'MIN_REPORTERS', 'OWN', 'Evidence', 'Outcomes')
+__all__ = ('EVIDENCE_S', 'MAX_FAILURES_OF_REPORTER', 'MIN_REPORTERS', 'OWN', 'Evidence', 'Outcomes')
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/failure_share.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/failure_share.py
@@ -36,4 +36,4 @@
         self.recent = 0
 
 
-__all__ = ('FailureShare',)
+__all__ = ('FAILURE_SHARE_GAIN', 'FailureShare')
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from sesamepoint_core.fleet_health.evidence import MIN_REPORTERS, OWN, Evidence, Outcomes
+from sesamepoint_core.fleet_health.evidence import MAX_FAILURES_OF_REPORTER, MIN_REPORTERS, OWN, Evidence, Outcomes
 from sesamepoint_core.fleet_health.failure_share import FailureShare
 from sesamepoint_core.fleet_health.half_open import HalfOpen, TrialRequest
 from sesamepoint_core.fleet_health.reports import NewlyReported, OwnWindow, PeerWindows, ProbeState
@@ -50,7 +50,7 @@
         self._connected: set[int] = set()
         self.failures = FailureShare()
         self._connect_failures = 0
-        # When this instance sent its trial; infinite if none is under way.
+        # When this instance sent its first trial since the ejection; infinite if it sent none.
         self._own_trial_at = math.inf
 
     def eligible(self, now: float) -> bool:
@@ -69,7 +69,8 @@
         """Note that a request awaits its first response; returns its ticket."""
         if self.half_open.due(now, 0):
             self.half_open.begin_trial(now)
-            self._own_trial_at = now
+            # The first trial since the ejection decides too: answers may take longer than the time between trials.
+            self._own_trial_at = min(self._own_trial_at, now)
             self._announce(ProbeState.sent)
         return super().note_sent(now)
 
@@ -178,6 +179,8 @@
         self.half_open.eject(now)
         self.alone = self.evidence.reporters(now) < MIN_REPORTERS
         self._own_trial_at = math.inf
+        # The report on the ejection must not tell of an earlier probe that passed.
+        self.own.probe = ProbeState.none
         self._notify()
         return True
 
@@ -203,8 +206,12 @@
 
     def _add(self, outcomes: Outcomes) -> None:
         self.evidence.add(outcomes)
-        counts = outcomes.reporter == OWN or self.evidence.reporters(outcomes.at) >= MIN_REPORTERS
-        self.failures.add(outcomes.at, outcomes.successes, outcomes.failures if counts else 0)
+        failures = outcomes.failures
+        if outcomes.reporter != OWN:
+            # Many failures of one peer may be due to its link.
+            enough = self.evidence.reporters(outcomes.at) >= MIN_REPORTERS
+            failures = min(failures, MAX_FAILURES_OF_REPORTER) if enough else 0
+        self.failures.add(outcomes.at, outcomes.successes, failures)
 
     def _announce(self, probe: ProbeState) -> None:
         self.own.probe = probe
--- a/tests/core/fleet_health/test_runner_health.py
+++ b/tests/core/fleet_health/test_runner_health.py
@@ -5,6 +5,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
+from sesamepoint_core.fleet_health.failure_share import FAILURE_SHARE_GAIN
 from sesamepoint_core.fleet_health.half_open import (
     MAX_EJECTION_S,
     MIN_EJECTION_S,
@@ -153,6 +154,14 @@
         health.take_report('front-2', report(failures=2), 11 + TTL_S, TTL_S)
         self.assertFalse(health.note_failure(11 + TTL_S))
 
+    def test_bad_link_barely_moves_failure_share(self) -> None:
+        """Guards against a sound runner that all avoid for seconds by one bad link and one failure elsewhere."""
+        health = RunnerHealth()
+        health.note_failure(10)
+        share = health.failures.recent
+        health.take_report('front-2', report(failures=12), 10, TTL_S)
+        self.assertLess(health.failures.recent, share + 2 * FAILURE_SHARE_GAIN)
+
     def test_work_with_many_peers(self) -> None:
         """Guards against a sum over the reports of all instances for each request."""
         health = RunnerHealth()
@@ -218,6 +227,25 @@
         health.note_health_call(11.2, healthy=False)
         self.assertFalse(health.admits_trial(11.3, REPEATABLE))
 
+    def test_slow_answers_return(self) -> None:
+        """Guards against a runner that never returns, as its answers take longer than the time between trials."""
+        health = ejected_health()
+        for number in range(4):
+            health.note_sent(12 + number * TRIAL_TIMEOUT_S)
+        health.note_success(12 + 4 * TRIAL_TIMEOUT_S, 12)
+        self.assertFalse(health.half_open.ejected)
+
+    def test_ejection_withdraws_passed_probe(self) -> None:
+        """Guards against the return of an ejected runner by the news of a probe before the ejection."""
+        health = ejected_health()
+        health.note_sent(12)
+        health.note_success(12.1, 12)
+        self.assertIs(health.own.probe, ProbeState.passed)
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(12.2)
+        self.assertFalse(health.eligible(12.2))
+        self.assertIs(health.own.probe, ProbeState.none)
+
     def test_probe_of_peer_decides(self) -> None:
         """Guards against an instance that keeps a runner ejected, or probes it, after the probe of a peer."""
         for probe, change in (
