--- a/tests/front/fleet_health/test_failing_runner.py
+++ b/tests/front/fleet_health/test_failing_runner.py
@@ -36,6 +36,8 @@
 MAX_UNUSED_S = 0.5
 # Eleven requests a second arrive there at random, so that gaps of half a second are chance.
 MAX_GAP_S = 1.2
+# Failures by which one instance ejects a runner on its own evidence.
+FAILURES_ALONE = 4
 
 
 async def fail_one(bench: PlatformBench, load: PlainLoad, *, idempotent: bool) -> None:
@@ -46,6 +48,10 @@
     bench.runners[FAILING].faults.fails = False
 
 
+def _drop(_message: RunnerHealthMessage) -> None:
+    """Lose a message."""
+
+
 class MeasuredFailureTest(TestCase):
     """The situation that was measured."""
 
@@ -110,6 +116,13 @@
             await load.run(2 * MAX_RECOVERY_S, idempotent=True)
             self.assertLess(served.first_s(), 2 * MAX_RECOVERY_S)
 
+    @in_virtual_time
+    async def test_link_cut_in_one_direction(self) -> None:
+        """Guards against an instance that gets no reports, and keeps a runner in use or out of use for all."""
+        for deaf in ('front-1', 'front-3'):
+            with self.subTest(deaf=deaf):
+                await self._check_deaf(deaf)
+
     @in_virtual_time
     async def test_prober_killed(self) -> None:
         """Guards against a runner that stays out of use because the instance that is to probe it was killed."""
@@ -155,6 +168,19 @@
                     front.peers.on_datagram(msgspec.msgpack.encode(RunnerHealthMessage(sender, (row,))))
                 self.assertEqual(member.health.eligible(trio.current_time()), in_use)
 
+    async def _check_deaf(self, deaf: str) -> None:
+        async with open_bench(configuration(), plain_runners(), fronts=FEW) as bench:
+            load = PlainLoad(bench, SEED)
+            bench.fronts[deaf].peers.handlers[RunnerHealthMessage] = _drop
+            await fail_one(bench, load, idempotent=True)
+            # The instance without reports finds out by its own failures.
+            self.assertLessEqual(load.lost(NON_IDEMPOTENT), MAX_LOST + FAILURES_ALONE)
+            served = Served(bench.runners[FAILING], trio.current_time())
+            await load.run(2 * MAX_RECOVERY_S, idempotent=True)
+            self.assertLess(served.first_s(), MAX_RECOVERY_S)
+            for front in bench.fronts.values():
+                self.assertTrue(front.fleet.members[FAILING].health.eligible(trio.current_time()))
+
     async def _check_in_use(self, bench: PlatformBench, until: float) -> None:
         others = [front.fleet.members[FAILING].health for name, front in bench.fronts.items() if name != 'front-1']
         while trio.current_time() < until:
