Count the instances that compete for a limit by the priority of the demand that is answered

A grant counted all demands, idle ones included, once the demand it answered was met, and the recipient took the number for its urgent requests: it refused them at once, for 2 s, while less urgent ones got the permits.

--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/limit_owner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/limit_owner.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-from sesamepoint_core.runner_limit.share_lender import IDLE_RANK, Demand, lease_s
+from sesamepoint_core.runner_limit.share_lender import Demand, lease_s
 from sesamepoint_core.runner_limit.stamp import Stamp
 from sesamepoint_core.runner_limit.token_bucket import TokenBucket
 
@@ -18,10 +18,11 @@
 
 
 class AllocatedPermit(NamedTuple):
-    """One permit for an instance, and when the instance requested it, on its own clock."""
+    """One permit for an instance, when the instance requested it, on its own clock, and the priority of its demand."""
 
     instance: str
     requested_at: float
+    priority: int
 
 
 class _Demand(NamedTuple):
@@ -93,15 +94,12 @@
             granted.append(self._allocate_one(now))
         return granted
 
-    def contenders(self, instance: str, priority: int | None = None) -> int:
-        """Return how many instances want permits at least as urgently as requests of ``priority``.
+    def contenders(self, instance: str, priority: int) -> int:
+        """Return how many instances want permits at least as urgently as requests of ``priority`` at ``instance``.
 
-        Without ``priority`` that of the named instance's demand is taken.
+        It is included, whether or not its demand has just been met.
         """
-        if priority is None:
-            own = self._demands.get(instance)
-            priority = IDLE_RANK.priority if own is None else own.demand.rank.priority
-        return sum(pending.demand.rank.priority <= priority for pending in self._demands.values())
+        return len({instance, *(name for name, one in self._demands.items() if one.demand.rank.priority <= priority)})
 
     def next_at(self) -> float:
         """Return when the next permit may be granted; infinite without demand."""
@@ -114,7 +112,7 @@
         remaining = pending.demand.permits - 1
         if remaining:
             self._demands[name] = pending._replace(demand=pending.demand._replace(permits=remaining))
-        return AllocatedPermit(name, pending.requested_at)
+        return AllocatedPermit(name, pending.requested_at, pending.demand.rank.priority)
 
     def _order(self, instance: str) -> tuple[object, float]:
         return self._demands[instance].demand.rank, self._allocated_at.get(instance, -math.inf)
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/share_lender.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/share_lender.py
@@ -31,6 +31,9 @@
 MIN_REQUEST_INTERVAL_S = 0.02
 # How long the reported number of competing instances is used, in seconds.
 CONTENTION_TTL_S = 2.0
+# After this many seconds it fades, since it may be that of a short burst: an instance that refuses requests
+# for it demands no permits and learns no newer number. A number of 3 refused urgent requests for 2 s.
+CONTENTION_HOLD_S = 1.0
 # Rank of a demand for permits in advance, without a waiting request: after all others.
 IDLE_RANK = Rank(1000, 0)
 
@@ -133,13 +136,14 @@
             self._stamp = grant.stamp
             self._stamp_at = now
         self._unanswered_since = None
-        if self._sent_demand.rank != IDLE_RANK:
+        # A grant for an earlier demand counts the instances that compete at the priority of that one.
+        if self._sent_demand.rank != IDLE_RANK and grant.requested_at == self._requested_at:
             self._contention[self._sent_demand.rank.priority] = _Contention(max(grant.contenders, 1), now)
         self._sent_demand = self._sent_demand._replace(permits=max(self._sent_demand.permits - grant.permits, 0))
         if now < grant.requested_at + lease_s(instance_count) + PERMIT_TTL_S:
             self.add(grant.permits, now)
 
-    def contenders(self, priority: int, now: float) -> int:
+    def contenders(self, priority: int, now: float) -> float:
         """Return how many instances, this one included, want permits at least as urgently as ``priority``.
 
         One, if this instance lately had no demand that urgent, or had a less urgent one as well:
@@ -148,7 +152,9 @@
         recent = [level for level, report in self._contention.items() if now - report.at < CONTENTION_TTL_S]
         if max(recent, default=math.inf) > priority:
             return 1
-        return self._contention[max(recent)].instances
+        report = self._contention[max(recent)]
+        left = min((CONTENTION_TTL_S - now + report.at) / (CONTENTION_TTL_S - CONTENTION_HOLD_S), 1)
+        return 1 + (report.instances - 1) * left
 
     def add(self, permits: int, now: float) -> None:
         """Add permits that arrive now."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/shared_limit.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/shared_limit.py
@@ -16,7 +16,7 @@
 from sesamepoint_core.runner_limit.known_limit import KnownLimit
 from sesamepoint_core.runner_limit.limit_owner import LimitOwner
 from sesamepoint_core.runner_limit.messages import AddressedMessage, LimitUpdate, PermitGrant, PermitRequest
-from sesamepoint_core.runner_limit.share_lender import NO_DEMAND, Demand, ShareLender, lease_s
+from sesamepoint_core.runner_limit.share_lender import IDLE_RANK, NO_DEMAND, Demand, ShareLender, lease_s
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -104,7 +104,7 @@
         rate = self.known.allowed_rate(now) or 0
         if self._share.is_leased(now):
             return rate / self._share.contenders(priority, now)
-        return rate * self._shares(now) / len(self._members) / max(self._owner.contenders(self._name, priority), 1)
+        return rate * self._shares(now) / len(self._members) / self._owner.contenders(self._name, priority)
 
     def on_message(self, sender: str, message: PermitRequest | PermitGrant, now: float) -> bool:
         """Handle a message of a peer; return whether the known limit has changed."""
@@ -112,7 +112,8 @@
         if isinstance(message, PermitRequest):
             self._owner.on_request(sender, message, len(self._members), now)
             # Always answered: the sender dates its next lease by the stamp in the answer.
-            self._outgoing.append(AddressedMessage(sender, self._grant(sender, 0, now, message.requested_at)))
+            grant = self._grant(sender, 0, now, message.rank.priority, message.requested_at)
+            self._outgoing.append(AddressedMessage(sender, grant))
         else:
             self._share.on_grant(sender, message, len(self._members), now)
         return changed
@@ -166,11 +167,8 @@
                 self._share.add(1, now)
                 self._demand = self._demand._replace(permits=self._demand.permits - 1)
             else:
-                self._outgoing.append(
-                    AddressedMessage(
-                        allocated.instance, self._grant(allocated.instance, 1, now, allocated.requested_at)
-                    )
-                )
+                grant = self._grant(allocated.instance, 1, now, allocated.priority, allocated.requested_at)
+                self._outgoing.append(AddressedMessage(allocated.instance, grant))
 
     def _announce(self, now: float) -> None:
         """Announce a limit that begins, ends or falls to all peers.
@@ -192,17 +190,19 @@
             self._announced_at = now
         if changed or limit > self._announced_limit:
             self._announced_limit = limit
-        self._outgoing.extend(AddressedMessage(name, self._grant(name, 0, now)) for name in sorted(unaware))
+        self._outgoing.extend(
+            AddressedMessage(name, self._grant(name, 0, now, IDLE_RANK.priority)) for name in sorted(unaware)
+        )
 
     def _next_announcement_at(self) -> float:
         return (
             self._announced_at + RESEND_LEASE_SHARE * lease_s(len(self._members)) if self._share.is_owner else math.inf
         )
 
-    def _grant(self, instance: str, permits: int, now: float, requested_at: float = 0) -> PermitGrant:
-        return PermitGrant(
-            requested_at, self._owner.stamp(now), permits, self._owner.contenders(instance), self._limit_update(now)
-        )
+    def _grant(self, instance: str, permits: int, now: float, priority: int, requested_at: float = 0) -> PermitGrant:
+        """Return a grant for a demand of ``priority``, which the owner no longer knows once it is met."""
+        contenders = self._owner.contenders(instance, priority)
+        return PermitGrant(requested_at, self._owner.stamp(now), permits, contenders, self._limit_update(now))
 
     def _limit_update(self, now: float) -> LimitUpdate | None:
         return LimitUpdate.of(self.known.reported, now) if self.known.reported else None
--- a/tests/core/runner_limit/test_shared_limit.py
+++ b/tests/core/runner_limit/test_shared_limit.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -18,17 +17,18 @@
 
 from sesamepoint_core.runner_limit import shared_limit
 from sesamepoint_core.runner_limit.limit_owner import LimitOwner
-from sesamepoint_core.runner_limit.share_lender import ShareLender
+from sesamepoint_core.runner_limit.messages import PermitGrant, PermitRequest, Rank
+from sesamepoint_core.runner_limit.share_lender import CONTENTION_HOLD_S, CONTENTION_TTL_S, Demand, ShareLender
+from sesamepoint_core.runner_limit.stamp import Stamp
 from sesamepoint_core.runner_limit.token_bucket import TokenBucket
 from sesamepoint_standins.platform.limit_bound import LIMIT_KNOWN_S
 from sesamepoint_standins.platform.limit_simulation import LimitSimulation
 from tests.core.runner_limit.faults import LimitFaults
 
-if TYPE_CHECKING:
-    from sesamepoint_core.runner_limit.messages import PermitRequest
-
 LIMIT = 6.8
 MIN_USE = 0.9
+URGENT = Rank(0, -1)
+LESS_URGENT = Rank(3, -1)
 # Permits that may be kept from before a measured time span, and used in it.
 MAX_KEPT_PERMITS = 7
 # Seeds that exceeded the bound during development.
@@ -142,6 +142,54 @@
         self.assertLessEqual(simulation.max_excess(LIMIT_KNOWN_S), 0)
 
 
+class ContendersTest(TestCase):
+    """The number of competing instances by which an instance expects its rate."""
+
+    def test_grant_counts_by_priority(self) -> None:
+        """Guards against urgent requests refused because less urgent ones of other instances wait for permits."""
+        for urgent_permits in (0, 1):
+            with self.subTest(urgent_permits=urgent_permits):
+                owner = shared_limit.SharedLimit('front-1', 'i-web1', 1, 0, 0)
+                owner.known.on_reported(LIMIT, 0)
+                owner.update_members(['front-2', 'front-3', 'front-4'])
+                owner.on_message('front-3', _permit_request(1, LESS_URGENT), 0)
+                owner.on_message('front-4', _permit_request(1, LESS_URGENT), 0)
+                owner.on_message('front-2', _permit_request(urgent_permits, URGENT), 0)
+                sent = [one for at in range(30) for one in owner.step(at / 10) if one.recipient == 'front-2']
+                grants = [one.message for one in sent if isinstance(one.message, PermitGrant)]
+                self.assertEqual(sum(grant.permits for grant in grants), urgent_permits)
+                answers = [grant for grant in grants if grant.requested_at]
+                self.assertTrue(answers)
+                self.assertEqual(max(grant.contenders for grant in answers), 1)
+
+    def test_grant_counts_recipient(self) -> None:
+        """Guards against long waits before a refusal, by a count without the instance whose demand was just met."""
+        owner = LimitOwner(1, 0)
+        for name in ('front-2', 'front-3'):
+            owner.on_request(name, _permit_request(1, URGENT), 4, 0)
+        self.assertEqual(owner.contenders('front-2', URGENT.priority), 2)
+        self.assertEqual(owner.contenders('front-4', URGENT.priority), 3)
+
+    def test_grant_for_earlier_demand(self) -> None:
+        """Guards against a count for less urgent requests that is taken for one for urgent requests."""
+        lender = ShareLender('front-2', 'i-web1')
+        lender.choose_owner(('front-1',), 10)
+        lender.next_request(Demand(1, LESS_URGENT), None, 5, 10)
+        lender.next_request(Demand(1, URGENT), None, 5, 10.1)
+        lender.on_grant('front-1', PermitGrant(10, Stamp(1, 0), 0, 4, None), 5, 10.2)
+        self.assertEqual(lender.contenders(URGENT.priority, 10.2), 1)
+
+    def test_count_fades(self) -> None:
+        """Guards against 2 s of refused urgent requests after a short burst, as no newer count comes meanwhile."""
+        lender = ShareLender('front-2', 'i-web1')
+        lender.choose_owner(('front-1',), 10)
+        lender.next_request(Demand(1, URGENT), None, 5, 10)
+        lender.on_grant('front-1', PermitGrant(10, Stamp(1, 0), 0, 3, None), 5, 10)
+        self.assertEqual(lender.contenders(URGENT.priority, 10 + CONTENTION_HOLD_S), 3)
+        self.assertEqual(lender.contenders(URGENT.priority, 10 + (CONTENTION_HOLD_S + CONTENTION_TTL_S) / 2), 2)
+        self.assertEqual(lender.contenders(URGENT.priority, 10 + CONTENTION_TTL_S), 1)
+
+
 class FaultyVariantTest(TestCase):
     """Faulty variants, each without one safeguard, which must break the bound."""
 
@@ -261,6 +309,10 @@
         run_state_machine_as_test(LimitMachine, settings=kept)
 
 
+def _permit_request(permits: int, rank: Rank) -> PermitRequest:
+    return PermitRequest(0.1, None, 1, permits, rank, 0, None)
+
+
 def _excess_without_peers() -> float:
     """Return the excess over the bound when no instance can reach any other."""
     simulation = settled_simulation(5, 150)
