--- a/tests/core/fleet_health/test_runner_health.py
+++ b/tests/core/fleet_health/test_runner_health.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from unittest import TestCase
+from unittest.mock import patch
 
+from sesamepoint_core.fleet_health.failure_share import FAILURE_SHARE_GAIN
 from sesamepoint_core.fleet_health.half_open import (
     MAX_EJECTION_S,
     MIN_EJECTION_S,
@@ -12,7 +14,7 @@
     TRIAL_TIMEOUT_S,
     TrialRequest,
 )
-from sesamepoint_core.fleet_health.reports import ProbeState
+from sesamepoint_core.fleet_health.reports import PeerWindow, ProbeState
 from sesamepoint_core.fleet_health.runner_health import HealthChange, RunnerHealth
 from tests.core.fleet_health.builders import TTL_S, report
 
@@ -138,6 +140,42 @@
         health.take_report('front-3', report(failures=2), 11 + TTL_S, TTL_S)
         self.assertTrue(health.eligible(11 + TTL_S))
 
+    def test_late_report_of_expired_window(self) -> None:
+        """Guards against old failures that count again in the next report of their window, after the first expired."""
+        health = RunnerHealth()
+        health.take_report('front-2', report(failures=2), 10, TTL_S)
+        health.take_report('front-2', report(failures=2, successes=1), 11 + TTL_S, TTL_S)
+        self.assertFalse(health.note_failure(11 + TTL_S))
+
+    def test_duplicate_of_expired_report(self) -> None:
+        """Guards against old failures that count again as an instance that was frozen reads a duplicate."""
+        health = RunnerHealth()
+        health.take_report('front-2', report(failures=2), 10, TTL_S)
+        health.take_report('front-2', report(failures=2), 11 + TTL_S, TTL_S)
+        self.assertFalse(health.note_failure(11 + TTL_S))
+
+    def test_bad_link_barely_moves_failure_share(self) -> None:
+        """Guards against a sound runner that all avoid for seconds by one bad link and one failure elsewhere."""
+        health = RunnerHealth()
+        health.note_failure(10)
+        share = health.failures.recent
+        health.take_report('front-2', report(failures=12), 10, TTL_S)
+        self.assertLess(health.failures.recent, share + 2 * FAILURE_SHARE_GAIN)
+
+    def test_work_with_many_peers(self) -> None:
+        """Guards against a sum over the reports of all instances for each request."""
+        health = RunnerHealth()
+        for number in range(350):
+            health.take_report(f'front-{number}', report(in_flight=1), 10, TTL_S)
+        with patch.object(PeerWindow, 'in_flight', autospec=True, side_effect=PeerWindow.in_flight) as summed:
+            for request in range(100):
+                self.assertEqual(health.peers.in_flight(10 + request / 1000), 350)
+            self.assertLessEqual(summed.call_count, 350)
+        with patch.object(PeerWindow, 'response_s', autospec=True, side_effect=PeerWindow.response_s) as averaged:
+            for request in range(100):
+                health.peers.response_s(10 + request / 1000)
+            self.assertLessEqual(averaged.call_count, 350)
+
     def test_restarted_reporter(self) -> None:
         """Guards against reports that are ignored because the windows of a restarted peer begin at zero."""
         health = RunnerHealth()
@@ -189,6 +227,25 @@
         health.note_health_call(11.2, healthy=False)
         self.assertFalse(health.admits_trial(11.3, REPEATABLE))
 
+    def test_slow_answers_return(self) -> None:
+        """Guards against a runner that never returns, as its answers take longer than the time between trials."""
+        health = ejected_health()
+        for number in range(4):
+            health.note_sent(12 + number * TRIAL_TIMEOUT_S)
+        health.note_success(12 + 4 * TRIAL_TIMEOUT_S, 12)
+        self.assertFalse(health.half_open.ejected)
+
+    def test_ejection_withdraws_passed_probe(self) -> None:
+        """Guards against the return of an ejected runner by the news of a probe before the ejection."""
+        health = ejected_health()
+        health.note_sent(12)
+        health.note_success(12.1, 12)
+        self.assertIs(health.own.probe, ProbeState.passed)
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(12.2)
+        self.assertFalse(health.eligible(12.2))
+        self.assertIs(health.own.probe, ProbeState.none)
+
     def test_probe_of_peer_decides(self) -> None:
         """Guards against an instance that keeps a runner ejected, or probes it, after the probe of a peer."""
         for probe, change in (
