Count requests that peers have not reported yet as successes in the evidence against a runner

Failures are reported at once and successes once a second or two, so the evidence held too few successes.

Change: the requests of peers since their last reports, by their load and response time, count as successes.

--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/evidence.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/evidence.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 # Outcomes older than this are no evidence any more, in seconds.
 EVIDENCE_S = 5.0
@@ -40,6 +40,10 @@
     answered: int = 0
 
 
+def _none_unreported(_: float) -> float:
+    return 0
+
+
 class Evidence:
     """Recent outcomes of the requests of all instances at one runner, in the order of their reports."""
 
@@ -63,17 +67,27 @@
         """Return how many instances report failures, this one included."""
         return len({one.reporter for one in self._recent(now) if one.failures})
 
-    def failing(self, now: float) -> bool:
+    def failing(self, now: float, unreported: Callable[[float], float] = _none_unreported) -> bool:
         """Tell whether this instance must take the runner out of use.
 
         It does so on its own evidence, whatever its peers report: its link to the
         runner may be bad. The evidence of all instances counts for each of them
         if enough of them report failures.
+
+        Parameters
+        ----------
+        unreported
+            Returns how many requests peers have sent since their last reports. Failures are
+            reported at once and successes later, so these requests count as successes.
+            Without them, a runner that fails a few of its many requests would be ejected.
         """
         recent = self._recent(now)
         if _own_score(recent) >= EJECTION_SCORE:
             return True
-        return self.reporters(now) >= MIN_REPORTERS and _shared_score(recent) >= EJECTION_SCORE
+        score = _shared_score(recent)
+        if self.reporters(now) < MIN_REPORTERS or score < EJECTION_SCORE:
+            return False
+        return score + unreported(now) * SUCCESS_WEIGHT >= EJECTION_SCORE
 
     def _recent(self, now: float) -> list[Outcomes]:
         return [one for one in self._outcomes if now - one.at <= EVIDENCE_S]
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -169,6 +169,7 @@
 
     def __init__(self) -> None:
         """Start without a report."""
+        self.taken_at: float = 0
         self._report: RunnerReport | None = None
         self._expires_at: float = 0
 
@@ -190,6 +191,7 @@
             known = Counts()
         probe = ProbeState.none if same and earlier is not None and report.probe is earlier.probe else report.probe
         self._report = report
+        self.taken_at = now
         self._expires_at = now + ttl_s
         return NewlyReported(_counts(report).minus(known), probe)
 
@@ -236,6 +238,14 @@
         self._sum(now)
         return self._response_s
 
+    def unreported(self, now: float) -> float:
+        """Return how many requests the peers have sent since their last reports, by their load and response time."""
+        response_s = self.response_s(now)
+        if not response_s:
+            return 0
+        live = (window for window in self._windows.values() if window.live(now))
+        return sum(window.in_flight(now) * (now - window.taken_at) for window in live) / response_s
+
     def _sum(self, now: float) -> None:
         """Sum the reports up, unless that was done lately: the sums are read several times for each request."""
         if now - self._summed_at < max(MIN_SUM_INTERVAL_S, SUM_INTERVAL_S_PER_PEER * len(self._windows)):
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
@@ -174,7 +174,7 @@
         return HealthChange.none
 
     def _eject_if_failing(self, now: float) -> bool:
-        if not self.evidence.failing(now):
+        if not self.evidence.failing(now, self.peers.unreported):
             return False
         self.half_open.eject(now)
         self.alone = self.evidence.reporters(now) < MIN_REPORTERS
--- a/tests/core/fleet_health/test_runner_health.py
+++ b/tests/core/fleet_health/test_runner_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -261,3 +262,26 @@
     def test_recovered_runner_used_in_time(self) -> None:
         """Guards against a longest ejection that leaves a recovered runner out of use for over 2 s."""
         self.assertLess(MAX_EJECTION_S + REQUEST_WAIT_S, 1.8)
+
+
+class BusyRunnerTest(TestCase):
+    """A runner with 30 instances, 30 requests a second, of which a tenth fail because of the requests themselves."""
+
+    def test_few_failures_of_many_requests(self) -> None:
+        """Guards against ejecting a working runner, since failures are reported at once and successes each 2 s."""
+        health = RunnerHealth()
+        rng = Random(1)
+        counts = {f'front-{number}': [0, 0] for number in range(30)}
+        changes = set()
+        for step in range(600):
+            now = 10 + step / 30
+            peer = rng.choice(sorted(counts))
+            failed = rng.random() * 10 < 1
+            counts[peer][failed] += 1
+            # Each instance reports its successes in turn, once in 2 s.
+            reporters = {f'front-{(step // 2) % 30}', *((peer,) if failed else ())}
+            for name in sorted(reporters):
+                successes, failures = counts[name]
+                row = report(successes=successes, failures=failures, in_flight=0.072, response_s=0.072)
+                changes.add(health.take_report(name, row, now, TTL_S))
+        self.assertEqual(changes, {HealthChange.none})
