Check for due probes every 50 ms again

A longer interval while no runner is ejected changed the order of tasks in virtual time, and with it three tests that are close to their bounds (lag refusals, events received before a runner breaks off, immediate refusals 209 of 279 where 209.25 are needed). Its gain, some wake-ups, was not measured.

--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
@@ -27,8 +27,6 @@
 RECENT_S = 5.0
 # How often ejected runners are looked at, in seconds.
 CHECK_INTERVAL_S = 0.05
-# The same while no runner is ejected: the first probe comes a second after an ejection.
-IDLE_CHECK_INTERVAL_S = 0.5
 # Health pages answer within some milliseconds.
 CALL_TIMEOUT_S = 0.3
 PURPOSE = SendPurpose(SendKind.health_call)
@@ -82,7 +80,7 @@
         """Call the health pages of ejected runners when that is due, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(CHECK_INTERVAL_S if self.count_ejected() else IDLE_CHECK_INTERVAL_S)
+                await trio.sleep(CHECK_INTERVAL_S)
                 for member in self._due_members():
                     self._calling.add(member)
                     nursery.start_soon(self.call_health_page, member)
