--- a/packages/sesamepoint-core/src/sesamepoint_core/engine_model/engine_model.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/engine_model/engine_model.py
@@ -89,7 +89,7 @@
         """Start as an engine like the others of its service."""
         self._prefill_time = PrefillTimeEstimator()
         self._pause = PauseEstimator()
-        # Whether there are samples that peers have not been told of, and the time of the newest one.
+        # Whether there are samples that were not reported to peers yet, and the time of the newest one.
         self.new_samples = False
         self.sampled_at: float = 0
         self.transient = TimeCorrection()
