--- a/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fair_share/fair_shares.py
@@ -24,8 +24,8 @@
 LEVEL_INTERVAL_PER_PEER_S = 5e-3
 # Where the capacity is unknown it counts as short while accounts ask for more than this multiple
 # of the work that they used. Until then a fifth of all attempts are not served at most, so with
-# one retry each 0.96 of the callers are. Work that waits briefly also counts as asked for: without
-# this threshold accounts were limited on calm days, when the ratio is 1.02 to 1.34.
+# one retry each 0.96 of the callers are. Work that waits briefly also counts as asked for, so the
+# ratio is above 1 although capacity is not short.
 SHORT_RATIO = 1.25
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -24,7 +24,7 @@
 RESPONSE_GAIN = 0.1
 # Shortest length of a window, in seconds.
 WINDOW_S = 2.0
-# Most peers whose reports on one runner are kept; those first heard of go first.
+# Most peers whose reports on one runner are kept; the oldest are dropped first.
 MAX_PEERS = 1024
 # Most that one peer's requests in flight count for, in medians of all peers.
 MAX_MEDIANS = 3
--- a/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/store_pacing/outage.py
@@ -23,8 +23,8 @@
 # Share of the interval between probes that is the same for all instances.
 FIXED_SHARE = 0.4
 # Announcements of one peer delay the probe of an instance at most this often until that
-# instance has called the store. Instances that the store refuses and that hear no peers announce
-# probes all the while: ten of them among 30 kept the others from the store for good.
+# instance has called the store. Instances that the store refuses and that get no updates of peers
+# announce probes all the while, and would keep the others from the store for good.
 MAX_DELAYS_OF_PEER = 2
 # Beyond this many doublings the interval has reached its limit.
 MAX_DOUBLINGS = 16
--- a/packages/sesamepoint/src/sesamepoint/front/engine_model/engine_models.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engine_model/engine_models.py
@@ -19,8 +19,8 @@
     from sesamepoint.front.runners.fleet import Fleet
     from sesamepoint.front.runners.fleet_member import Member
 
-# Interval between two refreshes in seconds: the least, and for each engine. A refresh takes
-# 16 us for each engine, and 50 to 130 us if its estimates have changed.
+# Interval between two refreshes in seconds: the least, and for each engine, so that the processor
+# time of refreshes does not grow with the number of engines.
 MIN_REFRESH_S = 1.0
 REFRESH_S_PER_ENGINE = 0.01
 
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -28,7 +28,7 @@
 # Retry-After of a stopping instance, in seconds: other instances can serve the retry at once.
 RETRY_NOW_S = 0.02
 # A connection that has been idle for less is not closed for lack of descriptors: its first request may be on the
-# way. With closing at once, a burst of new connections had most of them closed.
+# way.
 MIN_IDLE_S = 0.5
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
@@ -22,7 +22,7 @@
     from sesamepoint.front.instance_room.room_network import RoomNetwork
     from sesamepoint.front.requests.job import Job
 
-# Four wake-ups fit into the shortest time in which lag is to be noticed.
+# Several wake-ups fit into the time over which the lag meter averages.
 WAKE_UP_INTERVAL_S = 0.05
 # Retry-After of a request that another instance can take at once, in seconds.
 RETRY_NOW_S = 0.02
--- a/tests/core/engine_model/test_publication.py
+++ b/tests/core/engine_model/test_publication.py
@@ -24,7 +24,7 @@
         self.assertEqual(publication.due_rows('a'), [])
 
     def test_rows_changed(self) -> None:
-        """Guards against peers that are not told of a change, or of a row that would expire."""
+        """Guards against peers that do not receive a change, or of a row that would expire."""
         publication = Publication()
         publication.update(ENGINE, prefill_report(1), 1)
         publication.note_sent('a', 2)
@@ -35,7 +35,7 @@
         self.assertEqual(publication.due_rows('a'), [ENGINE])
 
     def test_rows_joined_peer(self) -> None:
-        """Guards against a peer that has restarted and is told of later changes only."""
+        """Guards against a peer that has restarted and receives later changes only."""
         publication = Publication()
         publication.update(ENGINE, prefill_report(1), 1)
         publication.note_sent('a', 2)
--- a/tests/core/fleet_health/test_runner_health.py
+++ b/tests/core/fleet_health/test_runner_health.py
@@ -33,7 +33,7 @@
 
 
 class OwnEvidenceTest(TestCase):
-    """An instance that hears nothing of its peers."""
+    """An instance that receives no reports of its peers."""
 
     def test_eject_and_return(self) -> None:
         """Guards against a failing runner that stays in use, and one that is never tried again."""
--- a/tests/core/instance_room/test_lag.py
+++ b/tests/core/instance_room/test_lag.py
@@ -104,7 +104,7 @@
     """Reports of lagging peers."""
 
     def test_share_of_many_instances(self) -> None:
-        """Guards against a wrong share where each instance hears from a few of its peers only."""
+        """Guards against a wrong share where each instance gets reports of a few of its peers only."""
         names = [f'front-{number}' for number in range(1, 31)]
         lagging = names[1:16]
         known = LaggingPeers()
@@ -130,8 +130,8 @@
     def test_each_peer_gets_reports(self) -> None:
         """Guards against peers that never hear of a lagging instance."""
         names = [str(number) for number in range(29)]
-        told = {name for turn in range(4) for name in report_recipients(names, turn)}
-        self.assertEqual(told, set(names))
+        reached = {name for turn in range(4) for name in report_recipients(names, turn)}
+        self.assertEqual(reached, set(names))
 
 
 class AdmissionTest(TestCase):
