--- a/packages/sesamepoint-core/src/sesamepoint_core/engine_model/engine_model.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/engine_model/engine_model.py
@@ -20,7 +20,7 @@
 # instance that has left should not count for ever.
 REPORT_TTL_S = 120.0
 # Estimates that differ by less than this log ratio, and weights by less than this share,
-# are not merged again, nor any before this many seconds: a merge takes 50 us and more.
+# are not merged again, nor any before this many seconds, which bounds the processor time of merges.
 MIN_CHANGE = 0.02
 MIN_WEIGHT_CHANGE = 0.2
 MAX_MERGE_AGE_S = 10.0
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -23,7 +23,7 @@
     refusal_reason,
 )
 from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, JobAdmission, RunStartedCallback
-from sesamepoint.front.metrics import FrontMetrics
+from sesamepoint.front.telemetry.metrics import FrontMetrics
 from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Withheld
 from sesamepoint.front.requests.retries import SILENCE_TIMEOUT_FACTOR, may_retry, run_attempt, target_for
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a front process, and the page that shows them."""
--- a/packages/sesamepoint/src/sesamepoint/front/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -113,13 +113,13 @@
     @property
     def registry(self) -> CollectorRegistry:
         """Return a registry that reads these metrics."""
-        from sesamepoint.front.metrics_page import registry_of  # noqa: PLC0415
+        from sesamepoint.front.telemetry.metrics_page import registry_of  # noqa: PLC0415
 
         return registry_of(self)
 
     def render(self) -> bytes:
         """Return the page of these metrics."""
-        from sesamepoint.front.metrics_page import render_page  # noqa: PLC0415
+        from sesamepoint.front.telemetry.metrics_page import render_page  # noqa: PLC0415
 
         return render_page(self)
 
--- a/packages/sesamepoint/src/sesamepoint/front/metrics_page.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics_page.py
@@ -9,14 +9,14 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily
 from prometheus_client.registry import Collector
 
-from sesamepoint.front.metrics import LATENCY_BUCKETS_S
+from sesamepoint.front.telemetry.metrics import LATENCY_BUCKETS_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from prometheus_client import Metric
 
-    from sesamepoint.front.metrics import FrontMetrics, Latencies, Rows
+    from sesamepoint.front.telemetry.metrics import FrontMetrics, Latencies, Rows
 
 BUCKET_NAMES = (*(str(bound) for bound in LATENCY_BUCKETS_S), '+Inf')
 
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -152,7 +152,7 @@
 async def _load_metrics_library() -> None:
     """Import what the metrics page needs in a thread, so that the first reader does not stop the loop."""
     await trio.sleep(METRICS_LIBRARY_DELAY_S)
-    await trio.to_thread.run_sync(import_module, 'sesamepoint.front.metrics_page')
+    await trio.to_thread.run_sync(import_module, 'sesamepoint.front.telemetry.metrics_page')
 
 
 def _empty_body() -> bytes:
--- a/tests/front/store/test_start.py
+++ b/tests/front/store/test_start.py
@@ -47,7 +47,7 @@
     'sesamepoint.agent',
     'sesamepoint.control',
     'sesamepoint.entry',
-    'sesamepoint.front.metrics_page',
+    'sesamepoint.front.telemetry.metrics_page',
     'sesamepoint.keys',
     'sesamepoint.link',
     'sesamepoint.process.process_builders',
--- a/tests/front/test_metrics_page.py
+++ b/tests/front/test_metrics_page.py
@@ -4,7 +4,7 @@
 
 from unittest import TestCase
 
-from sesamepoint.front.metrics import LATENCY_BUCKETS_S, FrontMetrics, Latencies
+from sesamepoint.front.telemetry.metrics import LATENCY_BUCKETS_S, FrontMetrics, Latencies
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_prompt_request, new_request
 from tests.virtual_time import in_virtual_time
