--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
@@ -38,6 +38,8 @@
         Start time of this incarnation, in milliseconds since 1970 by the runner's
         clock; compared only with those of other incarnations of the same runner. 0
         if it is unknown.
+    software_version
+        Version of its software, not of its weights; None until its registration says it.
     """
 
     key: str
@@ -48,6 +50,7 @@
     draining: bool
     stage: Stage
     born_ms: int = 0
+    software_version: str | None = None
 
 
 __all__ = ('MAX_START_MS', 'Runner', 'Stage', 'StartMs')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -62,6 +62,8 @@
         How often nothing was sent to a chosen runner because the send check failed.
     ineligible_runners
         Runners that were ineligible at a choice because of back-off or a rate limit.
+    versions
+        Software versions of the runners, in the order of the sends.
     decision
         The latest choice of a placement, with the figures that decided it.
     """
@@ -78,6 +80,7 @@
     refused: bool = False
     withheld_sends: int = 0
     ineligible_runners: set[str] = field(default_factory=set)
+    versions: list[str | None] = field(default_factory=list)
     decision: dict[str, object] = field(default_factory=dict)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.serving.accounts import PresentedKey
+from sesamepoint_core.stream_origin.continuation import Continuation
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.prompt import Prompt
@@ -26,6 +27,8 @@
         Seconds from arrival until the caller disconnects; None if unknown.
     key
         Digest or fault of the key that the caller sent; never the key itself.
+    continuation
+        The stream of an earlier attempt that the caller wants to go on with.
     """
 
     request_id: str
@@ -38,6 +41,7 @@
     prompt: Prompt | None
     caller: str = ''
     key: PresentedKey = PresentedKey()
+    continuation: Continuation = Continuation()
 
     def left_s(self, now: float) -> float | None:
         """Return the seconds from ``now`` until the deadline of the caller; None if unknown."""
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -79,6 +79,8 @@
         returned=job.caller_retry,
         sends=job.sends,
         runners=list(job.tried_runners),
+        versions=trace.versions,
+        **job.req.continuation.log_fields(),
         passed_over=sorted(trace.ineligible_runners),
         took_ms=whole_ms(took_s),
         first_total_ms=None if trace.first_output_at is None else whole_ms(trace.first_output_at - job.req.arrived_at),
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -74,6 +74,7 @@
     member = target.member
     job.tried_runners[member.runner.key] = member.incarnation
     job.sends += 1
+    job.trace.versions.append(member.runner.software_version)
     # Causes of an earlier wait must not be logged as the cause of a later failure.
     job.trace.refused = False
     job.trace.unsent_cause = FailureCause.none
@@ -93,7 +94,7 @@
         # An earlier attempt may have run, so the flag goes back to what it was.
         job.may_have_run = ran_before
     if isinstance(outcome, Withheld):
-        job.sends -= 1
+        _uncount_send(job)
         note_withheld(job, target, outcome, started)
     else:
         _note_outcome(job, target, outcome, started)
@@ -165,6 +166,11 @@
     }
 
 
+def _uncount_send(job: Job) -> None:
+    job.sends -= 1
+    job.trace.versions.pop()
+
+
 def _cause_of(outcome: AttemptResult) -> str:
     if isinstance(outcome, RunFailed):
         return f'status {outcome.head.status}'
@@ -179,7 +185,7 @@
         member.health.note_success(trio.current_time(), started)
         return
     if isinstance(outcome, Unsent):
-        job.sends -= 1
+        _uncount_send(job)
         member.health.note_connect_failure(local=outcome.local)
     if isinstance(outcome, Broken) and outcome.runner_ended:
         job.ended_incarnations.append(member.incarnation)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -217,7 +217,13 @@
         self._changed.set()
         self._changed = trio.Event()
         self._joined[0].send_nowait(member)
-        events.log_event(events.RUNNER_JOINED, runner=runner.key, fleet=runner.service, leaving=runner.draining)
+        events.log_event(
+            events.RUNNER_JOINED,
+            runner=runner.key,
+            fleet=runner.service,
+            leaving=runner.draining,
+            version=runner.software_version,
+        )
 
     def _note_health_urgent(self, member: Member) -> None:
         if self.on_health_urgent is not None:
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -6,6 +6,7 @@
 
 from sesamepoint_core.serving.accounts import KeyFault, PresentedKey, digest_of
 from sesamepoint_core.serving.prompt import Part, Prompt
+from sesamepoint_core.stream_origin.continuation import Continuation
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint.front.requests.request import FrontRequest
 from sesamepoint.http1.messages import RejectedRequestError, RequestHead, header
@@ -72,6 +73,7 @@
         prompt=_decode_prompt_headers(headers),
         caller=message.caller,
         key=_presented_key(headers),
+        continuation=_continuation(headers),
     )
 
 
@@ -161,6 +163,22 @@
     return PresentedKey(digest_of(key), KeyFault.none)
 
 
+def _continuation(headers: Headers) -> Continuation:
+    first_attempts = _texts_of(headers, wire_names.RESUMES)
+    last_event_ids = _texts_of(headers, wire_names.LAST_EVENT_ID)
+    return Continuation(
+        last_event_id=last_event_ids[0] if last_event_ids else '',
+        # Two different ids name no stream.
+        first_attempt=first_attempts[0] if len(set(first_attempts)) == 1 else '',
+    )
+
+
+def _texts_of(headers: Headers, name: bytes) -> list[str]:
+    """Return the texts of all headers called ``name`` that are not empty."""
+    texts = (text.strip().decode('latin-1') for own_name, text in headers if own_name == name)
+    return [text for text in texts if text]
+
+
 def _deadline_s(headers: Headers) -> float | None:
     text = header(headers, wire_names.DEADLINE_MS)
     if text is None:
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import MAX_START_MS, Runner, Stage
+from sesamepoint_core.stream_origin.origin import bounded_version
 from sesamepoint.platform.field_types import NonEmptyText, NonNegativeFloat, NonNegativeInt, PositiveInt
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
 
@@ -18,7 +19,7 @@
     service: NonEmptyText
     address: NonEmptyText
     zone: NonEmptyText
-    # Version of the runner's software; not used here.
+    # Version of the runner's software, not of its weights.
     version: str
     slots: PositiveInt
     state: Literal['ready', 'draining']
@@ -59,6 +60,7 @@
         draining=registration.state == 'draining',
         stage=Stage.plain if registration.stage is msgspec.UNSET else Stage(registration.stage),
         born_ms=0 if registration.born is msgspec.UNSET else registration.born,
+        software_version=bounded_version(registration.version),
     )
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/wire_names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/wire_names.py
@@ -20,6 +20,8 @@
 KV_SOURCE: Final = b'sesamepoint-kv-source'
 KV_FETCH: Final = b'kv-fetch'
 LAST_EVENT_ID: Final = b'last-event-id'
+# The request id of the attempt that brought the first event of a stream, on later attempts.
+RESUMES: Final = b'resumes'
 # The account that the caller's API key belongs to.
 ACCOUNT: Final = b'sesamepoint-tenant'
 AUTHORIZATION: Final = b'authorization'
