--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -27,6 +27,7 @@
     from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
+VERSION_MARK = ' by '
 HEALTH_PATH = b'/healthz'
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -123,6 +124,9 @@
     draining: bool = False
     serves_inventory: bool = True
     born_ms: int = 0
+    # Version of its software, which its events carry if they are marked.
+    version: str = 'v1'
+    marks_events: bool = False
     # Runners from which this one can fetch prefix blocks, by address.
     engines_by_address: dict[str, RunnerStandIn] = field(default_factory=dict)
     # Values of the rate limit headers in its answers.
@@ -172,7 +176,7 @@
             'service': self.service,
             'address': str(self.address),
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.speed.slots,
             'state': 'draining' if self.draining else 'ready',
             'cold_remaining_ms': 0,
@@ -186,9 +190,10 @@
         """Return how many requests arrived from ``since`` until before ``until``."""
         return bisect_left(self.arrivals, until) - bisect_left(self.arrivals, since)
 
-    def restart(self, born_ms: int) -> None:
+    def restart(self, born_ms: int, version: str = 'v1') -> None:
         """Restart under the same key, with an empty cache and no KV handles."""
         self.born_ms = born_ms
+        self.version = version
         self.cache = CacheModel(self.speed.kv_tokens)
         self._kv_handles = {}
 
@@ -338,7 +343,7 @@
                 await conn.send_part(b'id: 99\nda')
                 return _reset(transport)
             await self._decode_event()
-            await conn.send_part(stream_event(run.request_id, number))
+            await conn.send_part(stream_event(run.request_id, number, self.version if self.marks_events else ''))
         await conn.end()
         run.complete = True
         return None
@@ -385,9 +390,10 @@
     return f'answer to {request_id}'.encode()
 
 
-def stream_event(request_id: str, number: int) -> bytes:
-    """Return one event of the stream of an answer."""
-    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+def stream_event(request_id: str, number: int, version: str = '') -> bytes:
+    """Return one event of the stream of an answer, marked with the ``version`` of its runner if one is given."""
+    mark = f'{VERSION_MARK}{version}' if version else ''
+    return f'id: {number}\ndata: {request_id} {number}{mark}\n\n'.encode()
 
 
 def _parse_prompt(message: ReceivedRequest) -> tuple[list[Part], int]:
@@ -414,4 +420,13 @@
     scope.cancel()
 
 
-__all__ = ('EngineSpeed', 'Faults', 'Run', 'RunnerStandIn', 'StatusReport', 'plain_body', 'stream_event')
+__all__ = (
+    'VERSION_MARK',
+    'EngineSpeed',
+    'Faults',
+    'Run',
+    'RunnerStandIn',
+    'StatusReport',
+    'plain_body',
+    'stream_event',
+)
--- /dev/null
+++ b/tests/front/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of streams that go on at other runners."""
