--- a/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin.py
@@ -29,6 +29,10 @@
     service: BoundedService
     version: BoundedVersion
 
+    def allows(self, service: str, version: str | None) -> bool:
+        """Tell whether a runner of ``service`` at ``version`` may go on; one of unknown version may not."""
+        return service == self.service and version == self.version
+
 
 def bounded_version(text: str) -> str:
     """Return a version of bounded length that equals another one only if the texts are equal.
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -81,6 +81,7 @@
 QUARANTINE_NOT_STORED = _event(3215, logging.WARNING, 'quarantine record could not be stored, the write is retried')
 REQUEST_DENIED = _event(3216, logging.INFO, "request denied, its key is no account's")
 SEND_NOT_ADMITTED = _event(3218, logging.INFO, 'nothing sent, the admission check for the chosen runner failed')
+STREAM_ORIGIN_GONE = _event(3220, logging.INFO, 'stream can not go on, its version has no runner that takes it')
 RUNNER_JOINED = _event(3301, logging.INFO, 'runner registered')
 RUNNER_DRAINING = _event(3302, logging.INFO, 'runner is draining')
 RUNNER_UNREGISTERED = _event(3303, logging.INFO, 'runner is no longer registered')
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -99,6 +99,7 @@
         self._permit_queue = components.permit_queue
         self._account_shares = components.account_shares
         self._plain_shares = components.plain_shares
+        self._origin_runners = components.origin_runners
         self._engine_runs = engine_runs
         self._budgets = budgets
         self._quarantine = quarantine
@@ -214,7 +215,7 @@
         return outcome
 
     async def _choose_and_send(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
-        if job.access.denial:
+        if job.access.denial or not await self._origin_runners.wait_for_runner(job):
             return None
         if job.req.prompt is not None:
             return await self._engine_runs.attempt(job, job.req.prompt, cfg, budget)
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -12,6 +12,7 @@
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
+from sesamepoint.front.streams.origin_runners import OriginRunners
 
 if TYPE_CHECKING:
     from random import Random
@@ -35,6 +36,7 @@
     permit_queue: PermitQueue
     account_shares: AccountShares
     plain_shares: PlainShares
+    origin_runners: OriginRunners
 
     @classmethod
     def build(
@@ -72,6 +74,7 @@
             PermitQueue(runner_statuses, selector.eligible),
             account_shares,
             PlainShares(account_shares),
+            OriginRunners(subset),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
@@ -70,11 +70,11 @@
 
         It has to even if its prefill engine is free, when requests that can be
         on time are already queued for prefill engines, or requests that go before
-        it by their accounts for any engines.
+        it by their accounts for any engines. A stream that goes on waits for busy engines only.
         """
         if engines_busy(plan):
             return True
-        if not self._waiters:
+        if not self._waiters or job.goes_on:
             return False
         queue = queue_key_of(job, plan)
         order = self._account_shares.share_of(job).order
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -97,7 +97,13 @@
 
     @property
     def urgent_retry(self) -> bool:
-        """Tell whether it is the retry of a caller and close to its latest start time; its caller won't retry again."""
+        """Tell whether it goes before all others.
+
+        That is a stream that goes on, whose caller waits between two events, or the
+        retry of a caller close to its latest start time, who won't retry again.
+        """
+        if self.job.goes_on:
+            return True
         return self.job.caller_retry and self.slack_s < RETRY_SLACK_S + self._newest_plan.placement.work_s
 
     @property
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -164,6 +164,7 @@
             if whole_events:
                 await self._note_first_output()
                 self._note_pause()
+                self._fix_origin()
                 await self._send_part(head, whole_events)
         if not self._reply.started:
             await self._reply.begin(head.status, response_headers(head))
@@ -189,6 +190,11 @@
             self._target.on_pause(now - self._last_event_at)
         self._last_event_at = now
 
+    def _fix_origin(self) -> None:
+        job = self._target.purpose.job
+        if job is not None:
+            job.note_event_of(self._target.member.runner)
+
     async def _note_first_output(self) -> None:
         """Record the first output and disarm the silence timeout, unless that has already expired.
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -9,14 +9,18 @@
 
 import trio
 
+from sesamepoint_core.serving.routes import RepeatPolicy
+from sesamepoint_core.stream_origin.origin import StreamOrigin
 from sesamepoint.front.quarantine.content_id import content_id
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.requests.retry_after import default_retry_after_s
+from sesamepoint.front.streams.stream_state import StreamState
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.routes import Route
+    from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.quarantine.probes import Probe
     from sesamepoint.front.requests.reply import Reply
     from sesamepoint.front.requests.request import FrontRequest
@@ -160,6 +164,11 @@
         self.probe: Probe | None = None
         self.access = AccessState()
 
+    @cached_property
+    def stream(self) -> StreamState:
+        """Return what is known of the stream."""
+        return StreamState()
+
     @cached_property
     def deadline(self) -> float:
         """Return until when the caller waits for the whole answer, on trio's clock."""
@@ -168,14 +177,31 @@
     @cached_property
     def first_output_deadline(self) -> float:
         """Return until when the caller waits for the first part of the answer, on trio's clock."""
-        route = self.route
-        if not route.streamed:
+        if not self.route.streamed:
             return self.deadline
-        # Callers disconnect if a stream has no event by then.
-        patience_s = max(
+        return min(self.deadline, self.req.arrived_at + self.event_wait_s)
+
+    @cached_property
+    def event_wait_s(self) -> float:
+        """Return for how many seconds the caller of a stream waits for an event before it disconnects."""
+        route = self.route
+        return max(
             MIN_FIRST_EVENT_WAIT_S, FIRST_EVENT_WAIT_TARGETS * route.target_s, FIRST_EVENT_WAIT_PAUSES * route.pause_s
         )
-        return min(self.deadline, self.req.arrived_at + patience_s)
+
+    @property
+    def goes_on(self) -> bool:
+        """Tell whether events of its runner join those that the caller has already."""
+        if self.route.repeat is not RepeatPolicy.resume:
+            return False
+        return self.reply.started or self.req.continuation.has_events
+
+    def note_event_of(self, runner: Runner) -> None:
+        """Record that an event that ``runner`` made goes to the caller; the first one fixes the origin."""
+        if self.stream.origin is not None or self.route.repeat is not RepeatPolicy.resume:
+            return
+        if runner.software_version is not None:
+            self.stream.origin = StreamOrigin(runner.service, runner.software_version)
 
     @cached_property
     def content_id(self) -> str:
@@ -241,8 +267,11 @@
 
     @property
     def first_output_left_s(self) -> float:
-        """Return the seconds left for the first part of the answer."""
-        return self.first_output_deadline - trio.current_time()
+        """Return the seconds left for the first part of the answer, or for the next one if it has begun."""
+        now = trio.current_time()
+        if self.reply.started:
+            return min(self.deadline - now, self.event_wait_s)
+        return self.first_output_deadline - now
 
     @property
     def left_s(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -44,7 +44,7 @@
     if isinstance(outcome, Relayed):
         return FailureCause.none
     if job.reply.started:
-        return FailureCause.cut_in_answer
+        return _cause_in_answer(job)
     if job.may_have_run:
         return _CAUSE_BY_OUTCOME.get(type(outcome), FailureCause.broken)
     return _cause_of_unsent(job)
@@ -97,6 +97,11 @@
     )
 
 
+def _cause_in_answer(job: Job) -> FailureCause:
+    gone = job.trace.unsent_cause is FailureCause.origin_gone
+    return FailureCause.origin_gone if gone else FailureCause.cut_in_answer
+
+
 def _cause_of_unsent(job: Job) -> FailureCause:
     if job.trace.unsent_cause:
         return job.trace.unsent_cause
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -146,10 +146,15 @@
     if isinstance(outcome, Withheld):
         return job.trace.withheld_sends < MAX_WITHHELD_SENDS
     if job.reply.started:
-        return job.route.repeat is RepeatPolicy.resume and isinstance(outcome, Broken | Silent)
+        return _may_resume(job) and isinstance(outcome, Broken | Silent)
     return repeatable(job)
 
 
+def _may_resume(job: Job) -> bool:
+    """Return whether another runner may go on: not without an event id, nor for a runner whose version is unknown."""
+    return job.stream.origin is not None and bool(job.reply.events.last_event_id)
+
+
 def repeatable(job: Job) -> bool:
     """Return whether the route allows the request to run more than once."""
     return job.route.repeat is not RepeatPolicy.never
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
@@ -0,0 +1,41 @@
+"""Probe of whether a runner has crashed, after a connection to it broke."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from sesamepoint.front.runners.connection_pool import ConnectionPool
+
+# A probe of whether a runner has ended is reused for this long, in seconds: when a runner
+# ends, all its requests fail at once. With a probe for each, one after the other, the last
+# of 24 requests was answered 0.9 s later in a network where connections got no reply.
+PROBE_TTL_S = 0.1
+
+
+class CrashProbe:
+    """Finds out whether a runner still accepts connections."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        """Probe with new connections of ``pool``."""
+        # Whether a probe found that the runner had ended.
+        self.ended = False
+        self._pool = pool
+        self._probed_at = -math.inf
+        self._refused = False
+        self._lock = trio.Lock()
+
+    async def refused(self) -> bool:
+        """Tell whether the runner refuses a new connection."""
+        async with self._lock:
+            if trio.current_time() - self._probed_at > PROBE_TTL_S:
+                self._refused = await self._pool.probe_refused()
+                self._probed_at = trio.current_time()
+            self.ended = self.ended or self._refused
+            return self._refused
+
+
+__all__ = ('CrashProbe',)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/eligibility.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/eligibility.py
@@ -91,9 +91,9 @@
         return [*healthy, *kept, *trials]
 
     def _untried(self, job: Job) -> list[Member]:
-        untried = [
-            member for member in self._subset.of_service(job.service) if member.runner.key not in job.tried_runners
-        ]
+        origin = job.stream.origin
+        members = self._subset.of_service(job.service) if origin is None else self._subset.of_origin(origin)
+        untried = [member for member in members if member.runner.key not in job.tried_runners]
         if job.probe:
             untried = [member for member in untried if member.runner.key == job.probe.runner]
         return untried
--- a/packages/sesamepoint/src/sesamepoint/front/runners/engine_subset.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/engine_subset.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
+    from sesamepoint_core.stream_origin.origin import StreamOrigin
     from sesamepoint.front.runners.fleet import Fleet
     from sesamepoint.front.runners.fleet_member import Member
 
@@ -38,6 +39,16 @@
         """Return the runners of ``service`` that this instance may send new requests to."""
         return [member for member in self._fleet.of_service(service) if self.contains(member.runner)]
 
+    def of_origin(self, origin: StreamOrigin) -> list[Member]:
+        """Return the runners that may go on with streams of ``origin``: those of the subset if any of them decodes."""
+        of_origin = self._fleet.of_origin(origin)
+        used = [member for member in of_origin if self.contains(member.runner)]
+        return used if any(member.runner.stage is not Stage.prefill for member in used) else of_origin
+
+    def all_of_origin(self, origin: StreamOrigin) -> list[Member]:
+        """Return all registered runners of ``origin``, draining ones included."""
+        return self._fleet.all_of_origin(origin)
+
     async def wait_for_any(self, service: str) -> bool:
         """Wait until a runner of ``service`` is registered; return False if all of its runners are draining."""
         return await self._fleet.wait_for_any(service)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -20,6 +20,7 @@
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner, Stage
+    from sesamepoint_core.stream_origin.origin import StreamOrigin
     from sesamepoint.front.runners.send_check import SendCheck
     from sesamepoint.http1.transport import Network
 
@@ -130,8 +131,8 @@
         if born_ms < member.runner.born_ms:
             return None
         self.changes += 1
-        # Whether the new incarnation is draining too will come with its registration.
-        self._add(member.runner._replace(born_ms=born_ms))
+        # Whether the new incarnation is draining too, and its version, will come with its registration.
+        self._add(member.runner._replace(born_ms=born_ms, software_version=None))
         return self.members[key]
 
     def of_incarnation(self, incarnation: Incarnation) -> Member | None:
@@ -188,10 +189,16 @@
         Unregistered ones are returned only if there are no others.
         """
         self._drop_expired()
-        of_service = [member for member in self.members.values() if member.runner.service == service]
-        accepting = [member for member in of_service if not member.draining and not member.replaced]
-        registered = [member for member in accepting if member.unregistered_at is None]
-        return registered or accepting
+        return _accepting([member for member in self.members.values() if member.runner.service == service])
+
+    def of_origin(self, origin: StreamOrigin) -> list[Member]:
+        """Return the members that may go on with streams of ``origin``, chosen like those of a service."""
+        return _accepting(self.all_of_origin(origin))
+
+    def all_of_origin(self, origin: StreamOrigin) -> list[Member]:
+        """Return all members of ``origin``, draining and unregistered ones included."""
+        self._drop_expired()
+        return [one for one in self.members.values() if one.of_origin(origin)]
 
     def _all_draining(self, service: str) -> bool:
         """Tell whether runners of ``service`` are registered, and all of them are draining."""
@@ -243,6 +250,13 @@
                 self.changes += 1
 
 
+def _accepting(members: list[Member]) -> list[Member]:
+    """Return those of ``members`` that may get new requests: unregistered ones only if there are no others."""
+    accepting = [member for member in members if not member.draining and not member.replaced]
+    registered = [member for member in accepting if member.unregistered_at is None]
+    return registered or accepting
+
+
 def _log_returned(runner: Runner) -> None:
     events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint import events
 from sesamepoint.front.runners.connection_pool import ConnectionPool
+from sesamepoint.front.runners.crash_probe import CrashProbe
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.runners.send_check import PendingSend, SendBlockedError, SendKind
 
@@ -25,6 +25,7 @@
 
     from sesamepoint_core.runner_status.known_status import KnownStatus
     from sesamepoint_core.serving.runner import Runner
+    from sesamepoint_core.stream_origin.origin import StreamOrigin
     from sesamepoint.front.runners.send_check import SendCheck, SendPurpose
     from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
@@ -32,10 +33,6 @@
 
 # Assumed cache size of an engine until the operator has published it, in tokens.
 UNKNOWN_KV_TOKENS = 200_000
-# A probe of whether a runner has ended is reused for this long, in seconds: when a runner
-# ends, all its requests fail at once. With a probe for each, one after the other, the last
-# of 24 requests was answered 0.9 s later in a network where connections got no reply.
-PROBE_TTL_S = 0.1
 # Calls that are not requests of callers and don't count as requests in progress.
 MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory, SendKind.health_call))
 
@@ -76,15 +73,18 @@
         self.answered = False
         # Called when an answer from its address comes from another incarnation.
         self.on_replaced: Callable[[Incarnation], None] | None = None
-        self._probed_at = -math.inf
-        self._probe_refused = False
-        self._probe_lock = trio.Lock()
+        self._crash_probe = CrashProbe(self._pool)
 
     @property
     def draining(self) -> bool:
         """Tell whether it is draining, by its registration or its reported status."""
         return self.runner.draining or self._status.draining
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether this instance has found that it crashed."""
+        return self._crash_probe.ended
+
     @property
     def backing_off(self) -> bool:
         """Tell whether it asked this instance for a back-off that still lasts."""
@@ -130,11 +130,7 @@
         """
         if self.draining or self.unregistered_at is not None:
             return False
-        async with self._probe_lock:
-            if trio.current_time() - self._probed_at > PROBE_TTL_S:
-                self._probe_refused = await self._pool.probe_refused()
-                self._probed_at = trio.current_time()
-            return self._probe_refused
+        return await self._crash_probe.refused()
 
     def note_replaced(self, source: str) -> None:
         """Note that another incarnation has its address.
@@ -159,10 +155,16 @@
         """Tell whether a registration is of the same incarnation of the runner.
 
         A new address also means a new incarnation, since connections to the old
-        address lead elsewhere.
+        address lead elsewhere, and so does another version: a process doesn't change its own.
         """
+        if self.runner.software_version not in {None, runner.software_version}:
+            return False
         return (runner.born_ms, runner.address) == (self.runner.born_ms, self.runner.address)
 
+    def of_origin(self, origin: StreamOrigin) -> bool:
+        """Tell whether it may go on with streams of ``origin``, by its service and version."""
+        return origin.allows(self.runner.service, self.runner.software_version)
+
     def resize(self, kv_tokens: int) -> None:
         """Set the size of its KV cache, in tokens, as published by the operator."""
         if kv_tokens != self.kv_tokens:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
@@ -6,6 +6,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.poison_requests import Incarnation
+    from sesamepoint_core.stream_origin.origin import StreamOrigin
 
 
 class KnownRunner(Protocol):
@@ -36,5 +37,12 @@
     def draining(self) -> bool:
         """Tell whether it is draining."""
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether this instance has found that it crashed."""
+
+    def of_origin(self, origin: StreamOrigin) -> bool:
+        """Tell whether it may go on with streams of ``origin``."""
+
 
 __all__ = ('KnownRunner',)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -130,7 +130,8 @@
     def plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Return the placement of least cost; None if no engine can run ``job``.
 
-        A request that would be late on it gets the last rank. A prompt that was
+        A request that would be late on it gets the last rank, unless its caller has
+        events already and waits for the next one. A prompt that was
         sent before runs whole at one engine, unless the retry budget allowed
         another remote prefill: only the first remote prefill is free.
         """
@@ -143,7 +144,7 @@
             decode_price=self._queue_price(job, members, Stage.decode),
         )
         plan = plan_for(prompt, candidates, speeds, queue_rank(job))
-        if plan is None or plan.placement.first_s <= job.target_left_s:
+        if plan is None or job.goes_on or plan.placement.first_s <= job.target_left_s:
             return plan
         return plan._replace(rank=LATE_RANK)
 
--- /dev/null
+++ b/tests/core/stream_origin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the origins of streams."""
--- a/tests/front/send_check_bench.py
+++ b/tests/front/send_check_bench.py
@@ -11,6 +11,7 @@
 
 from sesamepoint_core.runner_status.status_headers import BackOff, RateLimit
 from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
+from sesamepoint_core.stream_origin.origin import StreamOrigin
 from sesamepoint.front.requests.attempt import Attempt, Target
 from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint.front.fleet_health.probing import Probing
@@ -132,6 +133,10 @@
     bench.send_check.runner_statuses.note_draining(bench.member.incarnation, 'front-2', 0)
 
 
+def _fix_other_origin(bench: SendCheckBench) -> None:
+    bench.job.stream.origin = StreamOrigin('llm', 'another version')
+
+
 BLOCK_TRIGGERS: Mapping[str, BlockTrigger] = MappingProxyType(
     {
         'gone': lambda found: found.member.close(),
@@ -140,6 +145,7 @@
         'resting': _back_off,
         'limit': _report_zero_limit,
         'suspect': _quarantine_request,
+        'origin': _fix_other_origin,
     }
 )
 
--- a/tests/front/streams/test_versions_within_answer.py
+++ b/tests/front/streams/test_versions_within_answer.py
@@ -13,6 +13,8 @@
 from tests.virtual_time import in_virtual_time
 
 STREAMS = 60
+# The retry budget allows each of so many streams a second runner.
+STREAMS_WITHIN_BUDGET = 20
 
 
 class VersionsWithinAnswerTest(TestCase):
@@ -26,4 +28,13 @@
         async with open_bench(stream_configuration(), [*old, *new], fronts=2) as bench:
             streams = await run_streams(bench, STREAMS, ['front-1'])
         self.assertEqual([stream.versions for stream in streams if stream.mixed], [])
+
+    @in_virtual_time
+    async def test_broken_streams_go_on(self) -> None:
+        """Guards against broken streams that end although runners of their version serve."""
+        old, new = versioned_engines(1, 2, 'v1'), versioned_engines(3, 4, 'v2')
+        break_streams([*old, *new])
+        async with open_bench(stream_configuration(), [*old, *new], fronts=2) as bench:
+            streams = await run_streams(bench, STREAMS_WITHIN_BUDGET, ['front-1'])
+        self.assertEqual([stream.versions for stream in streams if stream.mixed], [])
         self.assertEqual([stream.events for stream in streams if not stream.whole], [])
