--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -11,24 +11,18 @@
 from sesamepoint.front.accounts.account_admission import (
     admission_of,
     assign_account,
-    deny,
     log_denied,
     recheck_admission,
 )
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.request_end import (
-    failure_cause_of,
-    log_request_end,
-    may_relay_failure,
-    refusal_reason,
-)
-from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, RETRY_SOON_S, Job, JobAdmission, RunStartedCallback
+from sesamepoint.front.requests.final_reply import UNAVAILABLE, finish_reply, reply_after_deadline
+from sesamepoint.front.requests.request_end import log_request_end
+from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, Job, JobAdmission, RunStartedCallback, StreamFollower
 from sesamepoint.front.telemetry.metrics import FrontMetrics
 from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
-from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Withheld
+from sesamepoint.front.requests.attempt_results import Relayed, Withheld
 from sesamepoint.front.requests.retries import SILENCE_TIMEOUT_FACTOR, may_retry, run_attempt, target_for
 from sesamepoint.front.requests.retry_detection import RetryDetector
-from sesamepoint.platform.headers import response_headers
 
 if TYPE_CHECKING:
     from random import Random
@@ -44,9 +38,6 @@
     from sesamepoint.front.requests.request import FrontRequest
 
 NOT_FOUND = 404
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
 
 # Share of the retry budget that is used. The rest is a margin, because those who
 # check the budget count arrivals over windows with other bounds.
@@ -110,6 +101,8 @@
         self.on_run_started: RunStartedCallback | None = None
         # Refuses requests that this process would serve late.
         self.lag: JobAdmission | None = None
+        # Finds the origins of streams that callers take up.
+        self.take_ups: StreamFollower | None = None
 
     def configure(self, cfg: Configuration) -> None:
         """Apply ``cfg`` to new requests, and check the accounts of those in progress again."""
@@ -118,6 +111,8 @@
         route_names = frozenset(route.name for routes in cfg.routes.values() for route in routes)
         self._usual_deadlines.keep_only(route_names)
         self._plain_shares.keep_only(route_names)
+        if self.take_ups is not None:
+            self.take_ups.configure(cfg)
         self._configured.set()
         for job in tuple(self._active):
             recheck_admission(job, cfg)
@@ -142,11 +137,13 @@
         job = Job(req, route, self._pick_service(route), reply, caller_retry=caller_retry)
         assign_account(job, cfg, admission)
         job.access.on_run_started = self.on_run_started
+        if self.take_ups is not None:
+            self.take_ups.follow(job)
         job.access.on_first_send = self.lag.note_first_send if self.lag else None
         self._active.add(job)
         try:
             if not await self._serve_until_deadline(job, cfg):
-                await self._reply_after_deadline(job)
+                await reply_after_deadline(job)
         finally:
             # Also runs if the caller has disconnected and this task is cancelled.
             self._note_end(job, cfg)
@@ -164,31 +161,14 @@
     async def _serve_until_deadline(self, job: Job, cfg: Configuration) -> bool:
         job.access.scope.deadline = job.deadline
         with job.access.scope:
-            await self._finish_reply(job, await self._attempt_until_done(job, cfg))
+            await finish_reply(job, await self._attempt_until_done(job, cfg))
             return True
         return False
 
-    async def _reply_after_deadline(self, job: Job) -> None:
-        if job.reply.started:
-            job.trace.cause = FailureCause.answer_too_long
-        elif job.may_have_run:
-            job.trace.cause = FailureCause.no_answer_in_time
-            await job.reply.refuse(GATEWAY_TIMEOUT, 'no answer in time; it may have run')
-        elif job.access.denial:
-            await deny(job)
-        else:
-            job.trace.cause = FailureCause.not_run_in_time
-            await job.reply.refuse(UNAVAILABLE, 'no runner took it in time; it has not run', RETRY_SOON_S)
-
     async def _attempt_until_done(self, job: Job, cfg: Configuration) -> AttemptResult | None:
         """Attempt the request until it is served or no further attempt is allowed."""
-        if self._quarantine.refuses(job) or self._lag_refuses(job):
+        if self._quarantine.refuses(job) or self._lag_refuses(job) or not await self._has_runners(job):
             return None
-        with trio.move_on_after(max_hold_s(job.caller_left_s, job.first_output_left_s)):
-            if not await self._selector.wait_for_any(job.service):
-                job.trace.unsent_cause = FailureCause.draining
-                job.set_no_runner_retry()
-                return None
         budget = self._budgets.earn(job.service)
         self._permit_queue.note_request(job.service)
         outcome = await self._attempt_once(job, cfg, budget)
@@ -201,6 +181,18 @@
             outcome = next_outcome
         return outcome
 
+    async def _has_runners(self, job: Job) -> bool:
+        """Wait for the first runner of the service, and find the origin of a stream that the caller takes up.
+
+        Return False if the request must be refused.
+        """
+        with trio.move_on_after(max_hold_s(job.caller_left_s, job.first_output_left_s)):
+            if not await self._selector.wait_for_any(job.service):
+                job.trace.unsent_cause = FailureCause.draining
+                job.set_no_runner_retry()
+                return False
+        return self.take_ups is None or await self.take_ups.resolve(job)
+
     async def _attempt_once(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
         if not await self._quarantine.admit(job, self._selector.probe_runner):
             return None
@@ -251,18 +243,5 @@
         weights = [share.weight for share in route.shares]
         return self._rng.choices(route.shares, weights)[0].service
 
-    async def _finish_reply(self, job: Job, outcome: AttemptResult | None) -> None:
-        job.trace.cause = failure_cause_of(job, outcome)
-        if job.reply.started:
-            return
-        if isinstance(outcome, RunFailed) and may_relay_failure(outcome.head):
-            await job.reply.send_whole(outcome.head.status, response_headers(outcome.head), outcome.body)
-        elif job.may_have_run:
-            await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
-        elif job.access.denial:
-            await deny(job)
-        else:
-            await job.reply.refuse(UNAVAILABLE, refusal_reason(job), job.retry_after_s)
-
 
 __all__ = ('Dispatcher', 'RetryBudgets')
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -84,6 +84,7 @@
         self.room.connections.close_idle_outgoing = self.fleet.close_idle
         self.room.connections.close_idle_callers = self.http_handler.close_longest_idle
         self.dispatcher.lag = self.room.lag
+        self.dispatcher.take_ups = self._exchanges.take_ups
         self.listener_scope = trio.CancelScope()
         self._add_gauges(quarantine)
 
@@ -154,6 +155,7 @@
         quarantine.watch(add_gauge)
         self._engine_tracking.watch(add_gauge)
         self._exchanges.account_work.watch(add_gauge)
+        self._exchanges.take_ups.watch(add_gauge)
         self.room.add_gauges(add_gauge)
 
     def _config_version(self) -> float:
--- a/packages/sesamepoint/src/sesamepoint/front/peering/exchanges.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/exchanges.py
@@ -6,6 +6,8 @@
 
 from sesamepoint.front.fair_share.work_exchange import WorkExchange
 from sesamepoint.front.runners.limit_exchange import LimitExchange
+from sesamepoint.front.streams.origin_exchange import OriginExchange
+from sesamepoint.front.streams.take_ups import TakeUps
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
@@ -20,6 +22,7 @@
 
     runner_limits: LimitExchange
     account_work: WorkExchange
+    take_ups: TakeUps
 
     @classmethod
     def build(
@@ -27,7 +30,9 @@
     ) -> Exchanges:
         """Build the exchanges, and register their handlers with ``peers``."""
         return cls(
-            LimitExchange(components, fleet, engine_subset, peers), WorkExchange(components.account_shares, peers)
+            LimitExchange(components, fleet, engine_subset, peers),
+            WorkExchange(components.account_shares, peers),
+            TakeUps(OriginExchange(fleet, peers)),
         )
 
     def children(self) -> list[Child]:
--- a/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
@@ -13,6 +13,7 @@
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.store.outage_messages import StoreProbe
 from sesamepoint.front.store.topic_updates import TopicUpdate
+from sesamepoint.front.streams.origin_messages import OriginMessage, OriginQuestion, OriginReply
 
 PeerMessage = (
     TopicUpdate
@@ -28,6 +29,9 @@
     | RunnerHealthMessage
     | AccountWorkMessage
     | LagMessage
+    | OriginMessage
+    | OriginQuestion
+    | OriginReply
 )
 PEER_MESSAGES: tuple[type, ...] = get_args(PeerMessage)
 
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -13,6 +13,7 @@
 from sesamepoint import events
 from sesamepoint.front.quarantine.probes import Probe, ProbeState
 from sesamepoint.front.store.outage_messages import StoreProbe
+from sesamepoint.front.streams.origin_messages import OriginMessage, OriginQuestion, OriginReply
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -96,7 +97,9 @@
     quarantined: tuple[BoundedName, ...] = ()
 
 
-QueuedMessage = SuspectUpdate | VersionMessage | RunnerStatusMessage | StoreProbe
+QueuedMessage = (
+    SuspectUpdate | VersionMessage | RunnerStatusMessage | StoreProbe | OriginMessage | OriginQuestion | OriginReply
+)
 
 
 class Outgoing(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
@@ -25,6 +25,7 @@
     broken = 'runner_broke_off'
     silent = 'runner_silent'
     runner_failed = 'runner_failed'
+    origin_unknown = 'version_unknown'
     origin_gone = 'versions_runners_gone'
     cut_in_answer = 'cut_in_answer'
     caller_left = 'caller_left'
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint_core.serving.routes import Route
+    from sesamepoint_core.serving.routes import Configuration, Route
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.quarantine.probes import Probe
     from sesamepoint.front.requests.reply import Reply
@@ -138,6 +138,19 @@
         """Learn from the end of a request."""
 
 
+class StreamFollower(Protocol):
+    """Keeps what the first runner of a stream fixed, over the attempts of its caller."""
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a new configuration into account."""
+
+    def follow(self, job: Job) -> None:
+        """Prepare for the first event of a request."""
+
+    async def resolve(self, job: Job) -> bool:
+        """Find the stream that a request goes on with; return False if the request must be refused."""
+
+
 class Job:
     """A request in progress, with its route, its deadlines and its attempts."""
 
@@ -157,7 +170,8 @@
         self.trace = RequestTrace()
         # Whether a remote prefill is allowed: the first is free, further ones use the retry budget.
         self.allow_remote_prefill = True
-        self.retry_after_s = RETRY_SOON_S
+        # None if the caller has no reason to retry at any time.
+        self.retry_after_s: float | None = RETRY_SOON_S
         # Runners that ended during the latest send, until the quarantine has counted them.
         self.ended_incarnations: list[Incarnation] = []
         # Set while the request is sent alone, as a probe for a suspected poison request.
@@ -194,14 +208,18 @@
         """Tell whether events of its runner join those that the caller has already."""
         if self.route.repeat is not RepeatPolicy.resume:
             return False
-        return self.reply.started or self.req.continuation.has_events
+        return self.stream.begun or self.req.continuation.has_events
 
     def note_event_of(self, runner: Runner) -> None:
         """Record that an event that ``runner`` made goes to the caller; the first one fixes the origin."""
-        if self.stream.origin is not None or self.route.repeat is not RepeatPolicy.resume:
+        stream = self.stream
+        if stream.begun or self.route.repeat is not RepeatPolicy.resume:
             return
-        if runner.software_version is not None:
-            self.stream.origin = StreamOrigin(runner.service, runner.software_version)
+        stream.begun = True
+        if stream.origin is None and runner.software_version is not None:
+            stream.origin = StreamOrigin(runner.service, runner.software_version)
+        if stream.origin is not None and stream.on_begun is not None:
+            stream.on_begun(stream.origin)
 
     @cached_property
     def content_id(self) -> str:
@@ -269,7 +287,7 @@
     def first_output_left_s(self) -> float:
         """Return the seconds left for the first part of the answer, or for the next one if it has begun."""
         now = trio.current_time()
-        if self.reply.started:
+        if self.stream.begun:
             return min(self.deadline - now, self.event_wait_s)
         return self.first_output_deadline - now
 
@@ -291,5 +309,6 @@
     'JobAdmission',
     'RequestTrace',
     'RunStartedCallback',
+    'StreamFollower',
     'is_success',
 )
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -29,6 +29,8 @@
     {
         FailureCause.quarantined: 'its runners end under it',
         FailureCause.instance_lag: 'this instance is busy',
+        FailureCause.origin_unknown: 'it is not known which version began the stream',
+        FailureCause.origin_gone: 'no runner of the version that began the stream can go on',
     }
 )
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/engine_subset.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/engine_subset.py
@@ -6,6 +6,7 @@
 
 from sesamepoint_core.route.subset import in_subset
 from sesamepoint_core.serving.runner import Stage
+from sesamepoint.front.runners.fleet import accepting
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
@@ -41,7 +42,7 @@
 
     def of_origin(self, origin: StreamOrigin) -> list[Member]:
         """Return the runners that may go on with streams of ``origin``: those of the subset if any of them decodes."""
-        of_origin = self._fleet.of_origin(origin)
+        of_origin = accepting(self._fleet.all_of_origin(origin))
         used = [member for member in of_origin if self.contains(member.runner)]
         return used if any(member.runner.stage is not Stage.prefill for member in used) else of_origin
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -13,6 +13,7 @@
 from sesamepoint_core.bounded_dict import drop_oldest
 from sesamepoint import events
 from sesamepoint.front.runners.fleet_member import UNKNOWN_KV_TOKENS, Member
+from sesamepoint.front.runners.fleet_versions import FleetVersions
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -52,6 +53,8 @@
         self._send_check = send_check
         self.listed = False
         self.members: dict[str, Member] = {}
+        # Versions of the runners of each service, those that have gone lately included.
+        self.versions = FleetVersions(now, lambda: [member.runner for member in self.members.values()])
         self._grace_s = drain_s * GRACE_SHARE
         self._now = now
         self._kv_tokens: dict[str, int] = {}
@@ -90,6 +93,7 @@
                 self.note_unregistered(key)
         for runner in listed.values():
             self.update(runner)
+        self.versions.begin()
         self.listed = True
 
     def update(self, runner: Runner) -> None:
@@ -189,11 +193,7 @@
         Unregistered ones are returned only if there are no others.
         """
         self._drop_expired()
-        return _accepting([member for member in self.members.values() if member.runner.service == service])
-
-    def of_origin(self, origin: StreamOrigin) -> list[Member]:
-        """Return the members that may go on with streams of ``origin``, chosen like those of a service."""
-        return _accepting(self.all_of_origin(origin))
+        return accepting([member for member in self.members.values() if member.runner.service == service])
 
     def all_of_origin(self, origin: StreamOrigin) -> list[Member]:
         """Return all members of ``origin``, draining and unregistered ones included."""
@@ -211,9 +211,7 @@
         """Add a runner, or replace its earlier incarnation, whose state is dropped."""
         earlier = self.members.get(runner.key)
         if earlier is not None:
-            earlier.close()
-            self._send_check.runner_statuses.forget(earlier.incarnation)
-            events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
+            self._drop_earlier(earlier, runner)
         self._remember_incarnation(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
         member = Member(runner, self._network, self._send_check, kv_tokens)
@@ -221,6 +219,7 @@
         member.health.on_urgent = partial(self._note_health_urgent, member)
         member.health.on_returned = partial(_log_returned, runner)
         self.members[runner.key] = member
+        self.versions.note_change(runner)
         self._changed.set()
         self._changed = trio.Event()
         self._joined[0].send_nowait(member)
@@ -232,6 +231,12 @@
             version=runner.software_version,
         )
 
+    def _drop_earlier(self, earlier: Member, runner: Runner) -> None:
+        earlier.close()
+        self.versions.note_change(earlier.runner)
+        self._send_check.runner_statuses.forget(earlier.incarnation)
+        events.log_event(events.RUNNER_RESTARTED, runner=runner.key, born_ms=runner.born_ms)
+
     def _note_health_urgent(self, member: Member) -> None:
         if self.on_health_urgent is not None:
             self.on_health_urgent(member)
@@ -248,17 +253,18 @@
                 member.close()
                 self.members.pop(key)
                 self.changes += 1
+                self.versions.note_change(member.runner)
 
 
-def _accepting(members: list[Member]) -> list[Member]:
+def accepting(members: list[Member]) -> list[Member]:
     """Return those of ``members`` that may get new requests: unregistered ones only if there are no others."""
-    accepting = [member for member in members if not member.draining and not member.replaced]
-    registered = [member for member in accepting if member.unregistered_at is None]
-    return registered or accepting
+    open_members = [member for member in members if not member.draining and not member.replaced]
+    registered = [member for member in open_members if member.unregistered_at is None]
+    return registered or open_members
 
 
 def _log_returned(runner: Runner) -> None:
     events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
 
 
-__all__ = ('Fleet',)
+__all__ = ('Fleet', 'accepting')
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
@@ -10,7 +10,7 @@
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.retry_after import max_hold_s
+from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 
 if TYPE_CHECKING:
     from sesamepoint_core.stream_origin.origin import StreamOrigin
@@ -44,6 +44,8 @@
         if step is NextStep.run:
             return True
         job.trace.unsent_cause = FailureCause.origin_gone
+        # A runner that replaces a crashed one may come yet; a version that has left does not come back.
+        job.retry_after_s = default_retry_after_s(job.caller_left_s) if step is NextStep.wait else None
         events.log_event(
             events.STREAM_ORIGIN_GONE,
             request=job.req.request_id,
--- a/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,9 @@
     from sesamepoint_core.stream_origin.origin import StreamOrigin
 
 
+BegunCallback = Callable[['StreamOrigin'], None]
+
+
 @dataclass
 class StreamState:
     """What one request knows of its stream.
@@ -20,10 +24,19 @@
     rerun_at
         Runners at which it may go on although it has been there, since no other
         runner of its origin is left.
+    begun
+        Whether an event has gone to the caller in this answer.
+    taken_up
+        What was known of a stream that its caller takes up; empty for a new one.
+    on_begun
+        Called before the first one goes, with the origin.
     """
 
     origin: StreamOrigin | None = None
     rerun_at: set[str] = field(default_factory=set)
+    begun: bool = False
+    taken_up: str = ''
+    on_begun: BegunCallback | None = None
 
 
-__all__ = ('StreamState',)
+__all__ = ('BegunCallback', 'StreamState')
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -96,14 +96,23 @@
         )
         self._named_accounts: set[str] = set()
         self._denied = Rows.empty('sesamepoint_denied', "Requests whose key is no account's, by why.", 'cause')
+        self._taken_up = Rows.empty(
+            'sesamepoint_streams_taken_up',
+            'Streams that callers took up again, by what was known.',
+            'service',
+            'outcome',
+        )
         self._broken_sends = Rows.empty(
             'sesamepoint_broken_sends', 'Sends that ended without a whole answer, by how.', 'service', 'outcome'
         )
-
-    @property
-    def counters(self) -> tuple[Rows, ...]:
-        """Return all counters."""
-        return (self._requests, self._extra_sends, self._by_account, self._denied, self._broken_sends)
+        self.counters: tuple[Rows, ...] = (
+            self._requests,
+            self._extra_sends,
+            self._by_account,
+            self._denied,
+            self._broken_sends,
+            self._taken_up,
+        )
 
     @property
     def histograms(self) -> tuple[Latencies, ...]:
@@ -142,6 +151,8 @@
         account = job.access.account
         if account:
             self._by_account.add(self._account_label(account.name), _outcome(job))
+        if job.stream.taken_up:
+            self._taken_up.add(job.service, job.stream.taken_up)
         if job.sends > 1:
             self._extra_sends.add(job.service, amount=job.sends - 1)
         if job.trace.first_output_at is not None:
--- a/tests/front/streams/builders.py
+++ b/tests/front/streams/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -22,7 +23,7 @@
 def versioned_engines(first: int, count: int, version: str, **changes: Any) -> list[RunnerStandIn]:
     """Return ``count`` decode engines of ``version``, numbered from ``first``, that mark their events."""
     return [
-        engine(number, 'decode', version=version, marks_events=True, **changes)
+        replace(engine(number, 'decode', version=version, marks_events=True), **changes)
         for number in range(first, first + count)
     ]
 
