--- a/packages/sesamectl/src/sesamectl/request_explanation.py
+++ b/packages/sesamectl/src/sesamectl/request_explanation.py
@@ -44,6 +44,14 @@
         ),
         FailureCause.backed_off: 'refused: its runners had asked for rest, and no back-off ended before its deadline',
         FailureCause.draining: 'refused: all runners of its service leave, and no other one is registered',
+        FailureCause.origin_unknown: (
+            'refused: it goes on with a stream of an earlier attempt, and no instance that was reached knows which '
+            'version began that; see found and complete in its line 3221'
+        ),
+        FailureCause.origin_gone: (
+            'could not go on: the version that began its stream has no runner that takes it; its lines 3220 and 3221 '
+            'name the version, the lines 3320 when it left'
+        ),
     }
 )
 
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
@@ -37,6 +37,7 @@
         origin = job.stream.origin
         if origin is None:
             return True
+        job.stream.moved = job.stream.begun
         began = trio.current_time()
         step = NextStep.wait
         with trio.move_on_after(max_hold_s(job.caller_left_s, job.first_output_left_s)):
--- a/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
@@ -26,8 +26,8 @@
         runner of its origin is left.
     begun
         Whether an event has gone to the caller in this answer.
-    taken_up
-        What was known of a stream that its caller takes up; empty for a new one.
+    moved
+        Whether it broke within this answer and another runner was looked for.
     on_begun
         Called before the first one goes, with the origin.
     """
@@ -35,7 +35,7 @@
     origin: StreamOrigin | None = None
     rerun_at: set[str] = field(default_factory=set)
     begun: bool = False
-    taken_up: str = ''
+    moved: bool = False
     on_begun: BegunCallback | None = None
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/streams/take_ups.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/take_ups.py
@@ -81,7 +81,6 @@
         found = await self._exchange.find(first_attempt, self._only_service(job))
         cause = self._apply(job, found)
         _log(job, found, trio.current_time() - began)
-        job.stream.taken_up = cause or found.tag
         return not cause
 
     def _apply(self, job: Job, found: LookupResult) -> FailureCause:
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -20,6 +20,8 @@
 # five rows to the metrics page.
 MAX_ACCOUNTS = 200
 OTHER_ACCOUNTS_LABEL = 'other'
+# Outcome of a stream that has gone on to its end.
+WHOLE_OUTCOME = 'whole'
 
 
 class Rows(NamedTuple):
@@ -96,10 +98,11 @@
         )
         self._named_accounts: set[str] = set()
         self._denied = Rows.empty('sesamepoint_denied', "Requests whose key is no account's, by why.", 'cause')
-        self._taken_up = Rows.empty(
-            'sesamepoint_streams_taken_up',
-            'Streams that callers took up again, by what was known.',
+        self._gone_on = Rows.empty(
+            'sesamepoint_streams_gone_on',
+            'Streams that were to go on, in the same answer or another attempt, by what became of them.',
             'service',
+            'within',
             'outcome',
         )
         self._broken_sends = Rows.empty(
@@ -111,7 +114,7 @@
             self._by_account,
             self._denied,
             self._broken_sends,
-            self._taken_up,
+            self._gone_on,
         )
 
     @property
@@ -151,8 +154,7 @@
         account = job.access.account
         if account:
             self._by_account.add(self._account_label(account.name), _outcome(job))
-        if job.stream.taken_up:
-            self._taken_up.add(job.service, job.stream.taken_up)
+        self._count_gone_on(job)
         if job.sends > 1:
             self._extra_sends.add(job.service, amount=job.sends - 1)
         if job.trace.first_output_at is not None:
@@ -160,6 +162,12 @@
         if job.reply.started and not job.reply.unfinished:
             self._whole_request.observe(job.service, took_s)
 
+    def _count_gone_on(self, job: Job) -> None:
+        if job.goes_on and job.req.continuation.has_events:
+            self._gone_on.add(job.service, 'attempt', job.trace.cause or WHOLE_OUTCOME)
+        elif job.stream.moved:
+            self._gone_on.add(job.service, 'answer', job.trace.cause or WHOLE_OUTCOME)
+
     def _account_label(self, account: str) -> str:
         if account not in self._named_accounts and len(self._named_accounts) >= MAX_ACCOUNTS:
             return OTHER_ACCOUNTS_LABEL
--- a/tests/ctl/test_request_explanation.py
+++ b/tests/ctl/test_request_explanation.py
@@ -49,6 +49,26 @@
         found = explain_request('r1', [end_line('r1', status=503, runners=[], cause='runners_leave')])
         self.assertIn('verdict: refused: all runners of its service leave', found)
 
+    def test_refused_version_unknown(self) -> None:
+        """Guards against a take-up whose refusal is not told from a lack of runners."""
+        logs = [
+            log_line(events.STREAM_TAKEN_UP, request='r1', first_attempt='r0', found='unknown', complete=False),
+            end_line('r1', status=503, runners=[], cause='version_unknown'),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('first_attempt r0, found unknown', found)
+        self.assertIn('verdict: refused: it goes on with a stream of an earlier attempt', found)
+
+    def test_version_gone(self) -> None:
+        """Guards against a stream that can't go on and whose version is not named."""
+        logs = [
+            log_line(events.STREAM_ORIGIN_GONE, request='r1', fleet='llm', version='v1', begun=True),
+            end_line('r1', status=200, unfinished=True, cause='versions_runners_gone'),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('version v1', found)
+        self.assertIn('verdict: could not go on', found)
+
     def test_late(self) -> None:
         found = explain_request('r1', ['no log line', end_line('r1', expected_ms=80, first_total_ms=900)])
         self.assertIn('expected_ms 80', found)
--- a/tests/front/test_metrics_page.py
+++ b/tests/front/test_metrics_page.py
@@ -7,6 +7,7 @@
 from sesamepoint.front.telemetry.metrics import LATENCY_BUCKETS_S, FrontMetrics, Latencies
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_prompt_request, new_request
+from tests.front.streams.builders import break_streams, run_streams, stream_configuration, versioned_engines
 from tests.virtual_time import in_virtual_time
 
 
@@ -31,6 +32,22 @@
         ):
             self.assertIn(line, lines)
 
+    @in_virtual_time
+    async def test_streams_gone_on_counted(self) -> None:
+        """Guards against streams that go on, or can't, and are not counted."""
+        runners = [*versioned_engines(1, 2, 'v1'), *versioned_engines(3, 2, 'v2')]
+        break_streams(runners)
+        async with open_bench(stream_configuration(), runners, fronts=2) as bench:
+            await run_streams(bench, 1, ['front-1'])
+            await bench.new_caller('front-1').send(new_prompt_request('/tag/a', extra=((b'last-event-id', b'2'),)))
+            page = bench.fronts['front-1'].dispatcher.metrics.render()
+        for line in (
+            b'sesamepoint_streams_gone_on_total{outcome="whole",service="llm",within="answer"} 1.0',
+            b'sesamepoint_streams_gone_on_total{outcome="version_unknown",service="llm",within="attempt"} 1.0',
+            b'sesamepoint_remembered_streams 1.0',
+        ):
+            self.assertIn(line, page)
+
     def test_gauge_evaluated_when_read(self) -> None:
         """Guards against gauges that show the value of an earlier time."""
         metrics = FrontMetrics()
