--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -169,6 +170,9 @@
         """Run the handlers of connections in ``nursery``."""
         self.cut_pairs: set[frozenset[str]] = set()
         self.drops_datagrams = False
+        # Share of the datagrams that are lost.
+        self.datagram_loss: float = 0
+        self._loss_rng = Random(1)
         # Time to establish a connection, in seconds.
         self.connect_delay_s = 2 * ONE_WAY_DELAY_S
         # The newest datagrams, for tests of the messages between peers.
@@ -252,7 +256,9 @@
             return
         self.recent_datagrams.append(datagram)
         self.enqueue(host, len(datagram))
-        if receiver is not None and not self.drops_datagrams and not math.isinf(self.delay_s(host, address.host)):
+        if self.drops_datagrams or self._loss_rng.random() < self.datagram_loss:
+            return
+        if receiver is not None and not math.isinf(self.delay_s(host, address.host)):
             self._nursery.start_soon(_deliver, receiver, datagram)
 
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -163,6 +163,7 @@
         self.running = 0
         self.misdirected_count = 0
         self.inventory_calls = 0
+        self.report_calls = 0
         self._prefill_lock = trio.Lock()
         self._slots = trio.Semaphore(self.speed.slots)
         self._prefilled_s: float = 0
@@ -186,6 +187,11 @@
             found['born'] = self.born_ms
         return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
 
+    @property
+    def report(self) -> dict[str, object]:
+        """Return what it reports of itself."""
+        return {'stage': self.stage, 'running': self.running, **({'born': self.born_ms} if self.born_ms else {})}
+
     def count_arrivals(self, since: float, until: float) -> int:
         """Return how many requests arrived from ``since`` until before ``until``."""
         return bisect_left(self.arrivals, until) - bisect_left(self.arrivals, since)
@@ -220,6 +226,9 @@
             self.health_calls.append(trio.current_time())
             status = STATUS_UNAVAILABLE if self.faults.unhealthy_page else STATUS_OK
             return await conn.send_whole(status, self._status_headers(transport, status), b'')
+        if message.head.target == wire_names.REPORT_PATH.encode():
+            self.report_calls += 1
+            return await conn.send_whole(STATUS_OK, self._status_headers(transport), msgspec.json.encode(self.report))
         if message.head.target == wire_names.KV_LIST_PATH.encode():
             self.inventory_calls += 1
             held = [['', part.key, part.tokens, 'm'] for part in self.cache.blocks]
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -82,6 +82,9 @@
 REQUEST_DENIED = _event(3216, logging.INFO, "request denied, its key is no account's")
 SEND_NOT_ADMITTED = _event(3218, logging.INFO, 'nothing sent, the admission check for the chosen runner failed')
 STREAM_ORIGIN_GONE = _event(3220, logging.INFO, 'stream can not go on, its version has no runner that takes it')
+OTHER_INCARNATION_REPORTED = _event(
+    3321, logging.INFO, 'runner reports another start than its registration, the stream is not sent there'
+)
 STREAM_TAKEN_UP = _event(3221, logging.INFO, 'caller takes up the stream of an earlier attempt')
 VERSIONS_CHANGED = _event(3320, logging.INFO, 'versions that the runners of a service have')
 RUNNER_JOINED = _event(3301, logging.INFO, 'runner registered')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -8,8 +8,10 @@
 
 import trio
 
+from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
-from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.runners.incarnation_check import RESTARTED_CONDITION, leads_elsewhere
+from sesamepoint.front.runners.send_check import ORIGIN_CONDITION, SendBlockedError, SendKind, SendPurpose
 from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
     Broken,
@@ -106,8 +108,7 @@
             return Unsent(str(exc), local=exc.local)
         member.health.note_connected(self._health_ticket, trio.current_time())
         try:
-            with single_error():
-                return await self._send_and_read(conn)
+            return await self._send_checked(member, conn)
         except SendBlockedError as exc:
             return Withheld(exc.condition)
         except ConnBrokenError as exc:
@@ -115,6 +116,17 @@
         finally:
             member.release(conn)
 
+    async def _send_checked(self, member: Member, conn: ClientConn) -> AttemptResult:
+        job = self._target.purpose.job
+        if job is not None and job.route.repeat is RepeatPolicy.resume:
+            origin = job.stream.origin
+            if origin is not None and not member.of_origin(origin):
+                return Withheld(ORIGIN_CONDITION)
+            if await leads_elsewhere(member, conn, job):
+                return Withheld(RESTARTED_CONDITION)
+        with single_error():
+            return await self._send_and_read(conn)
+
     async def _send_and_read(self, conn: ClientConn) -> AttemptResult:
         # Nothing is sent for a caller that has disconnected.
         self._reply.check_caller()
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -51,6 +51,7 @@
         """
         self._network = network
         self._send_check = send_check
+        send_check.runner_statuses.on_restarted = self.at_incarnation
         self.listed = False
         self.members: dict[str, Member] = {}
         # Versions of the runners of each service, those that have gone lately included.
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -34,7 +34,7 @@
 # Assumed cache size of an engine until the operator has published it, in tokens.
 UNKNOWN_KV_TOKENS = 200_000
 # Calls that are not requests of callers and don't count as requests in progress.
-MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory, SendKind.health_call))
+MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory, SendKind.health_call, SendKind.report))
 
 
 class Member:
@@ -115,7 +115,11 @@
         ConnectFailedError
             If there is no idle connection, and a new one failed.
         """
-        return await self._pool.acquire(partial(self._check_admission, purpose))
+        return await self._pool.acquire(self.admission_for(purpose))
+
+    def admission_for(self, purpose: SendPurpose) -> Callable[[], None]:
+        """Return the admission check of a message, which raises if it may not be sent."""
+        return partial(self._check_admission, purpose)
 
     def release(self, conn: ClientConn) -> None:
         """Return a connection to the pool."""
@@ -151,6 +155,11 @@
         if source == FROM_ANSWER and self.on_replaced is not None:
             self.on_replaced(self.incarnation)
 
+    def note_restarted(self, born_ms: int) -> None:
+        """Note that it reports a later start than its registration."""
+        if self._runner_statuses.on_restarted is not None:
+            self._runner_statuses.on_restarted(self.incarnation.runner, born_ms)
+
     def same_incarnation(self, runner: Runner) -> bool:
         """Tell whether a registration is of the same incarnation of the runner.
 
@@ -191,11 +200,12 @@
 
     def _check_admission(self, purpose: SendPurpose) -> None:
         # A request of a caller already counts as in flight itself.
-        beside = self.in_flight if purpose.kind in MAINTENANCE_CALLS else self.in_flight - 1
+        is_maintenance = purpose.kind in MAINTENANCE_CALLS
+        beside = self.in_flight if is_maintenance and purpose.job is None else self.in_flight - 1
         condition = self._send_check.blocked_by(PendingSend(self, purpose, beside))
         if condition:
             raise SendBlockedError(self.runner.key, condition)
-        if purpose.job is not None:
+        if purpose.job is not None and not is_maintenance:
             self._runner_statuses.limits.use(self.incarnation, purpose.job)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -0,0 +1,59 @@
+"""Check that a connection leads to the incarnation of a runner that its registration describes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamepoint import events
+from sesamepoint.front.runners.send_check import SendKind, SendPurpose
+from sesamepoint.platform.runner_report import read_start_ms
+
+if TYPE_CHECKING:
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.http1.client import ClientConn
+
+# Condition that blocks a send to a runner that has restarted since it was chosen.
+RESTARTED_CONDITION = 'restarted'
+_REPORT_PURPOSE = SendPurpose(SendKind.report)
+
+
+async def leads_elsewhere(member: Member, conn: ClientConn, job: Job | None) -> bool:
+    """Tell whether another incarnation than that of ``member`` is at the other end of ``conn``, or that can't be told.
+
+    A runner may restart under its key, at another version, while its registration
+    is still that of before, as long as the store is down. A new connection then leads to the new
+    incarnation, which accepts requests for its key, and its streams would be remembered under
+    the version of before. A connection that has been checked belongs to one incarnation until it
+    ends. Runners that don't register their start always start under another key.
+
+    Raises
+    ------
+    SendBlockedError
+        If nothing may be sent to the runner for ``job``.
+    ConnBrokenError
+        If the connection broke.
+    """
+    born_ms = member.incarnation.born_ms
+    if not born_ms or conn.incarnation_checked:
+        return False
+    # A runner with a rate limit gets requests of callers only, and its start stays unchecked.
+    if member.blocking_condition(_REPORT_PURPOSE):
+        return False
+    admit = conn.admit
+    conn.admit = member.admission_for(SendPurpose(SendKind.report, job))
+    try:
+        reported_ms = await read_start_ms(conn, member.runner.address)
+    finally:
+        conn.admit = admit
+    if reported_ms in {0, born_ms}:
+        conn.incarnation_checked = conn.recycle()
+        return not conn.incarnation_checked
+    events.log_event(
+        events.OTHER_INCARNATION_REPORTED, runner=member.runner.key, born_ms=born_ms, reported_ms=reported_ms
+    )
+    member.note_restarted(reported_ms)
+    return True
+
+
+__all__ = ('RESTARTED_CONDITION', 'leads_elsewhere')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
@@ -37,10 +37,6 @@
     def draining(self) -> bool:
         """Tell whether it is draining."""
 
-    @property
-    def ended(self) -> bool:
-        """Tell whether this instance has found that it crashed."""
-
     def of_origin(self, origin: StreamOrigin) -> bool:
         """Tell whether it may go on with streams of ``origin``."""
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_status.py
@@ -42,6 +42,8 @@
         self.on_draining: Callable[[Incarnation], None] | None = None
         # Called when an incarnation asks this instance to back off for so many seconds.
         self.on_back_off: Callable[[Incarnation, float], None] | None = None
+        # Called with the key of a runner and the start that it reports, in milliseconds, if it has restarted.
+        self.on_restarted: Callable[[str, int], object] | None = None
         self._statuses: dict[Incarnation, KnownStatus] = {}
         self._unreadable_at: dict[tuple[Incarnation, str], float] = {}
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -21,6 +21,10 @@
     from sesamepoint.front.requests.job import Job
 
 
+# Condition that blocks a send of a stream to a runner of another version.
+ORIGIN_CONDITION = 'origin'
+
+
 class SendKind(StrEnum):
     """Kinds of messages to runners."""
 
@@ -31,6 +35,7 @@
     inventory = 'inventory'
     free_memory = 'free_memory'
     health_call = 'health_call'
+    report = 'report'
 
 
 class SendPurpose(NamedTuple):
@@ -143,18 +148,21 @@
     return suspects.quarantined(job.content_id) or (suspects.needs_probe(job.content_id) and job.probe is None)
 
 
-@BLOCK_CONDITIONS.register('origin')
+@BLOCK_CONDITIONS.register(ORIGIN_CONDITION)
 def _has_other_origin(check: SendCheck, pending_send: PendingSend) -> bool:
-    """Return whether the request goes on with a stream that runners of another version have begun.
-
-    A runner may restart under its key at another version. Until its registration is
-    known, a crash that this instance has seen is the only sign of that, so nothing that goes
-    on is sent to the crashed incarnation.
-    """
+    """Return whether the request goes on with a stream that runners of another version have begun."""
     job, member = pending_send.purpose.job, pending_send.member
     if job is None or job.stream.origin is None:
         return False
-    return not member.of_origin(job.stream.origin) or (member.ended and bool(member.incarnation.born_ms))
-
-
-__all__ = ('BLOCK_CONDITIONS', 'PendingSend', 'SendBlockedError', 'SendCheck', 'SendKind', 'SendPurpose')
+    return not member.of_origin(job.stream.origin)
+
+
+__all__ = (
+    'BLOCK_CONDITIONS',
+    'ORIGIN_CONDITION',
+    'PendingSend',
+    'SendBlockedError',
+    'SendCheck',
+    'SendKind',
+    'SendPurpose',
+)
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -31,6 +31,8 @@
         time on trio's clock at which its request was started.
         """
         self.idle_since: float = 0
+        # Set once the process at the other end is known to be the one that is meant.
+        self.incarnation_checked = False
         self._on_head = on_head
         self._started_at: float = 0
         self.keep_alive_s: float | None = None
--- a/packages/sesamepoint/src/sesamepoint/platform/wire_names.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/wire_names.py
@@ -71,6 +71,7 @@
 # The store's epoch: how often the store was restored from an older copy.
 STORE_EPOCH: Final = b'store-era'
 
+REPORT_PATH: Final = '/v1/report'
 READY_PATH: Final = '/v1/readyz'
 KV_HANDLE_PATH: Final = '/v1/kv-handle/'
 KV_LIST_PATH: Final = '/v1/kv-list'
--- /dev/null
+++ b/tests/front/streams/test_version_faults.py
@@ -0,0 +1,42 @@
+"""Random faults against streams over several attempts, by fixed seeds, and a faulty variant that they catch."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import TestCase
+from unittest.mock import patch
+
+from sesamepoint.front.requests import attempt
+from sesamepoint.front.runners.fleet_member import Member
+from sesamepoint_standins.virtual_time import run_virtual
+from tests.front.streams.version_faults import run_seed
+
+# Add each seed that fails, with a line on the cause.
+# 1: streams began at a runner that had restarted at another version, while the store was down.
+SEEDS = (1, 2, 30, 53)
+
+
+class VersionFaultsTest(TestCase):
+    """Versions that come and go, and instances that fail."""
+
+    def test_no_violations(self) -> None:
+        """Guards against streams of two versions, and take-ups that are refused for no reason, under random faults."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(run_virtual(run_seed, seed, seed=seed), [])
+
+    def test_without_origins(self) -> None:
+        """Guards against faults that break nothing: if any runner may go on, streams hold two versions."""
+        self.assertTrue(self._violations_with(Member, 'of_origin', lambda member, origin: True))
+
+    def test_without_checked_connections(self) -> None:
+        """Guards against faults that never restart a runner unseen."""
+        self.assertTrue(self._violations_with(attempt, 'leads_elsewhere', _never_checked))
+
+    def _violations_with(self, owner: Any, name: str, faulty: Any) -> list[str]:
+        with patch.object(owner, name, faulty):
+            return run_virtual(run_seed, SEEDS[0], seed=SEEDS[0])
+
+
+async def _never_checked(*_: object) -> bool:
+    return False
--- a/tests/front/test_send_check.py
+++ b/tests/front/test_send_check.py
@@ -12,13 +12,15 @@
 import sesamepoint
 from sesamepoint.front.runners.fleet_member import MAINTENANCE_CALLS
 from sesamepoint.front.runners.send_check import BLOCK_CONDITIONS, SendCheck, SendKind
-from tests.front.send_check_bench import BLOCK_TRIGGERS, SEND_CALLS, new_bench
+from tests.front.send_check_bench import SEND_CALLS, new_bench
+from tests.front.send_check_triggers import BLOCK_TRIGGERS
 from tests.front.silent_network import CONNECT_DELAY_S
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
     from sesamepoint.front.runners.send_check import PendingSend
-    from tests.front.send_check_bench import BlockTrigger, SendCall
+    from tests.front.send_check_bench import SendCall
+    from tests.front.send_check_triggers import BlockTrigger
 
 # The only module that connects to runners; its connections run the check before they send.
 POOL_MODULE = 'front/runners/connection_pool.py'
