--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -54,6 +54,8 @@
             headers.append((wire_names.PROMPT_PREFIX, encoded.encode()))
             headers.append((wire_names.TOKEN_COUNTS, f'{tokens},{self.output}'.encode()))
             headers.append((wire_names.MODEL, b'm'))
+            # An estimate, off by a half or more at times.
+            headers.append((b'sesamepoint-length-hint', str(self.output // 2 + 1).encode()))
         return RequestHead(self.method.encode(), self.path.encode(), (*headers, *self.extra))
 
     @property
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from bisect import bisect_left
 from dataclasses import dataclass, field
 from itertools import accumulate
@@ -169,6 +170,7 @@
         self._prefilled_s: float = 0
         self._kv_handles: dict[str, str] = {}
         self._rng = Random(self.key)
+        self._key_word = zlib.crc32(self.key.encode())
 
     @property
     def registration(self) -> dict[str, object]:
@@ -180,12 +182,17 @@
             'version': self.version,
             'slots': self.speed.slots,
             'state': 'draining' if self.draining else 'ready',
-            'cold_remaining_ms': 0,
-            'sequence': 0,
+            # Fields that the system has no use for, and must accept with any value.
+            'cold_remaining_ms': 250 * (self._key_word % 4),
+            'sequence': self._key_word % 7,
         }
         if self.born_ms:
             found['born'] = self.born_ms
-        return {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1}]} if self.stage else found
+        return (
+            {**found, 'stage': self.stage, 'models': [{'name': 'm', 'version': 1 + self._key_word % 3, 'adapters': []}]}
+            if self.stage
+            else found
+        )
 
     @property
     def report(self) -> dict[str, object]:
@@ -386,7 +393,8 @@
     def _signed(self, message: ReceivedRequest, transport: Transport) -> Headers:
         if self.faults.unsigned:
             return self._echo(message, transport)
-        return (*self._echo(message, transport), (wire_names.SIGNATURE, self.key.encode()))
+        versions = (b'sesamepoint-weight-versions', str(1 + self._key_word % 3).encode())
+        return (*self._echo(message, transport), (wire_names.SIGNATURE, self.key.encode()), versions)
 
 
 def _max_seconds(texts: tuple[bytes, ...]) -> float:
--- a/tests/front/streams/test_take_ups.py
+++ b/tests/front/streams/test_take_ups.py
@@ -151,6 +151,20 @@
                 answer = await take_up(bench, 'front-2', first_attempt)
                 self.assertEqual(versions_of(answer), versions)
 
+    @in_virtual_time
+    async def test_route_moved_to_another_service(self) -> None:
+        """Guards against a stream that goes on at the service to which its route has moved, or at that of before."""
+        runners = [*versioned_engines(1, 2, 'v1'), *versioned_engines(3, 2, 'v1', service='llm2')]
+        services = [*configuration()['services'], {**configuration()['services'][0], 'name': 'llm2'}]
+        document = {**stream_configuration(), 'services': services}
+        moved = {**document['routes'][0], 'service': 'llm2'}
+        async with open_bench(document, runners, fronts=FRONTS) as bench:
+            first_attempt, _ = await begin_and_break(bench, 'front-1')
+            bench.publish({**document, 'version': 2, 'routes': [moved]})
+            await trio.sleep(SETTLE_S)
+            answers = [await take_up(bench, 'front-2', *resumes) for resumes in ((first_attempt,), ())]
+        self.assertEqual([answer.status for answer in answers], [STATUS_NOT_RUN, STATUS_NOT_RUN])
+
 
 class UnknownOriginTest(TestCase):
     """Streams of which nobody knows the origin."""
