--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -27,6 +27,7 @@
 from tests.front.random_faults import Outcome, find_request_violations
 from tests.front.soak_limits import SoakLimits
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
+from tests.front.soak_streams import SoakStreams, story_route, story_service
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -87,6 +88,7 @@
         # other choices of a seed.
         self._limits = SoakLimits(bench, Random(FRONTS))
         self.runner_status = SoakRunnerStatus(bench, Random(FRONTS))
+        self._streams = SoakStreams(bench, Random(FRONTS), KEY_HEADERS)
         self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
@@ -102,12 +104,18 @@
             self._roll_back_store,
         )
 
+    async def start_runners(self) -> None:
+        """Start the runners beside those of the bench."""
+        await self.runner_status.start_runners()
+        await self._streams.start_runners()
+
     async def run(self, duration_s: float) -> None:
         """Send requests and cause faults, then wait until all kinds of requests are served."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_load, nursery, duration_s)
             nursery.start_soon(self._limits.change_limits, duration_s)
             nursery.start_soon(self.runner_status.report_status, duration_s)
+            nursery.start_soon(self._streams.run, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -127,6 +135,7 @@
         messages += [f'denied: {one.request.request_id}' for one in self.outcomes if one.answer.status == STATUS_DENIED]
         messages += self._bench.usage.violations(MIN_TURN_S)
         messages += self._limits.violations(FRONTS + self._restarts)
+        messages += self._streams.violations()
         messages += self.runner_status.violations(
             {one.request.request_id for one in self.outcomes if one.answer.status}
         )
@@ -271,7 +280,12 @@
 
 
 def _configuration(version: int) -> dict[str, Any]:
-    return configuration(version, tenants=[account('harbor', API_KEY, priority=1), account('marina', 'k3yOfMarina99')])
+    base = configuration(version, tenants=[account('harbor', API_KEY, priority=1), account('marina', 'k3yOfMarina99')])
+    return {
+        **base,
+        'routes': [*base['routes'], story_route()],
+        'services': [*base['services'], story_service()],
+    }
 
 
 def _send_signal(process: trio.Process, signal_number: signal.Signals) -> None:
@@ -297,7 +311,7 @@
     for _ in range(FRONTS):
         await bench.add_front()
     soak = Soak(bench, rng)
-    await soak.runner_status.start_runners()
+    await soak.start_runners()
     await soak.run(duration_s)
     return soak.violations()
 
