--- a/benchmarks/rest_ways.py
+++ b/benchmarks/rest_ways.py
@@ -17,7 +17,7 @@
 from sesamepoint_core.runner_status.status_headers import BackOff
 from sesamepoint.front.runners.runner_status import RunnerStatuses
 from sesamepoint_standins.platform.bench import open_bench
-from sesamepoint_standins.platform.runner import Faults
+from sesamepoint_standins.platform.runner_state import Faults
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
 from tests.front.builders import configuration, new_prompt_request
 from tests.front.limited_runners import Load, engines, send
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -11,7 +11,7 @@
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead, header
 from sesamepoint.platform import wire_names
 from sesamepoint_core.units import MS_PER_S
-from sesamepoint_standins.platform.runner import plain_body, stream_event
+from sesamepoint_standins.platform.runner_answers import plain_body, stream_event
 
 if TYPE_CHECKING:
     from sesamepoint.http1.messages import Headers
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -17,7 +17,8 @@
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
 from sesamepoint.platform.wire_names import OPERATOR_KEY, OPERATOR_TOPIC, READY_PATH, RUNNER_TOPIC
 from sesamepoint_standins.platform.caller import Caller
-from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 from sesamepoint_standins.platform.store import PlatformStore
 from sesamepoint_standins.platform.usage import UsageStandIn
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -5,9 +5,8 @@
 import zlib
 from bisect import bisect_left
 from dataclasses import dataclass, field
-from itertools import accumulate
 from random import Random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -19,6 +18,8 @@
 from sesamepoint.platform import wire_names
 from sesamepoint.single_error import single_error
 from sesamepoint_standins.platform.network import MemoryTransport
+from sesamepoint_standins.platform.runner_answers import leading_parts, parse_prompt, plain_body, stream_event
+from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +29,6 @@
     from sesamepoint.http1.transport import Transport
 
 STATUS_OK = 200
-VERSION_MARK = ' by '
 HEALTH_PATH = b'/healthz'
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -37,79 +37,6 @@
 )
 
 
-class EngineSpeed(NamedTuple):
-    """Performance of an engine.
-
-    The defaults are the figures of the smaller deployment's sheet. Rates are in
-    tokens/s; an event of a stream takes ``steps_per_event`` steps of ``step_s`` seconds,
-    plus ``step_s_per_slot`` for each running request.
-    """
-
-    prefill_tokens_per_s: float = 112_000.0
-    overhead_s: float = 0.031
-    step_s: float = 0.0034
-    step_s_per_slot: float = 0.0001
-    steps_per_event: int = 10
-    # Transfer of prefix blocks from another engine: 370 Gbit/s, 18 KB a token.
-    fetch_s: float = 0.025
-    fetch_tokens_per_s: float = 2_500_000.0
-    kv_tokens: int = 548_319
-    slots: int = 24
-
-    def scaled(self, factor: float) -> EngineSpeed:
-        """Return the performance of an engine that computes ``factor`` times as fast."""
-        return self._replace(
-            prefill_tokens_per_s=self.prefill_tokens_per_s * factor,
-            step_s=self.step_s / factor,
-            step_s_per_slot=self.step_s_per_slot / factor,
-        )
-
-
-@dataclass
-class Run:
-    """Run of one request at a runner."""
-
-    request_id: str
-    message: ReceivedRequest
-    started_at: float
-    ended_at: float | None = None
-    complete: bool = False
-    prefill: bool = False
-
-
-class StatusReport(NamedTuple):
-    """Status that a runner reported in an answer to the host ``instance``.
-
-    ``back_off_s`` is the requested back-off in seconds, 0 without one.
-    """
-
-    reported_at: float
-    instance: str
-    draining: bool
-    back_off_s: float
-    request_id: str = ''
-
-
-@dataclass
-class Faults:
-    """Current faults of a runner."""
-
-    rejects: bool = False
-    fails: bool = False
-    failure_status: int = 500
-    hangs: bool = False
-    breaks_at_event: int | None = None
-    breaks_before_answer: bool = False
-    # Share of the requests that run but whose connection is reset before the answer.
-    loses: float = 0
-    answers_twice: bool = False
-    # Factor on the times of prefills and steps that begin while it is set.
-    slowdown: float = 1.0
-    unsigned: bool = False
-    # Whether the health page reports a failure; by itself it reports the runner healthy.
-    unhealthy_page: bool = False
-
-
 @dataclass
 class RunnerStandIn:
     """Stand-in for a runner; ``stage`` is None for a plain service."""
@@ -311,7 +238,7 @@
     async def _answer_prompt(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         headers = run.message.head.headers
         source = (header(headers, wire_names.KV_SOURCE) or b'').decode()
-        parts, output = _parse_prompt(run.message)
+        parts, output = parse_prompt(run.message)
         if run.prefill:
             return await self._answer_prefill(conn, run, parts, transport)
         async with self._slots:
@@ -342,7 +269,7 @@
         if fetched_tokens <= 0:
             return
         await trio.sleep(self.speed.fetch_s + fetched_tokens / self.speed.fetch_tokens_per_s)
-        self.cache.touch(_leading_parts(parts, cached_tokens))
+        self.cache.touch(leading_parts(parts, cached_tokens))
 
     async def _prefill(self, parts: list[Part]) -> None:
         slowdown = 2 if self.stage == 'decode' else 1
@@ -405,30 +332,6 @@
     return max((float(text) for text in texts if text.isdigit()), default=0)
 
 
-def plain_body(request_id: str) -> bytes:
-    """Return the body of the answer of any plain runner."""
-    return f'answer to {request_id}'.encode()
-
-
-def stream_event(request_id: str, number: int, version: str = '') -> bytes:
-    """Return one event of the stream of an answer, marked with the ``version`` of its runner if one is given."""
-    mark = f'{VERSION_MARK}{version}' if version else ''
-    return f'id: {number}\ndata: {request_id} {number}{mark}\n\n'.encode()
-
-
-def _parse_prompt(message: ReceivedRequest) -> tuple[list[Part], int]:
-    counts = header(message.head.headers, wire_names.TOKEN_COUNTS) or b'0,0'
-    encoded = (header(message.head.headers, wire_names.PROMPT_PREFIX) or b'').decode()
-    blocks = [block.partition(':') for block in encoded.split(',') if block]
-    return [Part(key, int(tokens)) for key, _, tokens in blocks], int(counts.split(b',')[1])
-
-
-def _leading_parts(parts: list[Part], tokens: int) -> list[Part]:
-    """Return the leading prefix blocks that ``tokens`` tokens cover completely."""
-    ends = accumulate(part.tokens for part in parts)
-    return [part for part, end in zip(parts, ends, strict=True) if end <= tokens]
-
-
 def _reset(transport: Transport) -> None:
     """Reset the connection if it is in memory."""
     if isinstance(transport, MemoryTransport):
@@ -440,13 +343,4 @@
     scope.cancel()
 
 
-__all__ = (
-    'VERSION_MARK',
-    'EngineSpeed',
-    'Faults',
-    'Run',
-    'RunnerStandIn',
-    'StatusReport',
-    'plain_body',
-    'stream_event',
-)
+__all__ = ('RunnerStandIn',)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/status_bounds.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/status_bounds.py
@@ -8,7 +8,8 @@
     from collections.abc import Callable, Iterator
     from collections.abc import Set as AbstractSet
 
-    from sesamepoint_standins.platform.runner import RunnerStandIn, StatusReport
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+    from sesamepoint_standins.platform.runner_state import StatusReport
 
     # Returns whether an instance is excused for a request, by its host, the time at
     # which the status was reported to it, and the time of the request.
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/stream_caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/stream_caller.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint.platform import wire_names
-from sesamepoint_standins.platform.runner import VERSION_MARK
+from sesamepoint_standins.platform.runner_answers import VERSION_MARK
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -14,7 +14,7 @@
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.http1.client import ClientConn
 
-# Condition that blocks a send to a runner that has restarted since it was chosen.
+# Condition that blocks a send to a runner that has restarted since its registration.
 RESTARTED_CONDITION = 'restarted'
 _REPORT_PURPOSE = SendPurpose(SendKind.report)
 
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
@@ -1,4 +1,4 @@
-"""Origins of streams, told to a few peers and asked from them."""
+"""Origins of streams: announced to a few peers, and requested from them."""
 
 from __future__ import annotations
 
@@ -40,10 +40,10 @@
 
 
 class OriginExchange:
-    """Tells peers the origin of each stream that this instance begins, and asks them for those of others.
+    """Announces the origin of each stream that this instance begins, and looks up those of others.
 
-    An instance may be lost with all its streams. The three that a hash of the stream's id
-    chooses are told, so that what an instance receives doesn't grow with their number.
+    An instance may be lost with all its streams, so the origins are kept at three peers,
+    by a hash of the stream's id. What an instance receives doesn't grow with their number.
     """
 
     def __init__(self, fleet: Fleet, peers: Peers) -> None:
@@ -63,8 +63,8 @@
         self.memory.retention_s = retention_s
         self._fleet.versions.history.retention_s = retention_s
 
-    def tell(self, request_ids: Iterable[str], origin: StreamOrigin) -> None:
-        """Remember the origin of the streams that attempts with these ids began, and tell the peers that hold them."""
+    def announce(self, request_ids: Iterable[str], origin: StreamOrigin) -> None:
+        """Remember the origin of the streams that these attempts began, and send it to the peers that hold it."""
         digests = [stream_digest(request_id) for request_id in request_ids]
         by_peer: dict[str, list[bytes]] = {}
         for digest in digests:
--- a/packages/sesamepoint/src/sesamepoint/front/streams/take_ups.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/take_ups.py
@@ -53,20 +53,20 @@
         add_gauge('sesamepoint_dropped_streams', 'Streams forgotten early for lack of room.', lambda: memory.dropped)
 
     def follow(self, job: Job) -> None:
-        """Tell peers the origin of the stream of ``job`` once it begins."""
+        """Announce the origin of the stream of ``job`` once it begins."""
         job.stream.on_begun = partial(self.note_begun, job)
 
     def note_begun(self, job: Job, origin: StreamOrigin) -> None:
-        """Tell peers the origin of a stream whose first event from this instance goes to the caller.
+        """Announce the origin of a stream whose first event from this instance goes to the caller.
 
-        A stream that was taken up is told again under the id of its first attempt, since those
-        that held it may have gone, and under that of this attempt.
+        A stream that was taken up is announced again under the id of its first attempt, since its
+        holders may have gone, and under that of this attempt.
         """
         continuation = job.req.continuation
         request_ids = {job.req.request_id}
         if continuation.has_events and continuation.first_attempt:
             request_ids.add(continuation.first_attempt)
-        self._exchange.tell(request_ids, origin)
+        self._exchange.announce(request_ids, origin)
 
     async def resolve(self, job: Job) -> bool:
         """Set the origin of the stream that ``job`` goes on with; return False if the request must be refused.
--- a/tests/front/builders.py
+++ b/tests/front/builders.py
@@ -16,7 +16,8 @@
 from sesamepoint.front.runners.send_check import SendCheck
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint_standins.platform.caller import RequestSpec
-from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 
 HOST = 'boats.example'
 _ids = count(1)
--- a/tests/front/engine_model/unequal_engines.py
+++ b/tests/front/engine_model/unequal_engines.py
@@ -21,7 +21,8 @@
 from sesamepoint.front.engine_model.engine_models import EngineModels
 from sesamepoint.front.engine_model.model_exchange import ModelExchange
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 from tests.front.builders import configuration, engine, new_prompt_request, route
 
 if TYPE_CHECKING:
--- a/tests/front/fair_share/test_plain_shares.py
+++ b/tests/front/fair_share/test_plain_shares.py
@@ -27,7 +27,7 @@
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import EngineSpeed
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 from tests.front.builders import (
     bearer_header,
     configuration,
--- a/tests/front/fleet_health/failing_runner.py
+++ b/tests/front/fleet_health/failing_runner.py
@@ -8,7 +8,8 @@
 import trio
 
 from sesamepoint_standins.platform.bench import PlatformBench
-from sesamepoint_standins.platform.runner import EngineSpeed, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 from tests.front.builders import new_request, plain_runner
 
 STATUS_OK = 200
--- a/tests/front/poison_requests.py
+++ b/tests/front/poison_requests.py
@@ -14,7 +14,8 @@
 
     from sesamepoint_standins.platform.bench import PlatformBench
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
-    from sesamepoint_standins.platform.runner import Run, RunnerStandIn
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+    from sesamepoint_standins.platform.runner_state import Run
 
 POISON_BODY = b'{"prompt": "ends its runner"}'
 # The users' bound: from this many seconds after the third runner that ended under a
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -16,7 +16,8 @@
 from sesamepoint_core.serving.address import Address
 from sesamepoint.platform.wire_names import OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import Faults, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import Faults
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
 from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner, route
 
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -11,10 +11,9 @@
 import sys
 import tempfile
 from collections import Counter
-from contextlib import suppress
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -22,12 +21,13 @@
 from sesamepoint.platform.wire_names import OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.faulty_proxy import Fault, FaultyProxy, listen
 from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller
-from sesamepoint_standins.platform.runner import Faults
-from tests.front.builders import account, bearer_header, configuration, new_prompt_request, new_request, route
+from sesamepoint_standins.platform.runner_state import Faults
+from tests.front.builders import bearer_header, new_prompt_request, new_request, route
 from tests.front.random_faults import Outcome, find_request_violations
+from tests.front.soak_configuration import API_KEY, soak_configuration
 from tests.front.soak_limits import SoakLimits
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
-from tests.front.soak_streams import SoakStreams, story_route, story_service
+from tests.front.soak_streams import SoakStreams
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -47,8 +47,6 @@
 # effect when the process continues, and it exits within half a second.
 MAX_FREEZE_S = 2.0
 SIGNAL_EXIT_S = MAX_FREEZE_S + 0.5
-# The key in all requests; it must not appear in any output.
-API_KEY = 'k3yOfHarborOne77'
 KEY_HEADERS = (bearer_header(API_KEY),)
 # Least time between two different holders of the duty, in seconds.
 MIN_TURN_S = 3.0
@@ -242,7 +240,7 @@
 
     async def _publish_configuration(self) -> None:
         self._version += 1
-        base = _configuration(self._version)
+        base = soak_configuration(self._version)
         added = route(f'x{self._version}', '/x/', 'web', 'idempotent')
         self._bench.store.put(OPERATOR_TOPIC, OPERATOR_KEY, {**base, 'routes': [*base['routes'], added]})
 
@@ -279,19 +277,12 @@
             await trio.sleep(0.1)
 
 
-def _configuration(version: int) -> dict[str, Any]:
-    base = configuration(version, tenants=[account('harbor', API_KEY, priority=1), account('marina', 'k3yOfMarina99')])
-    return {
-        **base,
-        'routes': [*base['routes'], story_route()],
-        'services': [*base['services'], story_service()],
-    }
-
-
 def _send_signal(process: trio.Process, signal_number: signal.Signals) -> None:
-    # An earlier signal may have ended the process.
-    with suppress(ProcessLookupError):
+    try:
         process.send_signal(signal_number)
+    except ProcessLookupError:
+        # An earlier signal has ended the process.
+        return
 
 
 async def run_seed(seed: int, duration_s: float = DURATION_S) -> list[str]:
@@ -307,7 +298,7 @@
 
 
 async def _run_on(bench: SoakBench, rng: Random, duration_s: float) -> list[str]:
-    await bench.start(_configuration(1))
+    await bench.start(soak_configuration(1))
     for _ in range(FRONTS):
         await bench.add_front()
     soak = Soak(bench, rng)
--- a/tests/front/soak_runner_status.py
+++ b/tests/front/soak_runner_status.py
@@ -11,13 +11,14 @@
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_core.serving.address import Address
 from sesamepoint_standins.platform.process_bench import FAST_ENGINE, ProcessBench
-from sesamepoint_standins.platform.runner import Faults, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import Faults
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from random import Random
 
-    from sesamepoint_standins.platform.runner import StatusReport
+    from sesamepoint_standins.platform.runner_state import StatusReport
 
 BACK_OFF_S = 3.0
 MAX_CHANGE_PAUSE_S = 2.0
--- a/tests/front/soak_streams.py
+++ b/tests/front/soak_streams.py
@@ -9,7 +9,8 @@
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_core.serving.address import Address
 from sesamepoint_standins.platform.process_bench import FAST_ENGINE, ProcessBench, new_caller
-from sesamepoint_standins.platform.runner import Faults, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import Faults
 from sesamepoint_standins.platform.stream_caller import TakenStream, stream_over_attempts
 from tests.front.builders import configuration, new_prompt_request, route
 
--- a/tests/front/streams/version_faults.py
+++ b/tests/front/streams/version_faults.py
@@ -13,7 +13,8 @@
 
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import Faults, RunnerStandIn
+from sesamepoint_standins.platform.runner import RunnerStandIn
+from sesamepoint_standins.platform.runner_state import Faults
 from sesamepoint_standins.platform.stream_caller import TakenStream, stream_over_attempts
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
 from tests.front.builders import new_prompt_request
--- a/tests/front/test_lifecycle.py
+++ b/tests/front/test_lifecycle.py
@@ -9,7 +9,7 @@
 
 from sesamepoint.platform.wire_names import OPERATOR_TOPIC, RUNNER_TOPIC
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import EngineSpeed
+from sesamepoint_standins.platform.runner_state import EngineSpeed
 from tests.front.builders import configuration, engine, fleet, new_prompt_request, new_request, plain_runner, route
 from tests.virtual_time import in_virtual_time
 
--- a/tests/front/test_runner_failures.py
+++ b/tests/front/test_runner_failures.py
@@ -9,7 +9,7 @@
 
 from sesamepoint.front.http_handler import HttpHandler
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import Run
+from sesamepoint_standins.platform.runner_state import Run
 from tests.front.builders import configuration, engine, fleet, new_prompt_request, new_request, plain_runner
 from tests.virtual_time import in_virtual_time
 
--- a/tests/front/word_faults.py
+++ b/tests/front/word_faults.py
@@ -12,7 +12,7 @@
 import trio
 
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
-from sesamepoint_standins.platform.runner import Faults
+from sesamepoint_standins.platform.runner_state import Faults
 from sesamepoint_standins.platform.status_bounds import back_off_violations, caller_draining_violations
 from tests.front.builders import configuration, engine, plain_runner
 from tests.front.limit_faults import LimitFaultSimulation
