--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -136,6 +136,8 @@
         if far_end is FarEnd.other:
             return Withheld(RESTARTED_CONDITION)
         if far_end is FarEnd.closing:
+            # The runner is the expected one, but takes no second request on this connection. Another
+            # check would close the next connection too.
             return await self._exchange(member, checked=True)
         return await self._send_on(member, conn, checked=True)
 
--- a/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/stream_state.py
@@ -27,7 +27,7 @@
     begun
         Whether an event has gone to the caller in this answer.
     moved
-        Whether it broke within this answer and another runner was looked for.
+        Whether it broke within this answer, so that another runner had to be found.
     on_begun
         Called before the first one goes, with the origin.
     """
