--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
 from sesamepoint.front.runners.incarnation_check import RESTARTED_CONDITION, FarEnd, check_incarnation
@@ -75,6 +76,8 @@
     def __init__(self, req: FrontRequest, target: Target, reply: Reply, *, streamed: bool) -> None:
         """Prepare an attempt; nothing is sent before :meth:`run`."""
         self.first_output_at: float | None = None
+        # The body of a successful answer, as far as it was read; None without one.
+        self.body: BodyFacts | None = None
         self._req = req
         self._target = target
         self._reply = reply
@@ -164,11 +167,28 @@
             return RunFailed(head, await conn.read_rest())
         if not is_signed(head):
             return Broken('the answer has no signature of a runner')
+        try:
+            return await self._relay(conn, head)
+        finally:
+            self._note_body(conn)
+
+    async def _relay(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         if self._streamed:
             return await self._relay_events(conn, head)
         await self._note_first_output()
         return await self._relay_whole(conn, head)
 
+    def _note_body(self, conn: ClientConn) -> None:
+        if conn.read_end is None:
+            return
+        if self._streamed:
+            splitter = self._reply.events
+            self.body = BodyFacts(
+                BodyKind.events, conn.framing, conn.read_end, splitter.whole_events, len(splitter.remainder)
+            )
+        else:
+            self.body = BodyFacts(BodyKind.plain, conn.framing, conn.read_end)
+
     async def _relay_whole(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         buffered = b''
         while chunk := await conn.read_chunk():
--- a/packages/sesamepoint/src/sesamepoint/front/requests/event_splitter.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/event_splitter.py
@@ -16,6 +16,8 @@
     def __init__(self) -> None:
         """Start with an empty buffer."""
         self.last_event_id = ''
+        # Number of complete events since the last restart.
+        self.whole_events = 0
         self._buffer = b''
 
     @property
@@ -31,6 +33,7 @@
             return b''
         end += len(_EVENT_END)
         complete = self._buffer[:end]
+        self.whole_events += complete.count(_EVENT_END)
         self._buffer = self._buffer[end:]
         self._note_last_event_id(complete)
         return complete
@@ -38,6 +41,7 @@
     def restart(self) -> None:
         """Drop the incomplete event, as before another runner resumes the stream."""
         self._buffer = b''
+        self.whole_events = 0
 
     def _note_last_event_id(self, whole: bytes) -> None:
         for line in reversed(whole.split(b'\n')):
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -95,10 +95,16 @@
         cause=trace.cause,
         tokens=job.req.prompt.tokens if job.req.prompt else 0,
         answer_tokens=job.req.prompt.max_output if job.req.prompt else 0,
+        **body_fields(job),
         **trace.decision,
     )
 
 
+def body_fields(job: Job) -> dict[str, object]:
+    """Return the log fields on the body of the latest answer; none if no body was read."""
+    return {} if job.trace.body is None else job.trace.body.log_fields()
+
+
 def _cause_in_answer(job: Job) -> FailureCause:
     gone = job.trace.unsent_cause is FailureCause.origin_gone
     return FailureCause.origin_gone if gone else FailureCause.cut_in_answer
@@ -112,4 +118,4 @@
     return FailureCause.rejected_by_runners if job.sends else FailureCause.no_runner
 
 
-__all__ = ('failure_cause_of', 'log_request_end', 'may_relay_failure', 'refusal_reason')
+__all__ = ('body_fields', 'failure_cause_of', 'log_request_end', 'may_relay_failure', 'refusal_reason')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -12,6 +12,7 @@
 from sesamepoint import events
 from sesamepoint.front.requests.attempt import Attempt, Target
 from sesamepoint.front.requests.failure_cause import FailureCause
+from sesamepoint.front.requests.request_end import body_fields
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.requests.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
@@ -87,6 +88,7 @@
     if job.access.on_first_send is not None and first_send:
         job.access.on_first_send(job)
     outcome = await exchange.run()
+    job.trace.body = exchange.body
     if isinstance(outcome, RunFailed):
         # The runner has run the request, even if its answer is never relayed.
         job.note_run_started()
@@ -203,6 +205,7 @@
         resume_after=target.sending.resume_after,
         fetch_from=target.sending.fetch_from,
         kv_source=target.sending.kv_source,
+        **body_fields(job),
     )
     if isinstance(outcome, Rejected) and outcome.runner_replaced:
         member.note_replaced(FROM_ANSWER)
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
+    from sesamepoint_core.body_end.body_facts import BodyFacts
     from sesamepoint.front.requests.job import Job
 
 # Bounds in seconds, around the current target latencies of 0.2 to 0.8 s.
@@ -108,6 +109,13 @@
         self._broken_sends = Rows.empty(
             'sesamepoint_broken_sends', 'Sends that ended without a whole answer, by how.', 'service', 'outcome'
         )
+        self._bodies = Rows.empty(
+            'sesamepoint_answer_bodies',
+            'Bodies of answers of runners, by their framing and by how reading them ended.',
+            'service',
+            'framing',
+            'read_end',
+        )
         self.counters: tuple[Rows, ...] = (
             self._requests,
             self._extra_sends,
@@ -115,6 +123,7 @@
             self._denied,
             self._broken_sends,
             self._gone_on,
+            self._bodies,
         )
 
     @property
@@ -147,6 +156,10 @@
         """Count a send that ended without a complete answer."""
         self._broken_sends.add(service, outcome)
 
+    def count_body(self, service: str, body: BodyFacts) -> None:
+        """Count the body of an answer."""
+        self._bodies.add(service, body.framing.value, body.read_end.value)
+
     def count_request_end(self, job: Job, took_s: float) -> None:
         """Count a request that has ended."""
         path = str(job.trace.decision.get('path', 'plain'))
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
+from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
+from sesamepoint.http1.framing import framing_of
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead, ResponseHead, header
 
 if TYPE_CHECKING:
@@ -42,7 +45,11 @@
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._request_sent = True
-        self._framed = True
+        # Of the response that was read last.
+        self.framing = Framing.empty
+        # How the reading of its body ended; None before that.
+        self.read_end: ReadEnd | None = None
+        self._sender_closed = False
 
     def start_request(self, head: RequestHead, body: bytes) -> bytes:
         """Start a request and return its bytes for :meth:`send`.
@@ -108,10 +115,7 @@
                 continue
             response = ResponseHead(event.status_code, tuple(event.headers))
             if accept(response):
-                self._framed = response.framed
-                self._store_keep_alive(response)
-                if self._on_head is not None:
-                    self._on_head(response, self._started_at)
+                self._begin_body(response)
                 return response
             await self._skip_answer()
 
@@ -128,6 +132,7 @@
             if isinstance(event, h11.Data) and event.data:
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self._note_end_of_message()
                 return b''
 
     async def read_rest(self) -> bytes:
@@ -160,7 +165,7 @@
         """Prepare for the next request; return False if the connection can't be reused."""
         if self._state.our_state is h11.IDLE:
             return True
-        clean = self._request_sent and self._framed and not self._state.trailing_data[0]
+        clean = self._request_sent and self.framing is not Framing.until_close and not self._state.trailing_data[0]
         if not clean or self._state.our_state is not h11.DONE or self._state.their_state is not h11.DONE:
             return False
         self._state.start_next_cycle()
@@ -179,11 +184,22 @@
         """Close at once; the server notices and cancels the request."""
         self._transport.close()
 
+    def _begin_body(self, response: ResponseHead) -> None:
+        method = b'' if self._request is None else bytes(self._request.method)
+        self.framing = framing_of(method, response)
+        self.read_end = None
+        self._store_keep_alive(response)
+        if self._on_head is not None:
+            self._on_head(response, self._started_at)
+
     def _store_keep_alive(self, response: ResponseHead) -> None:
         text = header(response.headers, b'keep-alive')
         if text and text.startswith(b'timeout=') and text[len(b'timeout=') :].isdigit():
             self.keep_alive_s = float(text[len(b'timeout=') :])
 
+    def _note_end_of_message(self) -> None:
+        self.read_end = ReadEnd.closed if self.framing is Framing.until_close else ReadEnd.last_byte
+
     async def _skip_answer(self) -> None:
         await self.read_rest()
         unparsed, _ = self._state.trailing_data
@@ -217,9 +233,11 @@
         try:
             return self._state.next_event()
         except h11.RemoteProtocolError as exc:
+            self.read_end = ReadEnd.closed if self._sender_closed else ReadEnd.malformed
             raise ConnBrokenError(repr(exc)) from exc
 
     def _feed(self, received: bytes) -> None:
+        self._sender_closed = not received
         try:
             self._state.receive_data(received)
         except (h11.RemoteProtocolError, RuntimeError) as exc:
@@ -229,9 +247,16 @@
         try:
             return await self._transport.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.read_end = _read_end_of(exc)
             raise ConnBrokenError(repr(exc)) from exc
 
 
+def _read_end_of(exc: Exception) -> ReadEnd:
+    cause = exc.__cause__
+    timed_out = isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+    return ReadEnd.timed_out if timed_out else ReadEnd.reset
+
+
 def accept_any(_: ResponseHead) -> bool:
     """Accept any response, on a connection that never has more than one request."""
     return True
--- a/packages/sesamepoint/src/sesamepoint/http1/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/messages.py
@@ -23,11 +23,6 @@
     status: int
     headers: Headers
 
-    @property
-    def framed(self) -> bool:
-        """Return whether a length or chunked encoding marks the end of the body."""
-        return any(name in {b'content-length', b'transfer-encoding'} for name, _ in self.headers)
-
 
 class ConnectFailedError(SesamepointError):
     """A connection could not be opened, so nothing was sent.
