--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
@@ -19,6 +20,7 @@
     from sesamepoint_core.serving.address import Address
 
 CONNECT_TIMEOUT_S = 1.0
+_LINE_END = re.compile(rb'\r\n|\r')
 
 
 class RequestSpec(NamedTuple):
@@ -38,6 +40,8 @@
     body: bytes = b'{}'
     extra: Headers = ()
     first_limit_s: float = math.inf
+    # A caller that speaks HTTP/1.0 takes the end of the connection for the end of an answer without a length.
+    http10: bool = False
 
     @property
     def head(self) -> RequestHead:
@@ -83,6 +87,11 @@
     retry_after_s: float | None = None
     has_signature: bool = False
 
+    @property
+    def half_event(self) -> bytes:
+        """Return the bytes after the last whole event of a stream."""
+        return _LINE_END.sub(b'\n', self.body).rpartition(b'\n\n')[2]
+
 
 class Caller:
     """Caller with one connection that is kept open."""
@@ -113,7 +122,7 @@
     async def _exchange(self, spec: RequestSpec, answer: _AnswerRecorder) -> None:
         try:
             conn = await self._open_connection()
-            await conn.send(conn.start_request(spec.head, spec.body))
+            await conn.send(_on_wire(spec, conn.start_request(spec.head, spec.body)))
             reply = await conn.read_head(accept_any)
             answer.begin(reply.status, reply.headers)
             while chunk := await conn.read_chunk():
@@ -130,6 +139,10 @@
         return self._conn
 
 
+def _on_wire(spec: RequestSpec, request_bytes: bytes) -> bytes:
+    return request_bytes.replace(b' HTTP/1.1\r\n', b' HTTP/1.0\r\n', 1) if spec.http10 else request_bytes
+
+
 class _AnswerRecorder:
     def __init__(self, started: float) -> None:
         self.complete = False
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -4,6 +4,7 @@
 
 import zlib
 from bisect import bisect_left
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
@@ -11,13 +12,14 @@
 import msgspec
 import trio
 
+from sesamepoint_core.body_end.body_facts import Framing
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint.http1.messages import RejectedRequestError, header
 from sesamepoint.http1.server import CallerGoneError, ReceivedRequest, ServerConn, ServerLimits
 from sesamepoint.platform import wire_names
 from sesamepoint.single_error import single_error
-from sesamepoint_standins.platform.network import MemoryTransport
+from sesamepoint_standins.platform.framed_answer import FramedAnswer, reset
 from sesamepoint_standins.platform.runner_answers import leading_parts, parse_prompt, plain_body, stream_event
 from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
 
@@ -27,6 +29,7 @@
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.transport import Transport
+    from sesamepoint_standins.platform.framed_answer import Cut
 
 STATUS_OK = 200
 HEALTH_PATH = b'/healthz'
@@ -55,6 +58,11 @@
     # Version of its software, which its events carry if they are marked.
     version: str = 'v1'
     marks_events: bool = False
+    # What marks the end of its streams, and the line ends of their events.
+    framing: Framing = Framing.chunked
+    line_end: bytes = b'\n'
+    # Where and how it breaks off its next streams, those that go on after an event left out.
+    cuts: deque[Cut] = field(default_factory=deque)
     # Whether it ends a connection after its report.
     closes_after_report: bool = False
     # Runners from which this one can fetch prefix blocks, by address.
@@ -212,10 +220,10 @@
         if self.faults.hangs:
             await trio.sleep_forever()
         if self.faults.breaks_before_answer:
-            return _reset(transport)
+            return reset(transport)
         if self.faults.loses > self._rng.random():
             await trio.sleep(self.work_s)
-            return _reset(transport)
+            return reset(transport)
         if header(run.message.head.headers, wire_names.TOKEN_COUNTS) is None:
             return await self._answer_plain(conn, run, transport)
         return await self._answer_prompt(conn, run, transport)
@@ -283,17 +291,26 @@
     async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
         after = int(header(run.message.head.headers, wire_names.LAST_EVENT_ID) or 0)
         event_type = (b'content-type', b'text/event-stream')
-        await conn.begin(STATUS_OK, (*self._signed(run.message, transport), event_type))
-        for number in range(after + 1, output + 1):
+        stream = [self._event(run, number) for number in range(after + 1, output + 1)]
+        answer = FramedAnswer(conn, transport, self.framing, None if after or not self.cuts else self.cuts.popleft())
+        await answer.begin(
+            STATUS_OK, (*self._signed(run.message, transport), event_type), sum(len(event) for event in stream)
+        )
+        for number, event in enumerate(stream, after + 1):
             if after == 0 and number == self.faults.breaks_at_event:
-                await conn.send_part(b'id: 99\nda')
-                return _reset(transport)
+                await answer.write(b'id: 99\nda')
+                return reset(transport)
             await self._decode_event()
-            await conn.send_part(stream_event(run.request_id, number, self.version if self.marks_events else ''))
-        await conn.end()
+            if not await answer.write(event):
+                return None
+        await answer.end()
         run.complete = True
         return None
 
+    def _event(self, run: Run, number: int) -> bytes:
+        event = stream_event(run.request_id, number, self.version if self.marks_events else '')
+        return event.replace(b'\n', self.line_end)
+
     async def _decode_event(self) -> None:
         """Generate the tokens of one event; concurrent prefill delays them by its duration."""
         earlier_prefill_s = self._prefilled_s
@@ -332,12 +349,6 @@
     return max((float(text) for text in texts if text.isdigit()), default=0)
 
 
-def _reset(transport: Transport) -> None:
-    """Reset the connection if it is in memory."""
-    if isinstance(transport, MemoryTransport):
-        transport.reset()
-
-
 async def _cancel_when_gone(conn: ServerConn, scope: trio.CancelScope) -> None:
     await conn.wait_for_close()
     scope.cancel()
