--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.client import ClientConn, accept_any
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead, header
 from sesamepoint.platform import wire_names
@@ -125,11 +126,13 @@
             await conn.send(_on_wire(spec, conn.start_request(spec.head, spec.body)))
             reply = await conn.read_head(accept_any)
             answer.begin(reply.status, reply.headers)
-            while chunk := await conn.read_chunk():
-                answer.add(chunk)
+            part = await conn.read_part()
+            while isinstance(part, bytes):
+                answer.add(part)
+                part = await conn.read_part()
         except (ConnBrokenError, ConnectFailedError):
             return
-        answer.complete = True
+        answer.complete = seems_whole(conn.framing, part)
         if not conn.recycle():
             self.disconnect()
 
@@ -139,6 +142,14 @@
         return self._conn
 
 
+def seems_whole(framing: Framing, read_end: ReadEnd) -> bool:
+    """Tell whether a client takes an answer that ended like this for whole.
+
+    It takes a close for the end of an answer with neither a length nor chunks.
+    """
+    return read_end is ReadEnd.last_byte or (framing is Framing.until_close and read_end is ReadEnd.closed)
+
+
 def _on_wire(spec: RequestSpec, request_bytes: bytes) -> bytes:
     return request_bytes.replace(b' HTTP/1.1\r\n', b' HTTP/1.0\r\n', 1) if spec.http10 else request_bytes
 
@@ -177,4 +188,4 @@
         )
 
 
-__all__ = ('Caller', 'CallerAnswer', 'RequestSpec')
+__all__ = ('Caller', 'CallerAnswer', 'RequestSpec', 'seems_whole')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -26,7 +26,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
     from pathlib import Path
 
-    from sesamepoint.http1.messages import ResponseHead
+    from sesamepoint.http1.messages import ReceivedBody, ResponseHead
     from sesamepoint.http1.transport import Transport
 
     Serve = Callable[[Transport], Awaitable[None]]
@@ -205,10 +205,10 @@
 async def has_metric_line(front: BenchFront, metric: str) -> bool:
     """Return whether a front's metrics page has the line ``metric``."""
     reply = await _fetch_page(front, METRICS_PATH)
-    return reply is not None and metric in reply[1].decode().splitlines()
+    return reply is not None and metric in reply[1].payload.decode().splitlines()
 
 
-async def _fetch_page(front: BenchFront, path: str) -> tuple[ResponseHead, bytes] | None:
+async def _fetch_page(front: BenchFront, path: str) -> tuple[ResponseHead, ReceivedBody] | None:
     try:
         conn = ClientConn(await SocketNetwork().connect(front.ready, CONNECT_TIMEOUT_S))
     except ConnectFailedError:
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -11,6 +11,7 @@
 from sesamepoint import events
 from sesamepoint.front.requests.attempt_results import Withheld
 from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.http1.documents import decode_document
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_cache_calls import free_kv_handle
 from sesamepoint.platform.headers import encode_request, is_other_incarnation, matches_request
@@ -22,7 +23,7 @@
     from sesamepoint.front.requests.reply import Reply
     from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.client import ClientConn
-    from sesamepoint.http1.messages import ResponseHead
+    from sesamepoint.http1.messages import ReceivedBody, ResponseHead
 
 STATUS_OK = 200
 # Timeout of a call that frees a handle. It may fail: the runner frees the memory itself
@@ -103,21 +104,21 @@
     return _decode(member, head, body)
 
 
-def _decode(member: Member, head: ResponseHead, body: bytes) -> Prefilled | PrefillFailed:
+def _decode(member: Member, head: ResponseHead, body: ReceivedBody) -> Prefilled | PrefillFailed:
     if head.status != STATUS_OK:
         return PrefillFailed(f'status {head.status}', replaced=is_other_incarnation(head, member.runner.key))
     try:
-        return Prefilled(member, msgspec.json.decode(body, type=_HandleReply).kv_handle)
-    except msgspec.DecodeError as exc:
+        return Prefilled(member, decode_document(body, _HandleReply).kv_handle)
+    except ConnBrokenError as exc:
         return PrefillFailed(str(exc))
 
 
-async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[ResponseHead, bytes]:
+async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[ResponseHead, ReceivedBody]:
     wire = conn.start_request(encode_request(req, target.sending), req.body)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_ignoring_errors, wire)
         head = await conn.read_head(partial(matches_request, req))
-        body = await conn.read_rest()
+        body = await conn.read_body()
         nursery.cancel_scope.cancel()
     return head, body
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -9,6 +9,7 @@
 import trio
 
 from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind
+from sesamepoint_core.body_end.decision import BrokenOff, Complete, Unmarked, decide_end, settle
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
 from sesamepoint.front.runners.incarnation_check import RESTARTED_CONDITION, FarEnd, check_incarnation
@@ -161,61 +162,64 @@
     async def _read_answer(self, conn: ClientConn) -> AttemptResult:
         head = await conn.read_head(partial(matches_request, self._req))
         if reports_not_run(head):
-            await conn.read_rest()
+            await _read_to_end(conn)
             return Rejected(head.status, is_other_incarnation(head, self._target.member.runner.key))
         if not is_success(head.status):
-            return RunFailed(head, await conn.read_rest())
+            return RunFailed(head, await _read_to_end(conn))
         if not is_signed(head):
             return Broken('the answer has no signature of a runner')
-        try:
-            return await self._relay(conn, head)
-        finally:
-            self._note_body(conn)
-
-    async def _relay(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         if self._streamed:
             return await self._relay_events(conn, head)
         await self._note_first_output()
         return await self._relay_whole(conn, head)
 
-    def _note_body(self, conn: ClientConn) -> None:
-        if conn.read_end is None:
-            return
-        if self._streamed:
-            splitter = self._reply.events
-            self.body = BodyFacts(
-                BodyKind.events, conn.framing, conn.read_end, splitter.whole_events, len(splitter.remainder)
-            )
-        else:
-            self.body = BodyFacts(BodyKind.plain, conn.framing, conn.read_end)
-
     async def _relay_whole(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         buffered = b''
-        while chunk := await conn.read_chunk():
-            buffered += chunk
+        part = await conn.read_part()
+        while isinstance(part, bytes):
+            buffered += part
             if len(buffered) > MAX_BUFFERED_BYTES:
                 await self._send_part(head, buffered)
                 buffered = b''
+            part = await conn.read_part()
+        end = self._end_of(BodyFacts(BodyKind.plain, conn.framing, part))
+        if isinstance(end, BrokenOff):
+            return await self._broken_off(end)
         if self._reply.started:
-            await self._finish(buffered)
+            await self._finish(end, buffered)
         else:
-            await self._reply.send_whole(head.status, response_headers(head), buffered)
-        return Relayed(head.status)
+            await self._reply.relay_whole(head.status, response_headers(head), buffered, end)
+        return Relayed(head.status, end)
 
     async def _relay_events(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         splitter = self._reply.events
         splitter.restart()
-        while chunk := await conn.read_chunk():
-            whole_events = splitter.feed(chunk)
+        part = await conn.read_part()
+        while isinstance(part, bytes):
+            whole_events = splitter.feed(part)
             if whole_events:
                 await self._note_first_output()
                 self._note_pause()
                 self._fix_origin()
                 await self._send_part(head, whole_events)
+            part = await conn.read_part()
+        end = self._end_of(
+            BodyFacts(BodyKind.events, conn.framing, part, splitter.whole_events, len(splitter.remainder))
+        )
+        if isinstance(end, BrokenOff):
+            return await self._broken_off(end)
         if not self._reply.started:
             await self._reply.begin(head.status, response_headers(head))
-        await self._finish(splitter.remainder)
-        return Relayed(head.status)
+        await self._finish(end, splitter.remainder)
+        return Relayed(head.status, end)
+
+    def _end_of(self, facts: BodyFacts) -> Complete | BrokenOff:
+        self.body = facts
+        end = decide_end(facts)
+        return settle(end) if isinstance(end, Unmarked) else end
+
+    async def _broken_off(self, end: BrokenOff) -> Broken:
+        return Broken(str(end), runner_ended=await self._target.member.has_ended())
 
     async def _send_part(self, head: ResponseHead, body: bytes) -> None:
         """Send a part of the answer, the first one in one packet with the head."""
@@ -224,10 +228,10 @@
         else:
             await self._reply.begin(head.status, response_headers(head), body)
 
-    async def _finish(self, remainder: bytes) -> None:
+    async def _finish(self, end: Complete, remainder: bytes) -> None:
         if remainder:
             await self._reply.send_part(remainder)
-        await self._reply.end()
+        await self._reply.end(end)
 
     def _note_pause(self) -> None:
         now = trio.current_time()
@@ -257,4 +261,12 @@
                 self._target.on_first_output()
 
 
+async def _read_to_end(conn: ClientConn) -> bytes:
+    body = await conn.read_body()
+    end = body.end(BodyKind.plain)
+    if isinstance(end, BrokenOff):
+        raise ConnBrokenError(str(end), body.read_end)
+    return body.payload
+
+
 __all__ = ('Attempt', 'Target')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, ClassVar
 
 if TYPE_CHECKING:
+    from sesamepoint_core.body_end.decision import Complete
     from sesamepoint.http1.messages import ResponseHead
 
 
@@ -15,6 +16,7 @@
 
     tag: ClassVar[str] = 'relayed'
     status: int
+    end: Complete
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
-from sesamepoint.front.requests.event_splitter import EventSplitter
+from sesamepoint_core.body_end.event_splitter import EventSplitter
 from sesamepoint.platform.wire_names import RETRY_AFTER
 
 if TYPE_CHECKING:
+    from sesamepoint_core.body_end.decision import Complete
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.server import ServerConn
 
@@ -37,6 +38,10 @@
         """Raise a ``CallerGoneError`` if the caller has closed the connection."""
         self._conn.check_caller()
 
+    async def relay_whole(self, status: int, headers: Headers, body: bytes, end: Complete) -> None:
+        """Send the complete answer of a runner, whose body ended with ``end``."""
+        await self.send_whole(status, headers, body)
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
         self.status = status
@@ -63,8 +68,8 @@
         """Send a part of the body."""
         await self._conn.send_part(body)
 
-    async def end(self) -> None:
-        """Mark the body as complete."""
+    async def end(self, end: Complete) -> None:
+        """Mark the body as complete, as that of its runner is by ``end``."""
         self._streaming = False
         await self._conn.end()
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -19,6 +19,7 @@
 from sesamepoint import events
 from sesamepoint.front.peering.peer_messages import VersionMessage
 from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
 if TYPE_CHECKING:
@@ -27,7 +28,7 @@
     from sesamepoint_core.serving.address import Address
     from sesamepoint.front.peering.peers import Peers
     from sesamepoint.front.store.topic_sync import TopicSync
-    from sesamepoint.http1.messages import ResponseHead
+    from sesamepoint.http1.messages import ReceivedBody, ResponseHead
     from sesamepoint.http1.transport import Network
 
 CONFIGURATION_PATH = '/configuration'
@@ -124,11 +125,11 @@
             conn.close()
 
 
-def _decode(reply: ResponseHead, body: bytes) -> Configuration:
+def _decode(reply: ResponseHead, body: ReceivedBody) -> Configuration:
     if reply.status != STATUS_OK:
         raise ConnBrokenError(f'status {reply.status}')
     try:
-        return msgspec.msgpack.decode(body, type=Configuration)
+        return msgspec.msgpack.decode(whole_payload(body), type=Configuration)
     except msgspec.DecodeError as exc:
         raise ConnBrokenError(str(exc)) from exc
 
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -10,7 +10,7 @@
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.framing import framing_of
-from sesamepoint.http1.messages import ConnBrokenError, RequestHead, ResponseHead, header
+from sesamepoint.http1.messages import ConnBrokenError, ReceivedBody, RequestHead, ResponseHead, header
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,8 +47,6 @@
         self._request_sent = True
         # Of the response that was read last.
         self.framing = Framing.empty
-        # How the reading of its body ended; None before that.
-        self.read_end: ReadEnd | None = None
         self._sender_closed = False
 
     def start_request(self, head: RequestHead, body: bytes) -> bytes:
@@ -119,36 +117,31 @@
                 return response
             await self._skip_answer()
 
-    async def read_chunk(self) -> bytes:
-        """Return the next bytes of the body; empty at its end.
+    async def read_part(self) -> bytes | ReadEnd:
+        """Return the next bytes of the body, or how its reading ended.
 
-        Raises
-        ------
-        ConnBrokenError
-            If the connection ended before the body did.
+        The end says nothing about whether the body is whole; see :mod:`sesamepoint_core.body_end.decision`.
         """
         while True:
-            event = await self._event()
+            try:
+                event = await self._event()
+            except ConnBrokenError as exc:
+                return exc.read_end
+            if isinstance(event, h11.EndOfMessage):
+                return ReadEnd.closed if self.framing is Framing.until_close else ReadEnd.last_byte
             if isinstance(event, h11.Data) and event.data:
                 return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                self._note_end_of_message()
-                return b''
 
-    async def read_rest(self) -> bytes:
-        """Return the rest of the body.
-
-        Raises
-        ------
-        ConnBrokenError
-            If the connection ended before the body did.
-        """
+    async def read_body(self) -> ReceivedBody:
+        """Read the rest of the body."""
         parts = []
-        while chunk := await self.read_chunk():
-            parts.append(chunk)
-        return b''.join(parts)
+        part = await self.read_part()
+        while isinstance(part, bytes):
+            parts.append(part)
+            part = await self.read_part()
+        return ReceivedBody(b''.join(parts), self.framing, part)
 
-    async def exchange(self, head: RequestHead, body: bytes = b'') -> tuple[ResponseHead, bytes]:
+    async def exchange(self, head: RequestHead, body: bytes = b'') -> tuple[ResponseHead, ReceivedBody]:
         """Send a request and return the head and the body of its response.
 
         The response is not checked to belong to the request.
@@ -156,10 +149,10 @@
         Raises
         ------
         ConnBrokenError
-            If the connection ended first.
+            If the connection ended before the head.
         """
         await self.send(self.start_request(head, body))
-        return await self.read_head(accept_any), await self.read_rest()
+        return await self.read_head(accept_any), await self.read_body()
 
     def recycle(self) -> bool:
         """Prepare for the next request; return False if the connection can't be reused."""
@@ -187,7 +180,6 @@
     def _begin_body(self, response: ResponseHead) -> None:
         method = b'' if self._request is None else bytes(self._request.method)
         self.framing = framing_of(method, response)
-        self.read_end = None
         self._store_keep_alive(response)
         if self._on_head is not None:
             self._on_head(response, self._started_at)
@@ -197,11 +189,8 @@
         if text and text.startswith(b'timeout=') and text[len(b'timeout=') :].isdigit():
             self.keep_alive_s = float(text[len(b'timeout=') :])
 
-    def _note_end_of_message(self) -> None:
-        self.read_end = ReadEnd.closed if self.framing is Framing.until_close else ReadEnd.last_byte
-
     async def _skip_answer(self) -> None:
-        await self.read_rest()
+        await self.read_body()
         unparsed, _ = self._state.trailing_data
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         if self._request is not None:
@@ -224,7 +213,7 @@
         while True:
             event = self._next_event()
             if isinstance(event, h11.ConnectionClosed):
-                raise ConnBrokenError('closed before a response')
+                raise ConnBrokenError('closed before a response', ReadEnd.closed)
             if event is not h11.NEED_DATA:
                 return event
             self._feed(await self._receive())
@@ -233,22 +222,21 @@
         try:
             return self._state.next_event()
         except h11.RemoteProtocolError as exc:
-            self.read_end = ReadEnd.closed if self._sender_closed else ReadEnd.malformed
-            raise ConnBrokenError(repr(exc)) from exc
+            read_end = ReadEnd.closed if self._sender_closed else ReadEnd.malformed
+            raise ConnBrokenError(repr(exc), read_end) from exc
 
     def _feed(self, received: bytes) -> None:
         self._sender_closed = not received
         try:
             self._state.receive_data(received)
         except (h11.RemoteProtocolError, RuntimeError) as exc:
-            raise ConnBrokenError(repr(exc)) from exc
+            raise ConnBrokenError(repr(exc), ReadEnd.malformed) from exc
 
     async def _receive(self) -> bytes:
         try:
             return await self._transport.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            self.read_end = _read_end_of(exc)
-            raise ConnBrokenError(repr(exc)) from exc
+            raise ConnBrokenError(repr(exc), _read_end_of(exc)) from exc
 
 
 def _read_end_of(exc: Exception) -> ReadEnd:
--- a/packages/sesamepoint/src/sesamepoint/http1/messages.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/messages.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind, Framing, ReadEnd
+from sesamepoint_core.body_end.decision import BodyEnd, decide_end
 from sesamepoint_core.errors import SesamepointError
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -24,6 +26,18 @@
     headers: Headers
 
 
+class ReceivedBody(NamedTuple):
+    """The body of a response as far as it was read, and how the reading ended."""
+
+    payload: bytes
+    framing: Framing
+    read_end: ReadEnd
+
+    def end(self, kind: BodyKind) -> BodyEnd:
+        """Decide how the body ended."""
+        return decide_end(BodyFacts(kind, self.framing, self.read_end))
+
+
 class ConnectFailedError(SesamepointError):
     """A connection could not be opened, so nothing was sent.
 
@@ -41,8 +55,9 @@
 class ConnBrokenError(SesamepointError):
     """A connection ended or carried invalid HTTP before a response was complete."""
 
-    def __init__(self, cause: str) -> None:
+    def __init__(self, cause: str, read_end: ReadEnd = ReadEnd.reset) -> None:
         """Set what was observed."""
+        self.read_end = read_end
         super().__init__(f'connection broken ({cause})', 'requests that may be repeated are sent again')
 
 
@@ -67,6 +82,7 @@
     'ConnBrokenError',
     'ConnectFailedError',
     'Headers',
+    'ReceivedBody',
     'RejectedRequestError',
     'RequestHead',
     'ResponseHead',
--- a/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import StartMs
+from sesamepoint.http1.documents import decode_document
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead
 from sesamepoint.platform.wire_names import KV_HANDLE_PATH, KV_LIST_PATH
 
@@ -54,10 +55,7 @@
     head, body = await conn.exchange(RequestHead(b'GET', KV_LIST_PATH.encode(), _request_headers(address)))
     if head.status != STATUS_OK:
         raise ConnBrokenError(f'status {head.status}')
-    try:
-        reply = msgspec.json.decode(body, type=_CachedBlocksReply)
-    except msgspec.DecodeError as exc:
-        raise ConnBrokenError(str(exc)) from exc
+    reply = decode_document(body, _CachedBlocksReply)
     return CachedBlocks(tuple(Part(block.key, block.tokens) for block in reply.held), reply.born)
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/health_call.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/health_call.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import RequestHead
 
 if TYPE_CHECKING:
@@ -19,10 +20,13 @@
     Raises
     ------
     ConnBrokenError
-        If the connection ended before the response.
+        If the connection ended before the response, or its body is broken off.
     """
-    head, _ = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(address).encode()),)))
-    return '' if head.status == STATUS_OK else f'status {head.status}'
+    head, body = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(address).encode()),)))
+    if head.status != STATUS_OK:
+        return f'status {head.status}'
+    whole_payload(body)
+    return ''
 
 
 __all__ = ('call_health_page',)
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sesamepoint_core.serving.runner import StartMs
+from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import RequestHead
 from sesamepoint.platform.wire_names import REPORT_PATH
 
@@ -34,7 +35,7 @@
     if head.status != STATUS_OK:
         return 0
     try:
-        return msgspec.json.decode(body, type=_Report).born
+        return msgspec.json.decode(whole_payload(body), type=_Report).born
     except msgspec.DecodeError:
         # Some services have another page there.
         return 0
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -14,6 +14,7 @@
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint import events
 from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
 if TYPE_CHECKING:
@@ -213,7 +214,7 @@
         self._conn = None
         head = RequestHead(method.encode(), target.encode(), self._headers(body))
         try:
-            response, text = await conn.exchange(head, body)
+            response, received = await conn.exchange(head, body)
         except BaseException:
             conn.close()
             raise
@@ -221,7 +222,7 @@
             self._conn = conn
         else:
             conn.close()
-        return StoreResponse(response.status, text, self.epoch.observe(response.headers))
+        return StoreResponse(response.status, whole_payload(received), self.epoch.observe(response.headers))
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
--- /dev/null
+++ b/tests/core/body_end/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decision how a body ended."""
--- /dev/null
+++ b/tests/core/body_end/test_decision.py
@@ -0,0 +1,72 @@
+"""Decision whether a body is whole.
+
+A runner closed the connection of a stream with neither a length nor chunks inside an event. The close was taken
+for the end of the answer, which the instance then framed as complete.
+"""
+
+from __future__ import annotations
+
+import ast
+from itertools import product
+from pathlib import Path
+from unittest import TestCase
+
+import sesamepoint
+import sesamepoint_core
+from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind, Framing, ReadEnd
+from sesamepoint_core.body_end.decision import BreakCause, BrokenOff, Complete, Unmarked, decide_end
+
+MARKED = (Framing.empty, Framing.length, Framing.chunked)
+BROKEN_CONNECTIONS = (ReadEnd.reset, ReadEnd.timed_out, ReadEnd.malformed)
+
+
+class DecisionTest(TestCase):
+    """How a body ended, for each framing and each end of its connection."""
+
+    def test_broken_connection(self) -> None:
+        """Guards against a body that is taken for whole although its connection was reset, even after all bytes."""
+        for kind, framing, read_end in product(BodyKind, Framing, BROKEN_CONNECTIONS):
+            end = decide_end(BodyFacts(kind, framing, read_end, whole_events=3))
+            self.assertEqual(_cause_of(end), BreakCause.connection, end)
+
+    def test_closed_before_marked_end(self) -> None:
+        """Guards against a close that is taken for the end of a body with a length or chunks."""
+        for kind, framing in product(BodyKind, MARKED):
+            end = decide_end(BodyFacts(kind, framing, ReadEnd.closed, whole_events=3))
+            self.assertEqual(_cause_of(end), BreakCause.connection, end)
+
+    def test_closed_inside_event(self) -> None:
+        """Guards against a close inside an event that is taken for the end of a stream."""
+        end = decide_end(BodyFacts(BodyKind.events, Framing.until_close, ReadEnd.closed, 3, 1))
+        self.assertEqual(_cause_of(end), BreakCause.inside_event, end)
+
+    def test_closed_without_mark(self) -> None:
+        """Guards against a body that is called complete, or broken off, although nothing tells which."""
+        for kind in BodyKind:
+            end = decide_end(BodyFacts(kind, Framing.until_close, ReadEnd.closed))
+            self.assertIsInstance(end, Unmarked, end)
+
+    def test_marked_end(self) -> None:
+        """Guards against a whole body that is not recognized."""
+        for kind, framing in product(BodyKind, Framing):
+            end = decide_end(BodyFacts(kind, framing, ReadEnd.last_byte, whole_events=3))
+            self.assertIsInstance(end, Complete, end)
+
+    def test_no_other_place_decides(self) -> None:
+        """Guards against code that calls a body complete by itself."""
+        files = [path for package in (sesamepoint, sesamepoint_core) for path in _files_of(package.__path__[0])]
+        creators = [path.name for path in files if _creates_complete(path)]
+        self.assertEqual(creators, ['decision.py'])
+
+
+def _cause_of(end: object) -> BreakCause | None:
+    return end.cause if isinstance(end, BrokenOff) else None
+
+
+def _files_of(package: str) -> list[Path]:
+    return sorted(Path(package).rglob('*.py'))
+
+
+def _creates_complete(path: Path) -> bool:
+    calls = (node for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))) if isinstance(node, ast.Call))
+    return any(isinstance(call.func, ast.Name) and call.func.id == Complete.__name__ for call in calls)
--- a/tests/front/instance_room/slow_reader.py
+++ b/tests/front/instance_room/slow_reader.py
@@ -12,6 +12,7 @@
 from sesamepoint.front.instance_room.memory_room import MemoryRoom
 from sesamepoint.http1.client import ClientConn, accept_any
 from sesamepoint.http1.messages import ConnBrokenError
+from sesamepoint_standins.platform.caller import seems_whole
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, engine, new_prompt_request
 
@@ -20,6 +21,7 @@
 
     from sesamepoint_core.instance_room.memory_bounds import MemoryBounds
     from sesamepoint_standins.platform.bench import PlatformBench
+    from sesamepoint.http1.messages import ReceivedBody
     from sesamepoint_standins.platform.caller import RequestSpec
 
 SLOW_HOST = '10.2.0.66'
@@ -60,22 +62,20 @@
     """Send ``req``, read nothing for ``idle_s`` seconds, then read all of the answer."""
     network = bench.network.for_host(SLOW_HOST)
     conn = ClientConn(await network.connect(bench.fronts['front-1'].cfg.listen, 1.0))
-    received: list[bytes] = []
     try:
-        await _receive(conn, req, idle_s, received)
+        received = await _receive(conn, req, idle_s)
     except ConnBrokenError:
-        return ReadAnswer(b''.join(received), complete=False)
+        return ReadAnswer(b'', complete=False)
     finally:
         conn.close()
-    return ReadAnswer(b''.join(received), complete=True)
+    return ReadAnswer(received.payload, complete=seems_whole(received.framing, received.read_end))
 
 
-async def _receive(conn: ClientConn, req: RequestSpec, idle_s: float, received: list[bytes]) -> None:
+async def _receive(conn: ClientConn, req: RequestSpec, idle_s: float) -> ReceivedBody:
     await conn.send(conn.start_request(req.head, req.body))
     await trio.sleep(idle_s)
     await conn.read_head(accept_any)
-    while chunk := await conn.read_chunk():
-        received.append(chunk)
+    return await conn.read_body()
 
 
 __all__ = ('FRONT_HOST', 'SLOW_HOST', 'ReadAnswer', 'long_answer', 'read_after', 'slow_reader_bench')
