--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
@@ -24,6 +24,7 @@
 
     ``last_byte``: its framing marked the end. ``closed``: the sender closed the
     connection in order. ``malformed``: bytes arrived that violate the protocol.
+    ``given_up``: nothing more was read because an event exceeds the limit.
     """
 
     last_byte = 'last_byte'
@@ -31,6 +32,7 @@
     reset = 'reset'
     timed_out = 'timed_out'
     malformed = 'malformed'
+    given_up = 'given_up'
 
 
 class BodyKind(Enum):
--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
@@ -19,11 +19,12 @@
     """Why a body is not whole.
 
     ``connection``: it ended before the framing marked the end, or was reset.
-    ``inside_event``: the body ended inside an event.
+    ``inside_event``: the body ended inside an event. ``event_too_long``: an event exceeds the limit.
     """
 
     connection = 'connection'
     inside_event = 'inside_event'
+    event_too_long = 'event_too_long'
 
 
 @dataclass(frozen=True)
@@ -65,6 +66,8 @@
     A reset is never a complete end, not even after all bytes: without a length and chunks nobody knows that these
     are all.
     """
+    if facts.read_end is ReadEnd.given_up:
+        return BrokenOff(facts, BreakCause.event_too_long)
     closed_at_end = facts.read_end is ReadEnd.closed and facts.framing is Framing.until_close
     if facts.read_end is not ReadEnd.last_byte and not closed_at_end:
         return BrokenOff(facts, BreakCause.connection)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind
+from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind, ReadEnd
 from sesamepoint_core.body_end.decision import BrokenOff, Complete, Unmarked, decide_end, settle
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
@@ -186,7 +186,9 @@
         if isinstance(end, BrokenOff):
             return await self._broken_off(end)
         if self._reply.started:
-            await self._finish(end, buffered)
+            if buffered:
+                await self._reply.send_part(buffered)
+            await self._reply.end(end)
         else:
             await self._reply.relay_whole(head.status, response_headers(head), buffered, end)
         return Relayed(head.status, end)
@@ -202,15 +204,15 @@
                 self._note_pause()
                 self._fix_origin()
                 await self._send_part(head, whole_events)
-            part = await conn.read_part()
+            part = ReadEnd.given_up if splitter.too_long else await conn.read_part()
         end = self._end_of(
-            BodyFacts(BodyKind.events, conn.framing, part, splitter.whole_events, len(splitter.remainder))
+            BodyFacts(BodyKind.events, conn.framing, part, splitter.whole_events, splitter.left_over_bytes)
         )
         if isinstance(end, BrokenOff):
             return await self._broken_off(end)
         if not self._reply.started:
-            await self._reply.begin(head.status, response_headers(head))
-        await self._finish(end, splitter.remainder)
+            await self._reply.begin(head.status, response_headers(head), splitter.take_comments())
+        await self._reply.end(end)
         return Relayed(head.status, end)
 
     def _end_of(self, facts: BodyFacts) -> Complete | BrokenOff:
@@ -228,11 +230,6 @@
         else:
             await self._reply.begin(head.status, response_headers(head), body)
 
-    async def _finish(self, end: Complete, remainder: bytes) -> None:
-        if remainder:
-            await self._reply.send_part(remainder)
-        await self._reply.end(end)
-
     def _note_pause(self) -> None:
         now = trio.current_time()
         self._target.member.health.note_activity(now)
--- a/tests/core/body_end/test_decision.py
+++ b/tests/core/body_end/test_decision.py
@@ -46,6 +46,12 @@
             end = decide_end(BodyFacts(kind, Framing.until_close, ReadEnd.closed))
             self.assertIsInstance(end, Unmarked, end)
 
+    def test_event_too_long(self) -> None:
+        """Guards against an event beyond the limit that is taken for an end."""
+        for framing in Framing:
+            end = decide_end(BodyFacts(BodyKind.events, framing, ReadEnd.given_up, 3, 17))
+            self.assertEqual(_cause_of(end), BreakCause.event_too_long, end)
+
     def test_marked_end(self) -> None:
         """Guards against a whole body that is not recognized."""
         for kind, framing in product(BodyKind, Framing):
