--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
@@ -71,7 +71,7 @@
     closed_at_end = facts.read_end is ReadEnd.closed and facts.framing is Framing.until_close
     if facts.read_end is not ReadEnd.last_byte and not closed_at_end:
         return BrokenOff(facts, BreakCause.connection)
-    if closed_at_end and facts.left_over_bytes:
+    if facts.left_over_bytes:
         return BrokenOff(facts, BreakCause.inside_event)
     return Unmarked(facts) if closed_at_end else Complete(facts)
 
--- a/tests/core/body_end/test_decision.py
+++ b/tests/core/body_end/test_decision.py
@@ -35,10 +35,12 @@
             end = decide_end(BodyFacts(kind, framing, ReadEnd.closed, whole_events=3))
             self.assertEqual(_cause_of(end), BreakCause.connection, end)
 
-    def test_closed_inside_event(self) -> None:
-        """Guards against a close inside an event that is taken for the end of a stream."""
-        end = decide_end(BodyFacts(BodyKind.events, Framing.until_close, ReadEnd.closed, 3, 1))
-        self.assertEqual(_cause_of(end), BreakCause.inside_event, end)
+    def test_end_inside_event(self) -> None:
+        """Guards against an end inside an event that is taken for the end of a stream, whatever marks it."""
+        ends = ((Framing.until_close, ReadEnd.closed), *((framing, ReadEnd.last_byte) for framing in Framing))
+        for framing, read_end in ends:
+            end = decide_end(BodyFacts(BodyKind.events, framing, read_end, 3, 1))
+            self.assertEqual(_cause_of(end), BreakCause.inside_event, end)
 
     def test_closed_without_mark(self) -> None:
         """Guards against a body that is called complete, or broken off, although nothing tells which."""
