--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -35,6 +35,7 @@
 HEALTH_PATH = b'/healthz'
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
+REJECTION = b'no room'
 SURPLUS_ANSWER = (
     b'HTTP/1.1 200 OK\r\nsesamepoint-request-id: %b\r\nsesamepoint-server-stamp: x\r\ncontent-length: 2\r\n\r\nno'
 )
@@ -58,10 +59,10 @@
     # Version of its software, which its events carry if they are marked.
     version: str = 'v1'
     marks_events: bool = False
-    # What marks the end of its streams, and the line ends of their events.
+    # What marks the end of its answers, and the line ends of their events.
     framing: Framing = Framing.chunked
     line_end: bytes = b'\n'
-    # Where and how it breaks off its next streams, those that go on after an event left out.
+    # Where and how it breaks off its next answers, but for streams that go on after an event.
     cuts: deque[Cut] = field(default_factory=deque)
     # Whether it ends a connection after its report.
     closes_after_report: bool = False
@@ -202,10 +203,11 @@
             self.misdirected_count += 1
             self.misdirected_at.add(self.arrivals[-1])
             own = (wire_names.INCARNATION, self.key.encode())
-            return await conn.send_whole(STATUS_MISDIRECTED, (*self._echo(message, transport), own), b'')
+            return await self._answer(conn, transport, STATUS_MISDIRECTED, (*self._echo(message, transport), own))
         if self.faults.rejects and self.rejected_host in {'', transport.peer}:
             echo = self._echo(message, transport, STATUS_UNAVAILABLE)
-            return await conn.send_whole(STATUS_UNAVAILABLE, (*echo, (wire_names.NOT_EXECUTED, b'1')), b'')
+            headers = (*echo, (wire_names.NOT_EXECUTED, b'1'))
+            return await self._answer(conn, transport, STATUS_UNAVAILABLE, headers, REJECTION)
         run = Run((header(headers, wire_names.REQUEST_ID) or b'').decode(), message, trio.current_time())
         run.prefill = header(headers, wire_names.SERVING_STAGE) == b'prefill'
         self.runs.append(run)
@@ -238,11 +240,19 @@
         await self._crash_if_poison(run)
         await trio.sleep(self.work_s)
         status = self.faults.failure_status if self.faults.fails else STATUS_OK
-        await conn.send_whole(status, self._signed(run.message, transport), plain_body(run.request_id))
+        await self._answer(conn, transport, status, self._signed(run.message, transport), plain_body(run.request_id))
         run.complete = True
         if self.faults.answers_twice:
             await transport.send_all(SURPLUS_ANSWER % run.request_id.encode())
 
+    async def _answer(
+        self, conn: ServerConn, transport: Transport, status: int, headers: Headers, body: bytes = b''
+    ) -> None:
+        answer = FramedAnswer(conn, transport, self.framing, self.cuts.popleft() if self.cuts else None)
+        await answer.begin(status, headers, len(body))
+        if await answer.write(body):
+            await answer.end()
+
     async def _answer_prompt(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         headers = run.message.head.headers
         source = (header(headers, wire_names.KV_SOURCE) or b'').decode()
@@ -291,7 +301,11 @@
     async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
         after = int(header(run.message.head.headers, wire_names.LAST_EVENT_ID) or 0)
         event_type = (b'content-type', b'text/event-stream')
-        stream = [self._event(run, number) for number in range(after + 1, output + 1)]
+        mark = self.version if self.marks_events else ''
+        stream = [
+            stream_event(run.request_id, number, mark).replace(b'\n', self.line_end)
+            for number in range(after + 1, output + 1)
+        ]
         answer = FramedAnswer(conn, transport, self.framing, None if after or not self.cuts else self.cuts.popleft())
         await answer.begin(
             STATUS_OK, (*self._signed(run.message, transport), event_type), sum(len(event) for event in stream)
@@ -307,10 +321,6 @@
         run.complete = True
         return None
 
-    def _event(self, run: Run, number: int) -> bytes:
-        event = stream_event(run.request_id, number, self.version if self.marks_events else '')
-        return event.replace(b'\n', self.line_end)
-
     async def _decode_event(self) -> None:
         """Generate the tokens of one event; concurrent prefill delays them by its duration."""
         earlier_prefill_s = self._prefilled_s
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -9,6 +9,7 @@
 import trio
 
 from sesamepoint import events
+from sesamepoint.front.requests.attempt import REJECTION_BODY_LIMIT_S
 from sesamepoint.front.requests.attempt_results import Withheld
 from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.documents import decode_document
@@ -23,7 +24,7 @@
     from sesamepoint.front.requests.reply import Reply
     from sesamepoint.front.requests.request import FrontRequest
     from sesamepoint.http1.client import ClientConn
-    from sesamepoint.http1.messages import ReceivedBody, ResponseHead
+    from sesamepoint.http1.messages import ResponseHead
 
 STATUS_OK = 200
 # Timeout of a call that frees a handle. It may fail: the runner frees the memory itself
@@ -93,7 +94,7 @@
     try:
         with single_error():
             reply.check_caller()
-            head, body = await _send_and_receive(req, target, conn)
+            outcome = await _send_and_receive(req, target, conn)
     except SendBlockedError as exc:
         return Withheld(exc.condition)
     except ConnBrokenError as exc:
@@ -101,26 +102,25 @@
     finally:
         member.release(conn)
     member.health.note_activity(trio.current_time())
-    return _decode(member, head, body)
+    return outcome
 
 
-def _decode(member: Member, head: ResponseHead, body: ReceivedBody) -> Prefilled | PrefillFailed:
-    if head.status != STATUS_OK:
-        return PrefillFailed(f'status {head.status}', replaced=is_other_incarnation(head, member.runner.key))
-    try:
-        return Prefilled(member, decode_document(body, _HandleReply).kv_handle)
-    except ConnBrokenError as exc:
-        return PrefillFailed(str(exc))
-
-
-async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> tuple[ResponseHead, ReceivedBody]:
+async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> Prefilled | PrefillFailed:
     wire = conn.start_request(encode_request(req, target.sending), req.body)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_ignoring_errors, wire)
         head = await conn.read_head(partial(matches_request, req))
-        body = await conn.read_body()
+        outcome = await _read_handle(target.member, conn, head)
         nursery.cancel_scope.cancel()
-    return head, body
+    return outcome
+
+
+async def _read_handle(member: Member, conn: ClientConn, head: ResponseHead) -> Prefilled | PrefillFailed:
+    if head.status != STATUS_OK:
+        # That it failed stands in the head, and holds whatever becomes of the body.
+        await conn.skip_body(REJECTION_BODY_LIMIT_S)
+        return PrefillFailed(f'status {head.status}', replaced=is_other_incarnation(head, member.runner.key))
+    return Prefilled(member, decode_document(await conn.read_body(), _HandleReply).kv_handle)
 
 
 class HandleReclaimer:
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -20,6 +20,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.body_end.decision import Complete
 from sesamepoint_core.serving.poison_requests import Incarnation, SuspectRequests
 from sesamepoint import events
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
@@ -120,7 +121,7 @@
         """Record the outcome of an attempt of ``job``; None if its caller left or it wasn't sent."""
         for incarnation in job.ended_incarnations:
             self._note_runner_end(job.content_id, incarnation, alone=job.probe is not None)
-        if isinstance(outcome, Relayed | RunFailed):
+        if isinstance(outcome, Relayed | RunFailed) and isinstance(outcome.end, Complete):
             self._note_served(job)
         if job.tried_runners and (outcome is None or isinstance(outcome, Silent)):
             newest = next(reversed(job.tried_runners.values()))
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -48,6 +48,9 @@
 
 # Bodies of unstreamed answers beyond this size are relayed in parts.
 MAX_BUFFERED_BYTES = 262144
+# Seconds for which the body of a rejection is read, so that its connection can be used again. It mostly comes
+# together with the head; the request waits meanwhile to be sent elsewhere.
+REJECTION_BODY_LIMIT_S = 0.05
 
 
 class Target(NamedTuple):
@@ -162,10 +165,11 @@
     async def _read_answer(self, conn: ClientConn) -> AttemptResult:
         head = await conn.read_head(partial(matches_request, self._req))
         if reports_not_run(head):
-            await _read_to_end(conn)
+            # That it was not run stands in the head, and holds whatever becomes of the body.
+            await conn.skip_body(REJECTION_BODY_LIMIT_S)
             return Rejected(head.status, is_other_incarnation(head, self._target.member.runner.key))
         if not is_success(head.status):
-            return RunFailed(head, await _read_to_end(conn))
+            return await self._read_failure(conn, head)
         if not is_signed(head):
             return Broken('the answer has no signature of a runner')
         if self._streamed:
@@ -173,6 +177,12 @@
         await self._note_first_output()
         return await self._relay_whole(conn, head)
 
+    async def _read_failure(self, conn: ClientConn, head: ResponseHead) -> RunFailed:
+        body = await conn.read_body()
+        end = self._end_of(BodyFacts(BodyKind.plain, body.framing, body.read_end))
+        runner_ended = isinstance(end, BrokenOff) and await self._target.member.has_ended()
+        return RunFailed(head, body.payload, end, runner_ended)
+
     async def _relay_whole(self, conn: ClientConn, head: ResponseHead) -> AttemptResult:
         buffered = b''
         part = await conn.read_part()
@@ -258,12 +268,4 @@
                 self._target.on_first_output()
 
 
-async def _read_to_end(conn: ClientConn) -> bytes:
-    body = await conn.read_body()
-    end = body.end(BodyKind.plain)
-    if isinstance(end, BrokenOff):
-        raise ConnBrokenError(str(end), body.read_end)
-    return body.payload
-
-
 __all__ = ('Attempt', 'Target')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, ClassVar
 
 if TYPE_CHECKING:
-    from sesamepoint_core.body_end.decision import Complete
+    from sesamepoint_core.body_end.decision import BrokenOff, Complete
     from sesamepoint.http1.messages import ResponseHead
 
 
@@ -53,11 +53,16 @@
 
 @dataclass(frozen=True)
 class RunFailed:
-    """The runner ran the request and answered with an error."""
+    """The runner ran the request and answered with an error, whose body may be broken off.
+
+    The flag is set if it is, and the runner no longer accepts connections.
+    """
 
     tag: ClassVar[str] = 'run_failed'
     head: ResponseHead
     body: bytes
+    end: Complete | BrokenOff
+    runner_ended: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/final_reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/final_reply.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sesamepoint_core.body_end.decision import Complete
 from sesamepoint.front.accounts.account_admission import deny
 from sesamepoint.front.requests.attempt_results import RunFailed
 from sesamepoint.front.requests.failure_cause import FailureCause
@@ -25,8 +26,9 @@
     job.trace.cause = failure_cause_of(job, outcome)
     if job.reply.started:
         return
-    if isinstance(outcome, RunFailed) and may_relay_failure(outcome.head):
-        await job.reply.send_whole(outcome.head.status, response_headers(outcome.head), outcome.body)
+    if isinstance(outcome, RunFailed) and isinstance(outcome.end, Complete) and may_relay_failure(outcome.head):
+        head = outcome.head
+        await job.reply.relay_whole(head.status, response_headers(head), outcome.body, outcome.end)
     elif job.may_have_run:
         await job.reply.refuse(BAD_GATEWAY, 'its runner broke off; it may have run')
     elif job.access.denial:
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -194,7 +194,7 @@
     if isinstance(outcome, Unsent):
         _uncount_send(job)
         member.health.note_connect_failure(local=outcome.local)
-    if isinstance(outcome, Broken) and outcome.runner_ended:
+    if isinstance(outcome, Broken | RunFailed) and outcome.runner_ended:
         job.ended_incarnations.append(member.incarnation)
     events.log_event(
         events.ATTEMPT_ENDED,
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -141,6 +141,15 @@
             part = await self.read_part()
         return ReceivedBody(b''.join(parts), self.framing, part)
 
+    async def skip_body(self, limit_s: float) -> None:
+        """Read the rest of the body, which nobody needs, so that the connection can be used again.
+
+        If it takes longer than ``limit_s`` seconds, the connection can't be. The wait is not cancelled from
+        outside: what the head says must not be lost.
+        """
+        with trio.move_on_after(limit_s, shield=True):
+            await self.read_body()
+
     async def exchange(self, head: RequestHead, body: bytes = b'') -> tuple[ResponseHead, ReceivedBody]:
         """Send a request and return the head and the body of its response.
 
