--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import ClassVar
 
-from sesamepoint_core.body_end.body_facts import BodyFacts, Framing, ReadEnd
+from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind, Framing, ReadEnd
 
 
 class BreakCause(Enum):
@@ -20,11 +20,15 @@
 
     ``connection``: it ended before the framing marked the end, or was reset.
     ``inside_event``: the body ended inside an event. ``event_too_long``: an event exceeds the limit.
+    ``no_event``: a stream whose end is unmarked has no event. ``sender_ended``: the end is unmarked, and
+    the process of the sender ended with it.
     """
 
     connection = 'connection'
     inside_event = 'inside_event'
     event_too_long = 'event_too_long'
+    no_event = 'no_event'
+    sender_ended = 'sender_ended'
 
 
 @dataclass(frozen=True)
@@ -76,9 +80,21 @@
     return Unmarked(facts) if closed_at_end else Complete(facts)
 
 
-def settle(end: Unmarked) -> Complete:
-    """Decide on a body whose end is unmarked: it is believed to be whole."""
-    return Complete(end.facts)
+def settle(end: Unmarked, *, sender_ended: bool) -> Complete | BrokenOff:
+    """Decide on a body whose end is unmarked.
+
+    Parameters
+    ----------
+    sender_ended
+        Whether the sender's process has ended unplanned, as seen after the end of the body. It then broke off all
+        its answers in progress, so that one which ended at this moment is hardly whole.
+    """
+    facts = end.facts
+    if sender_ended:
+        return BrokenOff(facts, BreakCause.sender_ended)
+    if facts.kind is BodyKind.events and not facts.whole_events:
+        return BrokenOff(facts, BreakCause.no_event)
+    return Complete(facts)
 
 
 __all__ = ('BodyEnd', 'BreakCause', 'BrokenOff', 'Complete', 'Unmarked', 'decide_end', 'settle')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -103,13 +103,19 @@
         self.network.listen(runner.address, runner.serve)
         self.store.put(RUNNER_TOPIC, runner.key, runner.registration)
 
-    def crash_runner(self, runner: RunnerStandIn) -> None:
-        """Crash a runner with all its requests; it restarts as a new incarnation."""
+    def crash_runner(self, runner: RunnerStandIn, *, orderly: bool = False) -> None:
+        """Crash a runner with all its requests; it restarts as a new incarnation.
+
+        The flag has the system close its connections in order, which it does if all that it received was read.
+        """
         if any(end.runner == runner.key for end in self.crashes):
             return
         self.crashes.append(RunnerCrash(runner.key, trio.current_time()))
         self.network.close(runner.address)
-        self.network.reset_all(runner.address.host)
+        if orderly:
+            self.network.close_all(runner.address.host)
+        else:
+            self.network.reset_all(runner.address.host)
         self._nursery.start_soon(self._restart_runner, runner)
 
     def drain_runner(self, key: str) -> None:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/network.py
@@ -144,6 +144,10 @@
             self._sending.put(_END, self._network.delay_s(*self.hosts))
         self._closed = True
 
+    def end_by_peer(self) -> None:
+        """Let this endpoint read the end of the connection; what the far end sends later is lost."""
+        self._receiving.put(_END, self._network.delay_s(*self.hosts))
+
     def reset(self) -> None:
         """Reset the connection for both endpoints."""
         self._sending.break_connection()
@@ -212,6 +216,12 @@
             if host in hosts and other.startswith(peer_prefix):
                 transport.reset()
 
+    def close_all(self, host: str) -> None:
+        """Close all connections to ``host`` in order, as the system does for a process that crashes."""
+        for transport in self._open_transports:
+            if transport.hosts[1] == host:
+                transport.end_by_peer()
+
     def delay_s(self, source: str, target: str) -> float:
         """Return the delay of a packet in seconds, infinite between hosts that are cut off."""
         return math.inf if frozenset((source, target)) in self.cut_pairs else ONE_WAY_DELAY_S
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -179,7 +179,7 @@
 
     async def _read_failure(self, conn: ClientConn, head: ResponseHead) -> RunFailed:
         body = await conn.read_body()
-        end = self._end_of(BodyFacts(BodyKind.plain, body.framing, body.read_end))
+        end = await self._end_of(BodyFacts(BodyKind.plain, body.framing, body.read_end))
         runner_ended = isinstance(end, BrokenOff) and await self._target.member.has_ended()
         return RunFailed(head, body.payload, end, runner_ended)
 
@@ -192,7 +192,7 @@
                 await self._send_part(head, buffered)
                 buffered = b''
             part = await conn.read_part()
-        end = self._end_of(BodyFacts(BodyKind.plain, conn.framing, part))
+        end = await self._end_of(BodyFacts(BodyKind.plain, conn.framing, part))
         if isinstance(end, BrokenOff):
             return await self._broken_off(end)
         if self._reply.started:
@@ -216,7 +216,7 @@
                 self._fix_origin()
                 await self._send_part(head, whole_events)
             part = ReadEnd.given_up if splitter.too_long else await conn.read_part()
-        end = self._end_of(
+        end = await self._end_of(
             BodyFacts(BodyKind.events, conn.framing, part, splitter.whole_events, splitter.left_over_bytes)
         )
         if isinstance(end, BrokenOff):
@@ -226,10 +226,13 @@
         await self._reply.end(end)
         return Relayed(head.status, end)
 
-    def _end_of(self, facts: BodyFacts) -> Complete | BrokenOff:
+    async def _end_of(self, facts: BodyFacts) -> Complete | BrokenOff:
         self.body = facts
         end = decide_end(facts)
-        return settle(end) if isinstance(end, Unmarked) else end
+        if isinstance(end, Unmarked):
+            # The end of the answer waits for this, not its events.
+            return settle(end, sender_ended=await self._target.member.has_ended(since=trio.current_time()))
+        return end
 
     async def _broken_off(self, end: BrokenOff) -> Broken:
         return Broken(str(end), runner_ended=await self._target.member.has_ended())
--- a/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
@@ -25,17 +25,33 @@
         self.ended = False
         self._pool = pool
         self._probed_at = -math.inf
+        # When the latest probe began that was not refused.
+        self._accepted_at = -math.inf
         self._refused = False
         self._lock = trio.Lock()
 
-    async def refused(self) -> bool:
-        """Tell whether the runner refuses a new connection."""
+    async def refused(self, since: float = 0) -> bool:
+        """Tell whether the runner refuses a new connection.
+
+        Parameters
+        ----------
+        since
+            Time on trio's clock from which the runner must have accepted a connection. One that it accepted earlier
+            doesn't show that it is still there.
+        """
         async with self._lock:
-            if trio.current_time() - self._probed_at > PROBE_TTL_S:
+            if self._must_probe(since):
+                began = trio.current_time()
                 self._refused = await self._pool.probe_refused()
+                self._accepted_at = -math.inf if self._refused else began
                 self._probed_at = trio.current_time()
             self.ended = self.ended or self._refused
             return self._refused
 
+    def _must_probe(self, since: float) -> bool:
+        if trio.current_time() - self._probed_at > PROBE_TTL_S:
+            return True
+        return not self._refused and self._accepted_at < since
+
 
 __all__ = ('CrashProbe',)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -125,8 +125,10 @@
         """Return a connection to the pool."""
         self._pool.release(conn)
 
-    async def has_ended(self) -> bool:
-        """Tell whether the runner has crashed, after a connection to it broke.
+    async def has_ended(self, since: float = 0) -> bool:
+        """Tell whether the runner has crashed, after a connection to it ended.
+
+        It counts as alive if it has accepted a connection after ``since``, on trio's clock.
 
         A runner that accepts new connections is alive: it lost an answer, or the
         network lost a connection, and no request is suspected of having ended it.
@@ -134,7 +136,7 @@
         """
         if self.draining or self.unregistered_at is not None:
             return False
-        return await self._crash_probe.refused()
+        return await self._crash_probe.refused(since)
 
     def note_replaced(self, source: str) -> None:
         """Note that another incarnation has its address.
--- a/tests/core/body_end/test_decision.py
+++ b/tests/core/body_end/test_decision.py
@@ -14,7 +14,7 @@
 import sesamepoint
 import sesamepoint_core
 from sesamepoint_core.body_end.body_facts import BodyFacts, BodyKind, Framing, ReadEnd
-from sesamepoint_core.body_end.decision import BreakCause, BrokenOff, Complete, Unmarked, decide_end
+from sesamepoint_core.body_end.decision import BreakCause, BrokenOff, Complete, Unmarked, decide_end, settle
 
 MARKED = (Framing.empty, Framing.length, Framing.chunked)
 BROKEN_CONNECTIONS = (ReadEnd.reset, ReadEnd.timed_out, ReadEnd.malformed)
@@ -54,6 +54,22 @@
             end = decide_end(BodyFacts(BodyKind.events, framing, ReadEnd.given_up, 3, 17))
             self.assertEqual(_cause_of(end), BreakCause.event_too_long, end)
 
+    def test_unmarked_end_of_ended_sender(self) -> None:
+        """Guards against a body that is believed although its sender's process ended with it."""
+        for kind in BodyKind:
+            end = settle(_unmarked(kind, whole_events=3), sender_ended=True)
+            self.assertEqual(_cause_of(end), BreakCause.sender_ended, end)
+
+    def test_unmarked_end_of_living_sender(self) -> None:
+        """Guards against a body that is not believed although nothing speaks against it."""
+        for kind in BodyKind:
+            self.assertIsInstance(settle(_unmarked(kind, whole_events=3), sender_ended=False), Complete)
+
+    def test_unmarked_end_before_first_event(self) -> None:
+        """Guards against a stream without any event that is believed to be whole."""
+        end = settle(_unmarked(BodyKind.events, whole_events=0), sender_ended=False)
+        self.assertEqual(_cause_of(end), BreakCause.no_event, end)
+
     def test_marked_end(self) -> None:
         """Guards against a whole body that is not recognized."""
         for kind, framing in product(BodyKind, Framing):
@@ -67,6 +83,10 @@
         self.assertEqual(creators, ['decision.py'])
 
 
+def _unmarked(kind: BodyKind, whole_events: int) -> Unmarked:
+    return Unmarked(BodyFacts(kind, Framing.until_close, ReadEnd.closed, whole_events))
+
+
 def _cause_of(end: object) -> BreakCause | None:
     return end.cause if isinstance(end, BrokenOff) else None
 
--- /dev/null
+++ b/tests/front/streams/test_unmarked_ends.py
@@ -0,0 +1,126 @@
+"""Answers with neither a length nor chunks whose connection is closed where nothing tells whether they are whole.
+
+An engine crashed, and its system closed the connections of its streams in order, between two events. The instance
+took each of them for whole.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
+from sesamepoint_standins.platform.bench import open_bench
+from sesamepoint_standins.platform.framed_answer import Cut
+from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner
+from tests.front.streams.cut_streams import cut_configuration
+from tests.virtual_time import in_virtual_time
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bench import PlatformBench
+    from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+OK = 200
+BAD_GATEWAY = 502
+STREAMS = 6
+# By this time the first engines have sent some events of a stream and not all, in seconds.
+AMID_STREAM_S = 0.15
+AMID_ANSWER_S = 0.02
+
+
+class UnmarkedEndsTest(TestCase):
+    """What is believed of an answer that ends with its connection."""
+
+    @in_virtual_time
+    async def test_crash_between_events(self) -> None:
+        """Guards against streams that are framed as complete although their engine crashed between two events."""
+        engines = [_engine(1), _engine(2)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            specs = [new_prompt_request('/resume/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S)
+        self.assertTrue(any(run.ended_at for run in engines[0].runs), 'the engine had no stream')
+        bodies = [spec.expected_body for spec in specs]
+        self.assertEqual([(answer.complete, answer.body) for answer in answers], [(True, body) for body in bodies])
+
+    @in_virtual_time
+    async def test_crash_between_events_of_single_run(self) -> None:
+        """Guards against a stream that may not run again and is framed as complete after a crash of its engine."""
+        engines = [_engine(1)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            specs = [new_prompt_request('/never/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S)
+        self.assertEqual([answer.complete for answer in answers], [False for _ in specs])
+        self.assertEqual([answer.half_event for answer in answers], [b'' for _ in specs])
+
+    @in_virtual_time
+    async def test_crash_before_plain_answer(self) -> None:
+        """Guards against an empty answer that is framed as complete after a crash of its runner."""
+        runner = plain_runner(1, framing=Framing.until_close)
+        async with open_bench(configuration(), [runner]) as bench:
+            runner.cuts = deque((Cut(0, ReadEnd.closed, delay_s=1),))
+            answers = await _send_and_crash(bench, [new_request('/card/a')], runner, AMID_ANSWER_S * 3)
+        self.assertEqual([answer.status for answer in answers], [BAD_GATEWAY])
+
+    @in_virtual_time
+    async def test_close_before_first_event(self) -> None:
+        """Guards against a stream without any event that is framed as complete; another engine may make them."""
+        engines = [_engine(1), _engine(2)]
+        cuts = deque((Cut(0, ReadEnd.closed),))
+        for each in engines:
+            each.cuts = cuts
+        async with open_bench(cut_configuration(), engines) as bench:
+            spec = new_prompt_request('/resume/a')
+            answer = await bench.new_caller('front-1').send(spec)
+        self.assertEqual((answer.status, answer.complete, answer.body), (OK, True, spec.expected_body))
+
+    @in_virtual_time
+    async def test_runner_that_leaves(self) -> None:
+        """Guards against a whole answer that is broken off because its runner ends with it, as planned."""
+        runner = plain_runner(1, framing=Framing.until_close, work_s=0.2)
+        async with open_bench(configuration(), [runner]) as bench:
+            spec = new_request('/card/a')
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_leave, bench, runner)
+                answer = await bench.new_caller('front-1').send(spec)
+        self.assertEqual((answer.status, answer.complete, answer.body), (OK, True, spec.expected_body))
+
+    @in_virtual_time
+    async def test_living_runner_is_believed(self) -> None:
+        """Guards against whole answers of living runners that are broken off, and against runs in vain."""
+        runners = [_engine(1), plain_runner(1, framing=Framing.until_close)]
+        async with open_bench(cut_configuration(), runners) as bench:
+            spec = new_prompt_request('/never/a')
+            answer = await bench.new_caller('front-1').send(spec)
+        self.assertEqual((answer.complete, answer.body, len(runners[0].runs)), (True, spec.expected_body, 1))
+
+
+def _engine(number: int) -> RunnerStandIn:
+    return engine(number, 'decode', framing=Framing.until_close)
+
+
+async def _send_and_crash(
+    bench: PlatformBench, specs: list[RequestSpec], runner: RunnerStandIn, after_s: float
+) -> list[CallerAnswer]:
+    answers: dict[str, CallerAnswer] = {}
+
+    async def send(spec: RequestSpec) -> None:
+        answers[spec.request_id] = await bench.new_caller('front-1').send(spec)
+
+    async with trio.open_nursery() as nursery:
+        for each in specs:
+            nursery.start_soon(send, each)
+        await trio.sleep(after_s)
+        bench.crash_runner(runner, orderly=True)
+    return [answers[spec.request_id] for spec in specs]
+
+
+async def _leave(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    """Have a runner leave during its answer; it refuses connections from the end of that on."""
+    await trio.sleep(runner.work_s / 2)
+    bench.drain_runner(runner.key)
+    await trio.sleep(runner.work_s / 2)
+    bench.network.close(runner.address)
