--- a/packages/sesamepoint/src/sesamepoint/platform/http_log.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/http_log.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import msgspec
 
+from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint.platform.http_client import HttpClient
 from sesamepoint.platform.service_interfaces import LIST_ADAPTERS, LOG_ADAPTERS, Instance, LogPage, LogRecord
@@ -14,6 +15,7 @@
     from sesamepoint.settings.model import ServiceSettings
 
 CALL_TIMEOUT_S = 2.0
+ReplyType = TypeVar('ReplyType')
 
 
 class AppendReply(NamedTuple):
@@ -46,13 +48,13 @@
     async def append(self, stream: str, payload: bytes) -> int:
         """Append a record and return its offset."""
         reply = await self._client.request('POST', f'/streams/{stream}', payload, CALL_TIMEOUT_S)
-        return msgspec.json.decode(reply, type=AppendReply).offset
+        return _decode(reply, AppendReply).offset
 
     async def read(self, stream: str, start: int, wait_s: float) -> LogPage:
         """Return the records from offset ``start`` on."""
         path = f'/streams/{stream}?from={start}&wait_ms={int(wait_s * MS_PER_S)}'
         reply = await self._client.request('GET', path, b'', wait_s + CALL_TIMEOUT_S)
-        page = msgspec.json.decode(reply, type=ReadReply)
+        page = _decode(reply, ReadReply)
         records = tuple(LogRecord(offset, text.encode()) for offset, text in page.records)
         return LogPage(records, page.earliest, page.end)
 
@@ -73,7 +75,15 @@
     async def fetch(self) -> tuple[Instance, ...]:
         """Return the list, which may be out of date."""
         reply = await self._client.request('GET', '/instances', b'', CALL_TIMEOUT_S)
-        return msgspec.json.decode(reply, type=tuple[Instance, ...])
+        return _decode(reply, tuple[Instance, ...])
+
+
+def _decode(reply: bytes, reply_type: type[ReplyType]) -> ReplyType:
+    """Decode a reply; one that ended too early, with its connection, does not decode."""
+    try:
+        return msgspec.json.decode(reply, type=reply_type)
+    except msgspec.DecodeError as exc:
+        raise PlatformUnavailableError('platform', f'unreadable reply: {exc}') from exc
 
 
 __all__ = ('AppendReply', 'HttpInstanceList', 'HttpLog', 'ReadReply')
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
+from sesamepoint_core.body_end.body_facts import BodyKind
+from sesamepoint_core.body_end.decision import Complete
 from sesamepoint_core.serving.runner import StartMs
-from sesamepoint.http1.documents import whole_payload
-from sesamepoint.http1.messages import RequestHead
+from sesamepoint.http1.messages import ConnBrokenError, RequestHead
 from sesamepoint.platform.wire_names import REPORT_PATH
 
 if TYPE_CHECKING:
@@ -29,16 +30,19 @@
     Raises
     ------
     ConnBrokenError
-        If the connection ended before the response.
+        If the connection ended before the response, or in the report.
     """
     head, body = await conn.exchange(RequestHead(b'GET', REPORT_PATH.encode(), ((b'host', str(address).encode()),)))
     if head.status != STATUS_OK:
         return 0
+    end = body.end(BodyKind.document)
     try:
-        return msgspec.json.decode(whole_payload(body), type=_Report).born
-    except msgspec.DecodeError:
-        # Some services have another page there.
-        return 0
+        return msgspec.json.decode(body.payload, type=_Report).born
+    except msgspec.DecodeError as exc:
+        if isinstance(end, Complete):
+            # Some services have another page there.
+            return 0
+        raise ConnBrokenError(f'report broken off ({exc})', body.read_end) from exc
 
 
 __all__ = ('read_start_ms',)
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -22,6 +22,7 @@
 
     from sesamepoint_core.serving.address import Address
 
+    from sesamepoint.http1.messages import ReceivedBody
     from sesamepoint.http1.transport import Network
     from sesamepoint.platform.store_epoch import StoreEpoch
 
@@ -65,12 +66,28 @@
 
 
 class StoreResponse(NamedTuple):
-    """A response of the store, and the epoch it belongs to."""
+    """A response of the store, and the epoch it belongs to.
+
+    Its status holds, whatever becomes of the body.
+    """
 
     status: int
-    body: bytes
+    body: ReceivedBody
     epoch: int
 
+    def whole_body(self) -> bytes:
+        """Return the body.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If it is broken off.
+        """
+        try:
+            return whole_payload(self.body)
+        except ConnBrokenError as exc:
+            raise _unavailable(repr(exc)) from exc
+
 
 class _NewestEntry(msgspec.Struct, rename={'encoded': 'value'}):
     key: str
@@ -111,9 +128,9 @@
         era: int | None = None
         while True:
             answer = await self._call('GET', '/v1/log-newest', query, page_timeout_s - CALL_TIMEOUT_S)
-            page = _decode_page(answer.body)
+            page = _decode_page(answer.whole_body())
             if era not in {None, answer.epoch}:
-                raise PlatformUnavailableError('store', 'its epoch changed between two pages')
+                raise _unavailable('its epoch changed between two pages')
             era = answer.epoch
             records.extend(_decode_entry(entry) for entry in page.entries)
             # Changes made while the pages are read are in the log after the
@@ -135,9 +152,9 @@
         """
         query = {'topic': topic, 'part': '0', 'source': str(start), 'wait_ms': str(int(wait_s * MS_PER_S))}
         answer = await self._call('GET', '/v1/log-read', query, wait_s)
-        text = answer.body
+        text = answer.whole_body()
         if len(text) < _TWO_OFFSETS.size:
-            raise PlatformUnavailableError('store', 'the reply has no offsets')
+            raise _unavailable('the reply has no offsets')
         if _TWO_OFFSETS.unpack_from(text)[0] < start:
             # The log ends before ``start``: the store was restored from an
             # older copy, or a peer announced an offset that never existed.
@@ -197,11 +214,11 @@
                 with trio.fail_after(wait_s + CALL_TIMEOUT_S):
                     answer = await self._exchange(method, f'{path}?{urlencode(query)}', body)
             except (ConnBrokenError, ConnectFailedError, trio.TooSlowError) as exc:
-                raise PlatformUnavailableError('store', repr(exc)) from exc
+                raise _unavailable(repr(exc)) from exc
         if answer.status == STATUS_GONE:
             raise HistoryGoneError
         if answer.status not in {STATUS_OK, allowed}:
-            raise PlatformUnavailableError('store', f'status {answer.status}')
+            raise _unavailable(f'status {answer.status}')
         return answer
 
     async def _exchange(self, method: str, target: str, body: bytes) -> StoreResponse:
@@ -222,12 +239,16 @@
             self._conn = conn
         else:
             conn.close()
-        return StoreResponse(response.status, whole_payload(received), self.epoch.observe(response.headers))
+        return StoreResponse(response.status, received, self.epoch.observe(response.headers))
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         return ((b'host', str(self._address).encode()), (b'content-length', str(len(body)).encode()))
 
 
+def _unavailable(cause: str) -> PlatformUnavailableError:
+    return PlatformUnavailableError('store', cause)
+
+
 def _encode_record(key: str, text: bytes) -> bytes:
     raw_key = key.encode()
     record = bytes((len(raw_key),)) + raw_key + text
@@ -238,14 +259,14 @@
     try:
         return msgspec.json.decode(body, type=_NewestReply)
     except msgspec.DecodeError as exc:
-        raise PlatformUnavailableError('store', f'unreadable reply: {exc}') from exc
+        raise _unavailable(f'unreadable reply: {exc}') from exc
 
 
 def _decode_entry(entry: _NewestEntry) -> KeyedRecord:
     try:
         return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
     except ValueError as exc:
-        raise PlatformUnavailableError('store', f'unreadable reply: {exc}') from exc
+        raise _unavailable(f'unreadable reply: {exc}') from exc
 
 
 def _split_records(body: bytes) -> list[bytes]:
@@ -253,13 +274,13 @@
     offset = 0
     while offset < len(body):
         if offset + _LENGTH.size > len(body):
-            raise PlatformUnavailableError('store', 'a reply that ends within a record')
+            raise _unavailable('a reply that ends within a record')
         size = _LENGTH.unpack_from(body, offset)[0]
         offset += _LENGTH.size
         records.append(body[offset : offset + size])
         offset += size
     if offset > len(body):
-        raise PlatformUnavailableError('store', 'a reply that ends within a record')
+        raise _unavailable('a reply that ends within a record')
     return records
 
 
--- /dev/null
+++ b/tests/platform_boundary/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what speaks to the users' platform."""
