--- a/packages/sesamepoint/src/sesamepoint/entry/caller_app.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/caller_app.py
@@ -29,6 +29,10 @@
 RETRY_AFTER_S = 1.0
 
 
+class _CallerGoneError(Exception):
+    """The caller disconnected before its request was complete."""
+
+
 class CallerApp:
     """Serves callers' requests; health checks are served on the metrics address."""
 
@@ -40,6 +44,8 @@
         """Answer one ASGI scope."""
         try:
             req = self._parse(await _read_request(scope, receive))
+        except _CallerGoneError:
+            return
         except BadRequestError as exc:
             await _send_reply(send, http_replies.render_bad_request(exc))
         except NotConfiguredError as exc:
@@ -75,6 +81,8 @@
 
     outcome = await server.serve(req, emit)
     if isinstance(outcome, Answered):
+        if not started:
+            await _send_head(send, http_replies.STATUS_OK, ((b'content-type', http_replies.STREAM_TYPE),))
         await _send_body(send, http_replies.STREAM_END, more=False)
     elif started:
         await _send_body(send, http_replies.stream_error(outcome), more=False)
@@ -130,6 +138,8 @@
     more = True
     while more:
         message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise _CallerGoneError
         body += message.get('body', b'')
         more = message.get('more_body', False)
         if len(body) > input_limits.MAX_BODY_BYTES:
