--- a/packages/sesamectl/src/sesamectl/request_explanation.py
+++ b/packages/sesamectl/src/sesamectl/request_explanation.py
@@ -36,8 +36,8 @@
 )
 
 
-# Refusals because of the status that the runners reported, by cause.
-_RUNNER_STATUS_REFUSALS: Mapping[str, str] = MappingProxyType(
+# Verdicts that the cause alone gives.
+_VERDICT_BY_CAUSE: Mapping[str, str] = MappingProxyType(
     {
         FailureCause.rate_limited: (
             'refused: its runners name limits, and these left no permit for it before its deadline'
@@ -52,6 +52,10 @@
             'could not go on: the version that began its stream has no runner that takes it; its lines 3220 and 3221 '
             'name the version, the lines 3320 when it left'
         ),
+        FailureCause.ended_early: (
+            'broken off by its runner, which ended the answer before it was whole and without a reset; framing, '
+            'read_end and left_over_bytes in its line 3205 tell how; it could not go on elsewhere'
+        ),
     }
 )
 
@@ -113,9 +117,9 @@
 
 def _outcome(end: dict[str, Any], own: list[_LogLine]) -> str:
     kinds = {line.fields['event'] for line in own}
-    refused = _refusal_reason(end, kinds)
-    if refused:
-        return refused
+    known = _known_reason(end, kinds)
+    if known:
+        return known
     if end['event'] != events.ANSWER_ENDED.number:
         return 'its last line is missing: the process ended, or lines were left out'
     if end.get('unfinished'):
@@ -126,10 +130,10 @@
     return f'answered {status}: see the attempts above'
 
 
-def _refusal_reason(end: dict[str, Any], kinds: set[int]) -> str:
-    by_status = _RUNNER_STATUS_REFUSALS.get(end.get('cause', ''))
-    if by_status:
-        return by_status
+def _known_reason(end: dict[str, Any], kinds: set[int]) -> str:
+    by_cause = _VERDICT_BY_CAUSE.get(end.get('cause', ''))
+    if by_cause:
+        return by_cause
     if events.REQUEST_REFUSED.number in kinds:
         return 'refused at once: every engine had more work than it could finish before the deadline'
     return ''
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -197,14 +197,14 @@
         if not await self._quarantine.admit(job, self._selector.probe_runner):
             return None
         outcome: AttemptResult | None = None
-        body_before = job.trace.body
+        end_before = job.trace.body_end
         try:
             outcome = await self._choose_and_send(job, cfg, budget)
         finally:
             self._quarantine.record_attempt(job, outcome)
             self._runner_limits.give_back(job)
-        if job.trace.body is not None and job.trace.body is not body_before:
-            self.metrics.count_body(job.service, job.trace.body)
+        if job.trace.body_end is not None and job.trace.body_end is not end_before:
+            self.metrics.count_body(job.service, job.trace.body_end)
         if outcome is not None and not isinstance(outcome, Relayed):
             self.metrics.count_broken_send(job.service, outcome.tag)
         return outcome
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -80,8 +80,8 @@
     def __init__(self, req: FrontRequest, target: Target, reply: Reply, *, streamed: bool) -> None:
         """Prepare an attempt; nothing is sent before :meth:`run`."""
         self.first_output_at: float | None = None
-        # The body of a successful answer, as far as it was read; None without one.
-        self.body: BodyFacts | None = None
+        # How the body of an answer ended; None without one.
+        self.body_end: Complete | BrokenOff | None = None
         self._req = req
         self._target = target
         self._reply = reply
@@ -227,15 +227,15 @@
         return Relayed(head.status, end)
 
     async def _end_of(self, facts: BodyFacts) -> Complete | BrokenOff:
-        self.body = facts
         end = decide_end(facts)
         if isinstance(end, Unmarked):
             # The end of the answer waits for this, not its events.
-            return settle(end, sender_ended=await self._target.member.has_ended(since=trio.current_time()))
+            end = settle(end, sender_ended=await self._target.member.has_ended(since=trio.current_time()))
+        self.body_end = end
         return end
 
     async def _broken_off(self, end: BrokenOff) -> Broken:
-        return Broken(str(end), runner_ended=await self._target.member.has_ended())
+        return Broken(str(end), runner_ended=await self._target.member.has_ended(), end=end)
 
     async def _send_part(self, head: ResponseHead, body: bytes) -> None:
         """Send a part of the answer, the first one in one packet with the head."""
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt_results.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, ClassVar
 
+from sesamepoint_core.body_end.decision import BreakCause, BrokenOff, Complete
+
 if TYPE_CHECKING:
-    from sesamepoint_core.body_end.decision import BrokenOff, Complete
     from sesamepoint.http1.messages import ResponseHead
 
 
@@ -70,12 +71,18 @@
     """No complete answer arrived; the request may have run.
 
     The flag is set if the runner no longer accepts connections, so that more
-    than this answer was lost.
+    than this answer was lost. ``end`` is that of the body; None if the connection broke before.
     """
 
     tag: ClassVar[str] = 'broken'
     cause: str
     runner_ended: bool = False
+    end: BrokenOff | None = None
+
+    @property
+    def ended_early(self) -> bool:
+        """Tell whether the runner ended the answer before it was whole, on a connection that did not break."""
+        return self.end is not None and self.end.cause is not BreakCause.connection
 
 
 @dataclass(frozen=True)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/failure_cause.py
@@ -23,6 +23,7 @@
     no_answer_in_time = 'no_answer_in_time'
     answer_too_long = 'answer_not_whole_in_time'
     broken = 'runner_broke_off'
+    ended_early = 'runner_ended_answer_early'
     silent = 'runner_silent'
     runner_failed = 'runner_failed'
     origin_unknown = 'version_unknown'
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -17,7 +17,7 @@
 from sesamepoint.front.streams.stream_state import StreamState
 
 if TYPE_CHECKING:
-    from sesamepoint_core.body_end.body_facts import BodyFacts
+    from sesamepoint_core.body_end.decision import BrokenOff, Complete
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.serving.routes import Configuration, Route
@@ -71,8 +71,8 @@
         Software versions of the runners, in the order of the sends.
     decision
         The latest choice of a placement, with the figures that decided it.
-    body
-        The body of the latest answer, as far as it was read; None without one.
+    body_end
+        How the body of the latest answer ended; None without one.
     """
 
     first_output_at: float | None = None
@@ -89,7 +89,7 @@
     ineligible_runners: set[str] = field(default_factory=set)
     versions: list[str | None] = field(default_factory=list)
     decision: dict[str, object] = field(default_factory=dict)
-    body: BodyFacts | None = None
+    body_end: Complete | BrokenOff | None = None
 
 
 RunStartedCallback = Callable[['Job'], None]
--- a/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/reply.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from sesamepoint_core.body_end.decision import BrokenOff, Complete
 from sesamepoint_core.body_end.event_splitter import EventSplitter
 from sesamepoint.platform.wire_names import RETRY_AFTER
 
 if TYPE_CHECKING:
-    from sesamepoint_core.body_end.decision import Complete
     from sesamepoint.http1.messages import Headers
     from sesamepoint.http1.server import ServerConn
 
@@ -78,5 +78,12 @@
         """Return whether a streamed answer has begun but not ended."""
         return self._streaming
 
+    @property
+    def end_seen(self) -> str:
+        """Return what its caller learns of the end of the answer, for log lines."""
+        if not self.started:
+            return 'none'
+        return BrokenOff.tag if self.unfinished else Complete.tag
+
 
 __all__ = ('Reply',)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -7,7 +7,7 @@
 
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
+from sesamepoint.front.requests.attempt_results import Broken, Relayed, RunFailed, Silent
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.platform.headers import is_signed
 
@@ -46,9 +46,9 @@
     if isinstance(outcome, Relayed):
         return FailureCause.none
     if job.reply.started:
-        return _cause_in_answer(job)
+        return _cause_in_answer(job, outcome)
     if job.may_have_run:
-        return _CAUSE_BY_OUTCOME.get(type(outcome), FailureCause.broken)
+        return _cause_of_run(outcome)
     return _cause_of_unsent(job)
 
 
@@ -74,6 +74,7 @@
         config_version=cfg.version,
         status=job.reply.status,
         unfinished=job.reply.unfinished or not job.reply.started,
+        caller_end=job.reply.end_seen,
         refused=job.trace.refused,
         on_time=job.was_on_time(took_s),
         target_ms=whole_ms(job.route.target_s),
@@ -102,12 +103,21 @@
 
 def body_fields(job: Job) -> dict[str, object]:
     """Return the log fields on the body of the latest answer; none if no body was read."""
-    return {} if job.trace.body is None else job.trace.body.log_fields()
+    end = job.trace.body_end
+    return {} if end is None else {**end.facts.log_fields(), 'body_end': end.tag}
 
 
-def _cause_in_answer(job: Job) -> FailureCause:
-    gone = job.trace.unsent_cause is FailureCause.origin_gone
-    return FailureCause.origin_gone if gone else FailureCause.cut_in_answer
+def _cause_in_answer(job: Job, outcome: AttemptResult | None) -> FailureCause:
+    if job.trace.unsent_cause is FailureCause.origin_gone:
+        return FailureCause.origin_gone
+    cause = _cause_of_run(outcome)
+    return cause if cause is FailureCause.ended_early else FailureCause.cut_in_answer
+
+
+def _cause_of_run(outcome: AttemptResult | None) -> FailureCause:
+    if isinstance(outcome, Broken) and outcome.ended_early:
+        return FailureCause.ended_early
+    return _CAUSE_BY_OUTCOME.get(type(outcome), FailureCause.broken)
 
 
 def _cause_of_unsent(job: Job) -> FailureCause:
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -88,7 +88,7 @@
     if job.access.on_first_send is not None and first_send:
         job.access.on_first_send(job)
     outcome = await exchange.run()
-    job.trace.body = exchange.body
+    job.trace.body_end = exchange.body_end
     if isinstance(outcome, RunFailed):
         # The runner has run the request, even if its answer is never relayed.
         job.note_run_started()
@@ -215,7 +215,9 @@
     if isinstance(outcome, Rejected):
         _note_rejection(member, started)
         return
-    note_failure(member, outcome.tag, started, answered=isinstance(outcome, RunFailed))
+    early_end = outcome.end if isinstance(outcome, Broken) and outcome.ended_early else None
+    tag = early_end.cause.value if early_end else outcome.tag
+    note_failure(member, tag, started, answered=isinstance(outcome, RunFailed))
 
 
 def _note_rejection(member: Member, sent_at: float) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.body_end.decision import BrokenOff, Complete
+
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
-    from sesamepoint_core.body_end.body_facts import BodyFacts
     from sesamepoint.front.requests.job import Job
 
 # Bounds in seconds, around the current target latencies of 0.2 to 0.8 s.
@@ -111,10 +112,11 @@
         )
         self._bodies = Rows.empty(
             'sesamepoint_answer_bodies',
-            'Bodies of answers of runners, by their framing and by how reading them ended.',
+            'Bodies of answers of runners, by their framing, how reading them ended, and what that was taken for.',
             'service',
             'framing',
             'read_end',
+            'end',
         )
         self.counters: tuple[Rows, ...] = (
             self._requests,
@@ -156,9 +158,10 @@
         """Count a send that ended without a complete answer."""
         self._broken_sends.add(service, outcome)
 
-    def count_body(self, service: str, body: BodyFacts) -> None:
+    def count_body(self, service: str, end: Complete | BrokenOff) -> None:
         """Count the body of an answer."""
-        self._bodies.add(service, body.framing.value, body.read_end.value)
+        kind = end.cause.value if isinstance(end, BrokenOff) else end.tag
+        self._bodies.add(service, end.facts.framing.value, end.facts.read_end.value, kind)
 
     def count_request_end(self, job: Job, took_s: float) -> None:
         """Count a request that has ended."""
--- a/tests/ctl/test_request_explanation.py
+++ b/tests/ctl/test_request_explanation.py
@@ -49,6 +49,22 @@
         found = explain_request('r1', [end_line('r1', status=503, runners=[], cause='runners_leave')])
         self.assertIn('verdict: refused: all runners of its service leave', found)
 
+    def test_broken_off_by_runner(self) -> None:
+        """Guards against an answer that its runner ended early and that is not told from one that was reset."""
+        fields: dict[str, Any] = {
+            'framing': 'until_close',
+            'read_end': 'closed',
+            'whole_events': 2,
+            'left_over_bytes': 5,
+        }
+        logs = [
+            log_line(events.ATTEMPT_ENDED, request='r1', outcome='broken', begun=True, **fields),
+            end_line('r1', status=200, unfinished=True, cause='runner_ended_answer_early', **fields),
+        ]
+        found = explain_request('r1', logs)
+        self.assertIn('framing until_close, read_end closed, whole_events 2, left_over_bytes 5', found)
+        self.assertIn('verdict: broken off by its runner', found)
+
     def test_refused_version_unknown(self) -> None:
         """Guards against a take-up whose refusal is not told from a lack of runners."""
         logs = [
