--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -12,7 +12,12 @@
 from sesamepoint_core.body_end.decision import BrokenOff, Complete, Unmarked, decide_end, settle
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
-from sesamepoint.front.runners.incarnation_check import RESTARTED_CONDITION, FarEnd, check_incarnation
+from sesamepoint.front.runners.incarnation_check import (
+    RESTARTED_CONDITION,
+    FarEnd,
+    check_incarnation,
+    has_ended_since,
+)
 from sesamepoint.front.runners.send_check import ORIGIN_CONDITION, SendBlockedError, SendKind, SendPurpose
 from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
@@ -230,10 +235,15 @@
         end = decide_end(facts)
         if isinstance(end, Unmarked):
             # The end of the answer waits for this, not its events.
-            end = settle(end, sender_ended=await self._target.member.has_ended(since=trio.current_time()))
+            end = settle(end, sender_ended=await self._sender_ended())
         self.body_end = end
         return end
 
+    async def _sender_ended(self) -> bool:
+        job = self._target.purpose.job
+        resumable = job is not None and job.route.repeat is RepeatPolicy.resume
+        return await has_ended_since(self._target.member, trio.current_time(), checks_start=resumable)
+
     async def _broken_off(self, end: BrokenOff) -> Broken:
         return Broken(str(end), runner_ended=await self._target.member.has_ended(), end=end)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint import events
-from sesamepoint.front.runners.send_check import SendKind, SendPurpose
+from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.runner_report import read_start_ms
 
 if TYPE_CHECKING:
@@ -68,4 +69,31 @@
     return FarEnd.other
 
 
-__all__ = ('RESTARTED_CONDITION', 'FarEnd', 'check_incarnation')
+async def has_ended_since(member: Member, since: float, *, checks_start: bool) -> bool:
+    """Tell whether the runner of ``member`` has ended unplanned, by what it does after ``since`` on trio's clock.
+
+    Parameters
+    ----------
+    checks_start
+        Whether a runner that accepts a connection is asked for its start: it may be another incarnation at the
+        address, as after a freeze of this process. A stream that may go on elsewhere needs that check on
+        each new connection, so that the next one finds it done.
+    """
+    if await member.has_ended(since):
+        return True
+    if not checks_start or member.draining or member.unregistered_at is not None:
+        return False
+    try:
+        conn = await member.connection(_REPORT_PURPOSE)
+    except ConnectFailedError:
+        # Nothing is known of it.
+        return False
+    try:
+        return await check_incarnation(member, conn, None) is FarEnd.other
+    except (ConnBrokenError, SendBlockedError):
+        return False
+    finally:
+        member.release(conn)
+
+
+__all__ = ('RESTARTED_CONDITION', 'FarEnd', 'check_incarnation', 'has_ended_since')
--- a/tests/front/streams/test_unmarked_ends.py
+++ b/tests/front/streams/test_unmarked_ends.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from unittest import TestCase
 
 import trio
@@ -27,6 +27,7 @@
 OK = 200
 BAD_GATEWAY = 502
 STREAMS = 6
+BORN_MS = 1_700_000_000_000
 # By this time the first engines have sent some events of a stream and not all, in seconds.
 AMID_STREAM_S = 0.15
 AMID_ANSWER_S = 0.02
@@ -56,12 +57,22 @@
         self.assertEqual([answer.complete for answer in answers], [False for _ in specs])
         self.assertEqual([answer.half_event for answer in answers], [b'' for _ in specs])
 
+    @in_virtual_time
+    async def test_restart_between_events(self) -> None:
+        """Guards against streams that are framed as complete since another incarnation accepts connections at once."""
+        engines = [_engine(number, born_ms=BORN_MS) for number in (1, 2)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            specs = [new_prompt_request('/resume/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S, restart=True)
+        bodies = [spec.expected_body for spec in specs]
+        self.assertEqual([(answer.complete, answer.body) for answer in answers], [(True, body) for body in bodies])
+
     @in_virtual_time
     async def test_crash_before_plain_answer(self) -> None:
         """Guards against an empty answer that is framed as complete after a crash of its runner."""
         runner = plain_runner(1, framing=Framing.until_close)
         async with open_bench(configuration(), [runner]) as bench:
-            runner.cuts = deque((Cut(0, ReadEnd.closed, delay_s=1),))
+            runner.habits.cuts = deque((Cut(0, ReadEnd.closed, delay_s=1),))
             answers = await _send_and_crash(bench, [new_request('/card/a')], runner, AMID_ANSWER_S * 3)
         self.assertEqual([answer.status for answer in answers], [BAD_GATEWAY])
 
@@ -71,7 +82,7 @@
         engines = [_engine(1), _engine(2)]
         cuts = deque((Cut(0, ReadEnd.closed),))
         for each in engines:
-            each.cuts = cuts
+            each.habits.cuts = cuts
         async with open_bench(cut_configuration(), engines) as bench:
             spec = new_prompt_request('/resume/a')
             answer = await bench.new_caller('front-1').send(spec)
@@ -98,12 +109,12 @@
         self.assertEqual((answer.complete, answer.body, len(runners[0].runs)), (True, spec.expected_body, 1))
 
 
-def _engine(number: int) -> RunnerStandIn:
-    return engine(number, 'decode', framing=Framing.until_close)
+def _engine(number: int, **changes: Any) -> RunnerStandIn:
+    return engine(number, 'decode', framing=Framing.until_close, **changes)
 
 
 async def _send_and_crash(
-    bench: PlatformBench, specs: list[RequestSpec], runner: RunnerStandIn, after_s: float
+    bench: PlatformBench, specs: list[RequestSpec], runner: RunnerStandIn, after_s: float, *, restart: bool = False
 ) -> list[CallerAnswer]:
     answers: dict[str, CallerAnswer] = {}
 
@@ -114,7 +125,11 @@
         for each in specs:
             nursery.start_soon(send, each)
         await trio.sleep(after_s)
-        bench.crash_runner(runner, orderly=True)
+        if restart:
+            runner.restart(BORN_MS + 1)
+            bench.network.close_all(runner.address.host)
+        else:
+            bench.crash_runner(runner, orderly=True)
     return [answers[spec.request_id] for spec in specs]
 
 
