--- a/benchmarks/unmarked_ends.py
+++ b/benchmarks/unmarked_ends.py
@@ -187,9 +187,9 @@
     async def _break_stream(self) -> None:
         await trio.sleep(0)
         runner = self._pick()
-        if runner.stage and not runner.cuts:
+        if runner.stage and not runner.habits.cuts:
             size = len(stream_event(REQUEST_ID.format(0), 1))
-            runner.cuts.append(Cut(size * self._rng.randrange(3), ReadEnd.closed))
+            runner.habits.cuts.append(Cut(size * self._rng.randrange(3), ReadEnd.closed))
 
 
 def _count(spec: RequestSpec, answer: CallerAnswer) -> Ends:
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/caller.py
@@ -21,6 +21,7 @@
     from sesamepoint_core.serving.address import Address
 
 CONNECT_TIMEOUT_S = 1.0
+EVENT_STREAM = b'text/event-stream'
 _LINE_END = re.compile(rb'\r\n|\r')
 
 
@@ -74,6 +75,8 @@
 class CallerAnswer(NamedTuple):
     """Answer as the caller received it; ``status`` is 0 if there was none.
 
+    The line ends of an event stream are LF in ``body``; ``raw`` has them as they came.
+
     ``first_byte_s`` is the time from the request to the first bytes of the body,
     ``max_gap_s`` the longest gap between its chunks, both in seconds. ``has_signature``
     tells whether the answer has a runner's signature.
@@ -89,11 +92,12 @@
     has_signature: bool = False
     # Its content length; None without one.
     length: int | None = None
+    raw: bytes = b''
 
     @property
     def half_event(self) -> bytes:
         """Return the bytes after the last whole event of a stream."""
-        return _LINE_END.sub(b'\n', self.body).rpartition(b'\n\n')[2]
+        return self.body.rpartition(b'\n\n')[2]
 
 
 class Caller:
@@ -144,6 +148,11 @@
         return self._conn
 
 
+def with_lf(stream: bytes) -> bytes:
+    """Return an event stream with LF line ends."""
+    return _LINE_END.sub(b'\n', stream)
+
+
 def seems_whole(framing: Framing, read_end: ReadEnd) -> bool:
     """Tell whether a client takes an answer that ended like this for whole.
 
@@ -179,9 +188,11 @@
         pauses = [after - before for before, after in zip(self._times, self._times[1:], strict=False)]
         retry_after = header(self._headers, wire_names.RETRY_AFTER)
         length = header(self._headers, b'content-length')
+        streamed = header(self._headers, b'content-type') == EVENT_STREAM
         return CallerAnswer(
             status=self._status,
-            body=self._body,
+            body=with_lf(self._body) if streamed else self._body,
+            raw=self._body,
             complete=self.complete,
             took_s=trio.current_time() - self._started,
             first_byte_s=self._times[0] - self._started if self._times else 0,
@@ -192,4 +203,4 @@
         )
 
 
-__all__ = ('Caller', 'CallerAnswer', 'RequestSpec', 'seems_whole')
+__all__ = ('Caller', 'CallerAnswer', 'RequestSpec', 'seems_whole', 'with_lf')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/faulty_proxy.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/faulty_proxy.py
@@ -83,6 +83,9 @@
                 await sink.send_all(chunk)
         except CONNECTION_ERRORS:
             reset(sink)
+        if dropping:
+            # An orderly end after lost bytes would be one that TCP never delivers.
+            reset(sink)
         scope.cancel()
 
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/framed_answer.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/framed_answer.py
@@ -44,15 +44,17 @@
         self._cut = cut
         self._sent = 0
 
-    async def send(self, method: bytes, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer to a request with this method, unless it is to be broken off."""
+    async def send(self, method: bytes, status: int, headers: Headers, body: bytes) -> bool:
+        """Send an answer to a request with this method; return False if it was broken off."""
         if has_no_body(method, status):
             length = ((b'content-length', str(len(body)).encode()),) if method == b'HEAD' else ()
-            return await self._conn.send_whole(status, (*headers, *length), b'')
+            await self._conn.send_whole(status, (*headers, *length), b'')
+            return True
         await self.begin(status, headers, len(body))
-        if await self.write(body):
+        whole = await self.write(body)
+        if whole:
             await self.end()
-        return None
+        return whole
 
     async def begin(self, status: int, headers: Headers, body_bytes: int) -> None:
         """Send the head of an answer whose whole body has ``body_bytes`` bytes."""
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_answers.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_answers.py
@@ -10,6 +10,8 @@
 from sesamepoint.platform import wire_names
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from sesamepoint.http1.server import ReceivedRequest
 
 VERSION_MARK = ' by '
@@ -26,6 +28,12 @@
     return f'id: {number}\ndata: {request_id} {number}{mark}\n\n'.encode()
 
 
+def stream_events(request_id: str, numbers: Iterable[int], version: str, line_end: bytes) -> list[bytes]:
+    """Return some events of the stream of an answer, with the given line ends."""
+    events = (stream_event(request_id, number, version) for number in numbers)
+    return [event.replace(b'\n', line_end) for event in events]
+
+
 def parse_prompt(message: ReceivedRequest) -> tuple[list[Part], int]:
     counts = header(message.head.headers, wire_names.TOKEN_COUNTS) or b'0,0'
     encoded = (header(message.head.headers, wire_names.PROMPT_PREFIX) or b'').decode()
@@ -39,4 +47,4 @@
     return [part for part, end in zip(parts, ends, strict=True) if end <= tokens]
 
 
-__all__ = ('VERSION_MARK', 'leading_parts', 'parse_prompt', 'plain_body', 'stream_event')
+__all__ = ('VERSION_MARK', 'leading_parts', 'parse_prompt', 'plain_body', 'stream_event', 'stream_events')
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/stream_caller.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/stream_caller.py
@@ -68,6 +68,11 @@
         last = self.answers[-1]
         return last.complete and last.status == STATUS_OK and numbers == list(range(1, len(numbers) + 1))
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether an attempt was answered as complete."""
+        return any(answer.complete and answer.status == STATUS_OK for answer in self.answers)
+
     @property
     def taken_up(self) -> bool:
         """Tell whether its caller tried to go on with events in hand."""
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -23,7 +23,7 @@
 from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import bearer_header, new_prompt_request, new_request, route
-from tests.front.random_faults import Outcome, find_request_violations
+from tests.front.random_faults import BREAK_OFF_SHARES, Outcome, find_request_violations
 from tests.front.soak_configuration import API_KEY, soak_configuration
 from tests.front.soak_limits import SoakLimits
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
@@ -87,6 +87,7 @@
         self._limits = SoakLimits(bench, Random(FRONTS))
         self.runner_status = SoakRunnerStatus(bench, Random(FRONTS))
         self._streams = SoakStreams(bench, Random(FRONTS), KEY_HEADERS)
+        self._ends_rng = Random(FRONTS)
         self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
@@ -114,6 +115,7 @@
             nursery.start_soon(self._limits.change_limits, duration_s)
             nursery.start_soon(self.runner_status.report_status, duration_s)
             nursery.start_soon(self._streams.run, duration_s)
+            nursery.start_soon(self._break_off_answers, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -168,6 +170,14 @@
                 await trio.sleep(self._rng.expovariate(REQUESTS_PER_S))
                 nursery.start_soon(self._ask, self._random_request(), self._rng.randrange(FRONTS))
 
+    async def _break_off_answers(self, duration_s: float) -> None:
+        """Have some runners break off some of their answers, and live on, for ``duration_s`` seconds."""
+        with trio.move_on_after(duration_s):
+            while True:
+                for runner in self._bench.runners:
+                    runner.habits.breaks_off = self._ends_rng.choice(BREAK_OFF_SHARES)
+                await trio.sleep(self._ends_rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
+
     async def _ask(self, req: RequestSpec, front: int) -> bool:
         self.runner_status.front_of_request[req.request_id] = front
         answer = await new_caller(self._bench.fronts[front]).send(req)
@@ -260,6 +270,7 @@
         self._limits.clear_limits()
         for runner in self._bench.runners:
             runner.faults = Faults()
+            runner.habits.breaks_off = 0
 
     async def _wait_until_served(self) -> None:
         """Wait until each front serves each kind of request."""
--- a/tests/front/test_random_faults.py
+++ b/tests/front/test_random_faults.py
@@ -8,10 +8,14 @@
 
 import trio
 
+from sesamepoint_core.body_end.body_facts import BodyFacts, Framing
+from sesamepoint_core.body_end.decision import BodyEnd, Complete, Unmarked, decide_end
+from sesamepoint_core.body_end.response_end import ResponseEnd
 from sesamepoint.front import dispatch, http_handler
 from sesamepoint.front.requests import attempt, reply
 from sesamepoint.front.runners import fleet_member
 from sesamepoint.front.requests.attempt_results import Rejected, Relayed
+from sesamepoint.http1 import response_writer
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.random_faults import run_seed
 
@@ -37,6 +41,18 @@
     return Rejected(503)
 
 
+def _believe_unmarked(facts: BodyFacts) -> BodyEnd:
+    return decide_end(facts._replace(left_over_bytes=0))
+
+
+def _believe(end: Unmarked, *, sender_ended: bool) -> Complete:
+    return Complete(end.facts)
+
+
+def _always_close(framing: Framing, *, complete: bool) -> ResponseEnd:
+    return ResponseEnd.close
+
+
 class RandomFaultsTest(TestCase):
     """No violation under random faults."""
 
@@ -70,6 +86,21 @@
         with patch.object(http_handler.HttpHandler, '_cancel_on_disconnect', _never_detect_disconnect), unchecked:
             self._assert_found('gone')
 
+    def test_half_event_believed(self) -> None:
+        """A stream that is closed inside an event is taken for whole."""
+        with patch.object(attempt, 'decide_end', _believe_unmarked):
+            self._assert_found('mixed')
+
+    def test_crash_between_events_believed(self) -> None:
+        """Each answer that ends with its connection is taken for whole."""
+        with patch.object(attempt, 'settle', _believe):
+            self._assert_found('mixed')
+
+    def test_connection_always_closed(self) -> None:
+        """A broken answer ends with a close, which some callers take for its end."""
+        with patch.object(response_writer, 'response_end', _always_close):
+            self._assert_found('mixed')
+
     def _assert_found(self, kind: str) -> None:
         for seed in FAULTY_VARIANT_SEEDS:
             if any(line.startswith(kind) for line in run_virtual(run_seed, seed, seed=seed)):
