--- a/tests/platform_boundary/scripted_network.py
+++ b/tests/platform_boundary/scripted_network.py
@@ -25,6 +25,8 @@
     body: bytes
     sent: int
     status: int = 200
+    # Header lines besides those of the framing.
+    headers: bytes = b''
 
     @property
     def wire(self) -> bytes:
@@ -36,7 +38,7 @@
         if self.framing is Framing.chunked:
             header = b'transfer-encoding: chunked\r\n'
             part = self._chunks(part)
-        return b'HTTP/1.1 %d -\r\n%b\r\n%b' % (self.status, header, part)
+        return b'HTTP/1.1 %d -\r\n%b%b\r\n%b' % (self.status, self.headers, header, part)
 
     def _chunks(self, part: bytes) -> bytes:
         chunk = b'%x\r\n%b\r\n' % (len(part), part) if part else b''
@@ -106,11 +108,14 @@
         return ScriptedTransport(self._response)
 
 
-def all_breaks(body: bytes) -> Iterator[ScriptedResponse]:
-    """Return a response with ``body`` for each framing and end, broken off before each of its bytes, and whole."""
+def all_breaks(body: bytes, step: int = 1) -> Iterator[ScriptedResponse]:
+    """Return a response with ``body`` for each framing and end, broken off before each byte, and whole.
+
+    ``step`` is the distance of the bytes.
+    """
     for framing in FRAMINGS:
         for read_end in ENDS:
-            for sent in range(len(body) + 1):
+            for sent in (*range(0, len(body), step), len(body)):
                 yield ScriptedResponse(framing, read_end, body, sent)
 
 
