--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -35,6 +35,7 @@
     is_other_incarnation,
     is_signed,
     matches_request,
+    may_be_event_stream,
     reports_not_run,
     response_headers,
 )
@@ -177,7 +178,7 @@
             return await self._read_failure(conn, head)
         if not is_signed(head):
             return Broken('the answer has no signature of a runner')
-        if self._streamed:
+        if self._streamed and may_be_event_stream(head):
             return await self._relay_events(conn, head)
         await self._note_first_output()
         return await self._relay_whole(conn, head)
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -19,6 +19,7 @@
 
 BAD_REQUEST = 400
 MISDIRECTED = 421
+EVENT_STREAM = b'text/event-stream'
 
 
 class AttemptHeaders(NamedTuple):
@@ -128,6 +129,12 @@
     return response.status == MISDIRECTED or header(response.headers, wire_names.NOT_EXECUTED) is not None
 
 
+def may_be_event_stream(response: ResponseHead) -> bool:
+    """Return whether the body may be a stream of events, as it is by default on a streamed route."""
+    content_type = header(response.headers, b'content-type')
+    return content_type is None or content_type.partition(b';')[0].strip().lower() == EVENT_STREAM
+
+
 def is_other_incarnation(response: ResponseHead, incarnation: str) -> bool:
     """Return whether another incarnation than the expected one has responded."""
     return responding_incarnation(response, incarnation) != incarnation
@@ -222,6 +229,7 @@
     'is_other_incarnation',
     'is_signed',
     'matches_request',
+    'may_be_event_stream',
     'reports_not_run',
     'responding_incarnation',
     'response_headers',
--- a/tests/front/test_plain_answers.py
+++ b/tests/front/test_plain_answers.py
@@ -27,6 +27,7 @@
 
 SIGNED = b'sesamepoint-request-id: r1\r\nsesamepoint-server-stamp: s\r\n'
 SHORT = b'answer to r1'
+DOCUMENT = b'{"a":1}'
 LONG = bytes(MAX_BUFFERED_BYTES + 65_536)
 STEP_BYTES = 32_749
 
@@ -91,6 +92,20 @@
             self.assertEqual(sent.ended, _seems_whole(response), response.sent)
             self.assertTrue(LONG.startswith(sent.body), response.sent)
 
+    @in_virtual_time
+    async def test_other_body_on_streamed_route(self) -> None:
+        """Guards against an answer that is no stream of events and counts as one that ends inside an event."""
+        for content_type, outcome in (
+            (b'application/json', Relayed),
+            (b'text/event-stream', Broken),
+            (b'Text/Event-Stream; charset=utf-8', Broken),
+        ):
+            headers = SIGNED + b'content-type: %b\r\n' % content_type
+            response = ScriptedResponse(Framing.length, ReadEnd.closed, DOCUMENT, len(DOCUMENT))
+            sent = await _relay(response, headers, streamed=True)
+            self.assertIsInstance(sent.outcome, outcome, content_type)
+            self.assertEqual(sent.ended, outcome is Relayed, content_type)
+
 
 def _seems_whole(response: ScriptedResponse) -> bool:
     """Tell whether nothing tells that a response was broken off."""
@@ -99,9 +114,11 @@
     return response.sent == len(response.body)
 
 
-async def _relay(response: ScriptedResponse) -> Sent:
-    member = Member(registered_engine(), ScriptedNetwork(response._replace(headers=SIGNED)), permissive_send_check())
+async def _relay(response: ScriptedResponse, headers: bytes = SIGNED, *, streamed: bool = False) -> Sent:
+    network = ScriptedNetwork(response._replace(headers=headers))
+    member = Member(registered_engine(), network, permissive_send_check())
     conn = RecordingConn()
     target = Target(member, AttemptHeaders(member.runner.key, 5, 0))
-    outcome = await Attempt(tag_request(), target, Reply(conn), streamed=False).run()  # type: ignore[arg-type]
+    reply = Reply(conn)  # type: ignore[arg-type]
+    outcome = await Attempt(tag_request(), target, reply, streamed=streamed).run()
     return Sent(outcome, conn.body, conn.begun, conn.ended)
