--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -172,6 +172,7 @@
         head = await conn.read_head(partial(matches_request, self._req))
         if reports_not_run(head):
             # That it was not run stands in the head, and holds whatever becomes of the body.
+            self._silence_scope.deadline = math.inf
             await conn.skip_body(REJECTION_BODY_LIMIT_S)
             return Rejected(head.status, is_other_incarnation(head, self._target.member.runner.key))
         if not is_success(head.status):
