--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -97,6 +97,8 @@
         self.fronts: list[BenchFront] = []
         self.crashed: list[str] = []
         self.nursery = nursery
+        # Module that is run as the program of each front.
+        self.program = 'sesamepoint.cli'
         self._folder = folder
         self._listener_scopes: dict[Address, trio.CancelScope] = {}
         self.usage = UsageStandIn()
@@ -117,7 +119,7 @@
         listen, ready_listen, settings = await self._new_settings(name, f'127.0.0.{len(self.fronts) + 2}')
         path = self._folder / f'{name}.conf'
         path.write_text(settings, encoding='utf-8')
-        front = BenchFront(await _start_process(path), listen, ready_listen, path)
+        front = BenchFront(await _start_process(self.program, path), listen, ready_listen, path)
         self.fronts.append(front)
         await self.wait_until_ready(front)
         return front
@@ -126,7 +128,7 @@
         """Restart the front at index ``index`` with its old settings."""
         front = self.fronts[index]
         log_from = len(front.log_path.read_text(encoding='utf-8'))
-        front = front._replace(process=await _start_process(front.settings), log_offset=log_from)
+        front = front._replace(process=await _start_process(self.program, front.settings), log_offset=log_from)
         self.fronts[index] = front
         return front
 
@@ -246,8 +248,8 @@
     return settings.with_suffix('.log')
 
 
-async def _start_process(settings: Path) -> trio.Process:
-    command = [sys.executable, '-m', 'sesamepoint.cli', 'front', '--settings', str(settings)]
+async def _start_process(program: str, settings: Path) -> trio.Process:
+    command = [sys.executable, '-m', program, 'front', '--settings', str(settings)]
     return await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
 
 
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -23,7 +23,7 @@
 from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import bearer_header, new_prompt_request, new_request, route
-from tests.front.random_faults import BREAK_OFF_SHARES, Outcome, find_request_violations
+from tests.front.random_faults import Outcome, find_request_violations
 from tests.front.soak_configuration import API_KEY, soak_configuration
 from tests.front.soak_limits import SoakLimits
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
@@ -55,6 +55,8 @@
 CATCH_UP_S = 1.0
 # Share of the chosen rollback steps that roll the store back.
 ROLLBACK_SHARE = 0.1
+# Shares of its answers that a runner breaks off.
+BREAK_OFF_SHARES = (0, 0.5)
 
 
 class SoakBench(ProcessBench):
@@ -296,11 +298,12 @@
         return
 
 
-async def run_seed(seed: int, duration_s: float = DURATION_S) -> list[str]:
-    """Run one seed and return the violations."""
+async def run_seed(seed: int, duration_s: float = DURATION_S, program: str = '') -> list[str]:
+    """Run one seed and return the violations; ``program`` is the module of the fronts, if it is not the usual one."""
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             bench = SoakBench(nursery, Path(folder))
+            bench.program = program or bench.program
             try:
                 return await _run_on(bench, Random(seed), duration_s)
             finally:
--- a/tests/front/test_soak.py
+++ b/tests/front/test_soak.py
@@ -16,6 +16,9 @@
 # Add each seed that fails, with a line on the cause.
 SEEDS = (1, 2)
 DURATION_S = 4.0
+# The first one that shows the fault ends the test.
+FAULTY_SEEDS = range(1, 11)
+FAULTY_PROGRAM = 'tests.front.faulty_front'
 
 
 class SoakTest(TestCase):
@@ -26,6 +29,11 @@
             with self.subTest(seed=seed):
                 self.assertEqual(trio.run(run_seed, seed, DURATION_S), [])
 
+    def test_half_event_believed(self) -> None:
+        """Guards against faults that break nothing: processes that ignore half an event at the end of a stream."""
+        found = (trio.run(run_seed, seed, DURATION_S, FAULTY_PROGRAM) for seed in FAULTY_SEEDS)
+        self.assertTrue(any(line.startswith(('mixed', 'short')) for violations in found for line in violations))
+
     def test_reload_during_start(self) -> None:
         """A front gets the signal to reload its settings just as it is restarted.
 
