--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import trio
+
 from sesamepoint import events
 from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
@@ -17,6 +19,9 @@
 
 # Condition that blocks a send to a runner that has restarted since its registration.
 RESTARTED_CONDITION = 'restarted'
+# Longest time in seconds for which the end of an answer waits for a runner's start: reports come within
+# milliseconds, and do not wait for a slot.
+START_CHECK_S = 0.1
 _REPORT_PURPOSE = SendPurpose(SendKind.report)
 
 
@@ -81,12 +86,18 @@
     """
     if await member.has_ended(since):
         return True
-    if not checks_start or member.draining or member.unregistered_at is not None:
+    if not checks_start or not member.incarnation.born_ms or member.draining or member.unregistered_at is not None:
         return False
+    with trio.move_on_after(START_CHECK_S):
+        return await _is_other_start(member)
+    return False
+
+
+async def _is_other_start(member: Member) -> bool:
+    """Tell whether the runner reports another start; False if nothing is known of it."""
     try:
         conn = await member.connection(_REPORT_PURPOSE)
     except ConnectFailedError:
-        # Nothing is known of it.
         return False
     try:
         return await check_incarnation(member, conn, None) is FarEnd.other
--- a/tests/platform_boundary/test_broken_documents.py
+++ b/tests/platform_boundary/test_broken_documents.py
@@ -15,14 +15,17 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
+from sesamepoint.front.store import peer_configuration
 from sesamepoint.http1.client import ClientConn
-from sesamepoint.http1.messages import ConnBrokenError
+from sesamepoint.http1.messages import ConnBrokenError, RequestHead
+from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.engine_cache_calls import list_cached_blocks
 from sesamepoint.platform.health_call import call_health_page
 from sesamepoint.platform.runner_report import read_start_ms
 from sesamepoint.platform.store import HistoryGoneError, StoreClient
 from sesamepoint.platform.store_epoch import StoreEpoch
 from sesamepoint.platform.usage_reports import report_usage
+from tests.front.builders import encoded_configuration
 from tests.platform_boundary.scripted_network import (
     ENDS,
     FRAMINGS,
@@ -37,6 +40,7 @@
 REPORT = msgspec.json.encode({'stage': 'decode', 'running': 3, 'born': 1_700_000_000_000})
 CACHED_BLOCKS = msgspec.json.encode({'held': [['', 'a1', 90, 'm'], ['', 'b2', 40, 'm']], 'born': 7})
 NEWEST = msgspec.json.encode({'items': [{'key': 'k', 'value': 'dGV4dA==', 'offset': 4}], 'has_more': False, 'end': 5})
+CONFIGURATION = msgspec.msgpack.encode(decode_configuration(encoded_configuration()))
 GONE = 410
 PRECONDITION_FAILED = 412
 
@@ -57,6 +61,11 @@
         """Guards against a cut list of what an engine has in its cache."""
         await self._check(CACHED_BLOCKS, _blocks_reader)
 
+    @in_virtual_time
+    async def test_configuration_of_peer(self) -> None:
+        """Guards against a cut configuration of another instance that comes into force."""
+        await self._check(CONFIGURATION, _configuration_reader)
+
     @in_virtual_time
     async def test_newest_records(self) -> None:
         """Guards against a cut page of the store's newest records."""
@@ -141,6 +150,11 @@
     return await list_cached_blocks(_conn(response), ADDRESS)
 
 
+async def _configuration_reader(response: ScriptedResponse) -> object:
+    reply, body = await _conn(response).exchange(RequestHead(b'GET', b'/configuration', ((b'host', b'x'),)))
+    return peer_configuration._decode(reply, body)
+
+
 async def _newest_reader(response: ScriptedResponse) -> object:
     return await _store(response).read_newest('keyed.x')
 
