--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -62,8 +62,6 @@
     # What marks the end of its answers, and the line ends of its streams; drawn for each answer if None.
     framing: Framing | None = None
     line_end: bytes | None = None
-    # Content type of its streams.
-    stream_type: bytes = b'text/event-stream'
     # Whether it ends a connection after its report.
     closes_after_report: bool = False
     # Runners from which this one can fetch prefix blocks, by address.
@@ -221,7 +219,6 @@
         finally:
             self.running -= 1
             run.ended_at = trio.current_time()
-        return None
 
     async def _work(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         if self.faults.hangs:
@@ -308,7 +305,7 @@
         mark = self.version if self.marks_events else ''
         stream = stream_events(run.request_id, range(after + 1, output + 1), mark, self.habits.next_line_end())
         answer = self.habits.next_stream(conn, transport, stream, resumed=after > 0)
-        headers = (*self._signed(run.message, transport), (b'content-type', self.stream_type))
+        headers = (*self._signed(run.message, transport), (b'content-type', b'text/event-stream'))
         await answer.begin(STATUS_OK, headers, sum(len(event) for event in stream))
         for number, event in enumerate(stream, after + 1):
             if after == 0 and number == self.faults.breaks_at_event:
