--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
@@ -26,5 +26,10 @@
     tokens: int
     max_output: int
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """Return the blocks that other prompts may share."""
+        return self.parts[:-1]
+
 
 __all__ = ('Part', 'Prompt')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -20,6 +20,7 @@
     from sesamepoint_core.body_end.decision import BrokenOff, Complete
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
+    from sesamepoint_core.serving.prompt import Part
     from sesamepoint_core.serving.routes import Configuration, Route
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.front.quarantine.probes import Probe
@@ -230,6 +231,11 @@
         """Return an id that is the same for each attempt of the caller, at any instance."""
         return content_id(self.req)
 
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """Return the parts of the prompt that other requests may share; none without a prompt."""
+        return () if self.req.prompt is None else self.req.prompt.shared_parts
+
     @property
     def priority(self) -> int:
         """Return the priority of the account if it has one, else that of the route; 0 is the most urgent."""
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -19,6 +19,8 @@
     from sesamepoint.front.requests.job import Job
     from sesamepoint.http1.messages import ResponseHead
 
+# Keys of prompt parts in one log line; prompts have two or three parts that others share.
+MAX_LOGGED_PARTS = 8
 # Statuses by which a caller may conclude that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _CAUSE_BY_OUTCOME: Mapping[type, FailureCause] = MappingProxyType(
@@ -70,6 +72,7 @@
         caller=job.req.caller,
         account=job.access.account.name if job.access.account else '',
         content=job.content_id,
+        parts=logged_parts(job),
         route=job.route.name,
         config_version=cfg.version,
         status=job.reply.status,
@@ -101,6 +104,11 @@
     )
 
 
+def logged_parts(job: Job) -> list[str]:
+    """Return the keys of the first parts that other requests may share, for the log."""
+    return [part.key for part in job.shared_parts[:MAX_LOGGED_PARTS]]
+
+
 def body_fields(job: Job) -> dict[str, object]:
     """Return the log fields on the body of the latest answer; none if no body was read."""
     end = job.trace.body_end
@@ -128,4 +136,4 @@
     return FailureCause.rejected_by_runners if job.sends else FailureCause.no_runner
 
 
-__all__ = ('body_fields', 'failure_cause_of', 'log_request_end', 'may_relay_failure', 'refusal_reason')
+__all__ = ('body_fields', 'failure_cause_of', 'log_request_end', 'logged_parts', 'may_relay_failure', 'refusal_reason')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -12,7 +12,7 @@
 from sesamepoint import events
 from sesamepoint.front.requests.attempt import Attempt, Target
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.request_end import body_fields
+from sesamepoint.front.requests.request_end import body_fields, logged_parts
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.requests.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
@@ -168,6 +168,7 @@
         'request': job.req.request_id,
         'runner': member.runner.key,
         'content': job.content_id,
+        'parts': logged_parts(job),
         'under_way_ms': whole_ms(trio.current_time() - started),
         'beside': member.in_flight,
     }
