--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/framed_answer.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/framed_answer.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.framing import has_no_body
+from sesamepoint.http1.response_writer import CallerGoneError
 
 if TYPE_CHECKING:
     from sesamepoint.http1.messages import Headers
@@ -59,7 +60,7 @@
     async def begin(self, status: int, headers: Headers, body_bytes: int) -> None:
         """Send the head of an answer whose whole body has ``body_bytes`` bytes."""
         if self._framing is Framing.until_close:
-            return await self._transport.send_all(_head_bytes(status, headers))
+            return await self._send_raw(_head_bytes(status, headers))
         if self._framing is Framing.length:
             framed_as_whole = self._cut is not None and self._cut.read_end is ReadEnd.last_byte
             size = min(self._cut.at_byte, body_bytes) if self._cut and framed_as_whole else body_bytes
@@ -86,10 +87,16 @@
 
     async def _send(self, part: bytes) -> None:
         if self._framing is Framing.until_close:
-            await self._transport.send_all(part)
+            await self._send_raw(part)
         else:
             await self._conn.send_part(part)
 
+    async def _send_raw(self, payload: bytes) -> None:
+        try:
+            await self._transport.send_all(payload)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise CallerGoneError from exc
+
     async def _break_off(self) -> None:
         cut = self._cut
         if cut is None or cut.read_end is ReadEnd.last_byte:
