--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -23,7 +23,7 @@
 from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.messages import Headers
@@ -88,6 +88,9 @@
     internal_at: set[float] = field(default_factory=set)
     # A request whose body contains these bytes crashes the runner when it starts to run.
     crash_marker: bytes = b''
+    # A request whose prompt has one of these parts, other than as its last one, crashes the runner when it starts to
+    # write its answer. Its first event may come out before.
+    crash_parts: frozenset[str] = frozenset()
     # Called when such a request starts to run.
     on_crash: Callable[[RunnerStandIn], None] | None = None
     runs: list[Run] = field(default_factory=list)
@@ -238,6 +241,13 @@
             self.on_crash(self)
             await trio.sleep_forever()
 
+    def _crashes_on(self, parts: Sequence[Part]) -> bool:
+        """Start the crash of this runner if a prompt with these parts causes one; return whether it does."""
+        if self.on_crash is None or all(part.key not in self.crash_parts for part in parts[:-1]):
+            return False
+        self.on_crash(self)
+        return True
+
     async def _answer_plain(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         await self._crash_if_poison(run)
         await trio.sleep(self.work_s)
@@ -267,7 +277,11 @@
                 await self._prefill(parts)
             self.cache.touch(parts)
             await self._crash_if_poison(run)
-            await self._stream(conn, run, output, transport)
+            if self._crashes_on(parts):
+                output = min(output, self._rng.randint(0, 1))
+                await self._stream(conn, run, output, transport, crashing=True)
+            else:
+                await self._stream(conn, run, output, transport)
 
     async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part], transport: Transport) -> None:
         await self._fetch(run.message, parts)
@@ -300,7 +314,9 @@
             self._prefilled_s += prefill_s
         await trio.sleep(self.speed.overhead_s)
 
-    async def _stream(self, conn: ServerConn, run: Run, output: int, transport: Transport) -> None:
+    async def _stream(
+        self, conn: ServerConn, run: Run, output: int, transport: Transport, *, crashing: bool = False
+    ) -> None:
         after = int(header(run.message.head.headers, wire_names.LAST_EVENT_ID) or 0)
         mark = self.version if self.marks_events else ''
         stream = stream_events(run.request_id, range(after + 1, output + 1), mark, self.habits.next_line_end())
@@ -316,6 +332,8 @@
             await self._decode_event()
             if not await answer.write(event):
                 return None
+        if crashing:
+            await trio.sleep_forever()
         await answer.end()
         run.complete = True
         return None
