--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -33,6 +33,9 @@
 
 # Assumed cache size of an engine until the operator has published it, in tokens.
 UNKNOWN_KV_TOKENS = 200_000
+# All connections of a runner that ends are seen to break within this time, in seconds. A connection that it accepted
+# earlier doesn't show that it lives: each whole answer without a length is followed by such a check.
+BREAK_SPREAD_S = 0.02
 # Calls that are not requests of callers and don't count as requests in progress.
 MAINTENANCE_CALLS = frozenset((SendKind.inventory, SendKind.free_memory, SendKind.health_call, SendKind.report))
 
@@ -125,10 +128,11 @@
         """Return a connection to the pool."""
         self._pool.release(conn)
 
-    async def has_ended(self, since: float = 0) -> bool:
+    async def has_ended(self, since: float | None = None) -> bool:
         """Tell whether the runner has crashed, after a connection to it ended.
 
-        It counts as alive if it has accepted a connection after ``since``, on trio's clock.
+        It counts as alive if it has accepted a connection after ``since``, on trio's clock; by default
+        that is when the first of its connections may have broken.
 
         A runner that accepts new connections is alive: it lost an answer, or the
         network lost a connection, and no request is suspected of having ended it.
@@ -136,7 +140,7 @@
         """
         if self.draining or self.unregistered_at is not None:
             return False
-        return await self._crash_probe.refused(since)
+        return await self._crash_probe.refused(trio.current_time() - BREAK_SPREAD_S if since is None else since)
 
     def note_replaced(self, source: str) -> None:
         """Note that another incarnation has its address.
