--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -23,7 +23,7 @@
 from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from sesamepoint_core.serving.address import Address
     from sesamepoint.http1.messages import Headers
@@ -241,13 +241,6 @@
             self.on_crash(self)
             await trio.sleep_forever()
 
-    def _crashes_on(self, parts: Sequence[Part]) -> bool:
-        """Start the crash of this runner if a prompt with these parts causes one; return whether it does."""
-        if self.on_crash is None or all(part.key not in self.crash_parts for part in parts[:-1]):
-            return False
-        self.on_crash(self)
-        return True
-
     async def _answer_plain(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         await self._crash_if_poison(run)
         await trio.sleep(self.work_s)
@@ -277,11 +270,10 @@
                 await self._prefill(parts)
             self.cache.touch(parts)
             await self._crash_if_poison(run)
-            if self._crashes_on(parts):
-                output = min(output, self._rng.randint(0, 1))
-                await self._stream(conn, run, output, transport, crashing=True)
-            else:
-                await self._stream(conn, run, output, transport)
+            crashing = self.on_crash is not None and any(part.key in self.crash_parts for part in parts[:-1])
+            if crashing and self.on_crash is not None:
+                self.on_crash(self)
+            await self._stream(conn, run, output, transport, crashing=crashing)
 
     async def _answer_prefill(self, conn: ServerConn, run: Run, parts: list[Part], transport: Transport) -> None:
         await self._fetch(run.message, parts)
@@ -323,7 +315,10 @@
         answer = self.habits.next_stream(conn, transport, stream, resumed=after > 0)
         headers = (*self._signed(run.message, transport), (b'content-type', b'text/event-stream'))
         await answer.begin(STATUS_OK, headers, sum(len(event) for event in stream))
+        stops_after = after + self._rng.randint(0, 1) if crashing else output
         for number, event in enumerate(stream, after + 1):
+            if number > stops_after:
+                await trio.sleep_forever()
             if after == 0 and number == self.faults.breaks_at_event:
                 await answer.write(b'id: 99\nda')
                 # The events before it arrive.
@@ -332,8 +327,6 @@
             await self._decode_event()
             if not await answer.write(event):
                 return None
-        if crashing:
-            await trio.sleep_forever()
         await answer.end()
         run.complete = True
         return None
