--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
@@ -6,7 +6,7 @@
 
 from sesamepoint_core.crash_attribution.evidence import PartAnswer
 from sesamepoint_core.crash_attribution.part_quarantine import MAX_LISTED, PartQuarantine, PartVerdict
-from sesamepoint_core.crash_attribution.suspect_parts import SuspectParts
+from sesamepoint_core.crash_attribution.suspect_parts import NAMING_RULE, NamingRule, SuspectParts
 from sesamepoint_core.serving.poison_requests import PROBE_FROM_ENDS, SuspectRequests
 
 if TYPE_CHECKING:
@@ -19,10 +19,10 @@
 class CrashSuspects(SuspectRequests):
     """Suspect requests, of which a part of the prompt may be the cause."""
 
-    def __init__(self) -> None:
+    def __init__(self, rule: NamingRule = NAMING_RULE) -> None:
         """Start without suspects."""
         super().__init__()
-        self.parts = SuspectParts()
+        self.parts = SuspectParts(rule)
         self.part_quarantine = PartQuarantine()
 
     def needs_probe(self, content_id: str) -> bool:
@@ -49,20 +49,18 @@
         refused = self.quarantined_parts(parts)
         return all(self.part_quarantine.trial_due(part.key, keys, now) for part in refused)
 
-    def note_part_end(self, end: PartEnd, now: float) -> tuple[PartVerdict, ...]:
-        """Note the end of a runner under a part; return the parts that are quarantined for it."""
-        if not self.parts.note_end(end):
-            return ()
-        fresh = self.parts.named_with(end.key)
-        group = tuple(sorted(fresh))[:MAX_LISTED] if len(fresh) > 1 else ()
-        found = tuple(
-            PartVerdict(key, group=group, ends=self.parts.ends_of(key))
-            for key in sorted(fresh)
-            if key not in self.part_quarantine
-        )
-        for verdict in found:
-            self.quarantine_part(verdict, now)
-        return found
+    def note_part_ends(self, ends: Sequence[PartEnd], now: float) -> tuple[PartVerdict, ...]:
+        """Note ends of runners under parts; return the verdicts on the parts that are quarantined for them.
+
+        The parts of one request must come together: parts that can't be told apart are named by the same end.
+        """
+        for end in ends:
+            self.parts.note_end(end)
+        verdicts: list[PartVerdict] = []
+        for key in dict.fromkeys(each.key for each in ends):
+            if key not in self.part_quarantine and self.parts.is_harmful(key):
+                verdicts.extend(self._name(key, now))
+        return tuple(verdicts)
 
     def quarantine_part(self, verdict: PartVerdict, now: float) -> tuple[str, ...]:
         """Put a part in quarantine; its ends count against nothing else. Return the parts released to make room."""
@@ -85,6 +83,14 @@
             (end.tokens, end.scope) == (answer.tokens, answer.scope) for end in verdict.ends
         )
 
+    def _name(self, key: str, now: float) -> tuple[PartVerdict, ...]:
+        named = sorted(self.parts.named_with(key))[:MAX_LISTED]
+        group = tuple(named) if len(named) > 1 else ()
+        verdicts = tuple(PartVerdict(each, group=group, ends=self.parts.ends_of(each)) for each in named)
+        for verdict in verdicts:
+            self.quarantine_part(verdict, now)
+        return verdicts
+
     def _stays_refused(self, part: Part) -> bool:
         verdict = self.part_quarantine.verdict_on(part.key)
         scopes = {end.scope for end in verdict.ends} if verdict else set()
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
@@ -87,13 +87,13 @@
         """Return the parts that no answer in ``scope`` has cleared."""
         return tuple(part for part in parts if PartAnswer.from_part(part, scope) not in self._cleared)
 
-    def note_end(self, end: PartEnd) -> bool:
-        """Note the end of a runner under a part; return whether the part is harmful by now.
+    def note_end(self, end: PartEnd) -> None:
+        """Note the end of a runner under a part.
 
         Reports come late, doubled and in any order: an incarnation counts once, alone if any report says so.
         """
         if end.incarnation in self._attributed or PartAnswer(end.key, end.tokens, end.scope) in self._cleared:
-            return False
+            return
         ends = self._ends.pop(end.key, {})
         known = ends.get(end.incarnation)
         if known is None or end.alone:
@@ -101,7 +101,11 @@
         drop_oldest(ends, MAX_ENDS)
         self._ends[end.key] = ends
         drop_oldest(self._ends, MAX_SUSPECT)
-        return self._is_harmful(ends)
+
+    def is_harmful(self, key: str) -> bool:
+        """Return whether the ends under a part are enough for a verdict."""
+        ends = self._ends.get(key, {})
+        return len(ends) >= self._rule.ends and len(_alone(ends)) >= self._rule.alone
 
     def is_suspect(self, part: Part) -> bool:
         """Return whether requests with ``part`` may only be sent alone."""
@@ -122,9 +126,7 @@
     def named_with(self, key: str) -> frozenset[str]:
         """Return the harmful parts that ended the same runners alone, and so can't be told apart from ``key``."""
         alone = _alone(self._ends.get(key, {}))
-        return frozenset(
-            other for other, ends in self._ends.items() if self._is_harmful(ends) and _alone(ends) == alone
-        )
+        return frozenset(other for other, ends in self._ends.items() if _alone(ends) == alone)
 
     def attribute(self, incarnations: Iterable[Incarnation], keys: frozenset[str]) -> None:
         """Let ends count against the parts ``keys`` only, which are known to have caused them."""
@@ -143,9 +145,6 @@
         """Return the parts with ends, the last updated ones last."""
         return tuple(self._ends)
 
-    def _is_harmful(self, ends: dict[Incarnation, PartEnd]) -> bool:
-        return len(ends) >= self._rule.ends and len(_alone(ends)) >= self._rule.alone
-
 
 def _alone(ends: dict[Incarnation, PartEnd]) -> frozenset[Incarnation]:
     return frozenset(end.incarnation for end in ends.values() if end.alone)
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
@@ -59,12 +59,14 @@
 
     def note_end(self, send: SuspectSend) -> None:
         """Count the end of a runner against the parts of a send that no answer has cleared."""
-        for part in self._suspects.parts.candidates(send.parts, send.scope):
-            end = PartEnd(part.key, part.tokens, send.incarnation, send.scope, send.alone)
+        parts = self._suspects.parts.candidates(send.parts, send.scope)
+        ends = tuple(PartEnd(part.key, part.tokens, send.incarnation, send.scope, send.alone) for part in parts)
+        for part in parts:
             self._announced[PartAnswer.from_part(part, send.scope)] = None
             drop_oldest(self._announced, MAX_ANNOUNCED)
-            self._send_queue.enqueue(SuspectUpdate(self._instance, part_ends=(end,)))
-            self._note(end)
+        if ends:
+            self._send_queue.enqueue(SuspectUpdate(self._instance, part_ends=ends))
+            self._note(ends)
 
     def note_answered(self, job: Job, scope: str) -> bool:
         """Note that a request was answered whole: none of its parts ends runners; return whether any was suspect."""
@@ -81,15 +83,10 @@
 
     def on_update(self, update: SuspectUpdate) -> None:
         """Handle what a peer found out; tell it which of its suspects this instance saw answered."""
-        known = []
-        for end in update.part_ends:
-            answer = PartAnswer(end.key, end.tokens, end.scope)
-            if self._suspects.parts.is_cleared(answer):
-                known.append(answer)
-            else:
-                self._note(end)
+        known = tuple(filter(self._suspects.parts.is_cleared, map(_answer_to, update.part_ends)))
         if known:
-            self._send_queue.enqueue(SuspectUpdate(self._instance, parts_answered=tuple(known)), update.entry)
+            self._send_queue.enqueue(SuspectUpdate(self._instance, parts_answered=known), update.entry)
+        self._note(update.part_ends)
         for answer in update.parts_answered:
             self._on_answered(answer)
         for verdict in update.harmful_parts:
@@ -157,8 +154,16 @@
             self._enqueue_record(part_name(key), b'')
             events.log_event(events.PART_RELEASED, part=key, cause=cause)
 
-    def _note(self, end: PartEnd) -> None:
-        verdicts = self._suspects.note_part_end(end, trio.current_time())
+    def _note(self, ends: Sequence[PartEnd]) -> None:
+        verdicts = self._suspects.note_part_ends(ends, trio.current_time())
+        for end in ends:
+            if not self._suspects.parts.is_cleared(_answer_to(end)):
+                self._log_suspect(end)
+        for verdict in verdicts:
+            self._announce(verdict)
+            self._log_verdict(verdict)
+
+    def _log_suspect(self, end: PartEnd) -> None:
         events.log_event(
             events.PART_SUSPECT,
             part=end.key,
@@ -167,9 +172,6 @@
             alone=end.alone,
             runners_ended=len(self._suspects.parts.ends_of(end.key)),
         )
-        for verdict in verdicts:
-            self._announce(verdict)
-            self._log_verdict(verdict)
 
     def _apply(self, verdict: PartVerdict) -> bool:
         """Apply the verdict of a peer or of the store; return whether it was new."""
@@ -206,6 +208,11 @@
             events.log_event(events.PART_RELEASED, part=key, cause='newer parts took its place')
 
 
+def _answer_to(end: PartEnd) -> PartAnswer:
+    """Return the answer that would refute an end."""
+    return PartAnswer(end.key, end.tokens, end.scope)
+
+
 def _draw(key: str, instance: str) -> int:
     return crc32(f'{key} {instance}'.encode())
 
--- /dev/null
+++ b/tests/core/crash_attribution/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the attribution of ended runners to parts of prompts."""
