--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
@@ -66,7 +66,7 @@
         """Put a part in quarantine; its ends count against nothing else. Return the parts released to make room."""
         surplus = self.part_quarantine.add(verdict, now)
         incarnations = tuple(end.incarnation for end in verdict.ends)
-        self.parts.attribute(incarnations, frozenset((verdict.key, *verdict.group)))
+        self.parts.attribute(incarnations, frozenset((verdict.key, *verdict.group, *verdict.spared)))
         self.parts.forget(verdict.key)
         self.attribute_ends(incarnations)
         return surplus
@@ -84,9 +84,13 @@
         )
 
     def _name(self, key: str, now: float) -> tuple[PartVerdict, ...]:
-        named = sorted(self.parts.named_with(key))[:MAX_LISTED]
-        group = tuple(named) if len(named) > 1 else ()
-        verdicts = tuple(PartVerdict(each, group=group, ends=self.parts.ends_of(each)) for each in named)
+        parts = self.parts
+        rivals = sorted(parts.same_probes(key))[:MAX_LISTED]
+        most = max(len(parts.ends_of(each)) for each in rivals)
+        named = tuple(each for each in rivals if len(parts.ends_of(each)) == most)
+        group = named if len(named) > 1 else ()
+        spared = tuple(each for each in rivals if each not in named)
+        verdicts = tuple(PartVerdict(each, group=group, spared=spared, ends=parts.ends_of(each)) for each in named)
         for verdict in verdicts:
             self.quarantine_part(verdict, now)
         return verdicts
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/part_quarantine.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/part_quarantine.py
@@ -13,32 +13,40 @@
     from collections.abc import Iterable
 
 # Seconds after which a quarantined part is tried again: the first time soon, since a wrong verdict refuses all
-# requests of a caller, the second time after the hours in which runners get fixed. The users accept three more sends
-# for ever; the third is left for an instance that was out of touch.
+# requests of a caller, the second time after the hours in which runners get fixed.
 TRIAL_DELAYS_S = (10.0, QUARANTINE_S)
-MAX_TRIALS = len(TRIAL_DELAYS_S)
+# One more trial follows one that showed nothing, as when its caller left. The users accept three more sends for ever.
+MAX_REPEATED = 1
+MAX_TRIALS = len(TRIAL_DELAYS_S) + MAX_REPEATED
 # Most parts in quarantine; the oldest are released first.
 MAX_QUARANTINED = 1024
 # Most ends, and most parts of one verdict, that are accepted from another process.
 MAX_LISTED = 8
 
 
+BoundedKeys = Annotated[tuple[BoundedName, ...], msgspec.Meta(max_length=MAX_LISTED)]
+
+
 class PartVerdict(NamedTuple):
     """A harmful part, as it is told to peers and stored.
 
     Parameters
     ----------
-    trials
-        Trials that were used.
+    trials, repeated
+        Trials that were used, and those of them that showed nothing and so don't count.
     group
         Parts that were named with it, because they can't be told apart.
+    spared
+        Parts that ended the same runners alone, but fewer in all. They stay suspect.
     ends
         Ends that it caused.
     """
 
     key: BoundedName
     trials: Annotated[int, msgspec.Meta(ge=0, le=MAX_TRIALS)] = 0
-    group: Annotated[tuple[BoundedName, ...], msgspec.Meta(max_length=MAX_LISTED)] = ()
+    repeated: Annotated[int, msgspec.Meta(ge=0, le=MAX_REPEATED)] = 0
+    group: BoundedKeys = ()
+    spared: BoundedKeys = ()
     ends: Annotated[tuple[PartEnd, ...], msgspec.Meta(max_length=MAX_LISTED)] = ()
 
 
@@ -63,10 +71,7 @@
         entry = self._entries.get(verdict.key)
         if entry is not None:
             # Reports cross each other: a trial that was used stays used.
-            known = entry.verdict
-            self._entries[verdict.key] = entry._replace(
-                verdict=known._replace(trials=max(known.trials, verdict.trials))
-            )
+            self._entries[verdict.key] = entry._replace(verdict=_merged(entry.verdict, verdict))
             return ()
         self._entries[verdict.key] = _Entry(now, verdict)
         surplus = tuple(self._entries)[: max(len(self._entries) - MAX_QUARANTINED, 0)]
@@ -98,16 +103,23 @@
             may be tried at once.
         """
         entry = self._entries.get(key)
-        if entry is None or entry.verdict.trials >= MAX_TRIALS:
+        if entry is None:
+            return False
+        used = max(entry.verdict.trials - entry.verdict.repeated, 0)
+        if used >= len(TRIAL_DELAYS_S):
             return False
-        if now - entry.since >= TRIAL_DELAYS_S[entry.verdict.trials]:
+        if now - entry.since >= TRIAL_DELAYS_S[used]:
             return True
         group = frozenset(entry.verdict.group) - {key}
-        return bool(group) and not entry.verdict.trials and group.isdisjoint(others)
+        return bool(group) and not used and group.isdisjoint(others)
 
     def all_verdicts(self) -> tuple[PartVerdict, ...]:
         """Return all verdicts, the newest last."""
         return tuple(entry.verdict for entry in self._entries.values())
 
 
-__all__ = ('MAX_LISTED', 'MAX_TRIALS', 'TRIAL_DELAYS_S', 'PartQuarantine', 'PartVerdict')
+def _merged(known: PartVerdict, verdict: PartVerdict) -> PartVerdict:
+    return known._replace(trials=max(known.trials, verdict.trials), repeated=max(known.repeated, verdict.repeated))
+
+
+__all__ = ('MAX_LISTED', 'MAX_REPEATED', 'MAX_TRIALS', 'TRIAL_DELAYS_S', 'PartQuarantine', 'PartVerdict')
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
@@ -123,7 +123,7 @@
         """Return the ends under a part."""
         return tuple(self._ends.get(key, {}).values())
 
-    def named_with(self, key: str) -> frozenset[str]:
+    def same_probes(self, key: str) -> frozenset[str]:
         """Return the harmful parts that ended the same runners alone, and so can't be told apart from ``key``."""
         alone = _alone(self._ends.get(key, {}))
         return frozenset(other for other, ends in self._ends.items() if _alone(ends) == alone)
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
@@ -12,7 +12,7 @@
 
 from sesamepoint_core.bounded_dict import drop_oldest
 from sesamepoint_core.crash_attribution.evidence import PartAnswer, PartEnd
-from sesamepoint_core.crash_attribution.part_quarantine import PartVerdict
+from sesamepoint_core.crash_attribution.part_quarantine import MAX_REPEATED, PartVerdict
 from sesamepoint import events
 from sesamepoint.front.peering.peer_messages import MAX_ROWS, SuspectUpdate
 from sesamepoint.front.quarantine.active_sends import ActiveSends
@@ -130,6 +130,15 @@
                 self._announce(spent)
                 events.log_event(events.PART_TRIAL_STARTED, part=part.key, trials=spent.trials)
 
+    def repeat_trial(self, parts: Iterable[Part]) -> None:
+        """Let a trial that showed nothing be followed by another one."""
+        for part in parts:
+            verdict = self._suspects.part_quarantine.verdict_on(part.key)
+            if verdict is not None and verdict.repeated < MAX_REPEATED:
+                repeated = verdict._replace(repeated=verdict.repeated + 1)
+                self._suspects.quarantine_part(repeated, trio.current_time())
+                self._announce(repeated)
+
     def apply_record(self, record: KeyedRecord) -> bool:
         """Apply the newest record of a part; return whether its quarantine changed."""
         key = record.key.removeprefix(PART_PREFIX)
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -113,6 +113,8 @@
         last_runner = job.trace.last_runner
         if last_runner and (outcome is None or isinstance(outcome, Silent)):
             self._abandoned.add(_send_of(job, last_runner))
+        if job.is_trial and not job.ended_runners and not isinstance(outcome, Relayed):
+            self.part_suspects.repeat_trial(job.shared_parts)
         self._admission.end_probe(job)
         job.ended_runners.clear()
 
--- a/tests/core/crash_attribution/test_crash_suspects.py
+++ b/tests/core/crash_attribution/test_crash_suspects.py
@@ -7,7 +7,13 @@
 
 from sesamepoint_core.crash_attribution.crash_suspects import CrashSuspects
 from sesamepoint_core.crash_attribution.evidence import PartAnswer
-from sesamepoint_core.crash_attribution.part_quarantine import MAX_QUARANTINED, MAX_TRIALS, TRIAL_DELAYS_S, PartVerdict
+from sesamepoint_core.crash_attribution.part_quarantine import (
+    MAX_QUARANTINED,
+    MAX_REPEATED,
+    MAX_TRIALS,
+    TRIAL_DELAYS_S,
+    PartVerdict,
+)
 from sesamepoint_core.crash_attribution.suspect_parts import MAX_CLEARED, MAX_ENDS, MAX_SUSPECT
 from sesamepoint_core.serving.poison_requests import Incarnation
 from tests.core.crash_attribution.builders import SCOPE, end, harmful_ends, note_all, part
@@ -125,6 +131,18 @@
         for pair in zip(harmful_ends('p'), harmful_ends('q'), strict=True):
             self.suspects.note_part_ends(pair, 0)
 
+    def test_part_with_fewer_ends_spared(self) -> None:
+        """Guards against a verdict on a part that nobody has answered yet, for a request in which the harmful one is.
+
+        It stays suspect: its next request is sent alone.
+        """
+        suspects = CrashSuspects()
+        note_all(suspects, [end('p', 'i1')])
+        for runner in ('i2', 'i3'):
+            suspects.note_part_ends([end('p', runner, alone=True), end('q', runner, alone=True)], 0)
+        self.assertEqual(suspects.quarantined_parts((part('p'), part('q'))), (part('p'),))
+        self.assertEqual(suspects.suspect_parts((part('q'),)), (part('q'),))
+
     def test_both_refused(self) -> None:
         self.assertEqual(self.suspects.quarantined_parts((part('p'), part('q'))), (part('p'), part('q')))
 
@@ -148,8 +166,11 @@
         for now in range(0, 200_000, 5):
             if self.suspects.trial_due((part('p'),), now):
                 spent += 1
-                self.suspects.quarantine_part(self.verdict._replace(trials=spent), now)
+                # The first trials show nothing.
+                repeated = min(spent, MAX_REPEATED)
+                self.suspects.quarantine_part(self.verdict._replace(trials=spent, repeated=repeated), now)
         self.assertEqual(spent, MAX_TRIALS)
+        self.assertLessEqual(spent, 3)
 
     def test_first_trial_soon(self) -> None:
         due = [self.suspects.trial_due((part('p'),), now) for now in (TRIAL_DELAYS_S[0] - 1, TRIAL_DELAYS_S[0])]
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -189,7 +189,15 @@
 
     def _similar_runner(self, old: RunnerStandIn, address: Address) -> RunnerStandIn:
         self._serial += 1
-        return RunnerStandIn(f'i-{self._serial}', old.service, address, old.zone, stage=old.stage, speed=old.speed)
+        return RunnerStandIn(
+            f'i-{self._serial}',
+            old.service,
+            address,
+            old.zone,
+            stage=old.stage,
+            speed=old.speed,
+            crash_parts=old.crash_parts,
+        )
 
     def _store_down(self) -> None:
         self.bench.store.unavailable = True
