--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/active_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/active_sends.py
@@ -36,7 +36,7 @@
             finally:
                 self._scopes.pop(job)
 
-    def withdraw(self, key: str) -> None:
+    def withdraw(self, key: str, retry_after_s: float) -> None:
         """Close the connections of requests with a part to runners that have not begun to answer.
 
         A runner drops a request whose connection is closed; one that has begun to write ends in any case.
@@ -46,6 +46,7 @@
                 continue
             if any(part.key == key for part in job.shared_parts):
                 job.trace.unsent_cause = FailureCause.withdrawn
+                job.retry_after_s = retry_after_s
                 events.log_event(
                     events.SEND_WITHDRAWN,
                     request=job.req.request_id,
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
@@ -197,7 +197,8 @@
     def _log_verdict(self, verdict: PartVerdict) -> None:
         runners = [end.incarnation.runner for end in verdict.ends]
         events.log_event(events.PART_QUARANTINED, part=verdict.key, group=list(verdict.group), runners=runners)
-        self.active.withdraw(verdict.key)
+        left_s = self._suspects.part_quarantine.left_s(verdict.key, trio.current_time())
+        self.active.withdraw(verdict.key, left_s)
 
     def _on_answered(self, answer: PartAnswer) -> None:
         was_suspect = self._suspects.parts.clear(answer)
