--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -8,7 +8,7 @@
   sesamectl explain --entry ADDRESS [--json]
   sesamectl explain REQUEST-ID [--logs FILE]
   sesamectl explain (--caller IP | --account NAME) [--route ROUTE] [--at TIME] [--within SECONDS] [--logs FILE]
-  sesamectl explain --content ID [--logs FILE]
+  sesamectl explain (--content ID | --part KEY) [--logs FILE]
   sesamectl burn [--logs FILE] [--account NAME] [--objective PERCENT] [--window SECONDS] [--html FILE]
   sesamectl loss [--logs FILE] [--account NAME] [--late-share SHARE] [--window SECONDS] [--html FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -14,7 +14,7 @@
 from sesamepoint.single_error import single_error
 from sesamectl.commands.base import COMMANDS, Arguments
 from sesamectl.commands.number_options import number_option
-from sesamectl.content_search import find_sends
+from sesamectl.content_search import find_part, find_sends
 from sesamectl.ended_requests import read_ended_requests, second_of_day
 from sesamectl.log_lines import open_logs
 from sesamectl.request_explanation import explain_request
@@ -34,7 +34,7 @@
         return _explain_request(arguments)
     if arguments['--caller'] or arguments['--account']:
         return _search_requests(arguments)
-    if arguments['--content']:
+    if arguments['--content'] or arguments['--part']:
         return _search_content(arguments)
     caller = HttpClient('entry', f'http://{arguments["--entry"]}')
     with single_error():
@@ -66,7 +66,8 @@
 
 def _search_content(arguments: Arguments) -> str:
     with open_logs(arguments['--logs']) as logs:
-        return '\n'.join(find_sends(arguments['--content'], logs))
+        part = arguments['--part']
+        return '\n'.join(find_part(part, logs) if part else find_sends(arguments['--content'], logs))
 
 
 def _describe_decision(decision: Decision) -> Iterator[str]:
--- a/tests/ctl/test_content_search.py
+++ b/tests/ctl/test_content_search.py
@@ -8,7 +8,7 @@
 
 from sesamepoint import events
 from sesamectl.cli import main
-from sesamectl.content_search import find_sends
+from sesamectl.content_search import find_part, find_sends
 from tests.ctl.builders import end_line, log_line
 
 
@@ -58,3 +58,16 @@
             source = Path(folder, 'front.log')
             source.write_text('\n'.join(logs()), encoding='utf-8')
             self.assertEqual(main(['explain', '--content', 'c1', '--logs', str(source)]), 0)
+
+    def test_part(self) -> None:
+        """Guards against an operator who can't tell which requests a harmful part was in, and what became of them."""
+        lines = [
+            log_line(events.PART_QUARANTINED, 14, part='p1', group=[], runners=['i-7']),
+            log_line(events.ATTEMPT_ENDED, 12, request='first', runner='i-7', outcome='broken', parts=['f', 'p1']),
+            log_line(events.ATTEMPT_ENDED, 13, request='other', runner='i-8', outcome='broken', parts=['f']),
+            end_line('late', 15, content='c9', status=503, cause='ends_its_runners', parts=['p1', 'f']),
+        ]
+        *found, total = find_part('p1', lines)
+        self.assertEqual(len(found), 3)
+        self.assertIn('ends_its_runners', found[-1])
+        self.assertEqual(total, '2 attempts of callers; 1 runners broke off under it: i-7')
--- a/tests/front/test_invalid_records.py
+++ b/tests/front/test_invalid_records.py
@@ -10,7 +10,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sesamepoint_core.serving.poison_requests import Incarnation, SuspectRequests
+from sesamepoint_core.crash_attribution.crash_suspects import CrashSuspects
+from sesamepoint_core.crash_attribution.evidence import PartEnd
+from sesamepoint_core.crash_attribution.part_quarantine import PartVerdict
+from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint.front.engines.engine_sends import Send, SendUpdate
 from sesamepoint.front.front import Front
@@ -237,6 +240,43 @@
             front.peers.on_datagram(raw)
             self.assertEqual((suspects.all_suspect(), suspects.all_quarantined()), (('c1',), ('c2',)))
 
+    @in_virtual_time
+    async def test_invalid_part_updates(self) -> None:
+        """Guards against parts that become suspect or harmful by truncated messages, or by rows with invalid names."""
+        end = PartEnd('p1', 50, Incarnation('i-1'), 'llm/m/v1')
+        good = SuspectUpdate('front-2', part_ends=(end,), harmful_parts=(PartVerdict('p2', ends=(end,)),))
+        wrong_ends = (end._replace(key=''), end._replace(key='k' * 1000), end._replace(tokens=-1))
+        wrong_verdicts = (
+            PartVerdict('p2', trials=-1),
+            PartVerdict('p2', group=('a',) * 100),
+            PartVerdict('p2', ends=(end,) * 100),
+        )
+        datagrams = [
+            *(msgspec.msgpack.encode(msgspec.structs.replace(good, part_ends=(row,))) for row in wrong_ends),
+            *(msgspec.msgpack.encode(msgspec.structs.replace(good, harmful_parts=(row,))) for row in wrong_verdicts),
+        ]
+        raw = msgspec.msgpack.encode(good)
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            front = bench.fronts['front-1']
+            suspects = suspects_of(front)
+            await trio.sleep(2)
+            for datagram in (*datagrams, *(raw[:size] for size in range(len(raw)))):
+                front.peers.on_datagram(datagram)
+            self.assertEqual((suspects.parts.all_suspect(), suspects.part_quarantine.all_verdicts()), ((), ()))
+            front.peers.on_datagram(raw)
+            self.assertIn('p2', suspects.part_quarantine)
+
+    @in_virtual_time
+    async def test_invalid_part_records(self) -> None:
+        """Guards against a quarantine by a record that can't be read, or that is of another part than its key says."""
+        async with open_bench(configuration(), fleet()) as bench:
+            for number, text in enumerate((b'\xff', b'{}', b'[]', b'["p0", -1]', b'["another"]')):
+                bench.store.put_raw(QUARANTINE_TOPIC, f'part:p{number}', text)
+            bench.store.put_raw(QUARANTINE_TOPIC, 'part:known', b'["known"]')
+            await trio.sleep(20)
+            verdicts = suspects_of(bench.fronts['front-1']).part_quarantine.all_verdicts()
+            self.assertEqual([verdict.key for verdict in verdicts], ['known'])
+
     @in_virtual_time
     async def test_invalid_quarantine_records(self) -> None:
         """Guards against a quarantine by a record that lists no runner ends."""
@@ -248,8 +288,8 @@
             self.assertEqual(suspects_of(bench.fronts['front-1']).all_quarantined(), ('known',))
 
 
-def suspects_of(front: Front) -> SuspectRequests:
-    """Return the suspect and quarantined requests that a front knows."""
+def suspects_of(front: Front) -> CrashSuspects:
+    """Return the suspect and quarantined requests and parts that a front knows."""
     return front.peers._quarantine.suspects
 
 
