--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -146,6 +146,10 @@
 REQUEST_REFUSED_MEMORY = _event(3802, logging.INFO, 'request refused, too many bytes are held')
 PROCESS_SIZE_UNKNOWN = _event(3803, logging.WARNING, 'size of this process could not be measured')
 CONNECTION_LIMIT_REACHED = _event(3804, logging.WARNING, 'limit on connections reached')
+CONNECTION_SHED = _event(
+    3806, logging.INFO, 'new connection closed unread, they arrive in excess and this instance lags'
+)
+CONNECTION_NOT_ACCEPTED = _event(3807, logging.WARNING, 'waiting connections could not be accepted')
 REQUEST_REFUSED_LAG = _event(3805, logging.INFO, 'request refused, this instance lags and would serve it late')
 UPDATE_DROPPED = _event(3405, logging.WARNING, 'send queue to peers is full, a message is dropped')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -55,7 +55,7 @@
     async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
         connections = self._room.connections
-        if not connections.admit_caller():
+        if not connections.admit_caller() or self._room.lag.sheds_connection(self._dispatcher.configuration):
             # Closed before anything of a request was read, so that the caller knows that nothing ran.
             transport.close()
             return
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from sesamepoint_core.instance_room.connection_shedding import ConnectionShedding
 from sesamepoint_core.instance_room.lag import LagMeter
 from sesamepoint_core.instance_room.lag_admission import LagForecast, RunnerTimes, link_wait_s
 from sesamepoint_core.instance_room.lagging_peers import REPORT_INTERVAL_S, LaggingPeers, report_recipients
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint_core.serving.routes import Configuration
     from sesamepoint.front.instance_room.lag_messages import PeerExchange
     from sesamepoint.front.instance_room.room_network import RoomNetwork
     from sesamepoint.front.requests.job import Job
@@ -34,6 +36,9 @@
     def __init__(self, network: RoomNetwork, link_bytes_s: Callable[[], float]) -> None:
         """Judge the link by what ``network`` has queued and by the callable's bandwidth."""
         self.refused = 0
+        # New connections that were closed unread.
+        self.shed = 0
+        self._shedding = ConnectionShedding()
         self._network = network
         self._link_bytes_s = link_bytes_s
         self._meter = LagMeter()
@@ -51,9 +56,10 @@
     def refuses(self, job: Job) -> bool:
         """Return whether ``job`` is to be refused, and prepare its refusal.
 
-        A caller retries once, so a retry is served even if it is late.
+        A caller retries once, so a retry is served even if it is late. While new connections arrive in
+        excess, what can't be served is closed unread, and what was read is served.
         """
-        if job.caller_retry:
+        if job.caller_retry or self.in_excess():
             return False
         forecast = self._forecast(job)
         if not forecast.late_by_own_lag() or not self._others_have_room():
@@ -74,6 +80,30 @@
         )
         return True
 
+    def in_excess(self) -> bool:
+        """Return whether new connections arrive far more often than usual."""
+        return self._shedding.in_excess(trio.current_time())
+
+    def sheds_connection(self, cfg: Configuration | None) -> bool:
+        """Count a new connection, and return whether to close it unread."""
+        now = trio.current_time()
+        self._shedding.note_connection(now)
+        if cfg is None or not self._shedding.in_excess(now):
+            return False
+        targets_s = (route.target_s for routes in cfg.routes.values() for route in routes)
+        target_s = min(targets_s, default=math.inf)
+        if not self._shedding.sheds(self.loop_lag_s(), target_s, now) or not self._others_have_room():
+            return False
+        self.shed += 1
+        events.log_event(
+            events.CONNECTION_SHED,
+            loop_lag_ms=whole_ms(self.loop_lag_s()),
+            target_ms=whole_ms(target_s),
+            lagging_share=round(self.lagging_share(), 2),
+            shed=self.shed,
+        )
+        return True
+
     def note_first_send(self, job: Job) -> None:
         """Record how long a request took until its first send, without its waits for runners."""
         trace = job.trace
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -21,6 +21,7 @@
 from sesamepoint.platform.settings import read_settings
 from sesamepoint.platform.wire_names import READY_PATH
 from sesamepoint.settings_error import SettingsError
+from sesamepoint.process.burst_listener import BurstListener
 from sesamepoint.supervisor import Child, Supervisor
 
 if TYPE_CHECKING:
@@ -101,12 +102,12 @@
     async def _serve_callers(self, connections: trio.Nursery) -> None:
         """Accept connections until the stop; connections outlive the listener."""
         with self._front.listener_scope:
-            await _listen(
-                self._front.http_handler.serve,
-                self._front.cfg.listen,
-                connections,
-                bounded=self._front.room.memory.limited,
-            )
+            host, port = self._front.cfg.listen
+            listener = BurstListener.open(host, port, self._front.room.lag.in_excess)
+            if self._front.room.memory.limited:
+                bound_buffers(listener.socket)
+            serve = partial(_serve_stream, self._front.http_handler.serve)
+            await trio.serve_listeners(serve, [listener], handler_nursery=connections)
 
     async def _serve_metrics(self) -> None:
         """Serve metrics; if the port is in use, only log that."""
@@ -134,14 +135,10 @@
         )
 
 
-async def _listen(
-    serve: Serve, address: tuple[str, int], connections: trio.Nursery | None = None, *, bounded: bool = False
-) -> None:
+async def _listen(serve: Serve, address: tuple[str, int]) -> None:
     host, port = address
     listeners = await trio.open_tcp_listeners(port, host=host)
-    for listener in listeners if bounded else ():
-        bound_buffers(listener.socket)
-    await trio.serve_listeners(partial(_serve_stream, serve), listeners, handler_nursery=connections)
+    await trio.serve_listeners(partial(_serve_stream, serve), listeners)
 
 
 async def _serve_stream(serve: Serve, stream: trio.SocketStream) -> None:
--- a/tests/core/instance_room/processor_model.py
+++ b/tests/core/instance_room/processor_model.py
@@ -143,7 +143,7 @@
         """Start all instances idle."""
         self.rng = Random(seed)
         self.calls: list[Call] = []
-        self.instances = [_Instance(self, share, new_admission()) for share in shares]
+        self.instances = [Instance(self, share, new_admission()) for share in shares]
         self._events: list[tuple[float, int, Action]] = []
         self._order = count()
 
@@ -174,7 +174,7 @@
             action(now)
         return self._summary()
 
-    def retry(self, call: Call, refused_by: _Instance, now: float) -> None:
+    def retry(self, call: Call, refused_by: Instance, now: float) -> None:
         """Let a refused caller retry at another instance."""
         call.retry = True
         others = [one for one in self.instances if one is not refused_by]
@@ -193,12 +193,14 @@
         )
 
 
-class _Instance:
+class Instance:
+    """The loop of one instance."""
+
     def __init__(self, model: Model, share: float, admission: Admission) -> None:
         self.share = share
         self.refusals = 0
         self._model = model
-        self._admission = admission
+        self.admission = admission
         self._ready: list[tuple[float, Action]] = []
         self._busy = False
         self._reported_at: float = -REPORT_INTERVAL_S
@@ -233,8 +235,8 @@
         self.add(now, WAKE_UP_COST_S, lambda at: self._wake_up(now, at))
 
     def _wake_up(self, due_at: float, now: float) -> None:
-        self._admission.note_wake_up(now - due_at - WAKE_UP_COST_S / self.share, now)
-        if self._admission.lag_s(now) and now - self._reported_at >= REPORT_INTERVAL_S:
+        self.admission.note_wake_up(now - due_at - WAKE_UP_COST_S / self.share, now)
+        if self.admission.lag_s(now) and now - self._reported_at >= REPORT_INTERVAL_S:
             self._reported_at = now
             for peer in self._model.instances:
                 if peer is not self:
@@ -245,7 +247,7 @@
         call.read_at = now
         if now - call.arrived_at > DEADLINE_S:
             return
-        if not call.retry and self._admission.refuses(TARGET_S, now):
+        if not call.retry and self.admission.refuses(TARGET_S, now):
             self.refusals += 1
             self.add(now, REFUSAL_COST_S, lambda at: self._model.retry(call, self, at))
             return
@@ -257,7 +259,7 @@
 
     def _step_done(self, call: Call, step: int, now: float) -> None:
         if step == SEND_STEP:
-            self._admission.note_sojourn(now - call.read_at, now)
+            self.admission.note_sojourn(now - call.read_at, now)
             self._model.at(now + RUNNER_S, lambda at: self._next_step(call, RELAY_STEP, at))
             return
         if step == RELAY_STEP:
