--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -6,9 +6,11 @@
 
 When a runner ends, every request that ran on it becomes suspect; suspects keep
 their retry. A request that ran on two runners that ended is sent as a probe: over
-all instances one send of it at a time, to a runner that runs no other probe. If
-that runner ends too, the request is quarantined and every instance refuses it
-at once. If the request is answered, it is no longer suspect.
+all instances one send of it at a time, to a runner that runs no other probe. So is
+a request with a part of its prompt under which a runner has ended and that no whole
+answer has cleared. After three ends, one of them under a probe, a request is
+quarantined and every instance refuses it at once; after three ends, two of them
+under probes, a part is. What is answered is no longer suspect.
 """
 
 from __future__ import annotations
