--- a/benchmarks/part_attribution_ways.py
+++ b/benchmarks/part_attribution_ways.py
@@ -48,7 +48,7 @@
 RESTART_S = 3.5
 CLAIM_S = 0.05
 # Time until all instances know of an end.
-NEWS_S = 0.01
+PROPAGATION_S = 0.01
 MEAN_DRILL_PAUSE_S = 6.0
 # In a storm engines end by themselves so often that few answers are whole.
 STORM_PAUSE_S = 0.7
@@ -186,7 +186,7 @@
         engine.requests.clear()
         engine.up = False
         self._ends += any(part.key == 'harmful' for parts, _ in requests for part in parts)
-        self._later(NEWS_S, lambda: self._learn(requests, incarnation))
+        self._later(PROPAGATION_S, lambda: self._learn(requests, incarnation))
         self._later(RESTART_S, engine.restart)
 
     def _learn(self, requests: tuple[_Sent, ...], incarnation: Incarnation) -> None:
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
@@ -85,11 +85,11 @@
 
     def _name(self, key: str, now: float) -> tuple[PartVerdict, ...]:
         parts = self.parts
-        rivals = sorted(parts.same_probes(key))[:MAX_LISTED]
-        most = max(len(parts.ends_of(each)) for each in rivals)
-        named = tuple(each for each in rivals if len(parts.ends_of(each)) == most)
+        candidates = sorted(parts.same_probes(key))[:MAX_LISTED]
+        most = max(len(parts.ends_of(each)) for each in candidates)
+        named = tuple(each for each in candidates if len(parts.ends_of(each)) == most)
         group = named if len(named) > 1 else ()
-        spared = tuple(each for each in rivals if each not in named)
+        spared = tuple(each for each in candidates if each not in named)
         verdicts = tuple(PartVerdict(each, group=group, spared=spared, ends=parts.ends_of(each)) for each in named)
         for verdict in verdicts:
             self.quarantine_part(verdict, now)
