--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/crash_suspects.py
@@ -26,9 +26,9 @@
         self.part_quarantine = PartQuarantine()
 
     def needs_probe(self, content_id: str) -> bool:
-        """Tell whether a request may only be sent alone for the ends that no suspect part explains.
+        """Return whether a request may only be sent alone because of ends that no suspect part explains.
 
-        All neighbours of a harmful part are at ended runners again and again; each waited for a probe of its own.
+        Requests beside a harmful part lose several runners; without this, each waits for a probe of its own.
         """
         if not super().needs_probe(content_id):
             return False
@@ -52,7 +52,7 @@
     def note_part_ends(self, ends: Sequence[PartEnd], now: float) -> tuple[PartVerdict, ...]:
         """Note ends of runners under parts; return the verdicts on the parts that are quarantined for them.
 
-        The parts of one request must come together: parts that can't be told apart are named by the same end.
+        The ends of one request must come together: parts that they do not distinguish are named by the same end.
         """
         for end in ends:
             self.parts.note_end(end)
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/part_quarantine.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/part_quarantine.py
@@ -28,14 +28,14 @@
 
 
 class PartVerdict(NamedTuple):
-    """A harmful part, as it is told to peers and stored.
+    """A harmful part, as it is sent to peers and stored.
 
     Parameters
     ----------
     trials, repeated
         Trials that were used, and those of them that showed nothing and so don't count.
     group
-        Parts that were named with it, because they can't be told apart.
+        Parts that were named with it, because the evidence does not distinguish them.
     spared
         Parts that ended the same runners alone, but fewer in all. They stay suspect.
     ends
@@ -99,8 +99,8 @@
         Parameters
         ----------
         others
-            The other parts of the request. One without all those that were named with ``key`` tells them apart, and
-            may be tried at once.
+            The other parts of the request. One without all those that were named with ``key`` distinguishes
+            them, and may be tried at once.
         """
         entry = self._entries.get(key)
         if entry is None:
--- a/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/crash_attribution/suspect_parts.py
@@ -124,7 +124,7 @@
         return tuple(self._ends.get(key, {}).values())
 
     def same_probes(self, key: str) -> frozenset[str]:
-        """Return the harmful parts that ended the same runners alone, and so can't be told apart from ``key``."""
+        """Return the parts, ``key`` included, that were in the same probes whose runners ended."""
         alone = _alone(self._ends.get(key, {}))
         return frozenset(other for other, ends in self._ends.items() if _alone(ends) == alone)
 
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/abandoned_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/abandoned_sends.py
@@ -31,7 +31,7 @@
 
 
 class AbandonedSends:
-    """Sends that were abandoned in the last moments.
+    """Sends that were abandoned recently.
 
     Their connections were closed when their runner ended, so their attempts did not fail. Without
     them, a poison request whose callers leave early and retry would be sent again and again.
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
@@ -1,4 +1,4 @@
-"""Suspect and harmful parts of prompts: what this instance sees of them, and what it tells its peers and the store."""
+"""Suspect and harmful parts of prompts: the evidence of this instance, and its messages to peers and the store."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 # Begins the names of parts, beside the content ids of whole requests, in probes and in the list of the store.
 PART_PREFIX = 'part:'
-# Most ends that this instance has told of and that no answer has cleared.
+# Most parts that this instance has reported as suspect and that no answer has cleared.
 MAX_ANNOUNCED = 1024
 
 
@@ -54,7 +54,7 @@
         self._enqueue_record = enqueue_record
         # Returns the names of the registered peers.
         self.peer_names: Callable[[], Sequence[str]] = list
-        # Evidence that this instance told its peers, so that it tells them as well when it is refuted.
+        # Suspect parts that this instance reported to its peers; it reports to them as well when they are cleared.
         self._announced: dict[PartAnswer, None] = {}
 
     def note_end(self, send: SuspectSend) -> None:
@@ -82,7 +82,7 @@
         return bool(suspect_keys)
 
     def on_update(self, update: SuspectUpdate) -> None:
-        """Handle what a peer found out; tell it which of its suspects this instance saw answered."""
+        """Handle an update from a peer, and reply which of its suspect parts were answered here."""
         known = tuple(filter(self._suspects.parts.is_cleared, map(_answer_to, update.part_ends)))
         if known:
             self._send_queue.enqueue(SuspectUpdate(self._instance, parts_answered=known), update.entry)
@@ -111,8 +111,8 @@
     def trial_allowed(self, parts: Sequence[Part]) -> bool:
         """Return whether a request with ``parts`` in quarantine may be sent alone now, as a trial, from this instance.
 
-        One instance tries a part, drawn by the list of instances: several may hold the same verdict without
-        hearing of each other, and the users accept three more sends of all instances together.
+        One instance, chosen by a hash over the list of instances, tries a part: messages between instances may be
+        lost, and the users accept three more sends of all instances together.
         """
         refused = self._suspects.quarantined_parts(parts)
         if not self._suspects.trial_due(parts, trio.current_time()):
