Review case 2, from an entry: streams go on at another version where a runner names a limit

The report that tells of a runner's new start is not asked for where a rate limit blocks calls without a request, so that the entry in the store, of before that start, counts as its version.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,57 +1,64 @@
-"""Instances are stopped and started in turn; who sends usage reports meanwhile?
+"""Runners start again at another version while the store is down; at which versions do streams go on?
 
-Exit status: 1 if holders of the duty acted in the order A, B, A within the lease time
-(or one of the other bounds on holders was broken), 0 if not, 2 if the case couldn't run.
+Exit status: 1 if more than two streams hold pieces of two versions, 0 if not, 2 if the case couldn't run.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
 import os
+import subprocess
 import sys
 import tempfile
 import time
-from itertools import cycle, count
+from itertools import count, cycle
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins import http, instances, platform, runners
+from standins import http, instances, platform
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-INSTANCES = 3
-LEASE_S = 3.0
-GRACE_S = 8.0
-# Pause between two stops, and the delay after which the platform starts a process that has ended.
-GAP_S = 1.0
-RESTART_S = 0.3
-END_AFTER_S = 108.0
-# A round begins so long after a usage report, and only after so long a time of calm.
-AFTER_REPORT_S = 2.0
-CALM_S = 3.0
-WINDOW_S = 5.0
-MORE_SETTINGS = """cloud.address={usage}
-cloud.rate_per_s=50.0
-cloud.duties=usage
-cloud.duty_per_s=50.0
-bounds.usage_window_s=5
-bounds.usage_off=0.05
-bounds.usage_late_s=10
-"""
+INSTANCES = 2
+# Each stream has 40 pieces, one each 0.1 s: 4 s of the 5 s that its client waits.
+EVENTS = 40
+PAUSE_S = 0.1
+DEADLINE_MS = 5000
+REQUEST_INTERVAL_S = 0.03
+# When the store goes down, and for how long.
+DOWN_AFTER_S = 6.0
+DOWN_S = 4.5
+# When in that time the two last runners of the old version crash, and how long each is down.
+CRASHES_AT_S = (0.3, 2.3)
+RUNNER_DOWN_S = 0.6
+# The requests a second that each runner names in its answers; the load stays far below it.
+LIMIT = '30'
+OLD, NEW = 'v1', 'v2'
+ALLOWED_STREAMS = 2
+SEND_FOR_S = 10.0
+# Two of seven are still at the old version; one crashes at a time, a share of 0.143.
+KEYS = tuple(f'i-engine-{number}' for number in range(1, 8))
+LATE_KEYS = KEYS[:2]
 CONFIGURATION = {
     'version': 7,
     'routes': [
         {
-            'name': 'thumb', 'host': 'boats.example', 'path_prefix': '/thumb/', 'kind': 'idempotent',
-            'service': 'web', 'timeout_ms': 1000, 'target_latency_ms': 200, 'priority': 0, 'max_attempts': 2,
+            'name': 'verdict', 'host': 'boats.example', 'path_prefix': '/verdict/', 'kind': 'streaming',
+            'service': 'llm', 'timeout_ms': 5000, 'target_latency_ms': 400, 'gap_aim_ms': 150, 'priority': 1,
+            'max_attempts': 2, 'resumable': True,
+        }
+    ],
+    'services': [
+        {
+            'name': 'llm', 'health_path': '/healthz', 'max_conns': 210,
+            'engine': {'slots': 24, 'kv_tokens': 548319, 'kv_bytes': 18432, 'link_mbps': 370000.0},
         }
     ],
-    'services': [{'name': 'web', 'health_path': '/healthz', 'max_conns': 110}],
     'limits': {
         'max_header_bytes': 16384, 'max_body_bytes': 100000, 'header_timeout_ms': 3000, 'idle_timeout_ms': 15000,
     },
-    'tenants': [{'name': 'harbor', 'api_keys': ['key-of-harbor']}],
 }
 
 
@@ -62,137 +69,132 @@
         self._file = (HERE / 'record.txt').open('w')
         self._began = time.monotonic()
 
-    def at(self, when: float) -> float:
-        return when - self._began
-
-    def write(self, when: float, text: str) -> None:
-        self._file.write(f'{self.at(when):9.3f} {text}\n')
+    def write(self, text: str, when: float = 0) -> None:
+        self._file.write(f'{(when or time.monotonic()) - self._began:8.3f} {text}\n')
         self._file.flush()
 
 
-async def send_requests(found: list, record: Record, stopped: set) -> None:
-    """Send requests of a client to the ready instances in turn, on new connections."""
-    for number, instance in zip(count(), cycle(found)):
-        await asyncio.sleep(0.1)
-        if instance in stopped:
-            continue
-        request_id = f'{number:016x}'
-        headers = {
-            'Host': 'boats.example', 'Authorization': 'Bearer key-of-harbor',
-            'Sesamepoint-Request-Id': request_id, 'Sesamepoint-Deadline-Ms': '1000',
-        }
-        status = 'no answer'
-        try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(instance.host, instance.port), 1)
-            writer.write(http.encode_request('GET', '/thumb/1', headers))
-            response = await asyncio.wait_for(http.read_response(reader), 1.5)
-            status = str(response.status) if response else status
-            writer.close()
-        except (OSError, asyncio.TimeoutError) as exc:
-            status = type(exc).__name__
-        record.write(time.monotonic(), f'request {request_id} to {instance.name}: {status}')
-
-
-def broken_rules(calls: list) -> list:
-    """Return what breaks the rule ONE, from what the platform saw."""
-    broken = []
-    counts: dict = {}
-    holders: dict = {}
-    highest = -1
-    for number, (when, holder, fence, window, of_window) in enumerate(calls):
-        if counts.setdefault(window, of_window) != of_window:
-            broken.append((when, f'window {window} was reported with different counts'))
-        if holders.setdefault(fence, holder) != holder:
-            broken.append((when, f'fence {fence} has two holders'))
-        if fence < highest:
-            broken.append((when, f'fence {fence} after {highest}'))
-        highest = max(highest, fence)
-        recent = [call[1] for call in calls[:number] if when - call[0] < LEASE_S]
-        turn = recent[recent.index(holder) :] if holder in recent else []
-        if any(other != holder for other in turn):
-            broken.append((when, f'A, B, A within {LEASE_S} s: {", ".join([*turn, holder])}'))
-    return broken
-
-
-async def wait_after_report(usage: platform.UsageEndpoint) -> str:
-    """Wait until the given time after a report of a window; return who sent the last report."""
-    while not usage.calls:
-        await asyncio.sleep(0.05)
-    since_s = time.monotonic() - usage.calls[-1][0]
-    await asyncio.sleep((AFTER_REPORT_S - since_s) % WINDOW_S)
-    return usage.calls[-1][1]
-
-
-async def roll(found: list, record: Record, stopped: set) -> None:
-    """Stop and start the instances in turn."""
-
-    async def stop(instance: instances.Instance) -> None:
-        record.write(time.monotonic(), f'SIGTERM to {instance.name}')
-        stopped.add(instance)
-        await instance.stop_and_start(GRACE_S, RESTART_S)
-        record.write(time.monotonic(), f'{instance.name} started again')
-        if await instance.wait_ready():
-            stopped.discard(instance)
-
-    stops = []
-    for instance in found:
-        stops.append(asyncio.ensure_future(stop(instance)))
-        await asyncio.sleep(GAP_S)
-    await asyncio.gather(*stops)
+def registration(address: str, options: dict) -> dict:
+    return {
+        'service': 'llm', 'address': address, 'zone': 'zone-front-1', 'version': options['version'], 'slots': 24,
+        'state': 'ready', 'cold_remaining_ms': 0, 'sequence': 0, 'stage': 'decode', 'born': options['born'],
+        'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    }
+
+
+async def send_stream(instance: instances.Instance, number: int, record: Record, found: list) -> None:
+    """Send one request for a stream, and note what its client gets."""
+    request_id = f'{number:016x}'
+    headers = {
+        'Host': 'boats.example', 'Sesamepoint-Request-Id': request_id, 'Sesamepoint-Model': 'm',
+        'Sesamepoint-Token-Count': f'300,{EVENTS}', 'Sesamepoint-Prompt-Prefix': f'5c1e07a2:100,{request_id}:200',
+        'Sesamepoint-Deadline-Ms': str(DEADLINE_MS),
+    }
+    reader, writer = await asyncio.open_connection(instance.host, instance.port)
+    try:
+        writer.write(http.encode_request('POST', '/verdict/1', headers, b'a survey to judge'))
+        response = await asyncio.wait_for(http.read_response(reader), DEADLINE_MS / 1000 + 1)
+    except (OSError, asyncio.TimeoutError) as exc:
+        record.write(f'answer {request_id} from {instance.name}: {type(exc).__name__}')
+        return
+    finally:
+        writer.close()
+    if response is None:
+        record.write(f'answer {request_id} from {instance.name}: broken off, as its client can tell')
+        return
+    pieces = response.body.count(b'\n\n')
+    stamp = response.headers.get('sesamepoint-server-stamp', 'none')
+    record.write(f'answer {request_id} from {instance.name}: {response.status}, complete, {pieces} pieces, stamp {stamp}')
+    if response.status == 200:
+        versions = [version for version in (OLD, NEW) if f'build {version}'.encode() in response.body]
+        found.append((request_id, versions))
 
 
 async def play(folder: Path, record: Record) -> int:
-    store, usage, runner = platform.Store(), platform.UsageEndpoint(), runners.Runner('i-web-1', 'web')
+    store = platform.Store()
     store_server = await http.serve(store.handle, '127.0.0.1')
-    usage_server = await http.serve(usage.handle, '127.0.0.1')
-    runner_server = await http.serve(runner.handle, '127.0.0.1')
-    runner.address = http.address_of(runner_server)
     store.put('keyed.op', 'config', CONFIGURATION)
-    store.put('keyed.servers', runner.key, runner.registration)
-    settings = MORE_SETTINGS.replace('{usage}', http.address_of(usage_server))
-    found = [instances.Instance(n + 1, folder, http.address_of(store_server), settings) for n in range(INSTANCES)]
-    peer_port = instances.common_port(found)
-    stopped: set = set()
-    began = time.monotonic()
-    reported = 0
-
-    async def note_calls() -> None:
-        nonlocal reported
-        while True:
-            await asyncio.sleep(0.05)
-            for when, holder, fence, window, of_window in usage.calls[reported:]:
-                reported += 1
-                record.write(when, f'usage of window {window} from {holder} with fence {fence}: {of_window}')
+    runs = folder / 'runs'
+    addresses = {key: f'127.0.0.1:{instances.free_port("127.0.0.1")}' for key in KEYS}
+    engines = {}
+    fronts = [instances.Instance(n + 1, folder, http.address_of(store_server)) for n in range(INSTANCES)]
+    peer_port = instances.common_port(fronts)
+    answers: list = []
+    options_of: dict = {}
+
+    def start(key: str, version: str) -> None:
+        born = int(time.time() * 1000)
+        options_of[key] = {
+            'events': EVENTS, 'pause_s': PAUSE_S, 'framed': True, 'version': version, 'born': born, 'limit': LIMIT,
+        }
+        program = str(HERE.parent / 'standins' / 'engine.py')
+        command = [sys.executable, program, key, addresses[key], str(runs), json.dumps(options_of[key])]
+        engines[key] = subprocess.Popen(command)
 
     try:
-        for instance in found:
-            instance.write_settings(peer_port)
-            instance.start()
-        for instance in found:
-            if not await instance.wait_ready():
-                record.write(time.monotonic(), f'{instance.name} did not get ready')
+        for key in KEYS:
+            start(key, OLD if key in LATE_KEYS else NEW)
+            store.put('keyed.servers', key, registration(addresses[key], options_of[key]))
+        for front in fronts:
+            front.write_settings(peer_port)
+            front.start()
+        for front in fronts:
+            if not await front.wait_ready():
+                record.write(f'{front.name} did not get ready')
                 return 2
-        tasks = [asyncio.ensure_future(send_requests(found, record, stopped)), asyncio.ensure_future(note_calls())]
-        while time.monotonic() - began < END_AFTER_S - 22:
-            await asyncio.sleep(CALM_S)
-            holder = await wait_after_report(usage)
-            if TROUBLE:
-                # As for a roll of the leader: the machine that acted last is stopped first.
-                await roll(sorted(found, key=lambda one: one.name != holder), record, stopped)
-        await asyncio.sleep(max(END_AFTER_S - 5 - (time.monotonic() - began), 1))
-        for task in tasks:
-            task.cancel()
+        await asyncio.sleep(1)
+        began = time.monotonic()
+        tasks = []
+
+        async def crash(key: str, at_s: float) -> None:
+            await asyncio.sleep(at_s)
+            engines[key].kill()
+            engines[key].wait()
+            record.write(f'{key} crashes')
+            await asyncio.sleep(RUNNER_DOWN_S)
+            start(key, NEW)
+            record.write(f'{key} starts again under its id, at version {NEW}')
+            # It registers at once, and again at each heartbeat, until the store accepts that.
+            while store.down:
+                await asyncio.sleep(0.05)
+            store.put('keyed.servers', key, registration(addresses[key], options_of[key]))
+
+        async def trouble() -> None:
+            await asyncio.sleep(DOWN_AFTER_S)
+            store.down = True
+            record.write('the store is down')
+            crashes = [asyncio.ensure_future(crash(key, at_s)) for key, at_s in zip(LATE_KEYS, CRASHES_AT_S)]
+            await asyncio.sleep(DOWN_S)
+            store.down = False
+            record.write('the store is back')
+            await asyncio.gather(*crashes)
+
+        if TROUBLE:
+            tasks.append(asyncio.ensure_future(trouble()))
+        for number, front in zip(count(1), cycle(fronts)):
+            if time.monotonic() - began > SEND_FOR_S:
+                break
+            tasks.append(asyncio.ensure_future(send_stream(front, number, record, answers)))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        await asyncio.gather(*tasks)
     finally:
-        for instance in found:
-            instance.end()
-    if not usage.calls:
-        record.write(time.monotonic(), 'no usage was reported')
+        for process in engines.values():
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+        for front in fronts:
+            front.end()
+    for line in runs.read_text().splitlines():
+        when, _, text = line.partition(' ')
+        record.write(f'run: {text}', float(when))
+    if not answers:
+        record.write('no stream was served')
         return 2
-    broken = broken_rules(usage.calls)
-    for when, text in broken:
-        record.write(when, f'BROKEN: {text}')
-    record.write(time.monotonic(), f'{len(usage.calls)} reports, {len(broken)} times broken')
-    return 1 if broken else 0
+    mixed = [request_id for request_id, versions in answers if len(versions) > 1]
+    for request_id in mixed:
+        record.write(f'MIXED: stream {request_id} holds pieces of versions {OLD} and {NEW}')
+    record.write(f'{len(answers)} streams served, {len(mixed)} of them with pieces of two versions')
+    return 1 if len(mixed) > ALLOWED_STREAMS else 0
 
 
 def main() -> int:
@@ -201,8 +203,8 @@
         try:
             return asyncio.run(play(Path(folder), record))
         except Exception as exc:
-            record.write(time.monotonic(), f'could not run: {exc!r}')
-            raise SystemExit(2) from exc
+            record.write(f'could not run: {exc!r}')
+            return 2
 
 
 if __name__ == '__main__':
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,6 +1,8 @@
-"""A model runner of stage decode, as a process of its own: streams events, and ends its streams with the connection.
+"""A model runner of stage decode, as a process of its own, that streams events.
 
-Usage: engine.py KEY HOST:PORT RECORD EVENTS PAUSE_S
+Usage: engine.py KEY HOST:PORT RECORD OPTIONS
+
+OPTIONS is a JSON object with the fields of the class Options.
 """
 
 from __future__ import annotations
@@ -10,20 +12,35 @@
 import sys
 import time
 from pathlib import Path
+from typing import NamedTuple
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins import http
 
 
+class Options(NamedTuple):
+    """How an engine answers.
+
+    ``framed``: in chunks; otherwise the end of the connection is the end of a stream. ``limit``: the rate that it names
+    in its answers, if any. ``born``: the Unix millisecond of its start; 0 if it does not tell.
+    """
+
+    events: int
+    pause_s: float
+    framed: bool = False
+    version: str = 'v1'
+    born: int = 0
+    limit: str = ''
+
+
 class Engine:
     """Streams a fixed number of events to each request, and records each run."""
 
-    def __init__(self, key: str, record: str, events: int, pause_s: float) -> None:
+    def __init__(self, key: str, record: str, options: Options) -> None:
         self._key = key
         self._record = open(record, 'a', buffering=1)
-        self._events = events
-        self._pause_s = pause_s
+        self._options = options
         self._running = 0
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -32,7 +49,8 @@
             if req.path == '/v1/report':
                 report = {'stage': 'decode', 'models': [{'name': 'm', 'version': 1, 'adapters': []}], 'busy': False}
                 counts = {'sequence': 0, 'waiting': 0, 'running': self._running, 'kv_used': 0, 'kv_total': 500000}
-                body = json.dumps({**report, **counts, 'handles': 0}).encode()
+                born = {'born': self._options.born} if self._options.born else {}
+                body = json.dumps({**report, **counts, 'handles': 0, **born}).encode()
                 writer.write(http.encode_response(200, {'Content-Type': 'application/json'}, body))
             elif req.path == '/v1/kv-list':
                 body = json.dumps({'epoch': 1, 'next_token': 0, 'held': []}).encode()
@@ -45,27 +63,35 @@
                 echo = {'Sesamepoint-Request-Id': req.headers['sesamepoint-request-id']}
                 writer.write(http.encode_response(421, {**echo, **own}))
             else:
-                return await self._stream(req.headers['sesamepoint-request-id'], writer)
+                after = int(req.headers.get('last-event-id') or 0)
+                await self._stream(req.headers['sesamepoint-request-id'], after, writer)
+                if not self._options.framed:
+                    return
             await writer.drain()
 
-    async def _stream(self, request_id: str, writer: asyncio.StreamWriter) -> None:
-        """Write a stream without a length; the end of the connection is its end."""
-        self._note(request_id, 'runs')
+    async def _stream(self, request_id: str, after: int, writer: asyncio.StreamWriter) -> None:
+        """Write the events of a stream that follow the event ``after``."""
+        events, version = self._options.events, self._options.version
+        self._note(request_id, f'runs at build {version} from piece {after + 1}')
         self._running += 1
         headers = {
             'Content-Type': 'text/event-stream',
             'Sesamepoint-Request-Id': request_id,
             'Sesamepoint-Server-Stamp': f'stamp.{self._key}.{request_id}',
             'Sesamepoint-Weight-Versions': '1',
-            'Connection': 'close',
+            **({'Transfer-Encoding': 'chunked'} if self._options.framed else {'Connection': 'close'}),
+            **({'Server-Limit': self._options.limit} if self._options.limit else {}),
         }
         lines = ['HTTP/1.1 200 OK', *(f'{name}: {text}' for name, text in headers.items())]
         writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
         try:
-            for number in range(1, self._events + 1):
-                await asyncio.sleep(self._pause_s)
-                writer.write(f'id: {number}\ndata: {request_id} piece {number} of {self._events}\n\n'.encode())
+            for number in range(after + 1, events + 1):
+                await asyncio.sleep(self._options.pause_s)
+                event = f'id: {number}\ndata: {request_id} build {version} piece {number} of {events}\n\n'.encode()
+                writer.write(b'%x\r\n%b\r\n' % (len(event), event) if self._options.framed else event)
                 await writer.drain()
+            if self._options.framed:
+                writer.write(b'0\r\n\r\n')
             self._note(request_id, 'ran to its end')
         except ConnectionError:
             self._note(request_id, 'caller left')
@@ -77,9 +103,9 @@
 
 
 async def main() -> None:
-    key, address, record, events, pause_s = sys.argv[1:6]
+    key, address, record, options = sys.argv[1:5]
     host, port = address.split(':')
-    engine = Engine(key, record, int(events), float(pause_s))
+    engine = Engine(key, record, Options(**json.loads(options)))
     server = await http.serve(engine.handle, host, int(port))
     async with server:
         await server.serve_forever()
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -40,6 +40,8 @@
 
     def __init__(self) -> None:
         self.topics: dict = {}
+        # Every call is answered 503, and nothing is done.
+        self.down = False
 
     def topic(self, name: str) -> Topic:
         return self.topics.setdefault(name, Topic())
@@ -53,7 +55,10 @@
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (req := await http.read_request(reader)) is not None:
             await asyncio.sleep(ANSWER_S)
-            status, body = await self._answer(req)
+            status, body = (503, b'') if self.down else await self._answer(req)
+            if self.down:
+                # Also for a call that waited for records as the store went down.
+                status, body = 503, b''
             writer.write(http.encode_response(status, {}, body))
             await writer.drain()
 
