--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,10 +22,10 @@
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 INSTANCES = 2
-# Each stream has 40 pieces, one each 0.1 s: 4 s of the 5 s that its client waits.
-EVENTS = 40
-PAUSE_S = 0.1
-DEADLINE_MS = 5000
+# Each stream has 13 pieces, one each 0.14 s: 1.8 s of the 3 s that its client waits.
+EVENTS = 13
+PAUSE_S = 0.14
+DEADLINE_MS = 3000
 REQUEST_INTERVAL_S = 0.03
 # When the store goes down, and for how long.
 DOWN_AFTER_S = 6.0
@@ -45,8 +45,8 @@
     'version': 7,
     'routes': [
         {
-            'name': 'verdict', 'host': 'boats.example', 'path_prefix': '/verdict/', 'kind': 'streaming',
-            'service': 'llm', 'timeout_ms': 5000, 'target_latency_ms': 400, 'gap_aim_ms': 150, 'priority': 1,
+            'name': 'tag', 'host': 'boats.example', 'path_prefix': '/tag/', 'kind': 'streaming',
+            'service': 'llm', 'timeout_ms': 3000, 'target_latency_ms': 250, 'gap_aim_ms': 150, 'priority': 0,
             'max_attempts': 2, 'resumable': True,
         }
     ],
@@ -59,6 +59,7 @@
     'limits': {
         'max_header_bytes': 16384, 'max_body_bytes': 100000, 'header_timeout_ms': 3000, 'idle_timeout_ms': 15000,
     },
+    'tenants': [{'name': 'harbor', 'api_keys': ['key-of-harbor']}],
 }
 
 
@@ -86,13 +87,14 @@
     """Send one request for a stream, and note what its client gets."""
     request_id = f'{number:016x}'
     headers = {
-        'Host': 'boats.example', 'Sesamepoint-Request-Id': request_id, 'Sesamepoint-Model': 'm',
+        'Host': 'boats.example', 'Authorization': 'Bearer key-of-harbor',
+        'Sesamepoint-Request-Id': request_id, 'Sesamepoint-Model': 'm',
         'Sesamepoint-Token-Count': f'300,{EVENTS}', 'Sesamepoint-Prompt-Prefix': f'5c1e07a2:100,{request_id}:200',
         'Sesamepoint-Deadline-Ms': str(DEADLINE_MS),
     }
     reader, writer = await asyncio.open_connection(instance.host, instance.port)
     try:
-        writer.write(http.encode_request('POST', '/verdict/1', headers, b'a survey to judge'))
+        writer.write(http.encode_request('POST', '/tag/1', headers, b'a hull to tag'))
         response = await asyncio.wait_for(http.read_response(reader), DEADLINE_MS / 1000 + 1)
     except (OSError, asyncio.TimeoutError) as exc:
         record.write(f'answer {request_id} from {instance.name}: {type(exc).__name__}')
