--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -91,6 +91,7 @@
 OTHER_INCARNATION_REPORTED = _event(
     3321, logging.INFO, 'runner reports another start than its registration, the stream is not sent there'
 )
+START_UNKNOWN = _event(3322, logging.INFO, 'start of a runner could not be checked')
 STREAM_TAKEN_UP = _event(3221, logging.INFO, 'caller takes up the stream of an earlier attempt')
 VERSIONS_CHANGED = _event(3320, logging.INFO, 'versions that the runners of a service have')
 RUNNER_JOINED = _event(3301, logging.INFO, 'runner registered')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -22,6 +22,8 @@
 # Longest time in seconds for which the end of an answer waits for a runner's start: reports come within
 # milliseconds, and do not wait for a slot.
 START_CHECK_S = 0.1
+# Cause in log lines: the report of a runner has no start, or the runner answered with another status than 200.
+NO_START_REPORTED = 'no start reported'
 _REPORT_PURPOSE = SendPurpose(SendKind.report)
 
 
@@ -56,7 +58,9 @@
     if not born_ms or conn.incarnation_checked:
         return FarEnd.expected
     # A runner with a rate limit gets requests of callers only, and its start stays unchecked.
-    if member.blocking_condition(_REPORT_PURPOSE):
+    condition = member.blocking_condition(_REPORT_PURPOSE)
+    if condition:
+        _log_unknown(member, job, condition)
         return FarEnd.expected
     admit = conn.admit
     conn.admit = member.admission_for(SendPurpose(SendKind.report, job))
@@ -64,6 +68,8 @@
         reported_ms = await read_start_ms(conn, member.runner.address)
     finally:
         conn.admit = admit
+    if not reported_ms:
+        _log_unknown(member, job, NO_START_REPORTED)
     if reported_ms in {0, born_ms}:
         conn.incarnation_checked = conn.recycle()
         return FarEnd.expected if conn.incarnation_checked else FarEnd.closing
@@ -107,4 +113,14 @@
         member.release(conn)
 
 
+def _log_unknown(member: Member, job: Job | None, cause: str) -> None:
+    events.log_event(
+        events.START_UNKNOWN,
+        runner=member.runner.key,
+        request=job.req.request_id if job else '',
+        born_ms=member.incarnation.born_ms,
+        cause=cause,
+    )
+
+
 __all__ = ('RESTARTED_CONDITION', 'FarEnd', 'check_incarnation', 'has_ended_since')
