--- a/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin.py
@@ -24,14 +24,26 @@
 
     Two versions of a runner's software write events that don't fit together, so a
     stream may go on only at runners of its origin.
+
+    Parameters
+    ----------
+    version
+        None if nobody knows it: the runner did not register one, or was not known to be the registered
+        incarnation. Such an origin is told to peers like any other, since to them a stream that nobody remembers
+        began at the only version that they have seen.
     """
 
     service: BoundedService
-    version: BoundedVersion
+    version: BoundedVersion | None
+
+    @property
+    def known(self) -> bool:
+        """Tell whether a runner may go on with the stream at all."""
+        return self.version is not None
 
     def allows(self, service: str, version: str | None) -> bool:
         """Tell whether a runner of ``service`` at ``version`` may go on; one of unknown version may not."""
-        return service == self.service and version == self.version
+        return self.known and service == self.service and version == self.version
 
 
 def bounded_version(text: str) -> str:
--- a/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin_lookup.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin_lookup.py
@@ -97,7 +97,7 @@
         """Return what the answers until now mean."""
         known = self._remembered()
         if known is not None:
-            return known
+            return known if known.origin.known else Unknown(complete=True)
         if self._own_sole is not None and self._confirmed(self._own_sole):
             return SoleVersion(self._own_sole)
         return Unknown(complete=not self.unanswered)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -139,7 +139,8 @@
     @property
     def report(self) -> dict[str, object]:
         """Return what it reports of itself."""
-        return {'stage': self.stage, 'running': self.running, **({'born': self.born_ms} if self.born_ms else {})}
+        born = {'born': self.born_ms} if self.born_ms and not self.faults.hides_start else {}
+        return {'stage': self.stage, 'running': self.running, **born}
 
     def count_arrivals(self, since: float, until: float) -> int:
         """Return how many requests arrived from ``since`` until before ``until``."""
@@ -178,7 +179,7 @@
         if message.head.target == wire_names.REPORT_PATH.encode():
             self.report_calls += 1
             conn.closing = self.closes_after_report
-            report = msgspec.json.encode(self.report)
+            report = await _delayed_report(self)
             return await self._answer(conn, transport, STATUS_OK, self._status_headers(transport), report)
         if message.head.target == wire_names.KV_LIST_PATH.encode():
             self.inventory_calls += 1
@@ -364,6 +365,12 @@
         return (*self._echo(message, transport), (wire_names.SIGNATURE, self.key.encode()), versions)
 
 
+async def _delayed_report(runner: RunnerStandIn) -> bytes:
+    if runner.faults.hides_report:
+        await trio.sleep_forever()
+    return msgspec.json.encode(runner.report)
+
+
 def _max_seconds(texts: tuple[bytes, ...]) -> float:
     """Return the longest back-off that the header values request, in seconds."""
     return max((float(text) for text in texts if text.isdigit()), default=0)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -80,6 +80,9 @@
     unsigned: bool = False
     # Whether the health page reports a failure; by itself it reports the runner healthy.
     unhealthy_page: bool = False
+    # Whether its report does not come, or comes without its start.
+    hides_report: bool = False
+    hides_start: bool = False
 
 
 __all__ = ('EngineSpeed', 'Faults', 'Run', 'StatusReport')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -12,13 +12,9 @@
 from sesamepoint_core.body_end.decision import BrokenOff, Complete, Unmarked, decide_end, settle
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
-from sesamepoint.front.runners.incarnation_check import (
-    RESTARTED_CONDITION,
-    FarEnd,
-    check_incarnation,
-    has_ended_since,
-)
-from sesamepoint.front.runners.send_check import ORIGIN_CONDITION, SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.requests.start_check import check_start
+from sesamepoint.front.runners.incarnation_check import START_CHECK_S, has_ended_since
+from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
     Broken,
@@ -57,6 +53,9 @@
 # Seconds for which the body of a rejection is read, so that its connection can be used again. It mostly comes
 # together with the head; the request waits meanwhile to be sent elsewhere.
 REJECTION_BODY_LIMIT_S = 0.05
+# Seconds for which the check of a runner holds for its next connection, if the checked one ended with the report.
+# No runner restarts in that time; in a freeze of this process one may.
+CHECK_VALID_S = START_CHECK_S
 
 
 class Target(NamedTuple):
@@ -95,6 +94,8 @@
         self._silence_scope = trio.CancelScope()
         self._health_ticket = 0
         self._last_event_at: float | None = None
+        # Whether the runner is known to be the incarnation that its registration describes.
+        self._start_known = True
 
     async def run(self) -> AttemptResult:
         """Run the attempt; its connection is closed if the answer did not end on it.
@@ -115,12 +116,13 @@
             member.health.note_settled(self._health_ticket, trio.current_time())
         return Silent()
 
-    async def _exchange(self, member: Member, *, checked: bool = False) -> AttemptResult:
+    async def _exchange(self, member: Member, checked_at: float = -math.inf) -> AttemptResult:
         try:
             conn = await member.connection(self._target.purpose)
         except ConnectFailedError as exc:
             return Unsent(str(exc), local=exc.local)
         member.health.note_connected(self._health_ticket, trio.current_time())
+        checked = trio.current_time() - checked_at < CHECK_VALID_S
         try:
             return await self._send_on(member, conn, checked=checked)
         except SendBlockedError as exc:
@@ -138,20 +140,15 @@
             return await self._send_and_read(conn)
 
     async def _check_and_send(self, member: Member, conn: ClientConn, job: Job) -> AttemptResult:
-        """Send a request whose stream may go on elsewhere, once the runner's version is known for sure."""
-        origin = job.stream.origin
-        if origin and not member.of_origin(origin):
-            return Withheld(ORIGIN_CONDITION)
-        try:
-            far_end = await check_incarnation(member, conn, job)
-        except ConnBrokenError as exc:
-            return Unsent(str(exc))
-        if far_end is FarEnd.other:
-            return Withheld(RESTARTED_CONDITION)
-        if far_end is FarEnd.closing:
-            # The runner is the expected one, but takes no second request on this connection. Another
-            # check would close the next connection too.
-            return await self._exchange(member, checked=True)
+        """Send a request whose stream may go on elsewhere, once the runner's start has been checked."""
+        check = await check_start(member, conn, job)
+        if check.blocked is not None:
+            return check.blocked
+        self._start_known = check.known
+        if not conn.recycle():
+            # The runner takes no second request on this connection. Another check would close the next
+            # connection too.
+            return await self._exchange(member, trio.current_time())
         return await self._send_on(member, conn, checked=True)
 
     async def _send_and_read(self, conn: ClientConn) -> AttemptResult:
@@ -266,7 +263,7 @@
     def _fix_origin(self) -> None:
         job = self._target.purpose.job
         if job is not None:
-            job.note_event_of(self._target.member.runner)
+            job.note_event_of(self._target.member.runner, start_known=self._start_known)
 
     async def _note_first_output(self) -> None:
         """Record the first output and disarm the silence timeout, unless that has already expired.
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -225,15 +225,22 @@
             return False
         return self.stream.begun or self.req.continuation.has_events
 
-    def note_event_of(self, runner: Runner) -> None:
-        """Record that an event that ``runner`` made goes to the caller; the first one fixes the origin."""
+    def note_event_of(self, runner: Runner, *, start_known: bool) -> None:
+        """Record that an event that ``runner`` made goes to the caller; the first one fixes the origin.
+
+        Parameters
+        ----------
+        start_known
+            Whether the runner is known to be the incarnation that its registration describes. Another one may have
+            another version, so that nobody may go on with the stream.
+        """
         stream = self.stream
         if stream.begun or self.route.repeat is not RepeatPolicy.resume:
             return
         stream.begun = True
-        if stream.origin is None and runner.software_version is not None:
-            stream.origin = StreamOrigin(runner.service, runner.software_version)
-        if stream.origin is not None and stream.on_begun is not None:
+        if stream.origin is None:
+            stream.origin = StreamOrigin(runner.service, runner.software_version if start_known else None)
+        if stream.on_begun is not None:
             stream.on_begun(stream.origin)
 
     @cached_property
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -14,6 +14,7 @@
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.requests.job import SentRunner
 from sesamepoint.front.requests.request_end import body_fields, logged_parts
+from sesamepoint.front.runners.incarnation_check import UNKNOWN_START_CONDITION
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.requests.attempt_results import Broken, Rejected, Relayed, RunFailed, Silent, Unsent, Withheld
@@ -107,7 +108,9 @@
 def note_withheld(job: Job, target: Target, outcome: Withheld, started: float) -> None:
     """Record that the send check blocked a send; the runner may be chosen again later."""
     member = target.member
-    job.tried_runners.pop(member.runner.key, None)
+    if outcome.condition != UNKNOWN_START_CONDITION:
+        # A runner that does not report its start would not do so the next time either.
+        job.tried_runners.pop(member.runner.key, None)
     job.trace.withheld_sends += 1
     events.log_event(
         events.SEND_NOT_ADMITTED,
@@ -155,7 +158,8 @@
 
 def _may_resume(job: Job) -> bool:
     """Return whether another runner may go on: not without an event id, nor for a runner whose version is unknown."""
-    return job.stream.origin is not None and bool(job.reply.events.last_event_id)
+    origin = job.stream.origin
+    return origin is not None and origin.known and bool(job.reply.events.last_event_id)
 
 
 def repeatable(job: Job) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -211,7 +211,8 @@
         condition = self._send_check.blocked_by(PendingSend(self, purpose, beside))
         if condition:
             raise SendBlockedError(self.runner.key, condition)
-        if purpose.job is not None and not is_maintenance:
+        if purpose.job is not None:
+            # A rate limit counts all that the runner gets for a request, a check of its start too.
             self._runner_statuses.limits.use(self.incarnation, purpose.job)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -19,23 +19,31 @@
 
 # Condition that blocks a send to a runner that has restarted since its registration.
 RESTARTED_CONDITION = 'restarted'
+# Condition that blocks a stream that goes on from a runner whose start is not known.
+UNKNOWN_START_CONDITION = 'unknown_start'
 # Longest time in seconds for which the end of an answer waits for a runner's start: reports come within
 # milliseconds, and do not wait for a slot.
 START_CHECK_S = 0.1
+# Longest time in seconds for which a request waits for it: a packet that is lost twice is sent again after 0.2 s
+# and 0.4 s.
+REPORT_TIMEOUT_S = 0.7
 # Cause in log lines: the report of a runner has no start, or the runner answered with another status than 200.
 NO_START_REPORTED = 'no start reported'
+# Cause in log lines: no report came in time.
+NO_REPORT = 'no report in time'
 _REPORT_PURPOSE = SendPurpose(SendKind.report)
 
 
 class FarEnd(Enum):
     """Which incarnation of a runner is at the other end of a connection.
 
-    ``closing``: the expected one, which ends the connection after its report.
+    ``unknown``: the runner answers, and its start is not in its answer. ``silent``: no report came in time.
     """
 
     expected = 'expected'
     other = 'other'
-    closing = 'closing'
+    unknown = 'unknown'
+    silent = 'silent'
 
 
 async def check_incarnation(member: Member, conn: ClientConn, job: Job | None) -> FarEnd:
@@ -47,6 +55,9 @@
     the version of before. A connection that has been checked belongs to one incarnation until it
     ends. Runners that don't register their start always start under another key.
 
+    A report for ``job`` takes a permit of a rate limit, as a request does. A runner with a limit that was
+    not asked went on with streams of its earlier version.
+
     Raises
     ------
     SendBlockedError
@@ -57,22 +68,16 @@
     born_ms = member.incarnation.born_ms
     if not born_ms or conn.incarnation_checked:
         return FarEnd.expected
-    # A runner with a rate limit gets requests of callers only, and its start stays unchecked.
-    condition = member.blocking_condition(_REPORT_PURPOSE)
-    if condition:
-        _log_unknown(member, job, condition)
-        return FarEnd.expected
-    admit = conn.admit
-    conn.admit = member.admission_for(SendPurpose(SendKind.report, job))
-    try:
-        reported_ms = await read_start_ms(conn, member.runner.address)
-    finally:
-        conn.admit = admit
+    reported_ms = await _reported_start_ms(member, conn, job)
+    if reported_ms is None:
+        _log_unknown(member, job, NO_REPORT)
+        return FarEnd.silent
     if not reported_ms:
         _log_unknown(member, job, NO_START_REPORTED)
-    if reported_ms in {0, born_ms}:
-        conn.incarnation_checked = conn.recycle()
-        return FarEnd.expected if conn.incarnation_checked else FarEnd.closing
+        return FarEnd.unknown
+    if reported_ms == born_ms:
+        conn.incarnation_checked = True
+        return FarEnd.expected
     events.log_event(
         events.OTHER_INCARNATION_REPORTED, runner=member.runner.key, born_ms=born_ms, reported_ms=reported_ms
     )
@@ -80,6 +85,19 @@
     return FarEnd.other
 
 
+async def _reported_start_ms(member: Member, conn: ClientConn, job: Job | None) -> int | None:
+    """Return the start that the runner reports, in milliseconds; 0 if it has none, None without a report in time."""
+    admit = conn.admit
+    conn.admit = member.admission_for(SendPurpose(SendKind.report, job))
+    reported_ms: int | None = None
+    try:
+        with trio.move_on_after(REPORT_TIMEOUT_S):
+            reported_ms = await read_start_ms(conn, member.runner.address)
+    finally:
+        conn.admit = admit
+    return reported_ms
+
+
 async def has_ended_since(member: Member, since: float, *, checks_start: bool) -> bool:
     """Tell whether the runner of ``member`` has ended unplanned, by what it does after ``since`` on trio's clock.
 
@@ -107,7 +125,10 @@
         return False
     try:
         return await check_incarnation(member, conn, None) is FarEnd.other
-    except (ConnBrokenError, SendBlockedError):
+    except ConnBrokenError:
+        return False
+    except SendBlockedError as exc:
+        _log_unknown(member, None, exc.condition)
         return False
     finally:
         member.release(conn)
@@ -123,4 +144,12 @@
     )
 
 
-__all__ = ('RESTARTED_CONDITION', 'FarEnd', 'check_incarnation', 'has_ended_since')
+__all__ = (
+    'NO_REPORT',
+    'RESTARTED_CONDITION',
+    'START_CHECK_S',
+    'UNKNOWN_START_CONDITION',
+    'FarEnd',
+    'check_incarnation',
+    'has_ended_since',
+)
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
@@ -86,9 +86,9 @@
         """
         digest = stream_digest(first_attempt) if first_attempt else b''
         known = self.memory.find(digest, trio.current_time())
-        if known is not None:
+        if known is not None and known.origin.known:
             return Known(known.origin, FROM_OWN_MEMORY, known.age_s)
-        if self.memory.is_ambiguous(digest):
+        if known is not None or self.memory.is_ambiguous(digest):
             return Unknown(complete=True)
         return await self._ask(digest, service)
 
@@ -121,7 +121,8 @@
             self._peers.name,
             question.number,
             known.origin if known else None,
-            self._sole_origin(question.service),
+            # Two origins are known of an ambiguous stream, so that no other one can be inferred.
+            None if self.memory.is_ambiguous(question.digest) else self._sole_origin(question.service),
             known.age_s if known else 0,
         )
         self._peers.send_queue.enqueue(reply, question.entry)
