--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
@@ -84,6 +84,12 @@
         """Return the epoch of the store as last seen."""
         return self._view.epoch if self._view else 0
 
+    @property
+    def released(self) -> bool:
+        """Return whether the newest record says that its holder has released the lease."""
+        record = self._view.record if self._view else None
+        return record is not None and not record.holder and record.epoch == self.epoch
+
     def valid(self, now: float) -> bool:
         """Return whether this instance may act as the holder."""
         return self.fence is not None and now < self._sent_at + HOLD_S
@@ -109,10 +115,7 @@
         """Return whether no instance can act as holder, given the time at which the newest read began."""
         if self._view is None:
             return False
-        holding = self._view.record
-        if holding is not None and not holding.holder and holding.epoch == self._view.epoch:
-            return True
-        return read_began_at - self._unchanged_since >= self._claim_s
+        return self.released or read_began_at - self._unchanged_since >= self._claim_s
 
     def next_record(self) -> LeaseRecord:
         """Return the record with which this instance claims the lease, or renews it."""
--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/report_schedule.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/report_schedule.py
@@ -52,6 +52,8 @@
         """Start without a report."""
         # Stored and not yet accepted.
         self.pending: Report | None = None
+        # Whether an earlier holder has decided the pending report, and may have sent it.
+        self.taken_over = False
         # The newest report that this instance has stored or found in the store.
         self.newest: Report | None = None
         self._meter = meter
@@ -78,6 +80,7 @@
             Whether no other instance can have stored a report since this one did.
         """
         # The newest report is sent again, since it may not have been sent.
+        self.taken_over = not unbroken
         if unbroken and self.newest is not None:
             self.on_decided(self.newest)
         elif stored is not None and stored.epoch == epoch:
@@ -114,6 +117,7 @@
     def on_done(self) -> None:
         """Note that the pending report was accepted or given up."""
         self.pending = None
+        self.taken_over = False
 
     def too_late(self, window: int, wall_s: float) -> bool:
         """Return whether the report of a window would miss its deadline."""
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -145,7 +145,8 @@
         async with self._acting:
             if self._lease.fence is not None:
                 holding = msgspec.structs.replace(self._lease.next_record(), holder='')
-                await self._log.append(LEASE_KEY, msgspec.json.encode(holding))
+                outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(holding))
+                events.log_event(events.DUTY_GIVEN_BACK, fence=holding.fence, outcome=outcome.value)
                 self._lease.lose()
                 await self._announce(held=False)
 
@@ -181,13 +182,17 @@
 
     async def _claim(self) -> None:
         holding = self._lease.next_record()
-        unbroken = self._lease.unbroken
+        unbroken, released = self._lease.unbroken, self._lease.released
         if await self._log.append(LEASE_KEY, msgspec.json.encode(holding), holding) is not AppendOutcome.taken:
             return
         self._reports.take_over(self._log.report, holding.epoch, self._tools.true_time.now(), unbroken=unbroken)
         self._announced_at = 0
         events.log_event(
-            events.DUTY_TAKEN, fence=holding.fence, next_window=self._reports.next_window, unbroken=unbroken
+            events.DUTY_TAKEN,
+            fence=holding.fence,
+            next_window=self._reports.next_window,
+            unbroken=unbroken,
+            released=released,
         )
 
     async def _advance_report(self) -> None:
@@ -233,7 +238,9 @@
             return
         status = await self._try_post(report, fence)
         if status == STATUS_OK:
-            events.log_event(events.USAGE_REPORTED, window=report.window, fence=fence)
+            events.log_event(
+                events.USAGE_REPORTED, window=report.window, fence=fence, taken_over=self._reports.taken_over
+            )
             self._reports.on_done()
         elif status == STATUS_TOO_MANY or status >= FIRST_FAILURE or not status:
             await trio.sleep(CALL_RETRY_S)
