--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/report_schedule.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/report_schedule.py
@@ -65,7 +65,9 @@
         """Return the first window without a stored report."""
         return self._next
 
-    def take_over(self, stored: Report | None, epoch: int, wall_s: float, *, unbroken: bool) -> None:
+    def take_over(
+        self, stored: Report | None, epoch: int, wall_s: float, *, unbroken: bool, reported: int | None = None
+    ) -> None:
         """Take over the duty with the state in the store.
 
         Parameters
@@ -78,8 +80,10 @@
             Current time in seconds since 1970.
         unbroken
             Whether no other instance can have stored a report since this one did.
+        reported
+            Newest window whose report the platform has taken; None if no holder noted one.
         """
-        # The newest report is sent again, since it may not have been sent.
+        # The newest report is sent again unless it is known to have arrived.
         self.taken_over = not unbroken
         if unbroken and self.newest is not None:
             self.on_decided(self.newest)
@@ -89,6 +93,8 @@
             # The store may have lost the report of any window that has ended, so none of them is reported.
             self.pending = None
             self._next = self._meter.window_at(wall_s + MAX_CLOCK_SKEW_S)
+        if self.pending is not None and reported is not None and self.pending.window <= reported:
+            self.on_done()
 
     def due_window(self, wall_s: float, *, complete: bool) -> int | None:
         """Return the window whose report is due now, if there is one.
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -134,6 +134,7 @@
 USAGE_REPORT_TOO_LATE = _event(2406, logging.ERROR, 'usage of a window is not reported, its deadline has passed')
 DUTY_STORE_FAILED = _event(2407, logging.WARNING, 'duty record could not be read from or written to the store')
 DUTY_GIVEN_BACK = _event(2408, logging.INFO, 'duty given back, this instance stops')
+DUTY_CLAIM_DEFERRED = _event(2409, logging.INFO, 'duty not claimed yet')
 SETTINGS_RELOADED = _event(1004, logging.INFO, 'settings read again')
 SETTINGS_REFUSED = _event(1005, logging.ERROR, 'changed settings refused, the old ones stay')
 RUNNER_EJECTED_BY_REPORTS = _event(3501, logging.WARNING, 'runner ejected for a time on the reports of peers')
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -7,16 +7,16 @@
 import msgspec
 import trio
 
-from sesamepoint_core.duty.lease import Lease
+from sesamepoint_core.duty.lease import ClaimState, Holder, Lease, LeaseTimes
 from sesamepoint_core.duty.report_schedule import COUNTS_DUE_S, Report, ReportSchedule, ReportTimes
 from sesamepoint_core.duty.usage import Source, UsageTotals
 from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
+from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.accounts.duty_log import AppendOutcome, DutyLog
+from sesamepoint.front.accounts.report_call import CALL_TIMEOUT_S, STATUS_OK, ReportCall
 from sesamepoint.front.accounts.usage_messages import DutyMessage
-from sesamepoint.http1.client import ClientConn
-from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
-from sesamepoint.platform.usage_reports import encode_usage, report_usage
+from sesamepoint.platform.usage_reports import encode_usage
 from sesamepoint.platform.wire_names import LEASE_KEY, REPORT_KEY
 
 if TYPE_CHECKING:
@@ -34,13 +34,6 @@
 # How often the holder renews its lease, and retries a failed renewal, in seconds.
 RENEW_S = 0.7
 RENEW_RETRY_S = 0.3
-# Added to the least time between two holders before a claim, in seconds: a call
-# that the previous holder began in time has ended or broken by then.
-CLAIM_MARGIN_S = 0.5
-# Timeout of a call that sends a report, in seconds; a call begins only if the
-# lease is valid until the timeout.
-CALL_TIMEOUT_S = 0.8
-CONNECT_TIMEOUT_S = 0.4
 CALL_RETRY_S = 0.3
 # How often the holder checks for a window to report, in seconds.
 CHECK_INTERVAL_S = 0.1
@@ -66,7 +59,6 @@
 # received for this long, in seconds: a failed instance stays on the list beyond the
 # time by which a report is due. A live instance sends its counts of each window.
 INACTIVE_S = 8.0
-STATUS_OK = 200
 STATUS_TOO_MANY = 429
 FIRST_FAILURE = 500
 
@@ -93,9 +85,13 @@
         self._tools = tools
         self._name = tools.peers.name
         self._clock = tools.clock
-        self._lease = Lease(self._name, cfg.lease_s + CLAIM_MARGIN_S)
+        owner = Holder(self._name, tools.peers.host)
+        self._lease = Lease(owner, LeaseTimes.from_lease(cfg.lease_s), tools.clock.steady())
+        # Set once this instance is about to stop; it would have to give the duty back within seconds.
+        self._stopping = False
         self._reports = ReportSchedule(tools.meter, ReportTimes(cfg.window_s, cfg.report_delay_s))
         self._counters = UsageTotals()
+        self._report_call = ReportCall(cfg.address, self._name, tools.network)
         self._holder_expected_until = tools.clock.steady() + tools.rng.uniform(*STARTUP_RANGE_S)
         self._log = DutyLog(self._lease, tools.store.client, tools.clock)
         self._seek_backoff = Backoff(RetryLimits(FIRST_SEEK_RETRY_S, LONGEST_SEEK_RETRY_S), tools.rng)
@@ -141,17 +137,34 @@
                     await self._advance_report()
 
     async def release(self) -> None:
-        """Release the lease, so that a peer can claim it at once; this instance is about to stop."""
-        async with self._acting:
-            if self._lease.fence is not None:
-                holding = msgspec.structs.replace(self._lease.next_record(), holder='')
-                outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(holding))
-                events.log_event(events.DUTY_GIVEN_BACK, fence=holding.fence, outcome=outcome.value)
-                self._lease.lose()
-                await self._announce(held=False)
+        """Release the lease, so that a peer can claim it at once, and don't claim it again: this instance stops."""
+        self._stopping = True
+        try:
+            async with self._acting:
+                if self._lease.fence is not None:
+                    await self._release()
+        finally:
+            # Without an answer of the store the lease expires; this instance must not act meanwhile.
+            self._lease.lose()
+
+    async def _release(self) -> None:
+        record = self._lease.release_record(self._clock.steady())
+        outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(record), record)
+        # Before any other task runs: a renewal that waits would take the lease back.
+        self._lease.lose()
+        events.log_event(
+            events.DUTY_GIVEN_BACK,
+            fence=record.fence,
+            outcome=outcome.value,
+            recent=_logged(record.recent),
+            reported=record.reported,
+        )
+        await self._announce(held=False)
 
     async def _seek(self) -> None:
-        """Claim the lease if no holder announces itself and the log does not change."""
+        """Claim the lease if no holder announces itself and the log does not change; not while stopping."""
+        if self._stopping:
+            await trio.sleep_forever()
         while self._clock.steady() < self._holder_expected_until:
             await trio.sleep(CHECK_INTERVAL_S)
         await trio.sleep(self._tools.rng.uniform(*SEEK_RANGE_S))
@@ -165,13 +178,15 @@
             await self._tools.store.pacer.wait_to_retry(self._seek_backoff)
 
     async def _claim_or_wait(self, read_at: float) -> None:
-        if self._lease.may_claim(read_at):
+        answer = self._lease.may_claim(read_at)
+        if answer.state is ClaimState.free:
             await self._claim()
-        else:
-            await trio.sleep(self._cfg.lease_s + CLAIM_MARGIN_S)
+            return
+        events.log_event(events.DUTY_CLAIM_DEFERRED, state=answer.state.value, wait_ms=whole_ms(answer.wait_s))
+        await trio.sleep(answer.wait_s)
 
     async def _renew(self) -> None:
-        outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(self._lease.next_record()))
+        outcome = await self._log.append(LEASE_KEY, msgspec.json.encode(self._lease.next_record(self._clock.steady())))
         if outcome is AppendOutcome.taken:
             await trio.sleep(RENEW_S)
             return
@@ -181,11 +196,19 @@
             await self._log.refresh()
 
     async def _claim(self) -> None:
-        holding = self._lease.next_record()
+        if self._stopping:
+            return
+        holding = self._lease.next_record(self._clock.steady())
         unbroken, released = self._lease.unbroken, self._lease.released
         if await self._log.append(LEASE_KEY, msgspec.json.encode(holding), holding) is not AppendOutcome.taken:
             return
-        self._reports.take_over(self._log.report, holding.epoch, self._tools.true_time.now(), unbroken=unbroken)
+        self._reports.take_over(
+            self._log.report,
+            holding.epoch,
+            self._tools.true_time.now(),
+            unbroken=unbroken,
+            reported=self._lease.reported,
+        )
         self._announced_at = 0
         events.log_event(
             events.DUTY_TAKEN,
@@ -193,7 +216,12 @@
             next_window=self._reports.next_window,
             unbroken=unbroken,
             released=released,
+            recent=_logged(holding.recent),
+            reported=holding.reported,
         )
+        if self._stopping:
+            # The claim was sent before this instance began to stop.
+            await self.release()
 
     async def _advance_report(self) -> None:
         pending = self._reports.pending
@@ -236,8 +264,9 @@
         fence = self._lease.fence
         if fence is None or not self._lease.valid(self._clock.steady() + CALL_TIMEOUT_S):
             return
-        status = await self._try_post(report, fence)
+        status = await self._call(report, fence)
         if status == STATUS_OK:
+            self._lease.reported = report.window
             events.log_event(
                 events.USAGE_REPORTED, window=report.window, fence=fence, taken_over=self._reports.taken_over
             )
@@ -248,24 +277,13 @@
             # Another attempt would get the same answer.
             self._reports.on_done()
 
-    async def _try_post(self, report: Report, fence: int) -> int:
-        """Send a report and return the status code of the response; 0 if there was none in time."""
-        status = 0
+    async def _call(self, report: Report, fence: int) -> int:
+        """Send a report; the platform may see this instance act until the call has ended."""
+        self._lease.note_acted(self._clock.steady())
         try:
-            with trio.fail_after(CALL_TIMEOUT_S):
-                status = await self._post(report, fence)
-        except (ConnectFailedError, ConnBrokenError, trio.TooSlowError) as exc:
-            events.log_event(events.USAGE_REPORT_FAILED, window=report.window, fence=fence, cause=repr(exc))
-        if status not in {0, STATUS_OK}:
-            events.log_event(events.USAGE_REPORT_FAILED, window=report.window, fence=fence, cause=f'status {status}')
-        return status
-
-    async def _post(self, report: Report, fence: int) -> int:
-        conn = ClientConn(await self._tools.network.connect(self._cfg.address, CONNECT_TIMEOUT_S))
-        try:
-            return await report_usage(conn, self._cfg.address, self._name, fence, report.body)
+            return await self._report_call.send(report, fence)
         finally:
-            conn.close()
+            self._lease.note_acted(self._clock.steady())
 
     async def _request_counts(self, missing: list[str]) -> None:
         now = self._clock.steady()
@@ -294,4 +312,9 @@
         return DutyMessage(self._name, self._lease.fence or 0, held, self._reports.next_window, resend)
 
 
+def _logged(recent: tuple[Holder, ...] | None) -> list[str] | None:
+    """Return the names of holders for a log line; None if they are not known."""
+    return None if recent is None else [holder.name for holder in recent]
+
+
 __all__ = ('Duty', 'DutyTools')
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
@@ -64,13 +64,20 @@
         return True
 
     async def append(self, key: str, text: bytes, holding: LeaseRecord | None = None) -> AppendOutcome:
-        """Append a record at the known end of the log; an accepted record renews the lease."""
+        """Append a record at the known end of the log; an accepted record renews the lease.
+
+        Parameters
+        ----------
+        holding
+            The lease record, if ``text`` claims the lease or releases it.
+        """
         async with self._appending:
-            if holding is None and self._lease.fence is None:
-                # The lease was lost while this call waited; the record would be a claim.
+            is_claim = holding is not None and bool(holding.holder)
+            if self._lease.fence is None and not is_claim:
+                # The lease was lost while this call waited; the record would be a claim, or release that of another.
                 return AppendOutcome.refused
-            own_holding = holding or self._lease.next_record()
             sent_at = self._clock.steady()
+            own_holding = holding or self._lease.next_record(sent_at)
             try:
                 answer = await self._store.put_if_at(DUTY_TOPIC, key, text, self._lease.end)
             except (PlatformUnavailableError, HistoryGoneError) as exc:
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
@@ -48,10 +48,13 @@
             Child('duty-reports', self._report_duty.report_windows),
         ]
 
+    async def give_back(self) -> None:
+        """Give the duty back, since this instance is about to stop; it goes on counting and telling the holder."""
+        await self._report_duty.release()
+
     async def wind_down(self) -> None:
-        """Send the last counts to the peers and give the duty back, before this instance stops."""
+        """Send the last counts to the holder, before this instance stops."""
         await self._counts.send_final()
-        await self._report_duty.release()
 
 
 __all__ = ('UsageReporting',)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -120,7 +120,9 @@
         self.http_handler.stopping = True
         end_at = trio.current_time() + self.cfg.stop_s - STOP_MARGIN_S
         with trio.move_on_at(end_at):
-            await trio.sleep(ACCEPT_ALL_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._store_sync.give_back_duty)
+                await trio.sleep(ACCEPT_ALL_S)
             self.http_handler.must_end_by = end_at
             await trio.sleep(UNREADY_NOTICE_S - ACCEPT_ALL_S)
             # New connections are refused from here on, so that callers know that
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -73,6 +73,7 @@
         # Called on the first message after a time without any.
         self.on_reconnect: Callable[[], None] = _do_nothing
         self.name = cfg.name
+        self.host = cfg.host
         self._received_at: float = 0
         self._quarantine = quarantine
         quarantine.part_suspects.peer_names = self.peer_names
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -31,8 +31,10 @@
     from sesamepoint.http1.transport import Network
 
 # A stop waits no longer than this, in seconds, for the last usage counts to be
-# sent and the duty to be released.
+# sent.
 FINAL_REPORT_TIMEOUT_S = 0.2
+# Longest time in seconds in which the duty is given back: a call to the platform and one to the store.
+GIVE_BACK_TIMEOUT_S = 2.5
 
 
 class StoreSync:
@@ -91,8 +93,14 @@
         """Apply changed settings."""
         self._topic_sync.reconfigure(cfg)
 
+    async def give_back_duty(self) -> None:
+        """Give the duty back at the begin of a stop, so that its next holder does not stop within seconds."""
+        if self._reporting:
+            with trio.move_on_after(GIVE_BACK_TIMEOUT_S):
+                await self._reporting.give_back()
+
     async def withdraw(self) -> None:
-        """Hand over the duty and remove the record of this instance, which is about to stop."""
+        """Send the last counts and remove the record of this instance, which is about to stop."""
         if self._reporting:
             with trio.move_on_after(FINAL_REPORT_TIMEOUT_S):
                 await self._reporting.wind_down()
--- a/tests/core/lease_simulation.py
+++ b/tests/core/lease_simulation.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import NamedTuple
 
-from sesamepoint_core.duty.lease import Lease, LeaseRecord, LogView
+from sesamepoint_core.duty.lease import ClaimState, Holder, Lease, LeaseRecord, LeaseTimes, LogView
 
 STEP_S = 0.1
 CLAIM_S = 3.5
@@ -47,7 +47,7 @@
 
     def __init__(self, name: str, simulation: LeaseSimulation) -> None:
         """Start without a view of the log and without the lease."""
-        self.lease = Lease(name, CLAIM_S)
+        self.lease = Lease(Holder(name, name), LeaseTimes(CLAIM_S, CLAIM_S), now=0)
         self.name = name
         self.awake_at: float = 0
         self._simulation = simulation
@@ -68,6 +68,7 @@
 
     def _act(self, now: float) -> None:
         if self.lease.valid(now) and self.lease.fence is not None:
+            self.lease.note_acted(now)
             self._simulation.acts.append(Act(now, self.name, self.lease.fence))
 
     def _begin(self, now: float) -> None:
@@ -77,7 +78,7 @@
             self._append(now)
 
     def _append(self, now: float) -> None:
-        holding = self.lease.next_record()
+        holding = self.lease.next_record(now)
         self._call = self._simulation.send(now, self.lease.end, holding)
 
     def _end_read(self, call: _Read, now: float) -> None:
@@ -86,7 +87,7 @@
         self._call = None
         self._must_read = False
         self.lease.on_read(call.view, now)
-        if self.lease.fence is None and self.lease.may_claim(call.began_at):
+        if self.lease.fence is None and self.lease.may_claim(call.began_at).state is ClaimState.free:
             self._append(now)
 
     def _end_append(self, call: _Append, now: float) -> None:
--- a/tests/front/test_usage_reports.py
+++ b/tests/front/test_usage_reports.py
@@ -271,7 +271,7 @@
         self.assertTrue(any(violations))
 
 
-def _take_over_anew(reports: ReportSchedule, stored: object, epoch: int, wall_s: float, *, unbroken: bool) -> None:
+def _take_over_anew(reports: ReportSchedule, stored: object, epoch: int, wall_s: float, **_: object) -> None:
     reports.on_done()
     reports._next = int((wall_s - MAX_REPORT_DELAY_S) // DUTY_SETTINGS.window_s)  # noqa: SLF001
 
