--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -120,6 +120,8 @@
         Cancels the work on the request.
     permits
         Runners whose rate limit granted a token, for one send each.
+    checked
+        Runners that were checked with such a token, which the request lacked then.
     run_started
         Whether a runner has begun to run the request.
     on_run_started
@@ -134,6 +136,7 @@
     denial: KeyFault | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     permits: set[Incarnation] = field(default_factory=set)
+    checked: set[Incarnation] = field(default_factory=set)
     run_started: bool = False
     on_run_started: RunStartedCallback | None = None
     work_offered: bool = False
--- a/packages/sesamepoint/src/sesamepoint/front/requests/start_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/start_check.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint.front.requests.attempt_results import Unsent, Withheld
 from sesamepoint.front.runners.incarnation_check import (
-    NO_REPORT,
     RESTARTED_CONDITION,
     UNKNOWN_START_CONDITION,
     FarEnd,
@@ -17,16 +15,10 @@
 from sesamepoint.http1.messages import ConnBrokenError
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.http1.client import ClientConn
 
-_BLOCKED_BY: Mapping[FarEnd, Unsent | Withheld] = MappingProxyType(
-    {FarEnd.other: Withheld(RESTARTED_CONDITION), FarEnd.silent: Unsent(NO_REPORT)}
-)
-
 
 class StartCheck(NamedTuple):
     """Result of the check.
@@ -59,9 +51,11 @@
         far_end = await check_incarnation(member, conn, job)
     except ConnBrokenError as exc:
         return StartCheck(known=False, blocked=Unsent(str(exc)))
+    if far_end is FarEnd.other:
+        return StartCheck(known=False, blocked=Withheld(RESTARTED_CONDITION))
     if far_end is FarEnd.unknown and origin:
         return StartCheck(known=False, blocked=Withheld(UNKNOWN_START_CONDITION))
-    return StartCheck(far_end is FarEnd.expected, _BLOCKED_BY.get(far_end))
+    return StartCheck(known=far_end is FarEnd.expected)
 
 
 __all__ = ('StartCheck', 'check_start')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -18,7 +18,12 @@
 from sesamepoint.front.runners.connection_pool import ConnectionPool
 from sesamepoint.front.runners.crash_probe import CrashProbe
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
-from sesamepoint.front.runners.send_check import PendingSend, SendBlockedError, SendKind
+from sesamepoint.front.runners.send_check import (
+    NO_PERMIT_CONDITION,
+    PendingSend,
+    SendBlockedError,
+    SendKind,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -211,9 +216,14 @@
         condition = self._send_check.blocked_by(PendingSend(self, purpose, beside))
         if condition:
             raise SendBlockedError(self.runner.key, condition)
-        if purpose.job is not None:
-            # A rate limit counts all that the runner gets for a request, a check of its start too.
-            self._runner_statuses.limits.use(self.incarnation, purpose.job)
+        if purpose.job is None:
+            return
+        # A rate limit counts all that the runner gets for a request, a check of its start too.
+        limits = self._runner_statuses.limits
+        if not is_maintenance:
+            limits.use(self.incarnation, purpose.job)
+        elif not limits.use_for_check(self.incarnation, purpose.job):
+            raise SendBlockedError(self.runner.key, NO_PERMIT_CONDITION)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
         if not self.answered:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint import events
-from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.runners.send_check import NO_PERMIT_CONDITION, SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.runner_report import read_start_ms
 
@@ -24,9 +24,8 @@
 # Longest time in seconds for which the end of an answer waits for a runner's start: reports come within
 # milliseconds, and do not wait for a slot.
 START_CHECK_S = 0.1
-# Longest time in seconds for which a request waits for it: a packet that is lost twice is sent again after 0.2 s
-# and 0.4 s.
-REPORT_TIMEOUT_S = 0.7
+# Longest time in seconds for which a request waits for it: a packet that is lost once is sent again after 0.2 s.
+REPORT_TIMEOUT_S = 0.3
 # Cause in log lines: the report of a runner has no start, or the runner answered with another status than 200.
 NO_START_REPORTED = 'no start reported'
 # Cause in log lines: no report came in time.
@@ -37,13 +36,12 @@
 class FarEnd(Enum):
     """Which incarnation of a runner is at the other end of a connection.
 
-    ``unknown``: the runner answers, and its start is not in its answer. ``silent``: no report came in time.
+    ``unknown``: its report has no start, or does not come in time.
     """
 
     expected = 'expected'
     other = 'other'
     unknown = 'unknown'
-    silent = 'silent'
 
 
 async def check_incarnation(member: Member, conn: ClientConn, job: Job | None) -> FarEnd:
@@ -68,12 +66,15 @@
     born_ms = member.incarnation.born_ms
     if not born_ms or conn.incarnation_checked:
         return FarEnd.expected
-    reported_ms = await _reported_start_ms(member, conn, job)
-    if reported_ms is None:
-        _log_unknown(member, job, NO_REPORT)
-        return FarEnd.silent
+    try:
+        reported_ms = await _reported_start_ms(member, conn, job)
+    except SendBlockedError as exc:
+        if exc.condition != NO_PERMIT_CONDITION:
+            raise
+        _log_unknown(member, job, exc.condition)
+        return FarEnd.unknown
     if not reported_ms:
-        _log_unknown(member, job, NO_START_REPORTED)
+        _log_unknown(member, job, NO_REPORT if reported_ms is None else NO_START_REPORTED)
         return FarEnd.unknown
     if reported_ms == born_ms:
         conn.incarnation_checked = True
@@ -145,7 +146,6 @@
 
 
 __all__ = (
-    'NO_REPORT',
     'RESTARTED_CONDITION',
     'START_CHECK_S',
     'UNKNOWN_START_CONDITION',
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_limits.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_limits.py
@@ -91,6 +91,23 @@
             limit.take(trio.current_time())
             self.changed.set()
 
+    def use_for_check(self, incarnation: Incarnation, job: Job) -> bool:
+        """Use a permit to check a runner for ``job``: a spare one, or once that of ``job``; return whether it may.
+
+        A runner that ends the connection after each check would else use up each permit of ``job``.
+        """
+        limit = self._active(incarnation)
+        if limit is None:
+            return True
+        if limit.take(trio.current_time()):
+            self.changed.set()
+            return True
+        if incarnation in job.access.checked:
+            return False
+        job.access.checked.add(incarnation)
+        self.use(incarnation, job)
+        return True
+
     def reserve(self, incarnation: Incarnation, job: Job) -> bool:
         """Reserve a permit for ``job``; return whether there was one."""
         limit = self._limits.get(incarnation)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -21,6 +21,8 @@
     from sesamepoint.front.requests.job import Job
 
 
+# Condition that blocks a check of a runner which a rate limit has no permit for.
+NO_PERMIT_CONDITION = 'check_permit'
 # Condition that blocks a send of a stream to a runner of another version.
 ORIGIN_CONDITION = 'origin'
 
@@ -161,6 +163,7 @@
 
 __all__ = (
     'BLOCK_CONDITIONS',
+    'NO_PERMIT_CONDITION',
     'ORIGIN_CONDITION',
     'PendingSend',
     'SendBlockedError',
--- a/tests/front/streams/test_restart_at_other_version.py
+++ b/tests/front/streams/test_restart_at_other_version.py
@@ -18,6 +18,7 @@
 from sesamepoint.front.requests import start_check
 from sesamepoint.front.runners.incarnation_check import FarEnd
 from sesamepoint.platform import wire_names
+from sesamepoint_core.runner_limit.shared_limit import STARTUP_HOLD_S
 from sesamepoint_core.stream_origin.origin_memory import MIN_RETENTION_S
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.runner_state import Faults
@@ -113,11 +114,24 @@
     async def test_streams_at_rate_limit_go_on(self) -> None:
         """Guards against streams that runners with a rate limit never take up, since their start is unknown."""
         runners = versioned_engines(1, 3, 'v1', born_ms=BORN_MS, limit_headers=(LIMIT,))
-        break_streams(runners)
         async with open_bench(stream_configuration(attempts=1), runners, fronts=2) as bench:
+            await run_streams(bench, 3, ['front-1', 'front-2'])
+            # Until then instances have no share of a limit.
+            await trio.sleep(STARTUP_HOLD_S)
+            break_streams(runners)
             streams = await run_streams(bench, STREAMS, ['front-1', 'front-2', 'front-2'])
         self.assertGreaterEqual(share_whole(streams), MIN_SHARE_GONE_ON)
 
+    @in_virtual_time
+    async def test_closing_runner_at_rate_limit(self) -> None:
+        """Guards against streams whose permits are all used for checks, at runners that close after their report."""
+        runners = versioned_engines(1, 2, 'v1', born_ms=BORN_MS, limit_headers=(LIMIT,), closes_after_report=True)
+        async with open_bench(stream_configuration(), runners) as bench:
+            await run_streams(bench, 1, ['front-1'])
+            await trio.sleep(STARTUP_HOLD_S)
+            streams = await run_streams(bench, STREAMS, ['front-1'])
+        self.assertEqual([stream.answers[0].status for stream in streams if not stream.whole], [])
+
     @in_virtual_time
     async def test_start_not_reported(self) -> None:
         """Guards against streams that go on, or are taken up, where a report has no start or does not come."""
