--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -13,7 +13,7 @@
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint.front.requests.job import is_success
 from sesamepoint.front.requests.start_check import check_start
-from sesamepoint.front.runners.incarnation_check import START_CHECK_S, has_ended_since
+from sesamepoint.front.runners.incarnation_check import START_CHECK_S, SenderState, sender_state
 from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
 from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
@@ -234,14 +234,16 @@
         end = decide_end(facts)
         if isinstance(end, Unmarked):
             # The end of the answer waits for this, not its events.
-            end = settle(end, sender_ended=await self._sender_ended())
+            end = settle(end, sender_ended=await self._sender_ended(facts.kind))
         self.body_end = end
         return end
 
-    async def _sender_ended(self) -> bool:
+    async def _sender_ended(self, kind: BodyKind) -> bool:
+        """Tell whether the end of a body counts as that of its sender; in doubt it does if another runner may go on."""
         job = self._target.purpose.job
+        state = await sender_state(self._target.member, trio.current_time(), job, kind)
         resumable = job is not None and job.route.repeat is RepeatPolicy.resume
-        return await has_ended_since(self._target.member, trio.current_time(), checks_start=resumable)
+        return state is SenderState.ended or (resumable and state is SenderState.unknown)
 
     async def _broken_off(self, end: BrokenOff) -> Broken:
         return Broken(str(end), runner_ended=await self._target.member.has_ended(), end=end)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -133,7 +133,7 @@
         """Return a connection to the pool."""
         self._pool.release(conn)
 
-    async def has_ended(self, since: float | None = None) -> bool:
+    async def has_ended(self, since: float | None = None, *, planned: bool = False) -> bool:
         """Tell whether the runner has crashed, after a connection to it ended.
 
         It counts as alive if it has accepted a connection after ``since``, on trio's clock; by default
@@ -141,9 +141,9 @@
 
         A runner that accepts new connections is alive: it lost an answer, or the
         network lost a connection, and no request is suspected of having ended it.
-        The same holds for a runner that is draining or no longer registered.
+        The same holds for a runner that is draining or no longer registered, unless a ``planned`` end counts too.
         """
-        if self.draining or self.unregistered_at is not None:
+        if not planned and (self.draining or self.unregistered_at is not None):
             return False
         return await self._crash_probe.refused(trio.current_time() - BREAK_SPREAD_S if since is None else since)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from enum import Enum
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 import trio
 
+from sesamepoint_core.body_end.body_facts import BodyKind
 from sesamepoint import events
 from sesamepoint.front.runners.send_check import NO_PERMIT_CONDITION, SendBlockedError, SendKind, SendPurpose
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.runner_report import read_start_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.http1.client import ClientConn
@@ -30,7 +34,6 @@
 NO_START_REPORTED = 'no start reported'
 # Cause in log lines: no report came in time.
 NO_REPORT = 'no report in time'
-_REPORT_PURPOSE = SendPurpose(SendKind.report)
 
 
 class FarEnd(Enum):
@@ -99,40 +102,61 @@
     return reported_ms
 
 
-async def has_ended_since(member: Member, since: float, *, checks_start: bool) -> bool:
-    """Tell whether the runner of ``member`` has ended unplanned, by what it does after ``since`` on trio's clock.
+class SenderState(Enum):
+    """What became of the process that sent an answer, after the end of that answer.
 
-    Parameters
-    ----------
-    checks_start
-        Whether a runner that accepts a connection is asked for its start: it may be another incarnation at the
-        address, as after a freeze of this process. A stream that may go on elsewhere needs that check on
-        each new connection, so that the next one finds it done.
+    ``unknown``: a process accepts connections at the address, and whether it is the sender is not known.
     """
-    if await member.has_ended(since):
-        return True
-    if not checks_start or not member.incarnation.born_ms or member.draining or member.unregistered_at is not None:
-        return False
+
+    alive = 'alive'
+    ended = 'ended'
+    unknown = 'unknown'
+
+
+async def sender_state(member: Member, since: float, job: Job | None, kind: BodyKind) -> SenderState:
+    """Find out what became of the runner of ``member`` by what it does after ``since`` on trio's clock.
+
+    A stream is not whole if its runner ended with it, planned or not: a runner that drains is gone at some time,
+    with the streams that it still has. It must not be another incarnation at the address either, as after a
+    freeze of this process or a cut. Other answers of a runner that drains are whole, since it ends after them.
+    """
+    streamed = kind is BodyKind.events
+    if await member.has_ended(since, planned=streamed):
+        return SenderState.ended
+    # A runner that drains or is no longer registered is not asked.
+    leaving = member.draining or member.unregistered_at is not None
+    if not streamed or leaving or not member.incarnation.born_ms:
+        return SenderState.alive
     with trio.move_on_after(START_CHECK_S):
-        return await _is_other_start(member)
-    return False
+        return await _start_state(member, job)
+    _log_unknown(member, job, NO_REPORT)
+    return SenderState.unknown
 
 
-async def _is_other_start(member: Member) -> bool:
-    """Tell whether the runner reports another start; False if nothing is known of it."""
+async def _start_state(member: Member, job: Job | None) -> SenderState:
+    purpose = SendPurpose(SendKind.report, job)
     try:
-        conn = await member.connection(_REPORT_PURPOSE)
-    except ConnectFailedError:
-        return False
+        conn = await member.connection(purpose)
+    except ConnectFailedError as exc:
+        _log_unknown(member, job, str(exc))
+        return SenderState.unknown
     try:
-        return await check_incarnation(member, conn, None) is FarEnd.other
-    except ConnBrokenError:
-        return False
-    except SendBlockedError as exc:
-        _log_unknown(member, None, exc.condition)
-        return False
+        far_end = await check_incarnation(member, conn, job)
+    except (ConnBrokenError, SendBlockedError) as exc:
+        _log_unknown(member, job, str(exc))
+        return SenderState.unknown
     finally:
         member.release(conn)
+    return _SENDER_STATES[far_end]
+
+
+_SENDER_STATES: Mapping[FarEnd, SenderState] = MappingProxyType(
+    {
+        FarEnd.expected: SenderState.alive,
+        FarEnd.other: SenderState.ended,
+        FarEnd.unknown: SenderState.unknown,
+    }
+)
 
 
 def _log_unknown(member: Member, job: Job | None, cause: str) -> None:
@@ -150,6 +174,7 @@
     'START_CHECK_S',
     'UNKNOWN_START_CONDITION',
     'FarEnd',
+    'SenderState',
     'check_incarnation',
-    'has_ended_since',
+    'sender_state',
 )
--- a/tests/front/streams/test_unmarked_ends.py
+++ b/tests/front/streams/test_unmarked_ends.py
@@ -13,6 +13,7 @@
 import trio
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
+from sesamepoint_core.runner_limit.shared_limit import STARTUP_HOLD_S
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.framed_answer import Cut
 from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner
@@ -20,10 +21,14 @@
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_standins.platform.bench import PlatformBench
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
     from sesamepoint_standins.platform.runner import RunnerStandIn
 
+    Leave = Callable[[PlatformBench, RunnerStandIn], None]
+
 OK = 200
 BAD_GATEWAY = 502
 STREAMS = 6
@@ -31,6 +36,8 @@
 # By this time the first engines have sent some events of a stream and not all, in seconds.
 AMID_STREAM_S = 0.15
 AMID_ANSWER_S = 0.02
+# Instances know by then that a runner leaves, in seconds.
+NOTICE_S = 0.05
 
 
 class UnmarkedEndsTest(TestCase):
@@ -67,6 +74,58 @@
         bodies = [spec.expected_body for spec in specs]
         self.assertEqual([(answer.complete, answer.body) for answer in answers], [(True, body) for body in bodies])
 
+    @in_virtual_time
+    async def test_leaving_runner_gone_between_events(self) -> None:
+        """Guards against streams that are framed as complete although their engine, which drains, was gone amid them.
+
+        The system closes its connections in order. It drains, is no longer registered, or both.
+        """
+        for leave in (_drain, _unregister, _drain_and_unregister):
+            for path, complete in (('/resume/a', True), ('/never/a', False)):
+                with self.subTest(leave=leave.__name__, path=path):
+                    specs, answers = await _streams_of_leaving_runner(path, leave)
+                    whole = [answer.body == spec.expected_body for answer, spec in zip(answers, specs, strict=True)]
+                    self.assertEqual([answer.complete for answer in answers], whole)
+                    self.assertEqual(all(whole), complete)
+
+    @in_virtual_time
+    async def test_restart_between_events_of_single_run(self) -> None:
+        """Guards against a stream that may not run again and is taken for whole since another incarnation listens.
+
+        So it is after a cut: the end of the connections of a crashed runner comes when its next process accepts some.
+        """
+        engines = [_engine(1, born_ms=BORN_MS)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            specs = [new_prompt_request('/never/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S, restart=True)
+        self.assertEqual([answer.complete for answer in answers], [False for _ in specs])
+
+    @in_virtual_time
+    async def test_restart_unseen_at_rate_limit(self) -> None:
+        """Guards against a rate limit that keeps the start of a runner from being checked at the end of a stream."""
+        engines = [_engine(number, born_ms=BORN_MS, limit_headers=(b'100',)) for number in (1, 2)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            await bench.new_caller('front-1').send(new_prompt_request('/resume/a'))
+            # Until then the instance has no share of a limit.
+            await trio.sleep(STARTUP_HOLD_S)
+            specs = [new_prompt_request('/resume/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S, restart=True)
+        whole = [answer.body == spec.expected_body for answer, spec in zip(answers, specs, strict=True)]
+        self.assertEqual([answer.status for answer in answers], [OK for _ in specs])
+        self.assertTrue(all(not answer.complete or whole[index] for index, answer in enumerate(answers)))
+
+    @in_virtual_time
+    async def test_stream_of_draining_runner_is_believed(self) -> None:
+        """Guards against whole streams of a runner that drains and lives on which are broken off or run again."""
+        engines = [_engine(1), _engine(2)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            spec = new_prompt_request('/never/a', output=8)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_drain_all, bench)
+                answer = await bench.new_caller('front-1').send(spec)
+        self.assertEqual((answer.complete, answer.body), (True, spec.expected_body))
+        self.assertEqual(sum(len(each.runs) for each in engines), 1)
+
     @in_virtual_time
     async def test_crash_before_plain_answer(self) -> None:
         """Guards against an empty answer that is framed as complete after a crash of its runner."""
@@ -113,8 +172,21 @@
     return engine(number, 'decode', framing=Framing.until_close, **changes)
 
 
+async def _streams_of_leaving_runner(path: str, leave: Leave) -> tuple[list[RequestSpec], list[CallerAnswer]]:
+    engines = [_engine(1), _engine(2)]
+    async with open_bench(cut_configuration(), engines) as bench:
+        specs = [new_prompt_request(path, output=8) for _ in range(STREAMS)]
+        return specs, await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S, leave=leave)
+
+
 async def _send_and_crash(
-    bench: PlatformBench, specs: list[RequestSpec], runner: RunnerStandIn, after_s: float, *, restart: bool = False
+    bench: PlatformBench,
+    specs: list[RequestSpec],
+    runner: RunnerStandIn,
+    after_s: float,
+    *,
+    restart: bool = False,
+    leave: Leave | None = None,
 ) -> list[CallerAnswer]:
     answers: dict[str, CallerAnswer] = {}
 
@@ -125,6 +197,9 @@
         for each in specs:
             nursery.start_soon(send, each)
         await trio.sleep(after_s)
+        if leave is not None:
+            leave(bench, runner)
+            await trio.sleep(NOTICE_S)
         if restart:
             runner.restart(BORN_MS + 1)
             bench.network.close_all(runner.address.host)
@@ -133,6 +208,25 @@
     return [answers[spec.request_id] for spec in specs]
 
 
+def _drain(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    bench.drain_runner(runner.key)
+
+
+def _unregister(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    bench.drop_registration(runner.key)
+
+
+def _drain_and_unregister(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    bench.drain_runner(runner.key)
+    bench.drop_registration(runner.key)
+
+
+async def _drain_all(bench: PlatformBench) -> None:
+    await trio.sleep(AMID_STREAM_S)
+    for key in bench.runners:
+        bench.drain_runner(key)
+
+
 async def _leave(bench: PlatformBench, runner: RunnerStandIn) -> None:
     """Have a runner leave during its answer; it refuses connections from the end of that on."""
     await trio.sleep(runner.work_s / 2)
