--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -61,6 +61,10 @@
 """
 
 
+# Time for which a runner that starts again refuses connections, in seconds.
+RUNNER_RESTART_S = 0.1
+
+
 class BenchFront(NamedTuple):
     """Front process and its addresses.
 
@@ -167,6 +171,14 @@
         self.crashed.append(runner.key)
         self._listener_scopes[runner.address].cancel()
 
+    async def restart_runner(self, runner: RunnerStandIn, born_ms: int, version: str) -> None:
+        """Crash a runner, and start it again under its key and address; its registration stays as it is."""
+        self._listener_scopes[runner.address].cancel()
+        await trio.sleep(RUNNER_RESTART_S)
+        runner.restart(born_ms, version)
+        listeners = await trio.open_tcp_listeners(runner.address.port, host=runner.address.host)
+        self.nursery.start_soon(self._listen, runner.serve, listeners, runner.address)
+
     def log_paths(self) -> list[Path]:
         """Return the paths of the logs of all fronts."""
         return [front.log_path for front in self.fronts]
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -46,6 +46,9 @@
 # Processes are stopped for no longer than this. A signal that ends a stopped process takes
 # effect when the process continues, and it exits within half a second.
 MAX_FREEZE_S = 2.0
+# Time in seconds before fronts are stopped and started in turn, and the pause between two of them.
+ROLL_PAUSE_S = (2.0, 9.0)
+ROLL_GAP_S = 1.0
 SIGNAL_EXIT_S = MAX_FREEZE_S + 0.5
 KEY_HEADERS = (bearer_header(API_KEY),)
 # Least time between two different holders of the duty, in seconds.
@@ -90,6 +93,7 @@
         self.runner_status = SoakRunnerStatus(bench, Random(FRONTS))
         self._streams = SoakStreams(bench, Random(FRONTS), KEY_HEADERS)
         self._ends_rng = Random(FRONTS)
+        self._roll_rng = Random(FRONTS)
         self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
@@ -118,6 +122,7 @@
             nursery.start_soon(self.runner_status.report_status, duration_s)
             nursery.start_soon(self._streams.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
+            nursery.start_soon(self._roll_fronts, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -196,6 +201,15 @@
             path, 500, shared_prefix, output=20, deadline_s=3.0, first_limit_s=timeout_s, extra=KEY_HEADERS
         )
 
+    async def _roll_fronts(self, duration_s: float) -> None:
+        """Stop and start all fronts in turn, again and again, which makes each of them hand the duty over."""
+        with trio.move_on_after(duration_s):
+            while True:
+                await trio.sleep(self._roll_rng.uniform(*ROLL_PAUSE_S))
+                for index in self._roll_rng.sample(range(FRONTS), FRONTS):
+                    self._bench.nursery.start_soon(self._end_front, signal.SIGTERM, index)
+                    await trio.sleep(ROLL_GAP_S)
+
     async def _freeze_front(self) -> None:
         index = self._rng.randrange(FRONTS)
         began_at = trio.current_time()
@@ -206,14 +220,13 @@
         self._note_disturbance(index, began_at)
 
     async def _kill_front(self) -> None:
-        await self._end_front(signal.SIGKILL)
+        await self._end_front(signal.SIGKILL, self._rng.randrange(FRONTS))
 
     async def _stop_front(self) -> None:
-        await self._end_front(signal.SIGTERM)
+        await self._end_front(signal.SIGTERM, self._rng.randrange(FRONTS))
 
-    async def _end_front(self, signal_number: signal.Signals) -> None:
+    async def _end_front(self, signal_number: signal.Signals, index: int) -> None:
         """Send a front a signal that ends it, and restart it unless another task is doing that already."""
-        index = self._rng.randrange(FRONTS)
         process = self._bench.fronts[index].process
         _send_signal(process, signal_number)
         if index in self._restarting:
--- a/tests/front/soak_streams.py
+++ b/tests/front/soak_streams.py
@@ -29,6 +29,10 @@
 MEAN_STEP_PAUSE_S = 0.6
 HEARTBEAT_S = 1.0
 MAX_RUNNERS = 6
+BORN_MS = 1_700_000_000_000
+# How long the store does not show that a runner has restarted, in seconds, and the limits that runners name.
+MAX_UNSEEN_S = 4.0
+LIMITS = ((), (b'20',), (b'5',))
 # Share of the runners that begin to break their streams at a step.
 BREAKING_SHARE = 0.5
 
@@ -63,6 +67,9 @@
             self._new_version,
             self._leave,
             self._crash,
+            self._restart_unseen,
+            self._restart_unseen,
+            self._change_limits,
         )
 
     async def start_runners(self) -> None:
@@ -101,6 +108,8 @@
         runner = RunnerStandIn(key, SERVICE, Address('', 0), 'z1', stage='decode', speed=FAST_ENGINE)
         runner.version = f'v{self._version}'
         runner.marks_events = True
+        # Some runners don't register their start, and never restart under their key.
+        runner.born_ms = BORN_MS if len(self.runners) % 3 else 0
         runner.address = await ProcessBench.serve(self._bench, runner.serve)
         self.runners.append(runner)
         self._registered.append(runner)
@@ -137,6 +146,8 @@
 
     async def _crash(self) -> None:
         """Crash a runner, and start another one of its version."""
+        if not self._registered:
+            return
         crashed = self._rng.choice(self._registered)
         self._registered.remove(crashed)
         self._bench.crash_runner(crashed)
@@ -144,6 +155,26 @@
         self._version = int(crashed.version.removeprefix('v'))
         await self._add_runner()
 
+    async def _restart_unseen(self) -> None:
+        """Have a runner start again at another version, and the store show that only some time later."""
+        restartable = [runner for runner in self._registered if runner.born_ms and not runner.draining]
+        if not restartable:
+            return
+        runner = self._rng.choice(restartable)
+        self._registered.remove(runner)
+        await self._bench.restart_runner(runner, runner.born_ms + 1, f'v{self._rng.randint(1, 3)}')
+        self._bench.nursery.start_soon(self._register_later, runner, self._rng.uniform(0, MAX_UNSEEN_S))
+
+    async def _register_later(self, runner: RunnerStandIn, after_s: float) -> None:
+        await trio.sleep(after_s)
+        self._registered.append(runner)
+        self._register(runner)
+
+    async def _change_limits(self) -> None:
+        for runner in self.runners:
+            runner.limit_headers = self._rng.choice(LIMITS)
+        await trio.sleep(0)
+
     async def _expire(self, crashed: RunnerStandIn) -> None:
         """Remove the registration of a runner that has not renewed it for some time."""
         await trio.sleep(HEARTBEAT_S)
