--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty.py
@@ -132,7 +132,7 @@
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             async with self._acting:
-                if self.held():
+                if self.held() and not self._stopping:
                     await self._announce_held()
                     await self._advance_report()
 
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
@@ -86,6 +86,9 @@
             self._note_store_state('')
             if answer is None or answer.epoch != own_holding.epoch:
                 return AppendOutcome.refused
+            if self._lease.fence is None and not is_claim:
+                # The lease was given up while the store answered; the answer must not bring it back.
+                return AppendOutcome.refused
             self._lease.on_appended(own_holding, answer.end, sent_at)
             return AppendOutcome.taken
 
--- a/tests/front/test_usage_hand_over.py
+++ b/tests/front/test_usage_hand_over.py
@@ -13,9 +13,12 @@
 
 import trio
 
+from sesamepoint_core.duty.lease import Holder, Lease, LeaseRecord, LeaseTimes
 from sesamepoint_core.duty.report_schedule import ReportSchedule
+from sesamepoint.front.accounts.duty_log import AppendOutcome, DutyLog
+from sesamepoint.platform.store import AppendResult
 from sesamepoint_standins.platform.bench import DUTY_SETTINGS, open_bench
-from sesamepoint_standins.platform.usage import START_TIME_OF_DAY_S
+from sesamepoint_standins.platform.usage import START_TIME_OF_DAY_S, VirtualClock
 from tests.front.builders import configuration, plain_runner
 from tests.virtual_time import in_virtual_time
 
@@ -165,3 +168,39 @@
             bench = await roll_repeatedly(2.0)
         windows = [report.window for report in bench.usage.reports]
         self.assertGreater(len(windows), len(set(windows)))
+
+
+class SlowStore:
+    """Store that accepts each record, and answers when a test says so."""
+
+    def __init__(self) -> None:
+        """Start without an answer."""
+        self.may_answer = trio.Event()
+
+    async def put_if_at(self, *_: object) -> AppendResult:
+        """Accept a record."""
+        await self.may_answer.wait()
+        return AppendResult(end=2, epoch=1)
+
+
+class LateAnswerTest(TestCase):
+    """Answers of the store to records of a holder that has given the lease up."""
+
+    @in_virtual_time
+    async def test_renewal_answered_after_release(self) -> None:
+        """Guards against a stopping holder that acts again since a renewal of before is answered late."""
+        store, clock = SlowStore(), VirtualClock()
+        lease = Lease(Holder('front-1', 'x'), LeaseTimes.from_lease(3), 0)
+        lease.on_appended(LeaseRecord('front-1', 1, 1, ()), 1, 0)
+        log = DutyLog(lease, store, clock)  # type: ignore[arg-type]
+        outcomes = []
+
+        async def renew() -> None:
+            outcomes.append(await log.append('lease', b'renewal'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(renew)
+            await trio.sleep(0.1)
+            lease.lose()
+            store.may_answer.set()
+        self.assertEqual((outcomes, lease.fence), ([AppendOutcome.refused], None))
