--- a/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import trio
@@ -31,6 +32,14 @@
 PROBE_TIMEOUT_S = 0.1
 
 
+class ProbeOutcome(Enum):
+    """What became of a new connection; ``not_open``: there was no answer, or it was closed or reset at once."""
+
+    open = 'open'
+    refused = 'refused'
+    not_open = 'not_open'
+
+
 class ConnectionPool:
     """Idle connections to one runner."""
 
@@ -63,6 +72,19 @@
         conn.admit = admit
         return conn
 
+    async def probe_open(self, for_s: float) -> ProbeOutcome:
+        """Open a connection, and find out whether it stays open for ``for_s`` seconds; if so it goes into the pool."""
+        try:
+            conn = await self._connect(PROBE_TIMEOUT_S)
+        except ConnectFailedError as exc:
+            return ProbeOutcome.refused if exc.refused else ProbeOutcome.not_open
+        await trio.sleep(for_s)
+        if not conn.is_idle():
+            conn.close()
+            return ProbeOutcome.not_open
+        self._idle.append(conn)
+        return ProbeOutcome.open
+
     async def probe_refused(self) -> bool:
         """Tell whether the address refuses a new connection; one that succeeds goes into the pool."""
         try:
@@ -107,4 +129,4 @@
     return now - conn.idle_since < allowed_s
 
 
-__all__ = ('ConnectionPool',)
+__all__ = ('ConnectionPool', 'ProbeOutcome')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from sesamepoint.front.runners.connection_pool import ProbeOutcome
+
 if TYPE_CHECKING:
     from sesamepoint.front.runners.connection_pool import ConnectionPool
 
@@ -14,6 +16,11 @@
 # ends, all its requests fail at once. With a probe for each, one after the other, the last
 # of 24 requests was answered 0.9 s later in a network where connections got no reply.
 PROBE_TTL_S = 0.1
+# A runner lives if a connection stays open for this long, in seconds. The system closes the listening socket of a
+# process that ends after its other connections, and accepts some in between: 23 of 1,200, all closed within 0.05 s.
+OPEN_FOR_S = 0.1
+# How often a connection is tried that is neither refused nor stays open.
+LIFE_PROBES = 3
 
 
 class CrashProbe:
@@ -29,6 +36,25 @@
         self._accepted_at = -math.inf
         self._refused = False
         self._lock = trio.Lock()
+        # When the latest probe began that found it alive.
+        self._alive_at = -math.inf
+        self._life_lock = trio.Lock()
+
+    async def life(self, since: float) -> ProbeOutcome:
+        """Find out whether the runner lives: whether a connection that it accepts after ``since`` stays open."""
+        async with self._life_lock:
+            if self._alive_at >= since:
+                return ProbeOutcome.open
+            outcome = ProbeOutcome.not_open
+            for _ in range(LIFE_PROBES):
+                began = trio.current_time()
+                outcome = await self._pool.probe_open(OPEN_FOR_S)
+                if outcome is not ProbeOutcome.not_open:
+                    break
+            if outcome is ProbeOutcome.open:
+                self._alive_at = began
+            self.ended = self.ended or outcome is ProbeOutcome.refused
+            return outcome
 
     async def refused(self, since: float = 0) -> bool:
         """Tell whether the runner refuses a new connection.
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -15,7 +15,7 @@
 from sesamepoint_core.serving.loss_meter import LossMeter
 from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint import events
-from sesamepoint.front.runners.connection_pool import ConnectionPool
+from sesamepoint.front.runners.connection_pool import ConnectionPool, ProbeOutcome
 from sesamepoint.front.runners.crash_probe import CrashProbe
 from sesamepoint.front.runners.status_sources import FROM_ANSWER
 from sesamepoint.front.runners.send_check import (
@@ -141,11 +141,22 @@
 
         A runner that accepts new connections is alive: it lost an answer, or the
         network lost a connection, and no request is suspected of having ended it.
-        The same holds for a runner that is draining or no longer registered, unless a ``planned`` end counts too.
+        The same holds for a runner that is draining or no longer registered.
+
+        Parameters
+        ----------
+        planned
+            Whether a planned end counts too, and a runner must show that it lives: by a connection that stays open,
+            or by what it sends on others, since one that is full resets new connections.
         """
-        if not planned and (self.draining or self.unregistered_at is not None):
+        now = trio.current_time()
+        if planned:
+            life = await self._crash_probe.life(now if since is None else since)
+            active = self.health.active_since(now + BREAK_SPREAD_S)
+            return life is ProbeOutcome.refused or (life is ProbeOutcome.not_open and not active)
+        if self.draining or self.unregistered_at is not None:
             return False
-        return await self._crash_probe.refused(trio.current_time() - BREAK_SPREAD_S if since is None else since)
+        return await self._crash_probe.refused(now - BREAK_SPREAD_S if since is None else since)
 
     def note_replaced(self, source: str) -> None:
         """Note that another incarnation has its address.
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -117,8 +117,9 @@
     """Find out what became of the runner of ``member`` by what it does after ``since`` on trio's clock.
 
     A stream is not whole if its runner ended with it, planned or not: a runner that drains is gone at some time,
-    with the streams that it still has. It must not be another incarnation at the address either, as after a
-    freeze of this process or a cut. Other answers of a runner that drains are whole, since it ends after them.
+    with the streams that it still has. So the runner must show that it lives, and must not be another incarnation
+    at the address, as after a freeze of this process or a cut. Other answers of a runner that drains are whole, since
+    it ends after them.
     """
     streamed = kind is BodyKind.events
     if await member.has_ended(since, planned=streamed):
--- a/tests/front/streams/test_unmarked_ends.py
+++ b/tests/front/streams/test_unmarked_ends.py
@@ -23,6 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint.http1.transport import Transport
+
     from sesamepoint_standins.platform.bench import PlatformBench
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
     from sesamepoint_standins.platform.runner import RunnerStandIn
@@ -88,6 +90,20 @@
                     self.assertEqual([answer.complete for answer in answers], whole)
                     self.assertEqual(all(whole), complete)
 
+    @in_virtual_time
+    async def test_connections_accepted_by_ending_runner(self) -> None:
+        """Guards against streams that are framed as complete since their engine, which is ending, accepts a connection.
+
+        The system closes its listening socket last, and the connections that this has accepted with it.
+        """
+        engines = [_engine(1), _engine(2)]
+        async with open_bench(cut_configuration(), engines) as bench:
+            specs = [new_prompt_request('/never/a', output=8) for _ in range(STREAMS)]
+            answers = await _send_and_crash(bench, specs, engines[0], AMID_STREAM_S, leave=_end_slowly)
+        whole = [answer.body == spec.expected_body for answer, spec in zip(answers, specs, strict=True)]
+        self.assertEqual([answer.complete for answer in answers], whole)
+        self.assertFalse(all(whole))
+
     @in_virtual_time
     async def test_restart_between_events_of_single_run(self) -> None:
         """Guards against a stream that may not run again and is taken for whole since another incarnation listens.
@@ -216,6 +232,15 @@
     bench.drop_registration(runner.key)
 
 
+def _end_slowly(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    async def accept_and_close(transport: Transport) -> None:
+        await trio.sleep(NOTICE_S)
+        transport.close()
+
+    bench.network.listen(runner.address, accept_and_close)
+    bench.network.close_all(runner.address.host)
+
+
 def _drain_and_unregister(bench: PlatformBench, runner: RunnerStandIn) -> None:
     bench.drain_runner(runner.key)
     bench.drop_registration(runner.key)
