--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
@@ -19,7 +19,8 @@
 it claims. A process that has run for that long knows whether it has acted. One that
 has just started does not know what the process before it did, so the record of the
 lease names the holders that acted lately. A record without these names, of an earlier
-version or from before a restore of the store, may hide any name.
+version or from before a restore of the store, may hide any name. An empty log of a store
+that was never restored hides none.
 
 After the store was restored from an older copy nobody holds the lease, whatever the
 copy shows: the holder in it may have been followed by another one. A fencing token
@@ -127,6 +128,10 @@
     record: LeaseRecord | None
 
 
+# A log that is empty and was never restored.
+NEVER_HELD = LogView(0, 0, None)
+
+
 class Lease:
     """The lease as one instance sees it."""
 
@@ -251,6 +256,8 @@
 
     @property
     def _recent(self) -> tuple[Holder, ...] | None:
+        if self._view == NEVER_HELD:
+            return ()
         record = self._record
         return None if record is None else record.recent
 
--- a/tests/core/duty_model.py
+++ b/tests/core/duty_model.py
@@ -111,7 +111,7 @@
     needless: list[str] = field(default_factory=list)
     held_for: list[bool] = field(default_factory=list)
     _log: list[LeaseRecord] = field(default_factory=list)
-    _epoch: int = 1
+    _epoch: int = 0
     _in_flight: list[Append] = field(default_factory=list)
 
     def start(self, machine: str) -> None:
--- a/tests/core/test_lease.py
+++ b/tests/core/test_lease.py
@@ -134,6 +134,17 @@
             self.assertIsNot(lease.may_claim(5).state, ClaimState.free)
             self.assertIs(lease.may_claim(5 + LEASE_S + 0.5).state, ClaimState.free)
 
+    def test_lease_never_held(self) -> None:
+        """Guards against a first holder after which nobody may claim, though nobody else can have acted.
+
+        Instances that were all stopped and started each 10 s, with a lease time of 6 s, held the duty never again.
+        """
+        lease = new_lease('i1')
+        lease.on_read(LogView(0, 0, None), 5)
+        lease.on_appended(lease.next_record(8.5), 1, 8.5)
+        lease.note_acted(9)
+        self.assertEqual(lease.release_record(9).recent, (holder('i1'),))
+
     def test_names_expire(self) -> None:
         """Guards against names that stay in the record for good, so that their instances wait without need."""
         lease = new_lease('i1')
