--- a/benchmarks/lease_ways.py
+++ b/benchmarks/lease_ways.py
@@ -98,7 +98,9 @@
 def measure(seeds: int, lease_s: float, instances: int, way: Way) -> Sums:
     """Play all seeds with one way."""
     models = [play(seed, lease_s, instances, way) for seed in range(1, seeds + 1)]
-    gaps = [sum(1 for _ in group) * STEP_S for model in models for held, group in groupby(model.held_for) if not held]
+    gaps = [
+        sum(1 for _ in group) * STEP_S for model in models for held, group in groupby(model.held_at_steps) if not held
+    ]
     return Sums(
         sum(len(model.turns()) for model in models),
         sum(model.late_windows() for model in models),
--- a/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/duty/lease.py
@@ -42,7 +42,8 @@
 # for two renewals to fail.
 HOLD_S = 2.0
 # Added to that before another instance takes over, in seconds: a call that the holder
-# began in time has reached the platform by then, however slow its machine is.
+# began in time reaches the platform before the first one of the next holder, also
+# from a machine that is slow to send it.
 TAKE_OVER_MARGIN_S = 1.5
 # Added to the lease time before a holder returns, in seconds, for calls that arrive late.
 RETURN_MARGIN_S = 0.5
@@ -199,7 +200,10 @@
             self.lose()
 
     def may_claim(self, read_began_at: float) -> ClaimAnswer:
-        """Return whether this instance may claim, given the time at which the newest read began."""
+        """Return whether this instance may claim, given the time at which the newest read began.
+
+        Before the first read it may not, and waits without end.
+        """
         held_s = 0 if self.released else self._times.take_over_s - (read_began_at - self._unchanged_since)
         if held_s > 0:
             return ClaimAnswer(ClaimState.held, held_s)
@@ -288,9 +292,11 @@
         return record.recent[-1:] if record.recent else (Holder(record.holder, ''),)
 
     def _recent_predecessors(self, now: float) -> tuple[Holder, ...] | None:
+        """Return who may have acted shortly before the claim of this instance, and lately as of ``now``."""
         return () if now - self._claimed_at >= self._times.return_s else self._predecessors
 
     def _followed_by_self(self, recent: tuple[Holder, ...] | None) -> tuple[Holder, ...] | None:
+        """Return ``recent`` with this instance as the latest; None if that is too long or not known."""
         if recent is None:
             return None
         others = tuple(holder for holder in recent if holder != self._owner)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -179,7 +179,7 @@
         if message.head.target == wire_names.REPORT_PATH.encode():
             self.report_calls += 1
             conn.closing = self.closes_after_report
-            report = await _delayed_report(self)
+            report = await _report_body(self)
             return await self._answer(conn, transport, STATUS_OK, self._status_headers(transport), report)
         if message.head.target == wire_names.KV_LIST_PATH.encode():
             self.inventory_calls += 1
@@ -365,7 +365,7 @@
         return (*self._echo(message, transport), (wire_names.SIGNATURE, self.key.encode()), versions)
 
 
-async def _delayed_report(runner: RunnerStandIn) -> bytes:
+async def _report_body(runner: RunnerStandIn) -> bytes:
     if runner.faults.hides_report:
         await trio.sleep_forever()
     return msgspec.json.encode(runner.report)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -54,7 +54,7 @@
 # together with the head; the request waits meanwhile to be sent elsewhere.
 REJECTION_BODY_LIMIT_S = 0.05
 # Seconds for which the check of a runner holds for its next connection, if the checked one ended with the report.
-# No runner restarts in that time; in a freeze of this process one may.
+# A restart takes longer; in a freeze of this process a runner may restart.
 CHECK_VALID_S = START_CHECK_S
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/crash_probe.py
@@ -17,7 +17,7 @@
 # of 24 requests was answered 0.9 s later in a network where connections got no reply.
 PROBE_TTL_S = 0.1
 # A runner lives if a connection stays open for this long, in seconds. The system closes the listening socket of a
-# process that ends after its other connections, and accepts some in between: 23 of 1,200, all closed within 0.05 s.
+# process that ends after its other connections, and accepts some in between, which it then closes.
 OPEN_FOR_S = 0.1
 # How often a connection is tried that is neither refused nor stays open.
 LIFE_PROBES = 3
@@ -40,7 +40,7 @@
         self._alive_at = -math.inf
         self._life_lock = trio.Lock()
 
-    async def life(self, since: float) -> ProbeOutcome:
+    async def probe_life(self, since: float) -> ProbeOutcome:
         """Find out whether the runner lives: whether a connection that it accepts after ``since`` stays open."""
         async with self._life_lock:
             if self._alive_at >= since:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -133,7 +133,7 @@
         """Return a connection to the pool."""
         self._pool.release(conn)
 
-    async def has_ended(self, since: float | None = None, *, planned: bool = False) -> bool:
+    async def has_ended(self, since: float | None = None, *, must_show_life: bool = False) -> bool:
         """Tell whether the runner has crashed, after a connection to it ended.
 
         It counts as alive if it has accepted a connection after ``since``, on trio's clock; by default
@@ -145,13 +145,13 @@
 
         Parameters
         ----------
-        planned
-            Whether a planned end counts too, and a runner must show that it lives: by a connection that stays open,
+        must_show_life
+            Whether it counts as ended, planned or not, unless it shows that it lives: by a connection that stays open,
             or by what it sends on others, since one that is full resets new connections.
         """
         now = trio.current_time()
-        if planned:
-            life = await self._crash_probe.life(now if since is None else since)
+        if must_show_life:
+            life = await self._crash_probe.probe_life(now if since is None else since)
             active = self.health.active_since(now + BREAK_SPREAD_S)
             return life is ProbeOutcome.refused or (life is ProbeOutcome.not_open and not active)
         if self.draining or self.unregistered_at is not None:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -122,7 +122,7 @@
     it ends after them.
     """
     streamed = kind is BodyKind.events
-    if await member.has_ended(since, planned=streamed):
+    if await member.has_ended(since, must_show_life=streamed):
         return SenderState.ended
     # A runner that drains or is no longer registered is not asked.
     leaving = member.draining or member.unregistered_at is not None
--- a/tests/core/duty_model.py
+++ b/tests/core/duty_model.py
@@ -108,8 +108,8 @@
     decided: int | None = None
     # Claims of processes that were about to stop, and reports that the record showed as taken, sent again.
     late_claims: list[str] = field(default_factory=list)
-    needless: list[str] = field(default_factory=list)
-    held_for: list[bool] = field(default_factory=list)
+    needless_repeats: list[str] = field(default_factory=list)
+    held_at_steps: list[bool] = field(default_factory=list)
     _log: list[LeaseRecord] = field(default_factory=list)
     _epoch: int = 0
     _in_flight: list[Append] = field(default_factory=list)
@@ -159,7 +159,7 @@
 
     def violations(self) -> list[str]:
         """Return what breaks the rules for holders."""
-        found = [*self.turns(), *self.late_claims, *self.needless]
+        found = [*self.turns(), *self.late_claims, *self.needless_repeats]
         holder_of: dict[int, str] = {}
         highest = 0
         for act in self.acts:
@@ -186,7 +186,7 @@
         for machine, process in sorted(self.processes.items()):
             if process is not None and self.now >= process.awake_at:
                 self._step_process(machine, process)
-        self.held_for.append(any(one is not None and one.lease.valid(self.now) for one in self.processes.values()))
+        self.held_at_steps.append(any(one is not None and one.lease.valid(self.now) for one in self.processes.values()))
 
     def _step_process(self, machine: str, process: Process) -> None:
         if process.ends_at is not None and self.now >= process.ends_at:
@@ -314,7 +314,7 @@
             if process.ends_at is not None and call.sent_at > process.ends_at - DRAIN_S + STEP_S:
                 self.late_claims.append(f'{process.machine} claims at {self.now}, stops')
             if released and process.pending is not None and any(act.window == process.pending for act in self.acts):
-                self.needless.append(f'{process.machine} repeats {process.pending} at {self.now}')
+                self.needless_repeats.append(f'{process.machine} repeats {process.pending} at {self.now}')
 
     def _take_over(self, process: Process) -> None:
         known = process.lease.reported if self.way.notes_reports else None
