--- a/packages/sesamectl/src/sesamectl/ended_requests.py
+++ b/packages/sesamectl/src/sesamectl/ended_requests.py
@@ -40,6 +40,8 @@
         Runners that got it, in the order of the attempts.
     answer_tokens
         Length of the longest answer that the caller accepts.
+    content_id
+        The same for each attempt of one caller; empty in logs that lack it.
     pause_limit_ms
         Longest pause that an answer on time may have; 0 for plain routes.
     """
@@ -70,6 +72,7 @@
     runners: tuple[str, ...] = ()
     tokens: int = 0
     answer_tokens: int = 0
+    content_id: str = msgspec.field(default='', name='content')
 
     @property
     def whole(self) -> bool:
--- a/packages/sesamectl/src/sesamectl/loss_analysis.py
+++ b/packages/sesamectl/src/sesamectl/loss_analysis.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.admit.request_size import request_size
 from sesamepoint_core.units import MS_PER_S
 from sesamectl.ended_requests import EndedRequest
 
@@ -15,8 +16,6 @@
 # callers' operators weigh it: a fixed share, the rest in proportion, up to a bound.
 FIXED_WORTH_SHARE = 0.3
 MAX_WORTH = 4.0
-# A token of the answer takes an engine about as long as this many tokens of the prompt.
-ANSWER_TOKEN_WEIGHT = 10
 # Upper bounds of the bands of prompt sizes, in tokens.
 SIZE_BANDS = ((1_000, 'under 1k'), (5_000, '1k to 5k'), (20_000, '5k to 20k'))
 LARGEST_BAND = '20k and more'
@@ -147,7 +146,7 @@
 
 
 def _size(ended: EndedRequest) -> float:
-    return ended.tokens + ANSWER_TOKEN_WEIGHT * ended.answer_tokens
+    return request_size(ended.tokens, ended.answer_tokens)
 
 
 def _mean_sizes(ended: Iterable[EndedRequest]) -> dict[str, float]:
--- a/packages/sesamectl/src/sesamectl/loss_text.py
+++ b/packages/sesamectl/src/sesamectl/loss_text.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sesamectl.loss_analysis import size_band
+from sesamectl.size_shares import size_shares
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -35,6 +36,7 @@
         _table('by instance', loss.grouped_by(instance_key), loss),
         _table('by account', loss.grouped_by(account_key), loss) if _has_accounts(loss) else '',
         _worst_windows(loss, window_s),
+        _size_table(loss),
         _wait_table(errors),
         '\n'.join(ended_requests.notes()),
     ]
@@ -141,6 +143,20 @@
     return '\n'.join(lines)
 
 
+def _size_table(loss: Loss) -> str:
+    shares = size_shares(loss.ended)
+    if not shares:
+        return ''
+    head = f'{"callers served, by part of the sizes of their route":52}'
+    lines = [f'{head}{"callers":>9}{"served":>9}{"on time":>9}{"refused":>9}{"of route":>9}']
+    for one in shares:
+        columns = (_percent(count, one.callers) for count in (one.served, one.on_time, one.refused))
+        name = f'{one.route}, {one.part.replace("_", " ")}'
+        text = ''.join(f'{column:>9}' for column in (*columns, _percent(one.of_route, 1)))
+        lines.append(f'{name:52}{one.callers:9}{text}')
+    return '\n'.join(lines)
+
+
 def _has_accounts(loss: Loss) -> bool:
     return any(one.account for one in loss.ended)
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -86,6 +86,16 @@
         newest = self._current_slice()
         self._slices[-1] = newest._replace(extra=newest.extra + 1)
 
+    def log_fields(self) -> dict[str, object]:
+        """Return what decides, for the log: extra sends in the window, what its requests earned, and the reserve."""
+        self._current_slice()
+        return {
+            'spent': sum(each.extra for each in self._slices),
+            'earned': round(self._earned(), 2),
+            'reserve': round(self._reserve, 2),
+            'reserve_left': round(self._reserve_left, 2),
+        }
+
     def _earned(self) -> float:
         """Return the extra sends that the requests of the window have earned, without its oldest slice."""
         newest = self._slices[-1].number
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.serving.accounts import Denied
 from sesamepoint.front.accounts.account_admission import (
     admission_of,
@@ -32,6 +31,7 @@
     from sesamepoint.front.requests.attempt_results import AttemptResult
     from sesamepoint.front.dispatch_components import DispatchComponents
     from sesamepoint.front.engines.engine_runs import EngineRuns
+    from sesamepoint.front.retry_budget.retry_budgets import ServiceBudget
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.front.quarantine.quarantine import Quarantine
     from sesamepoint.front.requests.reply import Reply
@@ -39,36 +39,6 @@
 
 NOT_FOUND = 404
 
-# Share of the retry budget that is used. The rest is a margin, because those who
-# check the budget count arrivals over windows with other bounds.
-RETRY_BUDGET_SHARE = 0.8
-
-
-class RetryBudgets:
-    """Retry budgets, one for each service; each is a share of the budget of all instances."""
-
-    def __init__(self, ratio: float, window_s: float) -> None:
-        """Allow ``ratio`` of the requests of each window; the reserve is 0 until the number of instances is known."""
-        self._ratio = RETRY_BUDGET_SHARE * ratio
-        self._reserve: float = 0
-        self._window_s = window_s
-        self._by_service: dict[str, WindowBudget] = {}
-
-    def earn(self, service: str) -> WindowBudget:
-        """Count a request for its service and return the budget of the service."""
-        budget = self._by_service.get(service)
-        if budget is None:
-            budget = WindowBudget(self._ratio, self._reserve, self._window_s, trio.current_time)
-            self._by_service[service] = budget
-        budget.earn()
-        return budget
-
-    def split_reserve(self, instances: int, reserve: float) -> None:
-        """Split ``reserve`` evenly between all instances."""
-        self._reserve = RETRY_BUDGET_SHARE * reserve / max(instances, 1)
-        for budget in self._by_service.values():
-            budget.resize(self._reserve)
-
 
 class Dispatcher:
     """Serves requests according to the configuration in force."""
@@ -78,7 +48,6 @@
         components: DispatchComponents,
         engine_runs: EngineRuns,
         quarantine: Quarantine,
-        budgets: RetryBudgets,
         rng: Random,
     ) -> None:
         """Start without a configuration."""
@@ -92,7 +61,8 @@
         self._plain_shares = components.plain_shares
         self._origin_runners = components.origin_runners
         self._engine_runs = engine_runs
-        self._budgets = budgets
+        self._budgets = components.budgets
+        self.metrics.counters += (components.budgets.decisions,)
         self._quarantine = quarantine
         self._rng = rng
         self._usual_deadlines = RetryDetector()
@@ -173,7 +143,7 @@
         self._permit_queue.note_request(job.service)
         outcome = await self._attempt_once(job, cfg, budget)
         while outcome is not None and may_retry(job, outcome):
-            if job.sends and not isinstance(outcome, Withheld) and not budget.spend():
+            if job.sends and not isinstance(outcome, Withheld) and not budget.spend(job.req.request_id):
                 return outcome
             next_outcome = await self._attempt_once(job, cfg, budget)
             if next_outcome is None:
@@ -193,7 +163,7 @@
                 return False
         return self.take_ups is None or await self.take_ups.resolve(job)
 
-    async def _attempt_once(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
+    async def _attempt_once(self, job: Job, cfg: Configuration, budget: ServiceBudget) -> AttemptResult | None:
         if not await self._quarantine.admit(job, self._selector.probe_runner):
             return None
         outcome: AttemptResult | None = None
@@ -210,7 +180,7 @@
             self.metrics.count_broken_send(job.service, outcome.tag)
         return outcome
 
-    async def _choose_and_send(self, job: Job, cfg: Configuration, budget: WindowBudget) -> AttemptResult | None:
+    async def _choose_and_send(self, job: Job, cfg: Configuration, budget: ServiceBudget) -> AttemptResult | None:
         if job.access.denial or not await self._origin_runners.wait_for_runner(job):
             return None
         if job.req.prompt is not None:
@@ -248,4 +218,4 @@
         return self._rng.choices(route.shares, weights)[0].service
 
 
-__all__ = ('Dispatcher', 'RetryBudgets')
+__all__ = ('Dispatcher',)
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -9,6 +9,7 @@
 from sesamepoint.front.clocks import SystemClock
 from sesamepoint.front.fair_share.account_shares import AccountShares
 from sesamepoint.front.fair_share.plain_shares import PlainShares
+from sesamepoint.front.retry_budget.retry_budgets import RetryBudgets
 from sesamepoint.front.runners.permit_queue import PermitQueue
 from sesamepoint.front.engines.prefill import HandleReclaimer
 from sesamepoint.front.runners.runner_selection import RunnerSelector
@@ -37,6 +38,7 @@
     account_shares: AccountShares
     plain_shares: PlainShares
     origin_runners: OriginRunners
+    budgets: RetryBudgets
 
     @classmethod
     def build(
@@ -53,7 +55,7 @@
         Parameters
         ----------
         cfg
-            Name and zone of this instance.
+            Name and zone of this instance, and the retry budget.
         sends
             Record of the sends of all instances.
         rng
@@ -75,6 +77,7 @@
             account_shares,
             PlainShares(account_shares),
             OriginRunners(subset),
+            RetryBudgets(cfg.retry_ratio, cfg.retry_window_s),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -27,7 +27,6 @@
 from sesamepoint.platform.headers import AttemptHeaders
 
 if TYPE_CHECKING:
-    from sesamepoint_core.admit.window_budget import WindowBudget
     from sesamepoint_core.serving.prompt import Prompt
     from sesamepoint_core.serving.routes import Configuration
 
@@ -35,6 +34,7 @@
     from sesamepoint.front.dispatch_components import DispatchComponents
     from sesamepoint.front.engines.engine_plan import EnginePlan
     from sesamepoint.front.engines.engine_sends import SendEnd
+    from sesamepoint.front.retry_budget.retry_budgets import ServiceBudget
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.front.requests.job import Job
 
@@ -67,7 +67,7 @@
         job: Job,
         prompt: Prompt,
         cfg: Configuration,
-        budget: WindowBudget,
+        budget: ServiceBudget,
     ) -> AttemptResult | None:
         """Serve ``job`` on the placement of least cost.
 
@@ -115,7 +115,7 @@
         job: Job,
         prompt: Prompt,
         cfg: Configuration,
-        budget: WindowBudget,
+        budget: ServiceBudget,
     ) -> AttemptResult | None:
         """Retry after a failed remote prefill: another one if the retry budget allows it, else a whole run.
 
@@ -125,8 +125,8 @@
         engines, until their callers left.
         """
         # The first remote prefill of a request is free; a failed one is charged as an extra arrival.
-        budget.charge()
-        job.allow_remote_prefill = budget.spend()
+        budget.charge(job.req.request_id)
+        job.allow_remote_prefill = budget.spend(job.req.request_id)
         if job.ended_runners:
             # The quarantine decides whether the request may be sent again.
             return Unsent('the prefill engine ended')
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -89,11 +89,15 @@
         """Tell whether its work is so small that serving it late hardly delays others."""
         return self.turn.work_s < SMALL_WORK_S
 
+    @property
+    def idle_first_s(self) -> float:
+        """Return the seconds until its first event if no engine had any other work."""
+        return self._newest_plan.placement.first_s - self._newest_plan.view.wait_s
+
     @property
     def slack_s(self) -> float:
         """Return for how many seconds it may still wait and be answered before its deadline."""
-        placement = self._newest_plan.placement
-        return self.job.first_output_left_s - (placement.first_s - self._newest_plan.view.wait_s)
+        return self.job.first_output_left_s - self.idle_first_s
 
     @property
     def urgent_retry(self) -> bool:
@@ -130,6 +134,11 @@
             work_ms=whole_ms(self.turn.work_s),
             due_ms=whole_ms(self.turn.due_s),
             left_ms=whole_ms(job.first_output_left_s),
+            idle_first_ms=whole_ms(self.idle_first_s),
+            on_time_when_idle=self.idle_first_s <= job.route.target_s,
+            returned=job.caller_retry,
+            tokens=self.prompt.tokens,
+            answer_tokens=self.prompt.max_output,
             retry_after_s=job.retry_after_s,
         )
 
@@ -142,7 +151,7 @@
             Seconds for which an answer of its route occupies an engine slot.
         """
         plan = self._newest_plan
-        after_s = plan.placement.first_s - plan.view.wait_s - plan.placement.work_s
+        after_s = self.idle_first_s - plan.placement.work_s
         # In terms of the service's median engine, like the capacity of the engines.
         work_s = plan.placement.work_s / plan.view.prefill_factor
         if self.queue.need is Need.slot:
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
+from sesamepoint.front.dispatch import Dispatcher
 from sesamepoint.front.http_handler import HttpHandler
 from sesamepoint.front.engine_model.engine_tracking import EngineTracking
 from sesamepoint.front.instance_room.room import InstanceRoom
@@ -69,14 +69,13 @@
         self.peers = Peers(cfg, sends, quarantine, engine_subset, peer_network)
         self._engine_tracking = EngineTracking(self.fleet, engine_subset, self.peers, rng)
         self.room.lag.join(self.peers)
-        budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_window_s)
         self._components = DispatchComponents.build(cfg, engine_subset, sends, send_check.runner_statuses, rng, clock)
         eligible = self._components.selector.eligible
         self._shared_health = SharedHealth(self.fleet, engine_subset, self.peers, eligible)
         self._exchanges = Exchanges.build(self._components, self.fleet, engine_subset, self.peers)
-        self.dispatcher = Dispatcher(self._components, EngineRuns(self._components), quarantine, budgets, rng)
+        self.dispatcher = Dispatcher(self._components, EngineRuns(self._components), quarantine, rng)
         sync_targets = SyncTargets(
-            self.dispatcher, self.fleet, send_check.runner_statuses, self.peers, budgets, quarantine
+            self.dispatcher, self.fleet, send_check.runner_statuses, self.peers, self._components.budgets, quarantine
         )
         self._store_sync = StoreSync(cfg, sync_targets, network, rng, clock)
         self.peer_pages = self._store_sync.pages
@@ -149,6 +148,11 @@
             ('ejected_runners', 'Runners that are ejected here.', self._shared_health.count_ejected),
             ('leaving_runners', 'Runners that leave.', fleet.count_draining),
             ('resting_runners', 'Runners that want nothing from here now.', fleet.count_backing_off),
+            (
+                'retry_reserve_share',
+                'Sends beyond the first that this instance may take from the reserve.',
+                components.budgets.reserve_share,
+            ),
             ('configuration_version', 'Version in force; 0 before the first.', self._config_version),
         )
         add_gauge = self.dispatcher.metrics.add_gauge
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/__init__.py
@@ -0,0 +1,1 @@
+"""The share of this instance in the retry budget of all instances."""
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -18,7 +18,8 @@
 
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.dispatch import Dispatcher, RetryBudgets
+    from sesamepoint.front.dispatch import Dispatcher
+    from sesamepoint.front.retry_budget.retry_budgets import RetryBudgets
     from sesamepoint.front.runners.fleet import Fleet
     from sesamepoint.front.store.instance_registration import InstanceRegistration
     from sesamepoint.front.peering.peers import Peers
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.body_end.decision import BrokenOff, Complete
+from sesamepoint.front.telemetry.rows import Rows
+from sesamepoint.front.telemetry.size_parts import SizeParts
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
@@ -26,24 +28,6 @@
 WHOLE_OUTCOME = 'whole'
 
 
-class Rows(NamedTuple):
-    """A counter with one amount for each combination of its labels."""
-
-    name: str
-    text: str
-    labels: tuple[str, ...]
-    amounts: defaultdict[tuple[str, ...], float]
-
-    @classmethod
-    def empty(cls, name: str, text: str, *labels: str) -> Rows:
-        """Return a counter without amounts."""
-        return cls(name, text, labels, defaultdict(float))
-
-    def add(self, *labels: str, amount: float = 1) -> None:
-        """Increase the amount of one combination of labels."""
-        self.amounts[labels] += amount
-
-
 class Latencies(NamedTuple):
     """A histogram of seconds for each service."""
 
@@ -118,6 +102,7 @@
             'read_end',
             'end',
         )
+        self._size_parts = SizeParts()
         self.counters: tuple[Rows, ...] = (
             self._requests,
             self._extra_sends,
@@ -126,6 +111,7 @@
             self._broken_sends,
             self._gone_on,
             self._bodies,
+            self._size_parts.rows,
         )
 
     @property
@@ -167,6 +153,7 @@
         """Count a request that has ended."""
         path = str(job.trace.decision.get('path', 'plain'))
         self._requests.add(job.service, path, _outcome(job))
+        self._size_parts.count(job, _outcome(job))
         account = job.access.account
         if account:
             self._by_account.add(self._account_label(account.name), _outcome(job))
@@ -201,4 +188,4 @@
     return f'status_{job.reply.status}'
 
 
-__all__ = ('LATENCY_BUCKETS_S', 'FrontMetrics', 'GaugeValue', 'Latencies', 'Rows')
+__all__ = ('LATENCY_BUCKETS_S', 'FrontMetrics', 'GaugeValue', 'Latencies')
--- a/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics_page.py
+++ b/packages/sesamepoint/src/sesamepoint/front/telemetry/metrics_page.py
@@ -16,7 +16,8 @@
 
     from prometheus_client import Metric
 
-    from sesamepoint.front.telemetry.metrics import FrontMetrics, Latencies, Rows
+    from sesamepoint.front.telemetry.metrics import FrontMetrics, Latencies
+    from sesamepoint.front.telemetry.rows import Rows
 
 BUCKET_NAMES = (*(str(bound) for bound in LATENCY_BUCKETS_S), '+Inf')
 
