--- /dev/null
+++ b/tests/front/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the queue for engines."""
--- /dev/null
+++ b/tests/front/retry_budget/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the retry budget of all instances together."""
