--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -22,7 +22,7 @@
     number: int
     requests: int = 0
     extra: int = 0
-    reserved: int = 0
+    reserved: float = 0
 
 
 class WindowBudget:
@@ -49,7 +49,8 @@
         """Start with nothing earned and nothing spent."""
         self._ratio = ratio
         self._reserve = reserve
-        self._reserve_left = reserve
+        # What is taken from the reserve and not refilled yet.
+        self._reserve_used: float = 0
         self._slice_s = window_s / WINDOW_SLICES
         self._clock = clock
         self._slices: deque[_Slice] = deque()
@@ -59,11 +60,10 @@
         newest = self._current_slice()
         self._slices[-1] = newest._replace(requests=newest.requests + 1)
         if self._used() < REFILL_BELOW_SHARE * self._earned():
-            self._reserve_left = min(self._reserve_left + self._ratio, self._reserve)
+            self._reserve_used = max(self._reserve_used - self._ratio, 0)
 
     def resize(self, reserve: float) -> None:
-        """Change the reserve."""
-        self._reserve_left = max(self._reserve_left + reserve - self._reserve, 0)
+        """Change the reserve; what was taken from it stays taken."""
         self._reserve = reserve
 
     def spend(self) -> bool:
@@ -72,13 +72,12 @@
         extra = sum(each.extra for each in self._slices)
         if extra + 1 > self._earned() + self._reserve:
             return False
-        if self._used() + 1 <= self._earned():
-            self.charge()
-            return True
-        if self._reserve_left < 1:
+        # Parts of a send are taken from both, since a share of many instances may be less than one send.
+        from_reserve = 1 - min(max(self._earned() - self._used(), 0), 1)
+        if from_reserve > self._reserve_left:
             return False
-        self._reserve_left -= 1
-        self._slices[-1] = newest._replace(extra=newest.extra + 1, reserved=newest.reserved + 1)
+        self._reserve_used += from_reserve
+        self._slices[-1] = newest._replace(extra=newest.extra + 1, reserved=newest.reserved + from_reserve)
         return True
 
     def charge(self) -> None:
@@ -101,7 +100,11 @@
         newest = self._slices[-1].number
         return self._ratio * sum(each.requests for each in self._slices if each.number > newest - WINDOW_SLICES)
 
-    def _used(self) -> int:
+    @property
+    def _reserve_left(self) -> float:
+        return self._reserve - self._reserve_used
+
+    def _used(self) -> float:
         """Return the extra sends that were taken from the earnings."""
         return sum(each.extra - each.reserved for each in self._slices)
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from random import Random
@@ -9,6 +10,7 @@
 
 import trio
 
+from sesamepoint_core.admit.reserve_share import ReserveShare
 from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.serving.address import Address
 from sesamepoint.front.front import Front
@@ -22,7 +24,7 @@
 from sesamepoint_standins.platform.usage import UsageStandIn, VirtualClock
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Collection, Sequence
 
 STORE_ADDRESS = Address('10.9.0.1', 8100)
 USAGE_ADDRESS = Address('10.9.0.2', 8100)
@@ -61,6 +63,16 @@
     )
 
 
+class HeldShare(ReserveShare):
+    """Share in the reserve of retries of an instance that has been up for long when the bench begins."""
+
+    def update(self, members: Collection[str]) -> bool:
+        """Apply a change of the list, as if this instance had been on it before."""
+        changed = super().update(members)
+        self._past = deque(view for view in self._past if view.rank is not None)
+        return changed
+
+
 class RunnerCrash(NamedTuple):
     """Crash of a runner, and when it happened on trio's clock."""
 
@@ -127,12 +139,15 @@
         """Remove a runner's registration; it continues to serve."""
         self.store.put(RUNNER_TOPIC, key, None)
 
-    def add_front(self, number: int) -> Front:
-        """Start a front."""
+    def add_front(self, number: int, *, just_started: bool = True) -> Front:
+        """Start a front; unless it has just started, it has its share in the reserve of retries."""
         cfg = front_settings(number, self._duty, self.limits)
         network = self.network.for_host(cfg.host)
         clock = self.clocks.setdefault(cfg.name, VirtualClock())
         front = Front(cfg, network, network, Random(self._rng.random()), clock)
+        if not just_started:
+            held = HeldShare(cfg.name, cfg.retry_window_s, trio.current_time)
+            front.dispatcher.budgets.reserve_share = held
         self.fronts[cfg.name] = front
         self.network.listen(cfg.listen, front.http_handler.serve)
         self.network.listen(cfg.peer_listen, front.peer_pages.serve)
@@ -181,7 +196,7 @@
     duty: DutySettings | None = None,
     limits: InstanceLimits | None = None,
 ) -> AsyncIterator[PlatformBench]:
-    """Run a bench with a deployment and wait until all fronts are ready."""
+    """Run a bench with a deployment whose fronts have been up for long, and wait until all are ready."""
     async with trio.open_nursery() as nursery:
         bed = PlatformBench(nursery, duty=duty)
         bed.limits = limits or InstanceLimits()
@@ -189,7 +204,7 @@
         for runner in runners:
             bed.add_runner(runner)
         for number in range(1, fronts + 1):
-            bed.add_front(number)
+            bed.add_front(number, just_started=False)
         await bed.wait_until_ready()
         yield bed
         nursery.cancel_scope.cancel()
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -61,7 +61,7 @@
         self._plain_shares = components.plain_shares
         self._origin_runners = components.origin_runners
         self._engine_runs = engine_runs
-        self._budgets = components.budgets
+        self.budgets = components.budgets
         self.metrics.counters += (components.budgets.decisions,)
         self._quarantine = quarantine
         self._rng = rng
@@ -139,7 +139,7 @@
         """Attempt the request until it is served or no further attempt is allowed."""
         if self._quarantine.refuses(job) or self._lag_refuses(job) or not await self._has_runners(job):
             return None
-        budget = self._budgets.earn(job.service)
+        budget = self.budgets.earn(job.service)
         self._permit_queue.note_request(job.service)
         outcome = await self._attempt_once(job, cfg, budget)
         while outcome is not None and may_retry(job, outcome):
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -77,7 +77,7 @@
             account_shares,
             PlainShares(account_shares),
             OriginRunners(subset),
-            RetryBudgets(cfg.retry_ratio, cfg.retry_window_s),
+            RetryBudgets(cfg.name, cfg.retry_ratio, cfg.retry_reserve, cfg.retry_window_s),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -151,7 +151,7 @@
             (
                 'retry_reserve_share',
                 'Sends beyond the first that this instance may take from the reserve.',
-                components.budgets.reserve_share,
+                components.budgets.share,
             ),
             ('configuration_version', 'Version in force; 0 before the first.', self._config_version),
         )
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -65,7 +65,8 @@
         self._sends = sends
         self.members = Membership(cfg.name)
         self.registered = False
-        self._addresses: dict[str, Address] = {}
+        # Addresses of the registered instances; this one is among them only if its record is on the list.
+        self.addresses: dict[str, Address] = {}
         # Handlers of messages from peers, by message type.
         self.handlers: dict[type, Callable[[Any], None]] = {message_type: _ignore for message_type in PEER_MESSAGES}
         # Called with the name of a peer that has just registered.
@@ -81,24 +82,24 @@
 
     def count(self) -> int:
         """Return the number of registered instances, including this one."""
-        return len(self._addresses.keys() | {self._cfg.name})
+        return len(self.addresses.keys() | {self._cfg.name})
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Replace the list of instances by ``records``."""
-        for name in self._addresses.keys() - {record.key for record in records}:
+        for name in self.addresses.keys() - {record.key for record in records}:
             self.update(KeyedRecord(name, b''))
         for record in records:
             self.update(record)
 
     def update(self, record: KeyedRecord) -> bool:
         """Apply the newest record of one instance; return whether its address changed."""
-        old_address = self._addresses.pop(record.key, None)
+        old_address = self.addresses.pop(record.key, None)
         address = _decode_address(record)
         if address is None:
             self.members.leave(record.key)
             self._sends.backlog.forget_peer(record.key)
             return old_address is not None
-        self._addresses[record.key] = address
+        self.addresses[record.key] = address
         self.members.join(record.key, trio.current_time())
         if address != old_address and record.key in self.members:
             for callback in self.on_peer_joined:
@@ -172,11 +173,11 @@
 
     def peer_names(self) -> list[str]:
         """Return the names of the peers."""
-        return [name for name in self._addresses if name != self._cfg.name]
+        return [name for name in self.addresses if name != self._cfg.name]
 
     def address_of(self, peer: str) -> Address | None:
         """Return the address on which a peer listens for its peers; None if it is not registered."""
-        return self._addresses.get(peer)
+        return self.addresses.get(peer)
 
     async def send_to(self, names: Sequence[str], message: PeerMessage) -> None:
         """Send a message to the peers called ``names``."""
@@ -234,7 +235,7 @@
         return True
 
     async def _send(self, datagram: bytes, name: str) -> None:
-        address = self._addresses.get(name)
+        address = self.addresses.get(name)
         if address is None:
             # It was removed while the message was sent to other peers.
             return
--- a/packages/sesamepoint/src/sesamepoint/front/store/instance_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/instance_registration.py
@@ -20,8 +20,8 @@
 # How often to check for failed peers, in seconds.
 FAILURE_CHECK_S = 1.0
 # Pauses before a failed registration is repeated, in seconds. Peers send no updates
-# to an instance that is not registered, and the others use more than their share
-# of the retry budget.
+# to an instance that is not registered, and it has no share of the retry budget's
+# reserve.
 FIRST_RETRY_S = 1.0
 LONGEST_RETRY_S = 3.0
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -47,8 +47,8 @@
 # Longest pause before a failed call is repeated, as a share of the time within
 # which a change of the configuration or of the runners must be known.
 RETRY_SHARE = 0.5
-# Instances rarely join or leave. When they start together, each underestimates
-# their number at first and uses more than its share of the retry budget.
+# Instances rarely join or leave. Each needs a current list for its share of the retry
+# budget (sesamepoint_core/admit/reserve_share.py).
 ENTRY_WAIT_S = 1.0
 ENTRY_PAUSE_S = 0.2
 ENTRY_SPREAD_S = 0.5
@@ -117,7 +117,7 @@
     def reconfigure(self, cfg: FrontSettings) -> None:
         """Apply changed settings, such as the reserve of the retry budget."""
         self._cfg = cfg
-        self._share_budget()
+        self._targets.budgets.reconfigure(cfg.retry_reserve)
 
     def put_in_force(self, cfg: Configuration) -> bool:
         """Apply ``cfg`` if it is newer than the configuration in force; return whether it was."""
@@ -165,7 +165,12 @@
         await self._follow_topic(
             INSTANCE_TOPIC,
             pacing,
-            RecordHandlers(self._apply_entries, self._apply_entry, self._registration.check_list),
+            RecordHandlers(
+                self._apply_entries,
+                self._apply_entry,
+                self._registration.check_list,
+                confirm=lambda by_store: self._targets.budgets.reserve_share.confirm(by_store=by_store),
+            ),
         )
 
     async def follow_quarantine(self) -> None:
@@ -218,17 +223,19 @@
 
     def _apply_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._targets.peers.replace_all(records)
-        self._share_budget()
+        self._note_share(changed=self._targets.budgets.reserve_share.replace_all(self._targets.peers.addresses))
         self._registration.check_list(records)
 
     def _apply_entry(self, record: KeyedRecord) -> bool:
         changed = self._targets.peers.update(record)
-        self._share_budget()
+        self._note_share(changed=self._targets.budgets.reserve_share.update(self._targets.peers.addresses))
         self._registration.check_record(record)
         return changed
 
-    def _share_budget(self) -> None:
-        self._targets.budgets.split_reserve(self._targets.peers.count(), self._cfg.retry_reserve)
+    def _note_share(self, *, changed: bool) -> None:
+        if changed:
+            share = self._targets.budgets.reserve_share
+            events.log_event(events.RETRY_SHARE_CHANGED, instances=share.instances, list_current=share.current)
 
 
 def _decode_runner(record: KeyedRecord) -> Runner | None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -57,6 +57,10 @@
     return False
 
 
+def _confirm_any(_: bool) -> bool:
+    return True
+
+
 class RecordHandlers(NamedTuple):
     """Callbacks for the records of a topic.
 
@@ -72,6 +76,9 @@
     request_from
         Called with the name of a peer to request records from that the store
         does not return to this instance; None if updates contain all records.
+    confirm
+        Called with whether the store itself has shown that the local state is
+        current, rather than a peer; returns False if that is required.
     urgent
         Returns whether this instance cannot serve before it has read the topic;
         failed calls are then repeated soon.
@@ -81,6 +88,7 @@
     update: Callable[[KeyedRecord], bool]
     restore: Callable[[tuple[KeyedRecord, ...]], None] = _ignore
     request_from: Callable[[str], None] | None = None
+    confirm: Callable[[bool], bool] = _confirm_any
     urgent: Callable[[], bool] = _never
 
     @property
@@ -178,7 +186,7 @@
         if topic_update.epoch > self._epoch or topic_update.changed is None:
             self._on_incomplete_update(topic_update, now)
         elif self.turns.note_update(topic_update.entry, topic_update.start, topic_update.end, now):
-            self._update(Position(topic_update.epoch, topic_update.end), topic_update.changed)
+            self._apply_in_order(Position(topic_update.epoch, topic_update.end), topic_update.changed)
         elif known_end is not None and topic_update.start > known_end:
             self._apply_out_of_order(topic_update)
         if self.turns.due < old_due:
@@ -239,6 +247,7 @@
             self._has_followed = True
             self._note_answered(changes)
             await self._apply_poll(start, changes)
+            self._handlers.confirm(True)
 
     def _follow_wait_s(self) -> float:
         if self.turns.hinted or not self._reachable:
@@ -257,6 +266,7 @@
         else:
             self._handlers.replace_all(listing.records)
             self._has_records = True
+        self._handlers.confirm(True)
         self.turns.note_listed(listing.end, trio.current_time())
         self._has_followed = False
 
@@ -294,6 +304,11 @@
                 # The store refuses this instance, which calls it later only.
                 self._request_from_sender()
 
+    def _apply_in_order(self, position: Position, changed: tuple[KeyedRecord, ...]) -> None:
+        self._update(position, changed)
+        if not self._handlers.confirm(False):
+            self.turns.request_poll(trio.current_time())
+
     def _apply_out_of_order(self, topic_update: TopicUpdate) -> None:
         if self._has_records:
             for record in self.out_of_order.take_new(
--- /dev/null
+++ b/tests/core/admit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control."""
--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -64,6 +64,21 @@
             self.budget.charge()
         self.assertFalse(self.budget.spend())
 
+    def test_parts_of_a_send(self) -> None:
+        """Guards against earnings and a share of the reserve that are lost since each is less than one send."""
+        budget = WindowBudget(RATIO, 0.6, WINDOW_S, self.clock.now)
+        for _ in range(3):
+            budget.earn()
+        self.assertEqual([budget.spend(), budget.spend()], [True, False])
+
+    def test_reserve_resized_again_and_again(self) -> None:
+        """Guards against a reserve that is full again after each change of its size."""
+        self.assertEqual([self.budget.spend() for _ in range(3)], [True, True, False])
+        for reserve in (0, RESERVE, 0, RESERVE):
+            self.budget.resize(reserve)
+        self.clock.time += 2 * WINDOW_S
+        self.assertFalse(self.budget.spend())
+
     def test_reserve_resized(self) -> None:
         self.budget.resize(1)
         self.assertEqual([self.budget.spend(), self.budget.spend()], [True, False])
--- a/tests/front/test_processes.py
+++ b/tests/front/test_processes.py
@@ -20,6 +20,8 @@
 STOP_TIMEOUT_S = 30.0
 STATUS_BAD_GATEWAY = 502
 STATUS_NOT_RUN = 503
+# The budget allows 0.16 of the requests to be sent once more.
+REQUESTS_PER_RETRY = 7
 
 
 class FrontProcessTest(TestCase):
@@ -91,6 +93,7 @@
             end_on_poison(runner for runner in bench.runners if runner.service == 'web')
             await bench.wait_until_all_show('sesamepoint_entries 3.0')
             await bench.wait_until_all_show(f'sesamepoint_runners {len(bench.runners)}.0')
+            await _earn_retries(bench)
             self.assertEqual((await self._send_poison_request(bench, 0)).status, STATUS_BAD_GATEWAY)
             await bench.wait_until_all_show('sesamepoint_suspects 1.0')
             await bench.wait_until_all_show('sesamepoint_suspect_ends 2.0')
@@ -109,6 +112,13 @@
         return await new_caller(bench.fronts[index]).send(poison_plain_request())
 
 
+async def _earn_retries(bench: ProcessBench) -> None:
+    """Send sound requests: fronts that have just started may retry by what their requests earn only."""
+    for front in bench.fronts:
+        for _ in range(REQUESTS_PER_RETRY):
+            await new_caller(front).send(new_request('/thumb/sound'))
+
+
 async def _send_until_stopped(bench: ProcessBench, answers: list[CallerAnswer]) -> None:
     caller = new_caller(bench.fronts[0])
     while bench.fronts[0].process.poll() is None:
