--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/placement.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/placement.py
@@ -155,6 +155,8 @@
         Cost of a lost answer, in seconds of waiting.
     on_time_s
         Seconds left for the first token to be on time; 0 if that is impossible.
+    fastest_prefill
+        Prefill speed that the engines may have, as far as it was measured.
     prefill_price, decode_price
         Cost of a second of an engine of that stage for the requests that wait for
         one, in seconds of waiting. A second of a slow engine costs less, since less
@@ -168,6 +170,7 @@
     late_cost_s: float = 0
     lost_cost_s: float = 0
     on_time_s: float = 0
+    fastest_prefill: PrefillSpeed = PrefillSpeed()
     prefill_price: float = QUEUED_WEIGHT
     decode_price: float = QUEUED_WEIGHT
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/speed_meters.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/speed_meters.py
@@ -77,6 +77,11 @@
         self._pair_var = PAIR_SPREAD_S**2
         self._covariance: float = 0
 
+    @property
+    def fastest(self) -> PrefillSpeed:
+        """Return the speed if the engines are as fast as the times measured so far allow."""
+        return self.speed._replace(token_s=max(self.speed.token_s - math.sqrt(self._token_var), 0))
+
     def observe(self, fresh_tokens: int, prompt_tokens: int, took_s: float) -> None:
         """Update the estimates by one prefill, with its time as at a prefill engine."""
         read_s = self.speed.prefill_s(fresh_tokens, prompt_tokens)
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_queue.py
@@ -137,7 +137,7 @@
 
     def _refuse_late(self, waiter: Waiter) -> bool:
         """Refuse a new request that can't be on time if it would wait too long; return whether it is refused."""
-        if waiter.job.caller_retry or waiter.share.protected:
+        if not waiter.gains_by_return:
             return self._refuse_unservable(waiter)
         if self._queue_triage.count_timely_before(waiter) and not waiter.small:
             waiter.refuse(waiter.job.caller_left_s)
@@ -149,7 +149,7 @@
         return True
 
     def _refuse_unservable(self, waiter: Waiter) -> bool:
-        """Refuse the retry of a caller, or a protected request, only if it can't be served; return whether it is.
+        """Refuse a request that gains nothing by it only if it can't be served; return whether it is refused.
 
         Callers retry once or a few times. When retries were refused like first
         attempts, 15 of 2,000 callers were never served on a quiet day, and 30 to
@@ -191,7 +191,7 @@
         return released
 
     async def _try_order(self, order: tuple[int, float], blocked: Container[QueueKey]) -> bool:
-        urgent = await self._try_each([one for one in self._of_order(order, blocked) if one.urgent_retry])
+        urgent = await self._try_each([one for one in self._of_order(order, blocked) if one.urgent])
         timely = await self._try_each([one for one in self._of_order(order, blocked) if not one.late])
         late_waiters = (one for one in self._of_order(order, blocked) if one.late)
         late = await self._try_each(sorted(late_waiters, key=_is_large))
@@ -211,7 +211,7 @@
         """
         if not waiter.late or not waiter.refusable:
             return False
-        if waiter.job.caller_retry or waiter.share.protected or waiter.job.target_left_s <= 0:
+        if not waiter.gains_by_return or waiter.job.target_left_s <= 0:
             return waiter.unservable
         return not waiter.small and self._queue_triage.count_timely_before(waiter) > 0
 
@@ -240,7 +240,7 @@
             waiter.update_plan(plan)
             if not self._may_send(plan):
                 return False
-            if waiter.urgent_retry:
+            if waiter.urgent:
                 # At the rank of late requests it would also wait at the engine, behind
                 # all later requests that can be on time.
                 waiter.plan = plan._replace(rank=queue_rank(waiter.job))
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -27,14 +27,19 @@
 # Work that an engine may have, in seconds, before requests are queued here: enough to
 # keep it busy for the 30 ms that an announcement to peers takes.
 MAX_ENGINE_BACKLOG_S = 0.1
-# The retry of a caller goes before first attempts from this many seconds before it can
-# no longer be answered. This covers the work that an engine may already have, and an
+# A request that gains nothing by a refusal goes before others from this many seconds
+# before it can no longer be answered. This covers the work that an engine may already have, and an
 # error of as much again.
 RETRY_SLACK_S = 0.3
-# A request with less slack than this many seconds, or than its work takes, can't be
-# answered any more. In bursts of 430 prompts no caller, or one, that was released later
-# than that stayed without an answer, with 0.2 s as with 0.3 s.
+# A request with less slack than this many seconds, or than this share of its work takes,
+# can't be answered any more. In bursts of 430 prompts no caller, or one, that was released
+# later than that stayed without an answer, with 0.2 s as with 0.3 s. With the whole of its
+# work, the largest requests had 0.3 s in which they could be released.
 MIN_SLACK_S = 0.2
+MIN_SLACK_WORK_SHARE = 0.5
+# A request is due no earlier than after this many times the time that it takes at an idle engine. Measured
+# against its target alone, a large one was late behind any other work, and refused for it.
+DUE_BY_SIZE_FACTOR = 1.5
 # Requests of fewer engine seconds are served late rather than refused: they delay others
 # by less than the gap between two long prompts, while their callers would have to wait
 # for a third of their time to retry.
@@ -100,20 +105,46 @@
         return self.job.first_output_left_s - self.idle_first_s
 
     @property
-    def urgent_retry(self) -> bool:
+    def best_first_s(self) -> float:
+        """Return the least seconds to its first event, at an idle engine that is as fast as was measured.
+
+        Estimates that are too long before the first measurements make no request late by its size.
+        """
+        speed = self._newest_plan.speeds.fastest_prefill
+        return speed.overhead_s + speed.prefill_s(self._newest_plan.view.uncached_tokens, self.prompt.tokens)
+
+    @property
+    def late_when_idle(self) -> bool:
+        """Tell whether it would be late even if no engine had any other work."""
+        return self.best_first_s > self.job.route.target_s
+
+    @property
+    def gains_by_return(self) -> bool:
+        """Tell whether its caller may be served better when it comes back after a refusal.
+
+        A caller that has come back won't again. A request that is late by its size alone
+        is late then too, with less time left: as long as such requests were refused like
+        others, the largest of a kind were served half as often as the kind, or less.
+        """
+        return not (self.job.caller_retry or self.share.protected or self.late_when_idle)
+
+    @property
+    def urgent(self) -> bool:
         """Tell whether it goes before all others.
 
-        That is a stream that goes on, whose caller waits between two events, or the
-        retry of a caller close to its latest start time, who won't retry again.
+        That is a stream that goes on, whose caller waits between two events, or a request
+        close to its latest start time that gains nothing by a refusal.
         """
         if self.job.goes_on:
             return True
-        return self.job.caller_retry and self.slack_s < RETRY_SLACK_S + self._newest_plan.placement.work_s
+        if not (self.job.caller_retry or self.late_when_idle):
+            return False
+        return self.slack_s < RETRY_SLACK_S + self._newest_plan.placement.work_s
 
     @property
     def unservable(self) -> bool:
         """Tell whether too little time is left for an answer."""
-        return self.slack_s < max(MIN_SLACK_S, self._newest_plan.placement.work_s)
+        return self.slack_s < max(MIN_SLACK_S, MIN_SLACK_WORK_SHARE * self._newest_plan.placement.work_s)
 
     def refuse(self, wait_s: float) -> None:
         """Refuse the request; its caller may retry after ``wait_s``, capped to a share of the time that it has left.
@@ -134,8 +165,8 @@
             work_ms=whole_ms(self.turn.work_s),
             due_ms=whole_ms(self.turn.due_s),
             left_ms=whole_ms(job.first_output_left_s),
-            idle_first_ms=whole_ms(self.idle_first_s),
-            on_time_when_idle=self.idle_first_s <= job.route.target_s,
+            idle_first_ms=whole_ms(self.best_first_s),
+            on_time_when_idle=not self.late_when_idle,
             returned=job.caller_retry,
             tokens=self.prompt.tokens,
             answer_tokens=self.prompt.max_output,
@@ -156,7 +187,14 @@
         work_s = plan.placement.work_s / plan.view.prefill_factor
         if self.queue.need is Need.slot:
             work_s = slot_s / plan.decode.runner.slots
-        self.turn = WaitingRequest(self.job.target_left_s - after_s, work_s)
+        self.turn = WaitingRequest(self._due_in_s() - after_s, work_s)
+
+    def _due_in_s(self) -> float:
+        """Return the seconds left until its first event is due: by its target, or by its size if that takes longer."""
+        if self.job.caller_retry:
+            return 0
+        target_s = self.job.route.target_s
+        return self.job.target_left_s + max(DUE_BY_SIZE_FACTOR * self.best_first_s - target_s, 0)
 
 
 class QueueTriage:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_selection.py
@@ -203,8 +203,10 @@
     def _cost_inputs(self, job: Job, cfg: Configuration) -> Speeds:
         service = cfg.services.get(job.service)
         engine = service.engine if service else None
+        meter = self.speed_meter(job.service)
         return Speeds(
-            prefill_speed=self.speed_meter(job.service).speed,
+            prefill_speed=meter.speed,
+            fastest_prefill=meter.fastest,
             transfer_tokens_s=engine.link_bytes_s / engine.kv_token_bytes if engine else DEFAULT_TRANSFER_TOKENS_S,
             pause_s=job.route.pause_s,
             plain_pause_s=self.pause_meter(job.service).plain_s,
--- a/tests/front/test_queue_triage.py
+++ b/tests/front/test_queue_triage.py
@@ -121,8 +121,8 @@
         states = []
         for moment in (1.0, 2.3, 2.7):
             await trio.sleep_until(waiter.job.req.arrived_at + moment)
-            states.append((waiter.urgent_retry, waiter.unservable))
-            self.assertFalse(first.urgent_retry)
+            states.append((waiter.urgent, waiter.unservable))
+            self.assertFalse(first.urgent)
         self.assertEqual(states, [(False, False), (True, False), (True, True)])
 
     @in_virtual_time
