--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -17,15 +17,16 @@
 
 import trio
 
-from sesamepoint_core.serving.address import Address
 from sesamepoint.platform.wire_names import OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
-from sesamepoint_standins.platform.faulty_proxy import Fault, FaultyProxy, listen
-from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller
+from sesamepoint_standins.platform.faulty_proxy import Fault
+from sesamepoint_standins.platform.process_bench import new_caller
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import bearer_header, new_prompt_request, new_request, route
 from tests.front.random_faults import Outcome, find_request_violations
+from tests.front.soak_bench import SoakBench
 from tests.front.soak_configuration import API_KEY, soak_configuration
 from tests.front.soak_limits import SoakLimits
+from tests.front.soak_repeats import SoakRepeats
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
 from tests.front.soak_streams import SoakStreams
 
@@ -33,7 +34,6 @@
     from collections.abc import Awaitable, Callable
 
     from sesamepoint_standins.platform.caller import RequestSpec
-    from sesamepoint_standins.platform.process_bench import Serve
 
     Step = Callable[[], Awaitable[None]]
 
@@ -62,21 +62,6 @@
 BREAK_OFF_SHARES = (0, 0.5)
 
 
-class SoakBench(ProcessBench):
-    """A deployment of processes with a faulty proxy in front of the store and of each runner."""
-
-    def __init__(self, nursery: trio.Nursery, folder: Path) -> None:
-        """Write the settings of the processes to ``folder``."""
-        super().__init__(nursery, folder)
-        self.proxies: list[FaultyProxy] = []
-
-    async def serve(self, serve: Serve) -> Address:
-        """Serve behind a proxy; return the address of the proxy."""
-        proxy = FaultyProxy(await super().serve(serve))
-        self.proxies.append(proxy)
-        return Address(*await listen(proxy, self.nursery))
-
-
 class Soak:
     """Random load and faults, and what callers and runners saw."""
 
@@ -92,6 +77,9 @@
         self._limits = SoakLimits(bench, Random(FRONTS))
         self.runner_status = SoakRunnerStatus(bench, Random(FRONTS))
         self._streams = SoakStreams(bench, Random(FRONTS), KEY_HEADERS)
+        # Differs by seed, so that failures of a whole service meet rolls and kills at other moments.
+        self._any_rng = Random(rng.random())
+        self._repeats = SoakRepeats(bench, self._any_rng)
         self._ends_rng = Random(FRONTS)
         self._roll_rng = Random(FRONTS)
         self._restarts = 0
@@ -113,6 +101,7 @@
         """Start the runners beside those of the bench."""
         await self.runner_status.start_runners()
         await self._streams.start_runners()
+        await self._repeats.start_runners()
 
     async def run(self, duration_s: float) -> None:
         """Send requests and cause faults, then wait until all kinds of requests are served."""
@@ -123,6 +112,7 @@
             nursery.start_soon(self._streams.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
             nursery.start_soon(self._roll_fronts, duration_s)
+            nursery.start_soon(self._repeats.run, duration_s, self._ask_plain)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -132,7 +122,7 @@
 
     def violations(self) -> list[str]:
         """Return a message for each violation that callers or runners saw."""
-        runners = (*self._bench.runners, *self.runner_status.runners)
+        runners = (*self._bench.runners, *self.runner_status.runners, *self._repeats.runners)
         runs = Counter(run.request_id for runner in runners for run in runner.runs if not run.prefill)
         messages = [
             text for one in self.outcomes for text in find_request_violations(one, runs[one.request.request_id])
@@ -143,6 +133,7 @@
         messages += self._bench.usage.violations(MIN_TURN_S)
         messages += self._limits.violations(FRONTS + self._restarts)
         messages += self._streams.violations()
+        messages += self._repeats.violations()
         messages += self.runner_status.violations(
             {one.request.request_id for one in self.outcomes if one.answer.status}
         )
@@ -191,6 +182,9 @@
         self.outcomes.append(Outcome(req, answer, trio.current_time()))
         return answer.status == 200 and answer.complete
 
+    async def _ask_plain(self, path: str) -> None:
+        await self._ask(new_request(path, deadline_s=2.0, extra=KEY_HEADERS), self._any_rng.randrange(FRONTS))
+
     def _random_request(self) -> RequestSpec:
         timeout_s = self._rng.choice((0.02, math.inf, math.inf, math.inf))
         path = self._rng.choice(('/card/a', '/thumb/a', '/tag/a', '/verdict/a'))
