--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -17,12 +17,16 @@
 
 
 class _Slice(NamedTuple):
-    """Counts of one slice; ``reserved`` of the extra sends were taken from the reserve."""
+    """Counts of one slice; ``reserved`` of the extra sends were taken from the reserve.
+
+    ``rejected`` counts first sends that became extra ones since they were rejected.
+    """
 
     number: int
     requests: int = 0
     extra: int = 0
     reserved: float = 0
+    rejected: int = 0
 
 
 class WindowBudget:
@@ -85,6 +89,22 @@
         newest = self._current_slice()
         self._slices[-1] = newest._replace(extra=newest.extra + 1)
 
+    def refund(self) -> None:
+        """Give back an extra send that was taken for a first send, which was not rejected."""
+        newest = self._current_slice()
+        self._slices[-1] = newest._replace(extra=newest.extra - 1)
+
+    def note_rejected(self) -> None:
+        """Note that a first send was rejected, which makes it an extra one."""
+        newest = self._current_slice()
+        self._slices[-1] = newest._replace(rejected=newest.rejected + 1)
+
+    @property
+    def rejected_lately(self) -> bool:
+        """Tell whether a first send was rejected within the window."""
+        self._current_slice()
+        return any(each.rejected for each in self._slices)
+
     def log_fields(self) -> dict[str, object]:
         """Return what decides, for the log: extra sends in the window, what its requests earned, and the reserve."""
         self._current_slice()
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -22,6 +22,7 @@
     silence_timeout_s,
     target_for,
 )
+from sesamepoint.front.retry_budget.retry_budgets import PrefillHold, ServiceBudget
 from sesamepoint.front.runners.runner_selection import LATE_RANK
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
 from sesamepoint.platform.headers import AttemptHeaders
@@ -34,7 +35,6 @@
     from sesamepoint.front.dispatch_components import DispatchComponents
     from sesamepoint.front.engines.engine_plan import EnginePlan
     from sesamepoint.front.engines.engine_sends import SendEnd
-    from sesamepoint.front.retry_budget.retry_budgets import ServiceBudget
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.front.requests.job import Job
 
@@ -68,9 +68,16 @@
         prompt: Prompt,
         cfg: Configuration,
         budget: ServiceBudget,
+        *,
+        paid: bool = False,
     ) -> AttemptResult | None:
         """Serve ``job`` on the placement of least cost.
 
+        Parameters
+        ----------
+        paid
+            Whether the retry budget has granted another remote prefill, after one that failed.
+
         Returns
         -------
         AttemptResult | None
@@ -81,9 +88,17 @@
             self._account_shares.note_used(job, self._work_s(job, plan))
         if plan is None or plan.prefill is None:
             return await self._run_whole(job, prompt, plan)
+        request_id = job.req.request_id
+        hold = PrefillHold.paid if paid else budget.hold_for_prefill(request_id)
+        if hold is PrefillHold.denied:
+            self._limits.give_back(job)
+            job.allow_remote_prefill = False
+            return await self.attempt(job, prompt, cfg, budget)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
-        if prefilled is None:
+        if isinstance(prefilled, PrefillFailed):
+            budget.settle_failed_prefill(request_id, hold, rejected=prefilled.rejected)
             return await self._after_failed_prefill(job, prompt, cfg, budget)
+        budget.settle_prefill(hold)
         if isinstance(prefilled, Withheld):
             return prefilled
         outcome = await self._decode_prefilled(job, prompt, cfg, plan, prefilled)
@@ -124,13 +139,11 @@
         prefills were run whole at once, long prompts waited 2 to 4 s at decode
         engines, until their callers left.
         """
-        # The first remote prefill of a request is free; a failed one is charged as an extra arrival.
-        budget.charge(job.req.request_id)
         job.allow_remote_prefill = budget.spend(job.req.request_id)
         if job.ended_runners:
             # The quarantine decides whether the request may be sent again.
             return Unsent('the prefill engine ended')
-        return await self.attempt(job, prompt, cfg, budget)
+        return await self.attempt(job, prompt, cfg, budget, paid=job.allow_remote_prefill)
 
     async def _admitted_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Wait for a plan whose first engine admits the request, and reserve a permit; None if it is refused."""
@@ -195,7 +208,9 @@
             self._end_stream(job, end._replace(engine_failed=_answer_lost(job, outcome)), started, outcome)
         return outcome
 
-    async def _prefill(self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member) -> Prefilled | Withheld | None:
+    async def _prefill(
+        self, job: Job, prompt: Prompt, plan: EnginePlan, member: Member
+    ) -> Prefilled | Withheld | PrefillFailed:
         job.trace.decision.update(decision_fields(plan, prompt, 'two-step'))
         job.allow_remote_prefill = False
         job.note_sent_to(member.runner, member.incarnation)
@@ -224,7 +239,7 @@
             note_withheld(job, target, outcome, started)
             return outcome
         note_prefill_failure(job, member, outcome, started)
-        return None
+        return outcome
 
     async def _decode(self, job: Job, prompt: Prompt, plan: EnginePlan, prefilled: Prefilled) -> AttemptResult:
         end = await self._announce_send(plan, prompt, plan.decode, 0)
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -15,7 +15,7 @@
 from sesamepoint.http1.documents import decode_document
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
 from sesamepoint.platform.engine_cache_calls import free_kv_handle
-from sesamepoint.platform.headers import encode_request, is_other_incarnation, matches_request
+from sesamepoint.platform.headers import encode_request, is_other_incarnation, matches_request, reports_not_run
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
@@ -65,6 +65,8 @@
     replaced: bool = False
     ended: bool = False
     local: bool = False
+    # Whether the runner stated that it did not prefill; such an arrival counts as a repeat.
+    rejected: bool = False
 
 
 class _HandleReply(msgspec.Struct):
@@ -119,7 +121,8 @@
     if head.status != STATUS_OK:
         # That it failed stands in the head, and holds whatever becomes of the body.
         await conn.skip_body(REJECTION_BODY_LIMIT_S)
-        return PrefillFailed(f'status {head.status}', replaced=is_other_incarnation(head, member.runner.key))
+        replaced = is_other_incarnation(head, member.runner.key)
+        return PrefillFailed(f'status {head.status}', replaced=replaced, rejected=reports_not_run(head))
     return Prefilled(member, decode_document(await conn.read_body(), _HandleReply).kv_handle)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import trio
 
 from sesamepoint_core.admit.reserve_share import ReserveShare
@@ -14,6 +16,19 @@
 RETRY_BUDGET_SHARE = 0.8
 
 
+class PrefillHold(Enum):
+    """What the retry budget says of a remote prefill.
+
+    A first one is free, held (a repeat was taken for it, in case it is rejected) or denied;
+    further ones are paid.
+    """
+
+    free = 'free'
+    held = 'held'
+    paid = 'paid'
+    denied = 'denied'
+
+
 class ServiceBudget:
     """The retry budget of one service, which logs and counts its decisions."""
 
@@ -31,6 +46,29 @@
         self._log(events.RETRY_BUDGET_ASKED, request_id, 'granted' if granted else 'denied')
         return granted
 
+    def hold_for_prefill(self, request_id: str) -> PrefillHold:
+        """Return whether a first remote prefill may be sent.
+
+        It is free unless it is rejected. While all engines reject prefills, each request would
+        add a repeat that nobody has asked for; so once one was rejected, the next ones take a
+        repeat before they are sent.
+        """
+        if not self.window.rejected_lately:
+            return PrefillHold.free
+        return PrefillHold.held if self.spend(request_id) else PrefillHold.denied
+
+    def settle_prefill(self, hold: PrefillHold) -> None:
+        """Give back what was taken for a remote prefill that did not fail."""
+        if hold is PrefillHold.held:
+            self.window.refund()
+
+    def settle_failed_prefill(self, request_id: str, hold: PrefillHold, *, rejected: bool) -> None:
+        """Count a remote prefill that failed, unless it is counted already."""
+        if rejected:
+            self.window.note_rejected()
+        if hold is PrefillHold.free:
+            self.charge(request_id)
+
     def charge(self, request_id: str) -> None:
         """Count a send beyond the first that has already happened."""
         self.window.charge()
@@ -87,4 +125,4 @@
         return self.reserve_share.share(self._reserve, service)
 
 
-__all__ = ('RetryBudgets', 'ServiceBudget')
+__all__ = ('PrefillHold', 'RetryBudgets', 'ServiceBudget')
