--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -84,19 +84,20 @@
             The outcome; None if no engine can run it or it was refused.
         """
         plan = await self._admitted_plan(job, prompt, cfg)
-        if plan is not None:
-            self._account_shares.note_used(job, self._work_s(job, plan))
-        if plan is None or plan.prefill is None:
-            return await self._run_whole(job, prompt, plan)
-        request_id = job.req.request_id
-        hold = PrefillHold.paid if paid else budget.hold_for_prefill(request_id)
+        hold = PrefillHold.free
+        if plan is not None and plan.prefill is not None:
+            hold = PrefillHold.paid if paid else budget.hold_for_prefill(job.req.request_id)
         if hold is PrefillHold.denied:
             self._limits.give_back(job)
             job.allow_remote_prefill = False
             return await self.attempt(job, prompt, cfg, budget)
+        if plan is not None:
+            self._account_shares.note_used(job, self._work_s(job, plan))
+        if plan is None or plan.prefill is None:
+            return await self._run_whole(job, prompt, plan)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
         if isinstance(prefilled, PrefillFailed):
-            budget.settle_failed_prefill(request_id, hold, rejected=prefilled.rejected)
+            budget.settle_failed_prefill(job.req.request_id, hold, rejected=prefilled.rejected)
             return await self._after_failed_prefill(job, prompt, cfg, budget)
         budget.settle_prefill(hold)
         if isinstance(prefilled, Withheld):
