--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -92,8 +92,10 @@
     """Retry budgets, one for each service; each is a share of the budget of all instances."""
 
     def __init__(self, name: str, ratio: float, reserve: float, window_s: float) -> None:
-        """Allow ``ratio`` of the requests of each window, and a share of ``reserve`` once the instance called
-        ``name`` has been on the list of instances for long enough."""
+        """Allow ``ratio`` of the requests of each window, and a share of ``reserve``.
+
+        The share counts once the instance called ``name`` has been on the list of instances for long enough.
+        """
         self.decisions = Rows.empty(
             'sesamepoint_retry_budget',
             'Sends beyond the first, by what the retry budget decided.',
