--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -64,7 +64,7 @@
 
 
 class HeldShare(ReserveShare):
-    """Share in the reserve of retries of an instance that has been up for long when the bench begins."""
+    """Share in the reserve of retries of an instance that has been up for long when a test begins."""
 
     def update(self, members: Collection[str]) -> bool:
         """Apply a change of the list, as if this instance had been on it before."""
--- a/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/queue_triage.py
@@ -37,8 +37,8 @@
 # work, the largest requests had 0.3 s in which they could be released.
 MIN_SLACK_S = 0.2
 MIN_SLACK_WORK_SHARE = 0.5
-# A request is due no earlier than after this many times the time that it takes at an idle engine. Measured
-# against its target alone, a large one was late behind any other work, and refused for it.
+# A request is due no earlier than after this many times the time that it takes at an idle engine. Compared
+# with its target alone, a large one was late behind any other work, and refused for it.
 DUE_BY_SIZE_FACTOR = 1.5
 # Requests of fewer engine seconds are served late rather than refused: they delay others
 # by less than the gap between two long prompts, while their callers would have to wait
