--- a/packages/sesamectl/src/sesamectl/cli.py
+++ b/packages/sesamectl/src/sesamectl/cli.py
@@ -11,6 +11,7 @@
   sesamectl explain (--content ID | --part KEY) [--logs FILE]
   sesamectl burn [--logs FILE] [--account NAME] [--objective PERCENT] [--window SECONDS] [--html FILE]
   sesamectl loss [--logs FILE] [--account NAME] [--late-share SHARE] [--window SECONDS] [--html FILE]
+  sesamectl budget [--logs FILE]
   sesamectl experiment --deployment NAME --scenario NAME [--policy NAME | --compare NAMES] [--seed N] [--json]
   sesamectl experiment --list
   sesamectl demo
@@ -51,7 +52,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint.command_line import run_command_line
-from sesamectl.commands import burn, check, demo, experiment, explain, loss, publish, show  # noqa: F401
+from sesamectl.commands import budget, burn, check, demo, experiment, explain, loss, publish, show  # noqa: F401
 from sesamectl.commands.base import COMMANDS, Arguments
 
 if TYPE_CHECKING:
--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -105,6 +105,18 @@
         self._current_slice()
         return any(each.rejected for each in self._slices)
 
+    @property
+    def spent(self) -> int:
+        """Return the extra sends in the window."""
+        self._current_slice()
+        return sum(each.extra for each in self._slices)
+
+    @property
+    def requests(self) -> int:
+        """Return the requests in the window."""
+        self._current_slice()
+        return sum(each.requests for each in self._slices)
+
     def log_fields(self) -> dict[str, object]:
         """Return what decides, for the log: extra sends in the window, what its requests earned, and the reserve."""
         self._current_slice()
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -231,6 +231,7 @@
             begun_at = self._sends.prefill_begun_at(end)
             self._sends.end(end._replace(finished=True, engine_failed=_prefill_lost(outcome)))
         if isinstance(outcome, Prefilled):
+            job.arrivals.note_accepted_prefill()
             member.health.note_success(trio.current_time(), started)
             job.trace.prefill_s = trio.current_time() - started
             self._samples.observe_remote_prefill(plan, prompt, member, PrefillTimes(started, begun_at))
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -109,6 +109,7 @@
 
 async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> Prefilled | PrefillFailed:
     wire = conn.start_request(encode_request(req, target.sending), req.body)
+    target.purpose.note_arrival(target.member.runner.key)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_ignoring_errors, wire)
         head = await conn.read_head(partial(matches_request, req))
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -153,6 +153,8 @@
                 'Sends beyond the first that this instance may take from the reserve.',
                 components.budgets.share,
             ),
+            ('retry_spent', 'Sends beyond the first in the window of the retry budget.', components.budgets.spent),
+            ('retry_requests', 'Requests in the window of the retry budget.', components.budgets.requests),
             ('configuration_version', 'Version in force; 0 before the first.', self._config_version),
         )
         add_gauge = self.dispatcher.metrics.add_gauge
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -155,6 +155,7 @@
         # Nothing is sent for a caller that has disconnected.
         self._reply.check_caller()
         request_bytes = conn.start_request(encode_request(self._req, self._target.sending), self._req.body)
+        self._target.purpose.note_arrival(self._target.member.runner.key)
         rest = request_bytes[conn.send_now(request_bytes) :]
         if not rest:
             return await self._read_answer(conn)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -12,6 +12,7 @@
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint_core.stream_origin.origin import StreamOrigin
 from sesamepoint.front.quarantine.content_id import content_id, shared_parts
+from sesamepoint.front.requests.arrivals import Arrivals
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.requests.retry_after import default_retry_after_s
 from sesamepoint.front.streams.stream_state import StreamState
@@ -201,6 +202,11 @@
         """Return what is known of the stream."""
         return StreamState()
 
+    @cached_property
+    def arrivals(self) -> Arrivals:
+        """Return the count of the arrivals at runners."""
+        return Arrivals()
+
     @cached_property
     def deadline(self) -> float:
         """Return until when the caller waits for the whole answer, on trio's clock."""
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_end.py
@@ -77,6 +77,7 @@
         content=job.content_id,
         parts=logged_parts(job),
         route=job.route.name,
+        service=job.service,
         config_version=cfg.version,
         status=job.reply.status,
         unfinished=job.reply.unfinished or not job.reply.started,
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_core.admit.reserve_share import ReserveShare
 from sesamepoint_core.admit.window_budget import WindowBudget
+from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.telemetry.rows import Rows
 
+if TYPE_CHECKING:
+    from sesamepoint.front.requests.arrivals import Arrival
+
 # Share of the retry budget that is used. The rest is a margin, because those who
 # check the budget count arrivals over windows with other bounds.
 RETRY_BUDGET_SHARE = 0.8
@@ -29,6 +34,14 @@
     denied = 'denied'
 
 
+class _Bound(NamedTuple):
+    """The bound on repeats as the operator states it, for all instances together."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
 class ServiceBudget:
     """The retry budget of one service, which logs and counts its decisions."""
 
@@ -74,6 +87,20 @@
         self.window.charge()
         self._log(events.RETRY_BUDGET_CHARGED, request_id, 'charged')
 
+    def note_arrival(self, arrival: Arrival) -> None:
+        """Log and count a send of a request of this service."""
+        self._budgets.arrivals.add(self._service, arrival.reason.value, 'yes' if arrival.extra else 'no')
+        if arrival.extra:
+            events.log_event(
+                events.REPEAT_SENT,
+                request=arrival.request_id,
+                service=self._service,
+                runner=arrival.runner,
+                reason=arrival.reason.value,
+                first_sent_ago_ms=whole_ms(arrival.first_sent_ago_s),
+                budget_age_s=round(trio.current_time() - self._started_at, 3),
+            )
+
     def _log(self, event: events.Event, request_id: str, outcome: str) -> None:
         self._budgets.decisions.add(self._service, outcome)
         events.log_event(
@@ -102,6 +129,14 @@
             'service',
             'outcome',
         )
+        self.arrivals = Rows.empty(
+            'sesamepoint_arrivals',
+            'Sends of requests to runners, by reason; the bound on repeats counts the extra ones.',
+            'service',
+            'reason',
+            'extra',
+        )
+        self._bound = _Bound(ratio, reserve, window_s)
         self._ratio = RETRY_BUDGET_SHARE * ratio
         self.reserve_share = ReserveShare(name, window_s, trio.current_time)
         self._reserve = RETRY_BUDGET_SHARE * reserve
@@ -121,6 +156,27 @@
     def reconfigure(self, reserve: float) -> None:
         """Apply a changed reserve of all instances together."""
         self._reserve = RETRY_BUDGET_SHARE * reserve
+        if reserve != self._bound.slack:
+            self._bound = self._bound._replace(slack=reserve)
+            self.log_share()
+
+    def log_share(self) -> None:
+        """Log the bound on all instances together, and by which number of instances this one takes its share."""
+        share = self.reserve_share
+        events.log_event(
+            events.RETRY_SHARE_CHANGED,
+            instances=share.instances,
+            list_current=share.current,
+            **self._bound._asdict(),
+        )
+
+    def spent(self) -> int:
+        """Return the sends beyond the first in the window, over all services."""
+        return sum(each.window.spent for each in self._by_service.values())
+
+    def requests(self) -> int:
+        """Return the requests in the window, over all services."""
+        return sum(each.window.requests for each in self._by_service.values())
 
     def share(self, service: str = '') -> float:
         """Return the share of the reserve that this instance may use now at ``service``, in sends."""
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import StrEnum
+from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
+from sesamepoint.front.requests.arrivals import SendReason
 from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint.front.runners.runner_status import RunnerStatuses
 
@@ -40,12 +42,31 @@
     report = 'report'
 
 
+_REASON_BY_KIND: Mapping[SendKind, SendReason] = MappingProxyType(
+    {SendKind.remote_prefill: SendReason.prefill, SendKind.remote_decode: SendReason.decode}
+)
+
+
+def _run_reason(job: Job) -> SendReason:
+    if job.reply.started:
+        return SendReason.resumption
+    if job.arrivals.counted:
+        return SendReason.retry
+    return SendReason.probe if job.probe else SendReason.first
+
+
 class SendPurpose(NamedTuple):
     """Kind of a message, and the request of a caller that it serves, if any."""
 
     kind: SendKind
     job: Job | None = None
 
+    def note_arrival(self, runner: str) -> None:
+        """Record that the message goes out to ``runner``, if it is a request of a caller."""
+        if self.job is not None:
+            reason = _REASON_BY_KIND.get(self.kind) or _run_reason(self.job)
+            self.job.arrivals.note(self.job.req.request_id, runner, reason)
+
 
 class PendingSend(NamedTuple):
     """A message that is about to be sent to a runner.
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -234,8 +234,7 @@
 
     def _note_share(self, *, changed: bool) -> None:
         if changed:
-            share = self._targets.budgets.reserve_share
-            events.log_event(events.RETRY_SHARE_CHANGED, instances=share.instances, list_current=share.current)
+            self._targets.budgets.log_share()
 
 
 def _decode_runner(record: KeyedRecord) -> Runner | None:
