--- a/tests/front/retry_budget/restarting_instances.py
+++ b/tests/front/retry_budget/restarting_instances.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -12,13 +12,10 @@
 from tests.front.retry_budget.repeat_oracle import BudgetBound, WorstWindow, repeat_times, worst_window
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
 FRONTS = 4
 RUNNERS = 4
-REQUESTS_PER_S = 12.0
-CALM_S = 25.0
-FAILING_S = 25.0
 BOUND = BudgetBound(ratio=0.2, slack=50, window_s=10)
 # Time between the end of a process and the start of the next one, in seconds.
 RESTART_S = 0.5
@@ -26,24 +23,33 @@
 SECOND_ROLL_S = 5.5
 
 
+class LoadPlan(NamedTuple):
+    """Requests a second, and the times in seconds without and with failures."""
+
+    requests_per_s: float = 12
+    calm_s: float = 25
+    failing_s: float = 25
+
+
 class RestartingInstances:
     """A load on instances that are stopped, killed and started again."""
 
-    def __init__(self, bench: PlatformBench, rng: Random, fronts: int = FRONTS) -> None:
+    def __init__(self, bench: PlatformBench, rng: Random, fronts: int = FRONTS, plan: LoadPlan | None = None) -> None:
         """Send to the instances of ``bench`` that are up."""
         self.bench = bench
         self.sent_at: list[float] = []
         self._rng = rng
+        self._plan = plan or LoadPlan()
         self._up = set(range(1, fronts + 1))
 
     async def run(self, disturb: Callable[[RestartingInstances], Awaitable[None]]) -> WorstWindow:
         """Send requests; let all runners fail after a calm time, and ``disturb`` then; return the worst window."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_load)
-            await trio.sleep(CALM_S)
+            await trio.sleep(self._plan.calm_s)
             for runner in self.bench.runners.values():
                 runner.faults.fails = True
-            with trio.move_on_after(FAILING_S):
+            with trio.move_on_after(self._plan.failing_s):
                 await disturb(self)
                 await trio.sleep_forever()
             nursery.cancel_scope.cancel()
@@ -69,6 +75,10 @@
         self.bench.add_front(number)
         self._up.add(number)
 
+    def move_callers(self, numbers: Iterable[int]) -> None:
+        """Send no more requests to some instances, which live on."""
+        self._up.difference_update(numbers)
+
     async def kill_all(self) -> None:
         """Kill all instances at once."""
         async with trio.open_nursery() as nursery:
@@ -78,7 +88,7 @@
     async def _send_load(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(self._rng.expovariate(REQUESTS_PER_S))
+                await trio.sleep(self._rng.expovariate(self._plan.requests_per_s))
                 if self._up:
                     self.sent_at.append(trio.current_time())
                     nursery.start_soon(self._send, self._rng.choice(sorted(self._up)))
@@ -115,4 +125,4 @@
         return await RestartingInstances(bench, Random(seed), fronts).run(disturb)
 
 
-__all__ = ('RestartingInstances', 'no_disturbance', 'repeated_kills', 'run_restarts', 'two_rolls')
+__all__ = ('LoadPlan', 'RestartingInstances', 'no_disturbance', 'repeated_kills', 'run_restarts', 'two_rolls')
