--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -144,7 +144,7 @@
         self._permit_queue.note_request(job.service)
         outcome = await self._attempt_once(job, cfg, budget)
         while outcome is not None and may_retry(job, outcome):
-            if job.sends and not isinstance(outcome, Withheld) and not budget.spend(job.req.request_id):
+            if job.sends and not isinstance(outcome, Withheld) and budget.spend(job.req.request_id) is None:
                 return outcome
             next_outcome = await self._attempt_once(job, cfg, budget)
             if next_outcome is None:
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -69,14 +69,14 @@
         cfg: Configuration,
         budget: ServiceBudget,
         *,
-        paid: bool = False,
+        paid: PrefillHold | None = None,
     ) -> AttemptResult | None:
         """Serve ``job`` on the placement of least cost.
 
         Parameters
         ----------
         paid
-            Whether the retry budget has granted another remote prefill, after one that failed.
+            What the retry budget took for another remote prefill, after one that failed.
 
         Returns
         -------
@@ -84,10 +84,10 @@
             The outcome; None if no engine can run it or it was refused.
         """
         plan = await self._admitted_plan(job, prompt, cfg)
-        hold = PrefillHold.free
-        if plan is not None and plan.prefill is not None:
-            hold = PrefillHold.paid if paid else budget.hold_for_prefill(job.req.request_id)
-        if hold is PrefillHold.denied:
+        hold = paid or PrefillHold()
+        if plan is not None and plan.prefill is not None and paid is None:
+            hold = budget.hold_for_prefill(job.req.request_id)
+        if hold.denied:
             self._limits.give_back(job)
             job.allow_remote_prefill = False
             return await self.attempt(job, prompt, cfg, budget)
@@ -140,11 +140,12 @@
         prefills were run whole at once, long prompts waited 2 to 4 s at decode
         engines, until their callers left.
         """
-        job.allow_remote_prefill = budget.spend(job.req.request_id)
+        paid = budget.pay_prefill(job.req.request_id)
+        job.allow_remote_prefill = paid is not None
         if job.ended_runners:
             # The quarantine decides whether the request may be sent again.
             return Unsent('the prefill engine ended')
-        return await self.attempt(job, prompt, cfg, budget, paid=job.allow_remote_prefill)
+        return await self.attempt(job, prompt, cfg, budget, paid=paid)
 
     async def _admitted_plan(self, job: Job, prompt: Prompt, cfg: Configuration) -> EnginePlan | None:
         """Wait for a plan whose first engine admits the request, and reserve a permit; None if it is refused."""
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_core.admit.reserve_share import ReserveShare
-from sesamepoint_core.admit.window_budget import WindowBudget
+from sesamepoint_core.admit.window_budget import Payment, WindowBudget
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.telemetry.rows import Rows
@@ -16,22 +15,27 @@
 if TYPE_CHECKING:
     from sesamepoint.front.requests.arrivals import Arrival
 
-# Share of the retry budget that is used. The rest is a margin, because those who
-# check the budget count arrivals over windows with other bounds.
-RETRY_BUDGET_SHARE = 0.8
+# Share of the retry budget that is used. The rest is a margin for sends that arrive later than
+# the window budget allows for, as at a runner that stood still.
+RETRY_BUDGET_SHARE = 0.95
 
 
-class PrefillHold(Enum):
+class PrefillHold(NamedTuple):
     """What the retry budget says of a remote prefill.
 
-    A first one is free, held (a repeat was taken for it, in case it is rejected) or denied;
-    further ones are paid.
+    Parameters
+    ----------
+    denied
+        Whether it may not be sent.
+    payment
+        What was taken for it; None if it is free unless it is rejected.
+    first
+        Whether it is the first one of its request, which is free if it is accepted.
     """
 
-    free = 'free'
-    held = 'held'
-    paid = 'paid'
-    denied = 'denied'
+    denied: bool = False
+    payment: Payment | None = None
+    first: bool = True
 
 
 class _Bound(NamedTuple):
@@ -52,12 +56,13 @@
         self._budgets = budgets
         self._started_at = trio.current_time()
 
-    def spend(self, request_id: str) -> bool:
-        """Return whether a request may be sent once more, and count that send."""
+    def spend(self, request_id: str) -> Payment | None:
+        """Take what a request needs to be sent once more; None if it may not be."""
         self.window.resize(self._budgets.share(self._service))
-        granted = self.window.spend()
-        self._log(events.RETRY_BUDGET_ASKED, request_id, 'granted' if granted else 'denied')
-        return granted
+        payment = self.window.spend()
+        outcome = 'denied' if payment is None else 'granted'
+        self._log(events.RETRY_BUDGET_ASKED, request_id, outcome, source=payment.source if payment else '')
+        return payment
 
     def hold_for_prefill(self, request_id: str) -> PrefillHold:
         """Return whether a first remote prefill may be sent.
@@ -66,20 +71,26 @@
         add a repeat that nobody has asked for; so once one was rejected, the next ones take a
         repeat before they are sent.
         """
-        if not self.window.rejected_lately:
-            return PrefillHold.free
-        return PrefillHold.held if self.spend(request_id) else PrefillHold.denied
+        if not self.window.unaccepted_lately:
+            return PrefillHold()
+        payment = self.spend(request_id)
+        return PrefillHold(denied=payment is None, payment=payment)
+
+    def pay_prefill(self, request_id: str) -> PrefillHold | None:
+        """Return what was taken for another remote prefill, after one that failed; None if it may not be sent."""
+        payment = self.spend(request_id)
+        return None if payment is None else PrefillHold(payment=payment, first=False)
 
     def settle_prefill(self, hold: PrefillHold) -> None:
         """Give back what was taken for a remote prefill that did not fail."""
-        if hold is PrefillHold.held:
-            self.window.refund()
+        if hold.first and hold.payment is not None:
+            self.window.refund(hold.payment)
 
     def settle_failed_prefill(self, request_id: str, hold: PrefillHold, *, rejected: bool) -> None:
         """Count a remote prefill that failed, unless it is counted already."""
         if rejected:
-            self.window.note_rejected()
-        if hold is PrefillHold.free:
+            self.window.note_unaccepted()
+        if hold.payment is None:
             self.charge(request_id)
 
     def charge(self, request_id: str) -> None:
@@ -101,13 +112,14 @@
                 budget_age_s=round(trio.current_time() - self._started_at, 3),
             )
 
-    def _log(self, event: events.Event, request_id: str, outcome: str) -> None:
+    def _log(self, event: events.Event, request_id: str, outcome: str, **fields: object) -> None:
         self._budgets.decisions.add(self._service, outcome)
         events.log_event(
             event,
             request=request_id,
             service=self._service,
             outcome=outcome,
+            **fields,
             budget_age_s=round(trio.current_time() - self._started_at, 3),
             instances=self._budgets.reserve_share.instances,
             list_current=self._budgets.reserve_share.current,
