--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -210,6 +210,8 @@
             self.misdirected_at.add(self.arrivals[-1])
             own = (wire_names.INCARNATION, self.key.encode())
             return await self._answer(conn, transport, STATUS_MISDIRECTED, (*self._echo(message, transport), own))
+        if self.faults.drops:
+            return transport.reset()
         if self.faults.rejects and self.rejected_host in {'', transport.peer}:
             echo = self._echo(message, transport, STATUS_UNAVAILABLE)
             headers = (*echo, (wire_names.NOT_EXECUTED, b'1'))
@@ -232,7 +234,7 @@
         if self.faults.loses > self._rng.random():
             await trio.sleep(self.work_s)
             return transport.reset()
-        if header(run.message.head.headers, wire_names.TOKEN_COUNTS) is None:
+        if self.faults.fails or header(run.message.head.headers, wire_names.TOKEN_COUNTS) is None:
             return await self._answer_plain(conn, run, transport)
         return await self._answer_prompt(conn, run, transport)
 
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -72,6 +72,8 @@
     hangs: bool = False
     breaks_at_event: int | None = None
     breaks_before_answer: bool = False
+    # Whether the connection is reset before the request runs.
+    drops: bool = False
     # Share of the requests that run but whose connection is reset before the answer.
     loses: float = 0
     answers_twice: bool = False
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -13,7 +13,7 @@
 from sesamepoint.front.engines.engine_sends import NewLoad
 from sesamepoint.front.engine_model.engine_samples import EngineSamples, PrefillTimes
 from sesamepoint.front.fair_share.request_work import prompt_work_s
-from sesamepoint.front.engines.prefill import Prefilled, PrefillFailed, prefill
+from sesamepoint.front.engines.prefill import PrefillArrival, Prefilled, PrefillFailed, prefill
 from sesamepoint.front.requests.retries import (
     may_retry,
     note_prefill_failure,
@@ -97,11 +97,12 @@
             return await self._run_whole(job, prompt, plan)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
         if isinstance(prefilled, PrefillFailed):
-            budget.settle_failed_prefill(job.req.request_id, hold, rejected=prefilled.rejected)
+            budget.settle_prefill(job, hold, prefilled.arrival)
             return await self._after_failed_prefill(job, prompt, cfg, budget)
-        budget.settle_prefill(hold)
         if isinstance(prefilled, Withheld):
+            budget.settle_prefill(job, hold, PrefillArrival.unsent)
             return prefilled
+        budget.settle_prefill(job, hold, PrefillArrival.accepted)
         outcome = await self._decode_prefilled(job, prompt, cfg, plan, prefilled)
         if not isinstance(outcome, Relayed):
             self._reclaimer.reclaim(prefilled)
@@ -232,7 +233,6 @@
             begun_at = self._sends.prefill_begun_at(end)
             self._sends.end(end._replace(finished=True, engine_failed=_prefill_lost(outcome)))
         if isinstance(outcome, Prefilled):
-            job.arrivals.note_accepted_prefill()
             member.health.note_success(trio.current_time(), started)
             job.trace.prefill_s = trio.current_time() - started
             self._samples.observe_remote_prefill(plan, prompt, member, PrefillTimes(started, begun_at))
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -46,6 +47,17 @@
         return f'{self.member.runner.address}/{self.kv_handle}'
 
 
+class PrefillArrival(Enum):
+    """What became of a remote prefill at its runner.
+
+    One that was neither accepted nor rejected, since no answer came, counts as unaccepted.
+    """
+
+    unsent = 'unsent'
+    accepted = 'accepted'
+    unaccepted = 'unaccepted'
+
+
 class PrefillFailed(NamedTuple):
     """Cause of a failed remote prefill.
 
@@ -65,8 +77,7 @@
     replaced: bool = False
     ended: bool = False
     local: bool = False
-    # Whether the runner stated that it did not prefill; such an arrival counts as a repeat.
-    rejected: bool = False
+    arrival: PrefillArrival = PrefillArrival.unaccepted
 
 
 class _HandleReply(msgspec.Struct):
@@ -92,7 +103,7 @@
     try:
         conn = await member.connection(target.purpose)
     except ConnectFailedError as exc:
-        return PrefillFailed(str(exc), local=exc.local)
+        return PrefillFailed(str(exc), local=exc.local, arrival=PrefillArrival.unsent)
     try:
         with single_error():
             reply.check_caller()
@@ -123,7 +134,8 @@
         # That it failed stands in the head, and holds whatever becomes of the body.
         await conn.skip_body(REJECTION_BODY_LIMIT_S)
         replaced = is_other_incarnation(head, member.runner.key)
-        return PrefillFailed(f'status {head.status}', replaced=replaced, rejected=reports_not_run(head))
+        arrival = PrefillArrival.unaccepted if reports_not_run(head) else PrefillArrival.accepted
+        return PrefillFailed(f'status {head.status}', replaced=replaced, arrival=arrival)
     return Prefilled(member, decode_document(await conn.read_body(), _HandleReply).kv_handle)
 
 
@@ -171,4 +183,4 @@
             member.release(conn)
 
 
-__all__ = ('HandleReclaimer', 'PrefillFailed', 'Prefilled', 'prefill')
+__all__ = ('HandleReclaimer', 'PrefillArrival', 'PrefillFailed', 'Prefilled', 'prefill')
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -10,10 +10,12 @@
 from sesamepoint_core.admit.window_budget import Payment, WindowBudget
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
+from sesamepoint.front.engines.prefill import PrefillArrival
 from sesamepoint.front.telemetry.rows import Rows
 
 if TYPE_CHECKING:
     from sesamepoint.front.requests.arrivals import Arrival
+    from sesamepoint.front.requests.job import Job
 
 # Share of the retry budget that is used. The rest is a margin for sends that arrive later than
 # the window budget allows for, as at a runner that stood still.
@@ -28,14 +30,11 @@
     denied
         Whether it may not be sent.
     payment
-        What was taken for it; None if it is free unless it is rejected.
-    first
-        Whether it is the first one of its request, which is free if it is accepted.
+        What was taken for it; None if it is free unless no runner accepts it.
     """
 
     denied: bool = False
     payment: Payment | None = None
-    first: bool = True
 
 
 class _Bound(NamedTuple):
@@ -67,9 +66,9 @@
     def hold_for_prefill(self, request_id: str) -> PrefillHold:
         """Return whether a first remote prefill may be sent.
 
-        It is free unless it is rejected. While all engines reject prefills, each request would
-        add a repeat that nobody has asked for; so once one was rejected, the next ones take a
-        repeat before they are sent.
+        It is free if a runner accepts it, even if it fails there. While all engines reject or reset
+        prefills, each request would add a repeat that nobody has asked for; so once one was not
+        accepted, the next ones take a repeat before they are sent.
         """
         if not self.window.unaccepted_lately:
             return PrefillHold()
@@ -79,19 +78,18 @@
     def pay_prefill(self, request_id: str) -> PrefillHold | None:
         """Return what was taken for another remote prefill, after one that failed; None if it may not be sent."""
         payment = self.spend(request_id)
-        return None if payment is None else PrefillHold(payment=payment, first=False)
+        return None if payment is None else PrefillHold(payment=payment)
 
-    def settle_prefill(self, hold: PrefillHold) -> None:
-        """Give back what was taken for a remote prefill that did not fail."""
-        if hold.first and hold.payment is not None:
-            self.window.refund(hold.payment)
-
-    def settle_failed_prefill(self, request_id: str, hold: PrefillHold, *, rejected: bool) -> None:
-        """Count a remote prefill that failed, unless it is counted already."""
-        if rejected:
+    def settle_prefill(self, job: Job, hold: PrefillHold, arrival: PrefillArrival) -> None:
+        """Count a remote prefill by what became of it, unless it is counted already; the first accepted one is free."""
+        if arrival is PrefillArrival.unaccepted:
             self.window.note_unaccepted()
-        if hold.payment is None:
-            self.charge(request_id)
+            if hold.payment is None:
+                self.charge(job.req.request_id)
+            return
+        is_free = arrival is PrefillArrival.unsent or job.arrivals.note_accepted_prefill()
+        if is_free and hold.payment is not None:
+            self.window.refund(hold.payment)
 
     def charge(self, request_id: str) -> None:
         """Count a send beyond the first that has already happened."""
--- a/tests/front/retry_budget/test_rejected_prefills.py
+++ b/tests/front/retry_budget/test_rejected_prefills.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 from random import Random
+from typing import TYPE_CHECKING
 from unittest import TestCase
+from unittest.mock import Mock, patch
 
 import trio
 
+from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
+from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import configuration, engine, new_prompt_request
 from tests.front.retry_budget.repeat_oracle import BudgetBound, repeat_times, worst_window
 from tests.virtual_time import in_virtual_time
 
+if TYPE_CHECKING:
+    from tests.front.retry_budget.repeat_oracle import WorstWindow
+
 BOUND = BudgetBound(ratio=0.2, slack=50, window_s=10)
 FRONTS = 3
 REQUESTS_PER_S = 20.0
@@ -26,19 +33,38 @@
     @in_virtual_time
     async def test_repeats_all_prefill_engines_reject(self) -> None:
         """Guards against a rejected first prefill of each request, which nobody asks the budget for."""
-        prefill = [engine(number, 'prefill') for number in range(1, 4)]
-        runners = [*prefill, *(engine(number, 'decode') for number in range(11, 17))]
-        sent_at: list[float] = []
-        async with open_bench(configuration(), runners, fronts=FRONTS) as bench, trio.open_nursery() as nursery:
-            nursery.start_soon(_send_load, bench, nursery, sent_at)
-            await trio.sleep(CALM_S)
-            for runner in prefill:
-                runner.faults.rejects = True
-            await trio.sleep(REJECTING_S)
-            nursery.cancel_scope.cancel()
-        window = worst_window(BOUND, sent_at, repeat_times(runners))
+        window = await _run_prefills(Faults(rejects=True))
+        self.assertLessEqual(window.repeats, window.allowed)
+
+    @in_virtual_time
+    async def test_repeats_all_prefill_engines_reset(self) -> None:
+        """Guards against a first prefill of each request that is reset, which nobody asks the budget for."""
+        window = await _run_prefills(Faults(drops=True))
         self.assertLessEqual(window.repeats, window.allowed)
 
+    @in_virtual_time
+    async def test_budget_all_prefill_engines_fail(self) -> None:
+        """Guards against a budget that is used up by first prefills that were accepted, which are free."""
+        charge = Mock()
+        with patch.object(WindowBudget, 'charge', charge):
+            await _run_prefills(Faults(fails=True))
+        charge.assert_not_called()
+
+
+async def _run_prefills(faults: Faults) -> WorstWindow:
+    """Send prompts while all prefill engines have ``faults`` after a calm time; return the worst window."""
+    prefill = [engine(number, 'prefill') for number in range(1, 4)]
+    runners = [*prefill, *(engine(number, 'decode') for number in range(11, 17))]
+    sent_at: list[float] = []
+    async with open_bench(configuration(), runners, fronts=FRONTS) as bench, trio.open_nursery() as nursery:
+        nursery.start_soon(_send_load, bench, nursery, sent_at)
+        await trio.sleep(CALM_S)
+        for runner in prefill:
+            runner.faults = faults
+        await trio.sleep(REJECTING_S)
+        nursery.cancel_scope.cancel()
+    return worst_window(BOUND, sent_at, repeat_times(runners))
+
 
 async def _send_load(bench: PlatformBench, nursery: trio.Nursery, sent_at: list[float]) -> None:
     rng = Random(1)
--- a/tests/front/test_processes.py
+++ b/tests/front/test_processes.py
@@ -20,7 +20,7 @@
 STOP_TIMEOUT_S = 30.0
 STATUS_BAD_GATEWAY = 502
 STATUS_NOT_RUN = 503
-# The budget allows 0.16 of the requests to be sent once more.
+# A new process lets each request pay for 0.0475 of a retry.
 REQUESTS_PER_RETRY = 22
 
 
