--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
@@ -24,7 +24,7 @@
 
     ``last_byte``: its framing marked the end. ``closed``: the sender closed the
     connection in order. ``malformed``: bytes arrived that violate the protocol.
-    ``given_up``: nothing more was read because an event exceeds the limit.
+    ``given_up``: nothing more was read because an event or the body exceeds its limit.
     """
 
     last_byte = 'last_byte'
--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/decision.py
@@ -20,6 +20,7 @@
 
     ``connection``: it ended before the framing marked the end, or was reset.
     ``inside_event``: the body ended inside an event. ``event_too_long``: an event exceeds the limit.
+    ``body_given_up``: a body that is read as a whole exceeds its limit of bytes or time.
     ``no_event``: a stream whose end is unmarked has no event. ``sender_ended``: the end is unmarked, and
     the process of the sender ended with it.
     """
@@ -27,6 +28,7 @@
     connection = 'connection'
     inside_event = 'inside_event'
     event_too_long = 'event_too_long'
+    body_given_up = 'body_given_up'
     no_event = 'no_event'
     sender_ended = 'sender_ended'
 
@@ -71,7 +73,8 @@
     are all.
     """
     if facts.read_end is ReadEnd.given_up:
-        return BrokenOff(facts, BreakCause.event_too_long)
+        is_stream = facts.kind is BodyKind.events
+        return BrokenOff(facts, BreakCause.event_too_long if is_stream else BreakCause.body_given_up)
     closed_at_end = facts.read_end is ReadEnd.closed and facts.framing is Framing.until_close
     if facts.read_end is not ReadEnd.last_byte and not closed_at_end:
         return BrokenOff(facts, BreakCause.connection)
--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/event_splitter.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/event_splitter.py
@@ -7,7 +7,7 @@
 BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 # Longest event that is kept until it is whole, in bytes. A runner whose event never ends would otherwise fill the
 # memory of its instance.
-MAX_EVENT_BYTES = 16_777_216
+MAX_EVENT_BYTES = 262_144
 _CR = b'\r'
 _LF = b'\n'
 _LINE_END_BYTES = b'\r\n'
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -19,7 +19,13 @@
 from sesamepoint.platform import wire_names
 from sesamepoint.single_error import single_error
 from sesamepoint_standins.platform.answer_habits import AnswerHabits
-from sesamepoint_standins.platform.runner_answers import leading_parts, parse_prompt, plain_body, stream_events
+from sesamepoint_standins.platform.runner_answers import (
+    leading_parts,
+    parse_prompt,
+    plain_body,
+    send_without_end,
+    stream_events,
+)
 from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
 
 if TYPE_CHECKING:
@@ -231,6 +237,8 @@
             await trio.sleep_forever()
         if self.faults.breaks_before_answer:
             return transport.reset()
+        if self.faults.endless:
+            return await send_without_end(transport)
         if self.faults.loses > self._rng.random():
             await trio.sleep(self.work_s)
             return transport.reset()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -74,6 +74,8 @@
     breaks_before_answer: bool = False
     # Whether the connection is reset before the request runs.
     drops: bool = False
+    # Whether its answers are failures whose bodies never end.
+    endless: bool = False
     # Share of the requests that run but whose connection is reset before the answer.
     loses: float = 0
     answers_twice: bool = False
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -53,6 +53,8 @@
 # Seconds for which the body of a rejection is read, so that its connection can be used again. It mostly comes
 # together with the head; the request waits meanwhile to be sent elsewhere.
 REJECTION_BODY_LIMIT_S = 0.05
+# Seconds for which the body of a failure is read; it mostly comes together with the head.
+FAILURE_BODY_LIMIT_S = 1.0
 # Seconds for which the check of a runner holds for its next connection, if the checked one ended with the report.
 # A restart takes longer; in a freeze of this process a runner may restart.
 CHECK_VALID_S = START_CHECK_S
@@ -183,7 +185,7 @@
         return await self._relay_whole(conn, head)
 
     async def _read_failure(self, conn: ClientConn, head: ResponseHead) -> RunFailed:
-        body = await conn.read_body()
+        body = await conn.read_body(limit_s=FAILURE_BODY_LIMIT_S)
         end = await self._end_of(BodyFacts(BodyKind.plain, body.framing, body.read_end))
         runner_ended = isinstance(end, BrokenOff) and await self._target.member.has_ended()
         return RunFailed(head, body.payload, end, runner_ended)
--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -18,7 +18,7 @@
 from sesamepoint_core.serving.routes import Configuration
 from sesamepoint import events
 from sesamepoint.front.peering.peer_messages import VersionMessage
-from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.client import MAX_LIST_BYTES, ClientConn
 from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
@@ -120,7 +120,7 @@
         head = RequestHead(b'GET', CONFIGURATION_PATH.encode(), ((b'host', str(address).encode()),))
         conn = ClientConn(await self._network.connect(address, CONNECT_TIMEOUT_S))
         try:
-            return _decode(*await conn.exchange(head))
+            return _decode(*await conn.exchange(head, max_bytes=MAX_LIST_BYTES))
         finally:
             conn.close()
 
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 from typing import TYPE_CHECKING
 
 import h11
@@ -10,6 +9,7 @@
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.framing import framing_of
+from sesamepoint.http1.limited_receiver import LimitedReceiver
 from sesamepoint.http1.messages import ConnBrokenError, ReceivedBody, RequestHead, ResponseHead, header
 
 if TYPE_CHECKING:
@@ -19,9 +19,17 @@
 
     OnHead = Callable[[ResponseHead, float], None]
 
-RECEIVE_BYTES = 65536
-# Response heads of runners are a few hundred bytes; a longer one is rejected.
+# Response heads of runners are a few hundred bytes; a longer one is rejected. The parser applies this also to the
+# lines between chunks and to trailers.
 MAX_HEAD_BYTES = 65536
+# Most bytes before the head of the wanted response: informational responses, and responses to no request.
+MAX_BYTES_BEFORE_HEAD = 1_048_576
+# Most bytes of a body that is read as a whole, framing included: failures, and replies of a few fields.
+MAX_BODY_BYTES = 65536
+# The same for lists: pages of the store, inventories of engines, configurations.
+MAX_LIST_BYTES = 8_388_608
+# Seconds for which a body that is read as a whole may take beyond its head.
+BODY_LIMIT_S = 10.0
 
 
 class ClientConn:
@@ -42,6 +50,7 @@
         # Called before any byte of a request is sent; raises if it may not be sent.
         self.admit: Callable[[], None] | None = None
         self._transport = transport
+        self._receiver = LimitedReceiver(transport)
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._request_sent = True
@@ -105,17 +114,10 @@
         Raises
         ------
         ConnBrokenError
-            If the connection ended first.
+            If the connection ended first, or too many other bytes came before.
         """
-        while True:
-            event = await self._event()
-            if not isinstance(event, h11.Response):
-                continue
-            response = ResponseHead(event.status_code, tuple(event.headers))
-            if accept(response):
-                self._begin_body(response)
-                return response
-            await self._skip_answer()
+        with self._receiver.limited('head', MAX_BYTES_BEFORE_HEAD):
+            return await self._read_head(accept)
 
     async def read_part(self) -> bytes | ReadEnd:
         """Return the next bytes of the body, or how its reading ended.
@@ -132,14 +134,13 @@
             if isinstance(event, h11.Data) and event.data:
                 return bytes(event.data)
 
-    async def read_body(self) -> ReceivedBody:
-        """Read the rest of the body."""
-        parts = []
-        part = await self.read_part()
-        while isinstance(part, bytes):
-            parts.append(part)
-            part = await self.read_part()
-        return ReceivedBody(b''.join(parts), self.framing, part)
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES, limit_s: float = BODY_LIMIT_S) -> ReceivedBody:
+        """Read the rest of the body; it is given up if it exceeds ``max_bytes`` or takes longer than ``limit_s``."""
+        parts: list[bytes] = []
+        read_end = ReadEnd.given_up
+        with self._receiver.limited('body', max_bytes, limit_s):
+            read_end = await self._read_parts(parts.append)
+        return ReceivedBody(b''.join(parts), self.framing, read_end)
 
     async def skip_body(self, limit_s: float) -> None:
         """Read the rest of the body, which nobody needs, so that the connection can be used again.
@@ -147,11 +148,13 @@
         If it takes longer than ``limit_s`` seconds, the connection can't be. The wait is not cancelled from
         outside: what the head says must not be lost.
         """
-        with trio.move_on_after(limit_s, shield=True):
-            await self.read_body()
+        with trio.move_on_after(limit_s, shield=True), self._receiver.limited('skipped body', MAX_BODY_BYTES):
+            await self._read_parts()
 
-    async def exchange(self, head: RequestHead, body: bytes = b'') -> tuple[ResponseHead, ReceivedBody]:
-        """Send a request and return the head and the body of its response.
+    async def exchange(
+        self, head: RequestHead, body: bytes = b'', max_bytes: int = MAX_BODY_BYTES
+    ) -> tuple[ResponseHead, ReceivedBody]:
+        """Send a request and return the head and the body of its response, which is given up beyond ``max_bytes``.
 
         The response is not checked to belong to the request.
 
@@ -161,7 +164,7 @@
             If the connection ended before the head.
         """
         await self.send(self.start_request(head, body))
-        return await self.read_head(accept_any), await self.read_body()
+        return await self.read_head(accept_any), await self.read_body(max_bytes)
 
     def recycle(self) -> bool:
         """Prepare for the next request; return False if the connection can't be reused."""
@@ -186,6 +189,26 @@
         """Close at once; the server notices and cancels the request."""
         self._transport.close()
 
+    async def _read_head(self, accept: Callable[[ResponseHead], bool]) -> ResponseHead:
+        while True:
+            event = await self._event()
+            if not isinstance(event, h11.Response):
+                continue
+            response = ResponseHead(event.status_code, tuple(event.headers))
+            if accept(response):
+                self._begin_body(response)
+                return response
+            await self._skip_answer()
+
+    async def _read_parts(self, keep: Callable[[bytes], None] | None = None) -> ReadEnd:
+        """Read the rest of the body, and pass its parts to ``keep``."""
+        part = await self.read_part()
+        while isinstance(part, bytes):
+            if keep is not None:
+                keep(part)
+            part = await self.read_part()
+        return part
+
     def _begin_body(self, response: ResponseHead) -> None:
         method = b'' if self._request is None else bytes(self._request.method)
         self.framing = framing_of(method, response)
@@ -199,7 +222,7 @@
             self.keep_alive_s = float(text[len(b'timeout=') :])
 
     async def _skip_answer(self) -> None:
-        await self.read_body()
+        await self._read_parts()
         unparsed, _ = self._state.trailing_data
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         if self._request is not None:
@@ -225,7 +248,7 @@
                 raise ConnBrokenError('closed before a response', ReadEnd.closed)
             if event is not h11.NEED_DATA:
                 return event
-            self._feed(await self._receive())
+            self._feed(await self._receiver.receive())
 
     def _next_event(self) -> object:
         try:
@@ -241,22 +264,10 @@
         except (h11.RemoteProtocolError, RuntimeError) as exc:
             raise ConnBrokenError(repr(exc), ReadEnd.malformed) from exc
 
-    async def _receive(self) -> bytes:
-        try:
-            return await self._transport.receive_some(RECEIVE_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise ConnBrokenError(repr(exc), _read_end_of(exc)) from exc
-
-
-def _read_end_of(exc: Exception) -> ReadEnd:
-    cause = exc.__cause__
-    timed_out = isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
-    return ReadEnd.timed_out if timed_out else ReadEnd.reset
-
 
 def accept_any(_: ResponseHead) -> bool:
     """Accept any response, on a connection that never has more than one request."""
     return True
 
 
-__all__ = ('ClientConn', 'accept_any')
+__all__ = ('MAX_LIST_BYTES', 'ClientConn', 'accept_any')
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
@@ -0,0 +1,91 @@
+"""Receiving from a connection with a limit on the bytes of what is read."""
+
+from __future__ import annotations
+
+import errno
+import math
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint_core.body_end.body_facts import ReadEnd
+from sesamepoint import events
+from sesamepoint.http1.messages import ConnBrokenError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamepoint.http1.transport import Transport
+
+RECEIVE_BYTES = 65536
+
+
+@dataclass
+class _Limit:
+    """Bytes that were received of some part of a response, and the most that may be."""
+
+    part: str
+    max_bytes: int
+    received: int = 0
+
+
+class LimitedReceiver:
+    """Receives bytes; a part of a response that exceeds its limit breaks the connection."""
+
+    def __init__(self, transport: Transport) -> None:
+        """Receive from ``transport``, without a limit so far."""
+        self._transport = transport
+        self._limit: _Limit | None = None
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; empty at the end.
+
+        Raises
+        ------
+        ConnBrokenError
+            If the connection broke, or the limit of what is read now is exceeded.
+        """
+        try:
+            received = await self._transport.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise ConnBrokenError(repr(exc), _read_end_of(exc)) from exc
+        limit = self._limit
+        if limit is not None:
+            limit.received += len(received)
+            if limit.received > limit.max_bytes:
+                self._log_given_up(limit)
+                raise ConnBrokenError(f'{limit.part} of more than {limit.max_bytes} bytes', ReadEnd.given_up)
+        return received
+
+    @contextmanager
+    def limited(self, part: str, max_bytes: int, limit_s: float = math.inf) -> Iterator[None]:
+        """Limit the bytes that are received meanwhile, framing included; go on after it at a time-out."""
+        limit = _Limit(part, max_bytes)
+        self._limit = limit
+        try:
+            with trio.move_on_after(limit_s) as scope:
+                yield
+        finally:
+            self._limit = None
+        if scope.cancelled_caught:  # noqa: WPS441
+            self._log_given_up(limit)
+
+    def _log_given_up(self, limit: _Limit) -> None:
+        events.log_event(
+            events.RESPONSE_GIVEN_UP,
+            address=self._transport.peer,
+            part=limit.part,
+            received_bytes=limit.received,
+            limit_bytes=limit.max_bytes,
+        )
+
+
+def _read_end_of(exc: Exception) -> ReadEnd:
+    cause = exc.__cause__
+    timed_out = isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+    return ReadEnd.timed_out if timed_out else ReadEnd.reset
+
+
+__all__ = ('RECEIVE_BYTES', 'LimitedReceiver')
--- a/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import StartMs
+from sesamepoint.http1.client import MAX_LIST_BYTES
 from sesamepoint.http1.documents import decode_document
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead
 from sesamepoint.platform.wire_names import KV_HANDLE_PATH, KV_LIST_PATH
@@ -52,7 +53,8 @@
     ConnBrokenError
         If there was no response, or one with another status or a malformed body.
     """
-    head, body = await conn.exchange(RequestHead(b'GET', KV_LIST_PATH.encode(), _request_headers(address)))
+    request = RequestHead(b'GET', KV_LIST_PATH.encode(), _request_headers(address))
+    head, body = await conn.exchange(request, max_bytes=MAX_LIST_BYTES)
     if head.status != STATUS_OK:
         raise ConnBrokenError(f'status {head.status}')
     reply = decode_document(body, _CachedBlocksReply)
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -13,7 +13,7 @@
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint import events
-from sesamepoint.http1.client import ClientConn
+from sesamepoint.http1.client import MAX_LIST_BYTES, ClientConn
 from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError, RequestHead
 
@@ -231,7 +231,7 @@
         self._conn = None
         head = RequestHead(method.encode(), target.encode(), self._headers(body))
         try:
-            response, received = await conn.exchange(head, body)
+            response, received = await conn.exchange(head, body, MAX_LIST_BYTES)
         except BaseException:
             conn.close()
             raise
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -251,7 +251,7 @@
         self._rng.choice(self._bench.proxies).reset_all()
 
     async def _break_runner(self) -> None:
-        names = ('rejects', 'fails', 'hangs', 'breaks_before_answer', 'answers_twice', 'unsigned')
+        names = ('rejects', 'fails', 'hangs', 'breaks_before_answer', 'drops', 'endless', 'answers_twice', 'unsigned')
         runner = self._rng.choice(self._bench.runners)
         runner.faults = Faults(**{self._rng.choice(names): True})
         await trio.sleep(self._rng.uniform(0.1, 1.5))
