--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -112,7 +112,7 @@
             nursery.start_soon(self._streams.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
             nursery.start_soon(self._roll_fronts, duration_s)
-            nursery.start_soon(self._repeats.run, duration_s, self._ask_plain)
+            nursery.start_soon(self._repeats.run, duration_s, self._ask_plain, FRONTS)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -182,8 +182,8 @@
         self.outcomes.append(Outcome(req, answer, trio.current_time()))
         return answer.status == 200 and answer.complete
 
-    async def _ask_plain(self, path: str) -> None:
-        await self._ask(new_request(path, deadline_s=2.0, extra=KEY_HEADERS), self._any_rng.randrange(FRONTS))
+    async def _ask_plain(self, path: str, front: int) -> None:
+        await self._ask(new_request(path, deadline_s=2.0, extra=KEY_HEADERS), front)
 
     def _random_request(self) -> RequestSpec:
         timeout_s = self._rng.choice((0.02, math.inf, math.inf, math.inf))
--- a/tests/front/soak_repeats.py
+++ b/tests/front/soak_repeats.py
@@ -47,6 +47,8 @@
         self._rng = rng
         self._sent_at: list[float] = []
         self.runners: list[RunnerStandIn] = []
+        # Fronts that the callers of the service go to now, by number.
+        self._fronts: tuple[int, ...] = ()
 
     async def start_runners(self) -> None:
         """Start the runners of the service, which no other fault of the soak concerns."""
@@ -54,15 +56,17 @@
         for runner in self.runners:
             self._bench.runners.remove(runner)
 
-    async def run(self, duration_s: float, ask: Callable[[str], Awaitable[object]]) -> None:
-        """Send requests by ``ask`` for ``duration_s`` seconds, and let all runners fail again and again."""
+    async def run(self, duration_s: float, ask: Callable[[str, int], Awaitable[object]], fronts: int) -> None:
+        """Send requests by ``ask`` to some of ``fronts`` fronts at a time, and let all runners fail again and again."""
+        self._fronts = tuple(range(fronts))
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(duration_s):
                 nursery.start_soon(self._change_faults, duration_s)
+                nursery.start_soon(self._move_callers, duration_s, fronts)
                 while True:
                     await trio.sleep(self._rng.expovariate(REQUESTS_PER_S))
                     self._sent_at.append(trio.current_time())
-                    nursery.start_soon(ask, PATH)
+                    nursery.start_soon(ask, PATH, self._rng.choice(self._fronts))
 
     def violations(self) -> list[str]:
         """Return a message if a window has more repeats than the budget allows."""
@@ -71,6 +75,13 @@
             return []
         return [f'budget: {window.repeats} repeats for {window.requests} requests, {window.allowed:g} allowed']
 
+    async def _move_callers(self, duration_s: float, fronts: int) -> None:
+        """Send all requests to some of the fronts, and to others later."""
+        with trio.move_on_after(duration_s):
+            while True:
+                await trio.sleep(self._rng.uniform(*CALM_S))
+                self._fronts = tuple(self._rng.sample(range(fronts), self._rng.randint(1, fronts)))
+
     async def _change_faults(self, duration_s: float) -> None:
         with trio.move_on_after(duration_s):
             while True:
