--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -94,6 +94,7 @@
         if plan is not None:
             self._account_shares.note_used(job, self._work_s(job, plan))
         if plan is None or plan.prefill is None:
+            budget.settle_prefill(job, hold, PrefillArrival.unsent)
             return await self._run_whole(job, prompt, plan)
         prefilled = await self._prefill(job, prompt, plan, plan.prefill)
         if isinstance(prefilled, PrefillFailed):
--- a/tests/front/retry_budget/test_rejected_prefills.py
+++ b/tests/front/retry_budget/test_rejected_prefills.py
@@ -9,7 +9,8 @@
 
 import trio
 
-from sesamepoint_core.admit.window_budget import WindowBudget
+from sesamepoint_core.admit.window_budget import Payment, WindowBudget
+from sesamepoint.front.retry_budget import retry_budgets
 from sesamepoint_standins.platform.bench import PlatformBench, open_bench
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import configuration, engine, new_prompt_request
@@ -17,6 +18,7 @@
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
+    from sesamepoint_standins.platform.runner import RunnerStandIn
     from tests.front.retry_budget.repeat_oracle import WorstWindow
 
 BOUND = BudgetBound(ratio=0.2, slack=50, window_s=10)
@@ -25,6 +27,22 @@
 CALM_S = 10.0
 REJECTING_S = 20.0
 TOKENS = 12_000
+# Requests under way at the end, whose repeats are paid and not sent yet.
+IN_FLIGHT = FRONTS
+
+
+class _CountingBudget(WindowBudget):
+    """Counts what all budgets take and do not give back."""
+
+    paid = 0
+
+    def refund(self, payment: Payment) -> None:
+        _CountingBudget.paid -= 1
+        super().refund(payment)
+
+    def _take(self) -> Payment:
+        _CountingBudget.paid += 1
+        return super()._take()
 
 
 class RejectedPrefillsTest(TestCase):
@@ -42,6 +60,14 @@
         window = await _run_prefills(Faults(drops=True))
         self.assertLessEqual(window.repeats, window.allowed)
 
+    @in_virtual_time
+    async def test_budget_spent_without_send(self) -> None:
+        """Guards against repeats that are paid for prefills which no engine is left to get."""
+        _CountingBudget.paid = 0
+        with patch.object(retry_budgets, 'WindowBudget', _CountingBudget):
+            runners, _ = await _played_prefills(Faults(drops=True))
+        self.assertLessEqual(_CountingBudget.paid, len(repeat_times(runners)) + IN_FLIGHT)
+
     @in_virtual_time
     async def test_budget_all_prefill_engines_fail(self) -> None:
         """Guards against a budget that is used up by first prefills that were accepted, which are free."""
@@ -53,6 +79,12 @@
 
 async def _run_prefills(faults: Faults) -> WorstWindow:
     """Send prompts while all prefill engines have ``faults`` after a calm time; return the worst window."""
+    runners, sent_at = await _played_prefills(faults)
+    return worst_window(BOUND, sent_at, repeat_times(runners))
+
+
+async def _played_prefills(faults: Faults) -> tuple[list[RunnerStandIn], list[float]]:
+    """Return the runners of such a load, and when its requests were sent."""
     prefill = [engine(number, 'prefill') for number in range(1, 4)]
     runners = [*prefill, *(engine(number, 'decode') for number in range(11, 17))]
     sent_at: list[float] = []
@@ -63,7 +95,7 @@
             runner.faults = faults
         await trio.sleep(REJECTING_S)
         nursery.cancel_scope.cancel()
-    return worst_window(BOUND, sent_at, repeat_times(runners))
+    return runners, sent_at
 
 
 async def _send_load(bench: PlatformBench, nursery: trio.Nursery, sent_at: list[float]) -> None:
