--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -26,7 +26,7 @@
     send_without_end,
     stream_events,
 )
-from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport
+from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport, sleep_while_frozen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -164,7 +164,9 @@
         conn = ServerConn(transport, ServerLimits())
         try:
             while await conn.wait_for_request():
-                await self._serve_request(conn, await conn.read_request(), transport)
+                message = await conn.read_request()
+                await sleep_while_frozen(self.faults)
+                await self._serve_request(conn, message, transport)
                 if not conn.reusable:
                     return
                 conn.start_next_cycle()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
+import trio
+
 if TYPE_CHECKING:
     from sesamepoint.http1.server import ReceivedRequest
 
@@ -76,6 +78,8 @@
     drops: bool = False
     # Whether its answers are failures whose bodies never end.
     endless: bool = False
+    # Until when it stands still, on trio's clock; what arrives is read then.
+    frozen_until: float = 0
     # Share of the requests that run but whose connection is reset before the answer.
     loses: float = 0
     answers_twice: bool = False
@@ -89,4 +93,10 @@
     hides_start: bool = False
 
 
-__all__ = ('EngineSpeed', 'Faults', 'Run', 'StatusReport')
+async def sleep_while_frozen(faults: Faults) -> None:
+    """Wait until a runner no longer stands still."""
+    if faults.frozen_until > trio.current_time():
+        await trio.sleep_until(faults.frozen_until)
+
+
+__all__ = ('EngineSpeed', 'Faults', 'Run', 'StatusReport', 'sleep_while_frozen')
