--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -24,7 +24,7 @@
 WINDOW_SLICES = 40
 # Slices, the current one included, whose requests may pay: one less than the window, for late arrivals.
 CREDIT_SLICES = WINDOW_SLICES - 1
-# Whole slices that lie within any window, less one for late arrivals.
+# Slices of a window that counts as held: those that lie whole within any window, less one for late arrivals.
 HELD_SLICES = WINDOW_SLICES - 2
 # Slices, the current one included, over which held credit and reserve count as spent.
 SPENT_SLICES = WINDOW_SLICES + 2
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -78,7 +78,7 @@
     drops: bool = False
     # Whether its answers are failures whose bodies never end.
     endless: bool = False
-    # Until when it stands still, on trio's clock; what arrives is read then.
+    # Time on trio's clock until which it reads nothing, as a stopped process; what has arrived is read then.
     frozen_until: float = 0
     # Share of the requests that run but whose connection is reset before the answer.
     loses: float = 0
--- a/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
@@ -1,4 +1,4 @@
-"""Receiving from a connection with a limit on the bytes of what is read."""
+"""Receives from a connection, with limits on the bytes and the time of what is read."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 
     @contextmanager
     def limited(self, part: str, max_bytes: int, limit_s: float = math.inf) -> Iterator[None]:
-        """Limit the bytes that are received meanwhile, framing included; go on after it at a time-out."""
+        """Limit what is read inside, in bytes (framing included) and seconds; a time-out leaves it and is logged."""
         limit = _Limit(part, max_bytes)
         self._limit = limit
         try:
--- a/tests/core/admit/earning_model.py
+++ b/tests/core/admit/earning_model.py
@@ -36,7 +36,7 @@
 
 
 class SlidingEarnings:
-    """A way that doesn't hold: a repeat is paid by the requests of the last window of its instance."""
+    """Exceeds the bound when callers move: the last window of an instance pays for its repeats."""
 
     def __init__(self, ratio: float, reserve: float, window_s: float, clock: Callable[[], float]) -> None:
         """Start with nothing earned and nothing spent."""
--- a/tests/core/admit/test_moved_callers.py
+++ b/tests/core/admit/test_moved_callers.py
@@ -30,7 +30,7 @@
 
 
 def _exceeds(new_budget: Callable[..., Budget]) -> bool:
-    """Tell whether any seed exceeds the bound by enough for it to be no matter of a single send."""
+    """Tell whether any seed exceeds the bound by more than a few sends."""
     return any(_worst(seed, HEAVY_LOAD, new_budget).excess > len(FEW_SEEDS) for seed in FEW_SEEDS)
 
 
