--- a/review/standins2/runner.py
+++ b/review/standins2/runner.py
@@ -70,7 +70,7 @@
     def registration(self):
         return {
             'service': self.cfg['service'],
-            'address': f"{self.cfg['host']}:{self.port}",
+            'address': self.cfg.get('address') or f"{self.cfg['host']}:{self.port}",
             'zone': self.cfg['zone'],
             'version': 'v1',
             'slots': 6,
@@ -138,7 +138,7 @@
         self.log(what='runs', request=request_id, method=method, target=target)
         signed = [*echo, ('Sesamepoint-Server-Stamp', f"{self.cfg['id']}.{request_id}")]
         if '/stream/' in target:
-            return await self.answer_stream(writer, signed, request_id)
+            return await self.answer_stream(writer, signed, request_id, int(request.headers.get('last-event-id') or 0))
         body = whole_body(request_id, self.cfg['body_bytes'])
         if '/unframed/' in target:
             return await self.answer_unframed(writer, signed, request_id, body)
@@ -159,19 +159,21 @@
         self.log(what='answered', request=request_id)
         return False
 
-    async def answer_stream(self, writer, signed, request_id):
-        """Send a stream of events in chunks."""
-        head = [*signed, ('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked')]
-        writer.write(head_bytes('HTTP/1.1 200 OK', head))
-        for number in range(1, self.cfg['events'] + 1):
+    async def answer_stream(self, writer, signed, request_id, after):
+        """Send a stream of events, in chunks or with neither chunks nor a length."""
+        chunked = not self.cfg.get('unframed')
+        framing = ('Transfer-Encoding', 'chunked') if chunked else ('Connection', 'close')
+        writer.write(head_bytes('HTTP/1.1 200 OK', [*signed, ('Content-Type', 'text/event-stream'), framing]))
+        for number in range(after + 1, self.cfg['events'] + 1):
             event = one_event(request_id, number, self.cfg['event_bytes'])
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event) if chunked else event)
+            await writer.drain()
+            await asyncio.sleep(self.cfg.get('pause_s', 0.005))
+        if chunked:
+            writer.write(b'0\r\n\r\n')
             await writer.drain()
-            await asyncio.sleep(0.005)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
         self.log(what='answered', request=request_id)
-        return True
+        return chunked
 
     def send(self, writer, status, headers, body):
         writer.write(head_bytes(f'HTTP/1.1 {status} -', [*headers, ('Content-Length', str(len(body)))]) + body)
