--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/runner.py
@@ -40,6 +40,8 @@
         if it is unknown.
     software_version
         Version of its software, not of its weights; None until its registration says it.
+    sequence
+        Grows with the registrations that one incarnation writes, or stays as it is; never goes back.
     """
 
     key: str
@@ -51,6 +53,11 @@
     stage: Stage
     born_ms: int = 0
     software_version: str | None = None
+    sequence: int = 0
+
+    def differs_from(self, other: Runner | None) -> bool:
+        """Tell whether a registration says something else than ``other``; a renewal alone does not."""
+        return other is None or self._replace(sequence=other.sequence) != other
 
 
 __all__ = ('MAX_START_MS', 'Runner', 'Stage', 'StartMs')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -114,13 +114,14 @@
                 self.note_unregistered(runner.key)
             return
         member = self.members.get(runner.key)
-        if member is None or member.runner != runner:
+        if member is None or runner.differs_from(member.runner):
             self.changes += 1
         if member is None or not member.same_incarnation(runner):
             self._add(runner)
             return
         if runner.draining and not member.runner.draining:
-            events.log_event(events.RUNNER_DRAINING, runner=runner.key, fleet=runner.service)
+            events.log_event(events.RUNNER_DRAINING, runner=runner.key, fleet=runner.service, sequence=runner.sequence)
+        _log_contradiction(member, runner, self._now())
         member.runner = runner
         member.unregistered_at = None
 
@@ -264,6 +265,15 @@
     return registered or open_members
 
 
+def _log_contradiction(member: Member, runner: Runner, now: float) -> None:
+    """Log a registration that takes back what an earlier one of the same incarnation said."""
+    fields = {'runner': runner.key, 'sequence': runner.sequence, 'known_sequence': member.runner.sequence}
+    if member.runner.draining and not runner.draining:
+        events.log_event(events.READY_AFTER_DRAINING, **fields)
+    if member.unregistered_at is not None:
+        events.log_event(events.RUNNER_REGISTERED_AGAIN, **fields, removed_s=round(now - member.unregistered_at, 3))
+
+
 def _log_returned(runner: Runner) -> None:
     events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -219,7 +219,7 @@
             return before is not None
         self._registered[record.key] = runner
         self._targets.fleet.update(runner)
-        return runner != before
+        return runner.differs_from(before)
 
     def _apply_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._targets.peers.replace_all(records)
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
@@ -24,7 +24,7 @@
     slots: PositiveInt
     state: Literal['ready', 'draining']
     cold_remaining_ms: NonNegativeFloat
-    # Number of orders that the runner has accepted, not a version of the record.
+    # Grows with each heartbeat. A heartbeat that changes nothing else is not written to the log.
     sequence: NonNegativeInt
     # Set for engines only.
     stage: Literal['prefill', 'decode'] | msgspec.UnsetType = msgspec.UNSET
@@ -61,6 +61,7 @@
         stage=Stage.plain if registration.stage is msgspec.UNSET else Stage(registration.stage),
         born_ms=0 if registration.born is msgspec.UNSET else registration.born,
         software_version=bounded_version(registration.version),
+        sequence=registration.sequence,
     )
 
 
