KNOWN-RED.txt: a line for each case of the review, read as strictly as a test's

The cases stood at the end of the third line, since the check allows three lines. They are scripts that the test runner does not run and so does not pass over. Each line now has one of two forms, that of a test or that of a case, with command, what was seen and an open issue; any other line ends the run. At most three tests may be listed, as before: what the runner passes over is the same three. A case's script must exist.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,21 +1,48 @@
-"""A nose2 plugin that treats failures of the tests listed in KNOWN-RED.txt as expected."""
+"""A nose2 plugin that treats failures of the tests listed in KNOWN-RED.txt as expected.
+
+Each line of the file is one entry: a test, or a case of an independent review, which is a script that the test runner
+does not run and so does not pass over. Both name their command, what was seen and an open issue.
+"""
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Any
 
 from nose2.events import Plugin
 
-KNOWN_RED_FILE = Path(__file__).parent.parent / 'KNOWN-RED.txt'
+ROOT = Path(__file__).parent.parent
+KNOWN_RED_FILE = ROOT / 'KNOWN-RED.txt'
 # A longer list would no longer be a list of exceptions.
 MAX_LISTED = 3
+_TEST_ENTRY = re.compile(r'(?P<id>tests(\.\w+)+): python -m nose2 -N 1 tests\.\S+ .*; issue \d+')
+_CASE_ENTRY = re.compile(r'(?P<id>review/\d+) \([A-Z]+\): bash (?P=id)/run\.sh .*, issue \d+')
 
 
-def listed() -> tuple[str, ...]:
-    """Return the ids of the tests that are known to fail, the first word of each line of the file."""
+def entries() -> tuple[str, ...]:
+    """Return the lines of the file, one for each entry."""
     lines = KNOWN_RED_FILE.read_text(encoding='utf-8').splitlines()
-    return tuple(line.split()[0].rstrip(':') for line in lines if line.strip())
+    return tuple(line for line in lines if line.strip())
+
+
+def listed() -> tuple[str, ...]:
+    """Return the ids of the tests that are known to fail.
+
+    Raises
+    ------
+    ValueError
+        If a line is neither the entry of a test nor that of a review's case.
+    """
+    ids = []
+    for line in entries():
+        test = _TEST_ENTRY.fullmatch(line)
+        case = _CASE_ENTRY.fullmatch(line)
+        if test:
+            ids.append(test['id'])
+        elif case is None or not (ROOT / case['id'] / 'run.sh').is_file():
+            raise ValueError(f'KNOWN-RED.txt: not an entry of one test or one case of a review: {line[:80]}')
+    return tuple(ids)
 
 
 class KnownRed(Plugin):  # type: ignore[misc]
@@ -61,4 +88,4 @@
     return isinstance(exc, AssertionError)
 
 
-__all__ = ('KnownRed', 'listed')
+__all__ = ('KnownRed', 'entries', 'listed')
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -42,3 +42,35 @@
     def test_fourth_entry_rejected(self) -> None:
         with patch.object(known_red, 'listed', lambda: ('a', 'b', 'c', 'd')), self.assertRaises(ValueError):
             known_red.KnownRed()
+
+
+class EntryFormTest(TestCase):
+    """Each line of the list is one entry, of a test or of a review's case."""
+
+    def test_entries_of_the_repository(self) -> None:
+        """Guards against a listed test that the test runner does not know by its id."""
+        tests = known_red.listed()
+        self.assertEqual(len(tests), sum(line.startswith('tests.') for line in known_red.entries()))
+
+    def test_case_is_no_test(self) -> None:
+        """Guards against a case of a review that takes the place of a test, or hides behind one."""
+        line = 'review/4 (MIXED): bash review/4/run.sh (no seed), half an answer, 5 of 5 runs, issue 66'
+        with patch.object(known_red, 'entries', lambda: (line,)):
+            self.assertEqual(known_red.listed(), ())
+
+    def test_other_lines_rejected(self) -> None:
+        """Guards against entries without command or issue, and against cases that don't exist."""
+        lines = (
+            'tests.a.T.test_x',
+            'tests.a.T.test_x: python -m nose2 -N 1 tests.a; seen',
+            'review/99 (MIXED): bash review/99/run.sh (no seed), seen, issue 66',
+            'review/4 (MIXED): bash review/5/run.sh (no seed), seen, issue 66',
+            'a note',
+        )
+        for line in lines:
+            with (
+                self.subTest(line=line),
+                patch.object(known_red, 'entries', lambda line=line: (line,)),
+                self.assertRaises(ValueError),
+            ):
+                known_red.listed()
