--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -133,7 +133,20 @@
     def drain_runner(self, key: str) -> None:
         """Register a runner as draining; it continues to serve."""
         self.runners[key].draining = True
-        self.store.put(RUNNER_TOPIC, key, self.runners[key].registration)
+        self.store.put(RUNNER_TOPIC, key, _next_registration(self.runners[key]))
+
+    def renew_registration(self, key: str) -> None:
+        """Have a runner write a heartbeat."""
+        self.store.put(RUNNER_TOPIC, key, _next_registration(self.runners[key]))
+
+    def write_late(self, key: str, delay_s: float) -> None:
+        """Have the store carry out a heartbeat of a runner, as it is now, only after ``delay_s`` seconds."""
+        self._nursery.start_soon(self._put_after, delay_s, key, _next_registration(self.runners[key]))
+
+    def leave_unannounced(self, key: str) -> None:
+        """Remove a runner's registration for good; it continues to serve for some time, and its health page says so."""
+        self.runners[key].leaving = True
+        self.drop_registration(key)
 
     def drop_registration(self, key: str) -> None:
         """Remove a runner's registration; it continues to serve."""
@@ -170,6 +183,10 @@
             while not all(front.ready() for front in self.fronts.values()):
                 await trio.sleep(0.01)
 
+    async def _put_after(self, delay_s: float, key: str, registration: dict[str, object]) -> None:
+        await trio.sleep(delay_s)
+        self.store.put(RUNNER_TOPIC, key, registration)
+
     def _schedule_crash(self, runner: RunnerStandIn) -> None:
         self._nursery.start_soon(self._crash_after_delay, runner)
 
@@ -188,6 +205,11 @@
             await Supervisor('front').run(front.children())
 
 
+def _next_registration(runner: RunnerStandIn) -> dict[str, object]:
+    runner.heartbeats += runner.counts_heartbeats
+    return runner.registration
+
+
 @asynccontextmanager
 async def open_bench(
     configuration: object,
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -60,6 +60,10 @@
     work_s: float = 0.03
     faults: Faults = field(default_factory=Faults)
     draining: bool = False
+    # Whether it leaves without having announced that, so that only its health page shows it.
+    leaving: bool = False
+    # Whether its heartbeats have growing numbers; else all have the same one.
+    counts_heartbeats: bool = False
     serves_inventory: bool = True
     born_ms: int = 0
     # Version of its software, which its events carry if they are marked.
@@ -107,6 +111,7 @@
         """Start without requests."""
         self.cache = CacheModel(self.speed.kv_tokens)
         self.running = 0
+        self.heartbeats = 0
         self.misdirected_count = 0
         self.inventory_calls = 0
         self.report_calls = 0
@@ -132,7 +137,7 @@
             'state': 'draining' if self.draining else 'ready',
             # Fields that the system has no use for, and must accept with any value.
             'cold_remaining_ms': 250 * (self._key_word % 4),
-            'sequence': self._key_word % 7,
+            'sequence': self._key_word % 7 + self.heartbeats,
         }
         if self.born_ms:
             found['born'] = self.born_ms
@@ -182,8 +187,9 @@
             return await self._answer(conn, transport, STATUS_OK, self._status_headers(transport))
         if message.head.target == HEALTH_PATH:
             self.health_calls.append(trio.current_time())
-            status = STATUS_UNAVAILABLE if self.faults.unhealthy_page else STATUS_OK
-            return await self._answer(conn, transport, status, self._status_headers(transport, status))
+            status = _health_status(self)
+            named = ((wire_names.INCARNATION, self.key.encode()),)
+            return await self._answer(conn, transport, status, (*named, *self._status_headers(transport, status)))
         if message.head.target == wire_names.REPORT_PATH.encode():
             self.report_calls += 1
             conn.closing = self.closes_after_report
@@ -377,6 +383,11 @@
         return (*self._echo(message, transport), (wire_names.SIGNATURE, self.key.encode()), versions)
 
 
+def _health_status(runner: RunnerStandIn) -> int:
+    stops = runner.faults.unhealthy_page or runner.draining or runner.leaving
+    return STATUS_UNAVAILABLE if stops else STATUS_OK
+
+
 async def _report_body(runner: RunnerStandIn) -> bytes:
     if runner.faults.hides_report:
         await trio.sleep_forever()
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -10,10 +10,10 @@
 
 import trio
 
-from sesamepoint_core.bounded_dict import drop_oldest
 from sesamepoint import events
 from sesamepoint.front.runners.fleet_member import UNKNOWN_KV_TOKENS, Member
 from sesamepoint.front.runners.fleet_versions import FleetVersions
+from sesamepoint.front.runners.registration_history import RegistrationHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,9 +25,6 @@
     from sesamepoint.front.runners.send_check import SendCheck
     from sesamepoint.http1.transport import Network
 
-# Number of runners whose newest incarnation is remembered, also after they have gone, so
-# that a late message about an earlier one does not bring it back. A day has some hundred.
-REMEMBERED_INCARNATIONS = 4096
 # An unregistered runner may still be used for this share of the drain time. Registrations
 # also expire while the store is unavailable, though their runners live; without a grace
 # period a store that comes back would empty every fleet for seconds.
@@ -61,7 +58,7 @@
         self._kv_tokens: dict[str, int] = {}
         # Paths of health pages by service; empty for a service that has none.
         self.health_paths: dict[str, str] = {}
-        self._newest_born_ms: dict[str, int] = {}
+        self._history = RegistrationHistory(send_check.runner_statuses)
         self.changes = 0
         # Called when another incarnation answers at the address of a runner.
         self.on_replaced: Callable[[Incarnation], None] | None = None
@@ -103,7 +100,7 @@
         A registration of an earlier incarnation than the known one is ignored: it
         comes from a store that is behind, or a peer's message has overtaken it.
         """
-        known_ms = self._newest_born_ms.get(runner.key, 0)
+        known_ms = self._history.newest_start_ms(runner.key)
         if runner.born_ms < known_ms:
             events.log_event(
                 events.STALE_INCARNATION_IGNORED, runner=runner.key, born_ms=runner.born_ms, known_ms=known_ms
@@ -124,6 +121,7 @@
         _log_contradiction(member, runner, self._now())
         member.runner = runner
         member.unregistered_at = None
+        self._history.note(member)
 
     def at_incarnation(self, key: str, born_ms: int) -> Member | None:
         """Return the member with ``key`` if its newest incarnation started at ``born_ms``, else None.
@@ -137,8 +135,8 @@
         if born_ms < member.runner.born_ms:
             return None
         self.changes += 1
-        # Whether the new incarnation is draining too, and its version, will come with its registration.
-        self._add(member.runner._replace(born_ms=born_ms, software_version=None))
+        # Its version comes with its registration. That the earlier incarnation was draining says nothing of it.
+        self._add(member.runner._replace(born_ms=born_ms, software_version=None, draining=False, sequence=0))
         return self.members[key]
 
     def of_incarnation(self, incarnation: Incarnation) -> Member | None:
@@ -214,13 +212,13 @@
         earlier = self.members.get(runner.key)
         if earlier is not None:
             self._drop_earlier(earlier, runner)
-        self._remember_incarnation(runner)
         kv_tokens = self._kv_tokens.get(runner.service, UNKNOWN_KV_TOKENS)
         member = Member(runner, self._network, self._send_check, kv_tokens)
         member.on_replaced = self.on_replaced
         member.health.on_urgent = partial(self._note_health_urgent, member)
         member.health.on_returned = partial(_log_returned, runner)
         self.members[runner.key] = member
+        self._history.note(member)
         self.versions.note_change(runner)
         self._changed.set()
         self._changed = trio.Event()
@@ -243,11 +241,6 @@
         if self.on_health_urgent is not None:
             self.on_health_urgent(member)
 
-    def _remember_incarnation(self, runner: Runner) -> None:
-        self._newest_born_ms.pop(runner.key, None)
-        self._newest_born_ms[runner.key] = runner.born_ms
-        drop_oldest(self._newest_born_ms, REMEMBERED_INCARNATIONS)
-
     def _drop_expired(self) -> None:
         now = self._now()
         for key, member in tuple(self.members.items()):
--- a/packages/sesamepoint/src/sesamepoint/front/runners/status_sources.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/status_sources.py
@@ -4,5 +4,7 @@
 
 # What an answer to this instance reported.
 FROM_ANSWER = 'answer'
+# What its registration in the platform's store said.
+FROM_REGISTRATION = 'registration'
 
-__all__ = ('FROM_ANSWER',)
+__all__ = ('FROM_ANSWER', 'FROM_REGISTRATION')
--- /dev/null
+++ b/tests/front/registrations/__init__.py
@@ -0,0 +1,1 @@
+"""Registrations of runners that arrive late, and runners that leave or come back."""
--- /dev/null
+++ b/tests/front/registrations/late_heartbeats.py
@@ -0,0 +1,162 @@
+"""Simulation of a heartbeat that the store carries out late, around the moment at which its runner leaves.
+
+Run by hand, over all delays and moments: python -m tests.front.registrations.late_heartbeats
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from itertools import cycle
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+from sesamepoint_standins.platform.bench import open_bench
+from sesamepoint_standins.virtual_time import disable_logging, run_virtual
+from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bench import PlatformBench
+    from sesamepoint_standins.platform.caller import RequestSpec
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+HEARTBEAT_S = 1.2
+# Users' bound on requests to a runner after the store has taken its notice, in seconds.
+DRAIN_S = 2.0
+# The runner serves for so long after the notice, in seconds; the pages name no bound.
+SERVES_ON_S = 8.0
+WARM_UP_S = 1.5
+REQUEST_PAUSE_S = 0.05
+LONG_PROMPT_TOKENS = 3000
+SHORT_PROMPT_TOKENS = 300
+# Delays of the heartbeat, and times between it and the notice, in seconds.
+DELAYS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
+LEAD_STEP_S = 0.4
+
+
+class Notice(Enum):
+    """How the store learns that a runner leaves: by the state of its registration, or by its removal."""
+
+    draining = 'draining'
+    removal = 'removal'
+
+
+class LateHeartbeat(NamedTuple):
+    """One run.
+
+    Parameters
+    ----------
+    delay_s
+        The store carries the heartbeat out so many seconds after it was sent.
+    lead_s
+        The notice comes so many seconds after the heartbeat was sent.
+    key
+        Key of the runner.
+    counts_heartbeats
+        Whether registrations have growing numbers.
+    front_starts_s
+        A front starts so many seconds after the notice; None if none does.
+    rolled_back_s
+        The store is restored to a copy from before the notice, so many seconds after it; None if it is not.
+    """
+
+    notice: Notice
+    delay_s: float
+    lead_s: float
+    key: str = 'i-web1'
+    counts_heartbeats: bool = False
+    front_starts_s: float | None = None
+    rolled_back_s: float | None = None
+
+
+async def requests_after_drain_time(run: LateHeartbeat) -> int:
+    """Return how many requests of callers reached the runner later than the drain time after its notice."""
+    runners = [plain_runner(1), plain_runner(2), plain_runner(3)]
+    runners += [engine(1, 'prefill'), engine(2, 'prefill'), engine(3, 'decode'), engine(4, 'decode')]
+    for runner in runners:
+        runner.counts_heartbeats = run.counts_heartbeats
+    async with open_bench(configuration(), runners, fronts=2) as bench:
+        leaving = bench.runners[run.key]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_send_load, bench, nursery)
+            for runner in runners:
+                nursery.start_soon(_renew, bench, runner)
+            await trio.sleep(WARM_UP_S)
+            bench.write_late(run.key, run.delay_s)
+            await trio.sleep(run.lead_s)
+            noticed_at = trio.current_time()
+            _announce(bench, run)
+            if run.rolled_back_s is not None:
+                nursery.start_soon(_roll_back, bench, run)
+            if run.front_starts_s is not None:
+                await trio.sleep(run.front_starts_s)
+                bench.add_front(3)
+            await trio.sleep_until(noticed_at + SERVES_ON_S)
+            nursery.cancel_scope.cancel()
+    return sum(bool(name) and at > noticed_at + DRAIN_S for at, name in _arrivals(leaving))
+
+
+def _arrivals(runner: RunnerStandIn) -> list[tuple[float, str]]:
+    return list(zip(runner.arrivals, runner.request_ids, strict=True))
+
+
+def _announce(bench: PlatformBench, run: LateHeartbeat) -> None:
+    if run.notice is Notice.draining:
+        bench.drain_runner(run.key)
+    else:
+        bench.leave_unannounced(run.key)
+
+
+async def _roll_back(bench: PlatformBench, run: LateHeartbeat) -> None:
+    await trio.sleep(run.rolled_back_s or 0)
+    bench.store.roll_back((run.rolled_back_s or 0) + LEAD_STEP_S)
+
+
+async def _renew(bench: PlatformBench, runner: RunnerStandIn) -> None:
+    """Write a heartbeat at each interval, unless the runner has left unannounced."""
+    while not runner.leaving:
+        await trio.sleep(HEARTBEAT_S)
+        if not runner.leaving:
+            bench.renew_registration(runner.key)
+
+
+async def _send_load(bench: PlatformBench, nursery: trio.Nursery) -> None:
+    paths = cycle(('/card/a', '/tag/a', '/thumb/a', '/verdict/a'))
+    while True:
+        await trio.sleep(REQUEST_PAUSE_S)
+        path = next(paths)
+        req = _new_request(path)
+        for name in tuple(bench.fronts):
+            nursery.start_soon(bench.new_caller(name).send, req._replace(request_id=f'{name}-{req.request_id}'))
+
+
+def _new_request(path: str) -> RequestSpec:
+    if path in {'/card/a', '/thumb/a'}:
+        return new_request(path)
+    return new_prompt_request(path, LONG_PROMPT_TOKENS if path == '/verdict/a' else SHORT_PROMPT_TOKENS)
+
+
+def all_runs() -> list[LateHeartbeat]:
+    """Return runs with each delay, at each moment before and after the notice."""
+    runs = []
+    for notice in Notice:
+        for key in ('i-web1', 'i-llm1', 'i-llm3'):
+            for delay_s in DELAYS_S:
+                leads = [LEAD_STEP_S * step for step in range(1 + int(delay_s / LEAD_STEP_S))]
+                runs += [LateHeartbeat(notice, delay_s, lead_s, key, step % 2 > 0) for step, lead_s in enumerate(leads)]
+    return runs
+
+
+def main() -> None:
+    """Play all runs, and print those in which requests were late."""
+    disable_logging()
+    runs = all_runs()
+    late = [(run, count) for run in runs if (count := run_virtual(requests_after_drain_time, run, seed=1))]
+    for run, count in late:
+        sys.stdout.write(f'{count} late: {run}\n')
+    sys.stdout.write(f'{len(late)} of {len(runs)} runs with late requests\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/front/test_store_rollback.py
+++ b/tests/front/test_store_rollback.py
@@ -9,6 +9,7 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint.front.runners.runner_status import RunnerStatuses
 from sesamepoint.front.store.topic_watch import SETTLE_JITTER_S, SETTLE_S, TopicWatch
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.store_epoch import StoreEpoch
@@ -187,8 +188,11 @@
 
     @in_virtual_time
     async def test_faulty_variant_applies_old_copy(self) -> None:
-        """If the copy is applied at once, a draining runner gets requests again."""
-        with patch.object(TopicWatch, '_settling', _do_nothing):
+        """If the copy is applied at once and no notice is remembered, a draining runner gets requests again."""
+        with (
+            patch.object(TopicWatch, '_settling', _do_nothing),
+            patch.object(RunnerStatuses, 'note_draining', _do_nothing),
+        ):
             async with open_bench(configuration(), [plain_runner(1), plain_runner(2)]) as bench:
                 await trio.sleep(ROLLBACK_S + 1)
                 bench.drain_runner('i-web1')
@@ -200,6 +204,20 @@
                 runs = len(bench.runners['i-web1'].runs)
         self.assertGreater(runs, 0)
 
+    @in_virtual_time
+    async def test_faulty_variant_loses_joined_runner(self) -> None:
+        """If the copy is applied at once, a runner that joined since gets no requests, and none else may."""
+        with patch.object(TopicWatch, '_settling', _do_nothing):
+            async with open_bench(configuration(), [plain_runner(1)]) as bench:
+                await trio.sleep(ROLLBACK_S + 1)
+                bench.add_runner(plain_runner(3))
+                bench.drain_runner('i-web1')
+                await trio.sleep(APPLY_S)
+                bench.store.roll_back(ROLLBACK_S)
+                await trio.sleep(ROLLBACK_S)
+                status = await _get_status(bench, 'front-1')
+        self.assertEqual(status, 503)
+
     @in_virtual_time
     async def test_instance_reregisters(self) -> None:
         """An instance that registered in the lost seconds registers again within 3 s."""
