--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_updates.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.store_epoch import MAX_EPOCH
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 # Keeps the datagram in one packet: the links of instances carry 5 Mbit/s and
 # more, and the instance that polled sends to all peers at once.
 MAX_CHANGED_BYTES = 1200
@@ -24,7 +27,7 @@
     Parameters
     ----------
     changed
-        The newest record of each key that changed in between; None if they
+        The records of each key that changed in between, in their order; None if they
         are too large for a datagram or hold secrets, so that the receiver has
         to poll the store for them.
     epoch
@@ -39,9 +42,9 @@
     epoch: Epoch = 0
 
 
-def broadcastable(changed: dict[str, KeyedRecord], *, confidential: bool) -> tuple[KeyedRecord, ...] | None:
+def broadcastable(changed: Sequence[KeyedRecord], *, confidential: bool) -> tuple[KeyedRecord, ...] | None:
     """Return the changed records to broadcast; None if peers have to poll the store for them."""
-    records = tuple(changed.values())
+    records = tuple(changed)
     size = sum(len(record.key) + len(record.text) for record in records)
     if records and (confidential or size > MAX_CHANGED_BYTES):
         return None
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -280,17 +280,20 @@
                 TopicUpdate(self._peers.name, self._topic, known_end, answer.end, records, answer.epoch)
             )
 
-    def _update(self, position: Position, records: tuple[KeyedRecord, ...]) -> dict[str, KeyedRecord]:
+    def _update(self, position: Position, records: tuple[KeyedRecord, ...]) -> list[KeyedRecord]:
         # Peers may lack what an out-of-order update has changed here.
         changed_early = self.out_of_order.keys()
         current = {record.key for record in self.out_of_order.drop_outdated(position, records)}
-        changed: dict[str, KeyedRecord] = {}
+        changed: list[KeyedRecord] = []
+        changed_keys = set(changed_early)
         for record in records:
             is_new = record.key in current and self._handlers.update(record)
             # A key that changed and changed back counts too: a peer may have
-            # received the first change and not the second.
-            if is_new or record.key in changed or record.key in changed_early:
-                changed[record.key] = record
+            # received the first change and not the second. All its records are
+            # sent: the newest one alone would hide that a runner was removed in between.
+            if is_new or record.key in changed_keys:
+                changed_keys.add(record.key)
+                changed.append(record)
         return changed
 
     def _on_incomplete_update(self, topic_update: TopicUpdate, now: float) -> None:
--- a/tests/front/store/test_topic_watch.py
+++ b/tests/front/store/test_topic_watch.py
@@ -27,11 +27,20 @@
         watch._has_records = True  # noqa: SLF001
         watch.turns.end = 10
         watch.on_update(TopicUpdate('e1', TOPIC, 12, 14, (CHANGED,)))
-        self.assertEqual(watch._update(Position(0, 14), (CHANGED,)), {CHANGED.key: CHANGED})  # noqa: SLF001
+        self.assertEqual(watch._update(Position(0, 14), (CHANGED,)), [CHANGED])  # noqa: SLF001
 
     @in_virtual_time
     async def test_unchanged_record(self) -> None:
         """Guards against updates that repeat every renewal of a registration."""
         watch = TopicSimulation(3).instances['e0'].watch
         watch._update(Position(0, 10), (CHANGED,))  # noqa: SLF001
-        self.assertEqual(watch._update(Position(0, 11), (CHANGED,)), {})  # noqa: SLF001
+        self.assertEqual(watch._update(Position(0, 11), (CHANGED,)), [])  # noqa: SLF001
+
+    @in_virtual_time
+    async def test_changed_twice(self) -> None:
+        """Guards against peers that never learn of a removal, since the record was back in the same poll."""
+        watch = TopicSimulation(3).instances['e0'].watch
+        watch._update(Position(0, 9), (CHANGED,))  # noqa: SLF001
+        removal = KeyedRecord(CHANGED.key, b'')
+        found = watch._update(Position(0, 10), (removal, CHANGED))  # noqa: SLF001
+        self.assertEqual(found, [removal, CHANGED])
