--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -34,6 +34,8 @@
 # A crashed runner restarts after this time as a new incarnation. Its registration
 # stays until then.
 RESTART_DELAY_S = 3.0
+# The store removes a registration that is not renewed for three heartbeat intervals.
+LAPSE_S = 3.6
 # Time from the first token of a poison request to the crash of its runner.
 CRASH_DELAY_S = 0.1
 
@@ -186,6 +188,10 @@
     async def _put_after(self, delay_s: float, key: str, registration: dict[str, object]) -> None:
         await trio.sleep(delay_s)
         self.store.put(RUNNER_TOPIC, key, registration)
+        if self.runners[key].leaving:
+            # Nobody renews it.
+            await trio.sleep(LAPSE_S)
+            self.drop_registration(key)
 
     def _schedule_crash(self, runner: RunnerStandIn) -> None:
         self._nursery.start_soon(self._crash_after_delay, runner)
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
@@ -11,9 +11,7 @@
 from sesamepoint_core.fleet_health.prober import probe_rank
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint import events
-from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
-from sesamepoint.http1.messages import ConnBrokenError, ConnectFailedError
-from sesamepoint.platform import health_call
+from sesamepoint.front.fleet_health.health_pages import PageResult, ask_health_page
 
 if TYPE_CHECKING:
     from sesamepoint.front.peering.peers import Peers
@@ -27,9 +25,6 @@
 RECENT_S = 5.0
 # How often ejected runners are looked at, in seconds.
 CHECK_INTERVAL_S = 0.05
-# Health pages answer within some milliseconds.
-CALL_TIMEOUT_S = 0.3
-PURPOSE = SendPurpose(SendKind.health_call)
 
 
 class Probing:
@@ -87,19 +82,20 @@
 
     async def call_health_page(self, member: Member) -> None:
         """Call the health page of a runner, and note the result if it is ejected."""
-        cause = 'no answer in time'
+        path = self._fleet.health_paths.get(member.runner.service, '')
         try:
-            with trio.move_on_after(CALL_TIMEOUT_S):
-                cause = await self._failure_of_call(member)
+            answer = await ask_health_page(member, path)
         finally:
             self._calling.discard(member)
-        member.health.note_health_call(trio.current_time(), healthy=not cause)
+        # If the page was not called, requests must show whether the runner has recovered.
+        healthy = answer.shown is not PageResult.unhealthy
+        member.health.note_health_call(trio.current_time(), healthy=healthy)
         events.log_event(
             events.HEALTH_PAGE_CALLED,
             runner=member.runner.key,
             born_ms=member.runner.born_ms,
-            healthy=not cause,
-            cause=cause,
+            healthy=healthy,
+            cause=answer.cause,
         )
 
     def _due_members(self) -> list[Member]:
@@ -120,24 +116,5 @@
         names = (name for name in self._peers.peer_names() if self._subset.contains_at(name, key))
         return probe_rank(member.incarnation, self._peers.name, names)
 
-    async def _failure_of_call(self, member: Member) -> str:
-        """Call the health page; return why the runner is not healthy, empty if it is."""
-        path = self._fleet.health_paths.get(member.runner.service, '')
-        if not path:
-            return ''
-        try:
-            conn = await member.connection(PURPOSE)
-        except ConnectFailedError as exc:
-            return str(exc)
-        try:
-            return await health_call.call_health_page(conn, member.runner.address, path)
-        except ConnBrokenError as exc:
-            return str(exc)
-        except SendBlockedError:
-            # Nothing was sent, as to a runner with a rate limit, so requests must show whether it has recovered.
-            return ''
-        finally:
-            member.release(conn)
-
 
 __all__ = ('Probing',)
--- /dev/null
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -0,0 +1,78 @@
+"""Runners whose removed registration is back, which must show that they serve before they get requests again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from sesamepoint import events
+from sesamepoint.front.fleet_health.health_pages import PageResult, ask_health_page
+
+if TYPE_CHECKING:
+    from sesamepoint.front.runners.engine_subset import EngineSubset
+    from sesamepoint.front.runners.fleet import Fleet
+    from sesamepoint.front.runners.fleet_member import Member
+
+# Pause after the first call that shows nothing, in seconds; each further one is twice as long, up to the longest.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+# The store removes a registration that is not renewed for three heartbeat intervals, so one
+# that stands for longer is renewed by a runner that has not left.
+STANDING_HEARTBEATS = 4
+BY_PAGE = 'health page'
+BY_STANDING = 'registration renewed'
+
+
+class ReturnedRunners:
+    """Confirms that returned runners serve.
+
+    A runner that leaves without notice has its registration removed and serves on for seconds. If the store then
+    carries out one of its earlier heartbeats, the registration is back. Without a confirmation requests went to a
+    runner that was about to exit.
+    """
+
+    def __init__(self, fleet: Fleet, subset: EngineSubset, heartbeat_s: float) -> None:
+        """Confirm runners of ``fleet``, which renew their registrations each ``heartbeat_s`` seconds."""
+        self._fleet = fleet
+        self._subset = subset
+        self._standing_s = heartbeat_s * STANDING_HEARTBEATS
+        self._asked: set[Member] = set()
+
+    async def run(self) -> None:
+        """Ask each runner that returns, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                member = await self._fleet.history.next_returned()
+                if member not in self._asked:
+                    self._asked.add(member)
+                    nursery.start_soon(self._ask_until_known, member)
+
+    async def _ask_until_known(self, member: Member) -> None:
+        pause_s = FIRST_PAUSE_S
+        while member.presence.unconfirmed and not member.closed:
+            evidence = await self._evidence(member)
+            if evidence:
+                self._fleet.history.confirm(member, evidence)
+            else:
+                await trio.sleep(pause_s)
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+        self._asked.discard(member)
+
+    async def _evidence(self, member: Member) -> str:
+        """Return what shows that the runner serves; empty if nothing does."""
+        back_at = member.presence.back_at
+        if back_at is not None and self._fleet.history.current_at - back_at > self._standing_s:
+            return BY_STANDING
+        if not self._subset.contains(member.runner):
+            return ''
+        answer = await ask_health_page(member, self._fleet.health_paths.get(member.runner.service, ''))
+        if answer.shown is PageResult.healthy:
+            return BY_PAGE
+        events.log_event(
+            events.RETURN_UNCONFIRMED, runner=member.runner.key, born_ms=member.runner.born_ms, cause=answer.cause
+        )
+        return ''
+
+
+__all__ = ('ReturnedRunners',)
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/shared_health.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/shared_health.py
@@ -6,6 +6,7 @@
 
 from sesamepoint.front.fleet_health.health_exchange import HealthExchange
 from sesamepoint.front.fleet_health.probing import Probing
+from sesamepoint.front.fleet_health.returned_runners import ReturnedRunners
 from sesamepoint.supervisor import Child
 
 if TYPE_CHECKING:
@@ -18,15 +19,28 @@
 class SharedHealth:
     """Exchange of runner health with the peers, and probes on behalf of all."""
 
-    def __init__(self, fleet: Fleet, subset: EngineSubset, peers: Peers, eligible: EligibleRunners) -> None:
-        """Share the health of the runners of ``fleet``, and decide on trials for ``eligible``."""
+    def __init__(
+        self, fleet: Fleet, subset: EngineSubset, peers: Peers, eligible: EligibleRunners, heartbeat_s: float
+    ) -> None:
+        """Share the health of the runners of ``fleet``, and decide on trials for ``eligible``.
+
+        Parameters
+        ----------
+        heartbeat_s
+            Interval at which runners renew their registrations, in seconds.
+        """
+        self._returned = ReturnedRunners(fleet, subset, heartbeat_s)
         self._probing = Probing(fleet, subset, peers)
         self._probing.connect(eligible)
         self._exchange = HealthExchange(fleet, peers, self._probing)
 
     def children(self) -> list[Child]:
         """Return the background tasks."""
-        return [Child('runner-health', self._exchange.run), Child('runner-probes', self._probing.run)]
+        return [
+            Child('runner-health', self._exchange.run),
+            Child('runner-probes', self._probing.run),
+            Child('returned-runners', self._returned.run),
+        ]
 
     def count_ejected(self) -> int:
         """Return how many runners this instance has ejected."""
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -71,7 +71,7 @@
         self.room.lag.join(self.peers)
         self._components = DispatchComponents.build(cfg, engine_subset, sends, send_check.runner_statuses, rng, clock)
         eligible = self._components.selector.eligible
-        self._shared_health = SharedHealth(self.fleet, engine_subset, self.peers, eligible)
+        self._shared_health = SharedHealth(self.fleet, engine_subset, self.peers, eligible, cfg.heartbeat_s)
         self._exchanges = Exchanges.build(self._components, self.fleet, engine_subset, self.peers)
         self.dispatcher = Dispatcher(self._components, EngineRuns(self._components), quarantine, rng)
         sync_targets = SyncTargets(
@@ -147,6 +147,12 @@
             ('limited_runners', 'Runners that name a limit.', self._components.limits.count),
             ('ejected_runners', 'Runners that are ejected here.', self._shared_health.count_ejected),
             ('leaving_runners', 'Runners that leave.', fleet.count_draining),
+            ('unconfirmed_runners', 'Returned runners that have not shown that they serve.', fleet.count_unconfirmed),
+            (
+                'returned_runners',
+                'Runners that were used again after their registration had been removed, so far.',
+                lambda: fleet.history.confirmations,
+            ),
             ('resting_runners', 'Runners that want nothing from here now.', fleet.count_backing_off),
             (
                 'retry_reserve_share',
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -44,7 +44,7 @@
 
 
 class ReportedStatus(StrEnum):
-    """Status of a runner that an instance learned from one of its answers."""
+    """Status of a runner that an instance learned from one of its answers, or from its registration."""
 
     # Another incarnation than the registered one answers at the address.
     replaced = 'replaced'
@@ -52,6 +52,8 @@
     leaving = 'leaving'
     # The runner rejected a request and asked the instance to back off for a time.
     resting = 'resting'
+    # Its registration was removed.
+    removed = 'removed'
 
 
 class RunnerStatusMessage(msgspec.Struct, frozen=True, array_like=True, tag='runner'):
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -58,7 +58,7 @@
         self._kv_tokens: dict[str, int] = {}
         # Paths of health pages by service; empty for a service that has none.
         self.health_paths: dict[str, str] = {}
-        self._history = RegistrationHistory(send_check.runner_statuses)
+        self.history = RegistrationHistory(send_check.runner_statuses, now)
         self.changes = 0
         # Called when another incarnation answers at the address of a runner.
         self.on_replaced: Callable[[Incarnation], None] | None = None
@@ -100,7 +100,7 @@
         A registration of an earlier incarnation than the known one is ignored: it
         comes from a store that is behind, or a peer's message has overtaken it.
         """
-        known_ms = self._history.newest_start_ms(runner.key)
+        known_ms = self.history.newest_start_ms(runner.key)
         if runner.born_ms < known_ms:
             events.log_event(
                 events.STALE_INCARNATION_IGNORED, runner=runner.key, born_ms=runner.born_ms, known_ms=known_ms
@@ -118,10 +118,15 @@
             return
         if runner.draining and not member.runner.draining:
             events.log_event(events.RUNNER_DRAINING, runner=runner.key, fleet=runner.service, sequence=runner.sequence)
-        _log_contradiction(member, runner, self._now())
+        if member.draining and not runner.draining:
+            events.log_event(
+                events.READY_AFTER_DRAINING,
+                runner=runner.key,
+                sequence=runner.sequence,
+                known_sequence=member.runner.sequence,
+            )
         member.runner = runner
-        member.unregistered_at = None
-        self._history.note(member)
+        self.history.note(member)
 
     def at_incarnation(self, key: str, born_ms: int) -> Member | None:
         """Return the member with ``key`` if its newest incarnation started at ``born_ms``, else None.
@@ -137,6 +142,8 @@
         self.changes += 1
         # Its version comes with its registration. That the earlier incarnation was draining says nothing of it.
         self._add(member.runner._replace(born_ms=born_ms, software_version=None, draining=False, sequence=0))
+        if not member.presence.registered:
+            self.note_unregistered(key)
         return self.members[key]
 
     def of_incarnation(self, incarnation: Incarnation) -> Member | None:
@@ -147,9 +154,9 @@
     def note_unregistered(self, key: str) -> None:
         """Note that a runner is no longer registered; it is kept for the grace period."""
         member = self.members.get(key)
-        if member is None or member.unregistered_at is not None:
+        if member is None or not (member.presence.registered or member.presence.unconfirmed):
             return
-        member.unregistered_at = self._now()
+        self.history.note_removed(member, self._grace_s)
         events.log_event(events.RUNNER_UNREGISTERED, runner=key, fleet=member.runner.service)
 
     def size_of(self, service: str, stage: Stage) -> int:
@@ -163,6 +170,10 @@
         """Return how many runners are draining."""
         return sum(member.draining for member in self.members.values())
 
+    def count_unconfirmed(self) -> int:
+        """Return how many runners are registered again and have not shown yet that they serve."""
+        return sum(member.presence.unconfirmed for member in self.members.values())
+
     def count_backing_off(self) -> int:
         """Return from how many runners this instance is backing off."""
         return sum(member.backing_off for member in self.members.values())
@@ -202,9 +213,7 @@
 
     def _all_draining(self, service: str) -> bool:
         """Tell whether runners of ``service`` are registered, and all of them are draining."""
-        registered = [
-            one for one in self.members.values() if one.runner.service == service and one.unregistered_at is None
-        ]
+        registered = [one for one in self.members.values() if one.runner.service == service and one.presence.registered]
         return bool(registered) and all(one.draining for one in registered)
 
     def _add(self, runner: Runner) -> None:
@@ -218,7 +227,7 @@
         member.health.on_urgent = partial(self._note_health_urgent, member)
         member.health.on_returned = partial(_log_returned, runner)
         self.members[runner.key] = member
-        self._history.note(member)
+        self.history.note(member)
         self.versions.note_change(runner)
         self._changed.set()
         self._changed = trio.Event()
@@ -244,7 +253,7 @@
     def _drop_expired(self) -> None:
         now = self._now()
         for key, member in tuple(self.members.items()):
-            if member.unregistered_at is not None and now - member.unregistered_at > self._grace_s:
+            if member.presence.gone(now):
                 member.close()
                 self.members.pop(key)
                 self.changes += 1
@@ -252,21 +261,13 @@
 
 
 def accepting_members(members: list[Member]) -> list[Member]:
-    """Return those of ``members`` that may get new requests: unregistered ones only if there are no others."""
-    open_members = [member for member in members if not member.draining and not member.replaced]
-    registered = [member for member in open_members if member.unregistered_at is None]
+    """Return those of ``members`` that may get new requests: those not registered only if there are no others."""
+    now = trio.current_time()
+    open_members = [one for one in members if not (one.draining or one.replaced or one.presence.lapsed(now))]
+    registered = [member for member in open_members if member.presence.registered]
     return registered or open_members
 
 
-def _log_contradiction(member: Member, runner: Runner, now: float) -> None:
-    """Log a registration that takes back what an earlier one of the same incarnation said."""
-    fields = {'runner': runner.key, 'sequence': runner.sequence, 'known_sequence': member.runner.sequence}
-    if member.runner.draining and not runner.draining:
-        events.log_event(events.READY_AFTER_DRAINING, **fields)
-    if member.unregistered_at is not None:
-        events.log_event(events.RUNNER_REGISTERED_AGAIN, **fields, removed_s=round(now - member.unregistered_at, 3))
-
-
 def _log_returned(runner: Runner) -> None:
     events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -9,7 +9,8 @@
 
 from sesamepoint_core.engine_model.engine_model import EngineModel
 from sesamepoint_core.fleet_health.runner_health import RunnerHealth
-from sesamepoint_core.runner_status.known_status import NO_STATUS
+from sesamepoint_core.runner_status.known_status import NO_STATUS, KnownStatus
+from sesamepoint_core.runner_status.presence import Presence
 from sesamepoint_core.serving.engine_load import EngineLoad
 from sesamepoint_core.serving.kv_cache import CacheModel
 from sesamepoint_core.serving.loss_meter import LossMeter
@@ -28,7 +29,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint_core.runner_status.known_status import KnownStatus
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint_core.stream_origin.origin import StreamOrigin
     from sesamepoint.front.runners.send_check import SendCheck, SendPurpose
@@ -67,7 +67,7 @@
         self._runner_statuses = send_check.runner_statuses
         # Whether a newer incarnation has taken its place, or it was dropped from the fleet.
         self.closed = False
-        self.unregistered_at: float | None = None
+        self.presence = Presence()
         self.replaced = False
         self._pool = ConnectionPool(runner.address, network, self._note_head)
         self.health = RunnerHealth()
@@ -154,7 +154,7 @@
             life = await self._crash_probe.probe_life(now if since is None else since)
             active = self.health.active_since(now + BREAK_SPREAD_S)
             return life is ProbeOutcome.refused or (life is ProbeOutcome.not_open and not active)
-        if self.draining or self.unregistered_at is not None:
+        if self.draining or not self.presence.registered:
             return False
         return await self._crash_probe.refused(now - BREAK_SPREAD_S if since is None else since)
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -125,7 +125,7 @@
     if await member.has_ended(since, must_show_life=streamed):
         return SenderState.ended
     # A runner that drains or is no longer registered is not asked.
-    leaving = member.draining or member.unregistered_at is not None
+    leaving = member.draining or not member.presence.registered
     if not streamed or leaving or not member.incarnation.born_ms:
         return SenderState.alive
     with trio.move_on_after(START_CHECK_S):
--- a/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/known_runner.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from sesamepoint_core.runner_status.presence import Presence
     from sesamepoint_core.serving.poison_requests import Incarnation
     from sesamepoint_core.stream_origin.origin import StreamOrigin
 
@@ -22,12 +23,15 @@
         Whether a newer incarnation has taken its place, or it was dropped from the fleet.
     replaced
         Whether another incarnation answers at its address.
+    presence
+        Whether its registration stands.
     """
 
     in_flight: int
     answered: bool
     closed: bool
     replaced: bool
+    presence: Presence
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
@@ -65,18 +65,27 @@
         if update.fact is ReportedStatus.resting:
             self._statuses.note_peer_back_off(update.start, update.rest_s, update.entry)
             return
+        if update.fact is ReportedStatus.removed:
+            self._fleet.history.note_removed_elsewhere(update.start, self._fleet.of_incarnation(update.start))
+            return
         # A replacement of an incarnation that is not known here is ignored.
         member = self._fleet.of_incarnation(update.start)
         if member is not None:
             member.note_replaced(update.entry)
 
     def send_to_new_peer(self, peer: str) -> None:
-        """Send an instance that has just registered the runners that are draining."""
-        for incarnation in self._statuses.draining():
-            if self._fleet.of_incarnation(incarnation):
-                self._peers.send_queue.enqueue(
-                    RunnerStatusMessage(self._peers.name, incarnation, ReportedStatus.leaving), peer
-                )
+        """Send an instance that has just registered the runners that are draining, or were removed lately.
+
+        A registration that the store writes late is the only one of its runner that the new instance reads.
+        """
+        removed = self._fleet.history.recently_removed()
+        draining = [one for one in self._statuses.draining() if one in removed or self._fleet.of_incarnation(one)]
+        findings = [_Finding(one, ReportedStatus.leaving) for one in draining]
+        findings += [_Finding(one, ReportedStatus.removed) for one in removed]
+        for finding in findings:
+            self._peers.send_queue.enqueue(
+                RunnerStatusMessage(self._peers.name, finding.incarnation, finding.fact), peer
+            )
 
     async def run(self) -> None:
         """Send what this instance finding out again when due, until cancelled."""
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -127,7 +127,16 @@
 @BLOCK_CONDITIONS.register('gone')
 def _is_gone(check: SendCheck, pending_send: PendingSend) -> bool:
     """Return whether the registration has been gone for too long, or the runner has restarted."""
-    return pending_send.member.closed
+    member = pending_send.member
+    return member.closed or member.presence.gone(trio.current_time())
+
+
+@BLOCK_CONDITIONS.register('unconfirmed')
+def _is_unconfirmed(check: SendCheck, pending_send: PendingSend) -> bool:
+    """Return whether the registration was removed and is back, and nothing shows yet that the runner serves."""
+    if pending_send.purpose.kind is SendKind.health_call:
+        return False
+    return pending_send.member.presence.lapsed(trio.current_time())
 
 
 @BLOCK_CONDITIONS.register('replaced')
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -8,6 +8,10 @@
 from sesamepoint_core.serving.address import Address
 
 
+# Interval at which runners renew their registrations if the settings name none, in seconds.
+DEFAULT_HEARTBEAT_S = 1.2
+
+
 class StoreSettings(NamedTuple):
     """Settings of the platform's store."""
 
@@ -50,6 +54,8 @@
         Seconds between the signal to stop and the kill.
     config_s
         Seconds within which a new configuration must be in force.
+    heartbeat_s
+        Interval at which runners renew their registrations, in seconds.
     duty
         None if there are no usage reports.
     link_bytes_s
@@ -77,6 +83,7 @@
     store: StoreSettings
     duty: DutySettings | None = None
     limits: InstanceLimits = InstanceLimits()
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S
 
     @property
     def peer_listen(self) -> Address:
@@ -84,4 +91,4 @@
         return Address(self.host, self.peer_port)
 
 
-__all__ = ('DutySettings', 'FrontSettings', 'StoreSettings')
+__all__ = ('DEFAULT_HEARTBEAT_S', 'DutySettings', 'FrontSettings', 'StoreSettings')
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -155,7 +155,10 @@
             RUNNER_WAIT_SHARE * span_s, RUNNER_PAUSE_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s, RETRY_SHARE * span_s
         )
         handlers = RecordHandlers(
-            self._apply_runners, self._apply_runner, urgent=lambda: not self._targets.fleet.listed
+            self._apply_runners,
+            self._apply_runner,
+            confirm=self._targets.fleet.history.note_current,
+            urgent=lambda: not self._targets.fleet.listed,
         )
         await self._follow_topic(RUNNER_TOPIC, pacing, handlers)
 
--- a/packages/sesamepoint/src/sesamepoint/platform/health_call.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/health_call.py
@@ -5,26 +5,30 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint.http1.documents import whole_payload
-from sesamepoint.http1.messages import RequestHead
+from sesamepoint.http1.messages import RequestHead, header
+from sesamepoint.platform import wire_names
 
 if TYPE_CHECKING:
-    from sesamepoint_core.serving.address import Address
+    from sesamepoint_core.serving.runner import Runner
     from sesamepoint.http1.client import ClientConn
 
 STATUS_OK = 200
 
 
-async def call_health_page(conn: ClientConn, address: Address, path: str) -> str:
-    """Return why the health page does not report the runner at ``address`` healthy; empty if it does.
+async def call_health_page(conn: ClientConn, runner: Runner, path: str) -> str:
+    """Return why the health page does not report ``runner`` healthy; empty if it does.
 
     Raises
     ------
     ConnBrokenError
         If the connection ended before the response, or its body is broken off.
     """
-    head, body = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(address).encode()),)))
+    head, body = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(runner.address).encode()),)))
     if head.status != STATUS_OK:
         return f'status {head.status}'
+    answered_by = header(head.headers, wire_names.INCARNATION)
+    if answered_by not in {None, runner.key.encode()}:
+        return 'another runner has its address'
     whole_payload(body)
     return ''
 
--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -8,7 +8,7 @@
 from sesamepoint_core.instance_room.limits import InstanceLimits
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, BYTES_PER_MEGABYTE, MS_PER_S
-from sesamepoint.front.settings import DutySettings, FrontSettings, StoreSettings
+from sesamepoint.front.settings import DEFAULT_HEARTBEAT_S, DutySettings, FrontSettings, StoreSettings
 from sesamepoint.platform.wire_names import USAGE_DUTY
 from sesamepoint.settings_error import SettingsError
 
@@ -66,6 +66,7 @@
         retry_window_s=float(pairs['bounds.budget_window_s']),
         link_bytes_s=float(pairs['limits.link_mbps']) * BITS_PER_MEGABIT / BITS_PER_BYTE,
         store=StoreSettings(Address.parse(pairs['platform.address'])),
+        heartbeat_s=_seconds(pairs, 'heartbeat_ms') if 'heartbeat_ms' in pairs else DEFAULT_HEARTBEAT_S,
         duty=_duty_settings(pairs),
         limits=InstanceLimits(
             memory_bytes=_limit(pairs, 'memory_mb') * BYTES_PER_MEGABYTE,
--- /dev/null
+++ b/tests/front/registrations/test_returned_runners.py
@@ -0,0 +1,140 @@
+"""Removed registrations that are back: of runners that have left, by a late heartbeat, and of runners that serve."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+from unittest.mock import patch
+
+import trio
+
+from sesamepoint_core.runner_status.presence import Presence
+from sesamepoint_standins.platform.bench import open_bench
+from sesamepoint_standins.platform.runner_state import Faults
+from tests.front.builders import configuration, new_request, plain_runner
+from tests.front.registrations.late_heartbeats import LateHeartbeat, Notice, requests_after_drain_time
+from tests.virtual_time import in_virtual_time
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bench import PlatformBench
+
+# Runners whose registrations lapsed must be used within this time after they are back, in seconds.
+RETURN_S = 2.0
+# Registrations lapse after three heartbeat intervals, and some margin.
+STANDING_S = 6.0
+FRONTS = 2
+
+
+async def lapse_and_return(bench: PlatformBench, away_s: float) -> None:
+    """Let the registrations of all runners lapse while they serve, and have them written again."""
+    for key in bench.runners:
+        bench.drop_registration(key)
+    await trio.sleep(away_s)
+    for key in bench.runners:
+        bench.renew_registration(key)
+
+
+async def statuses_after(bench: PlatformBench, pause_s: float) -> set[int]:
+    """Return the statuses of a request at each instance, after ``pause_s`` seconds."""
+    await trio.sleep(pause_s)
+    return {(await bench.new_caller(name).send(new_request('/card/a'))).status for name in bench.fronts}
+
+
+def take_at_once(presence: Presence, now: float) -> bool:
+    """Take a registration that is back for one of a runner that serves, as before."""
+    presence.confirm()
+    return False
+
+
+class LateReturnTest(TestCase):
+    """Requests that reach a runner which has left, because its removed registration is back."""
+
+    @in_virtual_time
+    async def test_left_without_notice(self) -> None:
+        """Guards against requests to a runner that has left, after a late heartbeat."""
+        for key in ('i-web1', 'i-llm1', 'i-llm3'):
+            with self.subTest(key=key):
+                self.assertEqual(await requests_after_drain_time(LateHeartbeat(Notice.removal, 5.9, 3.2, key)), 0)
+
+    @in_virtual_time
+    async def test_within_grace_period(self) -> None:
+        """Guards against a late heartbeat in the grace period of the removal, which ended the grace period."""
+        self.assertEqual(await requests_after_drain_time(LateHeartbeat(Notice.removal, 1.0, 0.6)), 0)
+
+    @in_virtual_time
+    async def test_front_started_between(self) -> None:
+        """Guards against an instance that starts after the removal and reads only the late heartbeat."""
+        for starts_s in (0.5, 2.0, 3.5):
+            with self.subTest(starts_s=starts_s):
+                run = LateHeartbeat(Notice.removal, 4.0, 1.0, front_starts_s=starts_s)
+                self.assertEqual(await requests_after_drain_time(run), 0)
+
+    @in_virtual_time
+    async def test_store_rolled_back(self) -> None:
+        """Guards against a copy of the store from before the removal."""
+        run = LateHeartbeat(Notice.removal, 5.0, 1.0, rolled_back_s=1.0)
+        self.assertEqual(await requests_after_drain_time(run), 0)
+
+    @in_virtual_time
+    async def test_faulty_variant_takes_at_once(self) -> None:
+        """Without the confirmation, late requests are seen, so the simulation would show them."""
+        with patch.object(Presence, 'note_back', take_at_once):
+            late = await requests_after_drain_time(LateHeartbeat(Notice.removal, 5.9, 3.2))
+        self.assertGreater(late, 0)
+
+
+class RightReturnTest(TestCase):
+    """Runners that serve all the time, whose registrations lapsed."""
+
+    @in_virtual_time
+    async def test_used_again(self) -> None:
+        """Guards against runners that stay unused after their registrations had lapsed."""
+        for away_s in (0.5, 3.0):
+            with self.subTest(away_s=away_s):
+                async with open_bench(configuration(), [plain_runner(1), plain_runner(2)], FRONTS) as bench:
+                    await lapse_and_return(bench, away_s)
+                    self.assertEqual(await statuses_after(bench, RETURN_S), {200})
+                    confirmed = [front.fleet.history.confirmations for front in bench.fronts.values()]
+                self.assertEqual(confirmed, [2, 2])
+
+    @in_virtual_time
+    async def test_few_probes(self) -> None:
+        """Guards against more than one call of each instance to the health page of a runner that serves."""
+        async with open_bench(configuration(), [plain_runner(1)], FRONTS) as bench:
+            await lapse_and_return(bench, 3.0)
+            await trio.sleep(STANDING_S)
+            self.assertEqual(len(bench.runners['i-web1'].health_calls), FRONTS)
+
+    @in_virtual_time
+    async def test_false_health_page(self) -> None:
+        """Guards against a runner that is never used again because its health page is wrong."""
+        async with open_bench(configuration(), [plain_runner(1)], FRONTS) as bench:
+            bench.runners['i-web1'].faults = Faults(unhealthy_page=True)
+            await lapse_and_return(bench, 3.0)
+            for _ in range(int(STANDING_S)):
+                bench.renew_registration('i-web1')
+                await trio.sleep(1)
+            self.assertEqual(await statuses_after(bench, 0), {200})
+
+    @in_virtual_time
+    async def test_no_health_page(self) -> None:
+        """Guards against runners that are never used again because their service has no health page."""
+        base = configuration()
+        services = [{**service, 'health_path': ''} for service in base['services']]
+        async with open_bench({**base, 'services': services}, [plain_runner(1)], FRONTS) as bench:
+            await lapse_and_return(bench, 3.0)
+            for _ in range(int(STANDING_S)):
+                bench.renew_registration('i-web1')
+                await trio.sleep(1)
+            self.assertEqual(await statuses_after(bench, 0), {200})
+
+    @in_virtual_time
+    async def test_removed_again_before_answer(self) -> None:
+        """Guards against a confirmation that counts for a registration which was removed again since."""
+        async with open_bench(configuration(), [plain_runner(1)], FRONTS) as bench:
+            bench.runners['i-web1'].leaving = True
+            await lapse_and_return(bench, 3.0)
+            bench.drop_registration('i-web1')
+            self.assertEqual(await statuses_after(bench, STANDING_S), {503})
+            members = [front.fleet.members for front in bench.fronts.values()]
+        self.assertEqual(members, [{}, {}])
--- a/tests/front/send_check_triggers.py
+++ b/tests/front/send_check_triggers.py
@@ -5,6 +5,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+import trio
+
 from sesamepoint_core.runner_status.status_headers import BackOff, RateLimit
 from sesamepoint_core.stream_origin.origin import StreamOrigin
 
@@ -36,9 +38,15 @@
     bench.job.stream.origin = StreamOrigin('llm', 'another version')
 
 
+def _return_unconfirmed(bench: SendCheckBench) -> None:
+    bench.member.presence.note_removed(trio.current_time() - 1, 0)
+    bench.member.presence.note_back(trio.current_time())
+
+
 BLOCK_TRIGGERS: Mapping[str, BlockTrigger] = MappingProxyType(
     {
         'gone': lambda found: found.member.close(),
+        'unconfirmed': _return_unconfirmed,
         'replaced': lambda found: found.member.note_replaced('front-2'),
         'leaving': _start_draining,
         'resting': _back_off,
--- a/tests/front/test_restarted_runners.py
+++ b/tests/front/test_restarted_runners.py
@@ -109,6 +109,8 @@
         await trio.sleep(DRAIN_S)
         self.assertEqual(fleet.of_service('llm'), [])
         fleet.update(registered_engine(born_ms=LATER_MS))
+        self.assertEqual(fleet.of_service('llm'), [])
+        fleet.history.confirm(fleet.members['i-1'], 'health page')
         self.assertEqual(len(fleet.of_service('llm')), 1)
 
     @in_virtual_time
--- a/tests/front/test_send_check.py
+++ b/tests/front/test_send_check.py
@@ -64,6 +64,8 @@
             for condition, trigger in BLOCK_TRIGGERS.items():
                 with self.subTest(kind=kind, condition=condition):
                     concerned = condition not in REQUEST_CONDITIONS or kind not in MAINTENANCE_CALLS
+                    # The health page of a returned runner shows whether it serves.
+                    concerned = concerned and (condition, kind) != ('unconfirmed', SendKind.health_call)
                     self.assertEqual(await _bytes_sent(send, trigger) == b'', concerned)
 
     @in_virtual_time
--- a/tests/platform_boundary/test_broken_documents.py
+++ b/tests/platform_boundary/test_broken_documents.py
@@ -25,7 +25,7 @@
 from sesamepoint.platform.store import HistoryGoneError, StoreClient
 from sesamepoint.platform.store_epoch import StoreEpoch
 from sesamepoint.platform.usage_reports import report_usage
-from tests.front.builders import encoded_configuration
+from tests.front.builders import encoded_configuration, registered_engine
 from tests.platform_boundary.scripted_network import (
     ENDS,
     FRAMINGS,
@@ -90,7 +90,7 @@
         for response in all_breaks(b'sound'):
             if response.sent < len(response.body) and not _believed(response):
                 with self.assertRaises(ConnBrokenError, msg=str(response)):
-                    await call_health_page(_conn(response), ADDRESS, '/healthz')
+                    await call_health_page(_conn(response), registered_engine(), '/healthz')
 
     @in_virtual_time
     async def test_status_of_append(self) -> None:
