--- a/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin_lookup.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/origin_lookup.py
@@ -64,7 +64,7 @@
 class OriginLookup:
     """Collects the answers of the peers that were asked."""
 
-    def __init__(self, asked: Iterable[str], own_sole: StreamOrigin | None) -> None:
+    def __init__(self, asked: Iterable[str], own_sole: StreamOrigin | None = None) -> None:
         """Start without answers.
 
         Parameters
@@ -75,7 +75,7 @@
             Only origin that a stream of the service can have, as this instance sees it.
         """
         self.asked = frozenset(asked)
-        self._own_sole = own_sole
+        self.own_sole = own_sole
         self._answers: dict[str, OriginAnswer] = {}
 
     def note_answer(self, peer: str, answer: OriginAnswer) -> None:
@@ -88,6 +88,11 @@
         """Return the peers that have not answered."""
         return self.asked - self._answers.keys()
 
+    @property
+    def remembered(self) -> bool:
+        """Tell whether somebody has answered with an origin."""
+        return any(answer.origin is not None for answer in self._answers.values())
+
     @property
     def decided(self) -> bool:
         """Tell whether further answers can't change the result."""
@@ -98,8 +103,8 @@
         known = self._remembered()
         if known is not None:
             return known if known.origin.known else Unknown(complete=True)
-        if self._own_sole is not None and self._confirmed(self._own_sole):
-            return SoleVersion(self._own_sole)
+        if self.own_sole is not None and self._confirmed(self.own_sole):
+            return SoleVersion(self.own_sole)
         return Unknown(complete=not self.unanswered)
 
     def _remembered(self) -> Known | None:
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -103,6 +103,9 @@
 RUNNER_DRAINING = _event(3302, logging.INFO, 'runner is draining')
 RUNNER_UNREGISTERED = _event(3303, logging.INFO, 'runner is no longer registered')
 READY_AFTER_DRAINING = _event(3323, logging.INFO, 'registration of a runner that drains says that it does not')
+VERSIONS_NOT_CURRENT = _event(
+    3327, logging.INFO, 'list of runners could not be read, no version of a stream is inferred'
+)
 RETURN_CONFIRMED = _event(3325, logging.INFO, 'returned runner serves, and is used again')
 RETURN_UNCONFIRMED = _event(3326, logging.INFO, 'returned runner has not shown that it serves')
 RUNNER_REGISTERED_AGAIN = _event(3324, logging.INFO, 'runner whose registration was removed is registered again')
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_versions.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_versions.py
@@ -6,6 +6,7 @@
 
 from sesamepoint_core.stream_origin.version_history import VersionHistory
 from sesamepoint import events
+from sesamepoint.front.runners.list_reads import ListReads
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -28,12 +29,13 @@
             Returns the registered runners.
         """
         self.history = VersionHistory()
+        self.reads = ListReads()
         self._registered = registered
         self._now = now
         self._current: dict[str, frozenset[str]] = {}
 
     def begin(self) -> None:
-        """Note that the list of runners is known from now on."""
+        """Note that all changes of the list of runners are known from now on, and perhaps not those of before."""
         self.history.begin(self._now())
 
     def note_change(self, runner: Runner) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -89,6 +89,7 @@
         self._new_store = new_store
         self._watches: dict[str, TopicWatch] = {}
         self._registered: dict[str, Runner] = {}
+        targets.fleet.versions.reads.request = self.read_runners_soon
 
     @property
     def in_force(self) -> Configuration | None:
@@ -109,6 +110,12 @@
         if watch is not None:
             watch.poll_soon()
 
+    def read_runners_soon(self) -> None:
+        """Read the registrations of runners again soon."""
+        watch = self._watches.get(RUNNER_TOPIC)
+        if watch is not None:
+            watch.poll_soon()
+
     def polls_entries(self) -> bool:
         """Return whether this instance polls the list of instances for all."""
         watch = self._watches.get(INSTANCE_TOPIC)
@@ -154,11 +161,13 @@
         pacing = Pacing(
             RUNNER_WAIT_SHARE * span_s, RUNNER_PAUSE_SHARE * span_s, RUNNER_SPREAD_SHARE * span_s, RETRY_SHARE * span_s
         )
+        fleet = self._targets.fleet
         handlers = RecordHandlers(
             self._apply_runners,
             self._apply_runner,
-            confirm=self._targets.fleet.history.note_current,
-            urgent=lambda: not self._targets.fleet.listed,
+            confirm=fleet.history.note_current,
+            polled=fleet.versions.reads.note_read,
+            urgent=lambda: not fleet.listed,
         )
         await self._follow_topic(RUNNER_TOPIC, pacing, handlers)
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -79,6 +79,8 @@
     confirm
         Called with whether the store itself has shown that the local state is
         current, rather than a peer; returns False if that is required.
+    polled
+        Called after an answer of the store was applied, with the time at which its call began.
     urgent
         Returns whether this instance cannot serve before it has read the topic;
         failed calls are then repeated soon.
@@ -89,6 +91,7 @@
     restore: Callable[[tuple[KeyedRecord, ...]], None] = _ignore
     request_from: Callable[[str], None] | None = None
     confirm: Callable[[bool], bool] = _confirm_any
+    polled: Callable[[float], None] = _ignore
     urgent: Callable[[], bool] = _never
 
     @property
@@ -165,7 +168,7 @@
             await self._wait_until_due()
             began_at = trio.current_time()
             try:
-                await self._poll()
+                await self._poll(began_at)
             except HistoryGoneError:
                 self.turns.reset()
             except PlatformUnavailableError as exc:
@@ -223,7 +226,9 @@
         self._peers.pacer.note_failed(began_at)
 
     def _note_answered(self, answer: TopicRecords) -> None:
-        self._note_reachable(answer)
+        if not self._reachable:
+            events.log_event(events.STORE_REACHABLE, topic=self._topic, end=answer.end)
+        self._reachable = True
         self._backoff.reset()
         self._retry_at = 0
         self._peers.pacer.note_answered()
@@ -235,19 +240,26 @@
             self.turns.due = trio.current_time()
         self._rescheduled.set()
 
-    async def _poll(self) -> None:
+    async def _poll(self, began_at: float) -> None:
         self.turns.begin_poll()
         if not self._handlers.urgent():
             self._peers.pacer.begin_call()
         start = self.turns.end
-        if start is None:
-            return await self._list()
-        changes = await self._store.follow(self._topic, start, self._follow_wait_s())
-        if changes.epoch == self._epoch:
-            self._has_followed = True
-            self._note_answered(changes)
-            await self._apply_poll(start, changes)
+        answered = await (self._list() if start is None else self._follow(start))
+        if answered:
             self._handlers.confirm(True)
+        if answered and not self._settling():
+            self._handlers.polled(began_at)
+
+    async def _follow(self, start: int) -> bool:
+        """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
+        changes = await self._store.follow(self._topic, start, self._follow_wait_s())
+        if changes.epoch != self._epoch:
+            return False
+        self._has_followed = True
+        self._note_answered(changes)
+        await self._apply_poll(start, changes)
+        return True
 
     def _follow_wait_s(self) -> float:
         if self.turns.hinted or not self._reachable:
@@ -257,7 +269,7 @@
             return 0
         return self._wait_s if self._has_followed else FIRST_WAIT_S
 
-    async def _list(self) -> None:
+    async def _list(self) -> bool:
         listing = await self._store.read_newest(self._topic, next(self._list_timeout_s))
         self._check_epoch()
         self._note_answered(listing)
@@ -266,9 +278,9 @@
         else:
             self._handlers.replace_all(listing.records)
             self._has_records = True
-        self._handlers.confirm(True)
         self.turns.note_listed(listing.end, trio.current_time())
         self._has_followed = False
+        return True
 
     async def _apply_poll(self, start: int, answer: TopicRecords) -> None:
         # Peers may have sent later updates while the store answered.
@@ -346,11 +358,6 @@
         self._epoch = epoch
         self.turns.reset()
 
-    def _note_reachable(self, answer: TopicRecords) -> None:
-        if not self._reachable:
-            events.log_event(events.STORE_REACHABLE, topic=self._topic, end=answer.end)
-        self._reachable = True
-
     def _note_unreachable(self, exc: PlatformUnavailableError) -> None:
         if self._reachable:
             events.log_event(events.STORE_UNREACHABLE, topic=self._topic, cause=str(exc))
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_exchange.py
@@ -12,6 +12,7 @@
 from sesamepoint_core.stream_origin.origin import stream_digest
 from sesamepoint_core.stream_origin.origin_lookup import Known, OriginAnswer, OriginLookup, Unknown
 from sesamepoint_core.stream_origin.origin_memory import OriginMemory
+from sesamepoint import events
 from sesamepoint.front.streams.origin_messages import MAX_LOOKUP_NUMBER, OriginMessage, OriginQuestion, OriginReply
 
 if TYPE_CHECKING:
@@ -28,6 +29,8 @@
 # Time after which a question ends without the missing answers, in seconds. A caller that
 # takes a stream up waits for two seconds at least.
 ASK_TIMEOUT_S = 0.25
+# Time for a read of the list of runners, in seconds: one that is under way ends first.
+READ_TIMEOUT_S = 0.6
 # Source of an origin that this instance remembers itself.
 FROM_OWN_MEMORY = 'own'
 
@@ -94,7 +97,8 @@
 
     async def _ask(self, digest: bytes, service: str) -> LookupResult:
         number = next(self._numbers) % MAX_LOOKUP_NUMBER
-        lookup = OriginLookup(self._first_peers(digest, ASKED), self._sole_origin(service))
+        lookup = OriginLookup(self._first_peers(digest, ASKED))
+        asked_at = trio.current_time()
         pending = _PendingLookup(lookup, OriginQuestion(self._peers.name, number, digest, service))
         self._pending[number] = pending
         try:
@@ -102,8 +106,24 @@
                 await self._ask_until_decided(pending)
         finally:
             self._pending.pop(number)
+        if not lookup.remembered:
+            lookup.own_sole = await self._current_sole_origin(service, asked_at)
         return lookup.conclude()
 
+    async def _current_sole_origin(self, service: str, asked_at: float) -> StreamOrigin | None:
+        """Return the only origin that a stream of before ``asked_at`` can have; None without an answer of the store.
+
+        An instance that was cut off from the store does not know of a second version, and neither do the peers
+        that were cut off with it: streams went on at the version of before. Whoever began a stream had read
+        its runner's registration, so a list that is read after that has it.
+        """
+        if self._sole_origin(service) is None:
+            return None
+        if not await self._fleet.versions.reads.wait_for_read_after(asked_at, READ_TIMEOUT_S):
+            events.log_event(events.VERSIONS_NOT_CURRENT, fleet=service)
+            return None
+        return self._sole_origin(service)
+
     async def _ask_until_decided(self, pending: _PendingLookup) -> None:
         while not pending.lookup.decided:
             for peer in pending.lookup.unanswered:
