--- a/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/version_history.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/stream_origin/version_history.py
@@ -18,8 +18,11 @@
         self._seen_at: dict[str, dict[str | None, float]] = {}
 
     def begin(self, now: float) -> None:
-        """Note that the list of runners is known from now on."""
-        self._began_at = min(self._began_at, now)
+        """Note that all changes of the list of runners are known from now on, and perhaps not those of before.
+
+        A version may have come and gone between two reads of the whole list, so each of them begins anew.
+        """
+        self._began_at = now
 
     def note(self, service: str, version: str | None, now: float) -> None:
         """Note that a runner of ``service`` at ``version`` is registered or has just gone."""
--- a/tests/front/streams/test_killed_instances.py
+++ b/tests/front/streams/test_killed_instances.py
@@ -87,6 +87,13 @@
             stream = await stream_at_cut_off_instances()
         self.assertEqual(stream.versions, {'v1', 'v2'})
 
+    @in_virtual_time
+    async def test_version_gone_in_gap(self) -> None:
+        """Guards against a version that came and went while an instance was cut off and the log was compacted."""
+        stream = await stream_at_cut_off_instances(gap=True)
+        self.assertEqual(stream.versions, {'v2'})
+        self.assertEqual(stream.answers[-1].status, 503)
+
     @in_virtual_time
     async def test_sole_version_after_read(self) -> None:
         """Guards against take-ups that are refused although the list is current and has had one version only."""
