--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -164,6 +164,7 @@
 CONNECTION_SHED = _event(
     3806, logging.INFO, 'new connection closed unread, they arrive in excess and this instance lags'
 )
+LOOP_STALLED = _event(3808, logging.WARNING, 'no task has run for a time, each request of this instance waited')
 CONNECTION_NOT_ACCEPTED = _event(3807, logging.WARNING, 'waiting connections could not be accepted')
 REQUEST_REFUSED_LAG = _event(3805, logging.INFO, 'request refused, this instance lags and would serve it late')
 UPDATE_DROPPED = _event(3405, logging.WARNING, 'send queue to peers is full, a message is dropped')
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/lag_admission.py
@@ -26,6 +26,8 @@
 
 # Several wake-ups fit into the time over which the lag meter averages.
 WAKE_UP_INTERVAL_S = 0.05
+# A wake-up that is so late is logged, in seconds.
+STALL_S = 1.0
 # Retry-After of a request that another instance can take at once, in seconds.
 RETRY_NOW_S = 0.02
 
@@ -38,6 +40,8 @@
         self.refused = 0
         # New connections that were closed unread.
         self.shed = 0
+        # Times at which no task ran for a second or more.
+        self.stalls = 0
         self._shedding = ConnectionShedding()
         self._network = network
         self._link_bytes_s = link_bytes_s
@@ -136,12 +140,20 @@
             await trio.sleep_until(due_at)
             now = trio.current_time()
             self._meter.note_wake_up(now - due_at, now)
+            self._note_stall(now - due_at)
             await self._report_if_due(now)
 
     def lagging_share(self) -> float:
         """Return the estimated share of the other instances that lag."""
         return self._lagging_peers.share(self._peer_count(), trio.current_time())
 
+    def _note_stall(self, late_s: float) -> None:
+        """Log that no task has run for a time, once this one runs again."""
+        if late_s < STALL_S:
+            return
+        self.stalls += 1
+        events.log_event(events.LOOP_STALLED, late_ms=whole_ms(late_s), stalls=self.stalls)
+
     def _others_have_room(self) -> bool:
         return self._lagging_peers.others_have_room(self._peer_count(), trio.current_time())
 
--- a/packages/sesamepoint/src/sesamepoint/front/instance_room/room.py
+++ b/packages/sesamepoint/src/sesamepoint/front/instance_room/room.py
@@ -53,6 +53,7 @@
             ('lag_seconds', 'Standing lag of this process.', lag.lag_s),
             ('loop_lag_seconds', 'Mean lateness of wake-ups.', lag.loop_lag_s),
             ('lagging_peers_share', 'Estimated share of the other instances that lag.', lag.lagging_share),
+            ('loop_stalls', 'Times at which no task ran for a second or more.', lambda: lag.stalls),
             ('shed_connections', 'New connections closed unread because of lag.', lambda: lag.shed),
             ('refused_for_lag', 'Requests refused because of lag.', lambda: lag.refused),
         )
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -246,6 +246,10 @@
             event = self._next_event()
             if isinstance(event, h11.ConnectionClosed):
                 raise ConnBrokenError('closed before a response', ReadEnd.closed)
+            if event is h11.PAUSED:
+                # The parser says the same each time it is asked: the answer has switched the connection to another
+                # protocol. Asking on without waiting took the whole process.
+                raise ConnBrokenError('the connection no longer carries HTTP', ReadEnd.malformed)
             if event is not h11.NEED_DATA:
                 return event
             self._feed(await self._receiver.receive())
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -170,6 +170,7 @@
             raise CallerGoneError
         head = RequestHead(bytes(event.method), bytes(event.target), tuple(event.headers))
         self._method = head.method
+        _check_method(head)
         _check_framing(head)
         _check_size(head, self._limits.head_bytes)
         if self._state.they_are_waiting_for_100_continue:
@@ -235,6 +236,12 @@
             return b''
 
 
+def _check_method(head: RequestHead) -> None:
+    """Reject a request for a tunnel, which names no path and whose answer would no longer be HTTP."""
+    if head.method == b'CONNECT':
+        raise RejectedRequestError(BAD_REQUEST, 'CONNECT is not served')
+
+
 def _check_framing(head: RequestHead) -> None:
     """Reject a request with more than one framing header.
 
--- a/tests/front/instance_room/test_lag_admission.py
+++ b/tests/front/instance_room/test_lag_admission.py
@@ -11,7 +11,7 @@
 
 from sesamepoint_core.body_end.body_facts import Framing
 from sesamepoint_core.instance_room.lag import LagMeter
-from sesamepoint.front.instance_room.lag_admission import RETRY_NOW_S
+from sesamepoint.front.instance_room.lag_admission import RETRY_NOW_S, STALL_S, WAKE_UP_INTERVAL_S
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_request
 from tests.virtual_time import in_virtual_time
@@ -134,3 +134,17 @@
                 await bench.new_caller('front-1').send(new_request('/thumb/a'))
             self.assertGreater(sum(len(one.arrivals) for one in bench.runners.values()), 1)
             note_sojourn.assert_called_once()
+
+
+class StallTest(TestCase):
+    """Times at which no task runs."""
+
+    @in_virtual_time
+    async def test_stall_counted(self) -> None:
+        """Guards against an instance that stood still for seconds and leaves no trace of it."""
+        async with open_bench(configuration(), fleet()) as bench:
+            await trio.sleep(1)
+            clock = cast(MockClock, trio.lowlevel.current_clock())
+            clock.jump(STALL_S + WAKE_UP_INTERVAL_S)
+            await trio.sleep(1)
+            self.assertEqual(bench.fronts['front-1'].room.lag.stalls, 1)
