--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -103,6 +103,7 @@
 RUNNER_DRAINING = _event(3302, logging.INFO, 'runner is draining')
 RUNNER_UNREGISTERED = _event(3303, logging.INFO, 'runner is no longer registered')
 READY_AFTER_DRAINING = _event(3323, logging.INFO, 'registration of a runner that drains says that it does not')
+STALE_REGISTRATION_IGNORED = _event(3328, logging.INFO, 'registration of an earlier heartbeat ignored')
 VERSIONS_NOT_CURRENT = _event(
     3327, logging.INFO, 'list of runners could not be read, no version of a stream is inferred'
 )
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -118,14 +118,7 @@
             return
         if runner.draining and not member.runner.draining:
             events.log_event(events.RUNNER_DRAINING, runner=runner.key, fleet=runner.service, sequence=runner.sequence)
-        if member.draining and not runner.draining:
-            events.log_event(
-                events.READY_AFTER_DRAINING,
-                runner=runner.key,
-                sequence=runner.sequence,
-                known_sequence=member.runner.sequence,
-            )
-        member.runner = runner
+        member.runner = _newest_statement(member, runner)
         self.history.note(member)
 
     def at_incarnation(self, key: str, born_ms: int) -> Member | None:
@@ -268,6 +261,21 @@
     return registered or open_members
 
 
+def _newest_statement(member: Member, runner: Runner) -> Runner:
+    """Return what holds for ``member`` after its registration ``runner`` has come.
+
+    The store may write an earlier heartbeat late. Only that it drains still counts then.
+    """
+    known = member.runner
+    fields = {'runner': runner.key, 'sequence': runner.sequence, 'known_sequence': known.sequence}
+    if member.draining and not runner.draining:
+        events.log_event(events.READY_AFTER_DRAINING, **fields)
+    if not member.presence.registered or runner.sequence >= known.sequence:
+        return runner
+    events.log_event(events.STALE_REGISTRATION_IGNORED, **fields, leaving=runner.draining)
+    return known._replace(draining=known.draining or runner.draining)
+
+
 def _log_returned(runner: Runner) -> None:
     events.log_event(events.PROBE_SUCCEEDED, runner=runner.key, born_ms=runner.born_ms)
 
--- a/tests/front/registrations/test_late_heartbeats.py
+++ b/tests/front/registrations/test_late_heartbeats.py
@@ -100,6 +100,31 @@
         self.assertEqual(fleet.of_service('llm'), [])
 
 
+class SequenceTest(TestCase):
+    """Registrations of one incarnation that arrive in another order than they were written."""
+
+    @in_virtual_time
+    async def test_earlier_one_last(self) -> None:
+        """Guards against slots, stage or zone of an earlier heartbeat that replace the current ones."""
+        fleet = fleet_with(registered_engine()._replace(sequence=8, slots=12))
+        fleet.update(registered_engine()._replace(sequence=7, slots=24))
+        self.assertEqual(fleet.members['i-1'].runner.slots, 12)
+
+    @in_virtual_time
+    async def test_earlier_notice_last(self) -> None:
+        """Guards against a notice that is dropped because a later heartbeat arrived before it."""
+        fleet = fleet_with(registered_engine()._replace(sequence=8))
+        fleet.update(registered_engine(draining=True)._replace(sequence=7))
+        self.assertEqual(fleet.of_service('llm'), [])
+
+    @in_virtual_time
+    async def test_same_number(self) -> None:
+        """Guards against changes that are ignored where registrations are not numbered."""
+        fleet = fleet_with(registered_engine()._replace(slots=12))
+        fleet.update(registered_engine()._replace(slots=24))
+        self.assertEqual(fleet.members['i-1'].runner.slots, 24)
+
+
 class OnlyRunnerTest(TestCase):
     """The only runner of a service drains."""
 
