--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -143,7 +143,8 @@
 
     def write_late(self, key: str, delay_s: float) -> None:
         """Have the store carry out a heartbeat of a runner, as it is now, only after ``delay_s`` seconds."""
-        self._nursery.start_soon(self._put_after, delay_s, key, _next_registration(self.runners[key]))
+        runner = self.runners[key]
+        self._nursery.start_soon(self._put_after, delay_s, runner, _next_registration(runner))
 
     def leave_unannounced(self, key: str) -> None:
         """Remove a runner's registration for good; it continues to serve for some time, and its health page says so."""
@@ -185,13 +186,13 @@
             while not all(front.ready() for front in self.fronts.values()):
                 await trio.sleep(0.01)
 
-    async def _put_after(self, delay_s: float, key: str, registration: dict[str, object]) -> None:
+    async def _put_after(self, delay_s: float, runner: RunnerStandIn, registration: dict[str, object]) -> None:
         await trio.sleep(delay_s)
-        self.store.put(RUNNER_TOPIC, key, registration)
-        if self.runners[key].leaving:
+        self.store.put(RUNNER_TOPIC, runner.key, registration)
+        if runner.leaving or runner.key not in self.runners:
             # Nobody renews it.
             await trio.sleep(LAPSE_S)
-            self.drop_registration(key)
+            self.drop_registration(runner.key)
 
     def _schedule_crash(self, runner: RunnerStandIn) -> None:
         self._nursery.start_soon(self._crash_after_delay, runner)
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -22,7 +22,7 @@
 from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner, route
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
 
@@ -38,6 +38,11 @@
 BREAK_OFF_SHARES = (0, 0, 0.3)
 HTTP10_SHARE = 0.15
 MEAN_CRASH_PAUSE_S = 2.0
+# The store carries out a late heartbeat so many seconds after it was sent.
+LATE_S = (1.0, 6.0)
+MEAN_LATE_WRITE_PAUSE_S = 0.7
+# Share of their runners that leave without notice meanwhile.
+LEAVING_SHARE = 0.2
 # Time until another process listens at the address of one that crashed.
 START_S = 0.3
 STATUS_OK = 200
@@ -70,6 +75,7 @@
         self._rng = rng
         # A generator of its own, so that these faults changed none of the other choices of a seed.
         self._ends_rng = Random(FRONTS)
+        self._late_rng = Random(rng.getstate()[1][0])
         self._version = 1
         self._serial = 100
         self._steps: tuple[Callable[[], None], ...] = (
@@ -91,6 +97,7 @@
             nursery.start_soon(self._send_load, nursery)
             nursery.start_soon(self._break_off_answers)
             nursery.start_soon(self._crash_in_order)
+            nursery.start_soon(self._write_late)
             with trio.move_on_after(self.duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1 / MEAN_FAULT_PAUSE_S))
@@ -128,6 +135,25 @@
                 await trio.sleep(START_S)
                 self._replace(old)
 
+    async def _write_late(self) -> None:
+        """Have the store carry out heartbeats of runners seconds late, some of which leave meanwhile."""
+        with trio.move_on_after(self.duration_s):
+            while True:
+                await trio.sleep(self._late_rng.expovariate(1 / MEAN_LATE_WRITE_PAUSE_S))
+                serving = [each for each in self.bench.runners.values() if not (each.draining or each.leaving)]
+                runner = self._late_rng.choice(serving)
+                self.bench.write_late(runner.key, self._late_rng.uniform(*LATE_S))
+                if self._late_rng.random() < LEAVING_SHARE:
+                    self._leave_unannounced(runner)
+
+    def _leave_unannounced(self, runner: RunnerStandIn) -> None:
+        """Remove the registration of a runner that goes on serving; do nothing while the store is down or slow."""
+        if self.bench.store.unavailable or self.bench.store.extra_delay_s:
+            return
+        self._add_replacement(runner)
+        self.drained_at[runner.key] = trio.current_time()
+        self.bench.leave_unannounced(runner.key)
+
     async def _ask(self, req: RequestSpec, front: int) -> None:
         # Some callers take a close for the end of an answer without a length.
         req = req._replace(http10=self._ends_rng.random() < HTTP10_SHARE)
@@ -233,7 +259,7 @@
 def find_violations(simulation: FaultSimulation) -> list[str]:
     """Return a message for each violation that callers or runners saw."""
     ended_at = {outcome.request.request_id: outcome.ended_at for outcome in simulation.outcomes}
-    runs = Counter(run.request_id for runner in simulation.all_runners() for run in runner.runs if not run.prefill)
+    runs = count_runs(simulation.all_runners())
     messages: list[str] = []
     for outcome in simulation.outcomes:
         messages.extend(find_request_violations(outcome, runs[outcome.request.request_id]))
@@ -242,6 +268,11 @@
     return messages
 
 
+def count_runs(runners: Iterable[RunnerStandIn]) -> Counter[str]:
+    """Return how often each request ran, by its id; prefills by themselves are no runs."""
+    return Counter(run.request_id for runner in runners for run in runner.runs if not run.prefill)
+
+
 def _find_runner_violations(runner: RunnerStandIn, ended_at: dict[str, float], drained_at: float) -> list[str]:
     messages = []
     for run in runner.runs:
--- a/tests/front/registrations/test_late_heartbeats.py
+++ b/tests/front/registrations/test_late_heartbeats.py
@@ -7,12 +7,11 @@
 
 import trio
 
-from sesamepoint_core.serving.poison_requests import Incarnation
 from sesamepoint.front.runners.runner_status import RunnerStatuses
-from sesamepoint.front.runners.status_sources import FROM_REGISTRATION
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, new_request, plain_runner, registered_engine
 from tests.front.registrations.late_heartbeats import LateHeartbeat, Notice, requests_after_drain_time
+from tests.front.registrations.variants import note_from_answers_only
 from tests.front.test_restarted_runners import EARLIER_MS, LATER_MS, fleet_with
 from tests.virtual_time import in_virtual_time
 
@@ -21,13 +20,6 @@
 DECODE_KEY = 'i-llm3'
 
 
-_note_draining = RunnerStatuses.note_draining
-
-
-def _note_from_answers_only(statuses: RunnerStatuses, incarnation: Incarnation, source: str, age_s: float) -> bool:
-    return source != FROM_REGISTRATION and _note_draining(statuses, incarnation, source, age_s)
-
-
 class LateReadyTest(TestCase):
     """Requests that reach a draining runner because a heartbeat from before its notice is written after it."""
 
@@ -63,7 +55,7 @@
     @in_virtual_time
     async def test_faulty_variant_forgets_notice(self) -> None:
         """Without the memory of the notice, late requests are seen, so the simulation would show them."""
-        with patch.object(RunnerStatuses, 'note_draining', _note_from_answers_only):
+        with patch.object(RunnerStatuses, 'note_draining', note_from_answers_only):
             for key in (PLAIN_KEY, DECODE_KEY):
                 with self.subTest(key=key):
                     run = LateHeartbeat(Notice.draining, 5.9, 3.2, key)
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -13,6 +13,7 @@
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import configuration, new_request, plain_runner
 from tests.front.registrations.late_heartbeats import LateHeartbeat, Notice, requests_after_drain_time
+from tests.front.registrations.variants import take_at_once
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
@@ -40,12 +41,6 @@
     return {(await bench.new_caller(name).send(new_request('/card/a'))).status for name in bench.fronts}
 
 
-def take_at_once(presence: Presence, now: float) -> bool:
-    """Take a registration that is back for one of a runner that serves, as before."""
-    presence.confirm()
-    return False
-
-
 class LateReturnTest(TestCase):
     """Requests that reach a runner which has left, because its removed registration is back."""
 
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -10,7 +10,6 @@
 import signal
 import sys
 import tempfile
-from collections import Counter
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -22,10 +21,11 @@
 from sesamepoint_standins.platform.process_bench import new_caller
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import bearer_header, new_prompt_request, new_request, route
-from tests.front.random_faults import Outcome, find_request_violations
+from tests.front.random_faults import Outcome, count_runs, find_request_violations
 from tests.front.soak_bench import SoakBench
 from tests.front.soak_configuration import API_KEY, soak_configuration
 from tests.front.soak_limits import SoakLimits
+from tests.front.soak_registrations import SoakRegistrations
 from tests.front.soak_repeats import SoakRepeats
 from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
 from tests.front.soak_streams import SoakStreams
@@ -80,6 +80,7 @@
         # Differs by seed, so that failures of a whole service meet rolls and kills at other moments.
         self._any_rng = Random(rng.random())
         self._repeats = SoakRepeats(bench, self._any_rng)
+        self._registrations = SoakRegistrations(bench, Random(rng.getstate()[1][0]), self.runner_status)
         self._ends_rng = Random(FRONTS)
         self._roll_rng = Random(FRONTS)
         self._restarts = 0
@@ -100,6 +101,7 @@
     async def start_runners(self) -> None:
         """Start the runners beside those of the bench."""
         await self.runner_status.start_runners()
+        await self._registrations.start_runners()
         await self._streams.start_runners()
         await self._repeats.start_runners()
 
@@ -109,6 +111,7 @@
             nursery.start_soon(self._send_load, nursery, duration_s)
             nursery.start_soon(self._limits.change_limits, duration_s)
             nursery.start_soon(self.runner_status.report_status, duration_s)
+            nursery.start_soon(self._registrations.run, duration_s)
             nursery.start_soon(self._streams.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
             nursery.start_soon(self._roll_fronts, duration_s)
@@ -122,8 +125,9 @@
 
     def violations(self) -> list[str]:
         """Return a message for each violation that callers or runners saw."""
-        runners = (*self._bench.runners, *self.runner_status.runners, *self._repeats.runners)
-        runs = Counter(run.request_id for runner in runners for run in runner.runs if not run.prefill)
+        parts = (self.runner_status, self._registrations, self._repeats)
+        runners = (*self._bench.runners, *(runner for part in parts for runner in part.runners))
+        runs = count_runs(runners)
         messages = [
             text for one in self.outcomes for text in find_request_violations(one, runs[one.request.request_id])
         ]
@@ -132,6 +136,7 @@
         messages += [f'denied: {one.request.request_id}' for one in self.outcomes if one.answer.status == STATUS_DENIED]
         messages += self._bench.usage.violations(MIN_TURN_S)
         messages += self._limits.violations(FRONTS + self._restarts)
+        messages += self._registrations.violations()
         messages += self._streams.violations()
         messages += self._repeats.violations()
         messages += self.runner_status.violations(
--- a/tests/front/soak_runner_status.py
+++ b/tests/front/soak_runner_status.py
@@ -98,6 +98,10 @@
             ),
         ]
 
+    def is_excused(self, front: int, since: float, until: float) -> bool:
+        """Tell whether an instance was disturbed in the time from ``since`` to ``until``."""
+        return any(one.since <= until and one.until >= since for one in self.disturbed[front])
+
     def _draining_violations(self, runner: RunnerStandIn, report: StatusReport) -> list[str]:
         count = self._count_requests(runner, report, DRAINING_COUNTED_FROM_S, math.inf)
         return [f'leaving: {runner.key} got {count} requests from an instance that knew it drains'] if count else []
@@ -117,16 +121,13 @@
         """
         front = self.front_of_request[report.request_id]
         arrivals = [at for at in self._arrivals(runner, front) if from_s < at - report.reported_at < until_s]
-        return sum(not self._is_excused(front, report.reported_at, at) for at in arrivals)
+        return sum(not self.is_excused(front, report.reported_at, at) for at in arrivals)
 
     def _arrivals(self, runner: RunnerStandIn, front: int) -> Iterator[float]:
         for at, request in zip(runner.arrivals, runner.request_ids, strict=True):
             if self.front_of_request.get(request) == front:
                 yield at
 
-    def _is_excused(self, front: int, since: float, until: float) -> bool:
-        return any(one.since <= until and one.until >= since for one in self.disturbed[front])
-
     async def _renew_registrations(self) -> None:
         """Renew the registrations, which call a runner ready even if its answers report that it is draining."""
         while True:
--- a/tests/front/test_random_faults.py
+++ b/tests/front/test_random_faults.py
@@ -11,13 +11,16 @@
 from sesamepoint_core.body_end.body_facts import BodyFacts, Framing
 from sesamepoint_core.body_end.decision import BodyEnd, Complete, Unmarked, decide_end
 from sesamepoint_core.body_end.response_end import ResponseEnd
+from sesamepoint_core.runner_status.presence import Presence
 from sesamepoint.front import dispatch, http_handler
 from sesamepoint.front.requests import attempt, reply
 from sesamepoint.front.runners import fleet_member
+from sesamepoint.front.runners.runner_status import RunnerStatuses
 from sesamepoint.front.requests.attempt_results import Rejected, Relayed
 from sesamepoint.http1 import response_writer
 from sesamepoint_standins.virtual_time import run_virtual
 from tests.front.random_faults import run_seed
+from tests.front.registrations.variants import note_from_answers_only, take_at_once
 
 # Seeds that have failed. 8, 9: the stand-in counted a prompt that it never read as a run.
 # 27: the checks expected a drain to be known before the store had passed it on.
@@ -80,6 +83,16 @@
         with patch.object(fleet_member.Member, 'draining', new=False):
             self._assert_found('drain')
 
+    def test_notice_of_registration_forgotten(self) -> None:
+        """A heartbeat from before the notice of a runner is written late, and the runner gets requests again."""
+        with patch.object(RunnerStatuses, 'note_draining', note_from_answers_only):
+            self._assert_found('drain')
+
+    def test_removed_registration_taken_at_once(self) -> None:
+        """A late heartbeat brings a removed registration back, and its runner gets requests again."""
+        with patch.object(Presence, 'note_back', take_at_once):
+            self._assert_found('drain')
+
     def test_caller_disconnect_undetected(self) -> None:
         """Requests of disconnected callers go on."""
         unchecked = patch.object(reply.Reply, 'check_caller', _skip_caller_check)
