--- a/tests/front/registrations/late_heartbeats.py
+++ b/tests/front/registrations/late_heartbeats.py
@@ -7,18 +7,17 @@
 
 import sys
 from enum import Enum
-from itertools import cycle
 from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.virtual_time import disable_logging, run_virtual
-from tests.front.builders import configuration, engine, new_prompt_request, new_request, plain_runner
+from tests.front.builders import configuration, engine, plain_runner
+from tests.front.registrations.load import send_load
 
 if TYPE_CHECKING:
     from sesamepoint_standins.platform.bench import PlatformBench
-    from sesamepoint_standins.platform.caller import RequestSpec
     from sesamepoint_standins.platform.runner import RunnerStandIn
 
 HEARTBEAT_S = 1.2
@@ -27,9 +26,6 @@
 # The runner serves for so long after the notice, in seconds; the pages name no bound.
 SERVES_ON_S = 8.0
 WARM_UP_S = 1.5
-REQUEST_PAUSE_S = 0.05
-LONG_PROMPT_TOKENS = 3000
-SHORT_PROMPT_TOKENS = 300
 # Delays of the heartbeat, and times between it and the notice, in seconds.
 DELAYS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
 LEAD_STEP_S = 0.4
@@ -79,7 +75,7 @@
     async with open_bench(configuration(), runners, fronts=2) as bench:
         leaving = bench.runners[run.key]
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_send_load, bench, nursery)
+            nursery.start_soon(send_load, bench, nursery)
             for runner in runners:
                 nursery.start_soon(_renew, bench, runner)
             await trio.sleep(WARM_UP_S)
@@ -121,22 +117,6 @@
             bench.renew_registration(runner.key)
 
 
-async def _send_load(bench: PlatformBench, nursery: trio.Nursery) -> None:
-    paths = cycle(('/card/a', '/tag/a', '/thumb/a', '/verdict/a'))
-    while True:
-        await trio.sleep(REQUEST_PAUSE_S)
-        path = next(paths)
-        req = _new_request(path)
-        for name in tuple(bench.fronts):
-            nursery.start_soon(bench.new_caller(name).send, req._replace(request_id=f'{name}-{req.request_id}'))
-
-
-def _new_request(path: str) -> RequestSpec:
-    if path in {'/card/a', '/thumb/a'}:
-        return new_request(path)
-    return new_prompt_request(path, LONG_PROMPT_TOKENS if path == '/verdict/a' else SHORT_PROMPT_TOKENS)
-
-
 def all_runs() -> list[LateHeartbeat]:
     """Return runs with each delay, at each moment before and after the notice."""
     runs = []
