--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -50,7 +50,7 @@
 
     async def _ask_until_known(self, member: Member) -> None:
         pause_s = FIRST_PAUSE_S
-        while member.presence.unconfirmed and not member.closed:
+        while member.presence.unconfirmed and not (member.closed or member.draining):
             evidence = await self._evidence(member)
             if evidence:
                 self._fleet.history.confirm(member, evidence)
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -147,7 +147,11 @@
             ('limited_runners', 'Runners that name a limit.', self._components.limits.count),
             ('ejected_runners', 'Runners that are ejected here.', self._shared_health.count_ejected),
             ('leaving_runners', 'Runners that leave.', fleet.count_draining),
-            ('unconfirmed_runners', 'Returned runners that have not shown that they serve.', fleet.count_unconfirmed),
+            (
+                'unconfirmed_runners',
+                'Returned runners that have not shown that they serve.',
+                lambda: sum(member.presence.unconfirmed for member in fleet.members.values()),
+            ),
             (
                 'returned_runners',
                 'Runners that were used again after their registration had been removed, so far.',
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -65,6 +65,7 @@
         # Called with a member of whose health peers must learn at once.
         self.on_health_urgent: Callable[[Member], None] | None = None
         self._changed = trio.Event()
+        self.history.on_confirmed = self._wake_waiting
         self._sizes: Counter[tuple[str, Stage]] = Counter()
         self._sizes_at = -1
         # Unbounded: it never has more entries than there are registrations.
@@ -163,10 +164,6 @@
         """Return how many runners are draining."""
         return sum(member.draining for member in self.members.values())
 
-    def count_unconfirmed(self) -> int:
-        """Return how many runners are registered again and have not shown yet that they serve."""
-        return sum(member.presence.unconfirmed for member in self.members.values())
-
     def count_backing_off(self) -> int:
         """Return from how many runners this instance is backing off."""
         return sum(member.backing_off for member in self.members.values())
@@ -222,8 +219,7 @@
         self.members[runner.key] = member
         self.history.note(member)
         self.versions.note_change(runner)
-        self._changed.set()
-        self._changed = trio.Event()
+        self._wake_waiting()
         self._joined[0].send_nowait(member)
         events.log_event(
             events.RUNNER_JOINED,
@@ -233,6 +229,11 @@
             version=runner.software_version,
         )
 
+    def _wake_waiting(self) -> None:
+        """Have those that wait for a runner of a service look again."""
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _drop_earlier(self, earlier: Member, runner: Runner) -> None:
         earlier.close()
         self.versions.note_change(earlier.runner)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
@@ -23,6 +23,9 @@
 # Number of runners whose newest incarnation, or whose removal, is remembered, so that a late message
 # does not bring back what has gone. A day has some hundred.
 REMEMBERED_INCARNATIONS = 4096
+# So many removals at most are sent to an instance that registers. Where more registrations have lapsed the store
+# was away, and all instances send to each other when their own registrations are back.
+MAX_SENT_REMOVALS = 16
 # Instances that register are sent the removals of so many seconds before. The store carries out
 # a late write within some seconds.
 RECENT_S = 10.0
@@ -46,6 +49,8 @@
         # When the list of runners was last shown to be current.
         self.current_at = -math.inf
         self.confirmations = 0
+        # Called when a returned runner is used again.
+        self.on_confirmed: Callable[[], None] | None = None
         self._statuses = statuses
         self._now = now
         self._newest_born_ms: dict[str, int] = {}
@@ -103,9 +108,10 @@
             self.note(member)
 
     def recently_removed(self) -> list[Incarnation]:
-        """Return the incarnations that were removed lately, and are not confirmed since."""
+        """Return the incarnations that were removed lately, and are not confirmed since; none if they are many."""
         since = self._now() - RECENT_S
-        return [one for one, removal in self._removals.items() if (removal.presence.removed_at or 0) > since]
+        found = [one for one, removal in self._removals.items() if (removal.presence.removed_at or 0) > since]
+        return found if len(found) <= MAX_SENT_REMOVALS else []
 
     async def next_returned(self) -> Member:
         """Wait for a member whose registration has come back."""
@@ -130,6 +136,8 @@
         self._confirmed_at.pop(member.incarnation, None)
         self._confirmed_at[member.incarnation] = self._now()
         drop_oldest(self._confirmed_at, REMEMBERED_INCARNATIONS)
+        if self.on_confirmed is not None:
+            self.on_confirmed()
 
     def _await_confirmation(self, member: Member) -> None:
         events.log_event(
--- a/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/streams/origin_runners.py
@@ -72,8 +72,10 @@
 
 def _state_of(member: Member, job: Job) -> OriginRunner:
     key = member.runner.key
-    tried = key in job.tried_runners
-    return OriginRunner(key, tried, member.ended or key in job.stream.rerun_at, member.draining or member.replaced)
+    # One whose registration was removed may yet show that it serves.
+    lapsed = member.presence.lapsed(trio.current_time())
+    ended = lapsed or member.ended or key in job.stream.rerun_at
+    return OriginRunner(key, lapsed or key in job.tried_runners, ended, member.draining or member.replaced)
 
 
 def _allow_again(job: Job, members: list[Member]) -> None:
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -11,9 +11,10 @@
 from sesamepoint_core.runner_status.presence import Presence
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.runner_state import Faults
-from tests.front.builders import configuration, new_request, plain_runner
+from tests.front.builders import configuration, new_request, plain_runner, registered_engine
 from tests.front.registrations.late_heartbeats import LateHeartbeat, Notice, requests_after_drain_time
 from tests.front.registrations.variants import take_at_once
+from tests.front.test_restarted_runners import fleet_with
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
@@ -92,6 +93,22 @@
                     confirmed = [front.fleet.history.confirmations for front in bench.fronts.values()]
                 self.assertEqual(confirmed, [2, 2])
 
+    @in_virtual_time
+    async def test_wait_ends(self) -> None:
+        """Guards against requests that go on waiting for a runner after the only one has shown that it serves."""
+        fleet = fleet_with(registered_engine())
+        fleet.note_unregistered('i-1')
+        await trio.sleep(RETURN_S)
+        fleet.update(registered_engine())
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.wait_for_any, 'llm')
+            await trio.sleep(RETURN_S)
+            fleet.history.confirm(fleet.members['i-1'], 'health page')
+            await trio.sleep(RETURN_S)
+            waiting = len(nursery.child_tasks)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(waiting, 0)
+
     @in_virtual_time
     async def test_few_probes(self) -> None:
         """Guards against more than one call of each instance to the health page of a runner that serves."""
@@ -123,6 +140,19 @@
                 await trio.sleep(1)
             self.assertEqual(await statuses_after(bench, 0), {200})
 
+    @in_virtual_time
+    async def test_removals_sent_to_new_instance(self) -> None:
+        """Guards against a flood of messages after an outage in which all registrations lapsed."""
+        async with open_bench(configuration(), [plain_runner(number) for number in range(1, 20)]) as bench:
+            history = bench.fronts['front-1'].fleet.history
+            bench.drop_registration('i-web1')
+            await trio.sleep(1)
+            self.assertEqual([one.runner for one in history.recently_removed()], ['i-web1'])
+            for key in bench.runners:
+                bench.drop_registration(key)
+            await trio.sleep(1)
+            self.assertEqual(history.recently_removed(), [])
+
     @in_virtual_time
     async def test_removed_again_before_answer(self) -> None:
         """Guards against a confirmation that counts for a registration which was removed again since."""
