--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -36,6 +36,13 @@
         bench.renew_registration(key)
 
 
+async def renew_for(bench: PlatformBench, duration_s: float) -> None:
+    """Have the first runner write a heartbeat each second."""
+    for _ in range(int(duration_s)):
+        bench.renew_registration('i-web1')
+        await trio.sleep(1)
+
+
 async def statuses_after(bench: PlatformBench, pause_s: float) -> set[int]:
     """Return the statuses of a request at each instance, after ``pause_s`` seconds."""
     await trio.sleep(pause_s)
@@ -123,9 +130,7 @@
         async with open_bench(configuration(), [plain_runner(1)], FRONTS) as bench:
             bench.runners['i-web1'].faults = Faults(unhealthy_page=True)
             await lapse_and_return(bench, 3.0)
-            for _ in range(int(STANDING_S)):
-                bench.renew_registration('i-web1')
-                await trio.sleep(1)
+            await renew_for(bench, STANDING_S)
             self.assertEqual(await statuses_after(bench, 0), {200})
 
     @in_virtual_time
@@ -135,9 +140,7 @@
         services = [{**service, 'health_path': ''} for service in base['services']]
         async with open_bench({**base, 'services': services}, [plain_runner(1)], FRONTS) as bench:
             await lapse_and_return(bench, 3.0)
-            for _ in range(int(STANDING_S)):
-                bench.renew_registration('i-web1')
-                await trio.sleep(1)
+            await renew_for(bench, STANDING_S)
             self.assertEqual(await statuses_after(bench, 0), {200})
 
     @in_virtual_time
