--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -34,8 +34,9 @@
 # A crashed runner restarts after this time as a new incarnation. Its registration
 # stays until then.
 RESTART_DELAY_S = 3.0
+HEARTBEAT_S = 1.2
 # The store removes a registration that is not renewed for three heartbeat intervals.
-LAPSE_S = 3.6
+LAPSE_S = 3 * HEARTBEAT_S
 # Time from the first token of a poison request to the crash of its runner.
 CRASH_DELAY_S = 0.1
 
@@ -193,6 +194,9 @@
             # Nobody renews it.
             await trio.sleep(LAPSE_S)
             self.drop_registration(runner.key)
+        elif runner.draining:
+            await trio.sleep(HEARTBEAT_S)
+            self.store.put(RUNNER_TOPIC, runner.key, runner.registration)
 
     def _schedule_crash(self, runner: RunnerStandIn) -> None:
         self._nursery.start_soon(self._crash_after_delay, runner)
--- a/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/message_types.py
@@ -9,7 +9,12 @@
 from sesamepoint.front.fair_share.work_messages import AccountWorkMessage
 from sesamepoint.front.fleet_health.health_messages import RunnerHealthMessage
 from sesamepoint.front.instance_room.lag_messages import LagMessage
-from sesamepoint.front.peering.peer_messages import RunnerStatusMessage, SuspectUpdate, VersionMessage
+from sesamepoint.front.peering.peer_messages import (
+    RunnerStatusMessage,
+    RunnerStatusQuestion,
+    SuspectUpdate,
+    VersionMessage,
+)
 from sesamepoint.front.runners.limit_messages import PermitGrantMessage, PermitRequestMessage
 from sesamepoint.front.store.outage_messages import StoreProbe
 from sesamepoint.front.store.topic_updates import TopicUpdate
@@ -24,6 +29,7 @@
     | PermitRequestMessage
     | PermitGrantMessage
     | RunnerStatusMessage
+    | RunnerStatusQuestion
     | StoreProbe
     | EngineModelMessage
     | RunnerHealthMessage
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -69,6 +69,12 @@
     rest_s: BackOffS = 0
 
 
+class RunnerStatusQuestion(msgspec.Struct, frozen=True, array_like=True, tag='runner?'):
+    """Question of an instance that has just started, for runners that are draining or were removed lately."""
+
+    entry: str
+
+
 class RunnerEnd(NamedTuple):
     """End of a runner while it ran a request."""
 
@@ -111,7 +117,14 @@
 
 
 QueuedMessage = (
-    SuspectUpdate | VersionMessage | RunnerStatusMessage | StoreProbe | OriginMessage | OriginQuestion | OriginReply
+    SuspectUpdate
+    | VersionMessage
+    | RunnerStatusMessage
+    | RunnerStatusQuestion
+    | StoreProbe
+    | OriginMessage
+    | OriginQuestion
+    | OriginReply
 )
 
 
@@ -177,6 +190,7 @@
     'ReportedStatus',
     'RunnerEnd',
     'RunnerStatusMessage',
+    'RunnerStatusQuestion',
     'SendQueue',
     'SuspectUpdate',
     'VersionMessage',
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from sesamepoint.front.peering.peer_messages import ReportedStatus, RunnerStatusMessage
+from sesamepoint.front.peering.peer_messages import ReportedStatus, RunnerStatusMessage, RunnerStatusQuestion
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.poison_requests import Incarnation
@@ -20,6 +20,8 @@
 # Age of a fact, in seconds, from which it is not sent any more. A draining runner stays for
 # some seconds more.
 RESEND_FOR_S = 10.0
+# Peers that an instance asks after its start. More than one, since datagrams are lost and others may have just started.
+MAX_ASKED = 6
 # How often due messages are looked for, in seconds.
 CHECK_INTERVAL_S = 0.25
 
@@ -51,11 +53,13 @@
         self._peers = peers
         self._announcements: dict[_Finding, _Announcement] = {}
         self._pending = trio.Event()
+        self._asked = 0
         fleet.on_replaced = self._note_replaced
         statuses.on_draining = self._note_draining
         statuses.on_back_off = self._send_back_off
         peers.handlers[RunnerStatusMessage] = self.on_update
-        peers.on_peer_joined.append(self.send_to_new_peer)
+        peers.handlers[RunnerStatusQuestion] = self._on_question
+        peers.on_peer_joined.append(self.note_peer)
 
     def on_update(self, update: RunnerStatusMessage) -> None:
         """Handle the update of a peer."""
@@ -73,7 +77,18 @@
         if member is not None:
             member.note_replaced(update.entry)
 
-    def send_to_new_peer(self, peer: str) -> None:
+    def note_peer(self, peer: str) -> None:
+        """Exchange what is known with an instance that is new on the list.
+
+        To an instance that has just started all are new. Its peers may not notice: it registers the same record as
+        before. So it asks some of them.
+        """
+        self.send_to(peer)
+        if self._asked < MAX_ASKED:
+            self._asked += 1
+            self._peers.send_queue.enqueue(RunnerStatusQuestion(self._peers.name), peer)
+
+    def send_to(self, peer: str) -> None:
         """Send an instance that has just registered the runners that are draining, or were removed lately.
 
         A registration that the store writes late is the only one of its runner that the new instance reads.
@@ -98,6 +113,9 @@
                     self._announcements[finding] = announcement.put_off()
                     self._send(finding)
 
+    def _on_question(self, question: RunnerStatusQuestion) -> None:
+        self.send_to(question.entry)
+
     def _note_replaced(self, incarnation: Incarnation) -> None:
         self._announce(_Finding(incarnation, ReportedStatus.replaced))
 
--- a/tests/front/limit_faults.py
+++ b/tests/front/limit_faults.py
@@ -42,7 +42,6 @@
         super().__init__(bench, rng)
         self.limit_changes: dict[str, list[LimitChange]] = {}
         # Times of restarts of instances, by host.
-        self.instance_starts: dict[str, list[float]] = {}
         self._steps = (*self._steps, self._change_limit, self._change_limit, self._restart_front)
 
     def limit_violations(self) -> list[str]:
--- a/tests/front/registrations/late_heartbeats.py
+++ b/tests/front/registrations/late_heartbeats.py
@@ -53,6 +53,8 @@
         Whether registrations have growing numbers.
     front_starts_s
         A front starts so many seconds after the notice; None if none does.
+    restarts_s
+        The first front is killed and starts again at its address, so many seconds after the notice; None if it is not.
     rolled_back_s
         The store is restored to a copy from before the notice, so many seconds after it; None if it is not.
     """
@@ -63,6 +65,7 @@
     key: str = 'i-web1'
     counts_heartbeats: bool = False
     front_starts_s: float | None = None
+    restarts_s: float | None = None
     rolled_back_s: float | None = None
 
 
@@ -88,6 +91,10 @@
             if run.front_starts_s is not None:
                 await trio.sleep(run.front_starts_s)
                 bench.add_front(3)
+            if run.restarts_s is not None:
+                await trio.sleep(run.restarts_s)
+                bench.kill_front('front-1')
+                bench.add_front(1)
             await trio.sleep_until(noticed_at + SERVES_ON_S)
             nursery.cancel_scope.cancel()
     return sum(bool(name) and at > noticed_at + DRAIN_S for at, name in _arrivals(leaving))
--- a/tests/front/registrations/test_late_heartbeats.py
+++ b/tests/front/registrations/test_late_heartbeats.py
@@ -46,6 +46,12 @@
         run = LateHeartbeat(Notice.draining, 4.0, 1.0, front_starts_s=2.9)
         self.assertEqual(await requests_after_drain_time(run), 0)
 
+    @in_virtual_time
+    async def test_front_restarted_between(self) -> None:
+        """Guards against an instance that starts again at its address, which its peers take for the same as before."""
+        run = LateHeartbeat(Notice.draining, 4.0, 1.0, restarts_s=3.3)
+        self.assertEqual(await requests_after_drain_time(run), 0)
+
     @in_virtual_time
     async def test_store_rolled_back(self) -> None:
         """Guards against a copy of the store from before the notice, which says ready."""
