--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -8,6 +8,8 @@
 
 from sesamepoint import events
 from sesamepoint.front.fleet_health.health_pages import PageResult, ask_health_page
+from sesamepoint.front.runners.status_sources import FROM_ANSWER
+from sesamepoint.platform.health_call import OTHER_RUNNER
 
 if TYPE_CHECKING:
     from sesamepoint.front.runners.engine_subset import EngineSubset
@@ -50,7 +52,7 @@
 
     async def _ask_until_known(self, member: Member) -> None:
         pause_s = FIRST_PAUSE_S
-        while member.presence.unconfirmed and not (member.closed or member.draining):
+        while member.presence.unconfirmed and not (member.closed or member.draining or member.replaced):
             evidence = await self._evidence(member)
             if evidence:
                 self._fleet.history.confirm(member, evidence)
@@ -69,6 +71,9 @@
         answer = await ask_health_page(member, self._fleet.health_paths.get(member.runner.service, ''))
         if answer.shown is PageResult.healthy:
             return BY_PAGE
+        if answer.cause == OTHER_RUNNER:
+            # It has gone for good, and further calls would reach the other one.
+            member.note_replaced(FROM_ANSWER)
         events.log_event(
             events.RETURN_UNCONFIRMED, runner=member.runner.key, born_ms=member.runner.born_ms, cause=answer.cause
         )
--- a/packages/sesamepoint/src/sesamepoint/platform/health_call.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/health_call.py
@@ -13,6 +13,8 @@
     from sesamepoint.http1.client import ClientConn
 
 STATUS_OK = 200
+# Cause if the page is that of another runner, which has the address now.
+OTHER_RUNNER = 'another runner has its address'
 
 
 async def call_health_page(conn: ClientConn, runner: Runner, path: str) -> str:
@@ -24,13 +26,13 @@
         If the connection ended before the response, or its body is broken off.
     """
     head, body = await conn.exchange(RequestHead(b'GET', path.encode(), ((b'host', str(runner.address).encode()),)))
-    if head.status != STATUS_OK:
-        return f'status {head.status}'
     answered_by = header(head.headers, wire_names.INCARNATION)
     if answered_by not in {None, runner.key.encode()}:
-        return 'another runner has its address'
+        return OTHER_RUNNER
+    if head.status != STATUS_OK:
+        return f'status {head.status}'
     whole_payload(body)
     return ''
 
 
-__all__ = ('call_health_page',)
+__all__ = ('OTHER_RUNNER', 'call_health_page')
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from unittest import TestCase
 from unittest.mock import patch
@@ -130,6 +131,20 @@
             await trio.sleep(STANDING_S)
             self.assertEqual(len(bench.runners['i-web1'].health_calls), FRONTS)
 
+    @in_virtual_time
+    async def test_address_of_another_runner(self) -> None:
+        """Guards against calls for a runner that has gone, which reach the one that has its address now."""
+        old = plain_runner(1)
+        async with open_bench(configuration(), [old, plain_runner(2)]) as bench:
+            bench.write_late(old.key, 4.0)
+            bench.leave_unannounced(old.key)
+            bench.network.close(old.address)
+            await trio.sleep(3)
+            new = replace(plain_runner(3), address=old.address)
+            bench.add_runner(new)
+            await trio.sleep(STANDING_S)
+        self.assertEqual(len(new.health_calls), 1)
+
     @in_virtual_time
     async def test_false_health_page(self) -> None:
         """Guards against a runner that is never used again because its health page is wrong."""
