--- a/tests/front/test_random_faults.py
+++ b/tests/front/test_random_faults.py
@@ -28,6 +28,8 @@
 FAULTY_VARIANT_SEEDS = (1, 2, 3, 4, 5, 6)
 # The runner's next heartbeat repeats the notice, so that few seeds show that it was forgotten.
 FORGOTTEN_NOTICE_SEEDS = (8,)
+# A crash falls between two events of a stream that its caller reads to the end in one seed of five.
+BELIEVED_CRASH_SEEDS = (18, 21, 23)
 
 
 def _retry_once(job: Any, outcome: Any) -> bool:
@@ -109,7 +111,7 @@
     def test_crash_between_events_believed(self) -> None:
         """Each answer that ends with its connection is taken for whole."""
         with patch.object(attempt, 'settle', _believe):
-            self._assert_found('mixed')
+            self._assert_found('mixed', BELIEVED_CRASH_SEEDS)
 
     def test_connection_always_closed(self) -> None:
         """A broken answer ends with a close, which some callers take for its end."""
