--- a/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
@@ -32,7 +32,7 @@
 
 
 class _Removal(NamedTuple):
-    # None if a peer has told of it.
+    # None if a peer reported the removal.
     address: Address | None
     presence: Presence
 
