--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -35,8 +35,10 @@
 # stays until then.
 RESTART_DELAY_S = 3.0
 HEARTBEAT_S = 1.2
-# The store removes a registration that is not renewed for three heartbeat intervals.
+# The store removes a registration that is not renewed for three heartbeat intervals. The time in
+# which it is away does not count.
 LAPSE_S = 3 * HEARTBEAT_S
+LAPSE_STEP_S = 0.05
 # Time from the first token of a poison request to the crash of its runner.
 CRASH_DELAY_S = 0.1
 
@@ -192,12 +194,18 @@
         self.store.put(RUNNER_TOPIC, runner.key, registration)
         if runner.leaving or runner.key not in self.runners:
             # Nobody renews it.
-            await trio.sleep(LAPSE_S)
+            await self._sleep_until_lapsed()
             self.drop_registration(runner.key)
         elif runner.draining:
             await trio.sleep(HEARTBEAT_S)
             self.store.put(RUNNER_TOPIC, runner.key, runner.registration)
 
+    async def _sleep_until_lapsed(self) -> None:
+        left_s = LAPSE_S
+        while left_s > 0:
+            await trio.sleep(LAPSE_STEP_S)
+            left_s -= 0 if self.store.unavailable else LAPSE_STEP_S
+
     def _schedule_crash(self, runner: RunnerStandIn) -> None:
         self._nursery.start_soon(self._crash_after_delay, runner)
 
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -19,9 +19,9 @@
 # Pause after the first call that shows nothing, in seconds; each further one is twice as long, up to the longest.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-# The store removes a registration that is not renewed for three heartbeat intervals, so one
-# that stands for longer is renewed by a runner that has not left.
-STANDING_HEARTBEATS = 4
+# The store removes a registration that is not renewed for so many heartbeat intervals, so one
+# that stands for longer while the store answers is renewed by a runner that has not left.
+LAPSE_HEARTBEATS = 3
 BY_PAGE = 'health page'
 BY_STANDING = 'registration renewed'
 
@@ -38,7 +38,7 @@
         """Confirm runners of ``fleet``, which renew their registrations each ``heartbeat_s`` seconds."""
         self._fleet = fleet
         self._subset = subset
-        self._standing_s = heartbeat_s * STANDING_HEARTBEATS
+        self._lapse_s = heartbeat_s * LAPSE_HEARTBEATS
         self._asked: set[Member] = set()
 
     async def run(self) -> None:
@@ -61,10 +61,16 @@
                 pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
         self._asked.discard(member)
 
+    def _stands(self, since: float) -> bool:
+        """Tell whether the store would have removed a registration that nobody has renewed since ``since``."""
+        currency = self._fleet.history.currency
+        # The newest answer may be as old as the longest gap.
+        return currency.unbroken_s(since) > self._lapse_s + currency.longest_gap_s
+
     async def _evidence(self, member: Member) -> str:
         """Return what shows that the runner serves; empty if nothing does."""
         back_at = member.presence.back_at
-        if back_at is not None and self._fleet.history.current_at - back_at > self._standing_s:
+        if back_at is not None and self._stands(back_at):
             return BY_STANDING
         if not self._subset.contains(member.runner):
             return ''
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet.py
@@ -29,6 +29,9 @@
 # also expire while the store is unavailable, though their runners live; without a grace
 # period a store that comes back would empty every fleet for seconds.
 GRACE_SHARE = 0.5
+# While the store answers, instances know that the list of runners is current at least once in this
+# share of the drain time: they poll it within half of that time, and the call takes some time.
+LONGEST_GAP_SHARE = 0.6
 
 
 class Fleet:
@@ -58,7 +61,7 @@
         self._kv_tokens: dict[str, int] = {}
         # Paths of health pages by service; empty for a service that has none.
         self.health_paths: dict[str, str] = {}
-        self.history = RegistrationHistory(send_check.runner_statuses, now)
+        self.history = RegistrationHistory(send_check.runner_statuses, now, drain_s * LONGEST_GAP_SHARE)
         self.changes = 0
         # Called when another incarnation answers at the address of a runner.
         self.on_replaced: Callable[[Incarnation], None] | None = None
@@ -74,6 +77,7 @@
     def set_drain(self, drain_s: float) -> None:
         """Change the drain time to ``drain_s`` seconds; an unregistered runner is kept for a share of it."""
         self._grace_s = drain_s * GRACE_SHARE
+        self.history.currency.longest_gap_s = drain_s * LONGEST_GAP_SHARE
 
     def configure(self, cfg: Configuration) -> None:
         """Set the paths of health pages, and the KV cache sizes of engines, registered ones included."""
--- a/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
@@ -8,6 +8,7 @@
 import trio
 
 from sesamepoint_core.bounded_dict import drop_oldest
+from sesamepoint_core.runner_status.list_currency import ListCurrency
 from sesamepoint_core.runner_status.presence import Presence
 from sesamepoint import events
 from sesamepoint.front.runners.status_sources import FROM_REGISTRATION
@@ -44,10 +45,12 @@
     may carry a heartbeat out seconds late, and a peer or a restored copy of the store may bring an older one.
     """
 
-    def __init__(self, statuses: RunnerStatuses, now: Callable[[], float]) -> None:
-        """Start without registrations; that an incarnation drains is kept with its other ``statuses``."""
-        # When the list of runners was last shown to be current.
-        self.current_at = -math.inf
+    def __init__(self, statuses: RunnerStatuses, now: Callable[[], float], longest_gap_s: float) -> None:
+        """Start without registrations; that an incarnation drains is kept with its other ``statuses``.
+
+        The list of runners is read at least once in ``longest_gap_s`` seconds while the store answers.
+        """
+        self.currency = ListCurrency(longest_gap_s)
         self.confirmations = 0
         # Called when a returned runner is used again.
         self.on_confirmed: Callable[[], None] | None = None
@@ -65,7 +68,7 @@
 
     def note_current(self, _by_store: bool) -> bool:
         """Note that the list of runners is current, by the store itself or by a peer that follows it."""
-        self.current_at = self._now()
+        self.currency.note_current(self._now())
         return True
 
     def note(self, member: Member) -> None:
--- a/tests/front/registrations/late_heartbeats.py
+++ b/tests/front/registrations/late_heartbeats.py
@@ -29,6 +29,8 @@
 # Delays of the heartbeat, and times between it and the notice, in seconds.
 DELAYS_S = (1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
 LEAD_STEP_S = 0.4
+# Instances have read a record after this time, in seconds.
+TAKE_IN_S = 0.3
 
 
 class Notice(Enum):
@@ -57,6 +59,8 @@
         The first front is killed and starts again at its address, so many seconds after the notice; None if it is not.
     rolled_back_s
         The store is restored to a copy from before the notice, so many seconds after it; None if it is not.
+    away_s
+        The store is away for so many seconds just after the late heartbeat; None if it is not.
     """
 
     notice: Notice
@@ -67,6 +71,7 @@
     front_starts_s: float | None = None
     restarts_s: float | None = None
     rolled_back_s: float | None = None
+    away_s: float | None = None
 
 
 async def requests_after_drain_time(run: LateHeartbeat) -> int:
@@ -88,6 +93,8 @@
             _announce(bench, run)
             if run.rolled_back_s is not None:
                 nursery.start_soon(_roll_back, bench, run)
+            if run.away_s is not None:
+                nursery.start_soon(_go_away, bench, run)
             if run.front_starts_s is not None:
                 await trio.sleep(run.front_starts_s)
                 bench.add_front(3)
@@ -116,6 +123,13 @@
     bench.store.roll_back((run.rolled_back_s or 0) + LEAD_STEP_S)
 
 
+async def _go_away(bench: PlatformBench, run: LateHeartbeat) -> None:
+    await trio.sleep(run.delay_s - run.lead_s + TAKE_IN_S)
+    bench.store.unavailable = True
+    await trio.sleep(run.away_s or 0)
+    bench.store.unavailable = False
+
+
 async def _renew(bench: PlatformBench, runner: RunnerStandIn) -> None:
     """Write a heartbeat at each interval, unless the runner has left unannounced."""
     while not runner.leaving:
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -85,6 +85,14 @@
         run = LateHeartbeat(Notice.removal, 5.0, 1.0, rolled_back_s=1.0)
         self.assertEqual(await requests_after_drain_time(run), 0)
 
+    @in_virtual_time
+    async def test_store_away_after_late_heartbeat(self) -> None:
+        """Guards against a late heartbeat that counts as renewed because the store was away and removed nothing."""
+        for away_s in (2.0, 3.5, 5.0):
+            with self.subTest(away_s=away_s):
+                run = LateHeartbeat(Notice.removal, 1.0, 0.8, away_s=away_s)
+                self.assertEqual(await requests_after_drain_time(run), 0)
+
     @in_virtual_time
     async def test_faulty_variant_takes_at_once(self) -> None:
         """Without the confirmation, late requests are seen, so the simulation would show them."""
