--- a/tests/front/soak_registrations.py
+++ b/tests/front/soak_registrations.py
@@ -21,6 +21,7 @@
 LATE_S = (1.0, 6.0)
 # The store removes a registration that nobody renews after this time, in seconds.
 LAPSE_S = 3 * HEARTBEAT_S
+LAPSE_STEP_S = 0.1
 
 
 class SoakRegistrations:
@@ -79,11 +80,24 @@
         runner.draining = announces
         runner.leaving = not announces
         self._write(runner, runner.registration if announces else None)
+        if runner.leaving:
+            # The store removes it also after the faults of the soak have ended.
+            self._bench.nursery.start_soon(self._remove_lapsed, runner)
         await trio.sleep(late_s - lead_s)
         self._write(runner, lost)
-        if runner.leaving:
-            await trio.sleep(LAPSE_S)
-            self._write(runner, None)
+
+    async def _remove_lapsed(self, runner: RunnerStandIn) -> None:
+        """Remove the registration of a runner that has left once it has stood for the lapse time, until cancelled.
+
+        It is back after a late heartbeat, and after the store was rolled back.
+        """
+        stood_s: float = 0
+        while True:
+            await trio.sleep(LAPSE_STEP_S)
+            registered = runner.key in self._bench.store.newest_payloads(RUNNER_TOPIC)
+            stood_s = stood_s + LAPSE_STEP_S if registered else 0
+            if stood_s >= LAPSE_S:
+                self._write(runner, None)
 
     def _write(self, runner: RunnerStandIn, registration: dict[str, object] | None) -> None:
         self._bench.store.put(RUNNER_TOPIC, runner.key, registration)
