--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -107,6 +107,8 @@
 VERSIONS_NOT_CURRENT = _event(
     3327, logging.INFO, 'list of runners could not be read, no version of a stream is inferred'
 )
+PEERS_ASKED_AFTER_GAP = _event(3329, logging.INFO, 'peers asked which runners left in a gap of the list')
+MISSING_RUNNER_CHECKED = _event(3330, logging.INFO, 'runner that a restored copy of the store lacks was checked')
 RETURN_CONFIRMED = _event(3325, logging.INFO, 'returned runner serves, and is used again')
 RETURN_UNCONFIRMED = _event(3326, logging.INFO, 'returned runner has not shown that it serves')
 RUNNER_REGISTERED_AGAIN = _event(3324, logging.INFO, 'runner whose registration was removed is registered again')
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/health_pages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/health_pages.py
@@ -22,10 +22,15 @@
 
 
 class PageResult(Enum):
-    """What the health page of a runner shows; ``unknown``: it was not called."""
+    """What the health page of a runner shows.
+
+    ``unhealthy``: the runner itself says so, or another one has its address; ``unanswered``: no answer, or the call
+    was rejected; ``unknown``: it was not called.
+    """
 
     healthy = 'healthy'
     unhealthy = 'unhealthy'
+    unanswered = 'unanswered'
     unknown = 'unknown'
 
 
@@ -40,7 +45,7 @@
     """Call the health page at ``path`` of a runner; an empty path means that its service has none."""
     if not path:
         return PageAnswer(PageResult.unknown, NO_PAGE)
-    found = PageAnswer(PageResult.unhealthy, NO_ANSWER)
+    found = PageAnswer(PageResult.unanswered, NO_ANSWER)
     with trio.move_on_after(CALL_TIMEOUT_S):
         found = await _call(member, path)
     return found
@@ -50,16 +55,18 @@
     try:
         conn = await member.connection(PURPOSE)
     except ConnectFailedError as exc:
-        return PageAnswer(PageResult.unhealthy, str(exc))
+        return PageAnswer(PageResult.unanswered, str(exc))
     try:
         cause = await health_call.call_health_page(conn, member.runner, path)
     except ConnBrokenError as exc:
-        return PageAnswer(PageResult.unhealthy, str(exc))
+        return PageAnswer(PageResult.unanswered, str(exc))
     except SendBlockedError as exc:
         # Nothing was sent, as to a runner with a rate limit.
         return PageAnswer(PageResult.unknown, exc.condition)
     finally:
         member.release(conn)
+    if cause == health_call.REJECTED:
+        return PageAnswer(PageResult.unanswered, cause)
     return PageAnswer(PageResult.unhealthy, cause) if cause else PageAnswer(PageResult.healthy)
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/probing.py
@@ -88,7 +88,7 @@
         finally:
             self._calling.discard(member)
         # If the page was not called, requests must show whether the runner has recovered.
-        healthy = answer.shown is not PageResult.unhealthy
+        healthy = answer.shown in {PageResult.healthy, PageResult.unknown}
         member.health.note_health_call(trio.current_time(), healthy=healthy)
         events.log_event(
             events.HEALTH_PAGE_CALLED,
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -1,4 +1,4 @@
-"""Runners whose removed registration is back, which must show that they serve before they get requests again."""
+"""Runners whose registration is back after its removal, or missing in a restored copy of the store."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class ReturnedRunners:
-    """Confirms that returned runners serve.
+    """Confirms that returned runners serve, and that those which a restored copy of the store lacks do.
 
     A runner that leaves without notice has its registration removed and serves on for seconds. If the store then
     carries out one of its earlier heartbeats, the registration is back. Without a confirmation requests went to a
@@ -44,12 +44,35 @@
     async def run(self) -> None:
         """Ask each runner that returns, until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._check_missing, nursery)
             while True:
                 member = await self._fleet.history.next_returned()
                 if member not in self._asked:
                     self._asked.add(member)
                     nursery.start_soon(self._ask_until_known, member)
 
+    async def _check_missing(self, nursery: trio.Nursery) -> None:
+        while True:
+            member = await self._fleet.history.next_missing()
+            if self._subset.contains(member.runner) and not (member.draining or member.replaced):
+                nursery.start_soon(self._remove_unless_serving, member)
+
+    async def _remove_unless_serving(self, member: Member) -> None:
+        """Take a runner that a restored copy of the store lacks for removed if it says that it doesn't serve.
+
+        A removal just after the restore is not seen: the log is followed from the end of the copy's list.
+        """
+        answer = await ask_health_page(member, self._fleet.health_paths.get(member.runner.service, ''))
+        events.log_event(
+            events.MISSING_RUNNER_CHECKED,
+            runner=member.runner.key,
+            born_ms=member.runner.born_ms,
+            shown=answer.shown.value,
+            cause=answer.cause,
+        )
+        if answer.shown is PageResult.unhealthy and self._fleet.of_incarnation(member.incarnation) is member:
+            self._fleet.note_unregistered(member.runner.key)
+
     async def _ask_until_known(self, member: Member) -> None:
         pause_s = FIRST_PAUSE_S
         while member.presence.unconfirmed and not (member.closed or member.draining or member.replaced):
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -70,7 +70,7 @@
 
 
 class RunnerStatusQuestion(msgspec.Struct, frozen=True, array_like=True, tag='runner?'):
-    """Question of an instance that has just started, for runners that are draining or were removed lately."""
+    """Question of an instance that may have missed which runners are draining or were removed lately."""
 
     entry: str
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/registration_history.py
@@ -61,6 +61,8 @@
         self._confirmed_at: dict[Incarnation, float] = {}
         # Unbounded: each entry is a member that was removed before.
         self._back = trio.open_memory_channel['Member'](math.inf)
+        # Unbounded: each entry is a registered member.
+        self._missing = trio.open_memory_channel['Member'](math.inf)
 
     def newest_start_ms(self, key: str) -> int:
         """Return the latest known start of the runner ``key``, in milliseconds; 0 if none is known."""
@@ -120,6 +122,14 @@
         """Wait for a member whose registration has come back."""
         return await self._back[1].receive()
 
+    def note_missing(self, member: Member) -> None:
+        """Note that a restored copy of the store lacks a registration: it is too old, or the runner has left."""
+        self._missing[0].send_nowait(member)
+
+    async def next_missing(self) -> Member:
+        """Wait for a member whose registration a restored copy of the store lacks."""
+        return await self._missing[1].receive()
+
     def confirm(self, member: Member, evidence: str) -> None:
         """Use a member again whose registration has come back, since ``evidence`` shows that it serves."""
         presence = member.presence
--- a/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/runner_updates.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sesamepoint.front.runners.gap_questions import MAX_ASKED
 from sesamepoint.front.peering.peer_messages import ReportedStatus, RunnerStatusMessage, RunnerStatusQuestion
 
 if TYPE_CHECKING:
@@ -20,8 +21,6 @@
 # Age of a fact, in seconds, from which it is not sent any more. A draining runner stays for
 # some seconds more.
 RESEND_FOR_S = 10.0
-# Peers that an instance asks after its start. More than one, since datagrams are lost and others may have just started.
-MAX_ASKED = 6
 # How often due messages are looked for, in seconds.
 CHECK_INTERVAL_S = 0.25
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -17,6 +17,7 @@
 from sesamepoint.front.pages import Page, Pages
 from sesamepoint.front.store.peer_configuration import CONFIGURATION_PATH, PeerConfiguration
 from sesamepoint.front.quarantine.quarantine_records import QuarantineRecords
+from sesamepoint.front.runners.gap_questions import GapQuestions
 from sesamepoint.front.runners.runner_updates import RunnerUpdates
 from sesamepoint.front.accounts.usage_reporting import UsageReporting
 from sesamepoint.platform.store import StoreClient
@@ -61,6 +62,8 @@
         peers.handlers[TopicUpdate] = self._topic_sync.on_topic_update
         peers.on_reconnect = self._topic_sync.refresh_quarantine
         self._runner_status = RunnerUpdates(targets.fleet, targets.runner_statuses, peers)
+        self._gap_questions = GapQuestions(peers)
+        self._topic_sync.on_runners_listed = self._gap_questions.note_gap
         self._reporting: UsageReporting | None = None
         if cfg.duty is not None:
             self._reporting = UsageReporting(cfg.duty, peers, new_store(), network, clock or SystemClock(), rng)
@@ -85,6 +88,7 @@
             Child('lost-entries', partial(self._registration.drop_failed, topic_sync.polls_entries)),
             Child('peer-configuration', self._peer_configuration.fetch_queued),
             Child('runner-news', self._runner_status.run),
+            Child('gap-questions', self._gap_questions.run),
             Child('peer-compare', self._peer_configuration.compare_versions),
             *(self._reporting.children() if self._reporting else ()),
         ]
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -6,11 +6,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint import events
+from sesamepoint.front.runners.restored_copies import apply_restored
 from sesamepoint.front.store.polling_turns import Pacing
+from sesamepoint.front.store.record_decoding import readable_configuration, readable_runner, readable_runners
 from sesamepoint.front.store.topic_watch import PeerGroup, RecordHandlers, TopicWatch
-from sesamepoint.platform.configuration import decode_configuration
-from sesamepoint.platform.runner_registration import decode_runner
-from sesamepoint.platform.unreadable_record import UnreadableRecordError
 from sesamepoint.platform.wire_names import INSTANCE_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC
 
 if TYPE_CHECKING:
@@ -83,6 +82,8 @@
         """Keep the given parts in step with the store that the clients of ``new_store`` call."""
         # Called with the name of a peer that has read a configuration which this instance could not read.
         self.request_configuration: Callable[[str], None] = _ignore_request
+        # Called after each read of the whole list of runners.
+        self.on_runners_listed: Callable[[], None] = _do_nothing
         self._cfg = cfg
         self._targets = targets
         self._registration = registration
@@ -165,6 +166,7 @@
         handlers = RecordHandlers(
             self._apply_runners,
             self._apply_runner,
+            restore=self._apply_restored_runners,
             confirm=fleet.history.note_current,
             polled=fleet.versions.reads.note_read,
             urgent=lambda: not fleet.listed,
@@ -209,20 +211,20 @@
     def _apply_operator_record(self, record: KeyedRecord) -> bool:
         if record.key != OPERATOR_KEY or not record.text:
             return False
-        try:
-            cfg = decode_configuration(record.text)
-        except UnreadableRecordError as exc:
-            events.log_event(events.RECORD_UNREADABLE, cause=str(exc))
-            return False
-        return self.put_in_force(cfg)
+        cfg = readable_configuration(record)
+        return cfg is not None and self.put_in_force(cfg)
 
     def _apply_runners(self, records: tuple[KeyedRecord, ...]) -> None:
-        decoded = (_decode_runner(record) for record in records if record.text)
-        self._registered = {runner.key: runner for runner in decoded if runner is not None}
+        self._registered = {runner.key: runner for runner in readable_runners(records)}
         self._targets.fleet.replace_all(self._registered.values())
+        self.on_runners_listed()
+
+    def _apply_restored_runners(self, records: tuple[KeyedRecord, ...]) -> None:
+        apply_restored(self._targets.fleet, readable_runners(records))
+        self.on_runners_listed()
 
     def _apply_runner(self, record: KeyedRecord) -> bool:
-        runner = _decode_runner(record) if record.text else None
+        runner = readable_runner(record)
         before = self._registered.pop(record.key, None)
         if runner is None:
             # A record that can't be decoded also counts as removed: another writer may
@@ -249,12 +251,8 @@
             self._targets.budgets.log_share()
 
 
-def _decode_runner(record: KeyedRecord) -> Runner | None:
-    try:
-        return decode_runner(record.key, record.text)
-    except UnreadableRecordError as exc:
-        events.log_event(events.RECORD_UNREADABLE, cause=str(exc))
-        return None
+def _do_nothing() -> None:
+    """Do nothing."""
 
 
 def _ignore_request(_: str) -> None:
--- a/packages/sesamepoint/src/sesamepoint/platform/health_call.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/health_call.py
@@ -7,6 +7,7 @@
 from sesamepoint.http1.documents import whole_payload
 from sesamepoint.http1.messages import RequestHead, header
 from sesamepoint.platform import wire_names
+from sesamepoint.platform.headers import reports_not_run
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.runner import Runner
@@ -15,6 +16,8 @@
 STATUS_OK = 200
 # Cause if the page is that of another runner, which has the address now.
 OTHER_RUNNER = 'another runner has its address'
+# Cause if the runner rejects the call like any request, as when it is full.
+REJECTED = 'call rejected'
 
 
 async def call_health_page(conn: ClientConn, runner: Runner, path: str) -> str:
@@ -29,10 +32,12 @@
     answered_by = header(head.headers, wire_names.INCARNATION)
     if answered_by not in {None, runner.key.encode()}:
         return OTHER_RUNNER
+    if reports_not_run(head):
+        return REJECTED
     if head.status != STATUS_OK:
         return f'status {head.status}'
     whole_payload(body)
     return ''
 
 
-__all__ = ('OTHER_RUNNER', 'call_health_page')
+__all__ = ('OTHER_RUNNER', 'REJECTED', 'call_health_page')
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -10,11 +10,13 @@
 import trio
 
 from sesamepoint_core.runner_status.presence import Presence
+from sesamepoint.front.runners.gap_questions import GapQuestions
+from sesamepoint.front.runners.registration_history import RegistrationHistory
 from sesamepoint_standins.platform.bench import open_bench
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.builders import configuration, new_request, plain_runner, registered_engine
 from tests.front.registrations.late_heartbeats import LateHeartbeat, Notice, requests_after_drain_time
-from tests.front.registrations.variants import take_at_once
+from tests.front.registrations.variants import ask_nobody, do_nothing, take_at_once
 from tests.front.test_restarted_runners import fleet_with
 from tests.virtual_time import in_virtual_time
 
@@ -26,6 +28,9 @@
 # Registrations lapse after three heartbeat intervals, and some margin.
 STANDING_S = 6.0
 FRONTS = 2
+# The store is restored so many seconds before the removal, so that some instances read its list after it.
+RESTORED_BEFORE_S = (0.05, 0.2, 0.4)
+CUT_OFF = LateHeartbeat(Notice.removal, 2.0, 0.5, cut_off=True)
 
 
 async def lapse_and_return(bench: PlatformBench, away_s: float) -> None:
@@ -93,6 +98,37 @@
                 run = LateHeartbeat(Notice.removal, 1.0, 0.8, away_s=away_s)
                 self.assertEqual(await requests_after_drain_time(run), 0)
 
+    @in_virtual_time
+    async def test_removed_before_list_is_read(self) -> None:
+        """Guards against a removal between a restore of the store and the read of the list, of which nobody tells."""
+        for restored_s in RESTORED_BEFORE_S:
+            with self.subTest(restored_s=restored_s):
+                run = LateHeartbeat(Notice.removal, 6.0, 1.0, restored_before_s=restored_s)
+                self.assertEqual(await requests_after_drain_time(run), 0)
+
+    @in_virtual_time
+    async def test_faulty_variant_keeps_missing(self) -> None:
+        """Without a check of runners that a restored copy lacks, late requests are seen."""
+        with (
+            patch.object(RegistrationHistory, 'note_missing', do_nothing),
+            patch.object(GapQuestions, 'note_gap', ask_nobody),
+        ):
+            run = LateHeartbeat(Notice.removal, 6.0, 1.0, restored_before_s=RESTORED_BEFORE_S[0])
+            self.assertGreater(await requests_after_drain_time(run), 0)
+
+    @in_virtual_time
+    async def test_removed_within_gap(self) -> None:
+        """Guards against a removal and a late heartbeat that an instance which was cut off reads as one list."""
+        for delay_s in (1.0, 2.0):
+            with self.subTest(delay_s=delay_s):
+                self.assertEqual(await requests_after_drain_time(CUT_OFF._replace(delay_s=delay_s)), 0)
+
+    @in_virtual_time
+    async def test_faulty_variant_asks_nobody(self) -> None:
+        """Without questions after a gap, late requests are seen, so the simulation would show them."""
+        with patch.object(GapQuestions, 'note_gap', ask_nobody):
+            self.assertGreater(await requests_after_drain_time(CUT_OFF), 0)
+
     @in_virtual_time
     async def test_faulty_variant_takes_at_once(self) -> None:
         """Without the confirmation, late requests are seen, so the simulation would show them."""
