--- a/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/connection_pool.py
@@ -78,7 +78,12 @@
             conn = await self._connect(PROBE_TIMEOUT_S)
         except ConnectFailedError as exc:
             return ProbeOutcome.refused if exc.refused else ProbeOutcome.not_open
-        await trio.sleep(for_s)
+        try:
+            await trio.sleep(for_s)
+        except trio.Cancelled:
+            # A connection that nobody holds would stay open, and counted.
+            conn.close()
+            raise
         if not conn.is_idle():
             conn.close()
             return ProbeOutcome.not_open
