--- a/packages/sesamepoint/src/sesamepoint/cli.py
+++ b/packages/sesamepoint/src/sesamepoint/cli.py
@@ -18,67 +18,26 @@
 
 from __future__ import annotations
 
-import os
 import sys
-from pathlib import Path
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING
 
-import trio
-
-from sesamepoint import events
-from sesamepoint.command_line import run_command_line
-from sesamepoint.process.graceful_stop import run_until_stopped
-from sesamepoint.single_error import single_error
+from sesamepoint.held_signals import held_signals
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 
-class Process(Protocol):
-    """Interface of the front, entry and agent processes."""
-
-    async def run(self) -> None:
-        """Run until cancelled."""
-
-    async def wind_down(self) -> None:
-        """Stop gracefully: finish requests in progress."""
-
-    def reload(self) -> None:
-        """Apply changed settings."""
-
-
 def main(argv: Sequence[str] | None = None) -> int:
-    """Run the command line and return the exit status."""
-    return run_command_line(__doc__, 'sesamepoint', argv, _run)
-
+    """Run the command line and return the exit status.
 
-def _run(arguments: dict[str, Any]) -> None:
-    process = _build(arguments)
-    with single_error():
-        trio.run(run_until_stopped, process.run, process.wind_down, process.reload)
-
-
-def _build(arguments: dict[str, Any]) -> Process:
-    """Build the process, importing only the modules of its kind.
-
-    A front process doesn't need gRPC and the validation of entry and agent
-    settings, which take 35 MB of memory.
+    Signals are held before all else is imported, which takes some tenths of a second: a signal to reload in that time
+    ended the process.
     """
-    if arguments['front']:
-        return _build_front(arguments['--settings'])
-    from sesamepoint.process import process_builders  # noqa: PLC0415
-
-    path = Path(arguments['--settings'])
-    return process_builders.build_entry(path) if arguments['entry'] else process_builders.build_agent(path)
-
-
-def _build_front(path: str | None) -> Process:
-    from sesamepoint.platform.wire_names import SETTINGS_VARIABLE  # noqa: PLC0415
-    from sesamepoint.process.front_process import FrontProcess  # noqa: PLC0415
+    held_signals.hold()
+    from sesamepoint.command_line import run_command_line  # noqa: PLC0415
+    from sesamepoint.process.commands import run_process  # noqa: PLC0415
 
-    process = FrontProcess.from_config(Path(path or os.environ[SETTINGS_VARIABLE]))
-    events.set_up_logs(process.name)
-    return process
+    return run_command_line(__doc__, 'sesamepoint', argv, run_process)
 
 
 if __name__ == '__main__':
