--- a/packages/sesamepoint/src/sesamepoint/http1/socket_options.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/socket_options.py
@@ -25,16 +25,25 @@
 
 
 def set_dead_peer_timeouts(sock: trio.socket.SocketType) -> None:
-    """Set the options that break a connection whose far end is dead.
+    """Set the options that break a connection whose far end is dead, or takes nothing.
 
     A far end that is cut off or powered off sends no reset; without these
     options a request on such a connection would hang until its deadline.
     """
+    set_idle_probes(sock)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+
+
+def set_idle_probes(sock: trio.socket.SocketType) -> None:
+    """Set the options that break an idle connection whose far end is dead.
+
+    A far end that has a response to read and does not read it may live: the system breaks its connection by
+    ``TCP_USER_TIMEOUT`` although it answers all probes, and slow readers lost their responses.
+    """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
 
 
 def bound_buffers(sock: trio.socket.SocketType) -> None:
@@ -57,5 +66,6 @@
 __all__ = (
     'bound_buffers',
     'set_dead_peer_timeouts',
+    'set_idle_probes',
     'unsent_bytes',
 )
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -16,12 +16,13 @@
 from sesamepoint.front.pages import Page, Pages
 from sesamepoint.front.peering.peer_network import SocketPeerNetwork
 from sesamepoint.http1.link_pacing import LinkPacer
-from sesamepoint.http1.socket_options import bound_buffers, set_dead_peer_timeouts
+from sesamepoint.http1.socket_options import bound_buffers
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
 from sesamepoint.platform.settings import read_settings
 from sesamepoint.platform.wire_names import READY_PATH
 from sesamepoint.settings_error import SettingsError
 from sesamepoint.process.burst_listener import BurstListener
+from sesamepoint.process.connections import serve_caller, serve_peer
 from sesamepoint.supervisor import Child, Supervisor
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
             listener = BurstListener.open(host, port, self._front.room.lag.in_excess)
             if self._front.room.memory.limited:
                 bound_buffers(listener.socket)
-            serve = partial(_serve_stream, self._front.http_handler.serve)
+            serve = partial(serve_caller, self._front.http_handler.serve)
             await trio.serve_listeners(serve, [listener], handler_nursery=connections)
 
     async def _serve_metrics(self) -> None:
@@ -138,12 +139,7 @@
 async def _listen(serve: Serve, address: tuple[str, int]) -> None:
     host, port = address
     listeners = await trio.open_tcp_listeners(port, host=host)
-    await trio.serve_listeners(partial(_serve_stream, serve), listeners)
-
-
-async def _serve_stream(serve: Serve, stream: trio.SocketStream) -> None:
-    set_dead_peer_timeouts(stream.socket)
-    await serve(SocketTransport(stream))
+    await trio.serve_listeners(partial(serve_peer, serve), listeners)
 
 
 async def _load_metrics_library() -> None:
