--- a/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/incarnation_check.py
@@ -116,16 +116,16 @@
 async def sender_state(member: Member, since: float, job: Job | None, kind: BodyKind) -> SenderState:
     """Find out what became of the runner of ``member`` by what it does after ``since`` on trio's clock.
 
-    A stream is not whole if its runner ended with it, planned or not: a runner that drains is gone at some time,
-    with the streams that it still has. So the runner must show that it lives, and must not be another incarnation
-    at the address, as after a freeze of this process or a cut. Other answers of a runner that drains are whole, since
-    it ends after them.
+    An answer is not whole if its runner ended with it, planned or not: a runner that drains is gone at some time,
+    with the answers that it still has. So the sender of a stream, and each runner that leaves, must show that it
+    lives. The sender of a stream must not be another incarnation at the address, as after a freeze of this process
+    or a cut.
     """
     streamed = kind is BodyKind.events
-    if await member.has_ended(since, must_show_life=streamed):
+    leaving = member.draining or not member.presence.registered
+    if await member.has_ended(since, must_show_life=streamed or leaving):
         return SenderState.ended
     # A runner that drains or is no longer registered is not asked.
-    leaving = member.draining or not member.presence.registered
     if not streamed or leaving or not member.incarnation.born_ms:
         return SenderState.alive
     with trio.move_on_after(START_CHECK_S):
