--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -166,7 +166,7 @@
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
-        conn = ServerConn(transport, ServerLimits())
+        conn = ServerConn(transport, ServerLimits)
         try:
             while await conn.wait_for_request():
                 message = await conn.read_request()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -104,7 +104,7 @@
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
-        conn = ServerConn(transport, ServerLimits())
+        conn = ServerConn(transport, ServerLimits)
         try:
             while await conn.wait_for_request():
                 message = await conn.read_request()
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/usage.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/usage.py
@@ -70,7 +70,7 @@
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection."""
-        conn = ServerConn(transport, ServerLimits())
+        conn = ServerConn(transport, ServerLimits)
         try:
             while await conn.wait_for_request():
                 await conn.send_whole(await self._receive_report(await conn.read_request()), (), b'')
--- a/packages/sesamepoint/src/sesamepoint/front/http_handler.py
+++ b/packages/sesamepoint/src/sesamepoint/front/http_handler.py
@@ -79,7 +79,7 @@
 
     async def _serve_connection(self, transport: Transport) -> None:
         account = self._room.memory.open_account(transport.peer, lambda: _disconnect(conn))
-        conn = ServerConn(transport, _server_limits(self._dispatcher.configuration), lambda: self.stopping, account)
+        conn = ServerConn(transport, self._limits, lambda: self.stopping, account)
         try:
             await self._serve_requests(conn)
         except CallerGoneError:
@@ -91,6 +91,9 @@
             conn.close()
             account.close()
 
+    def _limits(self) -> ServerLimits:
+        return _server_limits(self._dispatcher.configuration)
+
     async def _serve_requests(self, conn: ServerConn) -> None:
         while await self._next_request(conn):
             if not await self._read_and_serve(conn):
--- a/packages/sesamepoint/src/sesamepoint/front/pages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/pages.py
@@ -41,7 +41,7 @@
 
     async def serve(self, transport: Transport) -> None:
         """Serve one connection to its end; never raises."""
-        conn = ServerConn(transport, ServerLimits())
+        conn = ServerConn(transport, ServerLimits)
         try:
             await self._serve_requests(conn)
         except (CallerGoneError, RejectedRequestError):
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -76,7 +76,7 @@
     def __init__(
         self,
         transport: Transport,
-        limits: ServerLimits,
+        limits: Callable[[], ServerLimits],
         should_close: Callable[[], bool] = _never,
         held: HeldAccount | None = None,
     ) -> None:
@@ -84,6 +84,8 @@
 
         Parameters
         ----------
+        limits
+            Called for each request, since a new configuration may change them; returns those of the next one.
         should_close
             Called for each response; if it returns true, the response announces
             that the connection closes after it.
@@ -91,11 +93,12 @@
             Counts the bytes that are held for the caller, and bounds them.
         """
         self._held = held or UnboundedAccount()
-        super().__init__(transport, h11.Connection(h11.SERVER, limits.head_bytes), should_close, self._held)
+        self._newest_limits = limits
+        self._limits = limits()
+        super().__init__(transport, h11.Connection(h11.SERVER, self._limits.head_bytes), should_close, self._held)
         # Returns whether the caller is connected and none of its bytes has arrived unread.
         self.is_idle = transport.is_idle
         self._body_size = 0
-        self._limits = limits
         self._buffered = b''
 
     @property
@@ -108,6 +111,7 @@
     def start_next_cycle(self) -> None:
         """Prepare for the next request."""
         self._state.start_next_cycle()
+        self._apply_limits()
 
     async def wait_for_request(self) -> bool:
         """Wait for a request to start.
@@ -124,10 +128,14 @@
             return True
         if self._state.trailing_data[0]:
             return True
-        with trio.move_on_after(self._limits.idle_s):
-            received = await self._receive()
-            self._state.receive_data(received)
-            return bool(received)
+        idle_since = trio.current_time()
+        while trio.current_time() < idle_since + self._limits.idle_s:
+            with trio.move_on_at(idle_since + self._limits.idle_s):
+                received = await self._receive()
+                self._apply_limits()
+                self._state.receive_data(received)
+                return bool(received)
+            self._apply_limits()
         return False
 
     async def read_request(self) -> ReceivedRequest:
@@ -164,6 +172,17 @@
             if len(self._buffered) > MAX_BUFFERED_BYTES:
                 await trio.sleep_forever()
 
+    def _apply_limits(self) -> None:
+        """Apply the newest limits, before anything of the next request is parsed."""
+        limits = self._newest_limits()
+        if limits.head_bytes != self._limits.head_bytes:
+            # The parser takes its limit at its creation only.
+            trailing, _ = self._state.trailing_data
+            self._state = h11.Connection(h11.SERVER, limits.head_bytes)
+            if trailing:
+                self._state.receive_data(trailing)
+        self._limits = limits
+
     async def _read_head(self) -> RequestHead:
         event = await self._event()
         if not isinstance(event, h11.Request):
--- a/tests/front/instance_room/test_outbox.py
+++ b/tests/front/instance_room/test_outbox.py
@@ -54,7 +54,7 @@
     @in_virtual_time
     async def test_connection_not_reused(self) -> None:
         """Guards against the answer to the next request following half an answer on the same connection."""
-        conn = ServerConn(StuckTransport(), ServerLimits())
+        conn = ServerConn(StuckTransport(), ServerLimits)
         await conn.read_request()
         with trio.move_on_after(1):
             await conn.send_whole(200, (), bytes(100))
--- a/tests/front/test_response_reset.py
+++ b/tests/front/test_response_reset.py
@@ -46,7 +46,7 @@
 
 
 async def _respond(whole: bool, stream: trio.SocketStream) -> None:
-    conn = ServerConn(SocketTransport(stream), ServerLimits())
+    conn = ServerConn(SocketTransport(stream), ServerLimits)
     await conn.wait_for_request()
     await conn.read_request()
     await conn.begin(200, ())
--- a/tests/front/test_switched_protocols.py
+++ b/tests/front/test_switched_protocols.py
@@ -54,7 +54,7 @@
             statuses: list[int] = []
 
             async def serve(transport: object) -> None:
-                conn = ServerConn(transport, ServerLimits())  # type: ignore[arg-type]
+                conn = ServerConn(transport, ServerLimits)  # type: ignore[arg-type]
                 try:
                     await conn.read_request()
                 except RejectedRequestError as exc:
