--- a/tests/front/streams/killed_instances.py
+++ b/tests/front/streams/killed_instances.py
@@ -93,7 +93,7 @@
             if kill.twice:
                 await bench.wait_until_ready()
                 await _kill(bench, kill)
-    return _outcome(streams)
+    return outcome_of(streams)
 
 
 async def _run_stream(bench: PlatformBench, number: int, streams: list[TakenStream]) -> None:
@@ -137,7 +137,8 @@
         bench.add_front(number)
 
 
-def _outcome(streams: Sequence[TakenStream]) -> Outcome:
+def outcome_of(streams: Sequence[TakenStream]) -> Outcome:
+    """Return what callers saw of their streams."""
     taken_up = [one for one in streams if one.taken_up and marked_events(one.answers[0].body)]
     went_on = sum(one.whole for one in taken_up)
     return Outcome(len(taken_up), went_on, sum(one.mixed for one in streams))
