--- a/tests/front/streams/killed_processes.py
+++ b/tests/front/streams/killed_processes.py
@@ -15,7 +15,7 @@
 import trio
 
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
-from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller, open_process_bench
+from sesamepoint_standins.platform.process_bench import ProcessBench, new_caller
 from sesamepoint_standins.platform.stream_caller import stream_over_attempts
 from tests.front.builders import new_prompt_request
 from tests.front.streams.builders import stream_configuration, versioned_engines
@@ -42,6 +42,8 @@
     from sesamepoint_standins.platform.stream_caller import TakenStream
 
 LOAD_S = STREAMS * STREAM_PAUSE_S
+OLD_VERSION = 'v1'
+NEW_VERSION = 'v2'
 
 
 class ProcessRun:
@@ -53,9 +55,8 @@
         self._kill = kill
         self._streams: list[TakenStream] = []
 
-    async def play(self) -> Outcome:
-        """Play the run and return what callers saw."""
-        old = await self._start_engines(1, 'v1')
+    async def play(self, old: Sequence[RunnerStandIn]) -> Outcome:
+        """Play the run, in which the engines ``old`` serve at first, and return what callers saw."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._release, old)
             for number in range(STREAMS):
@@ -65,7 +66,8 @@
                 await self._kill_fronts()
         return outcome_of(self._streams)
 
-    async def _start_engines(self, first: int, version: str) -> list[RunnerStandIn]:
+    async def start_engines(self, first: int, version: str) -> list[RunnerStandIn]:
+        """Start and register two engines of a version, numbered from ``first``."""
         engines = [replace(one, speed=SLOW_ENGINE) for one in versioned_engines(first, 2, version)]
         for engine in engines:
             engine.address = await self._bench.serve(engine.serve)
@@ -82,7 +84,7 @@
         """Start runners of the new version, and take those of the old one away, as far as the moment wants it."""
         moment = self._kill.moment
         await trio.sleep(LOAD_S if moment is Moment.before_release else LOAD_S / 2)
-        await self._start_engines(11, 'v2')
+        await self.start_engines(11, NEW_VERSION)
         if moment is Moment.amid_release:
             return
         for engine in old:
@@ -109,8 +111,25 @@
 async def play(kill: Kill) -> Outcome:
     """Play one run with processes of its own, and return what callers saw."""
     with tempfile.TemporaryDirectory() as folder:
-        async with open_process_bench(stream_configuration(), Path(folder), FRONTS) as bench:
-            return await ProcessRun(bench, kill).play()
+        async with trio.open_nursery() as nursery:
+            bench = ProcessBench(nursery, Path(folder))
+            try:
+                return await _play_on(bench, kill)
+            finally:
+                bench.kill_fronts()
+                nursery.cancel_scope.cancel()
+
+
+async def _play_on(bench: ProcessBench, kill: Kill) -> Outcome:
+    await bench.start(stream_configuration())
+    # The runners of the bench don't mark their events, and would stay.
+    for runner in bench.runners:
+        bench.store.put(RUNNER_TOPIC, runner.key, None)
+    run = ProcessRun(bench, kill)
+    old = await run.start_engines(1, OLD_VERSION)
+    for _ in range(FRONTS):
+        await bench.add_front()
+    return await run.play(old)
 
 
 def main() -> None:
