--- a/tests/front/http_fuzz.py
+++ b/tests/front/http_fuzz.py
@@ -39,7 +39,8 @@
 PAUSE_SHARE = 0.3
 # All connections of callers have ended, and an ejected runner is in use again, after this time in seconds.
 SETTLE_S = 12.0
-# Events that a parser may report for each byte, and beside them: request, end, paused.
+# At one moment a connection asks its parser once for each byte of a receive at most, and so often
+# beside that: request, end, paused.
 EVENTS_BESIDE_BYTES = 50
 RECEIVE_BYTES = 65536
 OK = 200
@@ -160,7 +161,7 @@
         self.violations: list[str] = []
 
     async def run(self) -> None:
-        """Send random requests, then check that the instance serves a sound one and counts no connection too many."""
+        """Send random requests, then check that the instance serves a sound one and has no active request left."""
         runner = self._bench.runners['i-web1']
         self._bench.network.listen(runner.address, self._serve_runner)
         async with trio.open_nursery() as nursery:
