--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner.py
@@ -26,7 +26,14 @@
     send_without_end,
     stream_events,
 )
-from sesamepoint_standins.platform.runner_state import EngineSpeed, Faults, Run, StatusReport, sleep_while_frozen
+from sesamepoint_standins.platform.runner_state import (
+    EngineSpeed,
+    Faults,
+    Run,
+    RunnerObserver,
+    StatusReport,
+    sleep_while_frozen,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -104,6 +111,8 @@
     # Called when such a request starts to run.
     on_crash: Callable[[RunnerStandIn], None] | None = None
     runs: list[Run] = field(default_factory=list)
+    # What records its requests and sets its faults from outside its process, if anything does.
+    observer: RunnerObserver | None = None
     # Times of calls to the health page.
     health_calls: list[float] = field(default_factory=list)
 
@@ -170,6 +179,8 @@
         try:
             while await conn.wait_for_request():
                 message = await conn.read_request()
+                if self.observer is not None:
+                    self.faults = self.observer.current_faults()
                 await sleep_while_frozen(self.faults)
                 await self._serve_request(conn, message, transport)
                 if not conn.reusable:
@@ -215,6 +226,8 @@
         self.request_ids.append((header(message.head.headers, wire_names.REQUEST_ID) or b'').decode())
         if not self.request_ids[-1]:
             self.internal_at.add(self.arrivals[-1])
+        if self.observer is not None:
+            self.observer.note_arrival(self.request_ids[-1])
 
     async def _run(self, conn: ServerConn, message: ReceivedRequest, transport: Transport) -> None:
         headers = message.head.headers
@@ -233,6 +246,8 @@
         run = Run((header(headers, wire_names.REQUEST_ID) or b'').decode(), message, trio.current_time())
         run.prefill = header(headers, wire_names.SERVING_STAGE) == b'prefill'
         self.runs.append(run)
+        if run.prefill and self.observer is not None:
+            self.observer.note_prefill(run.request_id)
         self.running += 1
         try:
             await self._work(conn, run, transport)
@@ -243,8 +258,8 @@
     async def _work(self, conn: ServerConn, run: Run, transport: Transport) -> None:
         if self.faults.hangs:
             await trio.sleep_forever()
-        if self.faults.breaks_before_answer:
-            return transport.reset()
+        if self.faults.breaks_before_answer or self.faults.closes:
+            return transport.close() if self.faults.closes else transport.reset()
         if self.faults.endless:
             return await send_without_end(transport)
         if self.faults.loses > self._rng.random():
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/runner_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import trio
 
@@ -76,6 +76,8 @@
     breaks_before_answer: bool = False
     # Whether the connection is reset before the request runs.
     drops: bool = False
+    # Whether the connection is closed without an answer.
+    closes: bool = False
     # Whether its answers are failures whose bodies never end.
     endless: bool = False
     # Time on trio's clock until which it reads nothing, as a stopped process; what has arrived is read then.
@@ -93,10 +95,23 @@
     hides_start: bool = False
 
 
+class RunnerObserver(Protocol):
+    """Records the requests of a runner, and says which faults it has."""
+
+    def note_arrival(self, request_id: str) -> None:
+        """Record a request that was read; the id is empty if no caller sent it."""
+
+    def note_prefill(self, request_id: str) -> None:
+        """Record a remote prefill that is accepted."""
+
+    def current_faults(self) -> Faults:
+        """Return its faults from now on."""
+
+
 async def sleep_while_frozen(faults: Faults) -> None:
     """Wait until a runner no longer stands still."""
     if faults.frozen_until > trio.current_time():
         await trio.sleep_until(faults.frozen_until)
 
 
-__all__ = ('EngineSpeed', 'Faults', 'Run', 'StatusReport', 'sleep_while_frozen')
+__all__ = ('EngineSpeed', 'Faults', 'Run', 'RunnerObserver', 'StatusReport', 'sleep_while_frozen')
--- a/tests/front/retry_budget/repeat_oracle.py
+++ b/tests/front/retry_budget/repeat_oracle.py
@@ -48,10 +48,16 @@
     The first prefill of a request that a runner accepted is no repeat. Arrivals that were rejected count.
     """
     arrivals: list[tuple[float, str]] = []
-    free_prefills: Counter[str] = Counter()
+    prefills: list[str] = []
     for runner in runners:
         arrivals += [(at, request) for at, request in zip(runner.arrivals, runner.request_ids, strict=True) if request]
-        free_prefills.update(run.request_id for run in runner.runs if run.prefill)
+        prefills += [run.request_id for run in runner.runs if run.prefill]
+    return repeats_of(arrivals, prefills)
+
+
+def repeats_of(arrivals: Iterable[tuple[float, str]], accepted_prefills: Iterable[str]) -> list[float]:
+    """Return the times of ``arrivals`` beyond the first of each request, by the requests of ``accepted_prefills``."""
+    free_prefills = Counter(accepted_prefills)
     seen: Counter[str] = Counter()
     repeats = []
     for at, request in sorted(arrivals):
@@ -87,4 +93,4 @@
     return window.excess
 
 
-__all__ = ('BudgetBound', 'WorstWindow', 'repeat_times', 'worst_window')
+__all__ = ('BudgetBound', 'WorstWindow', 'repeat_times', 'repeats_of', 'worst_window')
