--- a/packages/sesamectl/src/sesamectl/commands/budget.py
+++ b/packages/sesamectl/src/sesamectl/commands/budget.py
@@ -23,14 +23,16 @@
     if not found.repeats:
         return 'no log line records a repeat (event 3243)'
     notes = ['note: requests without a line on their end, as of a killed process, are not counted']
-    return '\n'.join([*(line for window in found.worst_windows() for line in _lines(window)), *notes])
+    sent = [line for window in found.worst_windows() for line in _lines(window, 'sent')]
+    read = [line for window in found.worst_read_windows() for line in _lines(window, 'read')]
+    return '\n'.join([*sent, *read, *notes])
 
 
-def _lines(window: WorstWindow) -> list[str]:
+def _lines(window: WorstWindow, what: str) -> list[str]:
     began_at = datetime.fromtimestamp(window.began_at).strftime('%H:%M:%S.%f')[:-3]  # noqa: DTZ006
     verdict = 'EXCEEDED' if window.excess > 0 else 'kept'
     summary = (
-        f'{window.service}: {len(window.repeats)} repeats from {began_at} on for {window.requests} requests, '
+        f'{window.service}: {len(window.repeats)} repeats {what} from {began_at} on for {window.requests} requests, '
         f'{window.allowed:g} allowed, {verdict}'
     )
     parts = (
--- a/packages/sesamectl/src/sesamectl/repeat_windows.py
+++ b/packages/sesamectl/src/sesamectl/repeat_windows.py
@@ -5,6 +5,7 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from sesamepoint import events
@@ -12,7 +13,9 @@
 from sesamectl.log_lines import decode_line
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+
+    AddLine = Callable[['RepeatLog', dict[str, Any]], None]
 
 MS_A_SECOND = 1000
 
@@ -23,7 +26,9 @@
     Parameters
     ----------
     at
-        When it was sent, as a timestamp in seconds.
+        When it was sent, or read, as a timestamp in seconds.
+    reason
+        Why it was sent, or what showed that it was read.
     """
 
     at: float
@@ -68,9 +73,10 @@
 
 @dataclass
 class RepeatLog:
-    """What logs say of repeats: sends beyond the first, arrivals of requests, and changes of the bound."""
+    """What logs say of repeats: sends beyond the first, when they were read, arrivals of requests, and the bound."""
 
     repeats: defaultdict[str, list[Repeat]] = field(default_factory=lambda: defaultdict(list))
+    reads: defaultdict[str, list[Repeat]] = field(default_factory=lambda: defaultdict(list))
     arrived_at: defaultdict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     bounds: list[tuple[float, Bound]] = field(default_factory=list)
 
@@ -89,19 +95,39 @@
 
     def worst_windows(self) -> list[WorstWindow]:
         """Return the worst window of each service with repeats, the worst service first."""
-        worst = [self._worst_of(service) for service in sorted(self.repeats)]
+        return self._worst_by(self.repeats)
+
+    def worst_read_windows(self) -> list[WorstWindow]:
+        """Return the same by the times at which runners were seen to have read the repeats."""
+        return self._worst_by(self.reads)
+
+    def _worst_by(self, repeats: Mapping[str, list[Repeat]]) -> list[WorstWindow]:
+        worst = [self._worst_of(service, repeats[service]) for service in sorted(repeats)]
         return sorted(worst, key=_excess, reverse=True)
 
     def _add(self, fields: dict[str, Any]) -> None:
-        event = fields['event']
-        if event == events.REPEAT_SENT.number:
-            repeat = Repeat(time_s(fields['asctime']), fields['process'], fields['reason'])
-            self.repeats[fields['service']].append(repeat)
-        elif event == events.ANSWER_ENDED.number and 'service' in fields:
-            arrived_at = time_s(fields['asctime']) - fields['took_ms'] / MS_A_SECOND
-            self.arrived_at[fields['service']].append(arrived_at)
-        elif event == events.RETRY_SHARE_CHANGED.number and 'ratio' in fields:
-            bound = Bound(fields['ratio'], fields['slack'], fields['window_s'])
+        add = _LINES.get(fields['event'])
+        if add is not None:
+            add(self, fields)
+
+    def _add_repeat(self, fields: dict[str, Any]) -> None:
+        repeat = Repeat(time_s(fields['asctime']), fields['process'], fields['reason'])
+        self.repeats[fields['service']].append(repeat)
+
+    def _add_read(self, fields: dict[str, Any]) -> None:
+        if fields['repeat']:
+            read = Repeat(time_s(fields['asctime']), fields['process'], fields['sign'])
+            self.reads[fields['service']].append(read)
+
+    def _add_request(self, fields: dict[str, Any]) -> None:
+        service = fields.get('service')
+        if service is not None:
+            self.arrived_at[service].append(time_s(fields['asctime']) - fields['took_ms'] / MS_A_SECOND)
+
+    def _add_bound(self, fields: dict[str, Any]) -> None:
+        ratio = fields.get('ratio')
+        if ratio is not None:
+            bound = Bound(ratio, fields['slack'], fields['window_s'])
             self.bounds.append((time_s(fields['asctime']), bound))
 
     def _bound_at(self, moment: float) -> Bound:
@@ -109,9 +135,9 @@
         place = bisect_right(self.bounds, (moment, Bound(0, 0, 0)))
         return self.bounds[max(place - 1, 0)][1]
 
-    def _worst_of(self, service: str) -> WorstWindow:
+    def _worst_of(self, service: str, unsorted: Iterable[Repeat]) -> WorstWindow:
         """Return the worst window of a service, over all that begin with a repeat."""
-        repeats = sorted(self.repeats[service])
+        repeats = sorted(unsorted)
         times = [repeat.at for repeat in repeats]
         windows = []
         for first, began_at in enumerate(times):
@@ -122,6 +148,16 @@
         return max(windows, key=_excess)
 
 
+_LINES: Mapping[int, AddLine] = MappingProxyType(
+    {
+        events.REPEAT_SENT.number: RepeatLog._add_repeat,
+        events.SEND_READ.number: RepeatLog._add_read,
+        events.ANSWER_ENDED.number: RepeatLog._add_request,
+        events.RETRY_SHARE_CHANGED.number: RepeatLog._add_bound,
+    }
+)
+
+
 def _most_requests(arrived_at: Sequence[float], began_at: float, window_s: float) -> int:
     """Return the requests of the window, the one before it or the one half a window before it: whichever has most."""
     starts = (began_at - shift for shift in (0, window_s / 2, window_s))
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -88,6 +88,7 @@
 RETRY_BUDGET_CHARGED = _event(3241, logging.INFO, 'retry budget charged with a send that it was not asked for')
 RETRY_SHARE_CHANGED = _event(3242, logging.INFO, 'share in the reserve of the retry budget changed')
 REPEAT_SENT = _event(3243, logging.INFO, 'request sent once more')
+SEND_READ = _event(3244, logging.INFO, 'send of a repeated request was read by its runner, or can no longer be')
 QUARANTINE_ENDED = _event(3214, logging.WARNING, 'quarantine of a request ended')
 QUARANTINE_NOT_STORED = _event(3215, logging.WARNING, 'quarantine record could not be stored, the write is retried')
 REQUEST_DENIED = _event(3216, logging.INFO, "request denied, its key is no account's")
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -62,7 +62,7 @@
         self._origin_runners = components.origin_runners
         self._engine_runs = engine_runs
         self.budgets = components.budgets
-        self.metrics.counters += (components.budgets.decisions, components.budgets.arrivals)
+        self.metrics.counters += (components.budgets.decisions, components.budgets.arrivals, components.budgets.reads)
         self._quarantine = quarantine
         self._rng = rng
         self._usual_deadlines = RetryDetector()
@@ -140,7 +140,7 @@
         if self._quarantine.refuses(job) or self._lag_refuses(job) or not await self._has_runners(job):
             return None
         budget = self.budgets.earn(job.service)
-        job.arrivals.on_arrival = budget.note_arrival
+        job.arrivals.observer = budget
         self._permit_queue.note_request(job.service)
         outcome = await self._attempt_once(job, cfg, budget)
         while outcome is not None and may_retry(job, outcome):
--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_runs.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sesamepoint.front.requests.attempt import Target
+from sesamepoint.front.requests.target import Target
 from sesamepoint.front.requests.attempt_results import Rejected, Relayed, Unsent, Withheld
 from sesamepoint.front.engines.decision_fields import decision_fields
 from sesamepoint.front.engines.engine_sends import NewLoad
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -20,7 +20,8 @@
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
-    from sesamepoint.front.requests.attempt import Target
+    from sesamepoint.front.requests.arrivals import Sent
+    from sesamepoint.front.requests.target import Target
     from sesamepoint.front.runners.fleet_member import Member
     from sesamepoint.front.requests.reply import Reply
     from sesamepoint.front.requests.request import FrontRequest
@@ -120,15 +121,29 @@
 
 async def _send_and_receive(req: FrontRequest, target: Target, conn: ClientConn) -> Prefilled | PrefillFailed:
     wire = conn.start_request(encode_request(req, target.sending), req.body)
-    target.purpose.note_arrival(target.member.runner.key)
+    sent = target.purpose.latest_send
     async with trio.open_nursery() as nursery:
         nursery.start_soon(conn.send_ignoring_errors, wire)
-        head = await conn.read_head(partial(matches_request, req))
+        head = await _read_head(req, conn, sent)
         outcome = await _read_handle(target.member, conn, head)
         nursery.cancel_scope.cancel()
     return outcome
 
 
+async def _read_head(req: FrontRequest, conn: ClientConn, sent: Sent | None) -> ResponseHead:
+    try:
+        head = await conn.read_head(partial(matches_request, req))
+    except ConnBrokenError as exc:
+        if sent is not None:
+            sent.note_broken(exc.read_end)
+        raise
+    if sent is not None:
+        if not reports_not_run(head):
+            sent.sends.note_accepted_prefill(sent)
+        sent.note_answer()
+    return head
+
+
 async def _read_handle(member: Member, conn: ClientConn, head: ResponseHead) -> Prefilled | PrefillFailed:
     if head.status != STATUS_OK:
         # That it failed stands in the head, and holds whatever becomes of the body.
--- a/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import trio
 
+from sesamepoint_core.body_end.body_facts import ReadEnd
+
 
 class SendReason(StrEnum):
     """Why a request is sent to a runner."""
@@ -21,6 +22,19 @@
     probe = 'probe'
 
 
+class ReadSign(StrEnum):
+    """What shows that a runner has read a request, or can no longer read it.
+
+    ``closed``: it ended the connection. ``later_answer``: it answered a request that was sent later.
+    ``gone``: its process has ended, or its registration has been gone for long.
+    """
+
+    answer = 'answer'
+    closed = 'closed'
+    later_answer = 'later_answer'
+    gone = 'gone'
+
+
 class Arrival(NamedTuple):
     """A send of a request that reaches its runner.
 
@@ -39,43 +53,140 @@
     first_sent_ago_s: float
 
 
-ArrivalCallback = Callable[[Arrival], None]
+class Read(NamedTuple):
+    """A send of a request that was sent more than once, once its runner has read it.
+
+    Parameters
+    ----------
+    extra
+        Whether it was read after another send of its request: which of the sends is
+        the repeat is settled at the runners, not by the order of the sends.
+    """
+
+    arrival: Arrival
+    sign: ReadSign
+    unread_s: float
+    extra: bool
+
+
+class ArrivalObserver(Protocol):
+    """Learns of the sends of requests, and when they were read."""
+
+    def note_arrival(self, arrival: Arrival) -> None:
+        """Learn that a request goes out to a runner."""
 
+    def note_life(self) -> None:
+        """Learn that a runner has read a request."""
 
-@dataclass
+    def note_read(self, read: Read) -> None:
+        """Learn that a runner has read a send of a request that was sent more than once."""
+
+
+@dataclass(eq=False)
+class Sent:
+    """One send of a request, until something shows that its runner has read it.
+
+    Parameters
+    ----------
+    free
+        Whether it is the remote prefill that the bound on repeats doesn't count.
+    """
+
+    arrival: Arrival
+    sends: Arrivals
+    sent_at: float
+    free: bool = False
+    sign: ReadSign | None = None
+
+    def note_answer(self) -> None:
+        """Note that its runner answers."""
+        self.note_read(ReadSign.answer)
+
+    def note_broken(self, read_end: ReadEnd) -> None:
+        """Note that its connection broke: its runner reads no more of it, unless this system gave the connection up."""
+        if read_end is not ReadEnd.timed_out:
+            self.note_read(ReadSign.closed)
+
+    def note_read(self, sign: ReadSign) -> None:
+        """Note the first sign that the runner has read it; later ones say nothing new."""
+        if self.sign is None:
+            self.sign = sign
+            self.sends.note_read(self, sign)
+
+
+@dataclass(eq=False)
 class Arrivals:
     """Counts the arrivals of one request.
 
     Parameters
     ----------
-    on_arrival
-        Called at each arrival.
+    observer
+        Learns of each arrival.
     counted
         Arrivals without the first remote prefill that a runner accepted, which is free.
+    read
+        Those of them that were read.
+    sent
+        Sends that nothing shows to be read.
     """
 
-    on_arrival: ArrivalCallback | None = None
+    observer: ArrivalObserver | None = None
     counted: int = 0
+    read: int = 0
     has_free_prefill: bool = False
+    # Whether nobody has asked yet for what the free prefill was paid with.
+    free_unsettled: bool = False
     first_at: float | None = None
+    sent: list[Sent] = field(default_factory=list)
+    latest: Sent | None = None
 
-    def note(self, request_id: str, runner: str, reason: SendReason) -> None:
+    def note(self, request_id: str, runner: str, reason: SendReason) -> Sent:
         """Count a send whose first bytes go out now."""
         now = trio.current_time()
         if self.first_at is None:
             self.first_at = now
         arrival = Arrival(request_id, runner, reason, self.counted > 0, now - self.first_at)
         self.counted += 1
-        if self.on_arrival is not None:
-            self.on_arrival(arrival)
-
-    def note_accepted_prefill(self) -> bool:
-        """Count a remote prefill that its runner accepted; return whether it is the free one."""
+        sent = Sent(arrival, self, now)
+        self.sent.append(sent)
+        self.latest = sent
+        if self.observer is not None:
+            self.observer.note_arrival(arrival)
+        return sent
+
+    def note_read(self, sent: Sent, sign: ReadSign) -> None:
+        """Note that a send was read."""
+        self.sent.remove(sent)
+        if not sent.free:
+            self.read += 1
+        if self.observer is None:
+            return
+        if sign is not ReadSign.gone:
+            self.observer.note_life()
+        if self.counted > 1 and not sent.free:
+            unread_s = trio.current_time() - sent.sent_at
+            self.observer.note_read(Read(sent.arrival, sign, unread_s, self.read > 1))
+
+    def note_accepted_prefill(self, sent: Sent) -> bool:
+        """Count a remote prefill that its runner accepts by its answer; return whether it is the free one."""
         if self.has_free_prefill:
             return False
         self.has_free_prefill = True
+        self.free_unsettled = True
+        sent.free = True
         self.counted -= 1
         return True
 
+    def take_free_prefill(self) -> bool:
+        """Return whether the latest accepted prefill is the free one; it is so once."""
+        is_free = self.free_unsettled
+        self.free_unsettled = False
+        return is_free
+
+    @property
+    def unread_extra(self) -> int:
+        """Return the arrivals beyond the first that may still be to come."""
+        return max(self.counted - 1 - max(self.read - 1, 0), 0)
+
 
-__all__ = ('Arrival', 'Arrivals', 'SendReason')
+__all__ = ('Arrival', 'ArrivalObserver', 'Arrivals', 'Read', 'ReadSign', 'SendReason', 'Sent')
--- a/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/attempt.py
@@ -4,7 +4,7 @@
 
 import math
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,7 +14,7 @@
 from sesamepoint.front.requests.job import is_success
 from sesamepoint.front.requests.start_check import check_start
 from sesamepoint.front.runners.incarnation_check import START_CHECK_S, SenderState, sender_state
-from sesamepoint.front.runners.send_check import SendBlockedError, SendKind, SendPurpose
+from sesamepoint.front.runners.send_check import SendBlockedError
 from sesamepoint.front.requests.attempt_results import (
     AttemptResult,
     Broken,
@@ -38,15 +38,14 @@
 from sesamepoint.single_error import single_error
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from sesamepoint.front.runners.fleet_member import Member
+    from sesamepoint.front.requests.arrivals import Sent
     from sesamepoint.front.requests.job import Job
     from sesamepoint.front.requests.reply import Reply
     from sesamepoint.front.requests.request import FrontRequest
+    from sesamepoint.front.requests.target import Target
     from sesamepoint.http1.client import ClientConn
     from sesamepoint.http1.messages import ResponseHead
-    from sesamepoint.platform.headers import AttemptHeaders
 
 # Bodies of unstreamed answers beyond this size are relayed in parts.
 MAX_BUFFERED_BYTES = 262144
@@ -60,27 +59,6 @@
 CHECK_VALID_S = START_CHECK_S
 
 
-class Target(NamedTuple):
-    """The runner of an attempt, how long it may stay silent, and callbacks.
-
-    Parameters
-    ----------
-    silence_timeout_s
-        Seconds until the first output, after which the attempt ends.
-    on_first_output
-        Called at the first output of the runner.
-    on_pause
-        Called with the seconds between two events.
-    """
-
-    member: Member
-    sending: AttemptHeaders
-    silence_timeout_s: float = math.inf
-    on_first_output: Callable[[], None] | None = None
-    on_pause: Callable[[float], None] | None = None
-    purpose: SendPurpose = SendPurpose(SendKind.run)
-
-
 class Attempt:
     """Sends the request to a runner and relays a successful answer to the caller."""
 
@@ -98,6 +76,7 @@
         self._last_event_at: float | None = None
         # Whether the runner is known to be the incarnation that its registration describes.
         self._start_known = True
+        self._sent: Sent | None = None
 
     async def run(self) -> AttemptResult:
         """Run the attempt; its connection is closed if the answer did not end on it.
@@ -130,6 +109,8 @@
         except SendBlockedError as exc:
             return Withheld(exc.condition)
         except ConnBrokenError as exc:
+            if self._sent is not None:
+                self._sent.note_broken(exc.read_end)
             return Broken(str(exc), runner_ended=await member.has_ended())
         finally:
             member.release(conn)
@@ -157,7 +138,7 @@
         # Nothing is sent for a caller that has disconnected.
         self._reply.check_caller()
         request_bytes = conn.start_request(encode_request(self._req, self._target.sending), self._req.body)
-        self._target.purpose.note_arrival(self._target.member.runner.key)
+        self._sent = self._target.purpose.latest_send
         rest = request_bytes[conn.send_now(request_bytes) :]
         if not rest:
             return await self._read_answer(conn)
@@ -170,6 +151,8 @@
 
     async def _read_answer(self, conn: ClientConn) -> AttemptResult:
         head = await conn.read_head(partial(matches_request, self._req))
+        if self._sent is not None:
+            self._sent.note_answer()
         if reports_not_run(head):
             # That it was not run stands in the head, and holds whatever becomes of the body.
             self._silence_scope.deadline = math.inf
@@ -286,4 +269,4 @@
                 self._target.on_first_output()
 
 
-__all__ = ('Attempt', 'Target')
+__all__ = ('Attempt',)
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -10,7 +10,8 @@
 from sesamepoint_core.serving.routes import RepeatPolicy
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
-from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.requests.attempt import Attempt
+from sesamepoint.front.requests.target import Target
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.requests.job import SentRunner
 from sesamepoint.front.requests.request_end import body_fields, logged_parts
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -14,12 +14,14 @@
 from sesamepoint.front.telemetry.rows import Rows
 
 if TYPE_CHECKING:
-    from sesamepoint.front.requests.arrivals import Arrival
+    from sesamepoint.front.requests.arrivals import Arrival, Read
     from sesamepoint.front.requests.job import Job
 
 # Share of the retry budget that is used. The rest is a margin for sends that arrive later than
 # the window budget allows for, as at a runner that stood still.
 RETRY_BUDGET_SHARE = 0.95
+# Seconds from a send to the first sign that it was read beyond which the read is late.
+LATE_READ_S = 1.0
 
 
 class PrefillHold(NamedTuple):
@@ -87,7 +89,7 @@
             if hold.payment is None:
                 self.charge(job.req.request_id)
             return
-        is_free = arrival is PrefillArrival.unsent or job.arrivals.note_accepted_prefill()
+        is_free = arrival is PrefillArrival.unsent or job.arrivals.take_free_prefill()
         if is_free and hold.payment is not None:
             self.window.refund(hold.payment)
 
@@ -110,6 +112,25 @@
                 budget_age_s=round(trio.current_time() - self._started_at, 3),
             )
 
+    def note_life(self) -> None:
+        """Learn that a runner of this service has read a request."""
+
+    def note_read(self, read: Read) -> None:
+        """Log and count a send, of a request that was sent more than once, that its runner has read."""
+        late = read.unread_s > LATE_READ_S
+        self._budgets.reads.add(self._service, read.sign.value, 'yes' if late else 'no')
+        events.log_event(
+            events.SEND_READ,
+            request=read.arrival.request_id,
+            service=self._service,
+            runner=read.arrival.runner,
+            reason=read.arrival.reason.value,
+            sign=read.sign.value,
+            unread_ms=whole_ms(read.unread_s),
+            repeat=read.extra,
+            budget_age_s=round(trio.current_time() - self._started_at, 3),
+        )
+
     def _log(self, event: events.Event, request_id: str, outcome: str, **fields: object) -> None:
         self._budgets.decisions.add(self._service, outcome)
         events.log_event(
@@ -146,6 +167,13 @@
             'reason',
             'extra',
         )
+        self.reads = Rows.empty(
+            'sesamepoint_repeated_reads',
+            'Sends of requests that were sent more than once, by what showed that they were read, and whether late.',
+            'service',
+            'sign',
+            'late',
+        )
         self._bound = _Bound(ratio, reserve, window_s)
         self._ratio = RETRY_BUDGET_SHARE * ratio
         self.reserve_share = ReserveShare(name, window_s, trio.current_time)
--- a/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/fleet_member.py
@@ -24,6 +24,7 @@
     PendingSend,
     SendBlockedError,
     SendKind,
+    record_send,
 )
 
 if TYPE_CHECKING:
@@ -77,6 +78,7 @@
         self.kv_tokens = kv_tokens
         self.model = EngineModel()
         self.in_flight = 0
+        self._unread = send_check.unread_sends.of(self.incarnation)
         # Whether it has answered any request of this instance.
         self.answered = False
         # Called when an answer from its address comes from another incarnation.
@@ -156,7 +158,10 @@
             return life is ProbeOutcome.refused or (life is ProbeOutcome.not_open and not active)
         if self.draining or not self.presence.registered:
             return False
-        return await self._crash_probe.refused(now - BREAK_SPREAD_S if since is None else since)
+        refused = await self._crash_probe.refused(now - BREAK_SPREAD_S if since is None else since)
+        if refused:
+            self._unread.note_ended()
+        return refused
 
     def note_replaced(self, source: str) -> None:
         """Note that another incarnation has its address.
@@ -214,6 +219,7 @@
     def close(self) -> None:
         """Close idle connections; requests in progress go on."""
         self.closed = True
+        self._unread.gone_at = trio.current_time()
         self._pool.close()
 
     @property
@@ -233,10 +239,12 @@
         limits = self._runner_statuses.limits
         if not is_maintenance:
             limits.use(self.incarnation, purpose.job)
+            self._unread.add(record_send(purpose.kind, purpose.job, self.runner.key))
         elif not limits.use_for_check(self.incarnation, purpose.job):
             raise SendBlockedError(self.runner.key, NO_PERMIT_CONDITION)
 
     def _note_head(self, head: ResponseHead, sent_at: float) -> None:
+        self._unread.note_life(sent_at)
         if not self.answered:
             self.answered = True
             self._runner_statuses.limits.changed.set()
--- a/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/send_check.py
@@ -11,9 +11,10 @@
 
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.registry import Registry
-from sesamepoint.front.requests.arrivals import SendReason
+from sesamepoint.front.requests.arrivals import SendReason, Sent
 from sesamepoint.front.runners.runner_limits import RunnerLimits
 from sesamepoint.front.runners.runner_status import RunnerStatuses
+from sesamepoint.front.runners.unread_sends import UnreadRegistry
 
 if TYPE_CHECKING:
     from random import Random
@@ -61,11 +62,16 @@
     kind: SendKind
     job: Job | None = None
 
-    def note_arrival(self, runner: str) -> None:
-        """Record that the message goes out to ``runner``, if it is a request of a caller."""
-        if self.job is not None:
-            reason = _REASON_BY_KIND.get(self.kind) or _run_reason(self.job)
-            self.job.arrivals.note(self.job.req.request_id, runner, reason)
+    @property
+    def latest_send(self) -> Sent | None:
+        """Return the record of the latest send of the request; None without a request."""
+        return None if self.job is None else self.job.arrivals.latest
+
+
+def record_send(kind: SendKind, job: Job, runner: str) -> Sent:
+    """Record that a request of a caller goes out to ``runner``."""
+    reason = _REASON_BY_KIND.get(kind) or _run_reason(job)
+    return job.arrivals.note(job.req.request_id, runner, reason)
 
 
 class PendingSend(NamedTuple):
@@ -107,6 +113,7 @@
         """Check against the given runner status, and against the suspected poison requests in ``suspects``."""
         self.runner_statuses = runner_statuses
         self.suspects = suspects
+        self.unread_sends = UnreadRegistry()
         self._conditions = tuple((name, BLOCK_CONDITIONS.get(name)) for name in BLOCK_CONDITIONS)
 
     @classmethod
@@ -200,4 +207,5 @@
     'SendCheck',
     'SendKind',
     'SendPurpose',
+    'record_send',
 )
--- a/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
@@ -20,6 +20,8 @@
     from sesamepoint.http1.transport import Transport
 
 RECEIVE_BYTES = 65536
+# Errors by which this system gives a connection up; the far end may still read what it was sent.
+NETWORK_ERRORS = frozenset((errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH))
 
 
 @dataclass
@@ -84,7 +86,7 @@
 
 def _read_end_of(exc: Exception) -> ReadEnd:
     cause = exc.__cause__
-    timed_out = isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
+    timed_out = isinstance(cause, OSError) and cause.errno in NETWORK_ERRORS
     return ReadEnd.timed_out if timed_out else ReadEnd.reset
 
 
--- a/tests/ctl/test_repeat_windows.py
+++ b/tests/ctl/test_repeat_windows.py
@@ -23,6 +23,12 @@
     )
 
 
+def _read(second: int, *, repeat: bool) -> str:
+    return log_line(
+        events.SEND_READ, second, request='r', service=SERVICE, sign='later_answer', repeat=repeat, process='front-1'
+    )
+
+
 class RepeatWindowsTest(TestCase):
     """Repeats of two instances, whose logs come one after the other."""
 
@@ -36,6 +42,15 @@
         self.assertGreater(worst.excess, 0)
         self.assertEqual(worst.by('process'), [('front-2', 3), ('front-1', 2)])
 
+    def test_worst_window_of_reads(self) -> None:
+        """Guards against repeats that are sent in two windows, read in one, and found in neither."""
+        lines = [_bound(0, 2), *(_repeat(second, 'front-1') for second in (2, 3, 14, 15))]
+        lines += [_read(14, repeat=repeat) for repeat in (True, True, True, False)]
+        found = RepeatLog.read(lines)
+        self.assertEqual(len(found.worst_windows()[0].repeats), 2)
+        worst = found.worst_read_windows()[0]
+        self.assertEqual((len(worst.repeats), worst.by('reason')), (3, [('later_answer', 3)]))
+
     def test_worst_window_changed_bound(self) -> None:
         """Guards against windows that are compared with a bound that was not in force yet."""
         lines = [_bound(0, 5), _bound(30, 1), *(_repeat(second, 'front-1') for second in (10, 11, 31, 32))]
--- a/tests/front/send_check_bench.py
+++ b/tests/front/send_check_bench.py
@@ -11,7 +11,7 @@
 import trio
 
 from sesamepoint_core.serving.routes import RepeatPolicy, Route, ServiceShare
-from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.requests import attempt, target
 from sesamepoint.front.engines.cache_inventory import CacheInventory
 from sesamepoint.front.fleet_health.probing import Probing
 from sesamepoint.front.runners.engine_subset import EngineSubset
@@ -70,15 +70,19 @@
 
 async def send_run(kind: SendKind, bench: SendCheckBench) -> None:
     """Send a request, or only its decode step, as ``kind`` says."""
-    target = Target(bench.member, AttemptHeaders('i-1', 5, 0), SILENCE_TIMEOUT_S, purpose=SendPurpose(kind, bench.job))
-    await Attempt(tag_request(), target, _reply(), streamed=True).run()
+    engine = target.Target(
+        bench.member, AttemptHeaders('i-1', 5, 0), SILENCE_TIMEOUT_S, purpose=SendPurpose(kind, bench.job)
+    )
+    await attempt.Attempt(tag_request(), engine, _reply(), streamed=True).run()
 
 
 async def send_remote_prefill(bench: SendCheckBench) -> None:
     """Send a remote prefill."""
     purpose = SendPurpose(SendKind.remote_prefill, bench.job)
-    target = Target(bench.member, AttemptHeaders('i-1', 5, 0, prefill_only=True), SILENCE_TIMEOUT_S, purpose=purpose)
-    await prefill(tag_request(), target, _reply())
+    engine = target.Target(
+        bench.member, AttemptHeaders('i-1', 5, 0, prefill_only=True), SILENCE_TIMEOUT_S, purpose=purpose
+    )
+    await prefill(tag_request(), engine, _reply())
 
 
 async def request_inventory(bench: SendCheckBench) -> None:
--- a/tests/front/test_attempt.py
+++ b/tests/front/test_attempt.py
@@ -9,7 +9,8 @@
 
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import Runner, Stage
-from sesamepoint.front.requests.attempt import Attempt, Target
+from sesamepoint.front.requests.attempt import Attempt
+from sesamepoint.front.requests.target import Target
 from sesamepoint.front.requests.attempt_results import Relayed
 from sesamepoint.front.runners.fleet_member import Member
 from sesamepoint.front.requests.reply import Reply
--- a/tests/front/test_plain_answers.py
+++ b/tests/front/test_plain_answers.py
@@ -12,7 +12,8 @@
 import trio
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
-from sesamepoint.front.requests.attempt import MAX_BUFFERED_BYTES, Attempt, Target
+from sesamepoint.front.requests.attempt import MAX_BUFFERED_BYTES, Attempt
+from sesamepoint.front.requests.target import Target
 from sesamepoint.front.requests.attempt_results import Broken, Relayed
 from sesamepoint.front.requests.reply import Reply
 from sesamepoint.front.runners.fleet_member import Member
