--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -12,6 +12,7 @@
 from sesamepoint_core.units import whole_ms
 from sesamepoint import events
 from sesamepoint.front.engines.prefill import PrefillArrival
+from sesamepoint.front.retry_budget.service_life import ServiceLife
 from sesamepoint.front.telemetry.rows import Rows
 
 if TYPE_CHECKING:
@@ -42,12 +43,14 @@
         self._service = service
         self._budgets = budgets
         self._started_at = trio.current_time()
+        self._life = ServiceLife(budgets.window_s, trio.current_time)
         # When a first prefill was last accepted by no runner.
         self._unaccepted_at = -math.inf
 
     def earn(self) -> None:
-        """Count a request."""
-        self.window.earn()
+        """Count a request; while the runners show no life, requests earn nothing."""
+        self._life.note_request()
+        self._earn_waiting()
 
     def cover(self, job: Job, ahead: int = 0) -> bool:
         """Pay for the next send of a request, and ``ahead`` more, unless they are paid; return False if they can't be.
@@ -88,6 +91,7 @@
 
     def note_arrival(self, arrival: Arrival) -> None:
         """Log and count a send of a request of this service."""
+        self._life.note_send()
         self._budgets.arrivals.add(self._service, arrival.reason.value, 'yes' if arrival.extra else 'no')
         if arrival.extra:
             events.log_event(
@@ -102,6 +106,8 @@
 
     def note_life(self) -> None:
         """Learn that a runner of this service has read a request."""
+        self._life.note_life()
+        self._earn_waiting()
 
     def note_read(self, read: Read) -> None:
         """Log and count a send, of a request that was sent more than once, that its runner has read."""
@@ -119,8 +125,12 @@
             budget_age_s=round(trio.current_time() - self._started_at, 3),
         )
 
+    def _earn_waiting(self) -> None:
+        for _ in range(self._life.take_earning()):
+            self.window.earn()
+
     def _spend(self, request_id: str) -> Payment | None:
-        self.window.resize(self._budgets.share(self._service))
+        self.window.resize(self._budgets.share(self._service) if self._life.reserve_counts else 0)
         payment = self.window.spend()
         outcome = 'denied' if payment is None else 'granted'
         self._log(events.RETRY_BUDGET_ASKED, request_id, outcome, source=payment.source if payment else '')
@@ -134,6 +144,7 @@
             service=self._service,
             outcome=outcome,
             **fields,
+            shows_life=self._life.shown,
             budget_age_s=round(trio.current_time() - self._started_at, 3),
             instances=self._budgets.reserve_share.instances,
             list_current=self._budgets.reserve_share.current,
--- a/tests/core/admit/late_arrival_model.py
+++ b/tests/core/admit/late_arrival_model.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from sesamepoint.front.retry_budget.service_life import ServiceLife
 from sesamepoint_core.admit.window_budget import WindowBudget
 from tests.core.admit.earning_model import BOUND, RESERVE_HELD_S
 from tests.front.retry_budget.repeat_oracle import worst_window
@@ -34,6 +35,9 @@
 DISTURBANCE_PAUSE_S = 4.0
 # Share of the stalls that concern all runners.
 ALL_STALL_SHARE = 0.3
+# A runner that was silent for as many sends gets none but a share of trials.
+SILENCES_UNTIL_EJECTED = 3
+TRIAL_SHARE = 0.02
 
 
 class Load(NamedTuple):
@@ -43,6 +47,8 @@
     ----------
     kills, moves
         Whether instances are killed and callers move.
+    ejects
+        Whether an instance avoids runners that were silent.
     stall_s
         Seconds for which runners stand still at a time.
     """
@@ -52,6 +58,7 @@
     requests_per_s: float = 40
     kills: bool = False
     moves: bool = False
+    ejects: bool = False
     stall_s: tuple[float, float] = (2.0, 12.0)
 
 
@@ -94,21 +101,31 @@
     def __init__(self, model: LateArrivalModel) -> None:
         """Start now."""
         self.started_at = model.now
+        # Sends in a row to each runner that were not answered.
+        self.silences: Counter[int] = Counter()
         self._model = model
         self._budget = WindowBudget(BOUND.ratio, 0, BOUND.window_s, model.time)
+        self._life = ServiceLife(BOUND.window_s, model.time)
 
     def note_request(self) -> None:
         """Count a request."""
-        self._budget.earn()
+        self._life.note_request()
+        self._earn()
+
+    def note_send(self) -> None:
+        """Note that a request is sent."""
+        self._life.note_send()
 
     def spend(self) -> Any:
         """Return what pays for a repeat now, or None."""
-        held = self._model.now - self.started_at >= RESERVE_HELD_S
+        held = self._model.now - self.started_at >= RESERVE_HELD_S and self._life.reserve_counts
         self._budget.resize(BOUND.slack / self._model.load.instances if held else 0)
         return self._budget.spend()
 
     def note_sign(self, request: _Request) -> None:
         """Note that a send of a request was read."""
+        self._life.note_life()
+        self._earn()
         if request.payment is not None and self.is_read(request.sends):
             self._settle(request.payment)
             request.payment = None
@@ -120,6 +137,10 @@
     def _settle(self, payment: Any) -> None:
         self._budget.settle(payment)
 
+    def _earn(self) -> None:
+        for _ in range(self._life.take_earning()):
+            self._budget.earn()
+
 
 class LateArrivalModel:
     """Instances, runners and requests that all fail, once a calm time has passed."""
@@ -190,16 +211,28 @@
         self._send(request)
 
     def _send(self, request: _Request) -> None:
-        runner = self._rng.choice(self._runners)
+        runner = self._choose(request.life)
         send = _Send(request, runner, self.now)
         request.sends.append(send)
+        request.life.note_send()
         if runner.stalled_until > self.now:
             runner.waiting.append(send)
-            self._at(self.now + SILENCE_S, partial(self._repeat, request))
+            self._at(self.now + SILENCE_S, partial(self._note_silence, send))
         else:
             self._arrive(send)
             self._at(self.now + ANSWER_S, partial(self._answer, send))
 
+    def _choose(self, life: Life) -> _Runner:
+        """Return a runner that was not silent for several sends of ``life``, or now and then any."""
+        ready = [each for each in self._runners if life.silences[id(each)] < SILENCES_UNTIL_EJECTED]
+        if not self.load.ejects or self._rng.random() < TRIAL_SHARE:
+            return self._rng.choice(self._runners)
+        return self._rng.choice(ready or self._runners)
+
+    def _note_silence(self, send: _Send) -> None:
+        send.request.life.silences[id(send.runner)] += 1
+        self._repeat(send.request)
+
     def _arrive(self, send: _Send) -> None:
         send.request.arrivals += 1
         if send.request.arrivals > 1:
@@ -208,6 +241,7 @@
     def _answer(self, send: _Send) -> None:
         """Answer a send, which shows that what was sent to its runner long before was read too."""
         self._show(send)
+        send.request.life.silences[id(send.runner)] = 0
         unshown = send.runner.unshown
         while unshown and unshown[0].sent_at <= send.sent_at - DELIVERED_S:
             self._show(unshown.popleft())
--- a/tests/core/admit/test_late_arrivals.py
+++ b/tests/core/admit/test_late_arrivals.py
@@ -8,6 +8,8 @@
 from unittest.mock import patch
 
 from sesamepoint_core.admit.window_budget import CREDIT_SLICES, WindowBudget
+from sesamepoint.front.retry_budget.service_life import ServiceLife
+from tests.core.admit.earning_model import BOUND
 from tests.core.admit.late_arrival_model import LateArrivalModel, Life, Load
 
 if TYPE_CHECKING:
@@ -20,9 +22,25 @@
 MOVED_LOAD = Load(requests_per_s=120, moves=True)
 # Runners stand still for longer than the window.
 LONG_STALL_LOAD = Load(runners=8, requests_per_s=200, stall_s=(5.0, 25.0))
+KILLED_LOAD = Load(requests_per_s=120, kills=True, ejects=True, stall_s=(5.0, 25.0))
 
 
-class _PaidAtSend(Life):
+class _BlindLife(Life):
+    """A faulty variant: its requests pay for repeats whether or not a runner shows life."""
+
+    def note_request(self) -> None:
+        self._budget.earn()
+
+    def spend(self) -> Any:
+        self._life = ServiceLife(BOUND.window_s, self._model.time)
+        self._life.note_life()
+        return super().spend()
+
+    def _earn(self) -> None:
+        """Do nothing: it has earned already."""
+
+
+class _PaidAtSend(_BlindLife):
     """A faulty variant: a repeat leaves the window a window after it was paid."""
 
     def spend(self) -> Any:
@@ -35,7 +53,7 @@
         """Do nothing: it is settled already."""
 
 
-class _SettledBySecondSend(Life):
+class _SettledBySecondSend(_BlindLife):
     """A faulty variant: a repeat counts as arrived once its second send was read, whatever becomes of the first."""
 
     def is_read(self, sends: list[Any]) -> bool:
@@ -72,7 +90,14 @@
     def test_faulty_variant_unbacked(self) -> None:
         """The model finds unread sends that are forgotten as their credit runs out."""
         with patch('tests.core.admit.late_arrival_model.WindowBudget', _UnbackedBudget):
-            self.assertTrue(_exceeds(Life))
+            self.assertTrue(_exceeds(_BlindLife))
+
+    def test_sum_kept_while_instances_are_killed(self) -> None:
+        """Guards against new processes that pay again for what those before have sent to runners that stand still."""
+        self._check_kept(KILLED_LOAD)
+
+    def test_faulty_variant_blind_life(self) -> None:
+        self.assertTrue(_exceeds(_BlindLife, KILLED_LOAD))
 
     def _check_kept(self, *loads: Load) -> None:
         for load in loads:
@@ -86,6 +111,6 @@
     return LateArrivalModel(Random(seed), load, new_life).run()
 
 
-def _exceeds(new_life: Callable[[LateArrivalModel], Life]) -> bool:
+def _exceeds(new_life: Callable[[LateArrivalModel], Life], load: Load = LONG_STALL_LOAD) -> bool:
     """Tell whether any seed exceeds the bound."""
-    return any(_worst(LONG_STALL_LOAD, seed, new_life).excess > 0 for seed in SEEDS)
+    return any(_worst(load, seed, new_life).excess > 0 for seed in SEEDS)
