--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/bench.py
@@ -165,7 +165,7 @@
         clock = self.clocks.setdefault(cfg.name, VirtualClock())
         front = Front(cfg, network, network, Random(self._rng.random()), clock)
         if not just_started:
-            held = HeldShare(cfg.name, cfg.retry_window_s, trio.current_time)
+            held = HeldShare(cfg.name, cfg.retry_window_s, clock.steady)
             front.dispatcher.budgets.reserve_share = held
         self.fronts[cfg.name] = front
         self.network.listen(cfg.listen, front.http_handler.serve)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/usage.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/usage.py
@@ -24,19 +24,20 @@
 
 
 class VirtualClock:
-    """Clocks of one machine; the time of day can have an offset, in seconds."""
+    """Clocks of one machine: the offset of its time of day and the time for which it was suspended, in seconds."""
 
     def __init__(self) -> None:
         """Start without an offset."""
         self.offset_s: float = 0
+        self.suspended_s: float = 0
 
     def steady(self) -> float:
-        """Return trio's time, in seconds."""
-        return trio.current_time()
+        """Return trio's time, which stands still while the machine is suspended, and the time of that, in seconds."""
+        return trio.current_time() + self.suspended_s
 
     def time_of_day(self) -> float:
         """Return the time of day of this machine, in seconds since 1970."""
-        return START_TIME_OF_DAY_S + trio.current_time() + self.offset_s
+        return START_TIME_OF_DAY_S + self.steady() + self.offset_s
 
 
 class UsageReport(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch_components.py
@@ -65,7 +65,8 @@
         """
         plain_choice = PlainChoice(cfg.availability_zone, rng)
         selector = RunnerSelector(subset, cfg.availability_zone, sends.backlog, runner_statuses.limits, plain_choice)
-        account_shares = AccountShares.from_clock(cfg.name, clock or SystemClock())
+        clock = clock or SystemClock()
+        account_shares = AccountShares.from_clock(cfg.name, clock)
         engine_queue = EngineQueue(selector, sends, rng, account_shares)
         return cls(
             selector,
@@ -77,7 +78,7 @@
             account_shares,
             PlainShares(account_shares),
             OriginRunners(subset),
-            RetryBudgets(cfg.name, cfg.retry_ratio, cfg.retry_reserve, cfg.retry_window_s),
+            RetryBudgets.from_config(cfg, clock.steady),
         )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -5,8 +5,6 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
-import trio
-
 from sesamepoint_core.admit.reserve_share import ReserveShare
 from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.units import whole_ms
@@ -16,9 +14,12 @@
 from sesamepoint.front.telemetry.rows import Rows
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint_core.admit.window_budget import Payment
     from sesamepoint.front.requests.arrivals import Arrival, Read
     from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.settings import FrontSettings
 
 # Share of the retry budget that is used. The rest is a margin for callers who move while sends are unread.
 RETRY_BUDGET_SHARE = 0.95
@@ -26,7 +27,7 @@
 LATE_READ_S = 1.0
 
 
-class _Bound(NamedTuple):
+class RepeatBound(NamedTuple):
     """The bound on repeats as the operator states it, for all instances together."""
 
     ratio: float
@@ -42,8 +43,8 @@
         self.window = window
         self._service = service
         self._budgets = budgets
-        self._started_at = trio.current_time()
-        self._life = ServiceLife(budgets.window_s, trio.current_time)
+        self._started_at = budgets.clock()
+        self._life = ServiceLife(budgets.window_s, budgets.clock)
         # When a first prefill was last accepted by no runner.
         self._unaccepted_at = -math.inf
 
@@ -71,13 +72,13 @@
         prefills, each request would add a repeat that nobody has asked for; so once one was not
         accepted, the next ones take a repeat before they are sent.
         """
-        lately = trio.current_time() - self._unaccepted_at < self._budgets.window_s
+        lately = self._budgets.clock() - self._unaccepted_at < self._budgets.window_s
         return lately and not self.cover(job, ahead=1)
 
     def settle_prefill(self, job: Job, arrival: PrefillArrival) -> None:
         """Give back what was paid for a remote prefill that was not sent or is free."""
         if arrival is PrefillArrival.unaccepted:
-            self._unaccepted_at = trio.current_time()
+            self._unaccepted_at = self._budgets.clock()
         else:
             job.arrivals.refund_unused()
 
@@ -101,7 +102,7 @@
                 runner=arrival.runner,
                 reason=arrival.reason.value,
                 first_sent_ago_ms=whole_ms(arrival.first_sent_ago_s),
-                budget_age_s=round(trio.current_time() - self._started_at, 3),
+                budget_age_s=round(self._budgets.clock() - self._started_at, 3),
             )
 
     def note_life(self) -> None:
@@ -122,7 +123,7 @@
             sign=read.sign.value,
             unread_ms=whole_ms(read.unread_s),
             repeat=read.extra,
-            budget_age_s=round(trio.current_time() - self._started_at, 3),
+            budget_age_s=round(self._budgets.clock() - self._started_at, 3),
         )
 
     def _earn_waiting(self) -> None:
@@ -145,7 +146,7 @@
             outcome=outcome,
             **fields,
             shows_life=self._life.shown,
-            budget_age_s=round(trio.current_time() - self._started_at, 3),
+            budget_age_s=round(self._budgets.clock() - self._started_at, 3),
             instances=self._budgets.reserve_share.instances,
             list_current=self._budgets.reserve_share.current,
             **self.window.log_fields(),
@@ -155,10 +156,16 @@
 class RetryBudgets:
     """Retry budgets, one for each service; each is a share of the budget of all instances."""
 
-    def __init__(self, name: str, ratio: float, reserve: float, window_s: float) -> None:
-        """Allow ``ratio`` of the requests of each window, and a share of ``reserve``.
+    def __init__(self, name: str, bound: RepeatBound, clock: Callable[[], float]) -> None:
+        """Keep ``bound``.
+
+        A share of its slack counts once the instance called ``name`` has been on the list of instances for long enough.
 
-        The share counts once the instance called ``name`` has been on the list of instances for long enough.
+        Parameters
+        ----------
+        clock
+            Returns the time of a monotonic clock that goes on while the machine is suspended, in seconds. With one
+            that stands still, the requests of before paid once more for what other instances have paid meanwhile.
         """
         self.decisions = Rows.empty(
             'sesamepoint_retry_budget',
@@ -180,18 +187,23 @@
             'sign',
             'late',
         )
-        self._bound = _Bound(ratio, reserve, window_s)
-        self._ratio = RETRY_BUDGET_SHARE * ratio
-        self.reserve_share = ReserveShare(name, window_s, trio.current_time)
-        self._reserve = RETRY_BUDGET_SHARE * reserve
-        self.window_s = window_s
+        self.clock = clock
+        self.window_s = bound.window_s
+        self.reserve_share = ReserveShare(name, bound.window_s, clock)
+        self._bound = bound
+        self._reserve = RETRY_BUDGET_SHARE * bound.slack
         self._by_service: dict[str, ServiceBudget] = {}
 
+    @classmethod
+    def from_config(cls, cfg: FrontSettings, clock: Callable[[], float]) -> RetryBudgets:
+        """Build the budgets of an instance by its settings."""
+        return cls(cfg.name, RepeatBound(cfg.retry_ratio, cfg.retry_reserve, cfg.retry_window_s), clock)
+
     def earn(self, service: str) -> ServiceBudget:
         """Count a request for its service and return the budget of the service."""
         budget = self._by_service.get(service)
         if budget is None:
-            window = WindowBudget(self._ratio, 0, self.window_s, trio.current_time)
+            window = WindowBudget(RETRY_BUDGET_SHARE * self._bound.ratio, 0, self.window_s, self.clock)
             budget = ServiceBudget(service, window, self)
             self._by_service[service] = budget
         budget.earn()
@@ -231,4 +243,4 @@
         return self.reserve_share.share(self._reserve, service)
 
 
-__all__ = ('RetryBudgets', 'ServiceBudget')
+__all__ = ('RepeatBound', 'RetryBudgets', 'ServiceBudget')
