--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -48,8 +48,8 @@
 bounds.drain_ms=2000
 bounds.grace_s=8
 bounds.config_apply_ms=2000
-bounds.retry_ratio=0.2
-bounds.budget_slack=50
+bounds.retry_ratio={retry_ratio}
+bounds.budget_slack={retry_slack}
 bounds.budget_window_s=10
 limits.link_mbps=1000.0
 platform.address={store}
@@ -103,6 +103,9 @@
         self.nursery = nursery
         # Module that is run as the program of each front.
         self.program = 'sesamepoint.cli'
+        # The bound on repeats that the settings of the fronts state.
+        self.retry_ratio: float = 0.2
+        self.retry_slack = 50
         self._folder = folder
         self._listener_scopes: dict[Address, trio.CancelScope] = {}
         self.usage = UsageStandIn()
@@ -201,6 +204,8 @@
             last_port=await _free_port(host),
             store=self._store_address,
             usage=self._usage_address,
+            retry_ratio=self.retry_ratio,
+            retry_slack=self.retry_slack,
         )
         return listen, ready_listen, settings
 
--- a/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
@@ -112,8 +112,11 @@
         self.note_read(ReadSign.answer)
 
     def note_broken(self, read_end: ReadEnd) -> None:
-        """Note that its connection broke: its runner reads no more of it, unless this system gave the connection up."""
-        if read_end is not ReadEnd.timed_out:
+        """Note that its connection broke. If its runner closed it, or sent anything, it has read what it will read.
+
+        A reset may come from something on the way, while a runner that stands still has the request to read.
+        """
+        if read_end not in {ReadEnd.timed_out, ReadEnd.reset}:
             self.note_read(ReadSign.closed)
 
     def note_read(self, sign: ReadSign) -> None:
--- a/tests/front/retry_budget/runner_processes.py
+++ b/tests/front/retry_budget/runner_processes.py
@@ -14,7 +14,7 @@
 from sesamepoint.http1.transport import SocketNetwork
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_standins.platform.runner import RunnerStandIn
-from sesamepoint_standins.platform.runner_process import RunnerSpecification, decode_requests
+from sesamepoint_standins.platform.runner_process import HOST, RunnerSpecification, decode_requests
 from sesamepoint_standins.platform.runner_state import Faults
 from tests.front.retry_budget.repeat_oracle import repeats_of
 
@@ -42,19 +42,22 @@
     def registration(self) -> dict[str, object]:
         """Return its registration, as stored in the platform's store."""
         spec = self.spec
-        address = Address('127.0.0.1', spec.port)
-        return RunnerStandIn(spec.key, spec.service, address, 'z1', stage=spec.stage).registration
+        return RunnerStandIn(spec.key, spec.service, self.address, 'z1', stage=spec.stage).registration
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return Address(HOST, self.spec.port)
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
         command = [sys.executable, '-m', 'sesamepoint_standins.platform.runner_process']
         spec = msgspec.json.encode(self.spec).decode()
         self.process = await trio.lowlevel.open_process([*command, spec])
-        address = Address('127.0.0.1', self.spec.port)
         with trio.fail_after(START_TIMEOUT_S):
             while True:
                 try:
-                    conn = await SocketNetwork().connect(address, POLL_INTERVAL_S)
+                    conn = await SocketNetwork().connect(self.address, POLL_INTERVAL_S)
                 except ConnectFailedError:
                     await trio.sleep(POLL_INTERVAL_S)
                     continue
@@ -126,7 +129,7 @@
 
 async def _free_port() -> int:
     with trio.socket.socket() as sock:
-        await sock.bind(('127.0.0.1', 0))
+        await sock.bind((HOST, 0))
         return int(sock.getsockname()[1])
 
 
--- a/tests/front/test_unread_sends.py
+++ b/tests/front/test_unread_sends.py
@@ -70,12 +70,19 @@
         self.assertEqual(self.observer.settled, 0)
 
     @in_virtual_time
-    async def test_connection_given_up_by_this_system(self) -> None:
-        """Guards against a send that counts as read since this system gave its connection up: its bytes may arrive."""
-        self._send(RUNNER).note_broken(ReadEnd.timed_out)
-        self._send(OTHER_RUNNER).note_broken(ReadEnd.closed)
+    async def test_connection_not_ended_by_runner(self) -> None:
+        """Guards against a send that counts as read since its connection broke: its bytes may wait at the host."""
+        for read_end in (ReadEnd.timed_out, ReadEnd.reset, ReadEnd.closed):
+            self._send(RUNNER).note_broken(read_end)
         self.assertEqual(self.observer.settled, 0)
 
+    @in_virtual_time
+    async def test_connection_closed_by_runner(self) -> None:
+        """Guards against sends that stay spent although their runners have ended their connections."""
+        for _ in range(2):
+            self._send(RUNNER).note_broken(ReadEnd.closed)
+        self.assertEqual(self.observer.settled, 1)
+
     @in_virtual_time
     async def test_runner_registered_again(self) -> None:
         """Guards against sends to a stopped runner that are forgotten with its registration."""
