--- a/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
@@ -45,6 +45,8 @@
     ----------
     extra
         Whether the bound on repeats counts it.
+    paid
+        Whether it is the first one, or the retry budget was asked for it.
     first_sent_ago_s
         Seconds since the request was first sent.
     """
@@ -53,6 +55,7 @@
     runner: str
     reason: SendReason
     extra: bool
+    paid: bool
     first_sent_ago_s: float
 
 
@@ -161,7 +164,7 @@
         now = trio.current_time()
         if self.first_at is None:
             self.first_at = now
-        arrival = Arrival(request_id, runner, reason, self.counted > 0, now - self.first_at)
+        arrival = Arrival(request_id, runner, reason, self.counted > 0, self.is_paid(), now - self.first_at)
         self.counted += 1
         sent = Sent(arrival, self, now)
         self.sent.append(sent)
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -93,7 +93,8 @@
     def note_arrival(self, arrival: Arrival) -> None:
         """Log and count a send of a request of this service."""
         self._life.note_send()
-        self._budgets.arrivals.add(self._service, arrival.reason.value, 'yes' if arrival.extra else 'no')
+        extra = 'yes' if arrival.extra else 'no'
+        self._budgets.arrivals.add(self._service, arrival.reason.value, extra if arrival.paid else 'unpaid')
         if arrival.extra:
             events.log_event(
                 events.REPEAT_SENT,
@@ -101,6 +102,7 @@
                 service=self._service,
                 runner=arrival.runner,
                 reason=arrival.reason.value,
+                paid=arrival.paid,
                 first_sent_ago_ms=whole_ms(arrival.first_sent_ago_s),
                 budget_age_s=round(self._budgets.clock() - self._started_at, 3),
             )
@@ -175,7 +177,7 @@
         )
         self.arrivals = Rows.empty(
             'sesamepoint_arrivals',
-            'Sends of requests to runners, by reason; the bound on repeats counts the extra ones.',
+            'Sends of requests to runners, by reason; the bound on repeats counts the extra ones, unpaid ones too.',
             'service',
             'reason',
             'extra',
--- a/tests/front/random_faults.py
+++ b/tests/front/random_faults.py
@@ -286,6 +286,9 @@
     for runner in simulation.all_runners():
         messages.extend(_find_runner_violations(runner, ended_at))
         messages.extend(_find_late_requests(runner, simulation))
+    for front in simulation.bench.fronts.values():
+        unpaid = (labels for labels in front.dispatcher.budgets.arrivals.amounts if 'unpaid' in labels)
+        messages.extend(f'budget: a send for {service} by {reason} was not paid' for service, reason, _ in unpaid)
     return messages
 
 
