--- a/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
@@ -29,12 +29,13 @@
     """What shows that a runner has read a request, or can no longer read it.
 
     ``closed``: it ended the connection. ``later_answer``: it answered a request that was sent later.
-    ``gone``: its process has ended, or its registration has been gone for long.
+    ``ended``: its process has ended. ``gone``: its registration has been gone for long.
     """
 
     answer = 'answer'
     closed = 'closed'
     later_answer = 'later_answer'
+    ended = 'ended'
     gone = 'gone'
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/runners/unread_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/runners/unread_sends.py
@@ -41,10 +41,10 @@
         while self._sends and _shown_read(self._sends[0], started_at):
             self._sends.popleft().note_read(ReadSign.later_answer)
 
-    def note_ended(self) -> None:
+    def note_ended(self, sign: ReadSign = ReadSign.ended) -> None:
         """Note that nothing more will be read, since the process of the runner has ended."""
         while self._sends:
-            self._sends.popleft().note_read(ReadSign.gone)
+            self._sends.popleft().note_read(sign)
 
 
 class UnreadRegistry:
@@ -70,7 +70,7 @@
         for incarnation, gone_at in tuple(self._gone.items()):
             if now - gone_at > GONE_S:
                 self._gone.pop(incarnation)
-                self._by_incarnation.pop(incarnation).note_ended()
+                self._by_incarnation.pop(incarnation).note_ended(ReadSign.gone)
 
 
 def _shown_read(sent: Sent, started_at: float) -> bool:
--- a/tests/front/retry_budget/repeat_soak.py
+++ b/tests/front/retry_budget/repeat_soak.py
@@ -53,6 +53,7 @@
 SERIES = 2
 FAULT_S = (0.5, 5.0)
 STALL_S = (2, 9)
+FIRST_STALL_S = (5, 9)
 # Seconds for which runners that stood still fail what they read.
 FAIL_AFTER_STALL_S = (4, 12)
 FREEZE_S = (0.5, 4.0)
@@ -167,6 +168,9 @@
     async def _cause_series(self) -> None:
         """Cause several series of faults, which overlap."""
         async with trio.open_nursery() as nursery:
+            # Nothing has been spent yet: the fault that overruns a bound by most.
+            service = [each for each in self._behind if each.runner.spec.service == SERVICE]
+            nursery.start_soon(self._stop, service, self._rng.uniform(*FIRST_STALL_S))
             for _ in range(SERIES):
                 nursery.start_soon(self._cause_faults)
 
@@ -191,12 +195,15 @@
             each.runner.set_faults(Faults())
 
     async def _stop_runners(self) -> None:
-        stopped = self._draw_runners()
+        await self._stop(self._draw_runners(), self._rng.uniform(*STALL_S))
+
+    async def _stop(self, stopped: list[_Behind], stall_s: float) -> None:
+        """Let runners stand still, and fail what they read afterwards."""
         faults = self._rng.choice(PLAIN_FAULTS)
         for each in stopped:
             each.runner.send_signal(signal.SIGSTOP)
             each.runner.set_faults(faults)
-        await trio.sleep(self._rng.uniform(*STALL_S))
+        await trio.sleep(stall_s)
         for each in stopped:
             each.runner.send_signal(signal.SIGCONT)
         await trio.sleep(self._rng.uniform(*FAIL_AFTER_STALL_S))
