--- a/tests/core/admit/late_arrival_model.py
+++ b/tests/core/admit/late_arrival_model.py
@@ -130,6 +130,10 @@
             self._settle(request.payment)
             request.payment = None
 
+    def may_repeat(self, sends: list[_Send]) -> bool:
+        """Tell whether a request that was sent once may be sent again, if that is paid."""
+        return bool(sends)
+
     def is_read(self, sends: list[_Send]) -> bool:
         """Tell whether all sends of a request that was sent twice were read."""
         return len(sends) > 1 and all(send.shown for send in sends)
@@ -254,7 +258,7 @@
 
     def _repeat(self, request: _Request) -> None:
         is_killed = request.life not in self._lives
-        if len(request.sends) > 1 or is_killed:
+        if len(request.sends) > 1 or is_killed or not request.life.may_repeat(request.sends):
             return
         payment = request.life.spend()
         if payment is not None:
