--- a/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/arrivals.py
@@ -195,6 +195,9 @@
         self.has_free_prefill = True
         sent.free = True
         self.counted -= 1
+        if sent.sign is not None:
+            # A later answer of its runner has shown before that it was read.
+            self.read -= 1
         return True
 
     def is_paid(self, ahead: int = 0) -> bool:
--- a/tests/front/test_unread_sends.py
+++ b/tests/front/test_unread_sends.py
@@ -123,6 +123,17 @@
         self._send(OTHER_RUNNER).note_answer()
         self.assertEqual(self.observer.reads, [])
 
+    @in_virtual_time
+    async def test_accepted_prefill_that_was_read_before(self) -> None:
+        """Guards against an unread repeat that counts as read since the free prefill was counted among the reads."""
+        prefill = self._send(RUNNER)
+        prefill.note_read(ReadSign.later_answer)
+        self.sends.note_accepted_prefill(prefill)
+        self._send(RUNNER).note_answer()
+        self._send(OTHER_RUNNER)
+        self._send(RUNNER).note_answer()
+        self.assertEqual(self.observer.settled, 1)
+
     def _send(self, runner: Incarnation) -> Sent:
         """Send the request once more, paid if need be."""
         if not self.sends.is_paid():
