--- a/tests/front/retry_budget/repeat_soak.py
+++ b/tests/front/retry_budget/repeat_soak.py
@@ -31,6 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from sesamepoint_standins.platform.process_bench import BenchFront
+
     Step = Callable[[], Awaitable[None]]
 
 FRONTS = 3
@@ -57,6 +59,8 @@
 # Seconds for which runners that stood still fail what they read.
 FAIL_AFTER_STALL_S = (4, 12)
 FREEZE_S = (0.5, 4.0)
+# Seconds of the first standstill after which all instances stop, in half of the seeds.
+FIRST_FREEZE_S = (1, 4)
 PAUSE_S = (0, 4)
 # Share of the faults that concern all runners of a service.
 WHOLE_SERVICE_SHARE = 0.75
@@ -171,6 +175,8 @@
             # Nothing has been spent yet: the fault that overruns a bound by most.
             service = [each for each in self._behind if each.runner.spec.service == SERVICE]
             nursery.start_soon(self._stop, service, self._rng.uniform(*FIRST_STALL_S))
+            if self._rng.getrandbits(1):
+                nursery.start_soon(self._freeze_all, self._rng.uniform(*FIRST_FREEZE_S))
             for _ in range(SERIES):
                 nursery.start_soon(self._cause_faults)
 
@@ -221,8 +227,15 @@
             if self._rng.getrandbits(1):
                 each.proxy.reset_all()
 
+    async def _freeze_all(self, after_s: float) -> None:
+        """Stop all instances once they have paid for sends that are unread."""
+        await trio.sleep(after_s)
+        await self._freeze(list(self._bench.fronts))
+
     async def _freeze_instances(self) -> None:
-        frozen = self._rng.sample(self._bench.fronts, self._rng.randint(1, FRONTS))
+        await self._freeze(self._rng.sample(self._bench.fronts, self._rng.randint(1, FRONTS)))
+
+    async def _freeze(self, frozen: list[BenchFront]) -> None:
         for front in frozen:
             front.process.send_signal(signal.SIGSTOP)
         await trio.sleep(self._rng.uniform(*FREEZE_S))
--- a/tests/front/retry_budget/test_repeat_soak.py
+++ b/tests/front/retry_budget/test_repeat_soak.py
@@ -9,8 +9,8 @@
 from tests.front.retry_budget.repeat_soak import run_seed
 
 # Add each seed that fails, with a line on the cause.
-# 9: repeats paid in two windows were read in one by runners that stood still.
-SEEDS = (9,)
+# 5: repeats paid in two windows were read in one by runners that stood still.
+SEEDS = (5,)
 DURATION_S = 15.0
 
 
