--- a/packages/sesamectl/src/sesamectl/commands/explain.py
+++ b/packages/sesamectl/src/sesamectl/commands/explain.py
@@ -5,9 +5,9 @@
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
+from sesamepoint_core.decoding import decode_json
 from sesamepoint.control.decisions import Decision
 from sesamepoint.platform.http_client import HttpClient
 from sesamepoint.settings_error import SettingsError
@@ -41,7 +41,7 @@
         reply = trio.run(caller.request, 'GET', '/decisions', b'', TIMEOUT_S)
     if arguments['--json']:
         return reply.decode()
-    decisions = msgspec.json.decode(reply, type=tuple[Decision, ...])
+    decisions = decode_json(reply, tuple[Decision, ...])
     return '\n'.join(line for decision in decisions for line in _describe_decision(decision))
 
 
--- a/packages/sesamectl/src/sesamectl/log_lines.py
+++ b/packages/sesamectl/src/sesamectl/log_lines.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import msgspec
+from sesamepoint_core.decoding import UndecodableError, decode_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -19,10 +19,10 @@
     if start < 0:
         return None
     try:
-        fields = msgspec.json.decode(text[start:])
-    except msgspec.DecodeError:
+        fields = decode_json(text[start:].encode(errors='replace'), dict[str, Any])
+    except UndecodableError:
         return None
-    return fields if isinstance(fields, dict) and 'event' in fields else None
+    return fields if 'event' in fields else None
 
 
 @contextmanager
--- a/packages/sesamepoint-core/src/sesamepoint_core/config/check.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/config/check.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from functools import lru_cache
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-import msgspec
 from pydantic import TypeAdapter, ValidationError
 
 from sesamepoint_core.config.model import ActiveConfiguration, Configuration, FleetConfig
+from sesamepoint_core.decoding import decode_json
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.validation_errors import describe_errors
 
@@ -19,6 +19,7 @@
 
 PARSE_CACHE_SIZE = 8
 PRESETS = ('ordinary', 'peak', 'maintenance')
+_OptionalDocument: Any = dict[str, Any] | None
 _adapter: TypeAdapter[Configuration] = TypeAdapter(Configuration)
 
 
@@ -47,7 +48,7 @@
 
 def preset_names(document: bytes) -> tuple[str, ...]:
     """Return the names of the presets that a valid configuration document defines."""
-    parsed = msgspec.json.decode(document)
+    parsed = decode_json(document, _OptionalDocument)
     return tuple(parsed['presets']) if parsed else ()
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/fold/apply.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/apply.py
@@ -5,9 +5,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, NamedTuple
 
-import msgspec
-
 from sesamepoint_core.config.check import check_configuration, preset_names
+from sesamepoint_core.decoding import UndecodableError
 from sesamepoint_core.fold.records import (
     Body,
     ClaimLease,
@@ -57,7 +56,7 @@
     advanced = state._replace(offset=offset)
     try:
         record, body = decode(payload)
-    except msgspec.DecodeError as exc:
+    except UndecodableError as exc:
         return Step(
             advanced, _rejected(offset, 'unreadable', f'record {offset} cannot be read: {exc}', 'upgrade this process')
         )
--- a/packages/sesamepoint-core/src/sesamepoint_core/fold/records.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/records.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from functools import cache
 from types import MappingProxyType
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgspec
 
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.registry import Registry
 
 RECORD_TYPES: Registry[type] = Registry('record kind')
@@ -98,7 +98,6 @@
 
 _KIND_OF = MappingProxyType({RECORD_TYPES.get(kind): kind for kind in RECORD_TYPES})
 _encoder = msgspec.json.Encoder()
-_record_decoder = msgspec.json.Decoder(Record)
 
 
 def encode(writer: str, serial: int, body: Body) -> bytes:
@@ -112,21 +111,16 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    UndecodableError
         If the payload is not a valid record or its kind is unknown.
     """
-    record = _record_decoder.decode(payload)
+    record = decode_json(payload, Record)
     if record.kind not in RECORD_TYPES:
-        raise msgspec.DecodeError(record.kind)
-    body: Body = _body_decoder(record.kind).decode(record.body)
+        raise UndecodableError(record.kind)
+    body: Body = decode_json(record.body, RECORD_TYPES.get(record.kind))
     return record, body
 
 
-@cache
-def _body_decoder(kind: str) -> msgspec.json.Decoder[Any]:
-    return msgspec.json.Decoder(RECORD_TYPES.get(kind))
-
-
 __all__ = (
     'RECORD_TYPES',
     'Body',
--- a/packages/sesamepoint-core/src/sesamepoint_core/fold/snapshot.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fold/snapshot.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.decoding import decode_json
 from sesamepoint_core.fold.state import State
 
 if TYPE_CHECKING:
@@ -40,10 +41,10 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    UndecodableError
         If the payload is not a snapshot.
     """
-    return msgspec.json.decode(payload, type=Snapshot)
+    return decode_json(payload, Snapshot)
 
 
 def choose_snapshot(snapshots: Iterable[Snapshot]) -> Snapshot | None:
--- a/packages/sesamepoint-core/src/sesamepoint_core/keys/claims.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/keys/claims.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sesamepoint_core.decoding import decode_json
 from sesamepoint_core.fold.state import NO_OFFSET
 
 KEY_LIFE_S = 900.0
@@ -82,10 +83,10 @@
 
         Raises
         ------
-        msgspec.DecodeError
+        UndecodableError
             If the payload is not a batch.
         """
-        batch = msgspec.json.decode(payload, type=Batch)
+        batch = decode_json(payload, Batch)
         self.offset = offset
         # A batch is appended again if the reply was lost. The second copy must
         # not claim keys again that were released in between.
--- a/packages/sesamepoint/src/sesamepoint/entry/caller_app.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/caller_app.py
@@ -5,12 +5,12 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 import trio
 
 from sesamepoint_core.admit import input_limits
 from sesamepoint_core.answer.outcome import Answered, NotRun
 from sesamepoint_core.config.check import NotConfiguredError
+from sesamepoint_core.decoding import decode_json
 from sesamepoint.entry import http_replies
 from sesamepoint.entry.parse import SERVICES_PATH, BadRequestError, RawRequest, parse_completion, parse_plain
 from sesamepoint.upstream.plain import ReplyHead
@@ -104,7 +104,7 @@
 async def _reply_plain(server: RequestServer, req: CallerRequest, send: Send) -> None:
     outcome, chunks = await _serve_and_collect(server, req)
     if isinstance(outcome, Answered):
-        head = msgspec.json.decode(chunks[0], type=ReplyHead)
+        head = decode_json(chunks[0], ReplyHead)
         headers = ((b'content-type', head.content_type.encode()),)
         await _send_reply(send, http_replies.HttpReply(head.status, headers, b''.join(chunks[1:])))
     else:
@@ -130,7 +130,7 @@
 
 
 def _requested_model(req: CallerRequest) -> str:
-    return str(msgspec.json.decode(req.job.body)['model'])
+    return str(decode_json(req.job.body, dict[str, Any])['model'])
 
 
 async def _read_request(scope: dict[str, Any], receive: Receive) -> RawRequest:
--- a/packages/sesamepoint/src/sesamepoint/entry/parse.py
+++ b/packages/sesamepoint/src/sesamepoint/entry/parse.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sesamepoint_core.admit import input_limits
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.errors import SesamepointError
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint.entry.request import CallerRequest
@@ -100,11 +101,11 @@
 
 def _completion_body(body: bytes) -> CompletionBody:
     try:
-        return msgspec.json.decode(body, type=CompletionBody)
-    except msgspec.ValidationError as exc:
-        raise BadRequestError('bad_field', str(exc), 'mend that field') from exc
-    except msgspec.DecodeError as exc:
-        raise BadRequestError('not_json', f'the body is not JSON: {exc}', 'send a JSON object') from exc
+        return decode_json(body, CompletionBody)
+    except UndecodableError as exc:
+        if isinstance(exc.__cause__, msgspec.ValidationError):
+            raise BadRequestError('bad_field', exc.problem, 'mend that field') from exc
+        raise BadRequestError('not_json', f'the body is not JSON: {exc.problem}', 'send a JSON object') from exc
 
 
 def _make_request(raw: RawRequest, fleet: str, job: Job, *, streamed: bool) -> CallerRequest:
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/duty_log.py
@@ -5,9 +5,9 @@
 import enum
 from typing import TYPE_CHECKING, TypeVar
 
-import msgspec
 import trio
 
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.duty.lease import LeaseRecord, LogView
 from sesamepoint_core.duty.report_schedule import Report
 from sesamepoint_core.errors import PlatformUnavailableError
@@ -104,8 +104,8 @@
     if not text:
         return None
     try:
-        return msgspec.json.decode(text, type=kind)
-    except msgspec.DecodeError as exc:
+        return decode_json(text, kind)
+    except UndecodableError as exc:
         events.log_event(events.RECORD_UNREADABLE, topic=DUTY_TOPIC, cause=str(exc))
     return None
 
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.decoding import UndecodableError, decode_msgpack
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
 from sesamepoint import events
@@ -28,6 +29,7 @@
     from sesamepoint.front.store.topic_updates import TopicUpdate
     from sesamepoint.platform.store import StoreClient
 
+_AnyMessage: Any = SendUpdate | PeerMessage
 # Sends are batched for this long, in seconds, before they are broadcast. Long
 # work waits for it.
 BATCH_DELAY_S = 0.002
@@ -157,8 +159,8 @@
     def on_datagram(self, datagram: bytes) -> None:
         """Decode one datagram and pass its message on; log and drop one that does not decode."""
         try:
-            message = msgspec.msgpack.decode(datagram, type=SendUpdate | PeerMessage)
-        except msgspec.DecodeError as exc:
+            message: SendUpdate | PeerMessage = decode_msgpack(datagram, _AnyMessage)
+        except UndecodableError as exc:
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
         self._note_received(message.entry)
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/part_suspects.py
@@ -13,6 +13,7 @@
 from sesamepoint_core.bounded_dict import drop_oldest
 from sesamepoint_core.crash_attribution.evidence import PartAnswer, PartEnd
 from sesamepoint_core.crash_attribution.part_quarantine import MAX_REPEATED, PartVerdict
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint import events
 from sesamepoint.front.peering.peer_messages import MAX_ROWS, SuspectUpdate
 from sesamepoint.front.quarantine.active_sends import ActiveSends
@@ -145,8 +146,8 @@
         if not record.text:
             return self._suspects.release_part(key)
         try:
-            verdict = msgspec.json.decode(record.text, type=PartVerdict)
-        except msgspec.DecodeError as exc:
+            verdict = decode_json(record.text, PartVerdict)
+        except UndecodableError as exc:
             events.log_event(events.RECORD_UNREADABLE, cause=f'quarantined part {record.key}: {exc}')
             return False
         return verdict.key == key and self._apply(verdict)
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -24,6 +24,7 @@
 from sesamepoint_core.body_end.decision import Complete
 from sesamepoint_core.crash_attribution.crash_suspects import CrashSuspects
 from sesamepoint_core.crash_attribution.evidence import scope_of
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.serving.poison_requests import QUARANTINE_FROM_ENDS, Incarnation
 from sesamepoint import events
 from sesamepoint.front.requests.attempt_results import Relayed, RunFailed, Silent
@@ -273,8 +274,8 @@
 
 def _decode_incarnations(record: KeyedRecord) -> tuple[Incarnation, ...]:
     try:
-        return msgspec.json.decode(record.text, type=tuple[Incarnation, ...])
-    except msgspec.DecodeError as exc:
+        return decode_json(record.text, tuple[Incarnation, ...])
+    except UndecodableError as exc:
         events.log_event(events.RECORD_UNREADABLE, cause=f'quarantined request {record.key}: {exc}')
     return ()
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -15,6 +15,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.decoding import UndecodableError, decode_msgpack
 from sesamepoint_core.serving.routes import Configuration
 from sesamepoint import events
 from sesamepoint.front.peering.peer_messages import VersionMessage
@@ -129,8 +130,8 @@
     if reply.status != STATUS_OK:
         raise ConnBrokenError(f'status {reply.status}')
     try:
-        return msgspec.msgpack.decode(whole_payload(body), type=Configuration)
-    except msgspec.DecodeError as exc:
+        return decode_msgpack(whole_payload(body), Configuration)
+    except UndecodableError as exc:
         raise ConnBrokenError(str(exc)) from exc
 
 
--- a/packages/sesamepoint/src/sesamepoint/http1/documents.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/documents.py
@@ -4,10 +4,9 @@
 
 from typing import TYPE_CHECKING, TypeVar
 
-import msgspec
-
 from sesamepoint_core.body_end.body_facts import BodyKind
 from sesamepoint_core.body_end.decision import BrokenOff
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint.http1.messages import ConnBrokenError
 
 if TYPE_CHECKING:
@@ -28,8 +27,8 @@
         If the body is broken off or does not decode.
     """
     try:
-        return msgspec.json.decode(whole_payload(body), type=document_type)
-    except msgspec.DecodeError as exc:
+        return decode_json(whole_payload(body), document_type)
+    except UndecodableError as exc:
         raise ConnBrokenError(str(exc), body.read_end) from exc
 
 
--- a/packages/sesamepoint/src/sesamepoint/link/codec.py
+++ b/packages/sesamepoint/src/sesamepoint/link/codec.py
@@ -7,6 +7,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from sesamepoint_core.decoding import decode_msgpack
+
 MessageT = TypeVar('MessageT')
 
 
@@ -16,9 +18,8 @@
     __content_subtype__ = 'msgpack'
 
     def __init__(self) -> None:
-        """Create the encoder; decoders are created at the first use of a type."""
+        """Create the encoder."""
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoders: dict[type, msgspec.msgpack.Decoder[Any]] = {}
 
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Return the bytes of ``message``."""
@@ -26,9 +27,7 @@
 
     def decode(self, data: bytes, message_type: Any) -> Any:  # noqa: WPS110
         """Return the message in ``data``."""
-        if message_type not in self._decoders:
-            self._decoders[message_type] = msgspec.msgpack.Decoder(message_type)
-        return self._decoders[message_type].decode(data)
+        return decode_msgpack(data, message_type)
 
 
 __all__ = ('MessagePackCodec',)
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.serving.accounts import Account, AccountKeys, Accounts
 from sesamepoint_core.serving.routes import (
     CallerLimits,
@@ -95,9 +96,9 @@
         a field that is missing, has the wrong type or is out of range.
     """
     try:
-        return _configuration(msgspec.json.decode(text, type=_Document))
-    except ValueError as exc:
-        # msgspec's errors are subclasses of ValueError.
+        return _configuration(decode_json(text, _Document))
+    except (UndecodableError, ValueError) as exc:
+        # ValueError: a route without a service.
         raise UnreadableRecordError(f'configuration: {exc}', 'the previous version stays in force') from exc
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/http_log.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/http_log.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
-import msgspec
-
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint.platform.http_client import HttpClient
@@ -81,8 +80,8 @@
 def _decode(reply: bytes, reply_type: type[ReplyType]) -> ReplyType:
     """Decode a reply; one that ended too early, with its connection, does not decode."""
     try:
-        return msgspec.json.decode(reply, type=reply_type)
-    except msgspec.DecodeError as exc:
+        return decode_json(reply, reply_type)
+    except UndecodableError as exc:
         raise PlatformUnavailableError('platform', f'unreadable reply: {exc}') from exc
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import MAX_START_MS, Runner, Stage
 from sesamepoint_core.stream_origin.origin import bounded_version
@@ -42,9 +43,9 @@
         that is missing, has the wrong type or is out of range.
     """
     try:
-        return _runner(key, msgspec.json.decode(text, type=_Registration))
-    except ValueError as exc:
-        # Also catches msgspec's errors and those of Address.parse.
+        return _runner(key, decode_json(text, _Registration))
+    except (UndecodableError, ValueError) as exc:
+        # ValueError: by Address.parse.
         raise UnreadableRecordError(
             f'runner {key}: {exc}', 'the runner is not used; find out who wrote the record'
         ) from exc
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_report.py
@@ -8,6 +8,7 @@
 
 from sesamepoint_core.body_end.body_facts import BodyKind
 from sesamepoint_core.body_end.decision import Complete
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.serving.runner import StartMs
 from sesamepoint.http1.messages import ConnBrokenError, RequestHead
 from sesamepoint.platform.wire_names import REPORT_PATH
@@ -37,8 +38,8 @@
         return 0
     end = body.end(BodyKind.document)
     try:
-        return msgspec.json.decode(body.payload, type=_Report).born
-    except msgspec.DecodeError as exc:
+        return decode_json(body.payload, _Report).born
+    except UndecodableError as exc:
         if isinstance(end, Complete):
             # Some services have another page there.
             return 0
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint import events
@@ -257,8 +258,8 @@
 
 def _decode_page(body: bytes) -> _NewestReply:
     try:
-        return msgspec.json.decode(body, type=_NewestReply)
-    except msgspec.DecodeError as exc:
+        return decode_json(body, _NewestReply)
+    except UndecodableError as exc:
         raise _unavailable(f'unreadable reply: {exc}') from exc
 
 
--- a/packages/sesamepoint/src/sesamepoint/upstream/engine.py
+++ b/packages/sesamepoint/src/sesamepoint/upstream/engine.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
+from sesamepoint_core.decoding import decode_json
 from sesamepoint_core.errors import UpstreamError
 from sesamepoint.upstream.base import UPSTREAM_ADAPTERS, OrderRefusedError, UpstreamLoad
 from sesamepoint.upstream.http_client import STATUS_OK, UpstreamHttpClient
@@ -69,7 +70,7 @@
         reply = await self._http.call('GET', '/load', b'')
         if reply.status != STATUS_OK:
             raise UpstreamError(f'status {reply.status}')
-        return UpstreamLoad(**msgspec.json.decode(reply.content))
+        return UpstreamLoad(**decode_json(reply.content, dict[str, Any]))
 
     async def order(self, role: str, fence: int) -> None:
         """Order the engine to change to ``role``, with the fencing token ``fence``."""
@@ -80,14 +81,14 @@
 
 
 def _request_body(attempt: str, job: Job) -> bytes:
-    caller_fields = msgspec.json.decode(job.body)
+    caller_fields = decode_json(job.body, dict[str, Any])
     engine_fields = {'stream': True, 'request_id': attempt, 'priority': int(job.urgent), 'prefix': job.prefix}
     sizes = {'prompt_tokens': job.prompt_tokens, 'prefix_tokens': job.prefix_tokens, 'max_tokens': job.output_tokens}
     return msgspec.json.encode({**caller_fields, **engine_fields, **sizes})
 
 
 def _decode_text(payload: bytes) -> bytes:
-    chunk = msgspec.json.decode(payload, type=CompletionChunk)
+    chunk = decode_json(payload, CompletionChunk)
     return str(chunk.choices[0]['text']).encode()
 
 
--- /dev/null
+++ b/tests/front/odd_values/__init__.py
@@ -0,0 +1,1 @@
+"""Values from outside that no reader expects: nested deep, huge, out of range."""
