--- a/packages/sesamepoint/src/sesamepoint/front/engines/engine_sends.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/engine_sends.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.field_types import Tokens
 from sesamepoint_core.serving.engine_load import PrefillWork, Stream
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import StartMs
@@ -28,12 +29,9 @@
 MAX_ANNOUNCE_WAIT_S = 0.03
 
 
-# Bounds on figures from peers, which are other processes. An hour of prefill, or
-# more tokens than any engine's memory holds, would keep an engine out of use.
+# Bound on figures from peers, which are other processes. More than an hour of prefill would keep an engine out of use.
 MAX_PREFILL_S = 3600
-MAX_TOKENS = 1_000_000_000
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_PREFILL_S)]
-Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 class Send(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_updates.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_updates.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.field_types import Offset
 from sesamepoint.platform.store import KeyedRecord
 from sesamepoint.platform.store_epoch import MAX_EPOCH
 
@@ -15,9 +16,6 @@
 # Keeps the datagram in one packet: the links of instances carry 5 Mbit/s and
 # more, and the instance that polled sends to all peers at once.
 MAX_CHANGED_BYTES = 1200
-# No log has more records than this: a thousand per second take 30 years.
-MAX_OFFSET = 1_000_000_000_000
-Offset = Annotated[int, msgspec.Meta(ge=0, lt=MAX_OFFSET)]
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sesamepoint_core.decoding import UndecodableError, decode_json
+from sesamepoint_core.field_types import NonEmptyText, NonNegativeFloat, NonNegativeInt, PositiveInt
 from sesamepoint_core.serving.accounts import Account, AccountKeys, Accounts
 from sesamepoint_core.serving.routes import (
     CallerLimits,
@@ -18,7 +19,6 @@
     ServiceShare,
 )
 from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, MS_PER_S
-from sesamepoint.platform.field_types import NonEmptyText, NonNegativeFloat, NonNegativeInt, PositiveInt
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
 
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_registration.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from sesamepoint_core.decoding import UndecodableError, decode_json
+from sesamepoint_core.field_types import Counter, HeaderName, Milliseconds, NonEmptyText, Slots
 from sesamepoint_core.serving.address import Address
 from sesamepoint_core.serving.runner import MAX_START_MS, Runner, Stage
 from sesamepoint_core.stream_origin.origin import bounded_version
-from sesamepoint.platform.field_types import NonEmptyText, NonNegativeFloat, NonNegativeInt, PositiveInt
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
 
 _StartTimeMs = Annotated[int, msgspec.Meta(gt=0, lt=MAX_START_MS)]
@@ -22,11 +22,11 @@
     zone: NonEmptyText
     # Version of the runner's software, not of its weights.
     version: str
-    slots: PositiveInt
+    slots: Slots
     state: Literal['ready', 'draining']
-    cold_remaining_ms: NonNegativeFloat
+    cold_remaining_ms: Milliseconds
     # Grows with each heartbeat. A heartbeat that changes nothing else is not written to the log.
-    sequence: NonNegativeInt
+    sequence: Counter
     # Set for engines only.
     stage: Literal['prefill', 'decode'] | msgspec.UnsetType = msgspec.UNSET
     # Start time of the runner's incarnation, in ms; not all deployments send it.
@@ -45,15 +45,15 @@
     try:
         return _runner(key, decode_json(text, _Registration))
     except (UndecodableError, ValueError) as exc:
-        # ValueError: by Address.parse.
+        # ValueError: by Address.parse, or of the key.
         raise UnreadableRecordError(
-            f'runner {key}: {exc}', 'the runner is not used; find out who wrote the record'
+            f'runner {key!r}: {exc}', 'the runner is not used; find out who wrote the record'
         ) from exc
 
 
 def _runner(key: str, registration: _Registration) -> Runner:
     return Runner(
-        key=key,
+        key=msgspec.convert(key, HeaderName),
         service=registration.service,
         address=Address.parse(registration.address),
         zone=registration.zone,
