--- a/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peer_messages.py
@@ -10,6 +10,7 @@
 
 from sesamepoint_core.crash_attribution.evidence import PartAnswer, PartEnd
 from sesamepoint_core.crash_attribution.part_quarantine import PartVerdict
+from sesamepoint_core.field_types import Counter
 from sesamepoint_core.runner_status.parsing import MAX_BACK_OFF_S
 from sesamepoint_core.serving.poison_requests import BoundedName, Incarnation
 from sesamepoint import events
@@ -27,9 +28,6 @@
 MAX_ROWS = 24
 # Messages in the send queue; more pile up only while a link is full.
 MAX_QUEUED = 6144
-# No configuration has more versions than this.
-MAX_VERSION = 1_000_000_000_000
-Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 # Age beyond which a reported status of a runner is not accepted, in seconds.
 MAX_AGE_S = 3600
 AgeS = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
@@ -40,7 +38,7 @@
     """Configuration version in force at the sender; 0 if none is."""
 
     entry: str
-    version: Version
+    version: Counter
 
 
 class ReportedStatus(StrEnum):
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -7,7 +7,16 @@
 import msgspec
 
 from sesamepoint_core.decoding import UndecodableError, decode_json
-from sesamepoint_core.field_types import NonEmptyText, NonNegativeFloat, NonNegativeInt, PositiveInt
+from sesamepoint_core.field_types import (
+    MAX_MILLISECONDS,
+    MAX_SLOTS,
+    MAX_TOKENS,
+    Counter,
+    NonEmptyText,
+    NonNegativeFloat,
+    NonNegativeInt,
+    PositiveInt,
+)
 from sesamepoint_core.serving.accounts import Account, AccountKeys, Accounts
 from sesamepoint_core.serving.routes import (
     CallerLimits,
@@ -21,6 +30,13 @@
 from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, MS_PER_S
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
 
+# Beyond these a configured number means "no limit", and is cut: it is divided, or sent to peers.
+MAX_COUNT = 1_000_000_000
+MAX_PRIORITY = 1_000_000
+MAX_WEIGHT = 1e12
+MAX_LINK_MBPS = 1e9
+# Bytes of the KV cache of one token.
+MAX_TOKEN_BYTES = 1e9
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 # Sent in a header without encoding: visible ASCII, spaces only inside.
 _AccountName = Annotated[str, msgspec.Meta(pattern='^[!-~]([ -~]*[!-~])?$')]
@@ -78,7 +94,7 @@
 
 
 class _Document(msgspec.Struct):
-    version: NonNegativeInt
+    version: Counter
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -109,17 +125,17 @@
         [_route(record) for record in document.routes],
         [_service(record) for record in document.services],
         CallerLimits(
-            head_bytes=limits.max_header_bytes,
-            body_bytes=limits.max_body_bytes,
-            head_s=limits.header_timeout_ms / MS_PER_S,
-            idle_s=limits.idle_timeout_ms / MS_PER_S,
+            head_bytes=min(limits.max_header_bytes, MAX_COUNT),
+            body_bytes=min(limits.max_body_bytes, MAX_COUNT),
+            head_s=_seconds(limits.header_timeout_ms),
+            idle_s=_seconds(limits.idle_timeout_ms),
         ),
         None if document.tenants is None else _accounts(document.tenants),
     )
 
 
 def _service(record: _Service) -> Service:
-    return Service(record.name, record.max_conns, _engine(record.engine), record.health_path)
+    return Service(record.name, min(record.max_conns, MAX_COUNT), _engine(record.engine), record.health_path)
 
 
 def _route(route: _Route) -> Route:
@@ -130,23 +146,33 @@
         prefix=route.path_prefix,
         repeat=_repeat_policy(route),
         streamed=route.kind == 'streaming',
-        timeout_s=route.timeout_ms / MS_PER_S,
-        target_s=target_ms / MS_PER_S,
-        pause_s=route.gap_aim_ms / MS_PER_S,
-        max_attempts=route.max_attempts,
-        priority=route.priority,
+        timeout_s=_seconds(route.timeout_ms),
+        target_s=_seconds(target_ms),
+        pause_s=_seconds(route.gap_aim_ms),
+        max_attempts=min(route.max_attempts, MAX_COUNT),
+        priority=min(route.priority, MAX_PRIORITY),
         shares=_shares(route),
         public=route.public,
     )
 
 
 def _accounts(tenants: list[_Tenant]) -> Accounts:
-    return Accounts.from_keys(AccountKeys(Account(tenant.name, tenant.priority), tenant.api_keys) for tenant in tenants)
+    return Accounts.from_keys(
+        AccountKeys(Account(tenant.name, _account_priority(tenant.priority)), tenant.api_keys) for tenant in tenants
+    )
+
+
+def _account_priority(priority: int | None) -> int | None:
+    return None if priority is None else min(priority, MAX_PRIORITY)
+
+
+def _seconds(milliseconds: float) -> float:
+    return min(milliseconds, MAX_MILLISECONDS) / MS_PER_S
 
 
 def _shares(route: _Route) -> tuple[ServiceShare, ...]:
     if route.backends:
-        return tuple(ServiceShare(backend.service, backend.weight) for backend in route.backends)
+        return tuple(ServiceShare(backend.service, min(backend.weight, MAX_WEIGHT)) for backend in route.backends)
     if not route.service:
         raise ValueError(f'route {route.name} has neither a service nor backends')
     return (ServiceShare(route.service, 1),)
@@ -166,10 +192,10 @@
     if engine is None:
         return None
     return EngineSpec(
-        slots=engine.slots,
-        kv_tokens=engine.kv_tokens,
-        kv_token_bytes=engine.kv_bytes,
-        link_bytes_s=engine.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE,
+        slots=min(engine.slots, MAX_SLOTS),
+        kv_tokens=min(engine.kv_tokens, MAX_TOKENS),
+        kv_token_bytes=min(engine.kv_bytes, MAX_TOKEN_BYTES),
+        link_bytes_s=min(engine.link_mbps, MAX_LINK_MBPS) * BITS_PER_MEGABIT / BITS_PER_BYTE,
     )
 
 
