--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/prompt.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated, NamedTuple
+from typing import NamedTuple
 
-import msgspec
+from sesamepoint_core.field_types import Tokens
 
 
 class Part(NamedTuple):
@@ -12,7 +12,7 @@
 
     key: str
     # msgspec checks the bound where blocks are received from other processes.
-    tokens: Annotated[int, msgspec.Meta(ge=0)]
+    tokens: Tokens
 
 
 class Prompt(NamedTuple):
--- a/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/prefill.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from sesamepoint_core.field_types import HeaderName
 from sesamepoint import events
 from sesamepoint.front.requests.attempt import REJECTION_BODY_LIMIT_S
 from sesamepoint.front.requests.attempt_results import Withheld
@@ -82,7 +83,7 @@
 
 
 class _HandleReply(msgspec.Struct):
-    kv_handle: str
+    kv_handle: HeaderName
 
 
 async def prefill(req: FrontRequest, target: Target, reply: Reply) -> Prefilled | PrefillFailed | Withheld:
--- a/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/engine_cache_calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sesamepoint_core.field_types import Tokens
 from sesamepoint_core.serving.prompt import Part
 from sesamepoint_core.serving.runner import StartMs
 from sesamepoint.http1.client import MAX_LIST_BYTES
@@ -24,7 +25,7 @@
     # Empty on current deployments.
     group: str
     key: str
-    tokens: int
+    tokens: Tokens
     model: str
 
 
--- a/packages/sesamepoint/src/sesamepoint/platform/headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/headers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from sesamepoint_core.field_types import MAX_MILLISECONDS, MAX_TOKENS
 from sesamepoint_core.serving.accounts import KeyFault, PresentedKey, digest_of
 from sesamepoint_core.serving.prompt import Part, Prompt
 from sesamepoint_core.stream_origin.continuation import Continuation
@@ -195,9 +197,13 @@
     if text is None:
         return None
     try:
-        return max(float(text) / MS_PER_S, 0)
+        deadline_ms = float(text)
     except ValueError as exc:
         raise RejectedRequestError(BAD_REQUEST, 'the deadline is no number') from exc
+    if math.isnan(deadline_ms):
+        # It compares as neither passed nor left.
+        raise RejectedRequestError(BAD_REQUEST, 'the deadline is no number')
+    return min(max(deadline_ms, 0), MAX_MILLISECONDS) / MS_PER_S
 
 
 def _decode_prompt_headers(headers: Headers) -> Prompt | None:
@@ -212,16 +218,19 @@
 
 
 def _decode_prompt(model: str, counts: bytes, prefix_blocks: bytes) -> Prompt:
-    tokens, max_output = (int(count) for count in counts.split(b','))
-    if tokens < 0 or max_output < 0:
-        raise ValueError('negative token counts')
+    tokens, max_output = map(_token_count, counts.split(b','))
     entries = [entry.strip().partition(b':') for entry in prefix_blocks.split(b',') if entry.strip()]
-    parts = tuple(Part(key.decode('latin-1'), int(size)) for key, _, size in entries)
-    if any(part.tokens < 0 for part in parts):
-        raise ValueError('negative token count of a prefix block')
+    parts = tuple(Part(key.decode('latin-1'), _token_count(size)) for key, _, size in entries)
     return Prompt(model, parts, tokens, max_output)
 
 
+def _token_count(text: bytes) -> int:
+    count = int(text)
+    if not 0 <= count <= MAX_TOKENS:
+        raise ValueError(f'a token count is not from 0 to {MAX_TOKENS}')
+    return count
+
+
 __all__ = (
     'AttemptHeaders',
     'decode_request',
