--- a/packages/sesamepoint/src/sesamepoint/front/engines/decision_fields.py
+++ b/packages/sesamepoint/src/sesamepoint/front/engines/decision_fields.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.serving.prompt import Prompt
+    from sesamepoint_core.serving.speed_meters import PrefillSpeed
     from sesamepoint.front.engines.engine_plan import EnginePlan
 
 
@@ -25,7 +26,7 @@
         'fetch_tokens': plan.view.fetch_tokens,
         'rank': plan.rank,
         'streams': plan.view.streams,
-        'rate': round(prompt.tokens / plan.speeds.prefill_speed.prefill_s(prompt.tokens, prompt.tokens)),
+        'rate': _prefill_rate(prompt.tokens, plan.speeds.prefill_speed),
         'overhead_ms': whole_ms(plan.speeds.prefill_speed.overhead_s),
         'plain_pause_ms': whole_ms(plan.speeds.plain_pause_s),
         'engine_factor': round(plan.view.prefill_factor, 2),
@@ -33,4 +34,10 @@
     }
 
 
+def _prefill_rate(tokens: int, speed: PrefillSpeed) -> int:
+    """Return the expected speed of a prefill, in tokens a second; 0 for one that takes no time, of no tokens."""
+    prefill_s = speed.prefill_s(tokens, tokens)
+    return round(tokens / prefill_s) if prefill_s else 0
+
+
 __all__ = ('decision_fields',)
