--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -12,6 +12,7 @@
 
 from sesamepoint_core.decoding import UndecodableError, decode_json
 from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.field_types import Offset
 from sesamepoint_core.units import MS_PER_S
 from sesamepoint import events
 from sesamepoint.http1.client import MAX_LIST_BYTES, ClientConn
@@ -97,9 +98,19 @@
 
 
 class _NewestReply(msgspec.Struct, rename={'entries': 'items'}):
-    entries: list[_NewestEntry]
+    # Each is decoded by itself: an unusable one must not hide the others.
+    entries: list[msgspec.Raw]
+    has_more: bool
+    end: Offset
+
+
+class _Page(NamedTuple):
+    """A part of the newest records of a topic, without unusable ones."""
+
+    records: tuple[KeyedRecord, ...]
     has_more: bool
     end: int
+    epoch: int
 
 
 class StoreClient:
@@ -124,22 +135,18 @@
             If the store did not respond, or its epoch changed between two pages.
         """
         records: list[KeyedRecord] = []
-        query = {'topic': topic, 'part': '0'}
-        end: int | None = None
-        era: int | None = None
+        first: TopicRecords | None = None
+        after = ''
         while True:
-            answer = await self._call('GET', '/v1/log-newest', query, page_timeout_s - CALL_TIMEOUT_S)
-            page = _decode_page(answer.whole_body())
-            if era not in {None, answer.epoch}:
+            page = await self._read_page(topic, after, page_timeout_s)
+            # Changes made while the pages are read are in the log after the end offset of the first page.
+            first = first or TopicRecords((), page.end, page.epoch)
+            if first.epoch != page.epoch:
                 raise _unavailable('its epoch changed between two pages')
-            era = answer.epoch
-            records.extend(_decode_entry(entry) for entry in page.entries)
-            # Changes made while the pages are read are in the log after the
-            # end offset of the first page.
-            end = page.end if end is None else end
-            if not page.has_more or not records:
-                return TopicRecords(tuple(records), end, era)
-            query['after'] = records[-1].key
+            records.extend(page.records)
+            if not page.has_more:
+                return first._replace(records=tuple(records))
+            after = _last_key(page, after)
 
     async def follow(self, topic: str, start: int, wait_s: float) -> TopicRecords:
         """Return the records from ``start`` on; wait up to ``wait_s`` for the first.
@@ -201,6 +208,17 @@
             self._conn.close()
         self._conn = None
 
+    async def _read_page(self, topic: str, after: str, timeout_s: float) -> _Page:
+        """Read the entries after the key ``after``, or the first ones if it is empty."""
+        query = {'topic': topic, 'part': '0'}
+        if after:
+            query['after'] = after
+        answer = await self._call('GET', '/v1/log-newest', query, timeout_s - CALL_TIMEOUT_S)
+        reply = _decode_page(answer.whole_body())
+        found = (_decode_entry(topic, entry) for entry in reply.entries)
+        has_more = reply.has_more and bool(reply.entries)
+        return _Page(tuple(record for record in found if record), has_more, reply.end, answer.epoch)
+
     async def _call(
         self,
         method: str,
@@ -263,11 +281,24 @@
         raise _unavailable(f'unreadable reply: {exc}') from exc
 
 
-def _decode_entry(entry: _NewestEntry) -> KeyedRecord:
+def _decode_entry(topic: str, raw: msgspec.Raw) -> KeyedRecord | None:
+    """Decode an entry of a page; log it and return None if it is unusable."""
     try:
-        return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
-    except ValueError as exc:
-        raise _unavailable(f'unreadable reply: {exc}') from exc
+        return _keyed_record(decode_json(raw, _NewestEntry))
+    except (UndecodableError, ValueError) as exc:
+        events.log_event(events.RECORD_UNREADABLE, topic=topic, cause=str(exc))
+        return None
+
+
+def _keyed_record(entry: _NewestEntry) -> KeyedRecord:
+    return KeyedRecord(entry.key, base64.b64decode(entry.encoded))
+
+
+def _last_key(page: _Page, after: str) -> str:
+    """Return the key to go on after; a page that leads no further would be read for ever."""
+    if not page.records or page.records[-1].key == after:
+        raise _unavailable('a page that leads no further')
+    return page.records[-1].key
 
 
 def _split_records(body: bytes) -> list[bytes]:
--- a/packages/sesamepoint/src/sesamepoint/platform/store_epoch.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store_epoch.py
@@ -20,6 +20,8 @@
 # A larger count is treated as malformed: if it were accepted, all further
 # responses would be rejected as older.
 MAX_EPOCH = 1_000_000
+# Longer texts are not parsed; leading zeros are allowed for.
+MAX_DIGITS = 32
 
 
 class StoreEpoch:
@@ -40,7 +42,7 @@
         text = header(headers, STORE_EPOCH)
         if text is None:
             return self.newest
-        if not text.isdigit() or int(text) > MAX_EPOCH:
+        if not text.isdigit() or len(text) > MAX_DIGITS or int(text) > MAX_EPOCH:
             raise PlatformUnavailableError('store', 'malformed epoch')
         epoch = int(text)
         if epoch < self.newest:
--- /dev/null
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -0,0 +1,72 @@
+"""Answers of the store with entries and numbers that no reader expects."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_core.errors import PlatformUnavailableError
+from sesamepoint_core.serving.address import Address
+from sesamepoint.platform.store import StoreClient
+from sesamepoint.platform.store_epoch import StoreEpoch
+from tests.front.odd_values.odd_documents import huge, nested
+from tests.platform_boundary.scripted_network import ENDS, FRAMINGS, ScriptedNetwork, ScriptedResponse
+from tests.virtual_time import in_virtual_time
+
+ADDRESS = Address('10.0.0.1', 80)
+SOUND = '{"key": "k", "value": "dGV4dA==", "offset": 4}'
+ODD_ENTRIES = (
+    '{"key": "odd", "value": "dGV4dA=", "offset": 4}',
+    '{"key": "odd", "value": "\u00e9", "offset": 4}',
+    '{"key": 7, "value": "dGV4dA==", "offset": 4}',
+    f'{{"key": {nested(30)}, "value": "dGV4dA=="}}',
+    '{"key": "odd", "value": null}',
+    '{"key": "odd"}',
+    'null',
+    '[]',
+    huge(400),
+)
+ENDLESS_CALL_S = 60
+
+
+def _store(body: str, headers: bytes = b'') -> StoreClient:
+    raw = body.encode()
+    response = ScriptedResponse(FRAMINGS[0], ENDS[0], raw, len(raw), headers=headers)
+    return StoreClient(ADDRESS, ScriptedNetwork(response), StoreEpoch())
+
+
+def _page(entries: str, end: str = '5', *, has_more: bool = False) -> str:
+    return f'{{"items": [{entries}], "has_more": {str(has_more).lower()}, "end": {end}}}'
+
+
+class OddStoreAnswersTest(TestCase):
+    """What is sound in an answer is used, and what is not is an error of the call."""
+
+    @in_virtual_time
+    async def test_sound_entries_beside_odd_one(self) -> None:
+        """Guards against one entry that hides all others of its page."""
+        for odd in ODD_ENTRIES:
+            found = await _store(_page(f'{odd}, {SOUND}')).read_newest('keyed.x')
+            self.assertEqual([record.key for record in found.records if record.key != 'odd'], ['k'], odd)
+
+    @in_virtual_time
+    async def test_page_leads_no_further(self) -> None:
+        """Guards against a list that is read for ever, since each page says that more follow."""
+        for entries in (SOUND, ODD_ENTRIES[-1]):
+            with trio.fail_after(ENDLESS_CALL_S), self.assertRaises(PlatformUnavailableError, msg=entries):
+                await _store(_page(entries, has_more=True)).read_newest('keyed.x')
+
+    @in_virtual_time
+    async def test_end_out_of_range(self) -> None:
+        """Guards against an end of the log that no message to peers can carry."""
+        for end in (huge(13), huge(30), huge(400), huge(5000), '-1', 'null', nested(100)):
+            with self.assertRaises(PlatformUnavailableError, msg=end[:20]):
+                await _store(_page(SOUND, end)).read_newest('keyed.x')
+
+    @in_virtual_time
+    async def test_epoch_out_of_range(self) -> None:
+        """Guards against an epoch that ends the task which reads it."""
+        for epoch in (huge(7), huge(400), huge(5000), '-1', 'x'):
+            with self.assertRaises(PlatformUnavailableError, msg=epoch[:20]):
+                await _store(_page(SOUND), b'store-era: %b\r\n' % epoch.encode()).read_newest('keyed.x')
