--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/known_limit.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/known_limit.py
@@ -11,6 +11,8 @@
 
 # Longest text of a rate, in characters; a longer one is rejected as meaningless.
 MAX_RATE_CHARS = 32
+# A rate from which a limit is none, in requests a second: no address takes as many connections or requests.
+UNLIMITED_RATE = 1_000_000.0
 # A limit ends when an answer without one comes at least so many seconds after the last
 # answer that reported it.
 MIN_SILENCE_S = 0.5
@@ -148,4 +150,4 @@
     return float(rate)
 
 
-__all__ = ('FIRST_IN_FLIGHT', 'KnownLimit', 'ReportedLimit', 'parse_rate')
+__all__ = ('FIRST_IN_FLIGHT', 'UNLIMITED_RATE', 'KnownLimit', 'ReportedLimit', 'parse_rate')
--- a/packages/sesamepoint/src/sesamepoint/platform/runner_status_headers.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/runner_status_headers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from sesamepoint_core.registry import Registry
-from sesamepoint_core.runner_limit.known_limit import parse_rate
+from sesamepoint_core.runner_limit.known_limit import UNLIMITED_RATE, parse_rate
 from sesamepoint_core.runner_status.parsing import parse_back_off, parse_draining
 from sesamepoint_core.runner_status.status_headers import BackOff, Draining, NoRateLimit, RateLimit, Unreadable
 from sesamepoint.front.requests.job import is_success
@@ -59,11 +59,12 @@
 def _rate_limit(head: ResponseHead) -> Iterator[StatusHeader]:
     """Decode the rate limit; the last readable one of several applies.
 
-    A successful signed response without the header means that there is no limit.
+    A successful signed response without the header means that there is no limit, and so does a rate that nothing
+    reaches: operators write one for "no limit".
     """
     parsed, unreadable = _parse_all(head, wire_names.RUNNER_LIMIT, 'limit', parse_rate)
     if parsed:
-        yield RateLimit(parsed[-1])
+        yield RateLimit(parsed[-1]) if parsed[-1] < UNLIMITED_RATE else NoRateLimit()
     elif not unreadable and is_success(head.status) and is_signed(head):
         yield NoRateLimit()
     yield from unreadable
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -17,7 +17,7 @@
 # The decoder itself, and stand-ins and demonstrations, which read what they have written.
 EXEMPT = ('sesamepoint_core/decoding.py', 'sesamepoint_standins/', 'sesamectl/demo/')
 _BARE_DECODING = re.compile(r'msgspec\.(json|msgpack)\.(decode|Decoder)\b|\bjson\.loads?\(')
-_BRACKETS = st.text(alphabet='[]{}"\\a', max_size=300)
+_BRACKETS = st.text(alphabet=r'[]{}"\a', max_size=300)
 
 
 class _Document(msgspec.Struct):
@@ -40,7 +40,7 @@
 
     def test_many_flat_values(self) -> None:
         """Guards against a bound on depth that counts brackets side by side, or in strings."""
-        flat = [{'a': [1]}] * 1000
+        flat = [{'a': [1]} for _ in range(1000)]
         self.assertEqual(decode_json(msgspec.json.encode(flat), list[Any]), flat)
         texts = ['[[[[{{"\\' * 100]
         self.assertEqual(decode_json(msgspec.json.encode(texts), list[str]), texts)
@@ -48,7 +48,7 @@
     def test_nested_msgpack(self) -> None:
         """Guards against a deep message whose error is not the one that its readers catch."""
         with self.assertRaises(UndecodableError):
-            decode_msgpack(b'\x91' * 50_000 + b'\xc0', list[Any])
+            decode_msgpack(b'%b\xc0' % (b'\x91' * 50_000), list[Any])
 
     @given(st.one_of(_BRACKETS.map(str.encode), st.binary(max_size=200)))
     @settings(derandomize=True, max_examples=300)
