--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -139,6 +139,7 @@
 STORE_ROLLED_BACK = _event(
     2011, logging.WARNING, 'store was rolled back to an older copy, lost records are written again'
 )
+RECORD_NOT_APPLIED = _event(2014, logging.ERROR, 'record of the store could not be applied, the others are')
 PEER_CONFIGURATION = _event(2012, logging.INFO, 'peer gave its configuration')
 PEER_CONFIGURATION_FAILED = _event(2013, logging.WARNING, 'peer did not give its configuration')
 REGISTRATION_FAILED = _event(2010, logging.WARNING, 'registration with the store failed')
@@ -173,6 +174,7 @@
 REQUEST_REFUSED_LAG = _event(3805, logging.INFO, 'request refused, this instance lags and would serve it late')
 UPDATE_DROPPED = _event(3405, logging.WARNING, 'send queue to peers is full, a message is dropped')
 DATAGRAM_UNREADABLE = _event(3402, logging.WARNING, 'datagram of a peer does not decode')
+MESSAGE_NOT_HANDLED = _event(3406, logging.ERROR, 'message of a peer could not be handled, the next is read')
 ENGINE_MODEL_CHANGED = _event(3701, logging.INFO, 'model of an engine changed')
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -71,6 +71,7 @@
         self.addresses: dict[str, Address] = {}
         # Handlers of messages from peers, by message type.
         self.handlers: dict[type, Callable[[Any], None]] = {message_type: _ignore for message_type in PEER_MESSAGES}
+        self.handlers[SuspectUpdate] = quarantine.on_suspect_update
         # Called with the name of a peer that has just registered.
         self.on_peer_joined: list[Callable[[str], None]] = [quarantine.announce_to]
         # Called on the first message after a time without any.
@@ -164,10 +165,13 @@
             events.log_event(events.DATAGRAM_UNREADABLE, cause=str(exc))
             return
         self._note_received(message.entry)
-        if isinstance(message, SendUpdate):
-            self._sends.on_peer_update(message)
-        elif message.entry in self.members:
+        try:
             self._dispatch(message)
+        except Exception as exc:
+            # Else one message ends the task that receives those of all peers; what arrives until its restart is lost.
+            events.log_event(
+                events.MESSAGE_NOT_HANDLED, entry=message.entry, kind=type(message).__name__, cause=repr(exc)
+            )
 
     async def broadcast_update(self, topic_update: TopicUpdate) -> None:
         """Broadcast to all peers what this instance has read in the store."""
@@ -201,10 +205,10 @@
             self.on_reconnect()
         self._received_at = now
 
-    def _dispatch(self, message: PeerMessage) -> None:
-        if isinstance(message, SuspectUpdate):
-            self._quarantine.on_suspect_update(message)
-        else:
+    def _dispatch(self, message: SendUpdate | PeerMessage) -> None:
+        if isinstance(message, SendUpdate):
+            self._sends.on_peer_update(message)
+        elif message.entry in self.members:
             self.handlers[type(message)](message)
 
     async def _broadcast(self, message: SendUpdate) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -13,6 +13,7 @@
 from sesamepoint import events
 from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
 from sesamepoint.front.store.polling_turns import PollingTurns
+from sesamepoint.front.store.record_application import RecordApplication
 from sesamepoint.front.store.topic_updates import TopicUpdate, broadcastable
 from sesamepoint.platform.store import HistoryGoneError
 
@@ -143,6 +144,7 @@
         self._topic = topic
         self._wait_s = pacing.long_poll_s
         self._handlers = record_handlers
+        self._application = RecordApplication(topic, record_handlers.replace_all, record_handlers.update)
         self._peers = peers
         self._rng = rng
         self.turns = PollingTurns(pacing, peers.name, peers.instance_count, rng)
@@ -276,7 +278,7 @@
         if self._settling():
             self._handlers.restore(listing.records)
         else:
-            self._handlers.replace_all(listing.records)
+            self._application.replace_all(listing.records)
             self._has_records = True
         self.turns.note_listed(listing.end, trio.current_time())
         self._has_followed = False
@@ -299,7 +301,7 @@
         changed: list[KeyedRecord] = []
         changed_keys = set(changed_early)
         for record in records:
-            is_new = record.key in current and self._handlers.update(record)
+            is_new = record.key in current and self._application.update(record)
             # A key that changed and changed back counts too: a peer may have
             # received the first change and not the second. All its records are
             # sent: the newest one alone would hide that a runner was removed in between.
@@ -329,7 +331,7 @@
             for record in self.out_of_order.take_new(
                 Position(topic_update.epoch, topic_update.end), topic_update.changed or ()
             ):
-                self._handlers.update(record)
+                self._application.update(record)
 
     def _request_from_sender(self) -> None:
         """Request the records that the store does not return from the sender of the update."""
--- a/tests/front/odd_values/test_odd_entries.py
+++ b/tests/front/odd_values/test_odd_entries.py
@@ -4,9 +4,11 @@
 
 from typing import TYPE_CHECKING
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 
+from sesamepoint.front.runners.fleet import Fleet
 from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet, new_request, plain_runner
@@ -14,6 +16,9 @@
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamepoint_core.serving.runner import Runner
     from sesamepoint_standins.platform.bench import PlatformBench
 
 SETTLE_S = 3.0
@@ -89,3 +94,25 @@
                 bench.store.put(RUNNER_TOPIC, key, odd.registration)
                 await trio.sleep(SETTLE_S)
                 await _check_answered(self, bench, repr(key))
+
+    @in_virtual_time
+    async def test_list_followed_after_record_that_fails(self) -> None:
+        """Guards against a list that is never followed again after a record that decodes and can't be applied."""
+        update, replace_all = Fleet.update, Fleet.replace_all
+
+        def failing_update(fleet: Fleet, runner: Runner) -> None:
+            if runner.key == 'i-odd':
+                raise ArithmeticError(runner.key)
+            update(fleet, runner)
+
+        def failing_replace_all(fleet: Fleet, runners: Iterable[Runner]) -> None:
+            for runner in runners:
+                if runner.key == 'i-odd':
+                    raise ArithmeticError(runner.key)
+            replace_all(fleet, runners)
+
+        with patch.object(Fleet, 'update', failing_update), patch.object(Fleet, 'replace_all', failing_replace_all):
+            async with open_bench(configuration(), fleet(), fronts=2) as bench:
+                bench.store.put(RUNNER_TOPIC, 'i-odd', plain_runner(9).registration)
+                await trio.sleep(SETTLE_S)
+                await _check_followed(self, bench, 'failing record')
