--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -10,6 +10,7 @@
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.framing import framing_of
 from sesamepoint.http1.limited_receiver import LimitedReceiver
+from sesamepoint.http1.parser_turns import ParserTurns
 from sesamepoint.http1.messages import ConnBrokenError, ReceivedBody, RequestHead, ResponseHead, header
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
 MAX_HEAD_BYTES = 65536
 # Most bytes before the head of the wanted response: informational responses, and responses to no request.
 MAX_BYTES_BEFORE_HEAD = 1_048_576
+# Most of these responses. Servers send a few; each costs as much to parse as the wanted one.
+MAX_HEADS_BEFORE_HEAD = 64
 # Most bytes of a body that is read as a whole, framing included: failures, and replies of a few fields.
 MAX_BODY_BYTES = 65536
 # The same for lists: pages of the store, inventories of engines, configurations.
@@ -52,6 +55,7 @@
         self._transport = transport
         self.receiver = LimitedReceiver(transport)
         self._state = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._turns = ParserTurns()
         self._request: h11.Request | None = None
         self._request_sent = True
         # Of the response that was read last.
@@ -190,7 +194,7 @@
         self._transport.close()
 
     async def _read_head(self, accept: Callable[[ResponseHead], bool]) -> ResponseHead:
-        while True:
+        for _ in range(MAX_HEADS_BEFORE_HEAD + 1):
             event = await self._event()
             if not isinstance(event, h11.Response):
                 continue
@@ -199,6 +203,7 @@
                 self._begin_body(response)
                 return response
             await self._skip_answer()
+        raise self.receiver.given_up(f'{MAX_HEADS_BEFORE_HEAD} other responses before the wanted one')
 
     async def _read_parts(self, keep: Callable[[bytes], None] | None = None) -> ReadEnd:
         """Read the rest of the body, and pass its parts to ``keep``."""
@@ -251,6 +256,7 @@
                 # protocol. Asking on without waiting took the whole process.
                 raise ConnBrokenError('the connection no longer carries HTTP', ReadEnd.malformed)
             if event is not h11.NEED_DATA:
+                await self._turns.note_event()
                 return event
             self._feed(await self.receiver.receive())
 
--- a/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/limited_receiver.py
@@ -68,10 +68,15 @@
         if limit is not None:
             limit.received += len(received)
             if limit.received > limit.max_bytes:
-                self._log_given_up(limit)
-                raise ConnBrokenError(f'{limit.part} of more than {limit.max_bytes} bytes', ReadEnd.given_up)
+                raise self.given_up(f'{limit.part} of more than {limit.max_bytes} bytes')
         return received
 
+    def given_up(self, cause: str) -> ConnBrokenError:
+        """Log that what is read now exceeds a limit, and return the error to raise."""
+        if self._limit is not None:
+            self._log_given_up(self._limit)
+        return ConnBrokenError(cause, ReadEnd.given_up)
+
     @contextmanager
     def limited(self, part: str, max_bytes: int, limit_s: float = math.inf) -> Iterator[None]:
         """Limit what is read inside, in bytes (framing included) and seconds; a time-out leaves it and is logged."""
--- a/packages/sesamepoint/src/sesamepoint/http1/server.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/server.py
@@ -9,6 +9,7 @@
 
 from sesamepoint.http1.messages import RejectedRequestError, RequestHead, header
 from sesamepoint.http1.outbox import UnboundedAccount
+from sesamepoint.http1.parser_turns import ParserTurns
 from sesamepoint.http1.response_writer import CallerGoneError, ResponseWriter
 
 if TYPE_CHECKING:
@@ -98,6 +99,7 @@
         super().__init__(transport, h11.Connection(h11.SERVER, self._limits.head_bytes), should_close, self._held)
         # Returns whether the caller is connected and none of its bytes has arrived unread.
         self.is_idle = transport.is_idle
+        self._turns = ParserTurns()
         self._body_size = 0
         self._buffered = b''
 
@@ -235,6 +237,7 @@
         while True:
             event = self._next_event()
             if event is not h11.NEED_DATA:
+                await self._turns.note_event()
                 return event
             received = await self._receive()
             if not received:
