--- a/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/admit/window_budget.py
@@ -123,7 +123,8 @@
         credit_share: float = CREDIT_SHARE,
     ) -> None:
         """Start with nothing earned and nothing spent."""
-        self._credit = ratio * credit_share / 2
+        self._credit_share = credit_share
+        self._credit = _credit_of(ratio, credit_share)
         self._held_ratio = ratio * (1 - credit_share)
         self._reserve = reserve
         # What is taken from the reserve and not refilled yet.
@@ -134,7 +135,7 @@
         self._held: float = 0
         # Extra sends that are paid and not known to be read, and the parts that paid for them. Credit among them is
         # the backing of the slices, and what has lost its backing.
-        self._unread = 0
+        self.unread = 0
         self._unread_held: float = 0
         self._unread_reserved: float = 0
         self._unbacked: float = 0
@@ -151,6 +152,17 @@
         """Change the reserve; what was taken from it stays taken."""
         self._reserve = reserve
 
+    def change_ratio(self, ratio: float) -> None:
+        """Change the ratio: what requests before have earned and not spent shrinks with it, and doesn't grow."""
+        credit = _credit_of(ratio, self._credit_share)
+        kept = min(credit / self._credit, 1) if self._credit else 0
+        newest = self._current_slice()
+        for each in self._slices:
+            each.credit *= kept
+        self._credit = credit
+        self._held_ratio = ratio * (1 - self._credit_share)
+        self._held = self._held_ratio * self._least_requests(newest.number)
+
     def spend(self) -> Payment | None:
         """Take an extra send from credit, else from held credit, else from the reserve; None if all are used up.
 
@@ -161,7 +173,7 @@
         if self._credit_left + self._held_left + max(self._reserve_left, 0) - self._uncovered < 1:
             return None
         payment = self._take()
-        self._unread += 1
+        self.unread += 1
         return payment
 
     def settle(self, payment: Payment) -> None:
@@ -180,16 +192,11 @@
         self._release(payment, refunded=True)
         self._reserve_used -= payment.reserved
 
-    @property
-    def unread(self) -> int:
-        """Return the extra sends that are paid and not known to be read."""
-        return self._unread
-
     @property
     def spent(self) -> int:
         """Return the extra sends that are unread, or were read in the window."""
         self._current_slice()
-        return self._unread + sum(each.extra for each in self._last(SPENT_SLICES))
+        return self.unread + sum(each.extra for each in self._last(SPENT_SLICES))
 
     @property
     def requests(self) -> int:
@@ -201,7 +208,7 @@
         """Return what decides, for the log: extra sends and requests in the window, and what each source has left."""
         return {
             'spent': self.spent,
-            'unread': self._unread,
+            'unread': self.unread,
             'in_window': self.requests,
             'credit_left': round(self._credit_left, 2),
             'held': round(self._held, 2),
@@ -264,7 +271,7 @@
 
         Credit that is refunded can be used for as long as before.
         """
-        self._unread -= 1
+        self.unread -= 1
         self._unread_held -= payment.held
         self._unread_reserved -= payment.reserved
         unbacked = min(self._unbacked, payment.credit)
@@ -316,4 +323,9 @@
         return least
 
 
+def _credit_of(ratio: float, credit_share: float) -> float:
+    """Return the credit of one request; it may be used in two windows."""
+    return ratio * credit_share / 2
+
+
 __all__ = ('CREDIT_SHARE', 'CREDIT_SLICES', 'Payment', 'WindowBudget')
--- a/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
+++ b/packages/sesamepoint/src/sesamepoint/front/retry_budget/retry_budgets.py
@@ -211,12 +211,16 @@
         budget.earn()
         return budget
 
-    def reconfigure(self, reserve: float) -> None:
-        """Apply a changed reserve of all instances together."""
+    def reconfigure(self, ratio: float, reserve: float) -> None:
+        """Apply a changed ratio and reserve of all instances together; the length of the window takes a restart."""
+        bound = self._bound._replace(ratio=ratio, slack=reserve)
+        if bound == self._bound:
+            return
+        self._bound = bound
         self._reserve = RETRY_BUDGET_SHARE * reserve
-        if reserve != self._bound.slack:
-            self._bound = self._bound._replace(slack=reserve)
-            self.log_share()
+        for budget in self._by_service.values():
+            budget.window.change_ratio(RETRY_BUDGET_SHARE * ratio)
+        self.log_share()
 
     def log_share(self) -> None:
         """Log the bound on all instances together, and by which number of instances this one takes its share."""
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -123,9 +123,9 @@
         return watch is not None and watch.turns.polls_for_all
 
     def reconfigure(self, cfg: FrontSettings) -> None:
-        """Apply changed settings, such as the reserve of the retry budget."""
+        """Apply changed settings, such as the bound on repeats."""
         self._cfg = cfg
-        self._targets.budgets.reconfigure(cfg.retry_reserve)
+        self._targets.budgets.reconfigure(cfg.retry_ratio, cfg.retry_reserve)
 
     def put_in_force(self, cfg: Configuration) -> bool:
         """Apply ``cfg`` if it is newer than the configuration in force; return whether it was."""
--- a/tests/core/test_window_budget.py
+++ b/tests/core/test_window_budget.py
@@ -141,6 +141,27 @@
             requests = max(_count(earned, end), _count(earned, end - WINDOW_S), _count(earned, end - WINDOW_S / 2))
             self.assertLessEqual(extra, RATIO * requests + RESERVE)
 
+    def test_ratio_lowered(self) -> None:
+        """Guards against requests that pay by the ratio of before, once the operator has lowered it."""
+        self.budget.resize(0)
+        self._earn_for_windows(3)
+        self.budget.change_ratio(RATIO / 10)
+        made = sum(self._spend() for _ in range(20))
+        self.assertLessEqual(made, RATIO / 10 * 74)
+        self._earn_for_windows(3)
+        made = sum(self._spend() for _ in range(20))
+        self.assertGreaterEqual(made, 1)
+        self.assertLessEqual(made, RATIO / 10 * 74)
+
+    def test_ratio_raised(self) -> None:
+        """Guards against requests that pay by a raised ratio for what they came with before."""
+        self.budget = WindowBudget(RATIO / 10, 0, WINDOW_S, self.clock.now)
+        self._earn_for_windows(3)
+        self.budget.change_ratio(RATIO)
+        made = sum(self._spend() for _ in range(40))
+        self.assertGreater(made, RATIO / 10 * 74)
+        self.assertLessEqual(made, RATIO * 74)
+
     def test_refunded_send(self) -> None:
         """Guards against sends that are given back and can't be used again, or more than once."""
         for _ in range(40):
@@ -165,6 +186,11 @@
                 payments.append(payment)
         return payments
 
+    def _earn_for_windows(self, windows: int) -> None:
+        for _ in range(74 * windows):
+            self.clock.time += WINDOW_S / 74
+            self.budget.earn()
+
     def _spend(self) -> bool:
         """Make a send that is read at once."""
         payment = self.budget.spend()
--- a/tests/front/retry_budget/test_suspended_machine.py
+++ b/tests/front/retry_budget/test_suspended_machine.py
@@ -36,7 +36,7 @@
     runners = [plain_runner(number) for number in range(1, RUNNERS + 1)]
     async with open_bench(configuration(), runners, fronts=1) as bench:
         # What its requests pay for shows without a reserve only.
-        bench.fronts['front-1'].dispatcher.budgets.reconfigure(0)
+        bench.fronts['front-1'].dispatcher.budgets.reconfigure(0.2, 0)
         for _ in range(int(CALM_S * REQUESTS_PER_S)):
             await _send(bench)
         bench.clocks['front-1'].suspended_s = suspended_s
