--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/faulty_proxy.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/faulty_proxy.py
@@ -28,6 +28,7 @@
     ``drop_all`` drops the bytes of both directions, ``drop_answers`` those from
     the target only. ``hold`` keeps the bytes to the target, which their sender takes for
     delivered, until it ends, and those of each connection for a time of its own after that.
+    ``delay_answers`` delays the bytes from the target only.
     """
 
     none = 'none'
@@ -35,6 +36,7 @@
     drop_all = 'silence'
     drop_answers = 'lose answers'
     hold = 'hold'
+    delay_answers = 'delay answers'
 
 
 class FaultyProxy:
@@ -80,6 +82,8 @@
         if self.fault is Fault.delay:
             held_s = self.draw_hold_s() if towards_target else 0
             await trio.sleep(self.delay_s + held_s)
+        if self.fault is Fault.delay_answers and not towards_target:
+            await trio.sleep(self.delay_s)
         if self.fault is Fault.hold and towards_target:
             while self.fault is Fault.hold:
                 await trio.sleep(HOLD_CHECK_S)
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -50,7 +50,7 @@
 bounds.config_apply_ms=2000
 bounds.retry_ratio={retry_ratio}
 bounds.budget_slack={retry_slack}
-bounds.budget_window_s=10
+bounds.budget_window_s={retry_window_s}
 limits.link_mbps=1000.0
 platform.address={store}
 cloud.address={usage}
@@ -106,6 +106,9 @@
         # The bound on repeats that the settings of the fronts state.
         self.retry_ratio: float = 0.2
         self.retry_slack = 50
+        self.retry_window_s: float = 10
+        # The interpreter that runs the fronts: that of another tree, to compare versions.
+        self.python = sys.executable
         # Further lines of these settings.
         self.more_settings = ''
         self._folder = folder
@@ -142,7 +145,7 @@
         """Restart the front at index ``index`` with its old settings."""
         front = self.fronts[index]
         log_from = len(front.log_path.read_text(encoding='utf-8'))
-        front = front._replace(process=await _start_process(self.program, front.settings), log_offset=log_from)
+        front = front._replace(process=await self._start_process(front.settings), log_offset=log_from)
         self.fronts[index] = front
         return front
 
@@ -203,7 +206,11 @@
         listen, ready_listen, settings = await self._new_settings(name, host)
         path = self._folder / f'{name}.conf'
         path.write_text(settings, encoding='utf-8')
-        return BenchFront(await _start_process(self.program, path), listen, ready_listen, path)
+        return BenchFront(await self._start_process(path), listen, ready_listen, path)
+
+    async def _start_process(self, settings: Path) -> trio.Process:
+        command = [self.python, '-m', self.program, 'front', '--settings', str(settings)]
+        return await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
 
     async def _new_settings(self, name: str, host: str) -> tuple[Address, Address, str]:
         listen = Address(host, await _free_port(host))
@@ -219,6 +226,7 @@
             usage=self._usage_address,
             retry_ratio=self.retry_ratio,
             retry_slack=self.retry_slack,
+            retry_window_s=self.retry_window_s,
         )
         return listen, ready_listen, f'{settings}{self.more_settings}'
 
@@ -283,11 +291,6 @@
     return settings.with_suffix('.log')
 
 
-async def _start_process(program: str, settings: Path) -> trio.Process:
-    command = [sys.executable, '-m', program, 'front', '--settings', str(settings)]
-    return await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
-
-
 async def _free_port(host: str) -> int:
     with trio.socket.socket() as sock:
         await sock.bind((host, 0))
--- a/tests/front/retry_budget/faulty_budget.py
+++ b/tests/front/retry_budget/faulty_budget.py
@@ -15,17 +15,26 @@
 from unittest.mock import patch
 
 from sesamepoint import cli
+from sesamepoint_core.admit.reserve_share import ReserveShare
 from sesamepoint_core.admit.window_budget import WindowBudget
 from sesamepoint_core.body_end.body_facts import ReadEnd
-from sesamepoint.front.requests.arrivals import ReadSign, Sent
+from sesamepoint.front.requests.arrivals import Arrivals, ReadSign, SendReason, Sent
+from sesamepoint.front.retry_budget.retry_budgets import RetryBudgets, ServiceBudget
 from sesamepoint.front.retry_budget.service_life import ServiceLife
+from sesamepoint.front.runners import unread_sends
+from sesamepoint.front.store.topic_sync import TopicSync
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from sesamepoint_core.serving.routes import Configuration
+
 # A pause in the use of a budget that its process takes for one in which it stood still, in seconds.
 STANDSTILL_S = 1.0
 
+_is_paid = Arrivals.is_paid
+_put_in_force = TopicSync.put_in_force
+_reconfigure = RetryBudgets.reconfigure
 _spend = WindowBudget.spend
 _settle = WindowBudget.settle
 _refund = WindowBudget.refund
@@ -94,7 +103,40 @@
     return call
 
 
-Patch = tuple[type, str, Any]
+def _shown_read_at_once(sent: Sent, started_at: float) -> bool:
+    """Take any later answer of a runner for a sign that it has read what was sent before."""
+    return sent.sent_at <= started_at
+
+
+def _forget_on_reload(budgets: RetryBudgets, ratio: float, reserve: float) -> None:
+    """Forget what was spent when the settings are read again."""
+    _reconfigure(budgets, ratio, reserve)
+    budgets._by_service.clear()
+
+
+def _keep_ratio(budgets: RetryBudgets, ratio: float, reserve: float) -> None:
+    """Apply a changed reserve only."""
+    _reconfigure(budgets, budgets._bound.ratio, reserve)
+
+
+def _forget_on_configuration(sync: TopicSync, cfg: Configuration) -> bool:
+    """Forget what was spent when a configuration comes into force."""
+    sync._targets.budgets._by_service.clear()
+    return _put_in_force(sync, cfg)
+
+
+def _share_at_once(share: ReserveShare, reserve: float, service: str) -> float:
+    """Use the share of the newest list, whoever has used it before."""
+    return share._view.share(reserve, service)
+
+
+def _is_paid_after_prefill(arrivals: Arrivals, ahead: int = 0) -> bool:
+    """Take a send after a prefill for paid."""
+    latest = arrivals.latest
+    return (latest is not None and latest.arrival.reason is SendReason.prefill) or _is_paid(arrivals, ahead)
+
+
+Patch = tuple[Any, str, Any]
 VARIANTS: Mapping[str, tuple[Patch, ...]] = MappingProxyType(
     {
         'paid-at-send': (
@@ -106,6 +148,19 @@
         'forgets-at-standstill': tuple(
             (WindowBudget, name, _forgetting(name)) for name in ('spend', 'settle', 'refund', 'earn')
         ),
+        'later-answer-at-once': ((unread_sends, '_shown_read', _shown_read_at_once),),
+        'reload-forgets': ((RetryBudgets, 'reconfigure', _forget_on_reload),),
+        'ratio-of-start': ((RetryBudgets, 'reconfigure', _keep_ratio),),
+        'configuration-forgets': ((TopicSync, 'put_in_force', _forget_on_configuration),),
+        'share-at-once': ((ReserveShare, 'share', _share_at_once),),
+        'credit-in-full': (
+            (sys.modules[WindowBudget.__module__], '_credit_of', lambda ratio, _: ratio),
+            (WindowBudget, '_least_requests', lambda *_: 0),
+        ),
+        'prefill-unpaid': (
+            (ServiceBudget, 'hold_prefill', lambda *_: False),
+            (Arrivals, 'is_paid', _is_paid_after_prefill),
+        ),
     }
 )
 
--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -24,11 +24,15 @@
 from tests.front.random_faults import Outcome, count_runs, find_request_violations
 from tests.front.soak_bench import SoakBench
 from tests.front.soak_configuration import API_KEY, soak_configuration
-from tests.front.soak_limits import SoakLimits
-from tests.front.soak_registrations import SoakRegistrations
-from tests.front.soak_repeats import SoakRepeats
-from tests.front.soak_runner_status import Disturbance, SoakRunnerStatus
-from tests.front.soak_streams import SoakStreams
+from tests.front.soak_parts import (
+    Disturbance,
+    SoakLimits,
+    SoakOddValues,
+    SoakRegistrations,
+    SoakRepeats,
+    SoakRunnerStatus,
+    SoakStreams,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -82,6 +86,7 @@
         self._any_rng = Random(rng.random())
         self._repeats = SoakRepeats(bench, self._any_rng)
         self._registrations = SoakRegistrations(bench, Random(rng.getstate()[1][0]), self.runner_status)
+        self._odd_values = SoakOddValues(bench, Random(rng.getstate()[1][2]))
         self._ends_rng = Random(FRONTS)
         self._roll_rng = Random(FRONTS)
         self._restarts = 0
@@ -114,6 +119,7 @@
             nursery.start_soon(self.runner_status.report_status, duration_s)
             nursery.start_soon(self._registrations.run, duration_s)
             nursery.start_soon(self._streams.run, duration_s)
+            nursery.start_soon(self._odd_values.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
             nursery.start_soon(self._roll_fronts, duration_s)
             nursery.start_soon(self._repeats.run, duration_s, self._ask_plain, FRONTS)
@@ -123,6 +129,7 @@
                     nursery.start_soon(self._rng.choice(self._steps))
         self._clear_faults()
         await self._wait_until_served()
+        await self._odd_values.finish()
 
     def violations(self) -> list[str]:
         """Return a message for each violation that callers or runners saw."""
@@ -143,6 +150,7 @@
         messages += self._registrations.violations()
         messages += self._streams.violations()
         messages += self._repeats.violations()
+        messages += self._odd_values.violations()
         messages += self.runner_status.violations(
             {one.request.request_id for one in self.outcomes if one.answer.status}
         )
--- a/tests/front/test_soak.py
+++ b/tests/front/test_soak.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
 from unittest import TestCase
+from unittest.mock import patch
 
 import trio
 
@@ -31,8 +33,11 @@
 
     def test_half_event_believed(self) -> None:
         """Guards against faults that break nothing: processes that ignore half an event at the end of a stream."""
-        found = (trio.run(run_seed, seed, DURATION_S, FAULTY_PROGRAM) for seed in FAULTY_SEEDS)
-        self.assertTrue(any(line.startswith(('mixed', 'short')) for violations in found for line in violations))
+        self.assertTrue(_is_found('half-event', ('mixed', 'short')))
+
+    def test_nested_entry_not_caught(self) -> None:
+        """Guards against odd values that break nothing: processes whose readers catch too little."""
+        self.assertTrue(_is_found('catches-too-little', ('odd',)))
 
     def test_reload_during_start(self) -> None:
         """A front gets the signal to reload its settings just as it is restarted.
@@ -44,6 +49,13 @@
         self.assertTrue(trio.run(_reload_during_start))
 
 
+def _is_found(variant: str, marks: tuple[str, ...]) -> bool:
+    """Tell whether a seed finds a violation of one kind in faulty processes."""
+    with patch.dict(os.environ, VARIANT=variant):
+        found = (trio.run(run_seed, seed, DURATION_S, FAULTY_PROGRAM) for seed in FAULTY_SEEDS)
+        return any(line.startswith(marks) for violations in found for line in violations)
+
+
 async def _reload_during_start() -> bool:
     with TemporaryDirectory() as folder:
         async with open_process_bench(configuration(), Path(folder), FRONTS) as bed:
