--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -58,13 +58,13 @@
         ready_listen=Address.parse(pairs['listen.ready']),
         peer_port=first_port,
         drain_s=_seconds(pairs, 'bounds.drain_ms'),
-        stop_s=float(pairs['bounds.grace_s']),
+        stop_s=_number(pairs, 'bounds.grace_s'),
         config_s=_seconds(pairs, 'bounds.config_apply_ms'),
-        retry_ratio=float(pairs['bounds.retry_ratio']),
+        retry_ratio=_number(pairs, 'bounds.retry_ratio'),
         # A number of requests, despite the name of the setting.
-        retry_reserve=float(pairs['bounds.budget_slack']),
-        retry_window_s=float(pairs['bounds.budget_window_s']),
-        link_bytes_s=float(pairs['limits.link_mbps']) * BITS_PER_MEGABIT / BITS_PER_BYTE,
+        retry_reserve=_number(pairs, 'bounds.budget_slack'),
+        retry_window_s=_number(pairs, 'bounds.budget_window_s'),
+        link_bytes_s=_number(pairs, 'limits.link_mbps') * BITS_PER_MEGABIT / BITS_PER_BYTE,
         store=StoreSettings(Address.parse(pairs['platform.address'])),
         heartbeat_s=_seconds(pairs, 'heartbeat_ms') if 'heartbeat_ms' in pairs else DEFAULT_HEARTBEAT_S,
         duty=_duty_settings(pairs),
@@ -82,8 +82,8 @@
         return None
     return DutySettings(
         address=Address.parse(pairs['cloud.address']),
-        window_s=float(pairs['bounds.usage_window_s']),
-        report_delay_s=float(pairs['bounds.usage_late_s']),
+        window_s=_number(pairs, 'bounds.usage_window_s'),
+        report_delay_s=_number(pairs, 'bounds.usage_late_s'),
         lease_s=_seconds(pairs, 'bounds.lease_ms'),
     )
 
@@ -99,7 +99,14 @@
 
 
 def _seconds(pairs: Mapping[str, str], name: str) -> float:
-    return float(pairs[name]) / MS_PER_S
+    return _number(pairs, name) / MS_PER_S
+
+
+def _number(pairs: Mapping[str, str], name: str) -> float:
+    number = float(pairs[name])
+    if not 0 <= number < math.inf:
+        raise ValueError(f'{name} is {pairs[name]}, not a number from 0 on')
+    return number
 
 
 __all__ = ('decode_settings', 'read_settings')
--- a/tests/front/instance_room/test_settings.py
+++ b/tests/front/instance_room/test_settings.py
@@ -44,3 +44,9 @@
         for line in ('limits.memory_mb=0', 'limits.max_fds=-5', 'limits.cores=nan', 'limits.memory_mb=much'):
             with self.subTest(line), self.assertRaises(SettingsError):
                 decode_settings(f'{SETTINGS}{line}\n')
+
+    def test_bound_without_meaning_refused(self) -> None:
+        """Guards against a bound that is no number, and that allows everything or nothing where it is compared."""
+        for line in ('bounds.retry_ratio=nan', 'bounds.budget_slack=inf', 'bounds.drain_ms=-1', 'bounds.grace_s=-inf'):
+            with self.subTest(line), self.assertRaises(SettingsError):
+                decode_settings(f'{SETTINGS}{line}\n')
--- a/tests/platform_boundary/test_odd_documents.py
+++ b/tests/platform_boundary/test_odd_documents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import copy
 import json
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -74,7 +73,7 @@
 
 
 def _with_odd_value(document: Any, path: tuple[Any, ...], text: str) -> bytes:
-    changed = {'': copy.deepcopy(document)}
+    changed = {'': json.loads(json.dumps(document))}
     owner: Any = changed
     for step, following in zip(('', *path), path, strict=False):
         owner = owner[step]
