--- a/packages/sesamepoint/src/sesamepoint/front/dispatch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/dispatch.py
@@ -16,7 +16,14 @@
 from sesamepoint.front.requests.failure_cause import FailureCause
 from sesamepoint.front.requests.final_reply import UNAVAILABLE, finish_reply, reply_after_deadline
 from sesamepoint.front.requests.request_end import log_request_end
-from sesamepoint.front.requests.job import MIN_FIRST_EVENT_WAIT_S, Job, JobAdmission, RunStartedCallback, StreamFollower
+from sesamepoint.front.requests.job import (
+    MIN_FIRST_EVENT_WAIT_S,
+    Job,
+    JobAdmission,
+    JobCallback,
+    StreamFollower,
+    bound_to,
+)
 from sesamepoint.front.telemetry.metrics import FrontMetrics
 from sesamepoint.front.requests.retry_after import default_retry_after_s, max_hold_s
 from sesamepoint.front.requests.attempt_results import Relayed
@@ -74,7 +81,7 @@
         self._usual_deadlines = RetryDetector()
         self._active: set[Job] = set()
         # Called when the first runner has begun to run a request.
-        self.on_run_started: RunStartedCallback | None = None
+        self.on_run_started: JobCallback | None = None
         # Refuses requests that this process would serve late.
         self.lag: JobAdmission | None = None
         # Finds the origins of streams that callers take up.
@@ -119,11 +126,11 @@
         caller_retry = self._usual_deadlines.is_retry(route.name, req.deadline_s, req.arrived_at)
         job = Job(req, route, self._pick_service(route), reply, caller_retry=caller_retry)
         assign_account(job, cfg, admission)
-        job.access.on_run_started = self.on_run_started
+        job.access.on_run_started = bound_to(job, self.on_run_started)
         job.access.answer_sizes = self._answer_sizes
         if self.take_ups is not None:
             self.take_ups.follow(job)
-        job.access.on_first_send = self.lag.note_first_send if self.lag else None
+        job.access.on_first_send = bound_to(job, self.lag.note_first_send if self.lag else None)
         self._active.add(job)
         try:
             if not await self._serve_until_deadline(job, cfg):
--- a/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
+++ b/packages/sesamepoint/src/sesamepoint/front/quarantine/quarantine.py
@@ -38,7 +38,8 @@
 
     from sesamepoint.front.requests.attempt_results import AttemptResult
     from sesamepoint.front.quarantine.probe_admission import RunnerPicker
-    from sesamepoint.front.requests.job import Job, SentRunner
+    from sesamepoint.front.requests.job import Job
+    from sesamepoint.front.requests.sent_runner import SentRunner
     from sesamepoint.platform.store import KeyedRecord
 
     AddGauge = Callable[[str, str, Callable[[], float]], None]
--- a/packages/sesamepoint/src/sesamepoint/front/requests/access_state.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/access_state.py
@@ -14,7 +14,6 @@
     from sesamepoint_core.fleet_health.answer_sizes import AnswerSizes
     from sesamepoint_core.serving.accounts import Account, KeyFault
     from sesamepoint_core.serving.poison_requests import Incarnation
-    from sesamepoint.front.requests.job import RunStartedCallback
 
 
 @dataclass
@@ -55,9 +54,9 @@
     permits: set[Incarnation] = field(default_factory=set)
     checked: set[Incarnation] = field(default_factory=set)
     run_started: bool = False
-    on_run_started: RunStartedCallback | None = None
+    on_run_started: Callable[[], None] | None = None
     work_offered: bool = False
-    on_first_send: RunStartedCallback | None = None
+    on_first_send: Callable[[], None] | None = None
     stops_at: float = math.inf
     answer_sizes: AnswerSizes | None = None
     may_move: Callable[[], bool] | None = None
--- a/packages/sesamepoint/src/sesamepoint/front/requests/job.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/job.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import cached_property
-from typing import TYPE_CHECKING, NamedTuple, Protocol
+from functools import cached_property, partial
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -14,6 +14,7 @@
 from sesamepoint.front.requests.access_state import AccessState
 from sesamepoint.front.requests.arrivals import Arrivals
 from sesamepoint.front.requests.request_trace import RequestTrace
+from sesamepoint.front.requests.sent_runner import SentRunner
 from sesamepoint.front.requests.retry_after import default_retry_after_s
 from sesamepoint.front.streams.stream_state import StreamState
 
@@ -41,14 +42,7 @@
 FIRST_EVENT_WAIT_PAUSES = 8.0
 
 
-class SentRunner(NamedTuple):
-    """A runner that a request was sent to, and the version of its software."""
-
-    incarnation: Incarnation
-    software_version: str | None
-
-
-RunStartedCallback = Callable[['Job'], None]
+JobCallback = Callable[['Job'], None]
 
 
 class JobAdmission(Protocol):
@@ -211,7 +205,7 @@
         if not self.access.run_started:
             self.access.run_started = True
             if self.access.on_run_started is not None:
-                self.access.on_run_started(self)
+                self.access.on_run_started()
 
     @property
     def target_left_s(self) -> float:
@@ -263,13 +257,18 @@
     return FIRST_SUCCESS <= status < FIRST_REDIRECT
 
 
+def bound_to(job: Job, callback: JobCallback | None) -> Callable[[], None] | None:
+    """Return a callback that is called with ``job``; None without one."""
+    return partial(callback, job) if callback else None
+
+
 __all__ = (
     'MIN_FIRST_EVENT_WAIT_S',
     'RETRY_SOON_S',
     'Job',
     'JobAdmission',
-    'RunStartedCallback',
-    'SentRunner',
+    'JobCallback',
+    'bound_to',
     'StreamFollower',
     'is_success',
 )
--- a/packages/sesamepoint/src/sesamepoint/front/requests/request_trace.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/request_trace.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from sesamepoint_core.body_end.decision import BrokenOff, Complete
-    from sesamepoint.front.requests.job import SentRunner
+    from sesamepoint.front.requests.sent_runner import SentRunner
 
 
 @dataclass
--- a/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retries.py
@@ -14,7 +14,7 @@
 from sesamepoint.front.requests.attempt import Attempt
 from sesamepoint.front.requests.target import Target
 from sesamepoint.front.requests.failure_cause import FailureCause
-from sesamepoint.front.requests.job import SentRunner
+from sesamepoint.front.requests.sent_runner import SentRunner
 from sesamepoint.front.requests.request_end import body_fields, logged_parts
 from sesamepoint.front.runners.incarnation_check import UNKNOWN_START_CONDITION
 from sesamepoint.front.runners.send_check import SendKind, SendPurpose
@@ -90,7 +90,7 @@
     first_send = not job.trace.sent_at
     job.trace.sent_at = started
     if job.access.on_first_send is not None and first_send:
-        job.access.on_first_send(job)
+        job.access.on_first_send()
     exchange.patience.on_silence = partial(_note_silence, member, started)
     exchange.patience.may_move = job.access.may_move
     outcome: AttemptResult | None = None
