--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/reports.py
@@ -128,6 +128,11 @@
         self._level = in_flight
         self._level_at = now
 
+    def forget_probe(self) -> None:
+        """Drop the state of the latest probe, since the runner was ejected after it; the next one is reported anew."""
+        self.probe = ProbeState.none
+        self._reported = (self._reported[0], ProbeState.none, self._reported[2])
+
     def mean_in_flight(self, now: float) -> float:
         """Return the mean number of requests in flight since the last report."""
         span_s = now - self._reported_at
@@ -195,6 +200,14 @@
         self._expires_at = now + ttl_s
         return NewlyReported(_counts(report).minus(known), probe)
 
+    def forget_opened(self) -> None:
+        """Count the next report of a healthy page as a new one, even in the window of the latest.
+
+        Other states stay: a late report of a probe that passed before must not put the runner back into use.
+        """
+        if self._report is not None and self._report.probe is ProbeState.opened:
+            self._report = self._report._replace(probe=ProbeState.none)
+
     def live(self, now: float) -> bool:
         """Tell whether the report has not expired."""
         return self._report is not None and now < self._expires_at
@@ -224,6 +237,11 @@
         drop_oldest(self._windows, MAX_PEERS)
         return new
 
+    def forget_opened(self) -> None:
+        """Count the next report of a healthy page of each peer as a new one."""
+        for window in self._windows.values():
+            window.forget_opened()
+
     def in_flight(self, now: float) -> float:
         """Return how many requests of the peers are in flight, by their reports.
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/fleet_health/runner_health.py
@@ -144,7 +144,7 @@
             self.half_open.open(now)
             self._announce(ProbeState.opened)
         else:
-            self.half_open.eject(now)
+            _eject(self, now)
             self._announce(ProbeState.failed)
 
     def take_report(self, peer: str, report: RunnerReport, now: float, ttl_s: float) -> HealthChange:
@@ -165,7 +165,7 @@
             self._restore()
             return HealthChange.returned
         if new.probe is ProbeState.failed:
-            self.half_open.eject(now)
+            _eject(self, now)
             return HealthChange.probe_failed
         if new.probe is ProbeState.opened:
             self.half_open.open(now)
@@ -176,11 +176,9 @@
     def _eject_if_failing(self, now: float) -> bool:
         if not self.evidence.failing(now, self.peers.unreported):
             return False
-        self.half_open.eject(now)
+        _eject(self, now)
         self.alone = self.evidence.reporters(now) < MIN_REPORTERS
         self._own_trial_at = math.inf
-        # The report on the ejection must not tell of an earlier probe that passed.
-        self.own.probe = ProbeState.none
         self._notify()
         return True
 
@@ -188,7 +186,7 @@
         if sent_at < self._own_trial_at:
             return False
         self._own_trial_at = math.inf
-        self.half_open.eject(now)
+        _eject(self, now)
         self._announce(ProbeState.failed)
         return True
 
@@ -222,4 +220,15 @@
             self.on_urgent()
 
 
+def _eject(health: RunnerHealth, now: float) -> None:
+    """Take a runner out of use; what was reported of probes before is no longer about its state.
+
+    A page that reports the runner healthy once more, in the window of the report before, else looked like that report
+    again: no peer learnt of it, and only requests at the instance that had called it could be trials.
+    """
+    health.half_open.eject(now)
+    health.own.forget_probe()
+    health.peers.forget_opened()
+
+
 __all__ = ('HealthChange', 'RunnerHealth')
