--- a/packages/sesamepoint/src/sesamepoint/front/requests/retry_after.py
+++ b/packages/sesamepoint/src/sesamepoint/front/requests/retry_after.py
@@ -41,9 +41,9 @@
     left_s
         Remaining time of the caller, in seconds; None if it named no deadline.
     first_left_s
-        Remaining time for the start of an answer, in seconds.
+        Remaining time for the start of an answer, in seconds; negative if it has passed, as after a long upload.
     """
-    return min(default_retry_after_s(left_s), first_left_s / 2)
+    return max(min(default_retry_after_s(left_s), first_left_s / 2), 0)
 
 
 def capped_retry_after_s(wait_s: float, left_s: float) -> float:
--- a/tests/front/test_retry_after.py
+++ b/tests/front/test_retry_after.py
@@ -8,8 +8,8 @@
 
 import trio
 
-from sesamepoint_standins.platform.bench import PlatformBench
-from tests.front.builders import configuration, fleet, new_prompt_request, new_request
+from sesamepoint_standins.platform.bench import PlatformBench, open_bench
+from tests.front.builders import HOST, configuration, fleet, new_prompt_request, new_request
 from tests.virtual_time import in_virtual_time
 
 if TYPE_CHECKING:
@@ -19,6 +19,9 @@
 # instances while some answers of the store were lost.
 RUNNERS_MISSING_S = 2.0
 FRONT_START_S = 0.1
+# Longer than callers wait for the first event of a stream, and shorter than a request may take to arrive.
+UPLOAD_S = 2.5
+ANSWER_S = 10.0
 
 
 class RestartTest(TestCase):
@@ -58,6 +61,23 @@
             self.assertLess(answer.first_byte_s, 0.6)
 
 
+class LateRequestTest(TestCase):
+    """Requests that are whole only after the time in which their answer should have begun."""
+
+    @in_virtual_time
+    async def test_long_upload(self) -> None:
+        """Guards against a connection that ends without an answer since nothing is left of the time to wait."""
+        async with open_bench(configuration(), fleet()) as bench:
+            network = bench.network.for_host('10.2.0.9')
+            transport = await network.connect(bench.fronts['front-1'].cfg.listen, 1)
+            head = f'POST /tag/a HTTP/1.1\r\nHost: {HOST}\r\nSesamepoint-Request-Id: q1\r\nContent-Length: 2\r\n\r\n'
+            await transport.send_all(head.encode())
+            await trio.sleep(UPLOAD_S)
+            await transport.send_all(b'{}')
+            with trio.fail_after(ANSWER_S):
+                self.assertTrue((await transport.receive_some(4096)).startswith(b'HTTP/1.1 '))
+
+
 @asynccontextmanager
 async def bench_without_runners(missing_s: float) -> AsyncIterator[PlatformBench]:
     """Start a front with a configuration, and add the runners ``missing_s`` seconds later."""
