--- a/packages/sesamepoint-core/src/sesamepoint_core/decoding.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/decoding.py
@@ -1,4 +1,4 @@
-"""Decoding of documents from other processes: all that makes one unusable is one typed error."""
+"""Decoding of documents from other processes, with one typed error for any document that cannot be used."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 DocumentType = TypeVar('DocumentType')
 
-# Most lists and objects in each other. The parsers go one call deeper for each.
+# Maximum nesting of lists and objects. The parsers recurse once for each level.
 MAX_DEPTH = 64
 # Most bytes of a document: those of the largest response that is read, see MAX_LIST_BYTES of http1/client.py.
 MAX_DOCUMENT_BYTES = 8_388_608
@@ -67,8 +67,8 @@
     try:
         return decoder_of(document_type).decode(document)
     except Exception as exc:
-        # Not msgspec.DecodeError alone: nesting raises RecursionError, other text ValueError or OverflowError. One
-        # that passes its reader by ends what all share.
+        # Not msgspec.DecodeError alone: deep nesting raises RecursionError, other input ValueError or OverflowError.
+        # An error that the reader does not catch ends its task, and with it the reading of all other documents.
         raise UndecodableError(str(exc) or repr(exc)) from exc
 
 
--- a/packages/sesamepoint-core/src/sesamepoint_core/field_types.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/field_types.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-# Each request at a runner is a connection to one address, and an instance has one for each port.
+# Each request in flight at a runner takes a connection, and an instance can open one for each of its ports.
 MAX_SLOTS = 65_535
 # More than any engine's memory holds.
 MAX_TOKENS = 1_000_000_000
--- a/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/known_limit.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/runner_limit/known_limit.py
@@ -11,7 +11,7 @@
 
 # Longest text of a rate, in characters; a longer one is rejected as meaningless.
 MAX_RATE_CHARS = 32
-# A rate from which a limit is none, in requests a second: no address takes as many connections or requests.
+# A limit of at least this rate, in requests a second, counts as no limit: no instance can send as many requests.
 UNLIMITED_RATE = 1_000_000.0
 # A limit ends when an answer without one comes at least so many seconds after the last
 # answer that reported it.
--- a/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/peering/peers.py
@@ -168,7 +168,7 @@
         try:
             self._dispatch(message)
         except Exception as exc:
-            # Else one message ends the task that receives those of all peers; what arrives until its restart is lost.
+            # An error here would end the task that receives the messages of all peers; until its restart they are lost.
             events.log_event(
                 events.MESSAGE_NOT_HANDLED, entry=message.entry, kind=type(message).__name__, cause=repr(exc)
             )
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -25,7 +25,7 @@
 MAX_HEAD_BYTES = 65536
 # Most bytes before the head of the wanted response: informational responses, and responses to no request.
 MAX_BYTES_BEFORE_HEAD = 1_048_576
-# Most of these responses. Servers send a few; each costs as much to parse as the wanted one.
+# Most responses before the wanted one. Servers send a few; each costs as much to parse as the wanted one.
 MAX_HEADS_BEFORE_HEAD = 64
 # Most bytes of a body that is read as a whole, framing included: failures, and replies of a few fields.
 MAX_BODY_BYTES = 65536
--- a/packages/sesamepoint/src/sesamepoint/http1/parser_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/parser_turns.py
@@ -1,10 +1,10 @@
-"""Turns of other tasks while a parser takes many events out of what was received at once."""
+"""Lets other tasks run while a parser returns many events from one receive."""
 
 from __future__ import annotations
 
 import trio
 
-# Events that a parser yields in a millisecond or two. One receive may hold ten thousand: heads, or chunks of a byte.
+# Events between two checkpoints. One receive of 64 KiB may hold ten thousand chunks of a byte.
 EVENTS_PER_TURN = 32
 
 
--- a/tests/front/retry_budget/budget_rows.py
+++ b/tests/front/retry_budget/budget_rows.py
@@ -68,6 +68,8 @@
         The bound in the settings of the fronts.
     requests_per_s
         Requests a second of all callers together.
+    engines
+        Whether the requests are prompts for engines.
     first_ratio
         The ratio in the settings at the start, if it is another one.
     """
