--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -114,17 +114,22 @@
         self._folder = folder
         self._listener_scopes: dict[Address, trio.CancelScope] = {}
         self.usage = UsageStandIn()
-        self._store_address: Address | None = None
+        # Address of the store that the settings of new instances name.
+        self.store_address: Address | None = None
         self._usage_address: Address | None = None
 
     async def start(self, configuration: object) -> None:
         """Start the store with a configuration, the usage service, two plain runners and two engines."""
         self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, configuration)
-        self._store_address = await self.serve(self.store.serve)
+        self.store_address = await self.serve(self.store.serve)
         self._usage_address = await self.serve(self.usage.serve)
         for service, stage in (('web', None), ('web', None), ('llm', 'prefill'), ('llm', 'decode')):
             await self.add_runner(service, stage)
 
+    async def move_store(self) -> None:
+        """Serve the store at a new address, and leave calls to the old one without an answer."""
+        self.store_address = await self.serve(self.store.serve_elsewhere())
+
     async def add_front(self) -> BenchFront:
         """Start a front process and wait until it is ready."""
         front = await self._start_front(f'front-{len(self.fronts) + 1}', f'127.0.0.{len(self.fronts) + 2}')
@@ -222,7 +227,7 @@
             ready=ready_listen,
             first_port=await _free_port(host),
             last_port=await _free_port(host),
-            store=self._store_address,
+            store=self.store_address,
             usage=self._usage_address,
             retry_ratio=self.retry_ratio,
             retry_slack=self.retry_slack,
--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import struct
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import parse_qsl
 
@@ -16,6 +17,8 @@
 from sesamepoint_core.units import MS_PER_S
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from sesamepoint.http1.transport import Transport
 
 ANSWER_DELAY_S = 0.004
@@ -75,6 +78,10 @@
         self.topic_delays_s: dict[str, float] = {}
         self.call_count = 0
         self.epoch = 1
+        # Whether reads that wait for new records are answered.
+        self.answers_long_reads = True
+        # Calls to listeners before this one are never answered.
+        self._newest_listener = 0
         # Hosts whose calls get an error.
         self.refused_hosts: set[str] = set()
         self._topics: dict[str, _Topic] = {}
@@ -102,13 +109,23 @@
         compacted = self._topic(topic)
         compacted.first_offset = len(compacted.records)
 
+    def serve_elsewhere(self) -> Callable[[Transport], Awaitable[None]]:
+        """Return the handler of connections to a new address; calls to the addresses before are never answered."""
+        self._newest_listener += 1
+        return partial(self._serve, self._newest_listener)
+
     async def serve(self, transport: Transport) -> None:
-        """Serve one connection."""
+        """Serve one connection to the first address."""
+        await self._serve(0, transport)
+
+    async def _serve(self, listener: int, transport: Transport) -> None:
         conn = ServerConn(transport, ServerLimits)
         try:
             while await conn.wait_for_request():
                 message = await conn.read_request()
                 answer = await self._respond(message)
+                if listener < self._newest_listener:
+                    await trio.sleep_forever()
                 headers = ((STORE_EPOCH, str(self.epoch).encode()),)
                 await conn.send_whole(answer.status, headers, answer.body)
                 conn.start_next_cycle()
@@ -129,11 +146,17 @@
         if path == '/v1/log-newest':
             return _newest(topic)
         if path == '/v1/log-read':
-            return await _read(topic, int(fields['source']), int(fields.get('wait_ms', '0')) / MS_PER_S)
+            return await self._read(topic, int(fields['source']), int(fields.get('wait_ms', '0')) / MS_PER_S)
         if int(fields.get('at', len(topic.records))) != len(topic.records):
             return _Response(STATUS_PRECONDITION_FAILED, msgspec.json.encode({'end': len(topic.records)}))
         return _append(topic, message.body)
 
+    async def _read(self, topic: _Topic, start: int, wait_s: float) -> _Response:
+        answer = await _read(topic, start, wait_s)
+        if wait_s and not self.answers_long_reads:
+            await trio.sleep_forever()
+        return answer
+
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
--- /dev/null
+++ b/tests/front/configurations/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of changing configurations before real processes."""
--- /dev/null
+++ b/tests/front/configurations/rows.py
@@ -0,0 +1,187 @@
+"""Rows of faults beside changing configurations: what happens to instances, their settings and the store."""
+
+from __future__ import annotations
+
+import signal
+from collections import defaultdict
+from itertools import cycle
+from types import MappingProxyType
+from typing import TYPE_CHECKING, NamedTuple
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+    from random import Random
+
+    from sesamepoint_standins.platform.process_bench import ProcessBench
+    from sesamepoint_standins.platform.store import PlatformStore
+
+    Row = Callable[['Play'], Awaitable[None]]
+
+PAUSE_S = (0.5, 2.0)
+MAX_FREEZE_S = 2.0
+# An instance counts again once nothing has disturbed it for so long, in seconds.
+STABLE_S = 4.0
+# Times in seconds at which the store moves, and for which long reads stay without an answer.
+MOVE_PAUSE_S = (2.0, 4.0)
+SILENT_READS_S = 6.0
+LOUD_READS_S = 1.0
+LATE_ANSWERS_S = 0.4
+INVALID_SHARE = 0.4
+
+_rows: dict[str, Row] = {}
+# By name.
+ROWS: Mapping[str, Row] = MappingProxyType(_rows)
+
+
+class Disturbance(NamedTuple):
+    """A time after which an instance counts again once it was stable."""
+
+    since: float
+    until: float
+
+
+class Disturbances:
+    """What was done to instances, and the store that they should use now."""
+
+    def __init__(self, bench: ProcessBench) -> None:
+        """Start without any."""
+        self.starts: dict[int, int] = defaultdict(int)
+        # Share of the versions that are invalid.
+        self.invalid_share: float = 0
+        self._bench = bench
+        self._spans: dict[int, list[Disturbance]] = defaultdict(list)
+        self._restarting: set[int] = set()
+
+    @property
+    def store(self) -> PlatformStore:
+        """Return the store that the operator and the runners write to."""
+        return self._bench.store
+
+    def excuses(self, front: int, since: float, until: float) -> bool:
+        """Tell whether an instance was disturbed, or not yet stable again, in a span."""
+        return any(one.since <= until and since <= one.until + STABLE_S for one in self._spans[front])
+
+    def note(self, front: int, since: float) -> None:
+        """Note that an instance was disturbed until now."""
+        self._spans[front].append(Disturbance(since, trio.current_time()))
+
+    async def restart(self, front: int, signal_number: signal.Signals) -> None:
+        """End an instance, and start it again, unless another task is doing so."""
+        if front in self._restarting:
+            return
+        self._restarting.add(front)
+        began_at = trio.current_time()
+        # Open until the end is known.
+        self._spans[front].append(Disturbance(began_at, began_at + STABLE_S + MAX_FREEZE_S))
+        process = self._bench.fronts[front].process
+        process.send_signal(signal_number)
+        await process.wait()
+        self.starts[front] += 1
+        started = await self._bench.restart_front(front)
+        await self._bench.wait_until_ready(started)
+        self._restarting.discard(front)
+        self.note(front, began_at)
+
+    def signal(self, front: int, signal_number: signal.Signals) -> bool:
+        """Send a signal to an instance that is not just being restarted; return whether it was sent."""
+        if front in self._restarting:
+            return False
+        self._bench.fronts[front].process.send_signal(signal_number)
+        return True
+
+
+class Play(NamedTuple):
+    """One play, as a row needs it."""
+
+    disturbances: Disturbances
+    bench: ProcessBench
+    rng: Random
+
+
+def _row(function: Row) -> Row:
+    _rows[function.__name__.replace('_', '-')] = function
+    return function
+
+
+@_row
+async def calm(_: Play) -> None:
+    """Disturb nothing."""
+
+
+@_row
+async def invalid_versions(play: Play) -> None:
+    """Make some of the versions invalid."""
+    play.disturbances.invalid_share = INVALID_SHARE
+
+
+@_row
+async def reload(play: Play) -> None:
+    """Tell instances again and again that their settings have changed."""
+    while True:
+        await trio.sleep(play.rng.uniform(*PAUSE_S))
+        play.disturbances.signal(play.rng.randrange(len(play.bench.fronts)), signal.SIGHUP)
+
+
+@_row
+async def kill(play: Play) -> None:
+    """Kill instances."""
+    while True:
+        await trio.sleep(play.rng.uniform(*PAUSE_S))
+        await play.disturbances.restart(play.rng.randrange(len(play.bench.fronts)), signal.SIGKILL)
+
+
+@_row
+async def roll(play: Play) -> None:
+    """Stop and start all instances in turn."""
+    for front in cycle(play.rng.sample(range(len(play.bench.fronts)), len(play.bench.fronts))):
+        await play.disturbances.restart(front, signal.SIGTERM)
+        await trio.sleep(play.rng.uniform(*PAUSE_S))
+
+
+@_row
+async def freeze(play: Play) -> None:
+    """Freeze instances for up to two seconds."""
+    while True:
+        await trio.sleep(play.rng.uniform(*PAUSE_S))
+        front, began_at = play.rng.randrange(len(play.bench.fronts)), trio.current_time()
+        if play.disturbances.signal(front, signal.SIGSTOP):
+            process = play.bench.fronts[front].process
+            await trio.sleep(play.rng.uniform(0.1, MAX_FREEZE_S))
+            process.send_signal(signal.SIGCONT)
+            play.disturbances.note(front, began_at)
+
+
+@_row
+async def move_store(play: Play) -> None:
+    """Give the store a new address, by changed settings; the address before stays silent."""
+    await trio.sleep(play.rng.uniform(*MOVE_PAUSE_S))
+    began_at = trio.current_time()
+    await play.bench.move_store()
+    for front, one in enumerate(play.bench.fronts):
+        play.disturbances.note(front, began_at)
+        text = one.settings.read_text(encoding='utf-8')
+        one.settings.write_text(f'{text}platform.address={play.bench.store_address}\n', encoding='utf-8')
+        play.disturbances.signal(front, signal.SIGHUP)
+    await trio.sleep_forever()
+
+
+@_row
+async def silent_long_reads(play: Play) -> None:
+    """Leave the long reads of the store without an answer, and serve all other calls."""
+    while True:
+        play.bench.store.answers_long_reads = False
+        await trio.sleep(SILENT_READS_S)
+        play.bench.store.answers_long_reads = True
+        await trio.sleep(LOUD_READS_S)
+
+
+@_row
+async def late_answers(play: Play) -> None:
+    """Delay all answers of the store."""
+    play.bench.store.extra_delay_s = LATE_ANSWERS_S
+    await trio.sleep_forever()
+
+
+__all__ = ('ROWS', 'Disturbances', 'Play')
--- /dev/null
+++ b/tests/front/configurations/test_config_soak.py
@@ -0,0 +1,66 @@
+"""Short soaks of changing configurations before real processes, by fixed seeds."""
+
+from __future__ import annotations
+
+import os
+from unittest import TestCase
+from unittest.mock import patch
+
+import trio
+
+from tests.front.configurations.config_soak import play
+
+# Add each seed that fails, with a line on the cause.
+SEEDS = (1, 2)
+DURATION_S = 9.0
+# The first one that shows the fault ends the test.
+FAULTY_SEEDS = range(1, 11)
+FAULTY_PROGRAM = 'tests.front.faulty_front'
+
+
+class ConfigSoakTest(TestCase):
+    """Instances that follow configurations and leaving runners while faults overlap."""
+
+    def test_signals_beside_versions(self) -> None:
+        """Guards against a version that is late, comes back or is refused beside reloads, kills and freezes."""
+        self._check('reload', 'kill', 'freeze')
+
+    def test_moved_store(self) -> None:
+        """Guards against instances that go on asking the address of the store before a change of the settings."""
+        self._check('move-store')
+
+    def test_invalid_versions(self) -> None:
+        """Guards against an invalid version that is in force, in whole or in part."""
+        self._check('invalid-versions', 'reload')
+
+    def test_silent_long_reads(self) -> None:
+        """Guards against changes that are late because reads that wait for them stay without an answer."""
+        self._check('silent-long-reads')
+
+    def _check(self, *rows: str) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(trio.run(play, seed, DURATION_S, rows), [])
+
+
+class FaultyInstancesTest(TestCase):
+    """Guards against a soak that finds nothing: each variant of an instance must be found."""
+
+    def test_applies_late(self) -> None:
+        self.assertTrue(_is_found('applies-late', 'config', 'calm'))
+
+    def test_goes_back_at_reload(self) -> None:
+        self.assertTrue(_is_found('goes-back-at-reload', 'back', 'reload'))
+
+    def test_refuses_new_keys(self) -> None:
+        self.assertTrue(_is_found('refuses-new-keys', 'denied', 'calm'))
+
+    def test_sends_to_leaving(self) -> None:
+        self.assertTrue(_is_found('sends-to-leaving', 'drain', 'calm'))
+
+
+def _is_found(variant: str, mark: str, row: str) -> bool:
+    """Tell whether a seed finds a violation of one kind in faulty processes."""
+    with patch.dict(os.environ, VARIANT=variant):
+        found = (trio.run(play, seed, DURATION_S, (row,), FAULTY_PROGRAM) for seed in FAULTY_SEEDS)
+        return any(line.startswith(mark) for violations in found for line in violations)
--- a/tests/front/faulty_front.py
+++ b/tests/front/faulty_front.py
@@ -18,6 +18,7 @@
 from sesamepoint_core.body_end.body_facts import BodyFacts
 from sesamepoint_core.body_end.decision import BodyEnd, decide_end
 from sesamepoint.front.requests import attempt
+from tests.front.configurations.variants import CONFIGURATION_VARIANTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -40,6 +41,7 @@
     {
         # It ignores the bytes after the last whole event.
         'half-event': ((attempt, 'decide_end', _left_over_is_ignored),),
+        **CONFIGURATION_VARIANTS,
         'catches-too-little': ((decoding, '_decoded', _catch_too_little), (decoding, '_check_depth', len)),
     }
 )
