--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/returned_runners.py
@@ -38,8 +38,12 @@
         """Confirm runners of ``fleet``, which renew their registrations each ``heartbeat_s`` seconds."""
         self._fleet = fleet
         self._subset = subset
-        self._lapse_s = heartbeat_s * LAPSE_HEARTBEATS
         self._asked: set[Member] = set()
+        self.set_heartbeat(heartbeat_s)
+
+    def set_heartbeat(self, heartbeat_s: float) -> None:
+        """Set the interval at which runners renew their registrations, in seconds."""
+        self._lapse_s = heartbeat_s * LAPSE_HEARTBEATS
 
     async def run(self) -> None:
         """Ask each runner that returns, until cancelled."""
--- a/packages/sesamepoint/src/sesamepoint/front/fleet_health/shared_health.py
+++ b/packages/sesamepoint/src/sesamepoint/front/fleet_health/shared_health.py
@@ -34,6 +34,10 @@
         self._probing.connect(eligible)
         self._exchange = HealthExchange(fleet, peers, self._probing)
 
+    def reconfigure(self, heartbeat_s: float) -> None:
+        """Apply another interval at which runners renew their registrations, in seconds."""
+        self._returned.set_heartbeat(heartbeat_s)
+
     def children(self) -> list[Child]:
         """Return the background tasks."""
         return [
--- a/packages/sesamepoint/src/sesamepoint/front/front.py
+++ b/packages/sesamepoint/src/sesamepoint/front/front.py
@@ -104,11 +104,12 @@
         ]
 
     def reconfigure(self, cfg: FrontSettings) -> None:
-        """Apply ``cfg``; changed addresses need a restart."""
+        """Apply ``cfg``, in which only settings have changed that take effect at once."""
         self.cfg = cfg
         self.fleet.set_drain(cfg.drain_s)
         self.room.reconfigure(cfg)
         self._store_sync.reconfigure(cfg)
+        self._shared_health.reconfigure(cfg.heartbeat_s)
 
     def ready(self) -> bool:
         """Return whether callers may be sent to this instance."""
--- a/packages/sesamepoint/src/sesamepoint/front/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/front/settings.py
@@ -91,4 +91,46 @@
         return Address(self.host, self.peer_port)
 
 
-__all__ = ('DEFAULT_HEARTBEAT_S', 'DutySettings', 'FrontSettings', 'StoreSettings')
+# Settings that are in use from the start of the process to its end: its name, addresses and place, and what is
+# split among all instances by windows that must be the same at all of them.
+FIXED_SETTINGS = frozenset(
+    ('name', 'host', 'availability_zone', 'listen', 'ready_listen', 'peer_port', 'retry_window_s'),
+)
+
+
+class SettingsChange(NamedTuple):
+    """What a changed settings file means for a process that runs.
+
+    Parameters
+    ----------
+    in_force
+        The settings to apply: those that take effect at once, and the old values of the others.
+    applied
+        Names of the settings that take effect at once.
+    waiting
+        Names of the settings that need a restart.
+    """
+
+    in_force: FrontSettings
+    applied: tuple[str, ...]
+    waiting: tuple[str, ...]
+
+    @classmethod
+    def between(cls, before: FrontSettings, cfg: FrontSettings) -> SettingsChange:
+        """Compare the settings in force with those in the file."""
+        in_force = cfg._replace(
+            duty=_duty_in_force(before.duty, cfg.duty), **{name: getattr(before, name) for name in FIXED_SETTINGS}
+        )
+        return cls(in_force, _differing(before, in_force), _differing(in_force, cfg))
+
+
+def _duty_in_force(before: DutySettings | None, cfg: DutySettings | None) -> DutySettings | None:
+    """Return the settings of the duty with a new address; its windows and lease must be the same at all instances."""
+    return before if before is None or cfg is None else before._replace(address=cfg.address)
+
+
+def _differing(one: FrontSettings, other: FrontSettings) -> tuple[str, ...]:
+    return tuple(name for name in one._fields if getattr(one, name) != getattr(other, name))
+
+
+__all__ = ('DEFAULT_HEARTBEAT_S', 'DutySettings', 'FrontSettings', 'SettingsChange', 'StoreSettings')
--- a/packages/sesamepoint/src/sesamepoint/http1/link_pacing.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/link_pacing.py
@@ -28,6 +28,10 @@
         self._bytes_s = MAX_LINK_SHARE * link_bytes_s
         self._queue_empty_at: float = 0
 
+    def set_rate(self, link_bytes_s: float) -> None:
+        """Pace to another rate from now on."""
+        self._bytes_s = MAX_LINK_SHARE * link_bytes_s
+
     def count_unpaced(self, size: int) -> None:
         """Account for ``size`` bytes that are sent without waiting."""
         self._queue_empty_at = max(self._queue_empty_at, trio.current_time()) + size / self._bytes_s
--- a/packages/sesamepoint/src/sesamepoint/process/front_process.py
+++ b/packages/sesamepoint/src/sesamepoint/process/front_process.py
@@ -20,8 +20,8 @@
 from sesamepoint.http1.transport import SocketNetwork, SocketTransport
 from sesamepoint.platform.settings import read_settings
 from sesamepoint.platform.wire_names import READY_PATH
-from sesamepoint.settings_error import SettingsError
 from sesamepoint.process.burst_listener import BurstListener
+from sesamepoint.process.settings_reload import SettingsReload
 from sesamepoint.process.connections import serve_caller, serve_peer
 from sesamepoint.supervisor import Child, Supervisor
 
@@ -54,6 +54,8 @@
         pacer = LinkPacer(cfg.link_bytes_s)
         network = SocketNetwork(pacer, bounded_buffers=not math.isinf(cfg.limits.memory_bytes))
         self._front = Front(cfg, network, SocketPeerNetwork(pacer), SystemRandom())
+        # Reads the settings file again.
+        self.reload = SettingsReload(path, self._front, pacer).run
 
     @classmethod
     def from_config(cls, path: Path) -> FrontProcess:
@@ -76,18 +78,6 @@
         """Report not ready, give the platform time to notice, finish requests in progress."""
         await self._front.wind_down()
 
-    def reload(self) -> None:
-        """Apply changed settings; invalid ones leave the old ones in force."""
-        try:
-            cfg = read_settings(self._path)
-        except SettingsError as exc:
-            events.log_event(events.SETTINGS_REFUSED, cause=str(exc))
-            return
-        before = self._front.cfg
-        changed = [name for name in cfg._fields if getattr(cfg, name) != getattr(before, name)]
-        self._front.reconfigure(cfg)
-        events.log_event(events.SETTINGS_RELOADED, changed=changed)
-
     def _children(self, connections: trio.Nursery) -> list[Child]:
         cfg = self._front.cfg
         return [
--- /dev/null
+++ b/tests/front/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings that change while a process runs."""
