--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/routes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from sesamepoint_core.serving.accounts import Accounts
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 
 class RepeatPolicy(Enum):
     """How a request may be retried.
@@ -125,8 +128,8 @@
     def from_parts(
         cls,
         version: int,
-        routes: list[Route],
-        services: list[Service],
+        routes: Sequence[Route],
+        services: Sequence[Service],
         limits: CallerLimits,
         accounts: Accounts | None = None,
     ) -> Configuration:
--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -142,6 +142,7 @@
 RECORD_NOT_APPLIED = _event(2014, logging.ERROR, 'record of the store could not be applied, the others are')
 PEER_CONFIGURATION = _event(2012, logging.INFO, 'peer gave its configuration')
 PEER_CONFIGURATION_FAILED = _event(2013, logging.WARNING, 'peer did not give its configuration')
+CONFIGURATION_REFUSED = _event(2016, logging.ERROR, 'configuration is invalid, the version before stays in force')
 STORE_MOVED = _event(2015, logging.INFO, 'store answered at its new address')
 REGISTRATION_FAILED = _event(2010, logging.WARNING, 'registration with the store failed')
 DUTY_TAKEN = _event(2401, logging.INFO, 'duty taken')
--- a/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
+++ b/packages/sesamepoint/src/sesamepoint/front/accounts/usage_reporting.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint_core.duty.usage import UsageMeter
-from sesamepoint.front.clocks import SmoothedTime
+from sesamepoint.front.clocks import SmoothedTime, SystemClock
 from sesamepoint.front.accounts.duty import Duty, DutyTools
 from sesamepoint.front.accounts.usage import UsageCounts
 from sesamepoint.front.accounts.usage_messages import DutyMessage, UsageMessage
@@ -26,9 +26,10 @@
     """Counts usage, and reports it for all instances while this one holds the lease of the duty."""
 
     def __init__(
-        self, cfg: DutySettings, peers: Peers, store: PacedStore, network: Network, clock: Clock, rng: Random
+        self, cfg: DutySettings, peers: Peers, store: PacedStore, network: Network, clock: Clock | None, rng: Random
     ) -> None:
-        """Create the components without starting them."""
+        """Create the components without starting them; ``clock`` defaults to the system clock."""
+        clock = clock or SystemClock()
         true_time = SmoothedTime(clock)
         meter = UsageMeter(cfg.window_s)
         self._counts = UsageCounts(meter, true_time, clock, peers, rng)
--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -114,7 +114,7 @@
                 cfg = await self._request_configuration(address)
         except (ConnectFailedError, ConnBrokenError, trio.TooSlowError) as exc:
             return events.log_event(events.PEER_CONFIGURATION_FAILED, peer=peer, cause=repr(exc))
-        taken = self._topic_sync.put_in_force(cfg)
+        taken = self._topic_sync.intake.accepts(cfg, peer) and self._topic_sync.put_in_force(cfg)
         events.log_event(events.PEER_CONFIGURATION, peer=peer, version=cfg.version, taken=taken)
 
     async def _request_configuration(self, address: Address) -> Configuration:
--- a/packages/sesamepoint/src/sesamepoint/front/store/record_decoding.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/record_decoding.py
@@ -5,12 +5,10 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint import events
-from sesamepoint.platform.configuration import decode_configuration
 from sesamepoint.platform.runner_registration import decode_runner
 from sesamepoint.platform.unreadable_record import UnreadableRecordError
 
 if TYPE_CHECKING:
-    from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
     from sesamepoint.platform.store import KeyedRecord
 
@@ -26,19 +24,10 @@
         return None
 
 
-def readable_configuration(record: KeyedRecord) -> Configuration | None:
-    """Return the configuration in a record; None if it does not decode."""
-    try:
-        return decode_configuration(record.text)
-    except UnreadableRecordError as exc:
-        events.log_event(events.RECORD_UNREADABLE, cause=str(exc))
-        return None
-
-
 def readable_runners(records: tuple[KeyedRecord, ...]) -> list[Runner]:
     """Return the registrations in those of ``records`` that decode."""
     runners = (readable_runner(record) for record in records)
     return [runner for runner in runners if runner is not None]
 
 
-__all__ = ('readable_configuration', 'readable_runner', 'readable_runners')
+__all__ = ('readable_runner', 'readable_runners')
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -7,9 +7,9 @@
 
 import trio
 
-from sesamepoint.front.clocks import SystemClock
 from sesamepoint.front.store.outage_messages import StoreProbe
 from sesamepoint.front.store.store_pacer import PacedStore, StorePacer
+from sesamepoint.front.store.sync_gauges import add_sync_gauges
 from sesamepoint.front.store.topic_sync import SyncTargets, TopicSync
 from sesamepoint.front.store.topic_updates import TopicUpdate
 from sesamepoint.front.peering.peer_messages import VersionMessage
@@ -51,12 +51,10 @@
         pacer = StorePacer.from_config(cfg, peers.count, peers.send_queue.enqueue, rng)
         self._pacer = pacer
         peers.handlers[StoreProbe] = pacer.on_probe
-        targets.dispatcher.metrics.add_gauge(
-            'sesamepoint_store_down', 'Whether the store answers no instance.', pacer.is_down
-        )
         new_store = partial(PacedStore.open, new_client, pacer)
         self._registration = InstanceRegistration(cfg.name, peers, new_store, rng)
         self._topic_sync = TopicSync(cfg, targets, self._registration, new_store)
+        add_sync_gauges(targets.dispatcher.metrics.add_gauge, self._topic_sync, pacer)
         self._quarantine_records = QuarantineRecords(targets.quarantine, new_store(), rng)
         self._peer_configuration = PeerConfiguration(self._topic_sync, peers, network, rng)
         self._topic_sync.request_configuration = self._peer_configuration.request_from
@@ -68,7 +66,7 @@
         self._topic_sync.on_runners_listed = self._gap_questions.note_gap
         self._reporting: UsageReporting | None = None
         if cfg.duty is not None:
-            self._reporting = UsageReporting(cfg.duty, peers, new_store(), network, clock or SystemClock(), rng)
+            self._reporting = UsageReporting(cfg.duty, peers, new_store(), network, clock, rng)
             targets.dispatcher.on_run_started = self._reporting.note_run
         # Pages that peers may request from this instance.
         self.pages = Pages(
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from random import Random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from sesamepoint import events
 from sesamepoint.front.runners.restored_copies import apply_restored
-from sesamepoint.front.store.record_decoding import readable_configuration, readable_runner, readable_runners
+from sesamepoint.front.store.configuration_intake import ConfigurationIntake
+from sesamepoint.front.store.record_decoding import readable_runner, readable_runners
 from sesamepoint.front.store.record_handlers import PeerGroup, RecordHandlers
+from sesamepoint.front.store.sync_targets import SyncTargets
 from sesamepoint.front.store.topic_pacing import topic_pacing
 from sesamepoint.front.store.topic_watch import TopicWatch
 from sesamepoint.platform.wire_names import INSTANCE_TOPIC, OPERATOR_KEY, OPERATOR_TOPIC, QUARANTINE_TOPIC, RUNNER_TOPIC
@@ -18,30 +20,13 @@
 
     from sesamepoint_core.serving.routes import Configuration
     from sesamepoint_core.serving.runner import Runner
-    from sesamepoint.front.dispatch import Dispatcher
-    from sesamepoint.front.retry_budget.retry_budgets import RetryBudgets
-    from sesamepoint.front.runners.fleet import Fleet
     from sesamepoint.front.store.instance_registration import InstanceRegistration
-    from sesamepoint.front.peering.peers import Peers
-    from sesamepoint.front.quarantine.quarantine import Quarantine
-    from sesamepoint.front.runners.runner_status import RunnerStatuses
     from sesamepoint.front.settings import FrontSettings
     from sesamepoint.front.store.topic_updates import TopicUpdate
     from sesamepoint.front.store.store_pacer import PacedStore
     from sesamepoint.platform.store import KeyedRecord
 
 
-class SyncTargets(NamedTuple):
-    """The parts of the instance that the records update."""
-
-    dispatcher: Dispatcher
-    fleet: Fleet
-    runner_statuses: RunnerStatuses
-    peers: Peers
-    budgets: RetryBudgets
-    quarantine: Quarantine
-
-
 class TopicSync:
     """Follows the records of the operator, the runners, the instances and the quarantine."""
 
@@ -62,6 +47,7 @@
         self._registration = registration
         self._new_store = new_store
         self._watches: dict[str, TopicWatch] = {}
+        self.intake = ConfigurationIntake(lambda: self.in_force)
         self._registered: dict[str, Runner] = {}
         targets.fleet.versions.reads.request = self.read_runners_soon
 
@@ -178,7 +164,7 @@
     def _apply_operator_record(self, record: KeyedRecord) -> bool:
         if record.key != OPERATOR_KEY or not record.text:
             return False
-        cfg = readable_configuration(record)
+        cfg = self.intake.decode(record)
         return cfg is not None and self.put_in_force(cfg)
 
     def _apply_runners(self, records: tuple[KeyedRecord, ...]) -> None:
--- a/packages/sesamepoint/src/sesamepoint/platform/configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -18,6 +18,7 @@
     PositiveInt,
 )
 from sesamepoint_core.serving.accounts import Account, AccountKeys, Accounts
+from sesamepoint_core.serving.configuration_check import ConfigurationParts, find_complaints, summary
 from sesamepoint_core.serving.routes import (
     CallerLimits,
     Configuration,
@@ -28,7 +29,7 @@
     ServiceShare,
 )
 from sesamepoint_core.units import BITS_PER_BYTE, BITS_PER_MEGABIT, MS_PER_S
-from sesamepoint.platform.unreadable_record import UnreadableRecordError
+from sesamepoint.platform.unreadable_record import InvalidConfigurationError
 
 # Beyond these a configured number means "no limit", and is cut: it is divided, or sent to peers.
 MAX_COUNT = 1_000_000_000
@@ -38,8 +39,10 @@
 # Bytes of the KV cache of one token.
 MAX_TOKEN_BYTES = 1e9
 _PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
-# Sent in a header without encoding: visible ASCII, spaces only inside.
-_AccountName = Annotated[str, msgspec.Meta(pattern='^[!-~]([ -~]*[!-~])?$')]
+# Sent in a header as UTF-8: no control characters, spaces only inside.
+_AccountName = Annotated[str, msgspec.Meta(pattern='^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$')]
+# What may be done with a request; of any other kind it isn't known whether it may run twice or is a stream.
+_Kind = Literal['idempotent', 'non_idempotent', 'streaming']
 
 
 class _Share(msgspec.Struct):
@@ -51,17 +54,17 @@
     name: NonEmptyText
     host: NonEmptyText
     path_prefix: NonEmptyText
-    kind: NonEmptyText
+    kind: _Kind
     timeout_ms: _PositiveFloat
     # A route names one service here, or several with weights in ``backends``.
-    service: str = ''
-    backends: list[_Share] = msgspec.field(default_factory=list)
+    service: str | None = None
+    backends: list[_Share] | None = None
     target_latency_ms: _PositiveFloat | None = None
-    gap_aim_ms: NonNegativeFloat = 0
-    max_attempts: PositiveInt = 1
-    priority: NonNegativeInt = 0
-    resumable: bool = False
-    public: bool = False
+    gap_aim_ms: NonNegativeFloat | None = None
+    max_attempts: PositiveInt | None = None
+    priority: NonNegativeInt | None = None
+    resumable: bool | None = None
+    public: bool | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -77,7 +80,7 @@
     max_conns: NonNegativeInt
     engine: _Engine | None = None
     # Without one no health page is called.
-    health_path: str = ''
+    health_path: str | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -102,40 +105,61 @@
     tenants: list[_Tenant] | None = None
 
 
+class _VersionOnly(msgspec.Struct):
+    version: Counter
+
+
 def decode_configuration(text: bytes) -> Configuration:
     """Decode the operator's configuration.
 
     Raises
     ------
     UnreadableRecordError
-        If ``text`` is not a valid configuration document: malformed JSON, or
-        a field that is missing, has the wrong type or is out of range.
+        If ``text`` is not a valid configuration: malformed JSON, a field that is missing, has the wrong type or is
+        out of range, or entries that contradict each other.
     """
     try:
         return _configuration(decode_json(text, _Document))
     except (UndecodableError, ValueError) as exc:
-        # ValueError: a route without a service.
-        raise UnreadableRecordError(f'configuration: {exc}', 'the previous version stays in force') from exc
+        # ValueError: a route without a service, or a key of two accounts.
+        raise InvalidConfigurationError(str(exc), _version(text)) from exc
 
 
 def _configuration(document: _Document) -> Configuration:
     limits = document.limits
-    return Configuration.from_parts(
-        document.version,
+    accounts = None if document.tenants is None else [_account_keys(tenant) for tenant in document.tenants]
+    parts = ConfigurationParts(
         [_route(record) for record in document.routes],
         [_service(record) for record in document.services],
+        accounts or (),
+    )
+    complaints = find_complaints(parts)
+    if complaints:
+        raise ValueError(summary(complaints))
+    return Configuration.from_parts(
+        document.version,
+        parts.routes,
+        parts.services,
         CallerLimits(
             head_bytes=min(limits.max_header_bytes, MAX_COUNT),
             body_bytes=min(limits.max_body_bytes, MAX_COUNT),
             head_s=_seconds(limits.header_timeout_ms),
             idle_s=_seconds(limits.idle_timeout_ms),
         ),
-        None if document.tenants is None else _accounts(document.tenants),
+        None if accounts is None else Accounts.from_keys(accounts),
     )
 
 
+def _version(text: bytes) -> int:
+    """Return the version of a refused configuration; 0 if it can't be read."""
+    try:
+        return decode_json(text, _VersionOnly).version
+    except UndecodableError:
+        return 0
+
+
 def _service(record: _Service) -> Service:
-    return Service(record.name, min(record.max_conns, MAX_COUNT), _engine(record.engine), record.health_path)
+    return Service(record.name, min(record.max_conns, MAX_COUNT), _engine(record.engine), record.health_path or '')
 
 
 def _route(route: _Route) -> Route:
@@ -148,18 +172,16 @@
         streamed=route.kind == 'streaming',
         timeout_s=_seconds(route.timeout_ms),
         target_s=_seconds(target_ms),
-        pause_s=_seconds(route.gap_aim_ms),
-        max_attempts=min(route.max_attempts, MAX_COUNT),
-        priority=min(route.priority, MAX_PRIORITY),
+        pause_s=_seconds(route.gap_aim_ms or 0),
+        max_attempts=min(route.max_attempts or 1, MAX_COUNT),
+        priority=min(route.priority or 0, MAX_PRIORITY),
         shares=_shares(route),
-        public=route.public,
+        public=bool(route.public),
     )
 
 
-def _accounts(tenants: list[_Tenant]) -> Accounts:
-    return Accounts.from_keys(
-        AccountKeys(Account(tenant.name, _account_priority(tenant.priority)), tenant.api_keys) for tenant in tenants
-    )
+def _account_keys(tenant: _Tenant) -> AccountKeys:
+    return AccountKeys(Account(tenant.name, _account_priority(tenant.priority)), tenant.api_keys)
 
 
 def _account_priority(priority: int | None) -> int | None:
@@ -183,8 +205,6 @@
         return RepeatPolicy.freely
     if route.kind == 'streaming' and route.resumable:
         return RepeatPolicy.resume
-    # Also for kinds unknown to this version: running a request twice is worse
-    # than not retrying it.
     return RepeatPolicy.never
 
 
--- a/tests/front/configurations/test_config_soak.py
+++ b/tests/front/configurations/test_config_soak.py
@@ -60,8 +60,11 @@
     def test_keeps_store_address(self) -> None:
         self.assertTrue(_is_found('keeps-store-address', 'config', 'move-store'))
 
+    def test_takes_invalid_versions(self) -> None:
+        self.assertTrue(_is_found('takes-invalid-versions', ('config', 'denied', 'back'), 'invalid-versions'))
 
-def _is_found(variant: str, mark: str, row: str) -> bool:
+
+def _is_found(variant: str, mark: str | tuple[str, ...], row: str) -> bool:
     """Tell whether a seed finds a violation of one kind in faulty processes."""
     with patch.dict(os.environ, VARIANT=variant):
         found = (trio.run(play, seed, DURATION_S, (row,), FAULTY_PROGRAM) for seed in FAULTY_SEEDS)
--- a/tests/front/configurations/variants.py
+++ b/tests/front/configurations/variants.py
@@ -10,6 +10,7 @@
 from sesamepoint.front.dispatch import Dispatcher
 from sesamepoint.front.front import Front
 from sesamepoint.front.store.topic_sync import TopicSync
+from sesamepoint.platform import configuration
 from sesamepoint.platform.store_location import StoreLocation
 
 if TYPE_CHECKING:
@@ -68,6 +69,10 @@
     """Go on at the address of the start."""
 
 
+def _find_nothing(_: object) -> tuple[str, ...]:
+    return ()
+
+
 CONFIGURATION_VARIANTS: Mapping[str, tuple[Patch, ...]] = MappingProxyType(
     {
         'applies-late': ((TopicSync, 'put_in_force', _put_in_force_late),),
@@ -77,6 +82,7 @@
         ),
         'keeps-store-address': ((StoreLocation, 'move', _keep_store_address),),
         'refuses-new-keys': ((Dispatcher, 'configure', _configure_without_new_keys),),
+        'takes-invalid-versions': ((configuration, 'find_complaints', _find_nothing),),
         'sends-to-leaving': ((TopicSync, '_apply_runner', _apply_leaving_late),),
     }
 )
--- /dev/null
+++ b/tests/front/store/test_refused_configurations.py
@@ -0,0 +1,89 @@
+"""Invalid configurations in the store: the version before stays in force, and the refused one is shown."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+from prometheus_client import generate_latest
+
+from sesamepoint_standins.platform.bench import open_bench
+from tests.front.builders import account, bearer_header, configuration, fleet, new_request, route
+from tests.virtual_time import in_virtual_time
+
+if TYPE_CHECKING:
+    from sesamepoint.front.front import Front
+    from sesamepoint_standins.platform.bench import PlatformBench
+
+KEY = 'k3yOfHarbor'
+KEPT = configuration(version=2, tenants=[account('harbor', KEY)])
+# It drops the key and moves a route besides.
+INVALID = configuration(
+    version=3,
+    tenants=[account('harbor', 'another')],
+    routes=[route('thumb', '/thumb/', 'nowhere', 'idempotent')],
+)
+APPLY_S = 2.0
+PEER_S = 2.0
+
+
+def _gauge(front: Front, name: str) -> float:
+    lines = generate_latest(front.dispatcher.metrics.registry).decode().splitlines()
+    return next(float(line.split()[1]) for line in lines if line.startswith(f'{name} '))
+
+
+async def _status(bench: PlatformBench, front: str) -> int:
+    req = new_request('/thumb/a', extra=(bearer_header(KEY),))
+    return (await bench.new_caller(front).send(req)).status
+
+
+class RefusedConfigurationTest(TestCase):
+    """Instances that read an invalid version."""
+
+    @in_virtual_time
+    async def test_version_before_in_force(self) -> None:
+        """Guards against an invalid version that is in force in part, and against one that hides the next."""
+        async with open_bench(KEPT, fleet(), fronts=2) as bench:
+            bench.publish(INVALID)
+            await trio.sleep(APPLY_S)
+            self.assertEqual([await _status(bench, front) for front in bench.fronts], [200, 200])
+            refused = [_gauge(one, 'sesamepoint_configuration_refused_version') for one in bench.fronts.values()]
+            self.assertIn(3, refused)
+            bench.publish({**KEPT, 'version': 4})
+            await trio.sleep(APPLY_S)
+            for front in bench.fronts.values():
+                self.assertEqual(_gauge(front, 'sesamepoint_configuration_version'), 4)
+                self.assertEqual(_gauge(front, 'sesamepoint_configuration_refused_version'), 0)
+
+    @in_virtual_time
+    async def test_start_at_invalid_version(self) -> None:
+        """Guards against an instance that serves nothing since the newest version was invalid when it started."""
+        async with open_bench(KEPT, fleet(), fronts=2) as bench:
+            bench.publish(INVALID)
+            await trio.sleep(APPLY_S)
+            started = bench.add_front(3)
+            await trio.sleep(PEER_S)
+            self.assertEqual((started.ready(), await _status(bench, 'front-3')), (True, 200))
+
+    @in_virtual_time
+    async def test_logged_once(self) -> None:
+        """Guards against a line for each read of the same invalid record."""
+        async with open_bench(KEPT, fleet()) as bench:
+            bench.publish(INVALID)
+            await trio.sleep(APPLY_S)
+            # The whole topic is read again.
+            bench.store.roll_back(0)
+            await trio.sleep(10 * APPLY_S)
+            self.assertEqual(_gauge(bench.fronts['front-1'], 'sesamepoint_configurations_refused'), 1)
+
+    @in_virtual_time
+    async def test_invalid_version_of_peer(self) -> None:
+        """Guards against an invalid version that comes from a peer whose program checks less."""
+        async with open_bench(KEPT, fleet(), fronts=2) as bench:
+            cfg = bench.fronts['front-2'].dispatcher.configuration
+            assert cfg is not None
+            bench.fronts['front-2'].dispatcher.configuration = cfg._replace(version=9, services={})
+            await trio.sleep(20 * APPLY_S)
+            self.assertEqual(_gauge(bench.fronts['front-1'], 'sesamepoint_configuration_version'), 2)
+            self.assertEqual(_gauge(bench.fronts['front-1'], 'sesamepoint_configuration_refused_version'), 9)
