--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -90,9 +90,13 @@
         for compared in count():
             span_s = FIRST_COMPARE_RANGE_S if compared < FIRST_COMPARES else COMPARE_RANGE_S
             await trio.sleep(self._rng.uniform(*span_s))
-            peers = self._peers.peer_names()
-            if peers:
-                self._send_version(self._rng.choice(peers))
+            self.compare_with_any()
+
+    def compare_with_any(self) -> None:
+        """Send the version in force here to one random peer, which answers if it has another one."""
+        peers = self._peers.peer_names()
+        if peers:
+            self._send_version(self._rng.choice(peers))
 
     async def fetch_queued(self) -> None:
         """Fetch from the queued peers, one after the other, until cancelled."""
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -30,6 +30,8 @@
 # Longest pause before a failed call is repeated, in seconds, for topics without a
 # time within which changes must be known.
 LONGEST_RETRY_S = 2.0
+# Such topics wait for the timeout of a call, in seconds.
+LONGEST_SILENCE_S = 1.0
 # After a hint that there are changes, an instance polls the store within this
 # many seconds.
 POLL_JITTER_S = 0.05
@@ -50,12 +52,15 @@
         time, in seconds.
     longest_retry_s
         Longest pause before a failed call is repeated, in seconds.
+    silence_s
+        How long a held call may be silent beyond its wait before another way to the store is tried, in seconds.
     """
 
     long_poll_s: float
     pause_s: float
     takeover_spread_s: float
     longest_retry_s: float = LONGEST_RETRY_S
+    silence_s: float = LONGEST_SILENCE_S
 
 
 class PollingTurns:
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import trio
 
@@ -67,6 +67,10 @@
             self._outage.reset()
             self._log_change()
 
+    def join(self, handlers: dict[type, Callable[[Any], None]]) -> None:
+        """Handle the announcements of peers."""
+        handlers[StoreProbe] = self.on_probe
+
     def is_down(self) -> bool:
         """Return whether the store counts as down for all instances."""
         return self._outage.is_down(self._instance_count())
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from sesamepoint.front.store.outage_messages import StoreProbe
+from sesamepoint.front.store.freshness import AgeBounds, Freshness
 from sesamepoint.front.store.store_pacer import PacedStore, StorePacer
 from sesamepoint.front.store.sync_gauges import add_sync_gauges
 from sesamepoint.front.store.topic_sync import SyncTargets, TopicSync
@@ -50,13 +50,15 @@
         new_client = partial(StoreClient, self._location, network)
         pacer = StorePacer.from_config(cfg, peers.count, peers.send_queue.enqueue, rng)
         self._pacer = pacer
-        peers.handlers[StoreProbe] = pacer.on_probe
+        pacer.join(peers.handlers)
         new_store = partial(PacedStore.open, new_client, pacer)
         self._registration = InstanceRegistration(cfg.name, peers, new_store, rng)
         self._topic_sync = TopicSync(cfg, targets, self._registration, new_store)
-        add_sync_gauges(targets.dispatcher.metrics.add_gauge, self._topic_sync, pacer)
         self._quarantine_records = QuarantineRecords(targets.quarantine, new_store(), rng)
         self._peer_configuration = PeerConfiguration(self._topic_sync, peers, network, rng)
+        bounds = AgeBounds.from_config(cfg)
+        self._freshness = Freshness(self._topic_sync.watches, bounds, self._peer_configuration.compare_with_any)
+        add_sync_gauges(targets.dispatcher.metrics.add_gauge, self._topic_sync, self._freshness, pacer)
         self._topic_sync.request_configuration = self._peer_configuration.request_from
         peers.handlers[VersionMessage] = self._peer_configuration.on_version
         peers.handlers[TopicUpdate] = self._topic_sync.on_topic_update
@@ -87,6 +89,7 @@
             Child('registration', self._registration.stay_registered),
             Child('lost-entries', partial(self._registration.drop_failed, topic_sync.polls_entries)),
             Child('peer-configuration', self._peer_configuration.fetch_queued),
+            Child('freshness', self._freshness.run),
             Child('runner-news', self._runner_status.run),
             Child('gap-questions', self._gap_questions.run),
             Child('peer-compare', self._peer_configuration.compare_versions),
@@ -97,6 +100,7 @@
         """Apply changed settings."""
         self._topic_sync.reconfigure(cfg)
         self._pacer.reconfigure(cfg)
+        self._freshness.bounds = AgeBounds.from_config(cfg)
         if cfg.store.address != self._location.address:
             self._location.move(cfg.store.address)
             self._topic_sync.note_store_moved()
--- a/packages/sesamepoint/src/sesamepoint/front/store/sync_gauges.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/sync_gauges.py
@@ -4,20 +4,38 @@
 
 from typing import TYPE_CHECKING
 
+from sesamepoint.platform.wire_names import OPERATOR_TOPIC, RUNNER_TOPIC
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamepoint.front.store.freshness import Freshness
     from sesamepoint.front.store.store_pacer import StorePacer
     from sesamepoint.front.store.topic_sync import TopicSync
 
     AddGauge = Callable[[str, str, Callable[[], float]], None]
 
 
-def add_sync_gauges(add_gauge: AddGauge, topic_sync: TopicSync, pacer: StorePacer) -> None:
+def add_sync_gauges(add_gauge: AddGauge, topic_sync: TopicSync, freshness: Freshness, pacer: StorePacer) -> None:
     """Add the gauges of the configuration and of the store."""
     intake = topic_sync.intake
+    add_gauge(
+        'sesamepoint_configuration_age_seconds',
+        'Time since the configuration was known to be current.',
+        lambda: freshness.age_s(OPERATOR_TOPIC),
+    )
+    add_gauge(
+        'sesamepoint_runner_list_age_seconds',
+        'Time since the list of runners was known to be current.',
+        lambda: freshness.age_s(RUNNER_TOPIC),
+    )
     add_gauge('sesamepoint_store_down', 'Whether the store answers no instance.', pacer.is_down)
     add_gauge('sesamepoint_configurations_refused', 'Invalid configurations so far.', lambda: intake.refusals)
+    add_gauge(
+        'sesamepoint_hedged_reads',
+        'Short reads in place of silent ones so far.',
+        lambda: sum(reads.hedges for reads in topic_sync.reads.values()),
+    )
     add_gauge(
         'sesamepoint_configuration_refused_version',
         'Newest known version if it is refused, else 0.',
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_pacing.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_pacing.py
@@ -27,6 +27,8 @@
 # Longest pause before a failed call is repeated, as a share of the time within
 # which a change of the configuration or of the runners must be known.
 RETRY_SHARE = 0.5
+# Share of that time for which a held call may be silent beyond its wait: more than a slow store takes to answer.
+SILENCE_SHARE = 0.15
 # Instances rarely join or leave. Each needs a current list for its share of the retry
 # budget (sesamepoint_core/admit/reserve_share.py).
 ENTRY_WAIT_S = 1.0
@@ -47,6 +49,7 @@
             CONFIGURATION_PAUSE_S,
             CONFIGURATION_SPREAD_SHARE * cfg.config_s,
             RETRY_SHARE * cfg.config_s,
+            SILENCE_SHARE * cfg.config_s,
         )
     if topic == RUNNER_TOPIC:
         return Pacing(
@@ -54,6 +57,7 @@
             RUNNER_PAUSE_SHARE * cfg.drain_s,
             RUNNER_SPREAD_SHARE * cfg.drain_s,
             RETRY_SHARE * cfg.drain_s,
+            SILENCE_SHARE * cfg.drain_s,
         )
     if topic == INSTANCE_TOPIC:
         return Pacing(ENTRY_WAIT_S, ENTRY_PAUSE_S, ENTRY_SPREAD_S)
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -8,6 +8,7 @@
 from sesamepoint import events
 from sesamepoint.front.runners.restored_copies import apply_restored
 from sesamepoint.front.store.configuration_intake import ConfigurationIntake
+from sesamepoint.front.store.hedged_reads import HedgedReads
 from sesamepoint.front.store.record_decoding import readable_runner, readable_runners
 from sesamepoint.front.store.record_handlers import PeerGroup, RecordHandlers
 from sesamepoint.front.store.sync_targets import SyncTargets
@@ -46,7 +47,8 @@
         self._targets = targets
         self._registration = registration
         self._new_store = new_store
-        self._watches: dict[str, TopicWatch] = {}
+        self.watches: dict[str, TopicWatch] = {}
+        self.reads: dict[str, HedgedReads] = {}
         self.intake = ConfigurationIntake(lambda: self.in_force)
         self._registered: dict[str, Runner] = {}
         targets.fleet.versions.reads.request = self.read_runners_soon
@@ -58,7 +60,7 @@
 
     def on_topic_update(self, update: TopicUpdate) -> None:
         """Apply an update that a peer has read; updates of topics not followed yet are ignored."""
-        watch = self._watches.get(update.topic)
+        watch = self.watches.get(update.topic)
         if watch is not None:
             watch.on_update(update)
         if update.topic == INSTANCE_TOPIC:
@@ -66,31 +68,33 @@
 
     def refresh_quarantine(self) -> None:
         """Read the quarantine again soon, since announcements of peers may have been missed."""
-        watch = self._watches.get(QUARANTINE_TOPIC)
+        watch = self.watches.get(QUARANTINE_TOPIC)
         if watch is not None:
             watch.poll_soon()
 
     def read_runners_soon(self) -> None:
         """Read the registrations of runners again soon."""
-        watch = self._watches.get(RUNNER_TOPIC)
+        watch = self.watches.get(RUNNER_TOPIC)
         if watch is not None:
             watch.poll_soon()
 
     def polls_entries(self) -> bool:
         """Return whether this instance polls the list of instances for all."""
-        watch = self._watches.get(INSTANCE_TOPIC)
+        watch = self.watches.get(INSTANCE_TOPIC)
         return watch is not None and watch.turns.polls_for_all
 
     def reconfigure(self, cfg: FrontSettings) -> None:
         """Apply changed settings, such as the bound on repeats."""
         self._cfg = cfg
         self._targets.budgets.reconfigure(cfg.retry_ratio, cfg.retry_reserve)
-        for topic, watch in self._watches.items():
-            watch.repace(topic_pacing(topic, cfg))
+        for topic, watch in self.watches.items():
+            pacing = topic_pacing(topic, cfg)
+            watch.repace(pacing)
+            self.reads[topic].silence_s = pacing.silence_s
 
     def note_store_moved(self) -> None:
         """Read all topics anew, since the store has another address."""
-        for watch in self._watches.values():
+        for watch in self.watches.values():
             watch.note_store_moved()
 
     def put_in_force(self, cfg: Configuration) -> bool:
@@ -153,8 +157,10 @@
         # Seeded so that no two instances poll at the same times, and that the topics
         # of one instance are not retried together: the first answer wakes the others.
         pacing = topic_pacing(topic, self._cfg)
-        watch = TopicWatch(store.client, topic, pacing, handlers, others, Random(f'{self._cfg.name} {topic}'))
-        self._watches[topic] = watch
+        reads = HedgedReads(store.client, self._new_store().client, topic, pacing.silence_s)
+        self.reads[topic] = reads
+        watch = TopicWatch(reads, topic, pacing, handlers, others, Random(f'{self._cfg.name} {topic}'))
+        self.watches[topic] = watch
         await watch.run()
 
     def _apply_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -21,9 +21,10 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from sesamepoint.front.store.hedged_reads import HedgedReads
     from sesamepoint.front.store.polling_turns import Pacing
     from sesamepoint.front.store.record_handlers import PeerGroup, RecordHandlers
-    from sesamepoint.platform.store import KeyedRecord, StoreClient, TopicRecords
+    from sesamepoint.platform.store import KeyedRecord, TopicRecords
 
 # Range of the random pause before a failed call is repeated while this instance
 # can't serve without the answer, in seconds: spreads the load on a store that
@@ -53,7 +54,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: HedgedReads,
         topic: str,
         pacing: Pacing,
         record_handlers: RecordHandlers,
@@ -189,19 +190,21 @@
         if not self._handlers.urgent():
             self._peers.pacer.begin_call()
         start = self.turns.end
-        answered = await (self._list() if start is None else self._follow(start))
+        answered = await (self._list(began_at) if start is None else self._follow(start, began_at))
         if answered:
-            self.current_at = began_at
             self._handlers.confirm(True)
         if answered and not self._identity.settling:
             self._handlers.polled(began_at)
 
-    async def _follow(self, start: int) -> bool:
+    async def _follow(self, start: int, began_at: float) -> bool:
         """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
-        changes = await self._store.follow(self._topic, start, self._follow_wait_s())
+        wait_s = self._follow_wait_s()
+        changes = await self._store.follow(self._topic, start, wait_s)
         if changes.epoch != self._identity.epoch:
             return False
         self._has_followed = True
+        # Without records the store has answered at the end of the wait, with records at an unknown time before.
+        self.current_at = began_at if changes.records else min(began_at + wait_s, trio.current_time())
         self._note_answered(changes)
         await self._apply_poll(start, changes)
         return True
@@ -214,9 +217,10 @@
             return 0
         return self._wait_s if self._has_followed else FIRST_WAIT_S
 
-    async def _list(self) -> bool:
+    async def _list(self, began_at: float) -> bool:
         listing = await self._store.read_newest(self._topic, next(self._list_timeout_s))
         self._check_epoch()
+        self.current_at = began_at
         self._note_answered(listing)
         self._identity.check_listing(listing)
         if self._identity.settling:
--- /dev/null
+++ b/tests/front/store/test_silent_long_reads.py
@@ -0,0 +1,80 @@
+"""Reads that the store holds until there are changes stay without an answer, and all other calls are served."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+from unittest import TestCase
+
+import trio
+
+from sesamepoint_standins.platform.bench import open_bench
+from tests.front.builders import configuration, fleet, plain_runner
+from tests.virtual_time import in_virtual_time
+
+if TYPE_CHECKING:
+    from sesamepoint_standins.platform.bench import PlatformBench
+    from sesamepoint_standins.platform.runner import RunnerStandIn
+
+FRONTS = 12
+SEEDS = range(1, 4)
+# Leavings within one play, and the longest pause between two, in seconds.
+LEAVINGS = 8
+MAX_PAUSE_S = 2.0
+CHECK_S = 0.05
+GIVE_UP_S = 10.0
+# Left of the bound for a process that waits for a processor, in seconds.
+SPARE_S = 0.5
+
+
+class SilentLongReadsTest(TestCase):
+    """Changes take effect in time while long reads hang."""
+
+    @in_virtual_time
+    async def test_leaving_runners(self) -> None:
+        """Guards against requests at a runner that left, since the read that would have said so hangs until its end."""
+        late = [await _late_s(seed) for seed in SEEDS]
+        self.assertLess(max(late), -SPARE_S, late)
+
+    @in_virtual_time
+    async def test_configurations(self) -> None:
+        """Guards against versions that are late for the same reason."""
+        async with open_bench(configuration(), fleet(), fronts=FRONTS) as bench:
+            bench.store.answers_long_reads = False
+            rng = Random(1)
+            for version in range(2, 2 + LEAVINGS):
+                await trio.sleep(rng.uniform(0, MAX_PAUSE_S))
+                bench.publish(configuration(version=version))
+                await trio.sleep(bench.fronts['front-1'].cfg.config_s)
+                for front in bench.fronts.values():
+                    cfg = front.dispatcher.configuration
+                    self.assertEqual(cfg and cfg.version, version)
+
+
+async def _late_s(seed: int) -> float:
+    """Return how long after the bound the slowest instance still knew a runner that had left, in seconds."""
+    rng = Random(seed)
+    async with open_bench(configuration(), fleet(), fronts=FRONTS) as bench:
+        bench.store.answers_long_reads = False
+        bound_s = bench.fronts['front-1'].cfg.drain_s
+        latest_s: float = 0
+        for number in range(10, 10 + LEAVINGS):
+            runner = plain_runner(number)
+            bench.add_runner(runner)
+            await trio.sleep(bound_s + rng.uniform(0, MAX_PAUSE_S))
+            latest_s = max(latest_s, await _known_for_s(bench, runner))
+        return latest_s - bound_s
+
+
+async def _known_for_s(bench: PlatformBench, runner: RunnerStandIn) -> float:
+    left_at = trio.current_time()
+    bench.drop_registration(runner.key)
+    with trio.move_on_after(GIVE_UP_S):
+        while any(_uses(bench, front, runner) for front in bench.fronts):
+            await trio.sleep(CHECK_S)
+    return trio.current_time() - left_at
+
+
+def _uses(bench: PlatformBench, front: str, runner: RunnerStandIn) -> bool:
+    member = bench.fronts[front].fleet.members.get(runner.key)
+    return member is not None and member.presence.registered and not member.draining
