--- a/packages/sesamepoint/src/sesamepoint/front/store/record_handlers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/record_handlers.py
@@ -47,6 +47,9 @@
     urgent
         Returns whether this instance cannot serve before it has read the topic;
         failed calls are then repeated soon.
+    passes_known
+        Whether records that change nothing here are passed on: peers may lack what this instance has had by another
+        way than the topic, and accept what it refuses.
     """
 
     replace_all: Callable[[tuple[KeyedRecord, ...]], None]
@@ -56,6 +59,7 @@
     confirm: Callable[[bool], bool] = _confirm_any
     polled: Callable[[float], None] = _ignore
     urgent: Callable[[], bool] = _never
+    passes_known: bool = False
 
     @property
     def confidential(self) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -116,6 +116,7 @@
             restore=self._apply_operator_records,
             request_from=self.request_configuration,
             urgent=lambda: self.in_force is None,
+            passes_known=True,
         )
         await self._follow_topic(OPERATOR_TOPIC, taker)
 
@@ -147,7 +148,9 @@
     async def follow_quarantine(self) -> None:
         """Keep the quarantine in step with the store, until cancelled."""
         quarantine = self._targets.quarantine
-        taker = RecordHandlers(quarantine.apply_records, quarantine.apply_record, quarantine.note_missing)
+        taker = RecordHandlers(
+            quarantine.apply_records, quarantine.apply_record, quarantine.note_missing, passes_known=True
+        )
         await self._follow_topic(QUARANTINE_TOPIC, taker)
 
     async def _follow_topic(self, topic: str, handlers: RecordHandlers) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -258,7 +258,7 @@
         changed: list[KeyedRecord] = []
         changed_keys = set(changed_early)
         for record in records:
-            is_new = record.key in current and self._application.update(record)
+            is_new = record.key in current and (self._application.update(record) or self._handlers.passes_known)
             # A key that changed and changed back counts too: a peer may have
             # received the first change and not the second. All its records are
             # sent: the newest one alone would hide that a runner was removed in between.
