--- a/packages/sesamepoint/src/sesamepoint/platform/settings.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/settings.py
@@ -63,7 +63,7 @@
         retry_ratio=_number(pairs, 'bounds.retry_ratio'),
         # A number of requests, despite the name of the setting.
         retry_reserve=_number(pairs, 'bounds.budget_slack'),
-        retry_window_s=_number(pairs, 'bounds.budget_window_s'),
+        retry_window_s=_positive(pairs, 'bounds.budget_window_s'),
         link_bytes_s=_number(pairs, 'limits.link_mbps') * BITS_PER_MEGABIT / BITS_PER_BYTE,
         store=StoreSettings(Address.parse(pairs['platform.address'])),
         heartbeat_s=_seconds(pairs, 'heartbeat_ms') if 'heartbeat_ms' in pairs else DEFAULT_HEARTBEAT_S,
@@ -102,6 +102,13 @@
     return _number(pairs, name) / MS_PER_S
 
 
+def _positive(pairs: Mapping[str, str], name: str) -> float:
+    number = _number(pairs, name)
+    if not number:
+        raise ValueError(f'{name} is {pairs[name]}, not above 0')
+    return number
+
+
 def _number(pairs: Mapping[str, str], name: str) -> float:
     number = float(pairs[name])
     if not 0 <= number < math.inf:
--- a/tests/front/instance_room/test_settings.py
+++ b/tests/front/instance_room/test_settings.py
@@ -47,6 +47,12 @@
 
     def test_bound_without_meaning_refused(self) -> None:
         """Guards against a bound that is no number, and that allows everything or nothing where it is compared."""
-        for line in ('bounds.retry_ratio=nan', 'bounds.budget_slack=inf', 'bounds.drain_ms=-1', 'bounds.grace_s=-inf'):
+        for line in (
+            'bounds.retry_ratio=nan',
+            'bounds.budget_slack=inf',
+            'bounds.drain_ms=-1',
+            'bounds.grace_s=-inf',
+            'bounds.budget_window_s=0',
+        ):
             with self.subTest(line), self.assertRaises(SettingsError):
                 decode_settings(f'{SETTINGS}{line}\n')
