Test bench of processes: ports that are held until all are chosen, hosts of its own for each process

Suspected: each of the four ports was freed before the next was chosen, on hosts that all benches of the machine share, so that one port could be chosen twice.

--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
-from contextlib import asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -36,6 +37,8 @@
 METRICS_PATH = '/metrics'
 POLL_INTERVAL_S = 0.05
 CONNECT_TIMEOUT_S = 1.0
+# Networks of loopback addresses among which processes choose by their id.
+NETS = 250
 # Faster than any real engine, since these tests check the processes, not latency.
 FAST_ENGINE = EngineSpeed(prefill_tokens_per_s=2_000_000, overhead_s=0.002, step_s=0.0002, step_s_per_slot=0)
 SETTINGS_TEMPLATE = """node={name}
@@ -132,7 +135,7 @@
 
     async def add_front(self) -> BenchFront:
         """Start a front process and wait until it is ready."""
-        front = await self._start_front(f'front-{len(self.fronts) + 1}', f'127.0.0.{len(self.fronts) + 2}')
+        front = await self._start_front(f'front-{len(self.fronts) + 1}', _host(len(self.fronts) + 1))
         self.fronts.append(front)
         await self.wait_until_ready(front)
         return front
@@ -140,7 +143,7 @@
     async def replace_front(self, index: int, number: int) -> None:
         """Start a front with a new name, and kill the one at index ``index`` for good once the new one is ready."""
         old = self.fronts[index]
-        front = await self._start_front(f'front-{number}', f'127.0.0.{number + 1}')
+        front = await self._start_front(f'front-{number}', _host(number))
         await self.wait_until_ready(front)
         self.fronts[index] = front
         old.process.send_signal(signal.SIGKILL)
@@ -218,15 +221,16 @@
         return await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
 
     async def _new_settings(self, name: str, host: str) -> tuple[Address, Address, str]:
-        listen = Address(host, await _free_port(host))
-        ready_listen = Address(host, await _free_port(host))
+        ports = await _free_ports(host)
+        listen = Address(host, ports.listen)
+        ready_listen = Address(host, ports.ready)
         settings = SETTINGS_TEMPLATE.format(
             name=name,
             host=host,
             listen=listen,
             ready=ready_listen,
-            first_port=await _free_port(host),
-            last_port=await _free_port(host),
+            first_port=ports.first,
+            last_port=ports.last,
             store=self.store_address,
             usage=self._usage_address,
             retry_ratio=self.retry_ratio,
@@ -296,10 +300,25 @@
     return settings.with_suffix('.log')
 
 
-async def _free_port(host: str) -> int:
-    with trio.socket.socket() as sock:
-        await sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+class _Ports(NamedTuple):
+    listen: int
+    ready: int
+    first: int
+    last: int
+
+
+def _host(number: int) -> str:
+    """Return the loopback address of an instance, which no other process that runs a bench uses."""
+    return f'127.{1 + os.getpid() // NETS % NETS}.{os.getpid() % NETS}.{number + 1}'
+
+
+async def _free_ports(host: str) -> _Ports:
+    """Return free ports; all are held until the last is chosen, so that none is chosen twice."""
+    with ExitStack() as held:
+        sockets = [held.enter_context(trio.socket.socket()) for _ in _Ports._fields]
+        for sock in sockets:
+            await sock.bind((host, 0))
+        return _Ports(*(int(held_port.getsockname()[1]) for held_port in sockets))
 
 
 async def _serve_stream(serve: Serve, stream: trio.SocketStream) -> None:
