--- a/tests/front/soak.py
+++ b/tests/front/soak.py
@@ -10,20 +10,21 @@
 import signal
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 
 import trio
 
-from sesamepoint.platform.wire_names import OPERATOR_KEY, OPERATOR_TOPIC, RUNNER_TOPIC
+from sesamepoint.platform.wire_names import RUNNER_TOPIC
 from sesamepoint_standins.platform.faulty_proxy import Fault
 from sesamepoint_standins.platform.process_bench import new_caller
 from sesamepoint_standins.platform.runner_state import Faults, single_fault
-from tests.front.builders import bearer_header, new_prompt_request, new_request, route
+from tests.front.builders import new_prompt_request, new_request
 from tests.front.random_faults import Outcome, count_runs, find_request_violations
 from tests.front.soak_bench import SoakBench
-from tests.front.soak_configuration import API_KEY, soak_configuration
+from tests.front.soak_configuration import API_KEY, KEY_HEADERS, SoakConfigurations, soak_configuration
 from tests.front.soak_parts import (
     Disturbance,
     SoakLimits,
@@ -54,7 +55,6 @@
 ROLL_PAUSE_S = (2.0, 9.0)
 ROLL_GAP_S = 1.0
 SIGNAL_EXIT_S = MAX_FREEZE_S + 0.5
-KEY_HEADERS = (bearer_header(API_KEY),)
 # Least time between two different holders of the duty, in seconds.
 MIN_TURN_S = 3.0
 STATUS_DENIED = 401
@@ -75,7 +75,6 @@
         self.outcomes: list[Outcome] = []
         self._bench = bench
         self._rng = rng
-        self._version = 1
         self._restarting: set[int] = set()
         # These draw from generators of their own, so that adding them changed none of the
         # other choices of a seed.
@@ -89,6 +88,7 @@
         self._odd_values = SoakOddValues(bench, Random(rng.getstate()[1][2]))
         self._ends_rng = Random(FRONTS)
         self._roll_rng = Random(FRONTS)
+        self._configurations = SoakConfigurations(bench, Random(rng.getstate()[1][3]))
         self._restarts = 0
         self._steps: tuple[Step, ...] = (
             self._freeze_front,
@@ -122,6 +122,7 @@
             nursery.start_soon(self._odd_values.run, duration_s)
             nursery.start_soon(self._break_off_answers, duration_s)
             nursery.start_soon(self._roll_fronts, duration_s)
+            nursery.start_soon(self._move_store, duration_s)
             nursery.start_soon(self._repeats.run, duration_s, self._ask_plain, FRONTS)
             with trio.move_on_after(duration_s):
                 while True:
@@ -282,10 +283,7 @@
         runner.faults = Faults()
 
     async def _publish_configuration(self) -> None:
-        self._version += 1
-        base = soak_configuration(self._version)
-        added = route(f'x{self._version}', '/x/', 'web', 'idempotent')
-        self._bench.store.put(OPERATOR_TOPIC, OPERATOR_KEY, {**base, 'routes': [*base['routes'], added]})
+        self._configurations.publish()
 
     async def _roll_back_store(self) -> None:
         """Roll the store back to an older copy now and then; runners and the operator write their records again."""
@@ -315,6 +313,16 @@
                     await self._wait_until_answered(index, new_request, path)
                 for path in ('/tag/a', '/verdict/a'):
                     await self._wait_until_answered(index, new_prompt_request, path)
+                await self._configurations.wait_until_newest(partial(self._status, index))
+
+    async def _move_store(self, duration_s: float) -> None:
+        began_at = await self._configurations.move_store(duration_s)
+        for index in range(FRONTS):
+            self._note_disturbance(index, began_at)
+
+    async def _status(self, front: int, req: RequestSpec) -> int:
+        await self._ask(req, front)
+        return self.outcomes[-1].answer.status
 
     async def _wait_until_answered(self, index: int, build: Callable[..., RequestSpec], path: str) -> None:
         while not await self._ask(build(path, extra=KEY_HEADERS), index):
