Random faults of status headers: an instance cut off from all peers at its start is out of touch

It now does so for one that was cut off from all peers from before its start until less than the stable time ago, and for nothing else.

--- a/tests/front/word_faults.py
+++ b/tests/front/word_faults.py
@@ -7,7 +7,7 @@
 
 import math
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import trio
 
@@ -16,7 +16,7 @@
 from sesamepoint_standins.platform.status_bounds import back_off_violations, caller_draining_violations
 from tests.front.builders import configuration, engine, plain_runner
 from tests.front.limit_faults import LimitFaultSimulation
-from tests.front.random_faults import FRONTS, find_violations, main
+from tests.front.random_faults import FRONTS, STABLE_S, find_violations, main
 
 if TYPE_CHECKING:
     from sesamepoint_standins.platform.runner import RunnerStandIn
@@ -27,6 +27,14 @@
 STORE_STABLE_S = 3.0
 
 
+class Isolation(NamedTuple):
+    """A time in which all links of a host to its peers were cut, in seconds."""
+
+    host: str
+    since: float
+    until: float = math.inf
+
+
 class StatusFaultSimulation(LimitFaultSimulation):
     """Runners send all three status headers; the store fails, slows down or rolls back, and instances restart."""
 
@@ -34,6 +42,8 @@
         """Draw all from ``rng``."""
         super().__init__(bed, rng)
         self._rolled_back_at = -math.inf
+        # Times at which an instance was cut off from all of its peers.
+        self._isolations: list[Isolation] = []
         words = (self._report_draining, self._start_back_off, self._report_all)
         self._steps = (*self._steps, *words, *words, self._end_back_offs, self._roll_back_store, self._cut_peer_link)
 
@@ -47,6 +57,17 @@
             text for runner in runners for text in back_off_violations(runner, is_excused=self._has_started_between)[:1]
         ]
 
+    def out_of_touch(self, host: str, left_at: float, at: float) -> bool:
+        """Tell whether a request by an instance that started after the runner had left does not count.
+
+        An instance that is cut off from all peers at its start can't be told either: its links have lost all packets.
+        """
+        starts = [start for start in self.instance_starts.get(host, ()) if left_at < start <= at]
+        isolated = starts and any(
+            one.host == host and one.since <= starts[-1] and at < one.until + STABLE_S for one in self._isolations
+        )
+        return bool(isolated) or super().out_of_touch(host, left_at, at)
+
     def _has_started_between(self, host: str, since: float, until: float) -> bool:
         return any(since <= at <= until for at in self.instance_starts.get(host, ()))
 
@@ -99,6 +120,15 @@
     def _cut_peer_link(self) -> None:
         first, second = self._rng.sample(list(self.bench.fronts.values()), 2)
         self.bench.network.cut_pairs.add(frozenset((first.cfg.host, second.cfg.host)))
+        hosts = {front.cfg.host for front in self.bench.fronts.values()}
+        for host in hosts:
+            if all(frozenset((host, peer)) in self.bench.network.cut_pairs for peer in hosts - {host}):
+                self._isolations.append(Isolation(host, trio.current_time()))
+
+    def _clear_faults(self) -> None:
+        super()._clear_faults()
+        now = trio.current_time()
+        self._isolations = [one._replace(until=min(one.until, now)) for one in self._isolations]
 
 
 async def run_seed(seed: int) -> list[str]:
