--- a/packages/sesamepoint-core/src/sesamepoint_core/serving/configuration_check.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/serving/configuration_check.py
@@ -13,7 +13,7 @@
 
     Check = Callable[['ConfigurationParts'], Iterator[str]]
 
-# Complaints that an error names; their number is told besides.
+# Complaints that an error lists; it counts the others.
 MAX_NAMED = 10
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/freshness.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/freshness.py
@@ -32,10 +32,10 @@
 
 
 class Freshness:
-    """Tells "nothing new" from "nothing heard": each topic has the time at which it was last known to be current.
+    """Keeps the age of each topic, so that an unchanged topic differs from one of which nothing is received.
 
-    An instance that hears nothing goes on serving, since what it knows is the best that there is; it says so, and asks
-    its peers, which may hear more.
+    An instance whose sources are silent goes on serving by its last state. It logs that, and compares versions with
+    its peers, which may still read the store.
     """
 
     def __init__(self, watches: Mapping[str, TopicWatch], bounds: AgeBounds, ask_peers: Callable[[], None]) -> None:
