--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -84,6 +84,12 @@
         self._newest_listener = 0
         # Hosts whose calls get an error.
         self.refused_hosts: set[str] = set()
+        # While it is away, connections are reset, new ones too; or calls stay without an answer, also after the return.
+        self.away = False
+        self.silent = False
+        self._silences = 0
+        self._returned = trio.Event()
+        self._connections: set[trio.CancelScope] = set()
         self._topics: dict[str, _Topic] = {}
 
     def put(self, topic: str, key: str, document: object) -> None:
@@ -100,6 +106,26 @@
         for topic in self._topics.values():
             topic.roll_back(trio.current_time() - span_s)
 
+    def go_away(self, *, silent: bool = False) -> None:
+        """Reset all connections, and new ones until the return; or leave all calls without an answer."""
+        self.away = not silent
+        self.silent = silent
+        self._silences += silent
+        for scope in () if silent else self._connections:
+            scope.cancel()
+
+    def come_back(self, lost_s: float) -> None:
+        """Serve again, in a new epoch, from a backup without the records of the last ``lost_s`` seconds."""
+        self.roll_back(lost_s)
+        self.away = False
+        self.silent = False
+        self._returned.set()
+        self._returned = trio.Event()
+
+    async def wait_until_returned(self) -> None:
+        """Wait for the next return."""
+        await self._returned.wait()
+
     def newest_payloads(self, topic: str) -> dict[str, bytes]:
         """Return the newest bytes of each key."""
         return {key: pair[1].payload for key, pair in self._topic(topic).newest().items()}
@@ -125,20 +151,28 @@
         await self._serve(0, transport)
 
     async def _serve(self, listener: int, transport: Transport) -> None:
+        with trio.CancelScope() as scope:
+            self._connections.add(scope)
+            try:
+                await self._serve_calls(listener, transport)
+            finally:
+                self._connections.discard(scope)
+                transport.reset() if self.away else transport.close()
+
+    async def _serve_calls(self, listener: int, transport: Transport) -> None:
         conn = ServerConn(transport, ServerLimits)
         try:
-            while await conn.wait_for_request():
+            while not self.away and await conn.wait_for_request():
                 message = await conn.read_request()
+                silences = self._silences
                 answer = await self._respond(message)
-                if listener < self._newest_listener:
+                if listener < self._newest_listener or self.silent or self._silences > silences:
                     await trio.sleep_forever()
                 headers = ((STORE_EPOCH, str(self.epoch).encode()),)
                 await conn.send_whole(answer.status, headers, answer.body)
                 conn.start_next_cycle()
         except (CallerGoneError, RejectedRequestError):
             return
-        finally:
-            transport.close()
 
     async def _respond(self, message: ReceivedRequest) -> _Response:
         self.call_count += 1
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -50,6 +50,8 @@
         new_client = partial(StoreClient, self._location, network)
         pacer = StorePacer.from_config(cfg, peers.count, peers.send_queue.enqueue, rng)
         self._pacer = pacer
+        # Any response ends an outage, also one that a caller can't use, such as the first one of a restored store.
+        self._location.on_answered = pacer.note_answered
         pacer.join(peers.handlers)
         new_store = partial(PacedStore.open, new_client, pacer)
         self._registration = InstanceRegistration(cfg.name, peers, new_store, rng)
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -95,6 +95,7 @@
             try:
                 await self._poll(began_at)
             except HistoryGoneError:
+                self._note_answered(self.turns.end)
                 self.turns.reset()
             except PlatformUnavailableError as exc:
                 # A call that a new address of the store has ended says nothing of the store there.
@@ -172,13 +173,12 @@
         self._peers.pacer.note_failed(began_at)
         self._request_from_sender()
 
-    def _note_answered(self, answer: TopicRecords) -> None:
+    def _note_answered(self, end: int | None) -> None:
         if not self._reachable:
-            events.log_event(events.STORE_REACHABLE, topic=self._topic, end=answer.end)
+            events.log_event(events.STORE_REACHABLE, topic=self._topic, end=end)
         self._reachable = True
         self._backoff.reset()
         self._retry_at = 0
-        self._peers.pacer.note_answered()
 
     def _retry_now(self) -> None:
         """Repeat a failed call at once, since the store answers this instance again."""
@@ -202,12 +202,12 @@
         """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
         wait_s = self._follow_wait_s()
         changes = await self._store.follow(self._topic, start, wait_s)
+        self._note_answered(changes.end)
         if changes.epoch != self.identity.epoch:
             return False
         self._has_followed = True
         # Without records the store has answered at the end of the wait, with records at an unknown time before.
         self.current_at = began_at if changes.records else min(began_at + wait_s, trio.current_time())
-        self._note_answered(changes)
         await self._apply_poll(start, changes)
         return True
 
@@ -223,7 +223,7 @@
         listing = await self._store.read_newest(self._topic, next(self._list_timeout_s))
         self._check_epoch()
         self.current_at = began_at
-        self._note_answered(listing)
+        self._note_answered(listing.end)
         self.identity.check_listing(listing)
         if self.identity.settling:
             self._handlers.restore(listing.records)
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -33,6 +33,10 @@
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_PRECONDITION_FAILED = 412
+STATUS_TOO_MANY_CALLS = 429
+STATUS_SERVER_ERROR = 500
+# The store has no room for records, and serves reads.
+STATUS_FULL = 507
 CONNECT_TIMEOUT_S = 0.5
 # The store normally responds in milliseconds, and in 0.25 s when it is slow.
 CALL_TIMEOUT_S = 1.0
@@ -274,12 +278,20 @@
             self._conn_moves = moves
         else:
             conn.close()
-        return StoreResponse(response.status, received, self.epoch.observe(response.headers))
+        epoch = self.epoch.observe(response.headers)
+        if _serves(response.status):
+            self._location.on_answered()
+        return StoreResponse(response.status, received, epoch)
 
     def _headers(self, body: bytes) -> tuple[tuple[bytes, bytes], ...]:
         return ((b'host', str(self._location.address).encode()), (b'content-length', str(len(body)).encode()))
 
 
+def _serves(status: int) -> bool:
+    """Tell whether a response shows that the store serves calls, also one that refuses this call for its contents."""
+    return status == STATUS_FULL or (status < STATUS_SERVER_ERROR and status != STATUS_TOO_MANY_CALLS)
+
+
 def _last_key(page: _Page, after: str) -> str:
     """Return the key to go on after; a page that leads no further would be read for ever."""
     if not page.records or page.records[-1].key == after:
--- a/packages/sesamepoint/src/sesamepoint/platform/store_location.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store_location.py
@@ -11,7 +11,7 @@
 from sesamepoint.platform.store_epoch import StoreEpoch
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from sesamepoint_core.serving.address import Address
 
@@ -25,6 +25,8 @@
         self.epoch = StoreEpoch()
         # Number of changes of the address so far.
         self.moves = 0
+        # Called after each response that shows that the store serves calls.
+        self.on_answered: Callable[[], None] = _do_nothing
         self._calls: set[trio.CancelScope] = set()
 
     def move(self, address: Address) -> None:
@@ -66,4 +68,8 @@
             raise PlatformUnavailableError('store', 'its address has changed meanwhile')
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 __all__ = ('StoreLocation',)
--- a/tests/front/configurations/config_soak.py
+++ b/tests/front/configurations/config_soak.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 from collections import defaultdict
+from itertools import chain
 from pathlib import Path
 from random import Random
 from types import MappingProxyType
@@ -88,6 +89,7 @@
         )
         self._serving: dict[str, list[RunnerStandIn]] = defaultdict(list)
         self._left: list[Leaving] = []
+        self.disturbances.renew = self._renew_registrations
         self._sent: dict[str, Sent] = {}
         self._answers: list[tuple[str, int, float]] = []
 
@@ -141,7 +143,7 @@
         return [
             f'drain: {left.runner.key} got a request {at - left.since:.2f} s after it left, from instance {front}'
             for at, front in late
-            if not self.disturbances.excuses(front, at, at)
+            if not self.disturbances.excuses_leaving(front, due_at, at)
         ]
 
     async def _send_load(self, nursery: trio.Nursery) -> None:
@@ -156,7 +158,7 @@
 
     async def _publish(self) -> None:
         while True:
-            await trio.sleep(self._rng.uniform(*VERSION_PAUSE_S))
+            await self._pause(VERSION_PAUSE_S)
             if self._rng.random() < self.disturbances.invalid_share:
                 self._write(self._versions.invalid_document())
                 continue
@@ -164,17 +166,36 @@
             self._write(self._versions.document())
             self._versions.note_written(trio.current_time())
 
+    async def _pause(self, span_s: tuple[float, float]) -> None:
+        """Pause, and wait until the store serves; its return ends the pause."""
+        store = self.disturbances.store
+        with trio.move_on_after(self._rng.uniform(*span_s)):
+            await store.wait_until_returned()
+        while store.away:
+            await store.wait_until_returned()
+
+    def _renew_registrations(self) -> None:
+        """Write what the copy of a restored store may lack."""
+        store = self.disturbances.store
+        for runner in chain.from_iterable(self._serving.values()):
+            store.put(RUNNER_TOPIC, runner.key, runner.registration)
+        for left in self._left:
+            store.put(RUNNER_TOPIC, left.runner.key, left.runner.registration if left.runner.draining else None)
+
     def _write(self, document: object) -> None:
         self.disturbances.store.put(OPERATOR_TOPIC, OPERATOR_KEY, document)
 
     async def _replace_runners(self) -> None:
         while True:
-            await trio.sleep(self._rng.uniform(*LEAVING_PAUSE_S))
+            await self._pause(LEAVING_PAUSE_S)
             service = self._rng.choice(SERVICES)
             self._serving[service].append(await self._bench.add_runner(service))
+            if self.disturbances.store.away:
+                continue
             runner = self._serving[service].pop(0)
             # Some announce that they leave, others are only removed.
             runner.draining = self._rng.random() < 1 / 2
+            runner.leaving = not runner.draining
             self.disturbances.store.put(RUNNER_TOPIC, runner.key, runner.registration if runner.draining else None)
             self._left.append(Leaving(runner, trio.current_time()))
 
--- a/tests/front/configurations/rows.py
+++ b/tests/front/configurations/rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from collections import defaultdict
 from itertools import cycle
@@ -13,7 +14,7 @@
 from sesamepoint_standins.platform.machine_settings import store_line
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Mapping
+    from collections.abc import Awaitable, Callable, Mapping, Sequence
     from random import Random
 
     from sesamepoint_standins.platform.process_bench import BenchFront, ProcessBench
@@ -32,6 +33,15 @@
 LOUD_READS_S = 1.0
 LATE_ANSWERS_S = 0.4
 INVALID_SHARE = 0.4
+# Times in seconds between two outages of the store, for which it is away, and whose records its copy lacks besides.
+OUTAGE_PAUSE_S = (5.0, 8.0)
+AWAY_S = (2.0, 8.0)
+LOST_S = (2.0, 6.0)
+# So often another outage follows soon, after these seconds.
+TWICE_SHARE = 0.4
+SECOND_OUTAGE_S = (0.05, 1.0)
+# Runners write again within this time after a return, in seconds.
+RENEWED_S = 1.2
 
 _rows: dict[str, Row] = {}
 # By name.
@@ -45,6 +55,14 @@
     until: float
 
 
+class Outage(NamedTuple):
+    """A time in which the store was away, and when runners had written again what its copy lacks."""
+
+    since: float
+    until: float = math.inf
+    renewed_at: float = math.inf
+
+
 class Disturbances:
     """What was done to instances, and the store that they should use now."""
 
@@ -53,6 +71,10 @@
         self.starts: dict[int, int] = defaultdict(int)
         # Share of the versions that are invalid.
         self.invalid_share: float = 0
+        # When the store was away.
+        self.outages: list[Outage] = []
+        # Writes the registration, or the removal, of each runner again.
+        self.renew: Callable[[], None] = _do_nothing
         self._bench = bench
         self._spans: dict[int, list[Disturbance]] = defaultdict(list)
         # Instances that one task disturbs alone.
@@ -64,8 +86,20 @@
         return self._bench.store
 
     def excuses(self, front: int, since: float, until: float) -> bool:
+        """Tell whether an instance, or the store, was disturbed, or not yet stable again, in a span."""
+        return self.excuses_instance(front, since, until) or _any_in(self.outages, since, until)
+
+    def excuses_instance(self, front: int, since: float, until: float) -> bool:
         """Tell whether an instance was disturbed, or not yet stable again, in a span."""
-        return any(one.since <= until and since <= one.until + STABLE_S for one in self._spans[front])
+        return _any_in(self._spans[front], since, until)
+
+    def excuses_leaving(self, front: int, due_at: float, at: float) -> bool:
+        """Tell whether an instance need not know at ``at`` of a leaving that was to be known at ``due_at``.
+
+        What an instance has acknowledged before an outage of the store binds it also during the outage.
+        """
+        unknown = any(one.since <= due_at and at <= one.renewed_at + STABLE_S for one in self.outages)
+        return unknown or self.excuses_instance(front, due_at, at)
 
     def note(self, front: int, since: float) -> None:
         """Note that an instance was disturbed until now."""
@@ -106,6 +140,14 @@
         return True
 
 
+def _any_in(spans: Sequence[Disturbance | Outage], since: float, until: float) -> bool:
+    return any(one.since <= until and since <= one.until + STABLE_S for one in spans)
+
+
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 class Play(NamedTuple):
     """One play, as a row needs it."""
 
@@ -197,6 +239,29 @@
     await trio.sleep_forever()
 
 
+@_row
+async def restore_store(play: Play) -> None:
+    """Reset all connections to the store for some seconds; it comes back from an older copy, at times again soon."""
+    while True:
+        await trio.sleep(play.rng.uniform(*OUTAGE_PAUSE_S))
+        await _restore_store(play)
+        while play.rng.random() < TWICE_SHARE:
+            await trio.sleep(play.rng.uniform(*SECOND_OUTAGE_S))
+            await _restore_store(play)
+
+
+async def _restore_store(play: Play) -> None:
+    store, outages = play.bench.store, play.disturbances.outages
+    outages.append(Outage(trio.current_time()))
+    store.go_away()
+    await trio.sleep(play.rng.uniform(*AWAY_S))
+    outages[-1] = outages[-1]._replace(until=trio.current_time())
+    store.come_back(outages[-1].until - outages[-1].since + play.rng.uniform(*LOST_S))
+    await trio.sleep(play.rng.uniform(0, RENEWED_S))
+    play.disturbances.renew()
+    outages[-1] = outages[-1]._replace(renewed_at=trio.current_time())
+
+
 async def _move_store(play: Play) -> float:
     """Move the store after a pause; return when."""
     await trio.sleep(play.rng.uniform(*MOVE_PAUSE_S))
--- a/tests/front/store/outage_simulation.py
+++ b/tests/front/store/outage_simulation.py
@@ -132,16 +132,18 @@
 class SimulatedClient:
     """A client of the store in one instance."""
 
-    def __init__(self, name: str, store: SimulatedStore) -> None:
-        """Call ``store`` as the instance ``name``."""
+    def __init__(self, name: str, store: SimulatedStore, on_answered: Callable[[], None]) -> None:
+        """Call ``store`` as the instance ``name``; each answer calls ``on_answered``."""
         self.epoch = StoreEpoch()
         self._name = name
+        self._on_answered = on_answered
         self._store = store
 
     async def read_newest(self, topic: str, timeout_s: float) -> TopicRecords:
         """Return the newest record of the topic."""
         await self._store.begin_call(self._name, timeout_s)
         log = self._store.logs[topic]
+        self._on_answered()
         return TopicRecords(tuple(log[-1:]), len(log), 0)
 
     async def follow(self, topic: str, start: int, wait_s: float) -> TopicRecords:
@@ -151,6 +153,7 @@
         with trio.move_on_after(wait_s):
             while len(log) <= start and not self._store.down:
                 await self._store.appended.wait()
+        self._on_answered()
         return TopicRecords(tuple(log[start:]), len(log), 0)
 
 
@@ -196,7 +199,7 @@
             urgent=lambda: topic in {CONFIGURATION, RUNNERS} and topic not in self.known,
         )
         group = PeerGroup(self.name, self._simulation.count, broadcast, self.pacer)
-        client = SimulatedClient(self.name, self._simulation.store)
+        client = SimulatedClient(self.name, self._simulation.store, self.pacer.note_answered)
         rng = Random(f'{self.name} {topic}')
         return TopicWatch(client, topic, PACINGS[topic], handlers, group, rng)  # type: ignore[arg-type]
 
--- a/tests/front/topic_simulation.py
+++ b/tests/front/topic_simulation.py
@@ -66,9 +66,10 @@
 class InstanceStore:
     """A client of the store for one instance."""
 
-    def __init__(self, name: str, store: LogStore) -> None:
-        """Send calls to ``store`` as the instance ``name``."""
+    def __init__(self, name: str, store: LogStore, on_answered: Callable[[], None]) -> None:
+        """Send calls to ``store`` as the instance ``name``; each answer calls ``on_answered``."""
         self.epoch = StoreEpoch()
+        self._on_answered = on_answered
         self._name = name
         self._store = store
 
@@ -98,6 +99,7 @@
 
     def _observe_epoch(self) -> None:
         self.epoch.observe(((STORE_EPOCH, str(self._store.epoch).encode()),))
+        self._on_answered()
 
 
 class Instance:
@@ -113,7 +115,7 @@
             name, simulation.new_outage(name, rng), lambda: len(simulation.instances), simulation.announcer_of(name)
         )
         peers = PeerGroup(name, lambda: len(simulation.instances), simulation.broadcaster_of(name), self.pacer)
-        store = InstanceStore(name, simulation.store)
+        store = InstanceStore(name, simulation.store, self.pacer.note_answered)
         handlers = RecordHandlers(self._replace_all, self._update, urgent=lambda: not self.has_records)
         self.watch = TopicWatch(store, TOPIC, PACING, handlers, peers, Random(name))  # type: ignore[arg-type]
 
--- a/tests/platform_boundary/test_odd_store_answers.py
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from unittest import TestCase
 
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
-from sesamepoint.platform.store import StoreClient
+from sesamepoint.platform.store import HistoryGoneError, StoreClient
 from sesamepoint.platform.store_location import StoreLocation
 from tests.front.odd_values.odd_documents import huge, nested
 from tests.platform_boundary.scripted_network import ENDS, FRAMINGS, ScriptedNetwork, ScriptedResponse
@@ -70,3 +71,33 @@
         for epoch in (huge(7), huge(400), huge(5000), '-1', 'x'):
             with self.assertRaises(PlatformUnavailableError, msg=epoch[:20]):
                 await _store(_page(SOUND), b'store-era: %b\r\n' % epoch.encode()).read_newest('keyed.x')
+
+
+class ServedCallsTest(TestCase):
+    """Which responses show that the store serves calls."""
+
+    @in_virtual_time
+    async def test_statuses(self) -> None:
+        """Guards against a response that counts as none, since its caller can't use it."""
+        for status in (200, 400, 403, 404, 409, 410, 412, 507):
+            self.assertEqual(await _answers_noted(status), 1, status)
+        for status in (429, 500, 502, 503, 504):
+            self.assertEqual(await _answers_noted(status), 0, status)
+
+    @in_virtual_time
+    async def test_older_epoch(self) -> None:
+        """Guards against a response from before a restore that ends an outage."""
+        self.assertEqual(await _answers_noted(200, known_epoch=5), 0)
+
+
+async def _answers_noted(status: int, known_epoch: int = 0) -> int:
+    """Return how often a call that gets a response with ``status`` and epoch 4 shows that the store serves."""
+    noted: list[int] = []
+    location = StoreLocation(ADDRESS)
+    location.epoch.newest = known_epoch
+    location.on_answered = lambda: noted.append(status)
+    body = _page(SOUND).encode()
+    response = ScriptedResponse(FRAMINGS[0], ENDS[0], body, len(body), headers=b'store-era: 4\r\n', status=status)
+    with suppress(PlatformUnavailableError, HistoryGoneError):
+        await StoreClient(location, ScriptedNetwork(response)).read_newest('keyed.x')
+    return len(noted)
