--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -148,7 +148,7 @@
             RecordHandlers(
                 self._apply_entries,
                 self._apply_entry,
-                self._registration.check_list,
+                self._apply_restored_entries,
                 confirm=lambda by_store: self._targets.budgets.reserve_share.confirm(by_store=by_store),
             ),
         )
@@ -207,18 +207,28 @@
 
     def _apply_entries(self, records: tuple[KeyedRecord, ...]) -> None:
         self._targets.peers.replace_all(records)
-        self._note_share(changed=self._targets.budgets.reserve_share.replace_all(self._targets.peers.addresses))
+        _log_share(
+            self._targets, changed=self._targets.budgets.reserve_share.replace_all(self._targets.peers.addresses)
+        )
+        self._registration.check_list(records)
+
+    def _apply_restored_entries(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Add instances that are not known: they write their records once, perhaps just after the restore."""
+        for record in records:
+            if record.key not in self._targets.peers.addresses:
+                self._apply_entry(record)
         self._registration.check_list(records)
 
     def _apply_entry(self, record: KeyedRecord) -> bool:
         changed = self._targets.peers.update(record)
-        self._note_share(changed=self._targets.budgets.reserve_share.update(self._targets.peers.addresses))
+        _log_share(self._targets, changed=self._targets.budgets.reserve_share.update(self._targets.peers.addresses))
         self._registration.check_record(record)
         return changed
 
-    def _note_share(self, *, changed: bool) -> None:
-        if changed:
-            self._targets.budgets.log_share()
+
+def _log_share(targets: SyncTargets, *, changed: bool) -> None:
+    if changed:
+        targets.budgets.log_share()
 
 
 def _do_nothing() -> None:
--- a/tests/front/store/test_restored_store.py
+++ b/tests/front/store/test_restored_store.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from sesamepoint.platform.wire_names import INSTANCE_TOPIC
 from sesamepoint_standins.platform.bench import open_bench
 from tests.front.builders import configuration, fleet
 from tests.virtual_time import in_virtual_time
@@ -36,6 +37,16 @@
         calls = [await _count_calls_in_outage(seed) for seed in SEEDS]
         self.assertLessEqual(max(calls), CALLS_OF_INSTANCE, calls)
 
+    @in_virtual_time
+    async def test_joined_after_restore(self) -> None:
+        """Guards against instances that peers ignore for the settling time, since only the list has their records."""
+        async with open_bench(configuration(), fleet(), fronts=2) as bench:
+            await _restore(bench, Random(1))
+            bench.store.put_raw(INSTANCE_TOPIC, 'front-3', b'10.1.0.3:8002')
+            await trio.sleep(1)
+            for name in ('front-1', 'front-2'):
+                self.assertIn('front-3', bench.fronts[name].peers.addresses)
+
 
 async def _count_calls_in_outage(seed: int) -> int:
     """Return the calls that a restored store has served before any instance knows that it answers."""
