--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -212,10 +212,9 @@
         return True
 
     def _follow_wait_s(self) -> float:
-        if self.turns.hinted or not self._reachable:
+        if self.turns.hinted or not self._reachable or self._peers.pacer.is_down():
             # The records are there already, or an answer of any kind shows that the
-            # store has returned: a held call would only delay the detection of a
-            # lost answer.
+            # store has returned: a held call would only delay it.
             return 0
         return self._wait_s if self._has_followed else FIRST_WAIT_S
 
--- a/tests/front/store/outage_simulation.py
+++ b/tests/front/store/outage_simulation.py
@@ -101,6 +101,8 @@
         self.logs: dict[str, list[KeyedRecord]] = {topic: [] for topic in PACINGS}
         self.appended = trio.Event()
         self.calls = 0
+        # Reads while it is down that it would hold until there are changes.
+        self.held_while_down = 0
         self.down = False
         # While it is down, calls stay without an answer instead of being refused.
         self.silent = False
@@ -148,6 +150,7 @@
 
     async def follow(self, topic: str, start: int, wait_s: float) -> TopicRecords:
         """Return the records after ``start``, or none after ``wait_s``."""
+        self._store.held_while_down += self._store.down and wait_s > 0
         await self._store.begin_call(self._name, wait_s + CALL_TIMEOUT_S)
         log = self._store.logs[topic]
         with trio.move_on_after(wait_s):
@@ -337,6 +340,22 @@
     return Figures(calls_per_s, datagrams_per_s, max(latest))
 
 
+async def count_held_probes(count: int) -> int:
+    """Return how many probes of a store that counts as down ask it to hold them."""
+    async with trio.open_nursery() as nursery:
+        simulation = OutageSimulation(count, SHARED, nursery)
+        simulation.start()
+        await trio.sleep(5)
+        simulation.store.down = True
+        while not all(instance.pacer.is_down() for instance in simulation.instances.values()):
+            await trio.sleep(0.01)
+        before = simulation.store.held_while_down
+        await trio.sleep(OUTAGE_S)
+        found = simulation.store.held_while_down - before
+        nursery.cancel_scope.cancel()
+    return found
+
+
 async def measure_fault(count: int, method: Method, fault: Callable[[SimulatedStore], None]) -> Figures:
     """Measure a lasting fault of a store that still answers, with changes all the while."""
     async with trio.open_nursery() as nursery:
@@ -386,6 +405,7 @@
     'FAULTS',
     'FIXED',
     'SHARED',
+    'count_held_probes',
     'Figures',
     'Method',
     'OutageSimulation',
--- a/tests/front/store/test_outages.py
+++ b/tests/front/store/test_outages.py
@@ -23,6 +23,7 @@
     BOUND_S,
     FIXED,
     SHARED,
+    count_held_probes,
     lose_answers,
     measure_deaf,
     measure_fault,
@@ -66,6 +67,11 @@
                 figures = run_virtual(_measure_silent_outage, count)
                 self.assertLess(figures.latest_s, BOUND_S)
 
+    def test_probes_not_held(self) -> None:
+        """Guards against a probe that the store holds until there are changes, while all wait for its answer."""
+        for count in (5, 30):
+            self.assertEqual(run_virtual(count_held_probes, count), 0)
+
     def test_faulty_variant_does_not_confirm(self) -> None:
         """Without the detection of an outage, each instance calls for itself, and the count shows it."""
         with patch.object(StoreOutage, 'is_down', _never):
