--- a/packages/sesamepoint/src/sesamepoint/events.py
+++ b/packages/sesamepoint/src/sesamepoint/events.py
@@ -140,6 +140,8 @@
 STORE_ROLLED_BACK = _event(
     2011, logging.WARNING, 'store was rolled back to an older copy, lost records are written again'
 )
+RESTORE_KNOWN = _event(2028, logging.WARNING, 'store is known to have been restored, all topics are read anew')
+TOPIC_READ_ANEW = _event(2029, logging.INFO, 'topic was read anew, the store has another epoch')
 RECORD_NOT_APPLIED = _event(2014, logging.ERROR, 'record of the store could not be applied, the others are')
 PEER_CONFIGURATION = _event(2012, logging.INFO, 'peer gave its configuration')
 PEER_CONFIGURATION_FAILED = _event(2013, logging.WARNING, 'peer did not give its configuration')
--- a/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from sesamepoint.front.store.topic_updates import Epoch
+
 
 class StoreProbe(msgspec.Struct, frozen=True, array_like=True, tag='store_probe'):
-    """The sender's call to the store failed, or it probes the store for all.
+    """The sender's call to the store failed, or it probes the store for all; or it tells a newer epoch.
 
     Parameters
     ----------
@@ -14,11 +16,14 @@
         Whether the store has answered the sender, which ends the outage.
     store
         Address of the store that the sender calls; empty if its version sends none.
+    epoch
+        A newer epoch of the store that the sender has seen, which says that the store was restored; 0 if it tells none.
     """
 
     entry: str
     answered: bool = False
     store: str = ''
+    epoch: Epoch = 0
 
 
 __all__ = ('StoreProbe',)
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_pacer.py
@@ -9,6 +9,7 @@
 from sesamepoint_core.store_pacing.backoff import RetryLimits
 from sesamepoint_core.store_pacing.outage import StoreOutage
 from sesamepoint import events
+from sesamepoint.front.store.epoch_news import EpochNews
 from sesamepoint.front.store.outage_messages import StoreProbe
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
         self.store = ''
         # Called when the store answers this instance again, by topic.
         self.on_answered_again: dict[str, Callable[[], None]] = {}
+        self.news = EpochNews(name, instance_count, announce)
         self._name = name
         self._outage = outage
         self._instance_count = instance_count
@@ -122,8 +124,12 @@
         """Handle the announcement of a peer; one about another address of the store says nothing of this one."""
         if message.store and message.store != self.store:
             return None
+        self.news.on_probe(message)
         if message.answered:
             return self.note_peer_answered()
+        if message.epoch:
+            # The store may have refused the call that showed it.
+            return None
         self._outage.note_announced(message.entry, trio.current_time(), self._instance_count())
         self._log_change()
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -52,6 +52,7 @@
         self._pacer = pacer
         # Any response ends an outage, also one that a caller can't use, such as the first one of a restored store.
         self._location.on_answered = pacer.note_answered
+        self._location.epoch.on_newer = pacer.news.note_response
         pacer.join(peers.handlers)
         new_store = partial(PacedStore.open, new_client, pacer)
         self._registration = InstanceRegistration(cfg.name, peers, new_store, rng)
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -9,8 +9,7 @@
 import trio
 
 from sesamepoint_core.errors import PlatformUnavailableError
-from sesamepoint_core.store_pacing.backoff import Backoff, RetryLimits
-from sesamepoint import events
+from sesamepoint.front.store.call_pauses import CallPauses
 from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
 from sesamepoint.front.store.polling_turns import PollingTurns
 from sesamepoint.front.store.record_application import RecordApplication
@@ -26,13 +25,6 @@
     from sesamepoint.front.store.record_handlers import PeerGroup, RecordHandlers
     from sesamepoint.platform.store import KeyedRecord, TopicRecords
 
-# Range of the random pause before a failed call is repeated while this instance
-# can't serve without the answer, in seconds: spreads the load on a store that
-# recovers.
-URGENT_RETRY_RANGE_S = (0.1, 0.4)
-# Longest pause after the first failure of an instance that holds a state, in
-# seconds, if it is alone.
-FIRST_RETRY_S = 0.1
 # Timeouts of calls for a whole topic, used in turn, in seconds. A store that was
 # down never answers calls from before its recovery, so a short timeout detects
 # the recovery sooner; the longer one copes with a slow store. With 1 s for each
@@ -42,6 +34,9 @@
 # How long the store may hold the first follow call, in seconds; peers don't
 # depend on its answer.
 FIRST_WAIT_S = 1.0
+# A list that has been under way for longer than a slow store takes may have been sent before the store returned and
+# is never answered then, in seconds.
+HUNG_LIST_S = 0.3
 
 
 class TopicWatch:
@@ -70,11 +65,16 @@
         self._peers = peers
         self._rng = rng
         self.turns = PollingTurns(pacing, peers.name, peers.instance_count, rng)
-        self._backoff = Backoff(RetryLimits(FIRST_RETRY_S, pacing.longest_retry_s), rng)
-        # Time before which this instance does not repeat a failed call.
-        self._retry_at: float = 0
+        self._pauses = CallPauses(topic, pacing.longest_retry_s, peers.pacer, record_handlers.urgent, rng)
         peers.pacer.on_answered_again[topic] = self._retry_now
-        self._reachable = True
+        peers.pacer.news.read_anew[topic] = self.read_anew
+        # The call under way, and when it began.
+        self._call = trio.CancelScope()
+        self._call_began_at = math.inf
+        # Whether the store is known to have been restored, by an answer to another call or by a peer.
+        self._has_news = False
+        # Epoch at which the whole topic was read last.
+        self._listed_epoch = 0
         self._list_timeout_s = cycle(LIST_TIMEOUTS_S)
         self._rescheduled = trio.Event()
         self._has_followed = False
@@ -92,10 +92,14 @@
             await self._wait_until_due()
             began_at = trio.current_time()
             moves = self.identity.moves
+            self._call = trio.CancelScope()
+            self._call_began_at = began_at
+            self._has_news = False
             try:
-                await self._poll(began_at)
+                with self._call:
+                    await self._poll(began_at)
             except HistoryGoneError:
-                self._note_answered(self.turns.end)
+                self._pauses.note_answered(self.turns.end)
                 self.turns.reset()
             except PlatformUnavailableError as exc:
                 # A call that a new address of the store has ended says nothing of the store there.
@@ -126,12 +130,24 @@
         self.turns.request_poll(trio.current_time())
         self._rescheduled.set()
 
+    def read_anew(self, epoch: int, within_s: float) -> None:
+        """Read the whole topic within some seconds, since the store has a newer epoch; offsets of before are void."""
+        if not 0 < self.identity.epoch < epoch:
+            return
+        now = trio.current_time()
+        if self.turns.end is not None or now > self._call_began_at + HUNG_LIST_S:
+            self._call.cancel()
+        self._has_news = True
+        self._pauses.reset()
+        self.turns.reset()
+        self.turns.due = now + self._rng.uniform(0, within_s)
+        self._rescheduled.set()
+
     def note_store_moved(self) -> None:
         """Start over at the new address of the store; what is known stays until the store has answered there."""
         self.identity.note_moved(self.turns.end, has_records=self._has_records)
         self.out_of_order = OutOfOrderUpdates()
-        self._backoff.reset()
-        self._retry_at = 0
+        self._pauses.reset()
         self.turns.reset()
         self.turns.due = trio.current_time()
         self._rescheduled.set()
@@ -141,7 +157,7 @@
         if pacing == self.turns.pacing:
             return
         self._wait_s = pacing.long_poll_s
-        self._backoff = Backoff(RetryLimits(FIRST_RETRY_S, pacing.longest_retry_s), self._rng)
+        self._pauses.repace(pacing.longest_retry_s)
         self.turns.repace(pacing)
 
     async def _wait_until_due(self) -> None:
@@ -155,35 +171,17 @@
 
     def _next_due(self) -> float:
         due = min(self.turns.due, self.identity.settles_at)
-        if self._handlers.urgent():
-            return due
-        return max(due, self._retry_at, self._peers.pacer.not_before())
+        return due if self._has_news else max(due, self._pauses.earliest())
 
     def _note_unavailable(self, exc: PlatformUnavailableError, began_at: float) -> None:
-        if self._reachable:
-            events.log_event(events.STORE_UNREACHABLE, topic=self._topic, cause=str(exc))
-        self._reachable = False
-        if self._handlers.urgent():
-            pause_s = self._rng.uniform(*URGENT_RETRY_RANGE_S)
-        else:
-            pause_s = self._backoff.next_pause_s(self._peers.pacer.affected_instances(began_at))
-        now = trio.current_time()
-        self._retry_at = now + pause_s
-        self.turns.note_failed(pause_s, now)
-        self._peers.pacer.note_failed(began_at)
+        pause_s = self._pauses.note_failed(str(exc), began_at)
+        self.turns.note_failed(pause_s, trio.current_time())
         self._request_from_sender()
 
-    def _note_answered(self, end: int | None) -> None:
-        if not self._reachable:
-            events.log_event(events.STORE_REACHABLE, topic=self._topic, end=end)
-        self._reachable = True
-        self._backoff.reset()
-        self._retry_at = 0
-
     def _retry_now(self) -> None:
         """Repeat a failed call at once, since the store answers this instance again."""
-        if self._backoff.failures or not self._reachable:
-            self._retry_at = 0
+        if self._pauses.failing:
+            self._pauses.retry_at = 0
             self.turns.due = trio.current_time()
         self._rescheduled.set()
 
@@ -202,7 +200,7 @@
         """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
         wait_s = self._follow_wait_s()
         changes = await self._store.follow(self._topic, start, wait_s)
-        self._note_answered(changes.end)
+        self._pauses.note_answered(changes.end)
         if changes.epoch != self.identity.epoch:
             return False
         self._has_followed = True
@@ -212,7 +210,7 @@
         return True
 
     def _follow_wait_s(self) -> float:
-        if self.turns.hinted or not self._reachable or self._peers.pacer.is_down():
+        if self.turns.hinted or not self._pauses.reachable or self._peers.pacer.is_down():
             # The records are there already, or an answer of any kind shows that the
             # store has returned: a held call would only delay it.
             return 0
@@ -222,8 +220,11 @@
         listing = await self._store.read_newest(self._topic, next(self._list_timeout_s))
         self._check_epoch()
         self.current_at = began_at
-        self._note_answered(listing.end)
+        self._pauses.note_answered(listing.end)
         self.identity.check_listing(listing)
+        if 0 < self._listed_epoch < listing.epoch:
+            self._peers.pacer.news.note_read(self._topic, listing.epoch)
+        self._listed_epoch = listing.epoch
         if self.identity.settling:
             self._handlers.restore(listing.records)
         else:
@@ -275,7 +276,7 @@
             self._update_sender = topic_update.entry
             self.turns.request_poll(now)
             self._apply_out_of_order(topic_update)
-            if self._retry_at > now:
+            if self._pauses.retry_at > now:
                 # The store refuses this instance, which calls it later only.
                 self._request_from_sender()
 
--- a/packages/sesamepoint/src/sesamepoint/platform/store_epoch.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store_epoch.py
@@ -15,6 +15,8 @@
 from sesamepoint.platform.wire_names import STORE_EPOCH
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamepoint.http1.messages import Headers
 
 # A larger count is treated as malformed: if it were accepted, all further
@@ -30,6 +32,8 @@
     def __init__(self) -> None:
         """Start with epoch 0; a store that is never restored sends none."""
         self.newest = 0
+        # Called with each epoch that is newer than a known one.
+        self.on_newer: Callable[[int], None] = _ignore_epoch
 
     def observe(self, headers: Headers) -> int:
         """Update the newest epoch from a response's headers and return the response's epoch.
@@ -48,8 +52,15 @@
         if epoch < self.newest:
             # Sent before the restore, or by a replica that was not restored.
             raise PlatformUnavailableError('store', f'response of epoch {epoch}, {self.newest} is the newest')
+        known = self.newest
         self.newest = epoch
+        if 0 < known < epoch:
+            self.on_newer(epoch)
         return epoch
 
 
+def _ignore_epoch(_: int) -> None:
+    """Ignore a newer epoch."""
+
+
 __all__ = ('MAX_EPOCH', 'StoreEpoch')
--- a/tests/front/registrations/test_returned_runners.py
+++ b/tests/front/registrations/test_returned_runners.py
@@ -29,7 +29,7 @@
 STANDING_S = 6.0
 FRONTS = 2
 # The store is restored so many seconds before the removal, so that some instances read its list after it.
-RESTORED_BEFORE_S = (0.05, 0.2, 0.4)
+RESTORED_BEFORE_S = (0.004, 0.012, 0.05, 0.2, 0.4)
 CUT_OFF = LateHeartbeat(Notice.removal, 2.0, 0.5, cut_off=True)
 
 
--- a/tests/front/store/outage_simulation.py
+++ b/tests/front/store/outage_simulation.py
@@ -176,7 +176,7 @@
         self.watches = {topic: self._watch(topic) for topic in PACINGS}
         if method.fixed_pauses:
             for watch in self.watches.values():
-                watch._backoff = FixedPauses(rng)  # noqa: SLF001
+                watch._pauses.backoff = FixedPauses(rng)  # noqa: SLF001
 
     def learn(self, topic: str, record: KeyedRecord) -> bool:
         """Note a record; return whether it is newer than the known one."""
