--- a/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
+++ b/packages/sesamepoint-core/src/sesamepoint_core/body_end/body_facts.py
@@ -24,12 +24,14 @@
 
     ``last_byte``: its framing marked the end. ``closed``: the sender closed the
     connection in order. ``malformed``: bytes arrived that violate the protocol.
+    ``unsent``: the connection ended before the whole request had been sent, and no framing marked the end.
     ``given_up``: nothing more was read because an event or the body exceeds its limit.
     """
 
     last_byte = 'last_byte'
     closed = 'closed'
     reset = 'reset'
+    unsent = 'unsent'
     timed_out = 'timed_out'
     malformed = 'malformed'
     given_up = 'given_up'
--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -8,7 +8,7 @@
 import trio
 
 from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
-from sesamepoint.http1.framing import framing_of
+from sesamepoint.http1.framing import end_of, framing_of
 from sesamepoint.http1.limited_receiver import LimitedReceiver
 from sesamepoint.http1.parser_turns import ParserTurns
 from sesamepoint.http1.messages import ConnBrokenError, ReceivedBody, RequestHead, ResponseHead, header
@@ -100,8 +100,8 @@
     async def send_ignoring_errors(self, wire: bytes) -> None:
         """Send while another task reads the response.
 
-        A broken connection is ignored here: the reading task notices it, and
-        a response that arrived before is still valid.
+        A broken connection is ignored here: a response that arrived before is still valid if its framing marks its
+        end, and no other is whole without the whole request.
         """
         try:
             await self.send(wire)
@@ -134,7 +134,7 @@
             except ConnBrokenError as exc:
                 return exc.read_end
             if isinstance(event, h11.EndOfMessage):
-                return ReadEnd.closed if self.framing is Framing.until_close else ReadEnd.last_byte
+                return end_of(self.framing, request_sent=self._request_sent)
             if isinstance(event, h11.Data) and event.data:
                 return bytes(event.data)
 
--- a/packages/sesamepoint/src/sesamepoint/http1/framing.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/framing.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sesamepoint_core.body_end.body_facts import Framing
+from sesamepoint_core.body_end.body_facts import Framing, ReadEnd
 from sesamepoint.http1.messages import header
 
 if TYPE_CHECKING:
@@ -34,4 +34,15 @@
     return Framing.until_close
 
 
-__all__ = ('framing_of', 'has_no_body')
+def end_of(framing: Framing, *, request_sent: bool) -> ReadEnd:
+    """Return how a body ended that the parser takes for ended.
+
+    A system tells a reset to one call only: after a send that has failed by it, the end of the connection looks like
+    one in order. So without a framing that marks the end, only a request that was sent whole has a whole response.
+    """
+    if framing is not Framing.until_close:
+        return ReadEnd.last_byte
+    return ReadEnd.closed if request_sent else ReadEnd.unsent
+
+
+__all__ = ('end_of', 'framing_of', 'has_no_body')
