--- a/packages/sesamepoint/src/sesamepoint/http1/client.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/client.py
@@ -27,6 +27,8 @@
 MAX_BYTES_BEFORE_HEAD = 1_048_576
 # Most responses before the wanted one. Servers send a few; each costs as much to parse as the wanted one.
 MAX_HEADS_BEFORE_HEAD = 64
+# The parser has refused statuses below 100; those up to 199 are no final responses.
+LAST_STATUS = 599
 # Most bytes of a body that is read as a whole, framing included: failures, and replies of a few fields.
 MAX_BODY_BYTES = 65536
 # The same for lists: pages of the store, inventories of engines, configurations.
@@ -198,7 +200,7 @@
             event = await self._event()
             if not isinstance(event, h11.Response):
                 continue
-            response = ResponseHead(event.status_code, tuple(event.headers))
+            response = ResponseHead(_valid_status(event), tuple(event.headers))
             if accept(response):
                 self._begin_body(response)
                 return response
@@ -275,6 +277,13 @@
             raise ConnBrokenError(repr(exc), ReadEnd.malformed) from exc
 
 
+def _valid_status(response: h11.Response) -> int:
+    """Return the status of a final response; one out of range is malformed (RFC 9110, section 15)."""
+    if response.status_code > LAST_STATUS:
+        raise ConnBrokenError(f'status {response.status_code} is out of range', ReadEnd.malformed)
+    return response.status_code
+
+
 def accept_any(_: ResponseHead) -> bool:
     """Accept any response, on a connection that never has more than one request."""
     return True
