--- a/tests/platform_boundary/test_odd_store_answers.py
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -9,6 +9,7 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
+from sesamepoint.front.store.hedged_reads import HedgedReads
 from sesamepoint.platform.store import HistoryGoneError, StoreClient
 from sesamepoint.platform.store_location import StoreLocation
 from tests.front.odd_values.odd_documents import huge, nested
@@ -84,6 +85,20 @@
         for status in (429, 500, 502, 503, 504):
             self.assertEqual(await _answers_noted(status), 0, status)
 
+    @in_virtual_time
+    async def test_epoch_of_short_read(self) -> None:
+        """Guards against an epoch that only the short read beside a held one has seen, and that nobody acts on."""
+        told: list[int] = []
+        location = StoreLocation(ADDRESS)
+        location.epoch.newest = 3
+        location.epoch.on_newer = told.append
+        body = _page(SOUND).encode()
+        response = ScriptedResponse(FRAMINGS[0], ENDS[0], body, len(body), headers=b'store-era: 4\r\n')
+        short = StoreClient(location, ScriptedNetwork(response))
+        reads = HedgedReads(StoreClient(location, ScriptedNetwork(response)), short, 'keyed.x', 1)
+        await short.read_newest('keyed.x')
+        self.assertEqual((reads.epoch.newest, told), (4, [4]))
+
     @in_virtual_time
     async def test_older_epoch(self) -> None:
         """Guards against a response from before a restore that ends an outage."""
