--- a/tests/front/store/test_store_paths.py
+++ b/tests/front/store/test_store_paths.py
@@ -39,6 +39,18 @@
                 late_s = await _late_s(bench, f'i-web{10 + number}')
                 self.assertLess(late_s, 0, number)
 
+    @in_virtual_time
+    async def test_half_refused_at_restore(self) -> None:
+        """Guards against instances that ignore their peers while a restored store refuses them its list."""
+        async with open_bench(configuration(), _runners(), fronts=FRONTS) as bench:
+            await _give_paths(bench)
+            bench.store.refused_hosts.update([front.cfg.host for front in bench.fronts.values()][::2])
+            bench.store.roll_back(0)
+            await trio.sleep(CHECK_S)
+            for number in range(LEAVINGS):
+                late_s = await _late_s(bench, f'i-web{10 + number}')
+                self.assertLess(late_s, 0, number)
+
     @in_virtual_time
     async def test_configurations(self) -> None:
         """Guards against refused instances that learn of versions late for the same reason."""
