--- a/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/outage_messages.py
@@ -8,7 +8,7 @@
 
 
 class StoreProbe(msgspec.Struct, frozen=True, array_like=True, tag='store_probe'):
-    """The sender's call to the store failed, or it probes the store for all; or it tells a newer epoch.
+    """The sender's call to the store failed, or it probes the store for all; or it announces a newer epoch.
 
     Parameters
     ----------
@@ -17,7 +17,7 @@
     store
         Not used: earlier versions send an address, and compare one that is not empty with their own.
     epoch
-        A newer epoch of the store that the sender has seen, which says that the store was restored; 0 if it tells none.
+        A newer epoch of the store that the sender has seen, since the store was restored; 0 if it announces none.
     """
 
     entry: str
--- a/packages/sesamepoint/src/sesamepoint/http1/framing.py
+++ b/packages/sesamepoint/src/sesamepoint/http1/framing.py
@@ -37,8 +37,9 @@
 def end_of(framing: Framing, *, request_sent: bool) -> ReadEnd:
     """Return how a body ended that the parser takes for ended.
 
-    A system tells a reset to one call only: after a send that has failed by it, the end of the connection looks like
-    one in order. So without a framing that marks the end, only a request that was sent whole has a whole response.
+    An operating system reports a reset to one call only: after a send that has failed by it, the end of the
+    connection looks like one in order. So without a framing that marks the end, only a request that was sent whole
+    has a whole response.
     """
     if framing is not Framing.until_close:
         return ReadEnd.last_byte
--- a/tests/front/configurations/test_config_soak.py
+++ b/tests/front/configurations/test_config_soak.py
@@ -48,7 +48,7 @@
         self._check('restore-store', duration_s=RESTORES_S)
 
     def test_half_refused(self) -> None:
-        """Guards against refused instances that don't believe peers with another address of the store."""
+        """Guards against refused instances that do not use the updates of their peers."""
         self._check('refuse-half', duration_s=RESTORES_S)
 
     def _check(self, *rows: str, duration_s: float = DURATION_S) -> None:
@@ -77,8 +77,8 @@
     def test_misses_replaced_settings(self) -> None:
         self.assertTrue(_is_found('misses-replaced-settings', 'config', 'replace-settings'))
 
-    def test_drops_other_addresses(self) -> None:
-        self.assertTrue(_is_found('drops-other-addresses', 'drain', 'refuse-half', RESTORES_S))
+    def test_drops_all_updates(self) -> None:
+        self.assertTrue(_is_found('drops-all-updates', 'drain', 'refuse-half', RESTORES_S))
 
     def test_ignores_first_answers(self) -> None:
         self.assertTrue(_is_found('ignores-first-answers', ('drain', 'config', 'denied'), 'restore-store', RESTORES_S))
--- a/tests/front/configurations/variants.py
+++ b/tests/front/configurations/variants.py
@@ -96,7 +96,7 @@
     return ()
 
 
-def _drop_other_addresses(_: DroppedUpdates, _update: TopicUpdate, _known: Position) -> bool:
+def _drop_all_updates(_: DroppedUpdates, _update: TopicUpdate, _known: Position) -> bool:
     return True
 
 
@@ -126,8 +126,8 @@
     return True
 
 
-def _forget_draining(_: RunnerStatuses, *_facts: object) -> None:
-    """Forget that an incarnation drains."""
+def _do_nothing(*_: object) -> None:
+    """Replace a safeguard."""
 
 
 CONFIGURATION_VARIANTS: Mapping[str, tuple[Patch, ...]] = MappingProxyType(
@@ -135,13 +135,13 @@
         'applies-late': ((TopicSync, 'put_in_force', _put_in_force_late),),
         'believes-ready-again': (
             (StoreIdentity, 'settling', False),
-            (RunnerStatuses, 'note_draining', _forget_draining),
-            (RegistrationHistory, 'note_removed', _forget_draining),
+            (RunnerStatuses, 'note_draining', _do_nothing),
+            (RegistrationHistory, 'note_removed', _do_nothing),
         ),
-        'drops-other-addresses': ((DroppedUpdates, 'drops', _drop_other_addresses),),
+        'drops-all-updates': ((DroppedUpdates, 'drops', _drop_all_updates),),
         'ignores-first-answers': (
             (platform_store, '_serves', _serves_never),
-            (EpochNews, '_spread', _forget_draining),
+            (EpochNews, '_spread', _do_nothing),
             (TopicWatch, '_follow', _follow_and_note),
             (TopicWatch, '_list', _list_and_note),
         ),
--- a/tests/front/store/test_store_paths.py
+++ b/tests/front/store/test_store_paths.py
@@ -53,7 +53,7 @@
 
     @in_virtual_time
     async def test_configurations(self) -> None:
-        """Guards against refused instances that learn of versions late for the same reason."""
+        """Guards against refused instances that get new versions from no peer."""
         async with open_bench(configuration(), _runners(), fronts=FRONTS) as bench:
             await _give_paths(bench)
             bench.store.refused_hosts.update([front.cfg.host for front in bench.fronts.values()][::2])
--- a/tests/platform_boundary/test_odd_store_answers.py
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -88,16 +88,16 @@
     @in_virtual_time
     async def test_epoch_of_short_read(self) -> None:
         """Guards against an epoch that only the short read beside a held one has seen, and that nobody acts on."""
-        told: list[int] = []
+        announced: list[int] = []
         location = StoreLocation(ADDRESS)
         location.epoch.newest = 3
-        location.epoch.on_newer = told.append
+        location.epoch.on_newer = announced.append
         body = _page(SOUND).encode()
         response = ScriptedResponse(FRAMINGS[0], ENDS[0], body, len(body), headers=b'store-era: 4\r\n')
         short = StoreClient(location, ScriptedNetwork(response))
         reads = HedgedReads(StoreClient(location, ScriptedNetwork(response)), short, 'keyed.x', 1)
         await short.read_newest('keyed.x')
-        self.assertEqual((reads.epoch.newest, told), (4, [4]))
+        self.assertEqual((reads.epoch.newest, announced), (4, [4]))
 
     @in_virtual_time
     async def test_older_epoch(self) -> None:
--- a/tests/platform_boundary/test_unsent_requests.py
+++ b/tests/platform_boundary/test_unsent_requests.py
@@ -76,7 +76,7 @@
                     self.assertIsInstance(end, Complete if sent == len(BODY) else BrokenOff)
 
     def test_reset_during_upload(self) -> None:
-        """Guards against the same on real sockets, whose system tells a reset to one call only."""
+        """Guards against the same on real sockets, whose system reports a reset to one call only."""
         found = [trio.run(_upload_to_early_answer) for _ in range(ATTEMPTS)]
         self.assertEqual([end for end in found if not isinstance(end, BrokenOff)], [])
 
