--- a/packages/sesamepoint/src/sesamepoint/front/store/out_of_order.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/out_of_order.py
@@ -40,6 +40,10 @@
         """Return up to which position ``key`` is known, if the whole topic is known up to ``known``."""
         return max(self._early_keys.get(key, known), known)
 
+    def leaves_gap(self, start: Position) -> bool:
+        """Tell whether records between the newest out-of-order update and one from ``start`` are missing."""
+        return start > self._newest
+
     def take_new(self, position: Position, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
         """Return the records to apply of an out-of-order update; none if a newer one was applied."""
         if position <= self._newest:
--- a/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/peer_configuration.py
@@ -83,7 +83,7 @@
         if own_version < message.version:
             self.request_from(message.entry)
         elif own_version > message.version:
-            self._send_version(message.entry)
+            self.compare_with(message.entry)
 
     async def compare_versions(self) -> None:
         """Send the version in force here to one random peer at a time, until cancelled."""
@@ -96,7 +96,7 @@
         """Send the version in force here to one random peer, which answers if it has another one."""
         peers = self._peers.peer_names()
         if peers:
-            self._send_version(self._rng.choice(peers))
+            self.compare_with(self._rng.choice(peers))
 
     async def fetch_queued(self) -> None:
         """Fetch from the queued peers, one after the other, until cancelled."""
@@ -105,13 +105,14 @@
             if address is not None:
                 await self._fetch(peer, address)
 
+    def compare_with(self, peer: str) -> None:
+        """Send the version in force here to a peer, which answers if it has another one."""
+        self._peers.send_queue.enqueue(VersionMessage(self._peers.name, self._version()), peer)
+
     def _version(self) -> int:
         cfg = self._topic_sync.in_force
         return cfg.version if cfg else 0
 
-    def _send_version(self, peer: str) -> None:
-        self._peers.send_queue.enqueue(VersionMessage(self._peers.name, self._version()), peer)
-
     async def _fetch(self, peer: str, address: Address) -> None:
         try:
             with trio.fail_after(FETCH_TIMEOUT_S):
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -168,8 +168,11 @@
         return True
 
     def leaves_gap(self, start: int) -> bool:
-        """Tell whether an update from ``start`` leaves out records that are not known here."""
-        return self.end is not None and start > self.end
+        """Tell whether an update from ``start`` leaves out records that are not known here.
+
+        An instance whose store was restored has no offset until it has read the list, which the store may refuse it.
+        """
+        return self.end is None or start > self.end
 
     def request_poll(self, now: float) -> None:
         """Make a poll due soon, for changes that no update contains."""
--- a/packages/sesamepoint/src/sesamepoint/front/store/record_handlers.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/record_handlers.py
@@ -51,6 +51,9 @@
     urgent
         Returns whether this instance cannot serve before it has read the topic;
         failed calls are then repeated soon.
+    ask_about_gap
+        Called with the sender of an update that left a gap, if the store does not return the records of the gap to
+        this instance.
     passes_known
         Whether records that change nothing here are passed on: peers may lack what this instance has had by another
         way than the topic, and accept what it refuses.
@@ -63,6 +66,7 @@
     confirm: Callable[[bool], bool] = _confirm_any
     polled: Callable[[float], None] = _ignore
     urgent: Callable[[], bool] = _never
+    ask_about_gap: Callable[[str], None] = _ignore
     passes_known: bool = False
 
     @property
--- a/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/store_sync.py
@@ -63,6 +63,7 @@
         self._freshness = Freshness(self._topic_sync.watches, bounds, self._peer_configuration.compare_with_any)
         add_sync_gauges(targets.dispatcher.metrics.add_gauge, self._topic_sync, self._freshness, pacer)
         self._topic_sync.request_configuration = self._peer_configuration.request_from
+        self._topic_sync.compare_configuration = self._peer_configuration.compare_with
         peers.handlers[VersionMessage] = self._peer_configuration.on_version
         peers.handlers[TopicUpdate] = self._topic_sync.on_topic_update
         self._runner_status = RunnerUpdates(targets.fleet, targets.runner_statuses, peers)
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -44,7 +44,9 @@
         """Keep the given parts in step with the store that the clients of ``new_store`` call."""
         # Called with the name of a peer that has read a configuration which this instance could not read.
         self.request_configuration: Callable[[str], None] = _ignore_request
-        # Called after each read of the whole list of runners.
+        # Called with the name of a peer that may have a newer configuration.
+        self.compare_configuration: Callable[[str], None] = _ignore_request
+        # Called after each read of the whole list of runners, and when updates of peers leave a gap in it.
         self.on_runners_listed: Callable[[], None] = _do_nothing
         self._cfg = cfg
         self._targets = targets
@@ -125,6 +127,7 @@
             self._apply_operator_record,
             restore=self._apply_operator_records,
             request_from=self.request_configuration,
+            ask_about_gap=self.compare_configuration,
             urgent=lambda: self.in_force is None,
             passes_known=True,
         )
@@ -140,6 +143,7 @@
             confirm=fleet.history.note_current,
             polled=fleet.versions.reads.note_read,
             urgent=lambda: not fleet.listed,
+            ask_about_gap=lambda _: self.on_runners_listed(),
         )
         await self._follow_topic(RUNNER_TOPIC, handlers)
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -10,6 +10,7 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint.front.store.call_pauses import CallPauses
+from sesamepoint.front.store.missing_records import MissingRecords
 from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
 from sesamepoint.front.store.polling_turns import PollingTurns
 from sesamepoint.front.store.record_application import RecordApplication
@@ -85,8 +86,7 @@
         self._has_records = False
         self.out_of_order = OutOfOrderUpdates()
         self.dropped = DroppedUpdates(topic, peers.listed, self.poll_soon)
-        # The sender of the latest update that lacked its records.
-        self._update_sender = ''
+        self._missing = MissingRecords(record_handlers)
 
     async def run(self) -> None:
         """Apply the whole topic, then each change, until cancelled."""
@@ -169,7 +169,7 @@
     def _note_unavailable(self, exc: PlatformUnavailableError, began_at: float) -> None:
         pause_s = self._pauses.note_failed(str(exc), began_at)
         self.turns.note_failed(pause_s, trio.current_time())
-        self._request_from_sender()
+        self._missing.ask()
 
     def _retry_now(self) -> None:
         """Repeat a failed call at once, since the store answers this instance again."""
@@ -185,6 +185,7 @@
         start = self.turns.end
         answered = await (self._list(began_at) if start is None else self._follow(start, began_at))
         if answered:
+            self._missing.note_read()
             self._handlers.confirm(True)
         if answered and not self.identity.settling:
             self._handlers.polled(began_at)
@@ -276,26 +277,26 @@
     def _on_incomplete_update(self, topic_update: TopicUpdate, now: float) -> None:
         """Handle an update that lacks its records or is of a newer epoch of the store."""
         known_end = self.turns.end
-        if topic_update.epoch > self.identity.epoch or (known_end is not None and known_end < topic_update.end):
-            self._update_sender = topic_update.entry
+        if topic_update.epoch > self.identity.epoch or known_end is None or known_end < topic_update.end:
+            self._missing.note_incomplete(topic_update.entry)
             self.turns.request_poll(now)
             self._apply_out_of_order(topic_update)
             if self._pauses.retry_at > now:
                 # The store refuses this instance, which calls it later only.
-                self._request_from_sender()
+                self._missing.ask()
 
     def _apply_out_of_order(self, topic_update: TopicUpdate) -> None:
-        if self._has_records:
-            for record in self.out_of_order.take_new(
-                Position(topic_update.epoch, topic_update.end), topic_update.changed or ()
-            ):
-                self._application.update(record)
-
-    def _request_from_sender(self) -> None:
-        """Request the records that the store does not return from the sender of the update."""
-        if self._handlers.request_from and self._update_sender:
-            self._handlers.request_from(self._update_sender)
-            self._update_sender = ''
+        if not self._has_records:
+            return
+        start = Position(topic_update.epoch, topic_update.start)
+        if topic_update.changed is None or self.out_of_order.leaves_gap(start):
+            self._missing.note_gap(topic_update.entry)
+            if self._pauses.failing:
+                self._missing.ask()
+        for record in self.out_of_order.take_new(
+            Position(topic_update.epoch, topic_update.end), topic_update.changed or ()
+        ):
+            self._application.update(record)
 
     def _check_epoch(self) -> None:
         """Start over if the epoch of the store has changed."""
--- a/tests/front/store/test_store_paths.py
+++ b/tests/front/store/test_store_paths.py
@@ -23,6 +23,8 @@
 CALM_S = 12.0
 CHECK_S = 0.05
 GIVE_UP_S = 10.0
+# Longer than the way of an update to the peers, in seconds.
+CUT_S = 0.3
 
 
 class StorePathsTest(TestCase):
@@ -57,12 +59,42 @@
         async with open_bench(configuration(), _runners(), fronts=FRONTS) as bench:
             await _give_paths(bench)
             bench.store.refused_hosts.update([front.cfg.host for front in bench.fronts.values()][::2])
-            for version in range(2, 2 + LEAVINGS):
-                bench.publish(configuration(version=version))
-                await trio.sleep(bench.fronts['front-1'].cfg.config_s)
-                for front in bench.fronts.values():
-                    cfg = front.dispatcher.configuration
-                    self.assertEqual(cfg and cfg.version, version)
+            await self._check_versions(bench)
+
+    @in_virtual_time
+    async def test_configurations_half_refused_at_restore(self) -> None:
+        """Guards against instances refused by a restored store that request no version from the peers that read it."""
+        async with open_bench(configuration(), _runners(), fronts=FRONTS) as bench:
+            await _give_paths(bench)
+            bench.store.refused_hosts.update([front.cfg.host for front in bench.fronts.values()][::2])
+            bench.store.roll_back(0)
+            await trio.sleep(CHECK_S)
+            await self._check_versions(bench)
+
+    @in_virtual_time
+    async def test_lost_update_of_refused(self) -> None:
+        """Guards against a leaving whose update a refused instance missed, and which no later update repeats."""
+        async with open_bench(configuration(), _runners(), fronts=FRONTS) as bench:
+            await _give_paths(bench)
+            refused = bench.fronts['front-1']
+            bench.store.refused_hosts.add(refused.cfg.host)
+            await trio.sleep(CALM_S)
+            cut = {frozenset((refused.cfg.host, front.cfg.host)) for front in bench.fronts.values()}
+            bench.network.cut_pairs.update(cut)
+            bench.drain_runner('i-web10')
+            await trio.sleep(CUT_S)
+            bench.network.cut_pairs.difference_update(cut)
+            bench.drain_runner('i-web11')
+            await trio.sleep(refused.cfg.drain_s)
+            self.assertFalse(_serves(refused, 'i-web10'))
+
+    async def _check_versions(self, bench: PlatformBench) -> None:
+        for version in range(2, 2 + LEAVINGS):
+            bench.publish(configuration(version=version))
+            await trio.sleep(bench.fronts['front-1'].cfg.config_s)
+            for front in bench.fronts.values():
+                cfg = front.dispatcher.configuration
+                self.assertEqual(cfg and cfg.version, version)
 
 
 def _runners() -> list[RunnerStandIn]:
@@ -90,4 +122,4 @@
 
 def _serves(front: Front, key: str) -> bool:
     member = front.fleet.members.get(key)
-    return member is None or not member.runner.draining
+    return member is None or not member.draining
