--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/store.py
@@ -80,6 +80,8 @@
         self.epoch = 1
         # Whether reads that wait for new records are answered.
         self.answers_long_reads = True
+        # Whether reads of the log are answered at all; lists and writes are.
+        self.answers_log_reads = True
         # Calls to listeners before this one are never answered.
         self._newest_listener = 0
         # Hosts whose calls get an error.
@@ -201,7 +203,7 @@
 
     async def _read(self, topic: _Topic, start: int, wait_s: float) -> _Response:
         answer = await _read(topic, start, wait_s)
-        if wait_s and not self.answers_long_reads:
+        if not self.answers_log_reads or (wait_s and not self.answers_long_reads):
             await trio.sleep_forever()
         return answer
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -137,9 +137,11 @@
         """Note that the store did not answer; poll again after a pause.
 
         The store may refuse this instance alone: if updates from peers arrive
-        meanwhile, this instance stops calling.
+        meanwhile, this instance stops calling. If none arrive, nobody polls, and its next poll is for all.
         """
         self._end_turn()
+        self._polls_for_itself = False
+        self.hinted = False
         self.due = now + retry_s
 
     def note_update(self, sender: str, start: int, end: int, now: float) -> bool:
--- a/packages/sesamepoint/src/sesamepoint/front/store/record_application.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/record_application.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 from sesamepoint import events
+from sesamepoint.platform.store import HistoryGoneError, KeyedRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamepoint.platform.store import KeyedRecord
+    from sesamepoint.platform.store import TopicRecords
 
 
 class RecordApplication:
@@ -29,9 +30,12 @@
         self._topic = topic
         self._replace_all = replace_all
         self._update = update
+        # Keys that the topic has now, by what was applied.
+        self._keys: set[str] = set()
 
     def replace_all(self, records: tuple[KeyedRecord, ...]) -> None:
         """Replace the local state by the whole topic, or by those of its records that can be applied."""
+        self._keys = {record.key for record in records}
         try:
             self._replace_all(records)
         except Exception as exc:
@@ -40,12 +44,31 @@
 
     def update(self, record: KeyedRecord) -> bool:
         """Apply one record; return whether it changed the local state."""
+        if record.text:
+            self._keys.add(record.key)
+        else:
+            self._keys.discard(record.key)
         try:
             return self._update(record)
         except Exception as exc:
             self._log(record.key, exc)
             return False
 
+    def changes_since(self, start: int, listing: TopicRecords) -> TopicRecords:
+        """Return a whole list as the records that the log may have from ``start`` on, deleted keys among them.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the log ends before ``start``.
+        """
+        if listing.end < start:
+            raise HistoryGoneError
+        if listing.end == start:
+            return listing._replace(records=())
+        deleted = self._keys - {record.key for record in listing.records}
+        return listing._replace(records=listing.records + tuple(KeyedRecord(key, b'') for key in sorted(deleted)))
+
     def _can_be_applied(self, record: KeyedRecord) -> bool:
         try:
             self._update(record)
--- a/packages/sesamepoint/src/sesamepoint/front/store/sync_gauges.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/sync_gauges.py
@@ -41,15 +41,25 @@
         lambda: pacer.news.slowest_read_s,
     )
     add_gauge('sesamepoint_configurations_refused', 'Invalid configurations so far.', lambda: intake.refusals)
+    _add_read_gauges(add_gauge, topic_sync)
+    add_gauge(
+        'sesamepoint_configuration_refused_version',
+        'Newest known version if it is refused, else 0.',
+        intake.refused_version,
+    )
+
+
+def _add_read_gauges(add_gauge: AddGauge, topic_sync: TopicSync) -> None:
+    """Add the gauges of the reads that replace silent ones."""
     add_gauge(
         'sesamepoint_hedged_reads',
         'Short reads in place of silent ones so far.',
         lambda: sum(reads.hedges for reads in topic_sync.reads.values()),
     )
     add_gauge(
-        'sesamepoint_configuration_refused_version',
-        'Newest known version if it is refused, else 0.',
-        intake.refused_version,
+        'sesamepoint_lists_for_log_reads',
+        'Whole lists in place of silent reads of the log so far.',
+        lambda: sum(reads.lists for reads in topic_sync.reads.values()),
     )
 
 
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_sync.py
@@ -9,7 +9,7 @@
 from sesamepoint.front.retry_budget.retry_budgets import RepeatBound
 from sesamepoint.front.runners.restored_copies import apply_restored
 from sesamepoint.front.store.configuration_intake import ConfigurationIntake
-from sesamepoint.front.store.hedged_reads import HedgedReads
+from sesamepoint.front.store.hedged_reads import HedgedReads, StoreClients
 from sesamepoint.front.store.record_decoding import readable_runner, readable_runners
 from sesamepoint.front.store.record_tasks import record_tasks
 from sesamepoint.front.store.record_handlers import PeerGroup, RecordHandlers
@@ -176,7 +176,8 @@
         # Seeded so that no two instances poll at the same times, and that the topics
         # of one instance are not retried together: the first answer wakes the others.
         pacing = topic_pacing(topic, self._cfg)
-        reads = HedgedReads(store.client, self._new_store().client, topic, pacing.silence_s)
+        clients = StoreClients(store.client, self._new_store().client, self._new_store().client)
+        reads = HedgedReads(clients, topic, pacing.silence_s)
         self.reads[topic] = reads
         watch = TopicWatch(reads, topic, pacing, handlers, others, Random(f'{self._cfg.name} {topic}'))
         self.watches[topic] = watch
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -193,10 +193,14 @@
     async def _follow(self, start: int, began_at: float) -> bool:
         """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
         wait_s = self._follow_wait_s()
-        changes = await self._store.follow(self._topic, start, wait_s)
+        # All instances poll after a hint, and must not all read lists. The copy of a restored store is not applied.
+        list_instead = not (self.turns.hinted or self.identity.settling)
+        changes = await self._store.follow(self._topic, start, wait_s, list_instead=list_instead)
         self._pauses.note_answered(changes.end)
         if changes.epoch != self.identity.epoch:
             return False
+        if changes.whole:
+            changes = self._application.changes_since(start, changes)
         self._has_followed = True
         # Without records the store has answered at the end of the wait, with records at an unknown time before.
         self.current_at = began_at if changes.records else min(began_at + wait_s, trio.current_time())
--- a/packages/sesamepoint/src/sesamepoint/platform/store.py
+++ b/packages/sesamepoint/src/sesamepoint/platform/store.py
@@ -46,13 +46,15 @@
 class TopicRecords(NamedTuple):
     """Records of a topic, the offset to follow it from, and where its retained history begins, if a log says so.
 
-    Offsets are comparable only within one epoch of the store.
+    Offsets are comparable only within one epoch of the store. ``whole`` tells whether the records are the newest of all
+    keys, rather than a part of the log.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     epoch: int = 0
     first: int = 0
+    whole: bool = False
 
 
 class HistoryGoneError(Exception):
@@ -139,7 +141,7 @@
             records.extend(page.records)
             self._location.check(moves)
             if not page.has_more:
-                return first._replace(records=tuple(records))
+                return first._replace(records=tuple(records), whole=True)
             after = _last_key(page, after)
 
     async def follow(self, topic: str, start: int, wait_s: float) -> TopicRecords:
--- a/tests/front/configurations/rows.py
+++ b/tests/front/configurations/rows.py
@@ -297,6 +297,16 @@
         await trio.sleep(LOUD_READS_S)
 
 
+@_row
+async def silent_log_reads(play: Play) -> None:
+    """Leave all reads of the log without an answer, and serve lists and writes."""
+    while True:
+        play.bench.store.answers_log_reads = False
+        await trio.sleep(SILENT_READS_S)
+        play.bench.store.answers_log_reads = True
+        await trio.sleep(LOUD_READS_S)
+
+
 @_row
 async def refuse_half(play: Play) -> None:
     """Refuse half of the instances at the store for some seconds, and serve the others."""
--- a/tests/front/configurations/test_config_soak.py
+++ b/tests/front/configurations/test_config_soak.py
@@ -45,6 +45,10 @@
         """Guards against changes that are late because reads that wait for them stay without an answer."""
         self._check('silent-long-reads')
 
+    def test_silent_log_reads(self) -> None:
+        """Guards against changes that are late because no read of the log is answered, and lists are."""
+        self._check('silent-log-reads')
+
     def test_restored_store(self) -> None:
         """Guards against changes at the return of a restored store that instances learn one by one."""
         self._check('restore-store', duration_s=RESTORES_S)
@@ -79,6 +83,9 @@
     def test_misses_replaced_settings(self) -> None:
         self.assertTrue(_is_found('misses-replaced-settings', 'config', 'replace-settings'))
 
+    def test_reads_no_list_instead(self) -> None:
+        self.assertTrue(_is_found('reads-no-list-instead', ('config', 'drain'), 'silent-log-reads'))
+
     def test_drops_all_updates(self) -> None:
         self.assertTrue(_is_found('drops-all-updates', 'drain', 'refuse-half', RESTORES_S))
 
--- a/tests/front/configurations/variants.py
+++ b/tests/front/configurations/variants.py
@@ -10,6 +10,7 @@
 from sesamepoint.front.dispatch import Dispatcher
 from sesamepoint.front.front import Front
 from sesamepoint.front.store.dropped_updates import DroppedUpdates
+from sesamepoint.front.store.hedged_reads import HedgedReads
 from sesamepoint.front.store.topic_sync import TopicSync
 from sesamepoint.platform import configuration
 from sesamepoint.platform.store_location import StoreLocation
@@ -85,6 +86,10 @@
         before = changed_at
 
 
+async def _read_no_list(*_: object) -> None:
+    await trio.lowlevel.checkpoint()
+
+
 def _find_nothing(_: object) -> tuple[str, ...]:
     return ()
 
@@ -104,6 +109,7 @@
         ),
         'keeps-store-address': ((StoreLocation, 'move', _keep_store_address),),
         'misses-replaced-settings': ((SettingsReload, 'watch', _watch_time_of_change),),
+        'reads-no-list-instead': ((HedgedReads, '_read_list', _read_no_list),),
         'refuses-new-keys': ((Dispatcher, 'configure', _configure_without_new_keys),),
         'takes-invalid-versions': ((configuration, 'find_complaints', _find_nothing),),
         'sends-to-leaving': ((TopicSync, '_apply_runner', _apply_leaving_late),),
--- a/tests/front/store/outage_simulation.py
+++ b/tests/front/store/outage_simulation.py
@@ -148,8 +148,8 @@
         self._on_answered()
         return TopicRecords(tuple(log[-1:]), len(log), 0)
 
-    async def follow(self, topic: str, start: int, wait_s: float) -> TopicRecords:
-        """Return the records after ``start``, or none after ``wait_s``."""
+    async def follow(self, topic: str, start: int, wait_s: float, *, list_instead: bool = False) -> TopicRecords:
+        """Return the records after ``start``, or none after ``wait_s``; it never lists instead."""
         self._store.held_while_down += self._store.down and wait_s > 0
         await self._store.begin_call(self._name, wait_s + CALL_TIMEOUT_S)
         log = self._store.logs[topic]
--- a/tests/front/topic_simulation.py
+++ b/tests/front/topic_simulation.py
@@ -80,8 +80,8 @@
         records = tuple(KeyedRecord(key, text) for key, text in newest_by_key(log).items())
         return TopicRecords(records, len(log), self.epoch.newest)
 
-    async def follow(self, _: str, start: int, wait_s: float) -> TopicRecords:
-        """Return the records after offset ``start``; wait up to ``wait_s`` if there are none."""
+    async def follow(self, _: str, start: int, wait_s: float, *, list_instead: bool = False) -> TopicRecords:
+        """Return the records after offset ``start``; wait up to ``wait_s`` if there are none. It is never silent."""
         await self._answer()
         if len(self._store.log) <= start:
             await trio.sleep(wait_s)
--- a/tests/platform_boundary/test_odd_store_answers.py
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -9,7 +9,7 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint_core.serving.address import Address
-from sesamepoint.front.store.hedged_reads import HedgedReads
+from sesamepoint.front.store.hedged_reads import HedgedReads, StoreClients
 from sesamepoint.platform.store import HistoryGoneError, StoreClient
 from sesamepoint.platform.store_location import StoreLocation
 from tests.front.odd_values.odd_documents import huge, nested
@@ -95,7 +95,8 @@
         body = _page(SOUND).encode()
         response = ScriptedResponse(FRAMINGS[0], ENDS[0], body, len(body), headers=b'store-era: 4\r\n')
         short = StoreClient(location, ScriptedNetwork(response))
-        reads = HedgedReads(StoreClient(location, ScriptedNetwork(response)), short, 'keyed.x', 1)
+        held, lists = (StoreClient(location, ScriptedNetwork(response)) for _ in range(2))
+        reads = HedgedReads(StoreClients(held, short, lists), 'keyed.x', 1)
         await short.read_newest('keyed.x')
         self.assertEqual((reads.epoch.newest, announced), (4, [4]))
 
