--- a/packages/sesamepoint/src/sesamepoint/front/store/hedged_reads.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/hedged_reads.py
@@ -88,7 +88,7 @@
             race.begin_way()
             nursery.start_soon(self._read_short, race, scope, start)
             if list_instead:
-                await trio.sleep(known_silent * wait_s + self._patience_s(known=known_silent))
+                await trio.sleep(self._list_after_s(wait_s, known_silent=known_silent))
                 await self._read_list(race, scope, start)
         return race.outcome()
 
@@ -96,6 +96,11 @@
         """Return how long a read may be silent, in seconds; less if the one before is known to have been."""
         return min(KNOWN_SILENCE_S, self.silence_s) if known else self.silence_s
 
+    def _list_after_s(self, wait_s: float, *, known_silent: bool) -> float:
+        """Return after which time a list is read beside a short read, which is the only one if silence is known."""
+        patience_s = self._patience_s(known=known_silent)
+        return wait_s + patience_s if known_silent else patience_s
+
     async def _read_held(self, race: _Race, scope: trio.CancelScope, start: int, wait_s: float) -> None:
         race.begin_way()
         answered = await race.answer(lambda: self._clients.held.follow(self._topic, start, wait_s))
