--- a/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
+++ b/packages/sesamepoint-standins/src/sesamepoint_standins/platform/process_bench.py
@@ -102,6 +102,8 @@
         self.store = PlatformStore()
         self.runners: list[RunnerStandIn] = []
         self.fronts: list[BenchFront] = []
+        # Each front process that was started, also one that was to replace another and was never ready.
+        self.processes: list[trio.Process] = []
         self.crashed: list[str] = []
         self.nursery = nursery
         # Module that is run as the program of each front.
@@ -211,9 +213,9 @@
 
     def kill_fronts(self) -> None:
         """Kill the front processes that still run."""
-        for front in self.fronts:
-            if front.process.poll() is None:
-                front.process.send_signal(signal.SIGKILL)
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
 
     async def _start_front(self, name: str, host: str) -> BenchFront:
         listen, ready_listen, settings = await self._new_settings(name, host)
@@ -223,7 +225,9 @@
 
     async def _start_process(self, settings: Path) -> trio.Process:
         command = [self.python, '-m', self.program, 'front', '--settings', str(settings)]
-        return await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
+        process = await trio.lowlevel.open_process(command, stdout=log_path_of(settings).open('ab'))
+        self.processes.append(process)
+        return process
 
     async def _new_settings(self, name: str, host: str) -> tuple[Address, Address, str]:
         ports = await _free_ports(host)
--- a/tests/front/test_processes.py
+++ b/tests/front/test_processes.py
@@ -18,6 +18,8 @@
     from sesamepoint_standins.platform.caller import CallerAnswer, RequestSpec
 
 STOP_TIMEOUT_S = 30.0
+# A process takes longer to start, in seconds.
+NOT_READY_S = 0.05
 STATUS_BAD_GATEWAY = 502
 STATUS_NOT_RUN = 503
 # A new process lets each request pay for 0.0475 of a retry.
@@ -32,6 +34,11 @@
         with tempfile.TemporaryDirectory() as folder:
             trio.run(self._run_scenario, Path(folder))
 
+    def test_kill_replacement_not_ready(self) -> None:
+        """Guards against a process that runs on after its test, which ended before it was ready to replace another."""
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(self._end_while_replacing, Path(folder))
+
     async def _run_scenario(self, directory: Path) -> None:
         async with open_process_bench(configuration(), directory, fronts=2) as bench:
             await self._check_each_kind(bench)
@@ -45,6 +52,21 @@
         for text in ('process started', 'settings read again', 'graceful stop requested', 'process stopped'):
             self.assertIn(text, log)
 
+    async def _end_while_replacing(self, directory: Path) -> None:
+        async with trio.open_nursery() as nursery:
+            bench = ProcessBench(nursery, directory)
+            await bench.start(configuration())
+            await bench.add_front()
+            with trio.move_on_after(NOT_READY_S):
+                await bench.replace_front(0, 2)
+            bench.kill_fronts()
+            with trio.move_on_after(STOP_TIMEOUT_S):
+                for process in bench.processes:
+                    await process.wait()
+            ends = [started.returncode for started in bench.processes]
+            self.assertEqual(ends, [-signal.SIGKILL, -signal.SIGKILL])
+            nursery.cancel_scope.cancel()
+
     async def _check_each_kind(self, bench: ProcessBench) -> None:
         for number in range(2):
             for request in (
