--- a/tests/platform_boundary/test_odd_store_answers.py
+++ b/tests/platform_boundary/test_odd_store_answers.py
@@ -30,6 +30,8 @@
     huge(400),
 )
 ENDLESS_CALL_S = 60
+# A refusal comes with the round trip, in seconds.
+AT_ONCE_S = 0.1
 
 
 def _store(body: str, headers: bytes = b'') -> StoreClient:
@@ -100,6 +102,17 @@
         await short.read_newest('keyed.x')
         self.assertEqual((reads.epoch.newest, announced), (4, [4]))
 
+    @in_virtual_time
+    async def test_refused_read_fails_at_once(self) -> None:
+        """Guards against a poll that goes on after the store has refused it, so that its return is known later."""
+        response = ScriptedResponse(FRAMINGS[0], ENDS[0], b'', 0, status=503)
+        clients = (StoreClient(StoreLocation(ADDRESS), ScriptedNetwork(response)) for _ in range(3))
+        reads = HedgedReads(StoreClients(*clients), 'keyed.x', 1)
+        began_at = trio.current_time()
+        with self.assertRaises(PlatformUnavailableError):
+            await reads.follow('keyed.x', 0, 0, list_instead=True)
+        self.assertLess(trio.current_time() - began_at, AT_ONCE_S)
+
     @in_virtual_time
     async def test_older_epoch(self) -> None:
         """Guards against a response from before a restore that ends an outage."""
