--- a/packages/sesamepoint/src/sesamepoint/front/store/hedged_reads.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/hedged_reads.py
@@ -1,4 +1,4 @@
-"""Reads of a topic by one way to the store, and by others while the first is silent."""
+"""Reads of a topic, and further reads by other connections while the first is silent."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class StoreClients(NamedTuple):
-    """Clients with a connection each, for reads that are held, short ones, and lists."""
+    """Clients for held reads, short reads and lists, each with a connection of its own, since any may be silent."""
 
     held: StoreClient
     short: StoreClient
@@ -40,8 +40,7 @@
     Such a read may stay without an answer though the store serves all other calls. Waiting for its timeout and then
     for the pause after a failure took up to the whole time within which a leaving runner must be known. So a read
     that is silent beyond its wait is followed by a short one on another connection; the first answer counts.
-    Where short reads of the log are silent as well, the whole list is read in their place, by the instance that polls
-    for all: it sends its peers what has changed.
+    Where short reads of the log are silent as well, the whole list is read in their place, if the caller allows it.
     """
 
     def __init__(self, clients: StoreClients, topic: str, silence_s: float) -> None:
@@ -77,7 +76,7 @@
             If the store did not respond.
         """
         race = _Race()
-        # A held read would add nothing, and make the poll last longer than peers wait for its update.
+        # With a held read as well, the poll would last longer than peers wait for its update, and they would poll too.
         known_silent = list_instead and self._log_silent
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
@@ -85,7 +84,7 @@
                 nursery.start_soon(self._read_held, race, scope, start, wait_s)
                 await trio.sleep(wait_s + self._patience_s(known=self._held_silent))
                 self._note_held_silent(start)
-            race.begin_way()
+            race.note_log_read()
             nursery.start_soon(self._read_short, race, scope, start)
             if list_instead:
                 await trio.sleep(self._list_after_s(wait_s, known_silent=known_silent))
@@ -97,24 +96,27 @@
         return min(KNOWN_SILENCE_S, self.silence_s) if known else self.silence_s
 
     def _list_after_s(self, wait_s: float, *, known_silent: bool) -> float:
-        """Return after which time a list is read beside a short read, which is the only one if silence is known."""
+        """Return how long after a short read the list is read, in seconds.
+
+        Where silence is known no held read comes before, and the short one gets its time.
+        """
         patience_s = self._patience_s(known=known_silent)
         return wait_s + patience_s if known_silent else patience_s
 
     async def _read_held(self, race: _Race, scope: trio.CancelScope, start: int, wait_s: float) -> None:
-        race.begin_way()
+        race.note_log_read()
         answered = await race.answer(lambda: self._clients.held.follow(self._topic, start, wait_s))
         if answered:
             self._note_log_answered()
             if self._held_silent:
                 self._held_silent = False
                 events.log_event(events.HELD_READS_ANSWERED, topic=self._topic)
-        if answered or race.ways == 1:
+        if answered or race.log_reads == 1:
             # A failure before the short read began ends the call, as without it.
             scope.cancel()
 
     async def _read_short(self, race: _Race, scope: trio.CancelScope, start: int) -> None:
-        client = self._clients.short if race.ways > 1 else self._clients.held
+        client = self._clients.short if race.log_reads > 1 else self._clients.held
         if await race.answer(lambda: client.follow(self._topic, start, 0)):
             self._note_log_answered()
             scope.cancel()
@@ -150,8 +152,8 @@
 
     def __init__(self) -> None:
         """Start without an answer."""
-        # Reads of the log that have begun.
-        self.ways = 0
+        # Number of reads of the log that have begun.
+        self.log_reads = 0
         self._found: TopicRecords | None = None
         self._error: HistoryGoneError | PlatformUnavailableError | None = None
 
@@ -160,9 +162,9 @@
         """Tell whether a read has failed."""
         return self._error is not None
 
-    def begin_way(self) -> None:
+    def note_log_read(self) -> None:
         """Note that a read of the log begins."""
-        self.ways += 1
+        self.log_reads += 1
 
     async def answer(self, read: Read) -> bool:
         """Read; return whether that settles the race."""
--- a/packages/sesamepoint/src/sesamepoint/front/store/missing_records.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/missing_records.py
@@ -11,9 +11,9 @@
 class MissingRecords:
     """Asks peers for what neither the store nor an update brings to this instance.
 
-    A store that refuses this instance, or does not answer it, returns no records of a gap either. Without the
-    question, requests reached a leaving runner for 10 s: the peers had read its leaving from a list, and send no
-    update of that.
+    A store that refuses this instance, or does not answer it, returns no records of a gap either. When peers were not
+    asked, requests reached a leaving runner for 10 s: the peers had read its leaving from a list, after which they
+    send no update.
     """
 
     def __init__(self, handlers: RecordHandlers) -> None:
--- a/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/polling_turns.py
@@ -137,7 +137,8 @@
         """Note that the store did not answer; poll again after a pause.
 
         The store may refuse this instance alone: if updates from peers arrive
-        meanwhile, this instance stops calling. If none arrive, nobody polls, and its next poll is for all.
+        meanwhile, this instance stops calling. If none arrive, nobody polls for all: its next poll does, and may read
+        the whole list if reads of the log are silent, which a poll after a hint may not.
         """
         self._end_turn()
         self._polls_for_itself = False
--- a/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
+++ b/packages/sesamepoint/src/sesamepoint/front/store/topic_watch.py
@@ -10,13 +10,13 @@
 
 from sesamepoint_core.errors import PlatformUnavailableError
 from sesamepoint.front.store.call_pauses import CallPauses
+from sesamepoint.front.store.dropped_updates import DroppedUpdates
 from sesamepoint.front.store.missing_records import MissingRecords
 from sesamepoint.front.store.out_of_order import OutOfOrderUpdates, Position
 from sesamepoint.front.store.polling_turns import PollingTurns
 from sesamepoint.front.store.record_application import RecordApplication
 from sesamepoint.front.store.store_identity import StoreIdentity
 from sesamepoint.front.store.topic_updates import TopicUpdate, broadcastable
-from sesamepoint.front.store.dropped_updates import DroppedUpdates
 from sesamepoint.platform.store import HistoryGoneError
 
 if TYPE_CHECKING:
@@ -124,7 +124,7 @@
         self._rescheduled.set()
 
     def read_anew(self, epoch: int, within_s: float) -> None:
-        """Read the whole topic within some seconds, since the store has a newer epoch; offsets of before are void."""
+        """Read the whole topic within some seconds, since the store has a newer epoch; known offsets are void."""
         if not 0 < self.identity.epoch < epoch:
             return
         now = trio.current_time()
@@ -193,7 +193,8 @@
     async def _follow(self, start: int, began_at: float) -> bool:
         """Apply the changes since the offset ``start``; return False if the store was restored meanwhile."""
         wait_s = self._follow_wait_s()
-        # All instances poll after a hint, and must not all read lists. The copy of a restored store is not applied.
+        # After a hint all instances poll, and their lists would be a burst at the store. While the state settles, the
+        # copy of a restored store must not be applied as changes.
         list_instead = not (self.turns.hinted or self.identity.settling)
         changes = await self._store.follow(self._topic, start, wait_s, list_instead=list_instead)
         self._pauses.note_answered(changes.end)
--- a/tests/front/configurations/restore_variants.py
+++ b/tests/front/configurations/restore_variants.py
@@ -28,7 +28,7 @@
 IGNORED_S = 6.0
 _poll = TopicWatch._poll  # noqa: SLF001
 _check_epoch = StoreIdentity.check_epoch
-# When an instance saw an epoch first, by the identity that its topic has and the epoch.
+# When an instance saw an epoch first, by the id of the topic's `StoreIdentity` and the epoch.
 _epochs_known_since: dict[tuple[int, int], float] = {}
 
 
--- a/tests/front/configurations/rows.py
+++ b/tests/front/configurations/rows.py
@@ -95,11 +95,11 @@
         return _any_in(self._spans[front], since, until)
 
     def version_due_at(self, written_at: float, within_s: float) -> float:
-        """Return when a version must be in force that the store must show within some seconds while it serves."""
+        """Return when a version must be in force, ``within_s`` seconds after its write or after an outage."""
         return _due_at(written_at, within_s, [(one, one.until) for one in self.outages])
 
     def leaving_due_at(self, written_at: float, within_s: float) -> float:
-        """Return when a leaving must be known; what a copy of the store may lack is written again after its return.
+        """Return when a leaving must be known, ``within_s`` seconds after its write or after it was written again.
 
         What an instance has acknowledged before an outage of the store binds it also during the outage.
         """
--- a/tests/front/test_limit_faults.py
+++ b/tests/front/test_limit_faults.py
@@ -12,8 +12,8 @@
 
 SEEDS = (1, 2, 3)
 SEEDS_KEPT = (1, 3)
-# In another order of tasks a runner that had left got a request, since its late heartbeat came when all instances had
-# started after it left: tests/front/registrations/test_late_heartbeats.py shows that by itself.
+# In an earlier order of tasks a runner that had left got a request: its late heartbeat came when all instances had
+# started after it left. test_all_restarted_between in tests/front/registrations shows that case directly.
 SEED_ALL_RESTARTED = 2
 
 
